--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -191,6 +191,7 @@
 /** Counts that the host exports; labels come from closed or bounded sets. */
 export interface MetricsSink {
   count(name: CounterName, labels: MetricLabels): void;
+  add(name: CounterName, amount: number, labels: MetricLabels): void;
   observe(name: HistogramName, value: number, labels: MetricLabels): void;
   set(name: GaugeName, value: number, labels: MetricLabels): void;
 }
@@ -206,6 +207,8 @@
   | "target_errors_total"
   | "peer_messages_total"
   | "platform_calls_total"
+  | "control_messages_total"
+  | "control_bytes_total"
   | "promotions_total"
   | "state_changes_total";
 
--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -21,14 +21,16 @@
 
 /** Starts a host and resolves when it accepts callers. */
 export async function runHost(settings: Settings): Promise<RunningHost> {
-  const links = createPeerLinks(settings);
-  const targets = createTargetDriver(settings);
+  const metrics = createMetrics();
+  const links = createPeerLinks(settings, metrics);
+  const targets = createTargetDriver(settings, metrics);
   const generator = mersenne(randomBytes(4).readInt32LE());
   const io: HostIo = {
     sendPeer: links.send,
     targets,
     platform: createPlatformStore(settings.platform.url, {
       caller: settings.host,
+      metrics,
       ...(settings.platform.timeoutMs
         ? { timeoutMs: settings.platform.timeoutMs }
         : {}),
@@ -36,7 +38,7 @@
     random: () => (generator.next() >>> 0) / UINT32_RANGE,
     log: ({ component, event, fields }) =>
       debug(`turmericchute:${component}`)("%s %o", event, fields),
-    metrics: createMetrics(),
+    metrics,
   };
   const host = createHost(io, settings);
   const server = createCallerServer(host, settings.callers);
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -33,13 +33,16 @@
     };
   }
 
+  function add(name: CounterName, amount: number, labels: MetricLabels): void {
+    const counter = counters.get(name) ?? new Counter(common(name, labels));
+    counters.set(name, counter);
+    counter.inc(labels, amount);
+  }
+
   return {
     registry,
-    count(name, labels) {
-      const counter = counters.get(name) ?? new Counter(common(name, labels));
-      counters.set(name, counter);
-      counter.inc(labels);
-    },
+    count: (name, labels) => add(name, 1, labels),
+    add,
     observe(name, value, labels) {
       const histogram = histograms.get(name) ??
         new Histogram({ ...common(name, labels), buckets: BUCKETS_MS });
--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -4,8 +4,9 @@
 import { createServer, type Server } from "node:http";
 import { pack, unpack } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
+import { assertNever } from "../core/errors.ts";
 import { asId, type HostId } from "../core/ids.ts";
-import type { PeerMessage } from "../core/types.ts";
+import type { MetricsSink, PeerMessage } from "../core/types.ts";
 import { validatePeerMessage } from "../generated/peer_validate.ts";
 import type { Settings } from "../generated/settings.ts";
 
@@ -24,7 +25,10 @@
 }
 
 /** Creates the links; a link is opened when it is first needed. */
-export function createPeerLinks(settings: Settings): PeerLinks {
+export function createPeerLinks(
+  settings: Settings,
+  metrics: MetricsSink,
+): PeerLinks {
   const urls = new Map(
     (settings.peers.known ?? []).map((peer) => [peer.host, peer.url]),
   );
@@ -56,16 +60,31 @@
     return opened;
   }
 
+  /** Counts what the host spends on control; statements are not counted. */
+  function countControl(
+    msg: PeerMessage,
+    frame: { readonly bytes: number; readonly direction: "in" | "out" },
+  ): void {
+    if (isStatement(msg)) {
+      return;
+    }
+    const labels = { channel: "peer", direction: frame.direction };
+    metrics.count("control_messages_total", labels);
+    metrics.add("control_bytes_total", frame.bytes, labels);
+  }
+
   return {
     send(to, msg) {
       const link = tryLink(to);
       if (!link) {
         return;
       }
+      const data = pack(msg);
+      countControl(msg, { bytes: data.length, direction: "out" });
       if (link.readyState === WebSocket.CONNECTING) {
-        link.once("open", () => link.send(pack(msg)));
+        link.once("open", () => link.send(data));
       } else if (link.bufferedAmount < MAX_BUFFERED_BYTES) {
-        link.send(pack(msg));
+        link.send(data);
       }
     },
     listen(receive) {
@@ -76,6 +95,7 @@
         ws.on("message", (data: Buffer) => {
           const msg = tryUnpack(data);
           if (validatePeerMessage(msg)) {
+            countControl(msg, { bytes: data.length, direction: "in" });
             receive(from, msg);
           } else {
             ws.close(1008, "malformed message");
@@ -100,3 +120,17 @@
     return undefined;
   }
 }
+
+/** Tells whether a message carries a statement of a caller or its answer. */
+function isStatement(msg: PeerMessage): boolean {
+  switch (msg.kind) {
+    case "call":
+      return msg.req.kind === "exec";
+    case "return":
+      return msg.res.kind === "exec";
+    case "heartbeat":
+      return false;
+    default:
+      return assertNever(msg);
+  }
+}
--- a/src/host/target_driver.ts
+++ b/src/host/target_driver.ts
@@ -7,6 +7,7 @@
 import type { DomainId, HostId, TargetId } from "../core/ids.ts";
 import type {
   ControlReq,
+  MetricsSink,
   RunReq,
   RunRes,
   TargetConn,
@@ -31,6 +32,9 @@
   | { readonly rid: number; readonly ok: RunRes | TargetStatus }
   | { readonly rid: number; readonly err: TargetErr };
 
+/** Counts one frame of a channel. */
+type CountFrame = (bytes: number, direction: "in" | "out") => void;
+
 type Settle = (result: Result<unknown, TargetErr>) => void;
 
 interface Channel {
@@ -43,7 +47,10 @@
 }
 
 /** Opens a channel on which calls are matched to returns by their id. */
-function openChannel(url: string): Promise<Result<Channel, TargetErr>> {
+function openChannel(
+  url: string,
+  count: CountFrame = () => {},
+): Promise<Result<Channel, TargetErr>> {
   return new Promise((resolve) => {
     const ws = new WebSocket(url, {
       perMessageDeflate: false,
@@ -80,11 +87,14 @@
             done(result);
           };
           waiting.set(rid, settle);
-          ws.send(pack({ rid, req } satisfies TargetCall));
+          const data = pack({ rid, req } satisfies TargetCall);
+          count(data.length, "out");
+          ws.send(data);
         }),
       close: () => ws.terminate(),
     };
     ws.on("message", (data: Buffer) => {
+      count(data.length, "in");
       const frame: unknown = unpack(data);
       if (frame === "ready") {
         isReady = true;
@@ -111,6 +121,7 @@
 /** Creates the driver that a host reaches its targets with. */
 export function createTargetDriver(
   self: { readonly host: HostId; readonly domain: DomainId },
+  metrics: MetricsSink,
 ): TargetDriver & { close(): void } {
   const controls = new Map<TargetId, Promise<Result<Channel, TargetErr>>>();
 
@@ -123,6 +134,12 @@
     return `${target.url}/?${query}`;
   }
 
+  function countControl(bytes: number, direction: "in" | "out"): void {
+    const labels = { channel: "target", direction };
+    metrics.count("control_messages_total", labels);
+    metrics.add("control_bytes_total", bytes, labels);
+  }
+
   async function getControl(
     target: TargetInfo,
   ): Promise<Result<Channel, TargetErr>> {
@@ -134,7 +151,10 @@
       }
     }
     if (controls.get(target.target) === held) {
-      controls.set(target.target, openChannel(getUrl(target, "control")));
+      controls.set(
+        target.target,
+        openChannel(getUrl(target, "control"), countControl),
+      );
     }
     return await controls.get(target.target)!;
   }
--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -92,6 +92,7 @@
 
 const NO_METRICS: MetricsSink = {
   count() {},
+  add() {},
   observe() {},
   set() {},
 };
