Measure throughput on the ways to a target

Cause: the cost of the proxy was not known. The same reads go through a bare WebSocket echo, to a target directly, through one host and through two (entry, then pool), from two load processes, 16 in flight on each of 16 connections.

--- /dev/null
+++ b/tools/bench/load_program.ts
@@ -0,0 +1,171 @@
+/**
+ * Sends reads as fast as they are answered, with a bounded number in flight,
+ * for a bounded time. Prints the count and the latencies as JSON.
+ */
+
+import { Buffer } from "node:buffer";
+import process from "node:process";
+import { cac } from "cac";
+import { build, encodeIntoCompressedBase64 } from "hdr-histogram-js";
+import { pack, unpack } from "msgpackr";
+import { WebSocket } from "ws";
+import { sleep } from "../../src/core/clock.ts";
+
+const MS_PER_SECOND = 1_000;
+const US_PER_MS = 1_000;
+const WARM_UP_MS = 1_000;
+const ROWS = 100;
+
+/** What the program prints on its only line. */
+export interface LoadReport {
+  readonly statements: number;
+  readonly failed: number;
+  readonly seconds: number;
+  /** Latencies in microseconds, as a compressed histogram. */
+  readonly histogram: string;
+}
+
+/** How requests of one mode are written and answers read. */
+interface Codec {
+  readonly hello: string | undefined;
+  encode(id: number): Buffer | string;
+  /** The id of the answer, or undefined for another frame. */
+  tryDecode(data: Buffer): Decoded | undefined;
+}
+
+interface Decoded {
+  readonly id: number;
+  readonly ok: boolean;
+}
+
+type Mode = "echo" | "target" | "host";
+
+function row(id: number): { readonly op: string; readonly key: string } {
+  return { op: "get", key: `order-${id % ROWS}` };
+}
+
+function createPackedCodec(workspace: string): Codec {
+  return {
+    hello: undefined,
+    encode: (id) =>
+      pack({ rid: id, req: { kind: "read", workspace, body: row(id) } }),
+    tryDecode(data) {
+      const frame: unknown = unpack(data);
+      return typeof frame === "object" && frame !== null && "rid" in frame
+        ? { id: Number(frame.rid), ok: !("err" in frame) }
+        : undefined;
+    },
+  };
+}
+
+function createJsonCodec(key: string, service: string): Codec {
+  return {
+    hello: JSON.stringify({ kind: "hello", key }),
+    encode: (id) =>
+      JSON.stringify({
+        kind: "read",
+        id: `${id}`,
+        service,
+        class: "status_lookup",
+        body: row(id),
+      }),
+    tryDecode(data) {
+      const frame = JSON.parse(data.toString("utf8"));
+      return frame.id ? { id: Number(frame.id), ok: frame.ok } : undefined;
+    },
+  };
+}
+
+async function run(options: {
+  readonly url: string;
+  readonly codec: Codec;
+  readonly connections: number;
+  readonly inFlight: number;
+  readonly seconds: number;
+}): Promise<LoadReport> {
+  const { codec } = options;
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  let statements = 0;
+  let failed = 0;
+  let counting = false;
+  let running = true;
+  let nextId = 1;
+
+  function open(): Promise<WebSocket> {
+    const ws = new WebSocket(options.url, { perMessageDeflate: false });
+    const sentAt = new Map<number, number>();
+    function sendNext(): void {
+      if (running && ws.readyState === WebSocket.OPEN) {
+        const id = nextId++;
+        sentAt.set(id, performance.now());
+        ws.send(codec.encode(id));
+      }
+    }
+    ws.on("message", (data: Buffer) => {
+      const res = codec.tryDecode(data);
+      const at = res && sentAt.get(res.id);
+      if (!res || at === undefined) {
+        return;
+      }
+      sentAt.delete(res.id);
+      if (counting) {
+        statements += res.ok ? 1 : 0;
+        failed += res.ok ? 0 : 1;
+        histogram.recordValue(
+          Math.max(1, Math.round((performance.now() - at) * US_PER_MS)),
+        );
+      }
+      sendNext();
+    });
+    return new Promise((resolve, reject) => {
+      ws.on("error", reject);
+      ws.on("open", async () => {
+        if (codec.hello) {
+          ws.send(codec.hello);
+        }
+        await sleep(WARM_UP_MS / 2);
+        for (let i = 0; i < options.inFlight; i++) {
+          sendNext();
+        }
+        resolve(ws);
+      });
+    });
+  }
+
+  const sockets = await Promise.all(
+    Array.from({ length: options.connections }, open),
+  );
+  await sleep(WARM_UP_MS);
+  counting = true;
+  const startedAt = performance.now();
+  process.send?.("started");
+  await sleep(options.seconds * MS_PER_SECOND);
+  counting = false;
+  process.send?.("ended");
+  const seconds = (performance.now() - startedAt) / MS_PER_SECOND;
+  running = false;
+  sockets.forEach((ws) => ws.terminate());
+  return {
+    statements,
+    failed,
+    seconds,
+    histogram: encodeIntoCompressedBase64(histogram),
+  };
+}
+
+const cli = cac("load_program");
+cli.command("<mode> <url>", "Load an echo server, a target or a host")
+  .option("--key <key>", "Key of the caller", { default: "" })
+  .option("--service <service>", "Service to ask", { default: "ordering" })
+  .option("--connections <n>", "Connections", { default: 8 })
+  .option("--in-flight <n>", "Requests in flight on each", { default: 16 })
+  .option("--seconds <s>", "Time to count", { default: 4 })
+  .action(async (mode: Mode, url: string, options) => {
+    const codec = mode === "host"
+      ? createJsonCodec(options.key, options.service)
+      : createPackedCodec("bench");
+    console.log(JSON.stringify(await run({ ...options, url, codec })));
+  });
+cli.help();
+cli.parse(process.argv, { run: false });
+await cli.runMatchedCommand();
--- /dev/null
+++ b/tools/bench/throughput.ts
@@ -0,0 +1,207 @@
+/** Throughput, latency and processor time on the ways to a target. */
+
+import { type ChildProcess, fork, spawn } from "node:child_process";
+import process from "node:process";
+import { build, decodeFromCompressedBase64 } from "hdr-histogram-js";
+import { asId, type PlanId, type WorkspaceId } from "../../src/core/ids.ts";
+import { endProcess, firstLine, type Fleet, startFleet } from "../processes.ts";
+import { listPoolHosts } from "../../src/core/route.ts";
+import { type Deployment, LAKAZ } from "../workloads.ts";
+import type { LoadReport } from "./load_program.ts";
+import { readCpuSeconds } from "./usage.ts";
+
+const ROOT = new URL("../../..", import.meta.url).pathname;
+const LOAD_PROCESSES = 2;
+const US_PER_SECOND = 1_000_000;
+const US_PER_MS = 1_000;
+const UNLIMITED = 10_000_000;
+const PER_MILLE = 1_000;
+
+/** Figures of one way. */
+export interface WayReport {
+  readonly statementsPerSecond: number;
+  readonly failed: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Processor time of the processes between caller and target. */
+  readonly cpuUsPerStatement: number;
+}
+
+/** Figures of all ways of one run. */
+export interface ThroughputReport {
+  readonly rawEcho: WayReport;
+  readonly direct: WayReport;
+  readonly oneHost: WayReport;
+  readonly twoHosts: WayReport;
+}
+
+/** A deployment whose targets and plans are not what limits it. */
+export const BENCH_DEPLOYMENT: Deployment = {
+  ...LAKAZ,
+  groups: 1,
+  slots: 64,
+  connectionsPerTarget: 256,
+  connectMs: 0,
+  statementMs: 0,
+  domainLatencyMs: 0,
+  workspaces: [{
+    workspace: asId<WorkspaceId>("bench"),
+    plan: asId<PlanId>("unlimited"),
+    ratePerSecond: UNLIMITED,
+    burst: UNLIMITED,
+  }],
+};
+
+/** Where the load goes and whose processor time is counted. */
+interface Way {
+  readonly mode: "echo" | "target" | "host";
+  readonly url: string;
+  readonly key?: string;
+  readonly pids: readonly number[];
+  readonly seconds: number;
+}
+
+async function measureWay(way: Way): Promise<WayReport> {
+  let cpuBefore = 0;
+  let cpuAfter = 0;
+  const readCpu = () =>
+    way.pids.reduce((sum, pid) => sum + readCpuSeconds(pid), 0);
+  const reports = await Promise.all(
+    Array.from({ length: LOAD_PROCESSES }, async () => {
+      const child = fork("dist/tools/bench/load_program.js", [
+        way.mode,
+        way.url,
+        `--seconds=${way.seconds}`,
+        ...(way.key ? [`--key=${way.key}`] : []),
+      ], { cwd: ROOT, stdio: ["ignore", "pipe", "inherit", "ipc"] });
+      child.on("message", (message) => {
+        if (message === "started") {
+          cpuBefore = readCpu();
+        } else {
+          cpuAfter = readCpu();
+        }
+      });
+      return JSON.parse(await firstLine(child)) as LoadReport;
+    }),
+  );
+  return combine(reports, cpuAfter - cpuBefore);
+}
+
+function combine(
+  reports: readonly LoadReport[],
+  cpuSeconds: number,
+): WayReport {
+  const latencies = build({ numberOfSignificantValueDigits: 3 });
+  reports.forEach((report) =>
+    latencies.add(decodeFromCompressedBase64(report.histogram))
+  );
+  const statements = reports.reduce((sum, r) => sum + r.statements, 0);
+  const perSecond = reports
+    .reduce((sum, r) => sum + r.statements / r.seconds, 0);
+  return {
+    statementsPerSecond: Math.round(perSecond),
+    failed: reports.reduce((sum, r) => sum + r.failed, 0),
+    p50Ms: latencies.getValueAtPercentile(50) / US_PER_MS,
+    p99Ms: latencies.getValueAtPercentile(99) / US_PER_MS,
+    cpuUsPerStatement: round(cpuSeconds * US_PER_SECOND / statements),
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * PER_MILLE) / PER_MILLE;
+}
+
+function getPid(child: ChildProcess): number {
+  if (child.pid === undefined) {
+    throw new Error("the process did not start");
+  }
+  return child.pid;
+}
+
+async function measureEcho(seconds: number): Promise<WayReport> {
+  const child = spawn(process.execPath, ["dist/tools/bench/echo_program.js"], {
+    cwd: ROOT,
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  try {
+    const url = `ws://127.0.0.1:${await firstLine(child)}`;
+    return await measureWay({
+      mode: "echo",
+      url,
+      pids: [getPid(child)],
+      seconds,
+    });
+  } finally {
+    await endProcess(child);
+  }
+}
+
+async function measureHost(
+  fleet: Fleet,
+  options: { readonly index: number; readonly seconds: number },
+): Promise<WayReport> {
+  return await measureWay({
+    mode: "host",
+    url: fleet.hosts[options.index]!.callersUrl,
+    key: [...fleet.keys.values()][0]!,
+    pids: fleet.hosts.map((host) => getPid(host.child)),
+    seconds: options.seconds,
+  });
+}
+
+async function withFleet<T>(
+  options: { readonly hosts: number; readonly hostsPerGroup: number },
+  run: (fleet: Fleet) => Promise<T>,
+): Promise<T> {
+  const fleet = await startFleet(BENCH_DEPLOYMENT, {
+    hosts: options.hosts,
+    settings: {
+      pools: { hostsPerGroup: options.hostsPerGroup },
+    },
+  });
+  try {
+    return await run(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Measures every way, one after another. */
+export async function measureThroughput(
+  seconds: number,
+): Promise<ThroughputReport> {
+  const rawEcho = await measureEcho(seconds);
+  const one = await withFleet(
+    { hosts: 1, hostsPerGroup: 1 },
+    async (fleet) => {
+      const target = fleet.targets[1]!;
+      const direct = await measureWay({
+        mode: "target",
+        url: `${target.url}/?channel=data&from=bench`,
+        pids: [getPid(target.child)],
+        seconds,
+      });
+      const oneHost = await measureHost(fleet, { index: 0, seconds });
+      return { direct, oneHost };
+    },
+  );
+  const twoHosts = await withFleet(
+    { hosts: 2, hostsPerGroup: 1 },
+    async (fleet) => {
+      const index = findForwardingHost(fleet);
+      return await measureHost(fleet, { index, seconds });
+    },
+  );
+  return { rawEcho, ...one, twoHosts };
+}
+
+/** The host that does not pool for the group itself. */
+function findForwardingHost(fleet: Fleet): number {
+  const alive = fleet.hosts.map(({ settings }) => ({
+    host: settings.host,
+    domain: settings.domain,
+  }));
+  const group = fleet.groups[0]!.group;
+  const pool = listPoolHosts(group, { alive, count: 1 })[0];
+  return fleet.hosts.findIndex((host) => host.host !== pool);
+}
--- /dev/null
+++ b/tools/bench/usage.ts
@@ -0,0 +1,36 @@
+/** Processor time and memory of processes, and what hosts count. */
+
+import { readFileSync } from "node:fs";
+
+const TICKS_PER_SECOND = 100;
+const BYTES_PER_KB = 1_024;
+
+/** Processor time that a process has used, in seconds. */
+export function readCpuSeconds(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
+}
+
+/** Resident memory of a process, in bytes. */
+export function readMemoryBytes(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const kb = /VmRSS:\s+(\d+)/.exec(status)?.[1];
+  return Number(kb ?? 0) * BYTES_PER_KB;
+}
+
+/** Sums of the counters of a host over their labels. */
+export async function readCounters(
+  operatorsUrl: string,
+): Promise<ReadonlyMap<string, number>> {
+  const res = await fetch(`${operatorsUrl}/metrics`);
+  const sums = new Map<string, number>();
+  for (const line of (await res.text()).split("\n")) {
+    const match = /^turmericchute_(\w+)(?:\{.*\})? ([\d.e+-]+)$/.exec(line);
+    if (match) {
+      const name = match[1]!;
+      sums.set(name, (sums.get(name) ?? 0) + Number(match[2]));
+    }
+  }
+  return sums;
+}
--- a/tools/processes.ts
+++ b/tools/processes.ts
@@ -62,10 +62,16 @@
   stop(): Promise<void>;
 }
 
+/** How many hosts a fleet has and what their settings add. */
+export interface FleetOptions {
+  readonly hosts: number;
+  readonly settings?: Partial<Settings>;
+}
+
 /** Starts a fleet and resolves when every host accepts callers. */
 export async function startFleet(
   deployment: Deployment,
-  options: { readonly hosts: number },
+  options: FleetOptions,
 ): Promise<Fleet> {
   const children: ChildProcess[] = [];
   process.once("exit", () => children.forEach((child) => child.kill()));
@@ -82,7 +88,7 @@
   const { groups, targets } = await startTargets(deployment, run);
   const keys = await writeObjects(deployment, { platformUrl, groups });
   const hosts = await startHosts(deployment, {
-    count: options.hosts,
+    ...options,
     platformUrl,
     run,
   });
@@ -120,6 +126,7 @@
       `--slots=${deployment.slots}`,
       `--max-connections=${deployment.connectionsPerTarget}`,
       `--connect-ms=${deployment.connectMs}`,
+      `--statement-ms=${deployment.statementMs}`,
       `--latency-ms=${deployment.domainLatencyMs}`,
     ]);
     const url = `ws://${LOOPBACK}:${await firstLine(child)}`;
@@ -170,17 +177,16 @@
 
 async function startHosts(
   deployment: Deployment,
-  options: {
-    readonly count: number;
+  options: FleetOptions & {
     readonly platformUrl: string;
     readonly run: Run;
   },
 ): Promise<FleetHost[]> {
   const dir = mkdtempSync(join(tmpdir(), "turmericchute-"));
   const ports = await Promise.all(
-    Array.from({ length: options.count * 3 }, findPort),
+    Array.from({ length: options.hosts * 3 }, findPort),
   );
-  const planned = Array.from({ length: options.count }, (_, index) => ({
+  const planned = Array.from({ length: options.hosts }, (_, index) => ({
     host: asId<HostId>(`h${index + 1}`),
     domain: deployment.domains[index % deployment.domains.length]!,
     callersPort: ports[index * 3]!,
@@ -204,6 +210,7 @@
         })),
       },
       platform: { url: options.platformUrl },
+      ...options.settings,
     };
     const settingsFile = join(dir, `${plan.host}.yaml`);
     writeFileSync(settingsFile, stringify(settings));
--- a/tools/workloads.ts
+++ b/tools/workloads.ts
@@ -41,6 +41,8 @@
   readonly slots: number;
   readonly connectionsPerTarget: number;
   readonly connectMs: number;
+  /** Time that a target needs for a statement. */
+  readonly statementMs: number;
   readonly domainLatencyMs: number;
   readonly regionLatencyMs: number;
   readonly callerLatencyMs: number;
@@ -86,6 +88,7 @@
   slots: 3,
   connectionsPerTarget: 20,
   connectMs: 10,
+  statementMs: 2,
   domainLatencyMs: 0.5,
   regionLatencyMs: 20,
   callerLatencyMs: 1,
@@ -144,6 +147,7 @@
   slots: 5,
   connectionsPerTarget: 60,
   connectMs: 30,
+  statementMs: 2,
   domainLatencyMs: 1.5,
   regionLatencyMs: 10,
   callerLatencyMs: 3,
