Add the library that edits lists and keys

Operators need conditional updates with checks of all lists together. Weighed for concurrent edits of two lists that are checked against each other: one object for all lists (every edit conflicts), a lock object (an operator that dies holds it), and storing the checked lists again unchanged before the edit. The last is taken: it needs no lock and no unfinished edit can take effect later.

A lost answer is settled by reading back: the same value one version on is the own update.

--- /dev/null
+++ b/src/core/lists.ts
@@ -0,0 +1,163 @@
+/** The lists that operators edit: read, compare and change them. */
+
+import { isDeepStrictEqual } from "node:util";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { GroupsList } from "../generated/objects.ts";
+import { sleep } from "./clock.ts";
+import type { TargetId } from "./ids.ts";
+import {
+  LIST_NAMES,
+  type ListName,
+  type Lists,
+  validateLists,
+} from "./list_checks.ts";
+import { type EditErr, putObject, updateObject } from "./object_edit.ts";
+import { GROUPS_KEY, PLANS_KEY, SERVICES_KEY } from "./object_keys.ts";
+import type { PlatformStore, StoredObject } from "./types.ts";
+
+export {
+  LIST_NAMES,
+  type ListName,
+  type ListProblem,
+  type Lists,
+  validateLists,
+} from "./list_checks.ts";
+export { type EditErr, listDifferences } from "./object_edit.ts";
+export {
+  issueWorkspaceKey,
+  listKeys,
+  rotateKey,
+  withdrawKey,
+} from "./key_list.ts";
+
+const ATTEMPTS = 5;
+const RETRY_MS = 100;
+
+const KEY_OF_LIST = {
+  plans: PLANS_KEY,
+  services: SERVICES_KEY,
+  groups: GROUPS_KEY,
+} as const;
+
+/** The lists that a change of each list is checked against. */
+const CHECKED_WITH = {
+  plans: ["services"],
+  services: ["plans", "groups"],
+  groups: ["services"],
+} as const satisfies Record<ListName, readonly ListName[]>;
+
+/** The lists as the platform holds them; absent ones have version 0. */
+export type StoredLists = { readonly [name in ListName]: StoredObject };
+
+/** Reads all lists. */
+export async function readLists(
+  store: PlatformStore,
+): Promise<Result<StoredLists, EditErr>> {
+  const entries: [ListName, StoredObject][] = [];
+  for (const name of LIST_NAMES) {
+    const found = await store.get(KEY_OF_LIST[name]);
+    if (found.isErr()) {
+      return Err({ kind: "unreachable" });
+    }
+    entries.push([name, found.value]);
+  }
+  return Ok(Object.fromEntries(entries) as StoredLists);
+}
+
+/** A change of one list. */
+export interface ListChange<Name extends ListName = ListName> {
+  readonly list: Name;
+  readonly value: Lists[Name];
+  /** The list that the operator started from. */
+  readonly base: StoredObject;
+}
+
+/**
+ * Puts a list in place of the one that the operator started from, if nobody
+ * else changed it and all lists fit together with it. The lists that it was
+ * checked against are stored again unchanged, so that a concurrent change of
+ * one of them cannot pass its own check on the older state of this one.
+ */
+export async function applyList(
+  store: PlatformStore,
+  change: ListChange,
+): Promise<Result<StoredObject, EditErr>> {
+  const { list, value, base } = change;
+  let last: EditErr = { kind: "unreachable" };
+  for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+    await sleep(RETRY_MS * attempt * (0.5 + Math.random()));
+    const held = await readLists(store);
+    if (held.isErr()) {
+      last = held.error;
+      continue;
+    }
+    const problems = validateLists({ ...toValues(held.value), [list]: value });
+    if (problems.length > 0) {
+      return Err({ kind: "invalid", problems });
+    }
+    const current = held.value[list];
+    const isUnchanged = isDeepStrictEqual(current.value, base.value);
+    const res = isUnchanged
+      ? await putChecked(store, held.value, change)
+      : await putObject(store, base, value);
+    if (res.isOk() || !isRetryable(res.error, base)) {
+      return res;
+    }
+    last = res.error;
+  }
+  return Err(last);
+}
+
+async function putChecked(
+  store: PlatformStore,
+  held: StoredLists,
+  { list, value }: ListChange,
+): Promise<Result<StoredObject, EditErr>> {
+  for (const name of CHECKED_WITH[list]) {
+    const checked = held[name];
+    if (checked.version > 0) {
+      const kept = await putObject(store, checked, checked.value);
+      if (kept.isErr()) {
+        return kept;
+      }
+    }
+  }
+  return await putObject(store, held[list], value);
+}
+
+/** A conflict that left the operator's list as it was is not theirs. */
+function isRetryable(err: EditErr, base: StoredObject): boolean {
+  return err.kind === "conflict" &&
+    (err.current.key !== base.key ||
+      isDeepStrictEqual(err.current.value, base.value));
+}
+
+function toValues(lists: StoredLists): { [name in ListName]?: unknown } {
+  return Object.fromEntries(
+    LIST_NAMES.map((name) => [name, lists[name].value]),
+  );
+}
+
+/** Marks a target as leaving, or takes the mark back. */
+export async function markLeaving(
+  store: PlatformStore,
+  options: { readonly target: TargetId; readonly leaving: boolean },
+): Promise<Result<StoredObject, EditErr>> {
+  const { target, leaving } = options;
+  return await updateObject<GroupsList>(store, GROUPS_KEY, (list) => {
+    const groups = list?.groups ?? [];
+    const all = groups.flatMap((group) => group.targets);
+    if (!all.some((entry) => entry.target === target)) {
+      return Err({ kind: "not_found", name: target });
+    }
+    return Ok({
+      kind: "groups",
+      groups: groups.map((group) => ({
+        ...group,
+        targets: group.targets.map((entry) =>
+          entry.target === target ? { ...entry, leaving } : entry
+        ),
+      })),
+    });
+  });
+}
--- /dev/null
+++ b/src/core/object_edit.ts
@@ -0,0 +1,118 @@
+/** Conditional updates of platform objects, safe when answers are lost. */
+
+import { isDeepStrictEqual } from "node:util";
+import diff, { type Difference } from "microdiff";
+import { Err, Ok, type Result } from "ts-results-es";
+import { sleep } from "./clock.ts";
+import type { ListProblem } from "./list_checks.ts";
+import type { PlatformStore, StoredObject } from "./types.ts";
+
+const ATTEMPTS = 5;
+const RETRY_MS = 100;
+
+/** Why an edit was not accepted. */
+export type EditErr =
+  | { readonly kind: "invalid"; readonly problems: readonly ListProblem[] }
+  /** The object was changed since it was read. */
+  | {
+    readonly kind: "conflict";
+    readonly current: StoredObject;
+    /** What the other change made of the object that the edit started from. */
+    readonly differences: readonly Difference[];
+  }
+  /** The edit may or may not have taken effect. */
+  | { readonly kind: "unknown" }
+  /** The edit was not made. */
+  | { readonly kind: "unreachable" }
+  | { readonly kind: "rejected"; readonly detail: string }
+  | { readonly kind: "not_found"; readonly name: string };
+
+/** Lists what differs between two values of an object. */
+export function listDifferences(
+  from: unknown,
+  to: unknown,
+): readonly Difference[] {
+  return diff(toRecord(from), toRecord(to));
+}
+
+/** Stores `value` in place of `base`, and finds out when no answer comes. */
+export async function putObject(
+  store: PlatformStore,
+  base: StoredObject,
+  value: unknown,
+): Promise<Result<StoredObject, EditErr>> {
+  let isSent = false;
+  for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+    const res = await store.put(base.key, value, { ifVersion: base.version });
+    if (res.isOk()) {
+      return res;
+    }
+    if (res.error.kind === "rejected") {
+      return Err(res.error);
+    }
+    isSent ||= res.error.kind === "unreachable";
+    const current = res.error.kind === "conflict"
+      ? res.error.current
+      : await tryReadBack(store, base);
+    if (current && current.version !== base.version) {
+      return isSent && isOwn(current, { base, value })
+        ? Ok(current)
+        : Err(toConflict(base, current));
+    }
+    await sleep(RETRY_MS);
+  }
+  return Err({ kind: isSent ? "unknown" : "unreachable" });
+}
+
+/** Makes a change that may be repeated on whatever the object holds by then. */
+export async function updateObject<T>(
+  store: PlatformStore,
+  key: StoredObject["key"],
+  change: (value: T | undefined) => Result<T, EditErr>,
+): Promise<Result<StoredObject, EditErr>> {
+  let last: Result<StoredObject, EditErr> = Err({ kind: "unreachable" });
+  for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+    const base = await store.get(key);
+    if (base.isErr()) {
+      await sleep(RETRY_MS);
+      continue;
+    }
+    const value = change(base.value.value as T | undefined);
+    if (value.isErr()) {
+      return value;
+    }
+    last = await putObject(store, base.value, value.value);
+    if (last.isOk() || last.error.kind !== "conflict") {
+      return last;
+    }
+    await sleep(RETRY_MS * attempt);
+  }
+  return last;
+}
+
+function isOwn(
+  current: StoredObject,
+  put: { readonly base: StoredObject; readonly value: unknown },
+): boolean {
+  return current.version === put.base.version + 1 &&
+    isDeepStrictEqual(current.value, put.value);
+}
+
+async function tryReadBack(
+  store: PlatformStore,
+  base: StoredObject,
+): Promise<StoredObject | undefined> {
+  const res = await store.get(base.key);
+  return res.isOk() ? res.value : undefined;
+}
+
+function toConflict(base: StoredObject, current: StoredObject): EditErr {
+  const differences = listDifferences(base.value, current.value);
+  return { kind: "conflict", current, differences };
+}
+
+function toRecord(value: unknown): Record<string, unknown> {
+  return typeof value === "object" && value !== null
+    ? value as Record<string, unknown>
+    : {};
+}
