Test the lists: checks, races and lost answers

Conclusion: one of two racing operators wins, the other gets the differences; an update whose answer is lost is applied once.

--- /dev/null
+++ b/test/memory_store.ts
@@ -0,0 +1,46 @@
+/** The object API on the in-memory stand-in, with faults for one call. */
+
+import { Err, Ok, type Result } from "ts-results-es";
+import type {
+  PlatformErr,
+  PlatformStore,
+  StoredObject,
+} from "../src/core/types.ts";
+import type { PlatformCore } from "../standins/platform_core.ts";
+
+/** What happens to the next puts, one entry each. */
+export type PutFault = "none" | "lost_answer" | "not_sent";
+
+/** A store with faults and a hook that runs before each put. */
+export interface MemoryStore extends PlatformStore {
+  readonly faults: PutFault[];
+  beforePut: (key: string) => Promise<void> | void;
+  readonly puts: string[];
+}
+
+/** Creates a store on `core`. */
+export function createMemoryStore(core: PlatformCore): MemoryStore {
+  const unreachable: Result<StoredObject, PlatformErr> = Err({
+    kind: "unreachable",
+  });
+  const store: MemoryStore = {
+    faults: [],
+    puts: [],
+    beforePut: () => {},
+    get: (key) => Promise.resolve(Ok(structuredClone(core.get(key)))),
+    list: (prefix) => Promise.resolve(Ok(core.list(prefix))),
+    async put(key, value, options) {
+      await store.beforePut(key);
+      const fault = store.faults.shift() ?? "none";
+      store.puts.push(key);
+      if (fault === "not_sent") {
+        return unreachable;
+      }
+      const res = core.put(key, structuredClone(value), options);
+      return fault === "lost_answer" ? unreachable : res;
+    },
+    watch: (prefix, { after }) =>
+      Promise.resolve(Ok(core.changesAfter(prefix, after))),
+  };
+  return store;
+}
