Name every mistake in a settings file at once

Settings were refused with the raw text of the validator. They are now read with line and column, checked by the generated validator and for relations between values, and every mistake is one numbered line with what was found and what is allowed. Ten mistakes give ten lines (test/settings.test.ts).

--- /dev/null
+++ b/src/core/mistakes.ts
@@ -0,0 +1,171 @@
+/** Turns the errors of a generated validator into lines for people. */
+
+import type { AnySchemaObject, ErrorObject } from "ajv";
+import { closest, distance } from "fastest-levenshtein";
+import {
+  type DiagnosticFields,
+  type DiagnosticName,
+  formatDiagnostic,
+  getDiagnosticCode,
+} from "./diagnostics.ts";
+
+/** Longest excerpt of a value that is shown. */
+const MAX_FOUND_CHARS = 60;
+/** Edits between a key and the one that is suggested for it. */
+const MAX_SUGGESTION_EDITS = 2;
+
+/** One thing that is wrong with a file. */
+export interface Mistake {
+  /** Place in the file, such as `peers.known[0].url`; empty for the whole. */
+  readonly path: string;
+  readonly name: DiagnosticName;
+  readonly text: string;
+}
+
+/** Builds a mistake from a message of the table. */
+export function createMistake<N extends DiagnosticName>(
+  path: string,
+  name: N,
+  fields: DiagnosticFields<N>,
+): Mistake {
+  return { path, name, text: formatDiagnostic(name, fields) };
+}
+
+/** Writes a mistake as one line. */
+export function formatMistake(file: string, mistake: Mistake): string {
+  const place = mistake.path ? `${file}: ${mistake.path}` : file;
+  return `${place}: ${mistake.text} [${getDiagnosticCode(mistake.name)}]`;
+}
+
+/** Describes the errors of a validator that was generated as verbose. */
+export function describeErrors(
+  errors: readonly ErrorObject[],
+): readonly Mistake[] {
+  const mistakes = errors.map(describeError);
+  const unique = new Map(mistakes.map((m) => [`${m.path}\n${m.text}`, m]));
+  return [...unique.values()];
+}
+
+function describeError(err: ErrorObject): Mistake {
+  const path = toPath(err.instancePath);
+  const schema = err.parentSchema ?? {};
+  switch (err.keyword) {
+    case "additionalProperties":
+      return describeUnknownKey(path, {
+        key: `${err.params.additionalProperty}`,
+        allowed: Object.keys(schema.properties ?? {}),
+      });
+    case "required": {
+      const key = `${err.params.missingProperty}`;
+      const allowed = describeSchema(schema.properties?.[key] ?? {});
+      return createMistake(joinPath(path, key), "key_missing", { allowed });
+    }
+    case "discriminator":
+      return createMistake(
+        joinPath(path, `${err.params.tag}`),
+        "value_invalid",
+        {
+          found: describeValue(err.params.tagValue),
+          allowed: "the kind of an object of the platform",
+        },
+      );
+    default:
+      return createMistake(path, "value_invalid", {
+        found: describeValue(err.data),
+        allowed: describeSchema(schema),
+      });
+  }
+}
+
+function describeUnknownKey(
+  path: string,
+  given: { readonly key: string; readonly allowed: readonly string[] },
+): Mistake {
+  const place = joinPath(path, given.key);
+  const allowed = given.allowed.join(", ");
+  const suggestion = trySuggest(given.key, given.allowed);
+  return suggestion
+    ? createMistake(place, "key_misspelt", { suggestion, allowed })
+    : createMistake(place, "key_unknown", { allowed });
+}
+
+/** The allowed word that `found` is probably meant to be. */
+export function trySuggest(
+  found: string,
+  allowed: readonly string[],
+): string | undefined {
+  const lower = found.toLowerCase();
+  const best = closest(lower, allowed.map((word) => word.toLowerCase()));
+  const near = best !== undefined &&
+    distance(lower, best) <= Math.min(MAX_SUGGESTION_EDITS, best.length / 2);
+  return near ? allowed.find((w) => w.toLowerCase() === best) : undefined;
+}
+
+/** Says in words what a schema allows. */
+function describeSchema(schema: AnySchemaObject): string {
+  if (schema.const !== undefined) {
+    return JSON.stringify(schema.const);
+  }
+  if (schema.enum) {
+    return schema.enum.join(" or ");
+  }
+  switch (schema.type) {
+    case "integer":
+      return `an integer${describeRange(schema)}`;
+    case "number":
+      return `a number${describeRange(schema)}`;
+    case "string":
+      return schema.pattern ? `text that matches ${schema.pattern}` : "text";
+    case "boolean":
+      return "true or false";
+    case "array":
+      return "a list";
+    case "object":
+      return `a mapping with ${
+        Object.keys(schema.properties ?? {}).join(", ")
+      }`;
+    default:
+      return "another value";
+  }
+}
+
+function describeRange(schema: AnySchemaObject): string {
+  const { minimum, maximum, exclusiveMinimum } = schema;
+  if (exclusiveMinimum !== undefined) {
+    return ` above ${exclusiveMinimum}`;
+  }
+  if (minimum !== undefined && maximum !== undefined) {
+    return ` from ${minimum} to ${maximum}`;
+  }
+  return minimum === undefined ? "" : ` of at least ${minimum}`;
+}
+
+function describeValue(value: unknown): string {
+  if (value === undefined) {
+    return "nothing";
+  }
+  if (Array.isArray(value)) {
+    return "a list";
+  }
+  if (typeof value === "object" && value !== null) {
+    return "a mapping";
+  }
+  const text = JSON.stringify(value);
+  return text.length > MAX_FOUND_CHARS
+    ? `${text.slice(0, MAX_FOUND_CHARS)}…`
+    : text;
+}
+
+/** Writes a JSON pointer the way people name places in a file. */
+function toPath(pointer: string): string {
+  return pointer.split("/").slice(1)
+    .map((part) => part.replaceAll("~1", "/").replaceAll("~0", "~"))
+    .reduce(joinPath, "");
+}
+
+function joinPath(path: string, key: string): string {
+  if (/^\d+$/.test(key)) {
+    return `${path}[${key}]`;
+  }
+  return path ? `${path}.${key}` : key;
+}
--- /dev/null
+++ b/src/host/settings.ts
@@ -0,0 +1,137 @@
+/** Loads the settings of a host and names every mistake in them. */
+
+import { readFileSync } from "node:fs";
+import { Err, Ok, type Result } from "ts-results-es";
+import { LineCounter, parseDocument } from "yaml";
+import {
+  createMistake,
+  describeErrors,
+  type Mistake,
+} from "../core/mistakes.ts";
+import type { Settings } from "../generated/settings.ts";
+import { validateSettings } from "../generated/settings_validate.ts";
+
+/** Reads a YAML file; the result is not checked against a schema. */
+export function readYaml(file: string): Result<unknown, readonly Mistake[]> {
+  try {
+    return parseYaml(readFileSync(file, "utf8"));
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : `${err}`;
+    return Err([createMistake("", "file_unreadable", { detail })]);
+  }
+}
+
+/** Parses YAML text; names every place that is not well formed. */
+export function parseYaml(text: string): Result<unknown, readonly Mistake[]> {
+  const lineCounter = new LineCounter();
+  const doc = parseDocument(text, { lineCounter, prettyErrors: false });
+  if (doc.errors.length > 0) {
+    return Err(doc.errors.map((err) => {
+      const { line, col } = lineCounter.linePos(err.pos[0]);
+      const detail = err.message.split("\n")[0]!;
+      return createMistake(`${line}:${col}`, "yaml_invalid", { detail });
+    }));
+  }
+  try {
+    return Ok(doc.toJS());
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : `${err}`;
+    return Err([createMistake("", "yaml_invalid", { detail })]);
+  }
+}
+
+/** Checks settings that were read from YAML. */
+export function checkSettings(
+  value: unknown,
+): Result<Settings, readonly Mistake[]> {
+  const isValid = validateSettings(value);
+  const mistakes = [
+    ...describeErrors(validateSettings.errors ?? []),
+    ...checkRelations(value),
+  ];
+  return isValid && mistakes.length === 0 ? Ok(value) : Err(mistakes);
+}
+
+/** Loads the settings of a host from a YAML file. */
+export function loadSettings(
+  file: string,
+): Result<Settings, readonly Mistake[]> {
+  return readYaml(file).andThen(checkSettings);
+}
+
+/** Mistakes that lie between values, looked for in whatever is there. */
+function checkRelations(value: unknown): Mistake[] {
+  return [
+    ...checkTimeouts(value),
+    ...checkPorts(value),
+    ...checkKnownHosts(value),
+  ];
+}
+
+function checkTimeouts(value: unknown): Mistake[] {
+  const requests = getField(value, "requests");
+  const timeoutMs = getField(requests, "defaultTimeoutMs");
+  const limit = getField(requests, "maxTimeoutMs");
+  if (typeof timeoutMs !== "number" || typeof limit !== "number") {
+    return [];
+  }
+  return timeoutMs <= limit ? [] : [
+    createMistake("requests.defaultTimeoutMs", "value_above", {
+      found: timeoutMs,
+      other: "requests.maxTimeoutMs",
+      limit,
+    }),
+  ];
+}
+
+function checkPorts(value: unknown): Mistake[] {
+  const places = ["callers", "operators", "peers"].flatMap((role) => {
+    const address = getField(getField(value, role), "address");
+    const port = getField(getField(value, role), "port");
+    return typeof port === "number" && port > 0
+      ? [{ path: `${role}.port`, found: `${address}:${port}` }]
+      : [];
+  });
+  return findRepeated(places);
+}
+
+function checkKnownHosts(value: unknown): Mistake[] {
+  const known = getField(getField(value, "peers"), "known");
+  if (!Array.isArray(known)) {
+    return [];
+  }
+  const places = known.map((peer, index) => ({
+    path: `peers.known[${index}].host`,
+    found: getField(peer, "host"),
+  }));
+  const own = { path: "host", found: getField(value, "host") };
+  return findRepeated([own, ...places]);
+}
+
+interface Place {
+  readonly path: string;
+  readonly found: unknown;
+}
+
+function findRepeated(places: readonly Place[]): Mistake[] {
+  const first = new Map<string, string>();
+  const mistakes: Mistake[] = [];
+  for (const { path, found } of places) {
+    if (typeof found !== "string") {
+      continue;
+    }
+    const other = first.get(found);
+    if (other) {
+      mistakes.push(createMistake(path, "value_repeated", { found, other }));
+    } else {
+      first.set(found, path);
+    }
+  }
+  return mistakes;
+}
+
+function getField(value: unknown, key: string): unknown {
+  return typeof value === "object" && value !== null
+    ? (value as Readonly<Record<string, unknown>>)[key]
+    : undefined;
+}
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,103 @@
+import { expect, test } from "vitest";
+import { formatMistake } from "../src/core/mistakes.ts";
+import {
+  checkSettings,
+  loadSettings,
+  parseYaml,
+} from "../src/host/settings.ts";
+
+const VALID = `
+host: h1
+domain: curepipe
+region: mauritius
+callers: { address: 127.0.0.1, port: 7000 }
+operators: { address: 127.0.0.1, port: 7001 }
+peers:
+  address: 127.0.0.1
+  port: 7002
+  known: [{ host: h2, domain: rose-belle, url: "ws://127.0.0.1:7003" }]
+platform: { url: "http://127.0.0.1:7004" }
+requests: { defaultTimeoutMs: 5000, maxTimeoutMs: 60000 }
+`;
+
+const TEN_MISTAKES = `
+host: Host One
+domain: 7
+callers: { adress: 127.0.0.1, address: 127.0.0.1, port: 70000 }
+peers:
+  address: 127.0.0.1
+  port: 7002
+  known: [{ host: h2, domain: rose-belle, url: "http://127.0.0.1" }]
+platform: { url: ftp://store, timeoutMs: soon }
+requests: { defaultTimeoutMs: 5000, maxTimeoutMs: 100 }
+watchdog: true
+`;
+
+function listMistakes(text: string): string[] {
+  const checked = parseYaml(text).andThen(checkSettings);
+  return checked.isOk()
+    ? []
+    : checked.error.map((mistake) => formatMistake("host.yaml", mistake));
+}
+
+test("valid settings have no mistakes", () => {
+  expect(listMistakes(VALID)).toEqual([]);
+});
+
+test("ten mistakes are named in ten lines", () => {
+  const lines = listMistakes(TEN_MISTAKES);
+  expect(lines).toHaveLength(10);
+  expect(lines).toMatchInlineSnapshot(`
+    [
+      "host.yaml: region: found nothing, required: text that matches ^[a-z0-9][a-z0-9-]*$ [TC1005]",
+      "host.yaml: watchdog: found an unknown key, allowed: host, domain, region, callers, operators, peers, platform, requests, pools [TC1003]",
+      "host.yaml: host: found "Host One", allowed: text that matches ^[a-z0-9][a-z0-9-]*$ [TC1006]",
+      "host.yaml: domain: found 7, allowed: text that matches ^[a-z0-9][a-z0-9-]*$ [TC1006]",
+      "host.yaml: callers.adress: found an unknown key, did you mean address? allowed: address, port, maxFrameBytes, maxConnections, tls [TC1004]",
+      "host.yaml: callers.port: found 70000, allowed: an integer from 0 to 65535 [TC1006]",
+      "host.yaml: peers.known[0].url: found "http://127.0.0.1", allowed: text that matches ^wss?:// [TC1006]",
+      "host.yaml: platform.url: found "ftp://store", allowed: text that matches ^https?:// [TC1006]",
+      "host.yaml: platform.timeoutMs: found "soon", allowed: an integer from 50 to 60000 [TC1006]",
+      "host.yaml: requests.defaultTimeoutMs: found 5000, allowed: at most the value of requests.maxTimeoutMs, 100 [TC1007]",
+    ]
+  `);
+});
+
+test("ports and hosts that stand twice are named", () => {
+  const text = VALID.replace("port: 7001", "port: 7000")
+    .replace("host: h2", "host: h1");
+  expect(listMistakes(text)).toMatchInlineSnapshot(`
+    [
+      "host.yaml: operators.port: found 127.0.0.1:7000, which stands at callers.port already [TC1008]",
+      "host.yaml: peers.known[0].host: found h1, which stands at host already [TC1008]",
+    ]
+  `);
+});
+
+test("text that is not YAML is named with line and column", () => {
+  const text = "host: h1\nhost: h2\ncallers: [1, 2\n";
+  expect(listMistakes(text)).toMatchInlineSnapshot(`
+    [
+      "host.yaml: 2:1: not valid YAML: Map keys must be unique [TC1002]",
+      "host.yaml: 4:1: not valid YAML: Flow sequence in block collection must be sufficiently indented and end with a ] [TC1002]",
+    ]
+  `);
+});
+
+test("a mapping that is none is named", () => {
+  expect(listMistakes("")).toMatchInlineSnapshot(`
+    [
+      "host.yaml: found null, allowed: a mapping with host, domain, region, callers, operators, peers, platform, requests, pools [TC1006]",
+    ]
+  `);
+  expect(listMistakes("- host")).toMatchInlineSnapshot(`
+    [
+      "host.yaml: found a list, allowed: a mapping with host, domain, region, callers, operators, peers, platform, requests, pools [TC1006]",
+    ]
+  `);
+});
+
+test("a file that is not there is named", () => {
+  const mistakes = loadSettings("/nowhere/host.yaml").unwrapErr();
+  expect(mistakes.map((mistake) => mistake.name)).toEqual(["file_unreadable"]);
+});
