--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -145,6 +145,7 @@
             if (!open || !await waitRunning(self)) {
               return Err({ kind: "unreachable", sent: false });
             }
+            node.scan(JSON.stringify(req));
             const res = await withTimeout(conn.run(req), {
               ms: timeoutMs,
               fallback: undefined,
@@ -165,6 +166,7 @@
         if (!await waitRunning(self)) {
           return Err({ kind: "unreachable", sent: false });
         }
+        node.scan(JSON.stringify(req));
         const res = await withTimeout(node.control(self.id, req), {
           ms: timeoutMs,
           fallback: undefined,
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -24,6 +24,7 @@
   .option("--connect-ms <ms>", "Time to connect", { default: 10 })
   .option("--statement-ms <ms>", "Time of a statement", { default: 2 })
   .option("--latency-ms <ms>", "One-way latency", { default: 0.5 })
+  .option("--latency-by-domain <json>", "One-way latency to each domain")
   .option("--lag-ms <ms>", "Replication lag", { default: 20 })
   .action(async (options) => {
     const server = createTargetServer(parseTargetOptions(options));
--- a/standins/target_core.ts
+++ b/standins/target_core.ts
@@ -63,13 +63,21 @@
   readonly entries: readonly LogEntry[];
 }
 
-/** A read that the target served, for the checker. */
-export interface ReadRecord {
+/** A statement that the target ran, for the checker. */
+export interface StatementRecord {
+  readonly kind: "read" | "write";
   readonly workspace: WorkspaceId;
   readonly key: string;
+  /** Wall clock, in milliseconds. */
   readonly ranAt: number;
 }
 
+/** An entry that left the log because the primary of a newer term lacks it. */
+export interface DiscardedEntry {
+  readonly pos: number;
+  readonly entry: LogEntry;
+}
+
 /** One data connection as the target sees it. */
 export interface TargetSession {
   run(req: RunReq): Result<RunRes, TargetErr>;
@@ -90,7 +98,9 @@
   /** Calls back each time that the log grows or the term rises. */
   onChange(listener: () => void): () => void;
   readonly log: readonly LogEntry[];
-  readonly reads: readonly ReadRecord[];
+  /** Every statement that ran, whether or not it stays in the log. */
+  readonly statements: readonly StatementRecord[];
+  readonly discarded: readonly DiscardedEntry[];
   row(workspace: WorkspaceId, key: string): unknown;
 }
 
@@ -141,7 +151,8 @@
   start: TargetStart,
 ): TargetCore {
   const log: LogEntry[] = [];
-  const reads: ReadRecord[] = [];
+  const statements: StatementRecord[] = [];
+  const discarded: DiscardedEntry[] = [];
   const listeners = new Set<() => void>();
   let rows = new Map<string, unknown>();
   let recorded = new Map<string, Recorded>();
@@ -160,6 +171,10 @@
     };
   }
 
+  function noteStatement(record: Omit<StatementRecord, "ranAt">): void {
+    statements.push({ ...record, ranAt: Date.now() });
+  }
+
   function notify(): void {
     listeners.forEach((listener) => listener());
   }
@@ -190,6 +205,9 @@
     if (length >= log.length) {
       return;
     }
+    log.slice(length).forEach((entry, index) =>
+      discarded.push({ pos: length + index + 1, entry })
+    );
     log.length = length;
     rows = new Map();
     recorded = new Map();
@@ -287,11 +305,8 @@
       const key = rowKey(req.workspace, req.body.key);
       const overlay = tx?.overlay;
       const value = overlay?.has(key) ? overlay.get(key) : rows.get(key);
-      reads.push({
-        workspace: req.workspace,
-        key: req.body.key,
-        ranAt: Date.now(),
-      });
+      const { workspace } = req;
+      noteStatement({ kind: "read", workspace, key: req.body.key });
       return Ok({
         result: value ?? null,
         at: status().logEnd,
@@ -320,12 +335,25 @@
         const result = changedValue(current, change);
         tx.overlay.set(key, result);
         tx.changes.push(change);
+        noteStatement({
+          kind: "write",
+          workspace: req.workspace,
+          key: change.key,
+        });
         return Ok({ result, at: status().logEnd, replayed: false });
       }
       const replay = req.unique
         ? tryReplay(rowKey(req.workspace, req.id), [change])
         : undefined;
-      return replay ?? commit(req.workspace, [change], {
+      if (replay) {
+        return replay;
+      }
+      noteStatement({
+        kind: "write",
+        workspace: req.workspace,
+        key: change.key,
+      });
+      return commit(req.workspace, [change], {
         id: req.unique ? req.id : undefined,
         result: changedValue(rows.get(key), change),
       });
@@ -449,7 +477,8 @@
       return () => listeners.delete(listener);
     },
     log,
-    reads,
+    statements,
+    discarded,
     row: (workspace, key) => rows.get(rowKey(workspace, key)),
   };
 }
--- a/standins/target_node.ts
+++ b/standins/target_node.ts
@@ -35,6 +35,8 @@
   readonly latencyMs: number;
   /** Time that a replica waits before it applies what it fetched. */
   readonly lagMs: number;
+  /** One-way latency to the senders of a failure domain, if it differs. */
+  readonly latencyMsByDomain?: Readonly<Record<string, number>>;
 }
 
 /** How a target misbehaves. */
@@ -59,6 +61,12 @@
 export interface TargetNode {
   readonly core: TargetCore;
   faults: TargetFaults;
+  /** Frames received that hold something of the form of a caller's key. */
+  readonly keyHits: number;
+  /** Looks for keys in what arrived, as it came over the network. */
+  scan(received: string): void;
+  /** Learns the failure domain of a sender, for the latency to it. */
+  noteSender(from: string, domain: string): void;
   isCut(from: string): boolean;
   /** Undefined when the target has as many connections as it accepts. */
   tryOpen(from: string): NodeConnection | undefined;
@@ -81,6 +89,8 @@
 
 const FETCH_INTERVAL_MS = 5;
 const FROZEN_POLL_MS = 5;
+/** The form of a caller's key, written here apart from the system's code. */
+const KEY_PATTERN = /tck_[0-9a-f]{18}/;
 
 /** Creates a target that follows its primary through `fetchFrom`. */
 export function createTargetNode(
@@ -89,9 +99,16 @@
 ): TargetNode {
   const core = createTargetCore(options.target, options.start);
   const slots = createSlots(options.slots);
+  const domains = new Map<string, string>();
   let connections = 0;
+  let keyHits = 0;
   let stopped = false;
 
+  function getLatencyMs(from: string): number {
+    const domain = domains.get(from) ?? "";
+    return options.latencyMsByDomain?.[domain] ?? options.latencyMs;
+  }
+
   async function thaw(): Promise<void> {
     while (node.faults.frozen) {
       await sleep(FROZEN_POLL_MS);
@@ -100,7 +117,7 @@
 
   /** One way over the network; false if the frame is lost. */
   async function travel(from: string): Promise<boolean> {
-    await sleepAbout(options.latencyMs);
+    await sleepAbout(getLatencyMs(from));
     await thaw();
     return !node.isCut(from);
   }
@@ -130,6 +147,13 @@
   const node: TargetNode = {
     core,
     faults: {},
+    get keyHits() {
+      return keyHits;
+    },
+    scan(received) {
+      keyHits += KEY_PATTERN.test(received) ? 1 : 0;
+    },
+    noteSender: (from, domain) => domains.set(from, domain),
     isCut: (from) =>
       node.faults.cutFrom?.some((n) => n === "*" || n === from) ?? false,
     tryOpen(from) {
--- a/standins/target_server.ts
+++ b/standins/target_server.ts
@@ -36,8 +36,8 @@
         return { body: node.faults };
       case "/control/log":
         return { body: { status: node.core.status(), log: node.core.log } };
-      case "/control/reads":
-        return { body: node.core.reads };
+      case "/control/evidence":
+        return { body: showEvidence(node) };
       case "/fetch": {
         const res = node.fetch(await readJson(req) as FetchReq);
         return res ? { body: res } : { status: 409, body: null };
@@ -50,6 +50,8 @@
   wss.on("connection", (ws, req) => {
     const query = new URL(req.url ?? "/", "ws://target").searchParams;
     const from = query.get("from") ?? "";
+    node.noteSender(from, query.get("domain") ?? "");
+    node.scan(`${req.url} ${req.rawHeaders.join(" ")}`);
     ws.on("error", () => ws.terminate());
     if (query.get("channel") === "data") {
       serveData(node, ws, from);
@@ -60,6 +62,13 @@
   return server;
 }
 
+/** Everything that a target can tell the checker. */
+function showEvidence(node: TargetNode) {
+  const { core, keyHits } = node;
+  const { log, discarded, statements } = core;
+  return { status: core.status(), log, discarded, statements, keyHits };
+}
+
 function serveData(node: TargetNode, ws: WebSocket, from: string): void {
   const conn = node.tryOpen(from);
   if (!conn) {
@@ -68,6 +77,7 @@
   }
   ws.on("close", conn.end);
   ws.on("message", async (data: Buffer) => {
+    node.scan(data.toString("latin1"));
     const { rid, req } = unpack(data) as TargetCall;
     reply(ws, rid, await conn.run(req as RunReq));
   });
@@ -76,6 +86,7 @@
 
 function serveControl(node: TargetNode, ws: WebSocket, from: string): void {
   ws.on("message", async (data: Buffer) => {
+    node.scan(data.toString("latin1"));
     const { rid, req } = unpack(data) as TargetCall;
     reply(ws, rid, await node.control(from, req as ControlReq));
   });
@@ -130,5 +141,8 @@
     statementMs: Number(options.statementMs),
     latencyMs: Number(options.latencyMs),
     lagMs: Number(options.lagMs),
+    ...(options.latencyByDomain === undefined ? {} : {
+      latencyMsByDomain: JSON.parse(`${options.latencyByDomain}`),
+    }),
   };
 }
--- /dev/null
+++ b/test/standins.test.ts
@@ -0,0 +1,24 @@
+import { expect, test } from "vitest";
+import { asId, type TargetId } from "../src/core/ids.ts";
+import { issueKey } from "../src/core/keys.ts";
+import { createTargetNode } from "../standins/target_node.ts";
+import { pack } from "msgpackr";
+
+test("a target notices a key in a frame and nothing in others", () => {
+  const node = createTargetNode({
+    target: asId<TargetId>("t1"),
+    start: { kind: "primary" },
+    slots: 1,
+    maxConnections: 1,
+    connectMs: 0,
+    statementMs: 0,
+    latencyMs: 0,
+    lagMs: 0,
+  }, () => Promise.resolve(undefined));
+  const { secret } = issueKey(asId("w"));
+  node.scan(pack({ rid: 1, req: { kind: "status" } }).toString("latin1"));
+  expect(node.keyHits).toBe(0);
+  node.scan(pack({ rid: 2, req: { body: secret } }).toString("latin1"));
+  expect(node.keyHits).toBe(1);
+  node.stop();
+});
--- /dev/null
+++ b/tools/check/history.ts
@@ -0,0 +1,129 @@
+/**
+ * What the checker reads: what callers were told and what targets ran. These
+ * shapes are written out here, apart from those of the system's decisions.
+ */
+
+/** A statement of a caller. */
+export type CheckedBody =
+  | { readonly op: "get"; readonly key: string }
+  | { readonly op: "put"; readonly key: string; readonly value: unknown }
+  | { readonly op: "add"; readonly key: string; readonly amount: number };
+
+/** A change of one row. */
+export type CheckedChange = Exclude<CheckedBody, { op: "get" }>;
+
+/** What a caller was told; undefined stands for no answer. */
+export type ToldAnswer =
+  | {
+    readonly ok: true;
+    readonly result: unknown;
+    readonly servedBy: "primary" | "replica";
+  }
+  | {
+    readonly ok: false;
+    readonly error: string;
+    readonly run: "not_run" | "rolled_back" | "unknown" | "ran";
+  };
+
+/** One sending of a caller's request with its answer. */
+export interface CheckedReq {
+  readonly id: string;
+  readonly workspace: string;
+  readonly session: string;
+  /** Wall clock, in milliseconds. */
+  readonly sentAt: number;
+  readonly answeredAt: number;
+  readonly op:
+    | { readonly kind: "read"; readonly key: string; readonly tx?: string }
+    | {
+      readonly kind: "write";
+      readonly change: CheckedChange;
+      readonly unrepeatable: boolean;
+      readonly tx?: string;
+    }
+    | { readonly kind: "begin"; readonly tx: string }
+    | {
+      readonly kind: "end";
+      readonly tx: string;
+      readonly end: "commit" | "rollback";
+    };
+  readonly answer: ToldAnswer | undefined;
+}
+
+/** A log entry as a target shows it. */
+export interface ShownEntry {
+  readonly term: number;
+  readonly workspace?: string;
+  readonly id?: string;
+  readonly cancelled?: boolean;
+  /** Wall clock, in milliseconds. */
+  readonly ranAt: number;
+  readonly changes: readonly CheckedChange[];
+}
+
+/** All that one target shows of itself. */
+export interface TargetEvidence {
+  readonly status: {
+    readonly target: string;
+    readonly term: number;
+    readonly role: "primary" | "replica";
+    readonly logEnd: { readonly term: number; readonly pos: number };
+  };
+  readonly log: readonly ShownEntry[];
+  readonly discarded: readonly {
+    readonly pos: number;
+    readonly entry: ShownEntry;
+  }[];
+  readonly statements: readonly {
+    readonly kind: "read" | "write";
+    readonly workspace: string;
+    readonly key: string;
+    readonly ranAt: number;
+  }[];
+  readonly keyHits: number;
+}
+
+/** The targets of one database group. */
+export interface GroupEvidence {
+  readonly group: string;
+  readonly targets: readonly TargetEvidence[];
+}
+
+/** What a plan allows. */
+export interface CheckedPlan {
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** Everything that a run left behind. */
+export interface History {
+  readonly reqs: readonly CheckedReq[];
+  readonly groups: readonly GroupEvidence[];
+  readonly plans: ReadonlyMap<string, CheckedPlan>;
+}
+
+/** The log that the group ended with: that of its newest primary. */
+export function getFinalLog(group: GroupEvidence): readonly ShownEntry[] {
+  const newestFirst = group.targets.toSorted((a, b) =>
+    b.status.term - a.status.term ||
+    (a.status.role === "primary" ? -1 : 1) -
+      (b.status.role === "primary" ? -1 : 1) ||
+    b.status.logEnd.term - a.status.logEnd.term ||
+    b.status.logEnd.pos - a.status.logEnd.pos
+  );
+  return newestFirst[0]?.log ?? [];
+}
+
+/** Every entry that any target of the group ever held, each once. */
+export function listAllEntries(group: GroupEvidence): ShownEntry[] {
+  const entries = new Map<string, ShownEntry>();
+  for (const target of group.targets) {
+    target.log.forEach((entry, index) =>
+      entries.set(`${entry.term}/${index + 1}`, entry)
+    );
+    target.discarded.forEach(({ pos, entry }) =>
+      entries.set(`${entry.term}/${pos}`, entry)
+    );
+  }
+  return [...entries.values()];
+}
