Measure idle connections and the cost of control

Change: bench opens 5,000 sessions at one host and compares its memory, and samples processor time, memory, bytes, messages and platform calls of fleets of 3, 6 and 9 hosts, at rest and with a change a second, with slopes by host and by group.

--- /dev/null
+++ b/tools/bench/connections_program.ts
@@ -0,0 +1,40 @@
+/** Opens idle sessions at a host and holds them until it is ended. */
+
+import type { Buffer } from "node:buffer";
+import process from "node:process";
+import { cac } from "cac";
+import { WebSocket } from "ws";
+
+const OPEN_AT_ONCE = 50;
+
+function openSession(url: string, key: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const ws = new WebSocket(url, { perMessageDeflate: false });
+    ws.on("error", reject);
+    ws.on("open", () => ws.send(JSON.stringify({ kind: "hello", key })));
+    ws.on("message", (data: Buffer) => {
+      if (JSON.parse(data.toString("utf8")).ok) {
+        resolve();
+      }
+    });
+  });
+}
+
+const cli = cac("connections_program");
+cli.command("<url>", "Hold sessions open at a host")
+  .option("--key <key>", "Key of the caller", { default: "" })
+  .option("--count <n>", "Sessions", { default: 5_000 })
+  .action(async (url: string, { key, count }) => {
+    let opened = 0;
+    async function openSome(): Promise<void> {
+      while (opened < count) {
+        opened++;
+        await openSession(url, key);
+      }
+    }
+    await Promise.all(Array.from({ length: OPEN_AT_ONCE }, openSome));
+    console.log(opened);
+  });
+cli.help();
+cli.parse(process.argv, { run: false });
+await cli.runMatchedCommand();
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -2,8 +2,52 @@
 
 import process from "node:process";
 import { cac } from "cac";
+import { measureConnections } from "./connections.ts";
+import { type ControlReport, measureControl } from "./control.ts";
 import { measureThroughput } from "./throughput.ts";
 
+const CONNECTIONS = 5_000;
+/** Sizes of fleets; the last two tell the cost of a group from a host's. */
+const CONTROL_SIZES = [
+  { hosts: 3, groups: 3 },
+  { hosts: 6, groups: 3 },
+  { hosts: 9, groups: 3 },
+  { hosts: 9, groups: 9 },
+];
+
+const FIELDS = [
+  "coreShare",
+  "memoryMb",
+  "bytesPerSecond",
+  "messagesPerSecond",
+  "platformCallsPerSecond",
+] as const;
+
+/** Growth of a cost with one more host and with one more group. */
+interface Slope {
+  readonly field: (typeof FIELDS)[number];
+  readonly change: boolean;
+  readonly perHost: number;
+  readonly perGroup: number;
+}
+
+/** Works the slopes out between the fleets of the sizes above. */
+function fitSlopes(reports: readonly ControlReport[]): Slope[] {
+  function get(hosts: number, groups: number, change: boolean): ControlReport {
+    return reports.find((r) =>
+      r.hosts === hosts && r.groups === groups && r.change === change
+    )!;
+  }
+  return FIELDS.flatMap((field) =>
+    [false, true].map((change) => ({
+      field,
+      change,
+      perHost: (get(9, 3, change)[field] - get(3, 3, change)[field]) / 6,
+      perGroup: (get(9, 9, change)[field] - get(9, 3, change)[field]) / 6,
+    }))
+  );
+}
+
 const cli = cac("bench");
 cli.command("", "Measure throughput, connections and control cost")
   .option("--seconds <s>", "Time for each way", { default: 4 })
@@ -11,8 +55,13 @@
   .action(async ({ seconds, json }) => {
     const throughput = await measureThroughput(seconds);
     console.table(throughput);
+    const connections = await measureConnections(CONNECTIONS);
+    console.table([connections]);
+    const control = await measureControl(CONTROL_SIZES, seconds);
+    console.table(control);
+    console.table(fitSlopes(control));
     if (json) {
-      console.log(JSON.stringify(throughput));
+      console.log(JSON.stringify({ ...throughput, connections, control }));
     }
   });
 cli.help();
--- a/tools/bench/throughput.ts
+++ b/tools/bench/throughput.ts
@@ -1,16 +1,21 @@
 /** Throughput, latency and processor time on the ways to a target. */
 
-import { type ChildProcess, fork, spawn } from "node:child_process";
+import { fork, spawn } from "node:child_process";
 import process from "node:process";
 import { build, decodeFromCompressedBase64 } from "hdr-histogram-js";
 import { asId, type PlanId, type WorkspaceId } from "../../src/core/ids.ts";
-import { endProcess, firstLine, type Fleet, startFleet } from "../processes.ts";
+import {
+  endProcess,
+  firstLine,
+  type Fleet,
+  ROOT,
+  startFleet,
+} from "../processes.ts";
 import { listPoolHosts } from "../../src/core/route.ts";
 import { type Deployment, LAKAZ } from "../workloads.ts";
 import type { LoadReport } from "./load_program.ts";
-import { readCpuSeconds } from "./usage.ts";
+import { getPid, readCpuSeconds } from "./usage.ts";
 
-const ROOT = new URL("../../..", import.meta.url).pathname;
 const LOAD_PROCESSES = 2;
 const US_PER_SECOND = 1_000_000;
 const US_PER_MS = 1_000;
@@ -111,13 +116,6 @@
   return Math.round(value * PER_MILLE) / PER_MILLE;
 }
 
-function getPid(child: ChildProcess): number {
-  if (child.pid === undefined) {
-    throw new Error("the process did not start");
-  }
-  return child.pid;
-}
-
 async function measureEcho(seconds: number): Promise<WayReport> {
   const child = spawn(process.execPath, ["dist/tools/bench/echo_program.js"], {
     cwd: ROOT,
--- a/tools/bench/usage.ts
+++ b/tools/bench/usage.ts
@@ -1,10 +1,19 @@
 /** Processor time and memory of processes, and what hosts count. */
 
+import type { ChildProcess } from "node:child_process";
 import { readFileSync } from "node:fs";
 
 const TICKS_PER_SECOND = 100;
 const BYTES_PER_KB = 1_024;
 
+/** The id of a process that was started. */
+export function getPid(child: ChildProcess): number {
+  if (child.pid === undefined) {
+    throw new Error("the process did not start");
+  }
+  return child.pid;
+}
+
 /** Processor time that a process has used, in seconds. */
 export function readCpuSeconds(pid: number): number {
   const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
--- a/tools/processes.ts
+++ b/tools/processes.ts
@@ -30,7 +30,8 @@
   type Deployment,
 } from "./workloads.ts";
 
-const ROOT = new URL("../..", import.meta.url).pathname;
+/** The root of the repository. */
+export const ROOT = new URL("../..", import.meta.url).pathname;
 const LOOPBACK = "127.0.0.1";
 const READY_TIMEOUT_MS = 15_000;
 
