Order a new primary when a group has lost its own

Cause: nothing ordered a promotion; a cut primary left its group without writes until the deadline of each request. Ruled out: the lease alone as the choice of the actor, as it can lapse while its holder is paused. Safety rests on the term raised on a majority. Change: pool hosts monitor their groups from the start, two of them must miss the primary, a lease or a rank chooses the actor, it raises the term on a majority, promotes the most advanced of it, points the others to it and publishes. Confirmations are batched into one open request per target. A write sent to a primary that lost its term goes to the next one.

--- a/src/core/confirm.ts
+++ b/src/core/confirm.ts
@@ -1,12 +1,14 @@
-/** Confirms that a write is held by a majority of its group's targets. */
+/** Confirms that writes are held by a majority of their group's targets. */
 
 import { nowMs, sleep } from "./clock.ts";
+import type { TargetId } from "./ids.ts";
 import type { Monitor } from "./monitor.ts";
-import { getMajority, isAtLeast } from "./position.ts";
+import { comparePositions, getMajority, isAtLeast } from "./position.ts";
 import type {
   GroupInfo,
   HostIo,
   Position,
+  Stoppable,
   TargetInfo,
   TargetStatus,
 } from "./types.ts";
@@ -20,57 +22,116 @@
     isAtLeast(status.logEnd, at);
 }
 
-/**
- * Resolves to true once a majority of the targets holds the write in its own
- * term, and to false when the deadline passes or a newer term is met first.
- */
-export function confirmWrite(
+/** A write that was executed and is to be confirmed. */
+export interface Unconfirmed {
+  readonly at: Position;
+  /** The primary that executed it, and so holds it. */
+  readonly primary: TargetId;
+  readonly deadline: number;
+}
+
+/** Waits for the replicas of one group on behalf of all its writes. */
+export interface Confirmer extends Stoppable {
+  /**
+   * Resolves to true once a majority of the targets holds the write in its
+   * own term, and to false when the deadline passes or a newer term is met.
+   */
+  confirm(write: Unconfirmed): Promise<boolean>;
+}
+
+interface Waiting {
+  readonly at: Position;
+  readonly holders: Set<TargetId>;
+  settle(isHeld: boolean): void;
+}
+
+/** Creates the confirmer of a group with one open request per target. */
+export function createConfirmer(
   io: HostIo,
-  options: {
-    readonly group: GroupInfo;
-    readonly monitor: Monitor;
-    readonly at: Position;
-    readonly deadline: number;
-  },
-): Promise<boolean> {
-  const { group, monitor, at, deadline } = options;
-  const majority = getMajority(group.targets.length);
-  let holders = 0;
-  let settled = false;
+  options: { readonly getGroup: () => GroupInfo; readonly monitor: Monitor },
+): Confirmer {
+  const { getGroup, monitor } = options;
+  const waiting = new Set<Waiting>();
+  const asked = new Set<TargetId>();
 
-  async function ask(target: TargetInfo): Promise<boolean> {
-    while (!settled && nowMs() < deadline) {
-      const waitMs = Math.min(AWAIT_MAX_MS, deadline - nowMs());
+  function check(write: Waiting, status: TargetStatus): void {
+    if (status.term > write.at.term) {
+      write.settle(false);
+      return;
+    }
+    if (isHolderOf(status, write.at)) {
+      write.holders.add(status.target);
+    }
+    if (write.holders.size >= getMajority(getGroup().targets.length)) {
+      write.settle(true);
+    }
+  }
+
+  /** The lowest position that `target` is not known to hold. */
+  function tryNext(target: TargetId): Position | undefined {
+    return [...waiting]
+      .filter((write) => !write.holders.has(target))
+      .map((write) => write.at)
+      .sort(comparePositions)[0];
+  }
+
+  /** Asks one target for as long as a write waits for it. */
+  async function ask(target: TargetInfo): Promise<void> {
+    if (asked.has(target.target)) {
+      return;
+    }
+    asked.add(target.target);
+    let at = tryNext(target.target);
+    while (at) {
+      const askedAt = nowMs();
       const res = await io.targets.control(
         target,
-        { kind: "await", at, waitMs },
-        waitMs + AWAIT_RETRY_MS,
+        { kind: "await", at, waitMs: AWAIT_MAX_MS },
+        AWAIT_MAX_MS + AWAIT_RETRY_MS,
       );
       if (res.isOk()) {
-        monitor.noteStatus(res.value);
-        if (isHolderOf(res.value, at)) {
-          return true;
-        }
-        if (res.value.term > at.term) {
-          return false;
-        }
+        monitor.noteStatus(res.value, askedAt);
+      }
+      if (res.isErr() || !isHolderOf(res.value, at)) {
+        await sleep(AWAIT_RETRY_MS);
       }
-      await sleep(AWAIT_RETRY_MS);
+      at = tryNext(target.target);
     }
-    return false;
+    asked.delete(target.target);
   }
 
-  return new Promise((resolve) => {
-    let answers = 0;
-    for (const target of group.targets) {
-      void ask(target).then((isHolder) => {
-        answers++;
-        holders += isHolder ? 1 : 0;
-        if (holders >= majority || answers === group.targets.length) {
-          settled = true;
-          resolve(holders >= majority);
+  const unsubscribe = monitor.onReport((status) =>
+    [...waiting].forEach((write) => check(write, status))
+  );
+
+  return {
+    confirm({ at, primary, deadline }) {
+      return new Promise((resolve) => {
+        const timer = setTimeout(
+          () => write.settle(false),
+          Math.max(0, deadline - nowMs()),
+        );
+        const write: Waiting = {
+          at,
+          holders: new Set([primary]),
+          settle(isHeld) {
+            clearTimeout(timer);
+            waiting.delete(write);
+            resolve(isHeld);
+          },
+        };
+        waiting.add(write);
+        monitor.view().targets.forEach((target) =>
+          target.status && check(write, target.status)
+        );
+        if (waiting.has(write)) {
+          getGroup().targets.forEach((target) => void ask(target));
         }
       });
-    }
-  });
+    },
+    stop() {
+      unsubscribe();
+      [...waiting].forEach((write) => write.settle(false));
+    },
+  };
 }
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -3,11 +3,11 @@
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
 import { createEntry, type Entry } from "./entry.ts";
-import type { GroupId, HostId } from "./ids.ts";
+import type { HostId } from "./ids.ts";
 import { createStaticLimits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
-import { createPool, type Pool } from "./pool.ts";
+import { createPools } from "./pools.ts";
 import { createFifoQueue } from "./queue.ts";
 import type {
   ExecReq,
@@ -47,27 +47,21 @@
   const membership = createMembership(io, { self, known });
   const limits = createStaticLimits(cfg, { hosts: known.length + 1 });
   const peers = createPeers(io, handlePeer);
-  const pools = new Map<GroupId, Pool>();
-
-  function tryPool(group: GroupId): Pool | undefined {
-    const found = pools.get(group);
-    const info = cfg.tryGroup(group);
-    if (found || !info) {
-      return found;
-    }
-    const pool = createPool(io, {
-      group: info,
-      queue: createFifoQueue({ slotsPerTarget: info.slots }),
-      transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
-        DEFAULT_TRANSACTION_TIMEOUT_MS,
-    });
-    pools.set(group, pool);
-    pool.start();
-    return pool;
-  }
+  const hostsPerGroup = settings.pools?.hostsPerGroup ??
+    DEFAULT_HOSTS_PER_GROUP;
+  const pools = createPools(io, {
+    self: self.host,
+    cfg,
+    membership,
+    peers,
+    hostsPerGroup,
+    transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
+      DEFAULT_TRANSACTION_TIMEOUT_MS,
+    createQueue: (info) => createFifoQueue({ slotsPerTarget: info.slots }),
+  });
 
   async function execHere(req: ExecReq): Promise<Outcome> {
-    const pool = tryPool(req.group);
+    const pool = pools.tryPool(req.group);
     return pool
       ? await pool.exec(req)
       : { kind: "failed", error: "unavailable" };
@@ -95,6 +89,14 @@
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
         return { kind: "pull", objects: [] };
+      case "suspect":
+        return { kind: "suspect", agrees: pools.isSupporting(req) };
+      case "promoted":
+        pools.refresh(req.group);
+        return { kind: "ack" };
+      case "end_session":
+        pools.endSession(req.session);
+        return { kind: "ack" };
     }
   }
 
@@ -103,17 +105,18 @@
     cfg,
     limits,
     membership,
-    hostsPerGroup: settings.pools?.hostsPerGroup ?? DEFAULT_HOSTS_PER_GROUP,
+    hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: (session) => pools.forEach((pool) => pool.endSession(session)),
+    endSession: pools.endSession,
   });
 
   return {
     start() {
       cfg.start();
       membership.start();
+      pools.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
@@ -125,12 +128,12 @@
     entry,
     cfg,
     membership,
-    listGroupViews: () => [...pools.values()].map((p) => p.monitor.view()),
+    listGroupViews: pools.listViews,
     stop() {
       cfg.stop();
       membership.stop();
       peers.stop();
-      pools.forEach((pool) => pool.stop());
+      pools.stop();
     },
   };
 }
--- a/src/core/monitor.ts
+++ b/src/core/monitor.ts
@@ -9,22 +9,39 @@
   HostIo,
   Position,
   Stoppable,
+  TargetInfo,
   TargetStatus,
 } from "./types.ts";
 
 /** Interval between status requests to one target, in milliseconds. */
 export const STATUS_INTERVAL_MS = 200;
 /** Time that a target has to report its status, in milliseconds. */
-export const STATUS_TIMEOUT_MS = 600;
+export const STATUS_TIMEOUT_MS = 1_500;
+/** A report older than this tells nothing of now, in milliseconds. */
+export const FRESH_MS = 1_000;
+/** A polling round later than this means that this host was paused. */
+const PAUSE_MS = 3 * STATUS_INTERVAL_MS;
 
 /** What is known of one group, and how to learn more. */
 export interface Monitor extends Stoppable {
   start(): void;
   view(): GroupView;
-  /** Takes a report that came by another way than polling. */
-  noteStatus(status: TargetStatus): void;
+  /** Takes the report of a target on a request sent at `askedAt`. */
+  noteStatus(status: TargetStatus, askedAt: number): void;
+  /** Asks every target at once. */
+  refresh(): void;
   /** Position that covers every write acknowledged before the call. */
   tryReadFloor(): Promise<Position | undefined>;
+  /** Calls back after each report; the result ends that. */
+  onReport(listener: (status: TargetStatus) => void): () => void;
+  /** Time since the primary of the highest term last reported. */
+  getSilenceMs(): number;
+  /** Time since the highest term known rose. */
+  getTermAgeMs(): number;
+  /** Targets that reported within `FRESH_MS`. */
+  countFresh(): number;
+  /** Takes the group as it stands after a change of the lists. */
+  update(group: GroupInfo): void;
 }
 
 interface Report {
@@ -33,19 +50,53 @@
 }
 
 /** Creates the monitor of a group. */
-export function createMonitor(io: HostIo, group: GroupInfo): Monitor {
+export function createMonitor(io: HostIo, initial: GroupInfo): Monitor {
   const reports = new Map<TargetId, Report>();
+  const listeners = new Set<(status: TargetStatus) => void>();
+  let group = initial;
   let timer: NodeJS.Timeout | undefined;
   let nextFloor: Promise<Position | undefined> | undefined;
   let runningFloor: Promise<unknown> = Promise.resolve();
+  let polledAt = nowMs();
+  let primaryAt = nowMs();
+  let termAt = nowMs();
+  let term = 0;
+  let primary: TargetId | undefined;
 
-  function noteStatus(status: TargetStatus): void {
+  function noteStatus(status: TargetStatus, askedAt: number): void {
+    const known = reports.get(status.target);
+    const isLate = known !== undefined && askedAt < known.at;
+    if (isLate && !isNewer(status, known.status)) {
+      return;
+    }
     reports.set(status.target, { status, at: nowMs() });
+    notePrimary(status);
+    listeners.forEach((listener) => listener(status));
   }
 
-  async function poll(
-    target: GroupInfo["targets"][number],
-  ): Promise<TargetStatus | undefined> {
+  function notePrimary(status: TargetStatus): void {
+    if (status.term > term) {
+      term = status.term;
+      termAt = nowMs();
+      primary = undefined;
+      io.metrics.set("group_term", term, { group: group.group });
+    }
+    if (status.term < term || status.role !== "primary") {
+      return;
+    }
+    primaryAt = nowMs();
+    if (primary !== status.target) {
+      primary = status.target;
+      io.log({
+        component: "monitor",
+        event: "primary_found",
+        fields: { group: group.group, term, primary },
+      });
+    }
+  }
+
+  async function poll(target: TargetInfo): Promise<TargetStatus | undefined> {
+    const askedAt = nowMs();
     const res = await io.targets.control(
       target,
       { kind: "status" },
@@ -54,20 +105,28 @@
     if (res.isErr()) {
       return undefined;
     }
-    noteStatus(res.value);
+    noteStatus(res.value, askedAt);
     return res.value;
   }
 
+  function refresh(): void {
+    group.targets.forEach((target) => void poll(target));
+  }
+
+  function pollAll(): void {
+    // Whoever was paused has heard nothing, whatever the targets did.
+    if (nowMs() - polledAt > PAUSE_MS) {
+      primaryAt = nowMs();
+    }
+    polledAt = nowMs();
+    refresh();
+  }
+
   function view(): GroupView {
-    const statuses = [...reports.values()].map((report) => report.status);
-    const term = Math.max(0, ...statuses.map((status) => status.term));
-    const primary = statuses.find((status) =>
-      status.role === "primary" && status.term === term
-    );
     return {
       group: group.group,
       term,
-      primary: primary?.target,
+      primary,
       targets: group.targets.map((info) => ({
         info,
         status: reports.get(info.target)?.status,
@@ -86,12 +145,13 @@
 
   return {
     start() {
-      const pollAll = () => group.targets.forEach((t) => void poll(t));
+      polledAt = nowMs();
       pollAll();
       timer = setInterval(pollAll, STATUS_INTERVAL_MS);
     },
     view,
     noteStatus,
+    refresh,
     tryReadFloor() {
       // A read that has begun may have missed writes acknowledged since, so
       // callers share the next one.
@@ -103,12 +163,31 @@
       });
       return nextFloor;
     },
+    onReport(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    getSilenceMs: () => nowMs() - primaryAt,
+    getTermAgeMs: () => nowMs() - termAt,
+    countFresh: () =>
+      view().targets.filter((t) => nowMs() - t.reportedAt < FRESH_MS).length,
+    update(changed) {
+      group = changed;
+    },
     stop() {
       clearInterval(timer);
+      listeners.clear();
     },
   };
 }
 
+/** Tells whether a report that overlapped another one is the later of both. */
+function isNewer(status: TargetStatus, known: TargetStatus): boolean {
+  return status.term > known.term ||
+    (status.term === known.term && status.role === "primary" &&
+      known.role === "replica");
+}
+
 interface Gather {
   add(logEnd: Position | undefined): void;
   readonly done: Promise<Position | undefined>;
--- a/src/core/object_keys.ts
+++ b/src/core/object_keys.ts
@@ -17,3 +17,8 @@
 export function getGroupStatusKey(group: GroupId): ObjectKey {
   return asId<ObjectKey>(`config/status/${group}`);
 }
+
+/** The lease of the host that changes the primary of a group. */
+export function getGroupLeaseKey(group: GroupId): ObjectKey {
+  return asId<ObjectKey>(`lease/${group}`);
+}
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -3,13 +3,14 @@
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
 import { nowMs, sleep } from "./clock.ts";
-import { confirmWrite } from "./confirm.ts";
+import { createConfirmer } from "./confirm.ts";
 import { type Connections, createConnections } from "./connections.ts";
 import { createMonitor, type Monitor } from "./monitor.ts";
 import { isAtLeast } from "./position.ts";
 import type { Queue } from "./queue.ts";
 import { send, type SendErr, toFailure } from "./send.ts";
 import { createTransactions } from "./transactions.ts";
+import { createWatch } from "./watch.ts";
 import type {
   ExecOp,
   ExecReq,
@@ -31,6 +32,8 @@
   start(): void;
   exec(req: ExecReq): Promise<Outcome>;
   endSession(session: string): void;
+  /** Takes the group as it stands after a change of the lists. */
+  update(group: GroupInfo): void;
   readonly monitor: Monitor;
 }
 
@@ -50,8 +53,11 @@
 
 /** Creates the pool of a group on this host. */
 export function createPool(io: HostIo, options: PoolOptions): Pool {
-  const { group, queue } = options;
+  const { queue } = options;
+  let group = options.group;
   const monitor = createMonitor(io, group);
+  const confirmer = createConfirmer(io, { getGroup: () => group, monitor });
+  const watch = createWatch(monitor);
   const connections: Connections = createConnections(io);
   const transactions = createTransactions(connections, {
     timeoutMs: options.transactionTimeoutMs,
@@ -112,6 +118,10 @@
     return monitor.view().primary === target.target;
   }
 
+  function isReplaced(term: number): boolean {
+    return monitor.view().term > term;
+  }
+
   /** Runs a unique request at the primary until its outcome is known. */
   async function runAtPrimary(
     task: Task,
@@ -124,17 +134,21 @@
         await sleep(RETRY_PAUSE_MS);
         continue;
       }
-      const res = await send(ctx, {
+      const sending = send(ctx, {
         target: primary.info,
         workspace: task.req.workspace,
         req: build(primary.term),
         deadline: task.deadline,
       });
+      const res = await watch.until(sending, () => isReplaced(primary.term));
+      if (!res) {
+        maySent = true;
+        continue;
+      }
       if (res.isOk()) {
-        const isHeld = await confirmWrite(io, {
-          group,
-          monitor,
+        const isHeld = await confirmer.confirm({
           at: res.value.at,
+          primary: primary.info.target,
           deadline: task.deadline,
         });
         if (isHeld) {
@@ -214,7 +228,8 @@
         isPrimary: true,
       });
     }
-    const isHeld = await confirmWrite(io, { group, monitor, at, deadline });
+    const primary = open!.conn.target;
+    const isHeld = await confirmer.confirm({ at, primary, deadline });
     return isHeld
       ? done(res.value, { floor: at, isPrimary: true })
       : failed({ error: "outcome_unknown" });
@@ -257,8 +272,14 @@
     exec: (req) => run({ req, deadline: nowMs() + req.budgetMs }),
     endSession: transactions.endSession,
     monitor,
+    update(changed) {
+      group = changed;
+      monitor.update(changed);
+    },
     stop() {
       monitor.stop();
+      watch.stop();
+      confirmer.stop();
       transactions.stop();
       connections.stop();
     },
--- /dev/null
+++ b/src/core/pools.ts
@@ -0,0 +1,147 @@
+/** The pools of this host: one for each group that it is chosen for. */
+
+import type { Configuration } from "./configuration.ts";
+import type { GroupId, HostId } from "./ids.ts";
+import type { Membership } from "./membership.ts";
+import type { Peers } from "./peers.ts";
+import { createPool, type Pool } from "./pool.ts";
+import { createPromotion, type Promotion } from "./promotion.ts";
+import type { Queue } from "./queue.ts";
+import { listPoolHosts } from "./route.ts";
+import type {
+  GroupInfo,
+  GroupView,
+  HostIo,
+  PeerReq,
+  Stoppable,
+} from "./types.ts";
+
+const RECONCILE_MS = 250;
+const ASK_TIMEOUT_MS = 300;
+
+/** What the pools are made of. */
+export interface PoolsOptions {
+  readonly self: HostId;
+  readonly cfg: Configuration;
+  readonly membership: Membership;
+  readonly peers: Peers;
+  readonly hostsPerGroup: number;
+  readonly transactionTimeoutMs: number;
+  createQueue(group: GroupInfo): Queue;
+}
+
+/** The pools of this host. */
+export interface Pools extends Stoppable {
+  start(): void;
+  /** The pool of a group, started if it is not there yet. */
+  tryPool(group: GroupId): Pool | undefined;
+  /** Rolls back what a session has left open here. */
+  endSession(session: string): void;
+  /** Whether this host supports the suspicion against a primary. */
+  isSupporting(req: Extract<PeerReq, { kind: "suspect" }>): boolean;
+  /** Looks at the targets of a group whose primary has changed. */
+  refresh(group: GroupId): void;
+  listViews(): readonly GroupView[];
+}
+
+interface Held {
+  readonly pool: Pool;
+  readonly promotion: Promotion;
+  info: GroupInfo;
+}
+
+/** Creates the pools of this host; `start` keeps them in step. */
+export function createPools(io: HostIo, options: PoolsOptions): Pools {
+  const { self, cfg, membership, peers } = options;
+  const held = new Map<GroupId, Held>();
+  let timer: NodeJS.Timeout | undefined;
+  let seenKey = "";
+
+  function listMonitors(group: GroupId): HostId[] {
+    return listPoolHosts(group, {
+      alive: membership.listAlive(),
+      count: options.hostsPerGroup,
+    });
+  }
+
+  async function askSuspects(
+    host: HostId,
+    asked: { readonly group: GroupId; readonly term: number },
+  ): Promise<boolean> {
+    const res = await peers.call(host, { kind: "suspect", ...asked }, {
+      timeoutMs: ASK_TIMEOUT_MS,
+    });
+    return res.isOk() && res.value.kind === "suspect" && res.value.agrees;
+  }
+
+  function open(info: GroupInfo): Held {
+    const { group } = info;
+    const pool = createPool(io, {
+      group: info,
+      queue: options.createQueue(info),
+      transactionTimeoutMs: options.transactionTimeoutMs,
+    });
+    const promotion = createPromotion(io, {
+      self,
+      getGroup: () => entry.info,
+      monitor: pool.monitor,
+      listMonitors: () => listMonitors(group),
+      askSuspects: (host, term) => askSuspects(host, { group, term }),
+      tellPromoted: (host, term) =>
+        void peers.call(host, { kind: "promoted", group, term }, {
+          timeoutMs: ASK_TIMEOUT_MS,
+        }),
+    });
+    const entry: Held = { pool, promotion, info };
+    held.set(group, entry);
+    pool.start();
+    promotion.start();
+    return entry;
+  }
+
+  function tryHeld(group: GroupId): Held | undefined {
+    const info = cfg.tryGroup(group);
+    const found = held.get(group);
+    if (found && info && info !== found.info) {
+      found.info = info;
+      found.pool.update(info);
+    }
+    return found ?? (info && open(info));
+  }
+
+  /** Opens the pools that this host is chosen for. */
+  function reconcile(): void {
+    const hosts = membership.listAlive().map((peer) => peer.host).sort();
+    const versions = cfg.objects.map((object) => object.version);
+    const key = `${hosts.join()}|${versions.join()}`;
+    if (key === seenKey) {
+      return;
+    }
+    seenKey = key;
+    for (const { group } of cfg.groups) {
+      if (held.has(group) || listMonitors(group).includes(self)) {
+        tryHeld(group);
+      }
+    }
+  }
+
+  return {
+    start() {
+      timer = setInterval(reconcile, RECONCILE_MS);
+    },
+    tryPool: (group) => tryHeld(group)?.pool,
+    endSession: (session) =>
+      held.forEach(({ pool }) => pool.endSession(session)),
+    isSupporting: ({ group, term }) =>
+      held.get(group)?.promotion.isSupporting(term) ?? false,
+    refresh: (group) => held.get(group)?.pool.monitor.refresh(),
+    listViews: () => [...held.values()].map((h) => h.pool.monitor.view()),
+    stop() {
+      clearInterval(timer);
+      for (const { pool, promotion } of held.values()) {
+        promotion.stop();
+        pool.stop();
+      }
+    },
+  };
+}
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -6,7 +6,7 @@
 export { createStaticLimits } from "./core/limits.ts";
 export { createFifoQueue } from "./core/queue.ts";
 export { createMonitor } from "./core/monitor.ts";
-export { confirmWrite } from "./core/confirm.ts";
+export { createConfirmer } from "./core/confirm.ts";
 export { createPool } from "./core/pool.ts";
 export { ERROR_ANSWERS, type ErrorKind } from "./core/errors.ts";
 export type * from "./core/types.ts";
