--- a/test/lists.test.ts
+++ b/test/lists.test.ts
@@ -2,6 +2,7 @@
 import {
   asId,
   type KeyId,
+  type PlanId,
   type ServiceId,
   type TargetId,
   type WorkspaceId,
@@ -34,31 +35,27 @@
 let core: ReturnType<typeof createPlatformCore>;
 
 function buildLists(): Lists {
+  const services = buildServices(LAKAZ);
+  const spare = { ...services.plans[0]!, plan: SPARE };
   return structuredClone({
     plans: buildPlans(LAKAZ),
-    services: buildServices(LAKAZ),
+    services: { ...services, plans: [...services.plans, spare] },
     groups: { kind: "groups", groups: buildGroups(LAKAZ, (t) => t) },
   });
 }
 
+const SPARE = asId<PlanId>("plan-spare");
+
 /** A plans list with one more workspace. */
-function withWorkspace(name: string): Lists["plans"] {
+function withWorkspace(
+  name: string,
+  plan = LAKAZ.workspaces[0]!.plan,
+): Lists["plans"] {
   const { plans } = buildLists();
-  const { plan } = plans.workspaces[0]!;
   const workspace = asId<WorkspaceId>(name);
   return { ...plans, workspaces: [...plans.workspaces, { workspace, plan }] };
 }
 
-/** A services list without the plan of the first workspace. */
-function withoutPlan(): Lists["services"] {
-  const { plans, services } = buildLists();
-  const gone = plans.workspaces[0]!.plan;
-  return {
-    ...services,
-    plans: services.plans.filter((entry) => entry.plan !== gone),
-  };
-}
-
 async function readBase(list: "plans" | "services") {
   return (await readLists(store)).unwrap()[list];
 }
@@ -126,13 +123,17 @@
       const services = await readBase("services");
       await applyList(store, {
         list: "services",
-        value: withoutPlan(),
+        value: buildServices(LAKAZ),
         base: services,
       });
     }
   };
   await settle(
-    applyList(store, { list: "plans", value: withWorkspace("new"), base }),
+    applyList(store, {
+      list: "plans",
+      value: withWorkspace("new", SPARE),
+      base,
+    }),
   );
   const held = (await readLists(store)).unwrap();
   const together = { plans: held.plans.value, services: held.services.value };
--- a/test/memory_store.ts
+++ b/test/memory_store.ts
@@ -15,7 +15,6 @@
 export interface MemoryStore extends PlatformStore {
   readonly faults: PutFault[];
   beforePut: (key: string) => Promise<void> | void;
-  readonly puts: string[];
 }
 
 /** Creates a store on `core`. */
@@ -25,14 +24,14 @@
   });
   const store: MemoryStore = {
     faults: [],
-    puts: [],
+
     beforePut: () => {},
     get: (key) => Promise.resolve(Ok(structuredClone(core.get(key)))),
     list: (prefix) => Promise.resolve(Ok(core.list(prefix))),
     async put(key, value, options) {
       await store.beforePut(key);
       const fault = store.faults.shift() ?? "none";
-      store.puts.push(key);
+
       if (fault === "not_sent") {
         return unreachable;
       }
