Run just the tests that the page of proofs names

Cause: the page of proofs is only worth what its named tests show, and a row that names a renamed test would stay unnoticed.

--- /dev/null
+++ b/tools/proofs.ts
@@ -0,0 +1,97 @@
+/**
+ * Runs just the tests that docs/PROOFS.md names, one line each, and fails when
+ * a row names a test that does not exist.
+ */
+
+import { execFileSync } from "node:child_process";
+import { existsSync, mkdtempSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+
+const PROOFS_FILE = "docs/PROOFS.md";
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const TEST_LINE_PREFIX = "test: ";
+
+/** A test that a row names: file and full name. */
+interface NamedTest {
+  readonly file: string;
+  readonly name: string;
+}
+
+/** Tests are written as `test/file.test.ts` › `name` in the rows. */
+function readNamedTests(): NamedTest[] {
+  const text = readFileSync(PROOFS_FILE, "utf8").replaceAll(/\s+/g, " ");
+  const matches = text.matchAll(/`(test\/\S+\.test\.ts)` › `([^`]+)`/g);
+  const named = [...matches].map((m) => ({ file: m[1]!, name: m[2]! }));
+  const byText = new Map(named.map((t) => [`${t.file} › ${t.name}`, t]));
+  return [...byText.values()];
+}
+
+interface Results {
+  readonly testResults: readonly {
+    readonly name: string;
+    readonly assertionResults: readonly {
+      readonly fullName: string;
+      readonly status: string;
+    }[];
+  }[];
+}
+
+/** Runs the files of the named tests and gives the status of each test. */
+function runTests(named: readonly NamedTest[]): Map<string, string> {
+  const output = join(mkdtempSync(join(tmpdir(), "proofs-")), "results.json");
+  const files = [...new Set(named.map((test) => test.file))].filter(existsSync);
+  const pattern = named.map((test) => escapeRegExp(test.name)).join("|");
+  try {
+    execFileSync("npx", [
+      "vitest",
+      "run",
+      "--reporter=json",
+      `--outputFile=${output}`,
+      `--testNamePattern=^(${pattern})$`,
+      ...files,
+    ], { stdio: ["ignore", "ignore", "ignore"] });
+  } catch {
+    // Failed tests are told from the results.
+  }
+  const results = JSON.parse(readFileSync(output, "utf8")) as Results;
+  return new Map(results.testResults.flatMap((file) => {
+    const path = file.name.slice(file.name.lastIndexOf("test/"));
+    return file.assertionResults.map((test) =>
+      [`${path} › ${test.fullName}`, test.status] as const
+    );
+  }));
+}
+
+function escapeRegExp(text: string): string {
+  return text.replaceAll(/[.*+?^${}()|[\]\\]/g, "\\$&");
+}
+
+function readKnownRed(): Set<string> {
+  const lines = existsSync(KNOWN_RED_FILE)
+    ? readFileSync(KNOWN_RED_FILE, "utf8").split("\n")
+    : [];
+  return new Set(
+    lines.filter((line) => line.startsWith(TEST_LINE_PREFIX))
+      .map((line) => line.slice(TEST_LINE_PREFIX.length).trim()),
+  );
+}
+
+function main(): void {
+  const named = readNamedTests();
+  const statuses = runTests(named);
+  const knownRed = readKnownRed();
+  let failed = named.length === 0 ? 1 : 0;
+  for (const { file, name } of named) {
+    const status = statuses.get(`${file} › ${name}`) ?? "missing";
+    const isRed = status === "failed" && knownRed.has(name);
+    failed += status === "passed" || isRed ? 0 : 1;
+    const shown = isRed ? "known red" : status;
+    console.log(`${shown.padEnd(9)} ${file} › ${name}`);
+  }
+  console.log(`${named.length} named, ${failed} not passed`);
+  process.exitCode = failed > 0 ? 1 : 0;
+}
+
+main();
