Let an embedding program replace limits, queue and order of replicas

Cause: a measurement needs the baselines beside the chosen policies, and these must not be settings of the product. Ruled out: environment variables and settings, which would put the baselines into the product's path. Change: createHost and runHost take optional policies; the fleet of the tools takes another host program, per-domain latencies of targets and the address of each peer; targets can be down, which breaks connections and keeps the log.

--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -4,11 +4,11 @@
 import { type Configuration, createConfiguration } from "./configuration.ts";
 import { createEntry, type Entry } from "./entry.ts";
 import type { GroupId, HostId } from "./ids.ts";
-import { createStaticLimits } from "./limits.ts";
+import { createStaticLimits, type Limits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
-import { createPool, type Pool } from "./pool.ts";
-import { createFifoQueue } from "./queue.ts";
+import { createPool, type OrderReplicas, type Pool } from "./pool.ts";
+import { createFifoQueue, type Queue } from "./queue.ts";
 import type {
   ExecReq,
   GroupView,
@@ -39,13 +39,32 @@
   listGroupViews(): readonly GroupView[];
 }
 
+/** Parts that a program which embeds a host may replace. */
+export interface HostPolicies {
+  readonly createLimits?: (
+    cfg: Configuration,
+    options: { readonly hosts: number },
+  ) => Limits;
+  readonly createQueue?: (
+    options: { readonly slotsPerTarget: number },
+  ) => Queue;
+  /** Orders the replicas that may serve a read, best first. */
+  readonly orderReplicas?: OrderReplicas;
+}
+
 /** Creates a host that acts through `io` only. */
-export function createHost(io: HostIo, settings: Settings): Host {
+export function createHost(
+  io: HostIo,
+  settings: Settings,
+  policies: HostPolicies = {},
+): Host {
   const self = { host: settings.host, domain: settings.domain };
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
   const membership = createMembership(io, { self, known });
-  const limits = createStaticLimits(cfg, { hosts: known.length + 1 });
+  const createLimits = policies.createLimits ?? createStaticLimits;
+  const limits = createLimits(cfg, { hosts: known.length + 1 });
+  const createQueue = policies.createQueue ?? createFifoQueue;
   const peers = createPeers(io, handlePeer);
   const pools = new Map<GroupId, Pool>();
 
@@ -57,7 +76,10 @@
     }
     const pool = createPool(io, {
       group: info,
-      queue: createFifoQueue({ slotsPerTarget: info.slots }),
+      queue: createQueue({ slotsPerTarget: info.slots }),
+      ...(policies.orderReplicas
+        ? { orderReplicas: policies.orderReplicas }
+        : {}),
       transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
         DEFAULT_TRANSACTION_TIMEOUT_MS,
     });
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -22,6 +22,7 @@
   Stoppable,
   TargetErr,
   TargetInfo,
+  TargetView,
 } from "./types.ts";
 
 const RETRY_PAUSE_MS = 25;
@@ -34,11 +35,18 @@
   readonly monitor: Monitor;
 }
 
+/** Orders the replicas that may serve a read, best first. */
+export type OrderReplicas = (
+  replicas: readonly TargetView[],
+) => readonly TargetView[];
+
 /** What a pool is made of. */
 export interface PoolOptions {
   readonly group: GroupInfo;
   readonly queue: Queue;
   readonly transactionTimeoutMs: number;
+  /** Without it reads are spread at random. */
+  readonly orderReplicas?: OrderReplicas;
 }
 
 interface Task {
@@ -72,10 +80,14 @@
       isAtLeast(target.status.logEnd, floor)
     );
     const replicas = fresh.filter((t) => t.status?.role === "replica");
-    const start = Math.floor(io.random() * replicas.length);
-    const rotated = [...replicas.slice(start), ...replicas.slice(0, start)];
+    const ordered = (options.orderReplicas ?? rotate)(replicas);
     const primaries = fresh.filter((t) => t.status?.role === "primary");
-    return [...rotated, ...primaries].map((target) => target.info);
+    return [...ordered, ...primaries].map((target) => target.info);
+  }
+
+  function rotate(replicas: readonly TargetView[]): TargetView[] {
+    const start = Math.floor(io.random() * replicas.length);
+    return [...replicas.slice(start), ...replicas.slice(0, start)];
   }
 
   async function read(op: OpOf<"read">, task: Task): Promise<Outcome> {
--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -3,7 +3,7 @@
 import { randomBytes } from "node:crypto";
 import debug from "debug";
 import { mersenne } from "pure-rand/generator/mersenne";
-import { createHost, type Host } from "../core/host.ts";
+import { createHost, type Host, type HostPolicies } from "../core/host.ts";
 import type { HostIo, Stoppable } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
 import { createCallerServer } from "../host/caller_server.ts";
@@ -19,8 +19,17 @@
   readonly host: Host;
 }
 
+/** What a program that embeds a host may replace. */
+export interface RunHostOptions {
+  readonly policies?: HostPolicies;
+  readonly wrapIo?: (io: HostIo) => HostIo;
+}
+
 /** Starts a host and resolves when it accepts callers. */
-export async function runHost(settings: Settings): Promise<RunningHost> {
+export async function runHost(
+  settings: Settings,
+  options: RunHostOptions = {},
+): Promise<RunningHost> {
   const metrics = createMetrics();
   const links = createPeerLinks(settings, metrics);
   const targets = createTargetDriver(settings, metrics);
@@ -40,7 +49,11 @@
       debug(`turmericchute:${component}`)("%s %o", event, fields),
     metrics,
   };
-  const host = createHost(io, settings);
+  const host = createHost(
+    options.wrapIo?.(io) ?? io,
+    settings,
+    options.policies,
+  );
   const server = createCallerServer(host, settings.callers);
   await links.listen(host.receivePeer);
   host.start();
--- a/standins/target_node.ts
+++ b/standins/target_node.ts
@@ -43,6 +43,8 @@
 export interface TargetFaults {
   /** Names of hosts and targets that cannot reach it; `*` for all. */
   readonly cutFrom?: readonly string[];
+  /** The process is dead: connections break; its log stays, as on a disk. */
+  readonly down?: boolean;
   /** Nothing is taken in, run or answered. */
   readonly frozen?: boolean;
   /** Replaces the replication lag. */
@@ -130,6 +132,10 @@
   async function follow(): Promise<void> {
     while (!stopped) {
       await thaw();
+      if (node.faults.down) {
+        await sleep(FROZEN_POLL_MS);
+        continue;
+      }
       const next = core.nextFetch();
       const isReachable = !node.isCut(`${core.status().following}`);
       const res = next && isReachable
@@ -155,9 +161,10 @@
     },
     noteSender: (from, domain) => domains.set(from, domain),
     isCut: (from) =>
-      node.faults.cutFrom?.some((n) => n === "*" || n === from) ?? false,
+      node.faults.down === true ||
+      (node.faults.cutFrom?.some((n) => n === "*" || n === from) ?? false),
     tryOpen(from) {
-      if (connections >= options.maxConnections) {
+      if (connections >= options.maxConnections || node.faults.down) {
         return undefined;
       }
       connections++;
@@ -172,7 +179,8 @@
           await sleepAbout(getRunMs(req));
           await thaw();
           // A statement whose connection ended before it ran does not run.
-          const res = ended ? undefined : session.run(req);
+          const isLost = ended || node.faults.down;
+          const res = isLost ? undefined : session.run(req);
           release();
           return await travel(from) ? res : undefined;
         },
--- a/standins/target_server.ts
+++ b/standins/target_server.ts
@@ -33,6 +33,9 @@
     switch (url.pathname) {
       case "/control/faults":
         node.faults = (await readJson(req) ?? {}) as TargetFaults;
+        if (node.faults.down) {
+          wss.clients.forEach((ws) => ws.terminate());
+        }
         return { body: node.faults };
       case "/control/log":
         return { body: { status: node.core.status(), log: node.core.log } };
@@ -53,6 +56,10 @@
     node.noteSender(from, query.get("domain") ?? "");
     node.scan(`${req.url} ${req.rawHeaders.join(" ")}`);
     ws.on("error", () => ws.terminate());
+    if (node.faults.down) {
+      ws.terminate();
+      return;
+    }
     if (query.get("channel") === "data") {
       serveData(node, ws, from);
     } else {
--- a/tools/processes.ts
+++ b/tools/processes.ts
@@ -9,6 +9,7 @@
 import { stringify } from "yaml";
 import {
   asId,
+  type DomainId,
   type HostId,
   type TargetId,
   type WorkspaceId,
@@ -20,7 +21,7 @@
   PLANS_KEY,
   SERVICES_KEY,
 } from "../src/core/object_keys.ts";
-import type { GroupInfo } from "../src/generated/objects.ts";
+import type { GroupInfo, TargetInfo } from "../src/generated/objects.ts";
 import type { Settings } from "../src/generated/settings.ts";
 import { createPlatformStore } from "../src/host/platform_store.ts";
 import {
@@ -33,6 +34,7 @@
 const ROOT = new URL("../..", import.meta.url).pathname;
 const LOOPBACK = "127.0.0.1";
 const READY_TIMEOUT_MS = 15_000;
+const DEFAULT_HOST_PROGRAM = ["dist/src/cli/main.js", "run"];
 
 /** One host of a running fleet. */
 export interface FleetHost {
@@ -58,6 +60,8 @@
   readonly groups: readonly GroupInfo[];
   readonly platformUrl: string;
   readonly keys: ReadonlyMap<WorkspaceId, string>;
+  /** Starts a new process of a host whose process has ended. */
+  restart(host: FleetHost): Promise<void>;
   /** Ends every process that the fleet started. */
   stop(): Promise<void>;
 }
@@ -66,6 +70,19 @@
 export interface FleetOptions {
   readonly hosts: number;
   readonly settings?: Partial<Settings>;
+  /** Arguments before the settings file; without it the command line runs. */
+  readonly hostProgram?: readonly string[];
+  /** Options that the targets of a domain start with besides. */
+  readonly targetArgs?: (domain: string) => readonly string[];
+  /** Where `from` reaches the peer that listens on `port`. */
+  readonly peerUrl?: (from: PlannedHost, to: PlannedHost) => Promise<string>;
+}
+
+/** A host before it is started. */
+export interface PlannedHost {
+  readonly host: HostId;
+  readonly domain: DomainId;
+  readonly peersPort: number;
 }
 
 /** Starts a fleet and resolves when every host accepts callers. */
@@ -85,7 +102,10 @@
   }
   const platform = run(["dist/standins/main.js", "platform"]);
   const platformUrl = `http://${LOOPBACK}:${await firstLine(platform)}`;
-  const { groups, targets } = await startTargets(deployment, run);
+  const { groups, targets } = await startTargets(deployment, {
+    run,
+    targetArgs: options.targetArgs ?? (() => []),
+  });
   const keys = await writeObjects(deployment, { platformUrl, groups });
   const hosts = await startHosts(deployment, {
     ...options,
@@ -99,6 +119,11 @@
     groups,
     platformUrl,
     keys,
+    async restart(host) {
+      const program = options.hostProgram ?? DEFAULT_HOST_PROGRAM;
+      host.child = run([...program, host.settingsFile]);
+      await firstLine(host.child);
+    },
     stop: async () => {
       const started = [...children, ...hosts.map((host) => host.child)];
       await Promise.all(started.map(endProcess));
@@ -110,13 +135,16 @@
 
 async function startTargets(
   deployment: Deployment,
-  run: Run,
+  options: {
+    readonly run: Run;
+    readonly targetArgs: (domain: string) => readonly string[];
+  },
 ): Promise<{ groups: GroupInfo[]; targets: FleetTarget[] }> {
   async function startTarget(
-    target: TargetId,
+    { target, domain }: TargetInfo,
     primary: FleetTarget | undefined,
   ): Promise<FleetTarget> {
-    const child = run([
+    const child = options.run([
       "dist/standins/main.js",
       "target",
       `--target=${target}`,
@@ -128,6 +156,7 @@
       `--connect-ms=${deployment.connectMs}`,
       `--statement-ms=${deployment.statementMs}`,
       `--latency-ms=${deployment.domainLatencyMs}`,
+      ...options.targetArgs(domain),
     ]);
     const url = `ws://${LOOPBACK}:${await firstLine(child)}`;
     return { target, url, child };
@@ -135,8 +164,8 @@
 
   async function startGroup(group: GroupInfo): Promise<FleetTarget[]> {
     const [first, ...rest] = group.targets;
-    const primary = await startTarget(first!.target, undefined);
-    const replicas = rest.map(({ target }) => startTarget(target, primary));
+    const primary = await startTarget(first!, undefined);
+    const replicas = rest.map((info) => startTarget(info, primary));
     return [primary, ...await Promise.all(replicas)];
   }
 
@@ -193,6 +222,8 @@
     peersPort: ports[index * 3 + 1]!,
     operatorsPort: ports[index * 3 + 2]!,
   }));
+  const getPeerUrl = options.peerUrl ??
+    ((_from, to) => Promise.resolve(`ws://${LOOPBACK}:${to.peersPort}`));
   return await Promise.all(planned.map(async (plan): Promise<FleetHost> => {
     const settings: Settings = {
       host: plan.host,
@@ -203,18 +234,23 @@
       peers: {
         address: LOOPBACK,
         port: plan.peersPort,
-        known: planned.filter((p) => p !== plan).map((p) => ({
-          host: p.host,
-          domain: p.domain,
-          url: `ws://${LOOPBACK}:${p.peersPort}`,
-        })),
+        known: await Promise.all(
+          planned.filter((p) => p !== plan).map(async (p) => ({
+            host: p.host,
+            domain: p.domain,
+            url: await getPeerUrl(plan, p),
+          })),
+        ),
       },
       platform: { url: options.platformUrl },
       ...options.settings,
     };
     const settingsFile = join(dir, `${plan.host}.yaml`);
     writeFileSync(settingsFile, stringify(settings));
-    const child = options.run(["dist/src/cli/main.js", "run", settingsFile]);
+    const child = options.run([
+      ...options.hostProgram ?? DEFAULT_HOST_PROGRAM,
+      settingsFile,
+    ]);
     await firstLine(child);
     const callersUrl = `ws://${LOOPBACK}:${plan.callersPort}`;
     return { host: plan.host, callersUrl, settingsFile, settings, child };
