Bound what one caller can do to a host

Cause: a frame that is JSON but no object, such as [1], passed the generated validator, since a discriminator says nothing of other types; the entry then threw. Seen failing: 'malformed frames are named, and too many of them close' in test/callers.test.ts found such a frame answered as valid. The generator now adds the type to every schema with a discriminator, of peer messages and platform objects too.

A planned stop tells callers, lets requests and open transactions finish, refuses others as not run, and closes idle connections.

--- /dev/null
+++ b/src/cli/check.ts
@@ -0,0 +1,40 @@
+/** `turmericchute check`: checks a settings file. */
+
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import { formatMistake } from "../core/mistakes.ts";
+import { loadSettings } from "../host/settings.ts";
+import {
+  EXIT_INVALID,
+  EXIT_OK,
+  type Register,
+  warnMistakes,
+} from "./command.ts";
+
+/** Adds the command. */
+export const registerCheck: Register = (cli, terminal) => {
+  cli.command("check <settings>", "Name every mistake in a settings file")
+    .option("--json", "Print the mistakes as one JSON list")
+    .example("turmericchute check host.yaml")
+    .action((file: string, { json }: { readonly json?: boolean }) => {
+      const settings = loadSettings(file);
+      const mistakes = settings.isErr() ? settings.error : [];
+      if (json) {
+        const list = mistakes.map((mistake) => ({
+          file,
+          path: mistake.path,
+          message: mistake.text,
+          line: formatMistake(file, mistake),
+        }));
+        terminal.print(JSON.stringify(list));
+        return settings.isOk() ? EXIT_OK : EXIT_INVALID;
+      }
+      if (settings.isErr()) {
+        return warnMistakes(terminal, { file, mistakes });
+      }
+      const { host } = settings.value;
+      terminal.print(
+        `${file}: ${formatDiagnostic("settings_valid", { host })}`,
+      );
+      return EXIT_OK;
+    });
+};
--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,60 @@
+/** Finds the command that was asked for and runs it. */
+
+import { type CAC, cac } from "cac";
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import { trySuggest } from "../core/mistakes.ts";
+import { registerCheck } from "./check.ts";
+import {
+  EXIT_FAILED,
+  EXIT_INVALID,
+  EXIT_OK,
+  type ExitCode,
+  type Register,
+  type Terminal,
+} from "./command.ts";
+import { registerRun } from "./run.ts";
+
+const COMMANDS: readonly Register[] = [
+  registerRun,
+  registerCheck,
+];
+
+/** Runs a command line and resolves with its exit code. */
+export async function runCli(
+  argv: readonly string[],
+  terminal: Terminal,
+): Promise<ExitCode> {
+  const cli = cac("turmericchute");
+  COMMANDS.forEach((register) => register(cli, terminal));
+  cli.usage("<command> [options]");
+  cli.help();
+  try {
+    cli.parse([...argv], { run: false });
+    if (cli.matchedCommand) {
+      return await cli.runMatchedCommand() as ExitCode;
+    }
+    return cli.options.help ? EXIT_OK : warnCommand(cli, terminal);
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : `${err}`;
+    const isUsage = err instanceof Error && err.name === "CACError";
+    const name = isUsage ? "usage_invalid" : "command_failed";
+    terminal.warn(formatDiagnostic(name, { detail }));
+    return isUsage ? EXIT_INVALID : EXIT_FAILED;
+  }
+}
+
+function warnCommand(cli: CAC, terminal: Terminal): ExitCode {
+  const command = cli.args[0];
+  if (command === undefined) {
+    cli.outputHelp();
+    return EXIT_INVALID;
+  }
+  const names = cli.commands.map(({ name }) => name);
+  const suggestion = trySuggest(command, names);
+  terminal.warn(
+    suggestion
+      ? formatDiagnostic("command_misspelt", { command, suggestion })
+      : formatDiagnostic("command_unknown", { command }),
+  );
+  return EXIT_INVALID;
+}
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,31 @@
+/** `turmericchute run`: runs a host until it is told to stop. */
+
+import process from "node:process";
+import { runHost } from "../daemon/run_host.ts";
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import { loadSettings } from "../host/settings.ts";
+import { EXIT_OK, type Register, warnMistakes } from "./command.ts";
+
+/** Adds the command. */
+export const registerRun: Register = (cli, terminal) => {
+  cli.command("run <settings>", "Run a host")
+    .example("turmericchute run host.yaml")
+    .action(async (file: string) => {
+      const settings = loadSettings(file);
+      if (settings.isErr()) {
+        return warnMistakes(terminal, { file, mistakes: settings.error });
+      }
+      const running = await runHost(settings.value);
+      // The first signal lets requests finish, the second one does not.
+      let signals = 0;
+      const onSignal = () =>
+        ++signals === 1 ? void running.drain() : running.stop();
+      process.on("SIGTERM", onSignal);
+      process.on("SIGINT", onSignal);
+      const { host } = settings.value;
+      terminal.print(formatDiagnostic("host_ready", { host }));
+      await running.stopped;
+      terminal.print(formatDiagnostic("host_stopped", { host }));
+      return EXIT_OK;
+    });
+};
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -29,6 +29,15 @@
     text: "found {found}, which stands at {other} already",
   },
   settings_valid: { code: 1009, text: "valid settings of host {host}" },
+  host_ready: { code: 2001, text: "{host} ready" },
+  host_stopped: { code: 2002, text: "{host} stopped" },
+  command_unknown: { code: 3001, text: "no such command: {command}" },
+  command_misspelt: {
+    code: 3002,
+    text: "no such command: {command}, did you mean {suggestion}?",
+  },
+  usage_invalid: { code: 3003, text: "{detail}" },
+  command_failed: { code: 3004, text: "failed: {detail}" },
 } as const satisfies Readonly<Record<string, Diagnostic>>;
 
 /** Name of a message. */
--- /dev/null
+++ b/src/host/caller_socket.ts
@@ -0,0 +1,190 @@
+/** One WebSocket connection of a caller. */
+
+import type { Buffer } from "node:buffer";
+import type { WebSocket } from "ws";
+import { type AnswerFrame, toFrame } from "../core/answer.ts";
+import type { CallerSession, Entry, RequestFrame } from "../core/entry.ts";
+import type { HelloFrame } from "../generated/caller.ts";
+import { decodeCallerFrame, toFailedFrame } from "./caller_frames.ts";
+
+/** Time for the first hello after connecting, in milliseconds. */
+export const HELLO_TIMEOUT_MS = 5_000;
+/** Interval between pings; a caller that misses one is cut off. */
+export const PING_MS = 15_000;
+/** Requests of one connection that are not answered yet. */
+export const MAX_IN_FLIGHT = 256;
+/** Malformed frames after which a connection is closed. */
+export const MAX_MALFORMED = 16;
+/** Unread answers at which a connection is closed. */
+const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
+const RETRY_AFTER_MS = 100;
+
+/** Close code of a planned stop; what was not answered was not run. */
+export const GOING_AWAY_CODE = 1_001;
+/** Close code after too many malformed frames. */
+export const MALFORMED_CODE = 1_008;
+/** Close code for a session that is refused. */
+export const REFUSED_CODE = 4_401;
+/** Close code for a caller that presented no hello in time. */
+export const NO_HELLO_CODE = 4_408;
+/** Close code for a caller that does not read its answers. */
+export const UNREAD_CODE = 4_413;
+
+/** A connection as its server sees it. */
+export interface CallerSocket {
+  /** No request is unanswered and no transaction is open. */
+  isIdle(): boolean;
+  /** Refuses new requests; those of open transactions still run. */
+  drain(): void;
+  /** Closes the connection; what is unanswered then was not run, if idle. */
+  goAway(): void;
+}
+
+/** Serves a connection until it ends. */
+export function serveCallerSocket(
+  ws: WebSocket,
+  entry: Entry,
+): CallerSocket {
+  let session: CallerSession | undefined;
+  let inFlight = 0;
+  let malformed = 0;
+  let isDraining = false;
+  let isResponsive = true;
+  const openTransactions = new Set<string>();
+
+  const helloTimer = setTimeout(
+    () => ws.close(NO_HELLO_CODE, "no hello in time"),
+    HELLO_TIMEOUT_MS,
+  );
+  const pingTimer = setInterval(() => {
+    if (!isResponsive) {
+      ws.terminate();
+      return;
+    }
+    isResponsive = false;
+    ws.ping();
+  }, PING_MS);
+
+  function send(frame: unknown): void {
+    if (ws.readyState !== ws.OPEN) {
+      return;
+    }
+    if (ws.bufferedAmount > MAX_UNREAD_BYTES) {
+      ws.close(UNREAD_CODE, "answers are not read");
+      ws.terminate();
+      return;
+    }
+    ws.send(JSON.stringify(frame));
+  }
+
+  function openSession(hello: HelloFrame): void {
+    const opened = entry.open(hello);
+    if (opened.isErr()) {
+      send(toFailedFrame("", opened.error));
+      ws.close(REFUSED_CODE, opened.error.error);
+      return;
+    }
+    clearTimeout(helloTimer);
+    session?.end();
+    session = opened.value;
+    openTransactions.clear();
+    send({ id: "", ok: true, result: "hello" });
+  }
+
+  function tryRefuse(frame: RequestFrame): AnswerFrame | undefined {
+    if (!session) {
+      return toFailedFrame(frame.id, { error: "unauthenticated" });
+    }
+    const tx = "tx" in frame ? frame.tx : undefined;
+    if (isDraining && (tx === undefined || !openTransactions.has(tx))) {
+      return toFailedFrame(frame.id, { error: "shutting_down" });
+    }
+    return inFlight < MAX_IN_FLIGHT ? undefined : toFailedFrame(frame.id, {
+      error: "overloaded",
+      detail: `at most ${MAX_IN_FLIGHT} requests of a connection at once`,
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+
+  async function answer(frame: RequestFrame): Promise<void> {
+    const refusal = tryRefuse(frame);
+    if (refusal) {
+      send(refusal);
+      return;
+    }
+    inFlight++;
+    const answered = await run(session!, frame);
+    inFlight--;
+    trackTransaction(frame, answered);
+    send(answered);
+  }
+
+  function trackTransaction(frame: RequestFrame, answered: AnswerFrame): void {
+    if (frame.kind === "begin" && answered.ok) {
+      openTransactions.add(`${answered.result}`);
+    } else if (frame.kind === "end") {
+      openTransactions.delete(frame.tx);
+    } else if ("tx" in frame && frame.tx && isTransactionOver(answered)) {
+      openTransactions.delete(frame.tx);
+    }
+  }
+
+  function receive(data: Buffer): void {
+    // The caller is told of the close and takes such a request as not run.
+    if (ws.readyState !== ws.OPEN) {
+      return;
+    }
+    const frame = decodeCallerFrame(data.toString("utf8"));
+    if (frame.isErr()) {
+      malformed++;
+      send(toFailedFrame(frame.error.id, frame.error.failure));
+      if (malformed >= MAX_MALFORMED) {
+        ws.close(MALFORMED_CODE, "too many malformed frames");
+      }
+    } else if (frame.value.kind === "hello") {
+      openSession(frame.value);
+    } else {
+      void answer(frame.value);
+    }
+  }
+
+  ws.on("message", receive);
+  ws.on("pong", () => isResponsive = true);
+  ws.on("error", () => ws.terminate());
+  ws.on("close", () => {
+    clearTimeout(helloTimer);
+    clearInterval(pingTimer);
+    session?.end();
+  });
+
+  return {
+    isIdle: () => inFlight === 0 && openTransactions.size === 0,
+    drain() {
+      isDraining = true;
+      send(toFailedFrame("", { error: "shutting_down" }));
+    },
+    goAway() {
+      if (inFlight === 0) {
+        ws.close(GOING_AWAY_CODE, "the host is stopping");
+      } else {
+        ws.terminate();
+      }
+    },
+  };
+}
+
+/** Runs a request; a fault of the host is told as one. */
+async function run(
+  session: CallerSession,
+  frame: RequestFrame,
+): Promise<AnswerFrame> {
+  try {
+    return toFrame(await session.request(frame));
+  } catch {
+    return toFailedFrame(frame.id, { error: "internal" });
+  }
+}
+
+function isTransactionOver(answered: AnswerFrame): boolean {
+  return !answered.ok && answered.run === "rolled_back";
+}
--- a/tools/generate.ts
+++ b/tools/generate.ts
@@ -65,7 +65,7 @@
     unicode: false,
     code: { source: true, esm: true, lines: true },
   });
-  const code = standalone.default(ajv, ajv.compile(schema));
+  const code = standalone.default(ajv, ajv.compile(requireObjects(schema)));
   const type = schema.title;
   const text = [
     "// @ts-nocheck",
@@ -83,6 +83,29 @@
   return { path: `${OUTPUT_DIR}/${name}_validate.ts`, text };
 }
 
+/**
+ * Adds to each schema with a discriminator that the value is an object: the
+ * validator takes any other value as valid.
+ */
+function requireObjects(schema: AnySchemaObject): AnySchemaObject {
+  return mapNodes(
+    schema,
+    (node) => "discriminator" in node ? { type: "object", ...node } : node,
+  ) as AnySchemaObject;
+}
+
+function mapNodes(node: unknown, change: (node: object) => object): unknown {
+  if (Array.isArray(node)) {
+    return node.map((entry) => mapNodes(entry, change));
+  }
+  if (typeof node !== "object" || node === null) {
+    return node;
+  }
+  const entries = Object.entries(node)
+    .map(([key, value]) => [key, mapNodes(value, change)]);
+  return change(Object.fromEntries(entries));
+}
+
 async function generateAll(): Promise<GeneratedFile[]> {
   const files: GeneratedFile[] = [];
   for (const file of readdirSync(SCHEMA_DIR).sort()) {
