Serve metrics, health, status and a page on the operators' port

Class labels come from callers: each workspace has at most 16, each host at most 256 workspaces, and the rest count as other. Metrics are declared with help texts; a label set that differs from the first use no longer throws.

--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -1,58 +1,120 @@
 /** Runs one host as a process. */
 
 import { randomBytes } from "node:crypto";
-import debug from "debug";
 import { mersenne } from "pure-rand/generator/mersenne";
+import { nowMs } from "../core/clock.ts";
 import { createHost, type Host } from "../core/host.ts";
 import type { HostIo, Stoppable } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
 import { createCallerServer } from "../host/caller_server.ts";
-import { createMetrics } from "../host/metrics.ts";
-import { createPeerLinks } from "../host/peer_links.ts";
+import { createLog } from "../host/log.ts";
+import { createMetrics, type HostMetrics } from "../host/metrics.ts";
+import { createOperatorsServer } from "../host/operators_server.ts";
+import { createPeerLinks, type PeerLinks } from "../host/peer_links.ts";
 import { createPlatformStore } from "../host/platform_store.ts";
+import { getHostStatus, type HostState } from "../host/status.ts";
 import { createTargetDriver } from "../host/target_driver.ts";
 
 const UINT32_RANGE = 2 ** 32;
+/** Time for the balancer and peers to notice a stop, in milliseconds. */
+const LEAVE_NOTICE_MS = 1_000;
+/** Time for requests and transactions to finish, in milliseconds. */
+const DRAIN_TIMEOUT_MS = 30_000;
 
 /** A host with its servers. */
 export interface RunningHost extends Stoppable {
   readonly host: Host;
+  /** Carries out a planned stop, which cuts no request. */
+  drain(): Promise<void>;
+  /** Resolves when the host has stopped. */
+  readonly stopped: Promise<void>;
 }
 
 /** Starts a host and resolves when it accepts callers. */
 export async function runHost(settings: Settings): Promise<RunningHost> {
+  const startedAt = nowMs();
   const metrics = createMetrics();
   const links = createPeerLinks(settings, metrics);
   const targets = createTargetDriver(settings, metrics);
-  const generator = mersenne(randomBytes(4).readInt32LE());
-  const io: HostIo = {
-    sendPeer: links.send,
-    targets,
-    platform: createPlatformStore(settings.platform.url, {
-      caller: settings.host,
-      metrics,
-      ...(settings.platform.timeoutMs
-        ? { timeoutMs: settings.platform.timeoutMs }
-        : {}),
-    }),
-    random: () => (generator.next() >>> 0) / UINT32_RANGE,
-    log: ({ component, event, fields }) =>
-      debug(`turmericchute:${component}`)("%s %o", event, fields),
-    metrics,
-  };
+  const io = createIo(settings, { metrics, links, targets });
   const host = createHost(io, settings);
-  const server = createCallerServer(host, settings.callers);
+  const callers = createCallerServer(host, settings.callers);
+  let state: HostState = "starting";
+  let draining: Promise<void> | undefined;
+  let markStopped: () => void;
+  const stopped = new Promise<void>((resolve) => markStopped = resolve);
+
+  const operators = settings.operators && createOperatorsServer({
+    metrics,
+    getState: () => state,
+    getStatus: () =>
+      getHostStatus({
+        host,
+        settings,
+        metrics,
+        startedAt,
+        state,
+        connections: callers.countConnections(),
+      }),
+    drain: () => void drain(),
+  }, settings.operators);
+
+  function setState(next: HostState): void {
+    state = next;
+    io.log({ component: "host", event: next, fields: { host: settings.host } });
+  }
+
+  function drain(): Promise<void> {
+    draining ??= drainOnce();
+    return draining;
+  }
+
+  async function drainOnce(): Promise<void> {
+    setState("draining");
+    host.membership.leave();
+    await new Promise((resolve) => setTimeout(resolve, LEAVE_NOTICE_MS));
+    await callers.drain(DRAIN_TIMEOUT_MS);
+    stop();
+  }
+
+  function stop(): void {
+    callers.close();
+    operators?.close();
+    host.stop();
+    targets.close();
+    links.close();
+    markStopped();
+  }
+
+  await operators?.listen();
   await links.listen(host.receivePeer);
   host.start();
   await host.cfg.ready();
-  await server.listen();
+  await callers.listen();
+  setState("serving");
+  return { host, drain, stop, stopped };
+}
+
+function createIo(
+  settings: Settings,
+  parts: {
+    readonly metrics: HostMetrics;
+    readonly links: PeerLinks;
+    readonly targets: HostIo["targets"];
+  },
+): HostIo {
+  const { url, timeoutMs } = settings.platform;
+  const generator = mersenne(randomBytes(4).readInt32LE());
   return {
-    host,
-    stop() {
-      server.close();
-      host.stop();
-      targets.close();
-      links.close();
-    },
+    sendPeer: parts.links.send,
+    targets: parts.targets,
+    platform: createPlatformStore(url, {
+      caller: settings.host,
+      metrics: parts.metrics,
+      ...(timeoutMs ? { timeoutMs } : {}),
+    }),
+    random: () => (generator.next() >>> 0) / UINT32_RANGE,
+    log: createLog(parts.metrics),
+    metrics: parts.metrics,
   };
 }
--- /dev/null
+++ b/src/host/latency_report.ts
@@ -0,0 +1,70 @@
+/** Sums the latency histograms up for operators. */
+
+import { type HostMetrics, readSamples } from "./metrics.ts";
+
+/** The histogram of the latency of one workspace and class. */
+export interface LatencyReport {
+  readonly workspace: string;
+  readonly class: string;
+  readonly count: number;
+  /** Upper bounds of the buckets that hold the quantiles, if they have one. */
+  readonly p50Ms: number | undefined;
+  readonly p99Ms: number | undefined;
+  readonly buckets: readonly LatencyBucket[];
+}
+
+/** Requests that took at most `leMs` and more than the bucket before. */
+export interface LatencyBucket {
+  /** Undefined for the last bucket, which has no upper bound. */
+  readonly leMs: number | undefined;
+  readonly count: number;
+}
+
+interface LatencySeries {
+  readonly workspace: string;
+  readonly class: string;
+  readonly cumulative: LatencyBucket[];
+}
+
+/** The latency of every workspace and class that sent requests. */
+export async function reportLatencies(
+  metrics: HostMetrics,
+): Promise<LatencyReport[]> {
+  const found = new Map<string, LatencySeries>();
+  for (const sample of await readSamples(metrics, "request_ms")) {
+    const { workspace, class: requestClass, le } = sample.labels;
+    if (le === undefined) {
+      continue;
+    }
+    const key = `${workspace}/${requestClass}`;
+    const series = found.get(key) ?? {
+      workspace: `${workspace}`,
+      class: `${requestClass}`,
+      cumulative: [],
+    };
+    const leMs = le === "+Inf" ? undefined : Number(le);
+    series.cumulative.push({ leMs, count: sample.value });
+    found.set(key, series);
+  }
+  return [...found.values()].map(summarize);
+}
+
+function summarize(series: LatencySeries): LatencyReport {
+  const cumulative = series.cumulative.toSorted((a, b) =>
+    (a.leMs ?? Infinity) - (b.leMs ?? Infinity)
+  );
+  const total = cumulative.at(-1)?.count ?? 0;
+  const quantile = (share: number) =>
+    cumulative.find((bucket) => bucket.count >= total * share)?.leMs;
+  return {
+    workspace: series.workspace,
+    class: series.class,
+    count: total,
+    p50Ms: quantile(0.5),
+    p99Ms: quantile(0.99),
+    buckets: cumulative.map(({ leMs, count }, index) => ({
+      leMs,
+      count: count - (cumulative[index - 1]?.count ?? 0),
+    })),
+  };
+}
--- /dev/null
+++ b/src/host/metric_labels.ts
@@ -0,0 +1,46 @@
+/** Bounds the label values that come from callers. */
+
+import type { MetricLabels } from "../core/types.ts";
+
+/** Classes of one workspace that are told apart. */
+export const MAX_CLASSES_PER_WORKSPACE = 16;
+/** Workspaces that are told apart. */
+export const MAX_WORKSPACES = 256;
+/** Stands for every value beyond the bounds. */
+export const OTHER_LABEL = "other";
+
+/** Replaces the values of labels that go beyond the bounds. */
+export type LabelBound = (labels: MetricLabels) => MetricLabels;
+
+/** Creates bounds that keep the values that are seen first. */
+export function createLabelBound(): LabelBound {
+  const workspaces = new Map<string, Set<string>>();
+
+  function boundClass(seen: Set<string>, requestClass: string): string {
+    if (!seen.has(requestClass) && seen.size >= MAX_CLASSES_PER_WORKSPACE) {
+      return OTHER_LABEL;
+    }
+    seen.add(requestClass);
+    return requestClass;
+  }
+
+  return (labels) => {
+    const { workspace, class: requestClass } = labels;
+    if (workspace === undefined) {
+      return labels;
+    }
+    const isKnown = workspaces.has(workspace);
+    if (!isKnown && workspaces.size >= MAX_WORKSPACES) {
+      return {
+        ...labels,
+        workspace: OTHER_LABEL,
+        ...(requestClass === undefined ? {} : { class: OTHER_LABEL }),
+      };
+    }
+    const seen = workspaces.get(workspace) ?? new Set();
+    workspaces.set(workspace, seen);
+    return requestClass === undefined
+      ? labels
+      : { ...labels, class: boundClass(seen, requestClass) };
+  };
+}
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -1,4 +1,4 @@
-/** Metrics of a host, kept by prom-client. */
+/** Counts in prom-client, exported to the metrics collector. */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type {
@@ -8,51 +8,140 @@
   MetricLabels,
   MetricsSink,
 } from "../core/types.ts";
+import { createLabelBound } from "./metric_labels.ts";
+import { createUsage, type Usage } from "./usage.ts";
 
-const PREFIX = "turmericchute_";
+const METRIC_PREFIX = "turmericchute_";
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
+/** What each metric counts, for the metrics collector. */
+const HELP: Partial<
+  Readonly<Record<CounterName | HistogramName | GaugeName, string>>
+> = {
+  requests_total: "Requests of callers that were answered",
+  refusals_total: "Requests that were not answered with a result, by error",
+  target_sends_total: "Statements sent to targets",
+  target_errors_total: "Statements that a target did not answer, by kind",
+  peer_messages_total: "Messages between hosts",
+  platform_calls_total: "Calls to the object API of the platform",
+  control_messages_total: "Control frames, by channel and direction",
+  control_bytes_total: "Bytes of control frames, by channel and direction",
+  promotions_total: "Promotions that this host carried out",
+  state_changes_total: "Changes of state, by component and event",
+  request_ms: "Time from a request to its answer in milliseconds",
+  queue_ms: "Time in the queue of a database group in milliseconds",
+  confirm_ms: "Time until a majority held a write in milliseconds",
+  failover_phase_ms: "Time of each phase of a failover in milliseconds",
+  sessions: "Open sessions of callers",
+  target_connections: "Data connections to targets",
+  queued_requests: "Requests that wait for a target",
+  in_flight_requests: "Requests of callers that are not answered yet",
+  group_term: "Highest term seen in a database group",
+  peers_alive: "Hosts that this host counts as alive",
+  limit_tokens: "Tokens that this host may spend for a workspace",
+};
+
 /** Metrics with the registry that exports them. */
 export interface HostMetrics extends MetricsSink {
   readonly registry: Registry;
+  /** Use and refusals of each workspace in the last seconds. */
+  readonly usage: Usage;
+}
+
+interface Metric<T> {
+  readonly labelNames: readonly string[];
+  readonly metric: T;
 }
 
 /** Creates empty metrics; a metric comes to be when it is first used. */
 export function createMetrics(): HostMetrics {
   const registry = new Registry();
-  const counters = new Map<CounterName, Counter>();
-  const histograms = new Map<HistogramName, Histogram>();
-  const gauges = new Map<GaugeName, Gauge>();
+  const usage = createUsage();
+  const bound = createLabelBound();
+  const counters = new Map<CounterName, Metric<Counter>>();
+  const histograms = new Map<HistogramName, Metric<Histogram>>();
+  const gauges = new Map<GaugeName, Metric<Gauge>>();
+
+  function getMetric<N extends CounterName | HistogramName | GaugeName, T>(
+    metrics: Map<N, Metric<T>>,
+    name: N,
+    options: {
+      readonly labels: MetricLabels;
+      readonly create: (cfg: ReturnType<typeof describe>) => T;
+    },
+  ): Metric<T> {
+    const found = metrics.get(name);
+    if (found) {
+      return found;
+    }
+    const labelNames = Object.keys(options.labels);
+    const metric = options.create(describe(name, labelNames));
+    metrics.set(name, { labelNames, metric });
+    return { labelNames, metric };
+  }
 
-  function common(name: string, labels: MetricLabels) {
+  function describe(
+    name: CounterName | HistogramName | GaugeName,
+    labelNames: string[],
+  ) {
     return {
-      name: `${PREFIX}${name}`,
-      help: name.replaceAll("_", " "),
-      labelNames: Object.keys(labels),
+      name: `${METRIC_PREFIX}${name}`,
+      help: HELP[name] ?? name.replaceAll("_", " "),
+      labelNames,
       registers: [registry],
     };
   }
 
-  function add(name: CounterName, amount: number, labels: MetricLabels): void {
-    const counter = counters.get(name) ?? new Counter(common(name, labels));
-    counters.set(name, counter);
-    counter.inc(labels, amount);
+  function add(name: CounterName, amount: number, given: MetricLabels): void {
+    usage.note(name, given);
+    const labels = bound(given);
+    const { metric, labelNames } = getMetric(counters, name, {
+      labels,
+      create: (cfg) => new Counter(cfg),
+    });
+    metric.inc(pick(labels, labelNames), amount);
   }
 
   return {
     registry,
+    usage,
     count: (name, labels) => add(name, 1, labels),
     add,
-    observe(name, value, labels) {
-      const histogram = histograms.get(name) ??
-        new Histogram({ ...common(name, labels), buckets: BUCKETS_MS });
-      histograms.set(name, histogram);
-      histogram.observe(labels, value);
+    observe(name, value, given) {
+      const labels = bound(given);
+      const { metric, labelNames } = getMetric(histograms, name, {
+        labels,
+        create: (cfg) => new Histogram({ ...cfg, buckets: BUCKETS_MS }),
+      });
+      metric.observe(pick(labels, labelNames), value);
     },
-    set(name, value, labels) {
-      const gauge = gauges.get(name) ?? new Gauge(common(name, labels));
-      gauges.set(name, gauge);
-      gauge.set(labels, value);
+    set(name, value, given) {
+      const labels = bound(given);
+      const { metric, labelNames } = getMetric(gauges, name, {
+        labels,
+        create: (cfg) => new Gauge(cfg),
+      });
+      metric.set(pick(labels, labelNames), value);
     },
   };
 }
+
+/** The labels that the metric was created with; prom-client takes no others. */
+function pick(labels: MetricLabels, names: readonly string[]): MetricLabels {
+  return Object.fromEntries(names.map((name) => [name, labels[name] ?? ""]));
+}
+
+/** One labelled value of a metric. */
+export interface Sample {
+  readonly labels: Readonly<Record<string, string | number | undefined>>;
+  readonly value: number;
+}
+
+/** Reads the values of a metric; it has none before it is first used. */
+export async function readSamples(
+  metrics: HostMetrics,
+  name: CounterName | HistogramName,
+): Promise<readonly Sample[]> {
+  const metric = metrics.registry.getSingleMetric(`${METRIC_PREFIX}${name}`);
+  return (await metric?.get())?.values as readonly Sample[] ?? [];
+}
--- /dev/null
+++ b/src/host/operators_server.ts
@@ -0,0 +1,145 @@
+/** Serves metrics, health and status to operators, on a port of its own. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { Settings } from "../generated/settings.ts";
+import type { HostMetrics } from "./metrics.ts";
+import type { HostState, HostStatus } from "./status.ts";
+import { renderStatusPage } from "./status_page.ts";
+
+/** Time for a whole request to arrive, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 5_000;
+const MAX_CONNECTIONS = 64;
+/** The page loads nothing from elsewhere and runs no script. */
+const PAGE_POLICY = "default-src 'none'; style-src 'unsafe-inline'";
+
+/** What the server shows of a host. */
+export interface OperatorsView {
+  readonly metrics: HostMetrics;
+  getState(): HostState;
+  getStatus(): Promise<HostStatus>;
+  /** Begins a planned stop; the process ends when it is over. */
+  drain(): void;
+}
+
+/** The server that operators connect to. */
+export interface OperatorsServer {
+  /** Resolves with the port that it listens on. */
+  listen(): Promise<number>;
+  close(): void;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly type: string;
+  readonly body: string;
+}
+
+/** Creates the server of one host. */
+export function createOperatorsServer(
+  view: OperatorsView,
+  settings: NonNullable<Settings["operators"]>,
+): OperatorsServer {
+  const server = createServer((req, res) => void serve(req, res));
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  server.headersTimeout = REQUEST_TIMEOUT_MS;
+  server.maxConnections = MAX_CONNECTIONS;
+
+  async function serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    req.resume();
+    const reply = await route(req).catch((): Reply => text(500, "failed\n"));
+    res.writeHead(reply.status, {
+      "content-type": reply.type,
+      "cache-control": "no-store",
+      "content-security-policy": PAGE_POLICY,
+      "x-content-type-options": "nosniff",
+    });
+    res.end(req.method === "HEAD" ? undefined : reply.body);
+  }
+
+  async function route(req: IncomingMessage): Promise<Reply> {
+    const { pathname } = new URL(req.url ?? "/", "http://operators");
+    if (pathname === "/drain") {
+      return drain(req);
+    }
+    if (req.method !== "GET" && req.method !== "HEAD") {
+      return text(405, "only GET\n");
+    }
+    switch (pathname) {
+      case "/":
+        return page(renderStatusPage(await view.getStatus()));
+      case "/healthz":
+        return text(200, "ok\n");
+      case "/readyz":
+        return view.getState() === "serving"
+          ? text(200, "ready\n")
+          : text(503, `${view.getState()}\n`);
+      case "/metrics": {
+        const { registry } = view.metrics;
+        return {
+          status: 200,
+          type: registry.contentType,
+          body: await registry.metrics(),
+        };
+      }
+      case "/status":
+        return json(200, await view.getStatus());
+      default:
+        return text(404, "no such page\n");
+    }
+  }
+
+  function drain(req: IncomingMessage): Reply {
+    if (req.method !== "POST") {
+      return text(405, "only POST\n");
+    }
+    // A browser names the page that a request comes from; pages of others
+    // must not stop a host.
+    if (req.headers.origin !== undefined) {
+      return text(403, "not from a page\n");
+    }
+    view.drain();
+    return json(202, { state: view.getState() });
+  }
+
+  return {
+    listen: () =>
+      new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(settings.port, settings.address, () => {
+          const address = server.address();
+          resolve(
+            typeof address === "object" && address
+              ? address.port
+              : settings.port,
+          );
+        });
+      }),
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+function text(status: number, body: string): Reply {
+  return { status, type: "text/plain; charset=utf-8", body };
+}
+
+function page(body: string): Reply {
+  return { status: 200, type: "text/html; charset=utf-8", body };
+}
+
+function json(status: number, body: unknown): Reply {
+  return {
+    status,
+    type: "application/json",
+    body: `${JSON.stringify(body)}\n`,
+  };
+}
