--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -8,6 +8,7 @@
 import { toFailedFrame } from "./caller_frames.ts";
 import { serveCallerHttp } from "./caller_http.ts";
 import { type CallerSocket, serveCallerSocket } from "./caller_socket.ts";
+import { createWriteBatch } from "./write_batch.ts";
 
 const DEFAULT_MAX_FRAME_BYTES = 256 * 1024;
 const DEFAULT_MAX_CONNECTIONS = 10_000;
@@ -58,8 +59,11 @@
     maxPayload: maxBytes,
     perMessageDeflate: false,
   });
-  wss.on("connection", (ws) => {
-    const socket = serveCallerSocket(ws, host.entry);
+  wss.on("connection", (ws, req) => {
+    const socket = serveCallerSocket(ws, {
+      entry: host.entry,
+      beginWrite: createWriteBatch(req.socket),
+    });
     sockets.add(socket);
     ws.on("close", () => sockets.delete(socket));
     if (isDraining) {
--- a/src/host/caller_socket.ts
+++ b/src/host/caller_socket.ts
@@ -6,6 +6,7 @@
 import type { CallerSession, Entry, RequestFrame } from "../core/entry.ts";
 import type { HelloFrame } from "../generated/caller.ts";
 import { decodeCallerFrame, toFailedFrame } from "./caller_frames.ts";
+import type { WriteBatch } from "./write_batch.ts";
 
 /** Time for the first hello after connecting, in milliseconds. */
 export const HELLO_TIMEOUT_MS = 5_000;
@@ -43,7 +44,7 @@
 /** Serves a connection until it ends. */
 export function serveCallerSocket(
   ws: WebSocket,
-  entry: Entry,
+  options: { readonly entry: Entry; readonly beginWrite: WriteBatch },
 ): CallerSocket {
   let session: CallerSession | undefined;
   let inFlight = 0;
@@ -74,11 +75,12 @@
       ws.terminate();
       return;
     }
+    options.beginWrite();
     ws.send(JSON.stringify(frame));
   }
 
   function openSession(hello: HelloFrame): void {
-    const opened = entry.open(hello);
+    const opened = options.entry.open(hello);
     if (opened.isErr()) {
       send(toFailedFrame("", opened.error));
       ws.close(REFUSED_CODE, opened.error.error);
