--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -28,7 +28,7 @@
   readonly hostsPerGroup: number;
   readonly transactionTimeoutMs: number;
   createQueue(group: GroupInfo): Queue;
-  /** The order in which replicas are asked; without it they take turns. */
+  /** The order in which replicas are asked; without it they are asked at random. */
   readonly orderReplicas?: OrderReplicas;
 }
 
