Carry a request to the next pool host when one is lost

Cause: a request whose pool host died waited for its whole deadline and was answered as unknown, and 'unavailable' could follow a sending that may have run. Change: the pool is split into reads, writes and transactions; the entry goes to the next pool host with the same request id and says 'not run' only when no attempt may have been sent.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -11,8 +11,10 @@
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
 import type { Limits } from "./limits.ts";
 import type { Membership } from "./membership.ts";
+import { forward } from "./forward.ts";
 import { listPoolHosts } from "./route.ts";
 import {
+  buildSessionId,
   decodeToken,
   encodeToken,
   raiseFloor,
@@ -51,9 +53,10 @@
   readonly hostsPerGroup: number;
   readonly defaultTimeoutMs: number;
   readonly maxTimeoutMs: number;
-  /** Runs a request at the pool of `host`. */
+  /** Runs a request at a host; `outcome_unknown` if no answer came. */
   exec(host: HostId, req: ExecReq): Promise<Outcome>;
-  endSession(session: string): void;
+  /** Rolls back what a session has left open at the given hosts. */
+  endSession(session: string, hosts: readonly HostId[]): void;
 }
 
 /** Creates the entry of this host. */
@@ -62,14 +65,11 @@
 
   function newId(): string {
     const [a, b] = [io.random(), io.random()];
-    return `${self}.${a.toString(36).slice(2)}${b.toString(36).slice(2)}`;
+    const unique = `${a.toString(36).slice(2)}${b.toString(36).slice(2)}`;
+    return buildSessionId(self, unique);
   }
 
   function listHosts(admitted: Admitted): HostId[] {
-    const tx = tryTxHost(admitted.op);
-    if (tx) {
-      return [tx];
-    }
     const hosts = listPoolHosts(admitted.group.group, {
       alive: membership.listAlive(),
       count: options.hostsPerGroup,
@@ -79,36 +79,12 @@
       : hosts;
   }
 
-  async function run(admitted: Admitted): Promise<Outcome> {
-    const { workspace, group, session, floor } = admitted;
-    let last: Outcome = { kind: "failed", error: "unavailable" };
-    for (const host of listHosts(admitted)) {
-      const budgetMs = admitted.deadline - nowMs();
-      if (budgetMs <= 0) {
-        break;
-      }
-      const req: ExecReq = {
-        kind: "exec",
-        workspace,
-        group: group.group,
-        op: withTxHost(admitted.op, host),
-        session,
-        budgetMs,
-        ...(floor ? { floor } : {}),
-      };
-      last = await options.exec(host, req);
-      if (last.kind === "done" || !mayTryNext(last)) {
-        return last;
-      }
-    }
-    return last;
-  }
-
   async function handle(
     caller: Caller,
     session: Session,
-    frame: RequestFrame,
+    given: { readonly frame: RequestFrame; readonly txHosts: Set<HostId> },
   ): Promise<Outcome> {
+    const { frame, txHosts } = given;
     if (!isKeyInForce(cfg, caller)) {
       return { kind: "failed", error: "unauthenticated" };
     }
@@ -125,7 +101,9 @@
     if (admitted.isErr()) {
       return { kind: "failed", ...admitted.error };
     }
-    const outcome = await run(admitted.value);
+    const { exec } = options;
+    const onBegin = (host: HostId) => txHosts.add(host);
+    const outcome = await forward({ listHosts, exec, onBegin }, admitted.value);
     if (outcome.kind === "done") {
       const { group } = admitted.value.group;
       raiseFloor(session, { group, position: outcome.floor });
@@ -147,14 +125,18 @@
         return Err(floors.error);
       }
       const session = { id: newId(), workspace, floors: floors.value };
+      const txHosts = new Set<HostId>();
       return Ok({
         async request(frame) {
           const startedAt = nowMs();
-          const outcome = await handle(caller.value, session, frame);
+          const outcome = await handle(caller.value, session, {
+            frame,
+            txHosts,
+          });
           observe(io, { frame, outcome, workspace, ms: nowMs() - startedAt });
           return toAnswer(frame.id, { outcome, session });
         },
-        end: () => options.endSession(session.id),
+        end: () => options.endSession(session.id, [...txHosts]),
       });
     },
   };
@@ -235,24 +217,3 @@
 function tx(frame: { readonly tx?: TxId }): { tx?: TxId } {
   return frame.tx ? { tx: frame.tx } : {};
 }
-
-const TX_HOST_SEPARATOR = "/";
-
-/** Names the host that will hold the connection in the transaction's id. */
-function withTxHost(op: ExecOp, host: HostId): ExecOp {
-  return op.kind === "begin"
-    ? { ...op, tx: asId<TxId>(`${host}${TX_HOST_SEPARATOR}${op.tx}`) }
-    : op;
-}
-
-function tryTxHost(op: ExecOp): HostId | undefined {
-  if (op.kind === "begin" || !("tx" in op) || !op.tx) {
-    return undefined;
-  }
-  return asId<HostId>(op.tx.split(TX_HOST_SEPARATOR)[0]!);
-}
-
-/** Only what was not run, or runs once however often it is sent, goes on. */
-function mayTryNext(outcome: Extract<Outcome, { kind: "failed" }>): boolean {
-  return outcome.error === "unavailable" || outcome.error === "shutting_down";
-}
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -26,6 +26,7 @@
 const DEFAULT_HOSTS_PER_GROUP = 3;
 /** Time for the way to a pool host and back, in milliseconds. */
 const PEER_MARGIN_MS = 200;
+const END_SESSION_TIMEOUT_MS = 1_000;
 
 /** One running host. */
 export interface Host extends Stoppable {
@@ -76,11 +77,18 @@
     if (res.isOk() && res.value.kind === "exec") {
       return res.value.outcome;
     }
-    const isRead = req.op.kind === "read";
-    return {
-      kind: "failed",
-      error: isRead ? "unavailable" : "outcome_unknown",
-    };
+    return { kind: "failed", error: "outcome_unknown" };
+  }
+
+  function endSession(session: string, hosts: readonly HostId[]): void {
+    for (const host of hosts) {
+      if (host === self.host) {
+        pools.endSession(session);
+      } else {
+        const timeoutMs = END_SESSION_TIMEOUT_MS;
+        void peers.call(host, { kind: "end_session", session }, { timeoutMs });
+      }
+    }
   }
 
   async function handlePeer(_from: HostId, req: PeerReq): Promise<PeerRes> {
@@ -109,7 +117,7 @@
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: pools.endSession,
+    endSession,
   });
 
   return {
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -16,6 +16,8 @@
   /** Hosts that are alive and not leaving, this one included. */
   listAlive(): readonly PeerInfo[];
   isAlive(host: HostId): boolean;
+  /** Whether a host was heard of lately, also if it is leaving. */
+  isReachable(host: HostId): boolean;
   /** Tells peers that this host takes no new work. */
   leave(): void;
 }
@@ -71,6 +73,10 @@
       const entry = heard.get(host);
       return host === self.host || (entry !== undefined && isFresh(entry));
     },
+    isReachable(host) {
+      const at = heard.get(host)?.at ?? -Infinity;
+      return host === self.host || nowMs() - at < ALIVE_TIMEOUT_MS;
+    },
     leave() {
       leaving = true;
       sendHeartbeats();
--- a/src/core/monitor.ts
+++ b/src/core/monitor.ts
@@ -2,7 +2,8 @@
 
 import { nowMs } from "./clock.ts";
 import type { TargetId } from "./ids.ts";
-import { tryMajorityFloor } from "./position.ts";
+import { createFloorHistory, gatherRound, type Round } from "./floors.ts";
+import { getMajority } from "./position.ts";
 import type {
   GroupInfo,
   GroupView,
@@ -30,8 +31,10 @@
   noteStatus(status: TargetStatus, askedAt: number): void;
   /** Asks every target at once. */
   refresh(): void;
-  /** Position that covers every write acknowledged before the call. */
-  tryReadFloor(): Promise<Position | undefined>;
+  /** Asks the targets after the call; undefined without a majority. */
+  tryReadRound(): Promise<Round | undefined>;
+  /** Covers every write acknowledged more than `maxStaleMs` ago. */
+  tryStaleFloor(maxStaleMs: number): Position | undefined;
   /** Calls back after each report; the result ends that. */
   onReport(listener: (status: TargetStatus) => void): () => void;
   /** Time since the primary of the highest term last reported. */
@@ -40,6 +43,10 @@
   getTermAgeMs(): number;
   /** Targets that reported within `FRESH_MS`. */
   countFresh(): number;
+  /** Whether a target has not reported within `FRESH_MS`. */
+  isSilent(target: TargetId): boolean;
+  /** Whether this host has lost the majority of the targets. */
+  isCutOff(): boolean;
   /** Takes the group as it stands after a change of the lists. */
   update(group: GroupInfo): void;
 }
@@ -52,11 +59,13 @@
 /** Creates the monitor of a group. */
 export function createMonitor(io: HostIo, initial: GroupInfo): Monitor {
   const reports = new Map<TargetId, Report>();
+  const history = createFloorHistory();
   const listeners = new Set<(status: TargetStatus) => void>();
   let group = initial;
   let timer: NodeJS.Timeout | undefined;
-  let nextFloor: Promise<Position | undefined> | undefined;
-  let runningFloor: Promise<unknown> = Promise.resolve();
+  let nextRound: Promise<Round | undefined> | undefined;
+  let runningRound: Promise<unknown> = Promise.resolve();
+  let resumedAt = nowMs();
   let polledAt = nowMs();
   let primaryAt = nowMs();
   let termAt = nowMs();
@@ -109,17 +118,14 @@
     return res.value;
   }
 
-  function refresh(): void {
-    group.targets.forEach((target) => void poll(target));
-  }
-
   function pollAll(): void {
     // Whoever was paused has heard nothing, whatever the targets did.
     if (nowMs() - polledAt > PAUSE_MS) {
       primaryAt = nowMs();
+      resumedAt = nowMs();
     }
     polledAt = nowMs();
-    refresh();
+    void readRound();
   }
 
   function view(): GroupView {
@@ -135,12 +141,21 @@
     };
   }
 
-  async function readFloor(): Promise<Position | undefined> {
-    const majority = createGather(group.targets.length);
-    group.targets.forEach((target) =>
-      void poll(target).then((status) => majority.add(status?.logEnd))
-    );
-    return await majority.done;
+  async function readRound(): Promise<Round | undefined> {
+    const round = await gatherRound(group.targets.map(poll));
+    if (round) {
+      history.add(round);
+    }
+    return round;
+  }
+
+  function countFresh(): number {
+    return group.targets.filter((target) => !isSilent(target.target)).length;
+  }
+
+  function isSilent(target: TargetId): boolean {
+    const at = reports.get(target)?.at ?? -Infinity;
+    return nowMs() - at > FRESH_MS;
   }
 
   return {
@@ -151,26 +166,30 @@
     },
     view,
     noteStatus,
-    refresh,
-    tryReadFloor() {
-      // A read that has begun may have missed writes acknowledged since, so
+    refresh: () => void readRound(),
+    tryReadRound() {
+      // A round that has begun may have missed writes acknowledged since, so
       // callers share the next one.
-      nextFloor ??= runningFloor.then(() => {
-        nextFloor = undefined;
-        const floor = readFloor();
-        runningFloor = floor;
-        return floor;
+      nextRound ??= runningRound.then(() => {
+        nextRound = undefined;
+        const round = readRound();
+        runningRound = round;
+        return round;
       });
-      return nextFloor;
+      return nextRound;
     },
+    tryStaleFloor: history.tryFloor,
     onReport(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
     getSilenceMs: () => nowMs() - primaryAt,
     getTermAgeMs: () => nowMs() - termAt,
-    countFresh: () =>
-      view().targets.filter((t) => nowMs() - t.reportedAt < FRESH_MS).length,
+    countFresh,
+    isSilent,
+    isCutOff: () =>
+      nowMs() - resumedAt > FRESH_MS &&
+      countFresh() < getMajority(group.targets.length),
     update(changed) {
       group = changed;
     },
@@ -187,29 +206,3 @@
     (status.term === known.term && status.role === "primary" &&
       known.role === "replica");
 }
-
-interface Gather {
-  add(logEnd: Position | undefined): void;
-  readonly done: Promise<Position | undefined>;
-}
-
-/** Collects log ends until a majority has answered. */
-function createGather(size: number): Gather {
-  const logEnds: Position[] = [];
-  let answers = 0;
-  let resolve: (floor: Position | undefined) => void;
-  const done = new Promise<Position | undefined>((r) => resolve = r);
-  return {
-    add(logEnd) {
-      answers++;
-      if (logEnd) {
-        logEnds.push(logEnd);
-      }
-      const floor = tryMajorityFloor(logEnds, size);
-      if (floor || answers === size) {
-        resolve(floor);
-      }
-    },
-    done,
-  };
-}
--- a/src/core/peers.ts
+++ b/src/core/peers.ts
@@ -23,6 +23,8 @@
     req: PeerReq,
     options: { readonly timeoutMs: number },
   ): Promise<Result<PeerRes, PeerErr>>;
+  /** Ends the calls to the hosts that the predicate picks. */
+  abandon(isLost: (host: HostId) => boolean): void;
   /** Takes a call or return that arrived. */
   receive(from: HostId, msg: PeerMessage): void;
 }
@@ -59,6 +61,11 @@
         io.sendPeer(to, { kind: "call", rid, req });
       });
     },
+    abandon(isLost) {
+      [...waiting.values()]
+        .filter((call) => isLost(call.to))
+        .forEach((call) => call.settle(Err("timeout")));
+    },
     receive(from, msg) {
       if (msg.kind === "call") {
         void answer(from, msg);
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -8,6 +8,7 @@
 import { createPromotion, type Promotion } from "./promotion.ts";
 import type { Queue } from "./queue.ts";
 import { listPoolHosts } from "./route.ts";
+import { getSessionHost } from "./session.ts";
 import type {
   GroupInfo,
   GroupView,
@@ -16,7 +17,7 @@
   Stoppable,
 } from "./types.ts";
 
-const RECONCILE_MS = 250;
+const TICK_MS = 100;
 const ASK_TIMEOUT_MS = 300;
 
 /** What the pools are made of. */
@@ -109,6 +110,21 @@
     return found ?? (info && open(info));
   }
 
+  function endSessions(isOver: (session: string) => boolean): void {
+    held.forEach(({ pool }) => pool.endSessions(isOver));
+  }
+
+  /** Gives up on hosts that are gone: calls to them and their sessions. */
+  function dropLostHosts(): void {
+    peers.abandon((host) => !membership.isReachable(host));
+    endSessions((id) => !membership.isReachable(getSessionHost(id)));
+  }
+
+  function tick(): void {
+    dropLostHosts();
+    reconcile();
+  }
+
   /** Opens the pools that this host is chosen for. */
   function reconcile(): void {
     const hosts = membership.listAlive().map((peer) => peer.host).sort();
@@ -127,11 +143,10 @@
 
   return {
     start() {
-      timer = setInterval(reconcile, RECONCILE_MS);
+      timer = setInterval(tick, TICK_MS);
     },
     tryPool: (group) => tryHeld(group)?.pool,
-    endSession: (session) =>
-      held.forEach(({ pool }) => pool.endSession(session)),
+    endSession: (session) => endSessions((id) => id === session),
     isSupporting: ({ group, term }) =>
       held.get(group)?.promotion.isSupporting(term) ?? false,
     refresh: (group) => held.get(group)?.pool.monitor.refresh(),
--- /dev/null
+++ b/src/core/read.ts
@@ -0,0 +1,138 @@
+/** Runs reads on any target that is as fresh as the reader needs. */
+
+import { nowMs, sleep } from "./clock.ts";
+import { isBeyond } from "./floors.ts";
+import type { Monitor } from "./monitor.ts";
+import { done, failed, isFinal, readFailure, unavailable } from "./outcome.ts";
+import { isAtLeast, maxPosition } from "./position.ts";
+import { send, type SendContext, toFailure } from "./send.ts";
+import type {
+  ExecOp,
+  ExecReq,
+  Outcome,
+  Position,
+  TargetInfo,
+  TargetView,
+} from "./types.ts";
+import type { Watch } from "./watch.ts";
+
+const RETRY_PAUSE_MS = 25;
+
+/** What reading needs of the pool. */
+export interface ReadContext extends SendContext {
+  readonly monitor: Monitor;
+  readonly watch: Watch;
+}
+
+/** An operation with the time by which it is answered. */
+export interface Task {
+  readonly req: ExecReq;
+  readonly deadline: number;
+}
+
+/** A read outside of transactions. */
+export type ReadOp = Extract<ExecOp, { kind: "read" }>;
+
+/** Serves one read, never older than its floor. */
+export async function read(
+  ctx: ReadContext,
+  options: { readonly op: ReadOp; readonly task: Task },
+): Promise<Outcome> {
+  const { op, task } = options;
+  const { workspace } = task.req;
+  const { monitor } = ctx;
+  const floor = await tryFloor(ctx, options);
+  if (!floor) {
+    return failed(unavailable());
+  }
+  // What a read may be stale by is measured when it is answered.
+  const getNeeded = () => withStaleFloor(monitor, { op, floor });
+  let last = unavailable();
+  let isFloorChecked = task.req.floor === undefined;
+  while (nowMs() < task.deadline) {
+    const readers = listReaders(ctx, getNeeded());
+    for (const target of readers) {
+      const sending = send(ctx, {
+        target,
+        workspace,
+        req: { kind: "read", workspace, body: op.body },
+        deadline: task.deadline,
+      });
+      const res = await ctx.watch.until(
+        sending,
+        () => monitor.isSilent(target.target),
+      );
+      if (res?.isOk() && isAtLeast(res.value.at, getNeeded())) {
+        const isPrimary = monitor.view().primary === target.target;
+        return done(res.value, { floor, isPrimary });
+      }
+      if (res?.isErr() && isFinal(res.error)) {
+        return failed(toFailure(res.error));
+      }
+      if (res?.isErr()) {
+        last = readFailure(res.error);
+      }
+    }
+    if (readers.length === 0 && monitor.isCutOff()) {
+      return failed(unavailable());
+    }
+    if (readers.length === 0 && !isFloorChecked) {
+      isFloorChecked = true;
+      const round = await monitor.tryReadRound();
+      if (round && isBeyond(floor, round)) {
+        return failed({ error: "token_invalid" });
+      }
+      isFloorChecked = round?.primaryEnd !== undefined;
+    }
+    await sleep(RETRY_PAUSE_MS);
+  }
+  return failed(last);
+}
+
+/** The floor of the session, or one that covers all that it may have seen. */
+async function tryFloor(
+  ctx: ReadContext,
+  options: { readonly op: ReadOp; readonly task: Task },
+): Promise<Position | undefined> {
+  const { op, task } = options;
+  const { monitor, watch } = ctx;
+  const known = task.req.floor ??
+    (op.maxStaleMs && monitor.tryStaleFloor(op.maxStaleMs));
+  if (known) {
+    return known;
+  }
+  const isOver = () => monitor.isCutOff() || nowMs() >= task.deadline;
+  while (!isOver()) {
+    const round = await watch.until(monitor.tryReadRound(), isOver);
+    if (round) {
+      return round.floor;
+    }
+    await sleep(RETRY_PAUSE_MS);
+  }
+  return undefined;
+}
+
+function withStaleFloor(
+  monitor: Monitor,
+  given: { readonly op: ReadOp; readonly floor: Position },
+): Position {
+  const stale = given.op.maxStaleMs === undefined
+    ? undefined
+    : monitor.tryStaleFloor(given.op.maxStaleMs);
+  return stale ? maxPosition(stale, given.floor) : given.floor;
+}
+
+/** Targets that may serve a read, best first. */
+function listReaders(ctx: ReadContext, needed: Position): TargetInfo[] {
+  const { monitor } = ctx;
+  const isUsable = (target: TargetView) =>
+    !target.info.leaving && target.status !== undefined &&
+    !monitor.isSilent(target.info.target) &&
+    isAtLeast(target.status.logEnd, needed);
+  const fresh = monitor.view().targets.filter(isUsable);
+  const replicas = fresh.filter((t) => t.status?.role === "replica");
+  const start = Math.floor(ctx.io.random() * replicas.length);
+  const rotated = [...replicas.slice(start), ...replicas.slice(0, start)];
+  const primaries = fresh.filter((t) => t.status?.role === "primary");
+  return [...rotated, ...primaries].map((target) => target.info);
+}
--- a/src/core/session.ts
+++ b/src/core/session.ts
@@ -4,7 +4,7 @@
 import { pack, unpack } from "msgpackr";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Failure } from "./errors.ts";
-import type { GroupId, WorkspaceId } from "./ids.ts";
+import { asId, type GroupId, type HostId, type WorkspaceId } from "./ids.ts";
 import { maxPosition } from "./position.ts";
 import type { Position } from "./types.ts";
 
@@ -18,6 +18,18 @@
   readonly floors: Map<GroupId, Position>;
 }
 
+const HOST_SEPARATOR = ".";
+
+/** Builds the id of a session that `host` holds. */
+export function buildSessionId(host: HostId, unique: string): string {
+  return `${host}${HOST_SEPARATOR}${unique}`;
+}
+
+/** The host that holds a session. */
+export function getSessionHost(session: string): HostId {
+  return asId<HostId>(session.split(HOST_SEPARATOR)[0]!);
+}
+
 /** Notes that the session has seen `position` of `group`. */
 export function raiseFloor(
   session: Session,
--- a/src/core/transactions.ts
+++ b/src/core/transactions.ts
@@ -13,6 +13,7 @@
   TargetConn,
   TargetErr,
 } from "./types.ts";
+import type { Watch } from "./watch.ts";
 
 /** A transaction that was begun at the primary. */
 export interface OpenTransaction {
@@ -24,21 +25,26 @@
   readonly slot: Slot;
 }
 
+/** Names a transaction and the session that it must belong to. */
+export interface TxOwner {
+  readonly tx: TxId;
+  readonly workspace: WorkspaceId;
+  readonly session: string;
+}
+
 /** The transactions that this host holds connections for. */
 export interface Transactions extends Stoppable {
   open(transaction: OpenTransaction): void;
   /** Runs a statement in a transaction of the same workspace and session. */
   run(
-    ref: {
-      readonly tx: TxId;
-      readonly workspace: WorkspaceId;
-      readonly session: string;
-    },
+    owner: TxOwner,
     options: { readonly req: RunReq; readonly deadline: number },
   ): Promise<Result<RunRes, Failure | TargetErr>>;
-  tryGet(tx: TxId): OpenTransaction | undefined;
-  /** Rolls back what a session has left open. */
-  endSession(session: string): void;
+  /** The open transaction, if it belongs to `owner`. */
+  tryGet(owner: TxOwner): OpenTransaction | undefined;
+  /** Rolls back the transactions that the predicate picks. */
+  endWhere(isOver: (transaction: OpenTransaction) => boolean): void;
+  readonly size: number;
 }
 
 interface Entry {
@@ -47,10 +53,12 @@
   busy: boolean;
 }
 
+const NO_ANSWER: TargetErr = { kind: "no_answer", sent: true };
+
 /** Creates the transactions of one pool. */
 export function createTransactions(
   connections: Connections,
-  options: { readonly timeoutMs: number },
+  options: { readonly timeoutMs: number; readonly watch: Watch },
 ): Transactions {
   const entries = new Map<TxId, Entry>();
 
@@ -66,6 +74,15 @@
     entry.transaction.slot.release();
   }
 
+  function tryEntry(owner: TxOwner): Entry | undefined {
+    const entry = entries.get(owner.tx);
+    const found = entry?.transaction;
+    return found?.workspace === owner.workspace &&
+        found.session === owner.session
+      ? entry
+      : undefined;
+  }
+
   return {
     open(transaction) {
       const timer = setTimeout(
@@ -74,14 +91,10 @@
       );
       entries.set(transaction.tx, { transaction, timer, busy: false });
     },
-    tryGet: (tx) => entries.get(tx)?.transaction,
-    async run(ref, { req, deadline }) {
-      const entry = entries.get(ref.tx);
-      const owner = entry?.transaction;
-      if (
-        !entry || owner?.workspace !== ref.workspace ||
-        owner.session !== ref.session
-      ) {
+    tryGet: (owner) => tryEntry(owner)?.transaction,
+    async run(owner, { req, deadline }) {
+      const entry = tryEntry(owner);
+      if (!entry) {
         return Err({ error: "transaction_lost" });
       }
       if (entry.busy) {
@@ -92,23 +105,28 @@
       }
       entry.busy = true;
       const leftMs = Math.max(1, deadline - nowMs());
-      const res = await owner.conn.run(req, leftMs);
+      const isClosed = () => entries.get(owner.tx) !== entry;
+      const res = await options.watch.until(
+        entry.transaction.conn.run(req, leftMs),
+        isClosed,
+      ) ?? Err(NO_ANSWER);
       entry.busy = false;
       if (res.isErr()) {
-        close(ref.tx, false);
+        close(owner.tx, false);
         return Err(res.error);
       }
       if (req.kind === "commit" || req.kind === "rollback") {
-        close(ref.tx, true);
+        close(owner.tx, true);
       }
       return Ok(res.value);
     },
-    endSession(session) {
-      for (const [tx, entry] of [...entries]) {
-        if (entry.transaction.session === session) {
-          close(tx, false);
-        }
-      }
+    endWhere(isOver) {
+      [...entries.values()]
+        .filter((entry) => isOver(entry.transaction))
+        .forEach((entry) => close(entry.transaction.tx, false));
+    },
+    get size() {
+      return entries.size;
     },
     stop() {
       [...entries.keys()].forEach((tx) => close(tx, false));
