Replace primaries that are cut off from their replicas or leave

Cause: only a primary that was silent to the hosts was replaced; one cut off from its replicas took writes that were never confirmed, and a leaving one stayed. A pool host that alone missed the primary held its writes until their deadline. Ruled out: asking replicas when they last heard of their primary, as groups expose terms and positions only. A leaving primary hands over after 2 s without new transactions. A host whose suspicion is denied sends its requests on. The stand-in no longer delays fetches that bring nothing, which had made a lag of L a pause of up to 2 L. Conclusion: a lag that jumps above 2 s on every replica at once costs one needless promotion; the bound adapts after that.

--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -98,7 +98,7 @@
       case "pull":
         return { kind: "pull", objects: [] };
       case "suspect":
-        return { kind: "suspect", agrees: pools.isSupporting(req) };
+        return { kind: "suspect", opinion: pools.getOpinion(req) };
       case "promoted":
         pools.refresh(req.group);
         return { kind: "ack" };
--- a/src/core/monitor.ts
+++ b/src/core/monitor.ts
@@ -39,6 +39,8 @@
   onReport(listener: (status: TargetStatus) => void): () => void;
   /** Time since the primary of the highest term last reported. */
   getSilenceMs(): number;
+  /** Time since the primary of the highest term was found. */
+  getPrimaryAgeMs(): number;
   /** Time since the highest term known rose. */
   getTermAgeMs(): number;
   /** Targets that reported within `FRESH_MS`. */
@@ -47,6 +49,10 @@
   isSilent(target: TargetId): boolean;
   /** Whether this host has lost the majority of the targets. */
   isCutOff(): boolean;
+  /** Notes that the primary answers others although it is silent here. */
+  noteDenied(): void;
+  /** Whether only this host misses the primary. */
+  isDenied(): boolean;
   /** Takes the group as it stands after a change of the lists. */
   update(group: GroupInfo): void;
 }
@@ -66,9 +72,11 @@
   let nextRound: Promise<Round | undefined> | undefined;
   let runningRound: Promise<unknown> = Promise.resolve();
   let resumedAt = nowMs();
+  let deniedAt = -Infinity;
   let polledAt = nowMs();
   let primaryAt = nowMs();
   let termAt = nowMs();
+  let foundAt = nowMs();
   let term = 0;
   let primary: TargetId | undefined;
 
@@ -96,6 +104,7 @@
     primaryAt = nowMs();
     if (primary !== status.target) {
       primary = status.target;
+      foundAt = nowMs();
       io.log({
         component: "monitor",
         event: "primary_found",
@@ -184,12 +193,17 @@
       return () => listeners.delete(listener);
     },
     getSilenceMs: () => nowMs() - primaryAt,
+    getPrimaryAgeMs: () => nowMs() - foundAt,
     getTermAgeMs: () => nowMs() - termAt,
     countFresh,
     isSilent,
     isCutOff: () =>
       nowMs() - resumedAt > FRESH_MS &&
       countFresh() < getMajority(group.targets.length),
+    noteDenied() {
+      deniedAt = nowMs();
+    },
+    isDenied: () => nowMs() - deniedAt < FRESH_MS && deniedAt > primaryAt,
     update(changed) {
       group = changed;
     },
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -7,17 +7,18 @@
 import { createMonitor, type Monitor } from "./monitor.ts";
 import type { Queue } from "./queue.ts";
 import { read, type Task } from "./read.ts";
-import { begin, isTermOver, transact } from "./transact.ts";
+import { begin, transact } from "./transact.ts";
 import { createTransactions } from "./transactions.ts";
 import type {
   ExecReq,
   GroupInfo,
   HostIo,
   Outcome,
+  Position,
   Stoppable,
 } from "./types.ts";
 import { createWatch } from "./watch.ts";
-import { runAtPrimary, settle } from "./write.ts";
+import { isTermOver, runAtPrimary, settle } from "./write.ts";
 
 /** The targets of one group as operations see them. */
 export interface Pool extends Stoppable {
@@ -41,6 +42,7 @@
 export function createPool(io: HostIo, options: PoolOptions): Pool {
   const { queue } = options;
   let group = options.group;
+  let servedTerm = 0;
   const monitor = createMonitor(io, group);
   const confirmer = createConfirmer(io, { getGroup: () => group, monitor });
   const watch = createWatch(monitor);
@@ -57,9 +59,10 @@
     watch,
     confirmer,
     transactions,
+    getGroup: () => group,
   };
   monitor.onReport(() =>
-    transactions.endWhere(({ term }) => isTermOver(ctx, term))
+    transactions.endWhere(({ term }) => isTermOver(monitor, term))
   );
 
   async function run(task: Task): Promise<Outcome> {
@@ -93,9 +96,33 @@
     }
   }
 
+  /** Tells how long the first write waited for a new primary. */
+  function noteServed({ term }: Position): void {
+    if (term <= servedTerm) {
+      return;
+    }
+    if (servedTerm > 0) {
+      const ms = monitor.getPrimaryAgeMs();
+      const labels = { phase: "reroute", group: group.group };
+      io.metrics.observe("failover_phase_ms", ms, labels);
+      const fields = { group: group.group, term, reroute: ms };
+      io.log({ component: "pool", event: "rerouted", fields });
+    }
+    servedTerm = term;
+  }
+
+  async function exec(req: ExecReq): Promise<Outcome> {
+    const outcome = await run({ req, deadline: nowMs() + req.budgetMs });
+    const { op } = req;
+    if (outcome.kind === "done" && op.kind === "write" && !op.tx) {
+      noteServed(outcome.floor);
+    }
+    return outcome;
+  }
+
   return {
     start: monitor.start,
-    exec: (req) => run({ req, deadline: nowMs() + req.budgetMs }),
+    exec,
     endSessions: (isOver) =>
       transactions.endWhere(({ session }) => isOver(session)),
     update(changed) {
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -5,7 +5,7 @@
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
 import { createPool, type Pool } from "./pool.ts";
-import { createPromotion, type Promotion } from "./promotion.ts";
+import { createPromotion, type Opinion, type Promotion } from "./promotion.ts";
 import type { Queue } from "./queue.ts";
 import { listPoolHosts } from "./route.ts";
 import { getSessionHost } from "./session.ts";
@@ -38,8 +38,8 @@
   tryPool(group: GroupId): Pool | undefined;
   /** Rolls back what a session has left open here. */
   endSession(session: string): void;
-  /** Whether this host supports the suspicion against a primary. */
-  isSupporting(req: Extract<PeerReq, { kind: "suspect" }>): boolean;
+  /** What this host says of the suspicion against a primary. */
+  getOpinion(req: Extract<PeerReq, { kind: "suspect" }>): Opinion;
   /** Looks at the targets of a group whose primary has changed. */
   refresh(group: GroupId): void;
   listViews(): readonly GroupView[];
@@ -68,11 +68,13 @@
   async function askSuspects(
     host: HostId,
     asked: { readonly group: GroupId; readonly term: number },
-  ): Promise<boolean> {
+  ): Promise<Opinion> {
     const res = await peers.call(host, { kind: "suspect", ...asked }, {
       timeoutMs: ASK_TIMEOUT_MS,
     });
-    return res.isOk() && res.value.kind === "suspect" && res.value.agrees;
+    return res.isOk() && res.value.kind === "suspect"
+      ? res.value.opinion
+      : "unsure";
   }
 
   function open(info: GroupInfo): Held {
@@ -147,8 +149,8 @@
     },
     tryPool: (group) => tryHeld(group)?.pool,
     endSession: (session) => endSessions((id) => id === session),
-    isSupporting: ({ group, term }) =>
-      held.get(group)?.promotion.isSupporting(term) ?? false,
+    getOpinion: ({ group, term }) =>
+      held.get(group)?.promotion.getOpinion(term) ?? "unsure",
     refresh: (group) => held.get(group)?.pool.monitor.refresh(),
     listViews: () => [...held.values()].map((h) => h.pool.monitor.view()),
     stop() {
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -1,11 +1,12 @@
 /** Changes the primary of one group when it is lost or leaves. */
 
 import { nowMs, sleep } from "./clock.ts";
-import { getNextTerm, tryChoosePrimary } from "./election.ts";
+import { canHandOver, getNextTerm, tryChoosePrimary } from "./election.ts";
 import type { HostId, TargetId } from "./ids.ts";
 import { acquireLease, publishStatus, releaseLease } from "./lease.ts";
 import type { Monitor } from "./monitor.ts";
 import { getMajority } from "./position.ts";
+import { createStall } from "./stall.ts";
 import type {
   ControlReq,
   GroupInfo,
@@ -23,10 +24,15 @@
 const TAKEOVER_MS = 700;
 /** Time between the ranks of hosts that cannot reach the platform. */
 const RANK_DELAY_MS = 400;
+/** Time that transactions at a leaving primary have to end. */
+const HANDOVER_WAIT_MS = 2_000;
 const TICK_MS = 50;
 const CONTROL_TIMEOUT_MS = 500;
 const FOLLOW_RETRY_MS = 500;
 
+/** What a host says when another one suspects the primary. */
+export type Opinion = "agrees" | "denies" | "unsure";
+
 /** What a change of primary needs of the host. */
 export interface PromotionOptions {
   readonly self: HostId;
@@ -35,16 +41,26 @@
   /** Hosts that monitor the group, best first, this one included. */
   listMonitors(): readonly HostId[];
   /** Asks another host whether it misses the primary of `term` too. */
-  askSuspects(host: HostId, term: number): Promise<boolean>;
+  askSuspects(host: HostId, term: number): Promise<Opinion>;
   /** Tells another host that the group has a new primary. */
   tellPromoted(host: HostId, term: number): void;
 }
 
+/** Why a primary is replaced. */
+export type Cause = "silent" | "stalled" | "leaving";
+
+/** Durations of the phases of a change of primary, in milliseconds. */
+export interface Phases {
+  readonly detect: number;
+  readonly fence: number;
+  readonly promote: number;
+}
+
 /** Keeps a group led. */
 export interface Promotion extends Stoppable {
   start(): void;
-  /** Whether this host supports the suspicion against the primary. */
-  isSupporting(term: number): boolean;
+  /** What this host says of the suspicion against the primary. */
+  getOpinion(term: number): Opinion;
 }
 
 /** Creates the part that orders changes of primary for one group. */
@@ -55,43 +71,69 @@
   const { self, monitor, getGroup } = options;
   const pointedAt = new Map<TargetId, number>();
   let timer: NodeJS.Timeout | undefined;
+  const stall = createStall(monitor);
+  let leavingSince: number | undefined;
   let isActing = false;
   let stopped = false;
 
   function tick(): void {
     pointReplicas();
-    if (!isActing && isDue()) {
+    const cause = isActing ? undefined : tryCause();
+    if (cause && isReady()) {
       isActing = true;
-      void act().finally(() => isActing = false);
+      void act(cause).finally(() => isActing = false);
+    }
+  }
+
+  /** Why the primary is to be replaced, if it is. */
+  function tryCause(): Cause | undefined {
+    if (monitor.getSilenceMs() > SUSPECT_MS) {
+      return "silent";
+    }
+    if (stall.isStalled()) {
+      return "stalled";
+    }
+    const { primary } = monitor.view();
+    const info = getGroup().targets.find((t) => t.target === primary);
+    if (!info?.leaving) {
+      leavingSince = undefined;
+      return undefined;
     }
+    leavingSince ??= nowMs();
+    // Until then its transactions end, and none is begun.
+    const isDrained = nowMs() - leavingSince > HANDOVER_WAIT_MS;
+    return isDrained && canHandOver(getGroup()) ? "leaving" : undefined;
   }
 
-  /** Whether the group has no primary that answers and could get one. */
-  function isDue(): boolean {
-    return !stopped && monitor.getSilenceMs() > SUSPECT_MS &&
-      monitor.getTermAgeMs() > TAKEOVER_MS &&
+  /** Whether this host may replace a primary now. */
+  function isReady(): boolean {
+    return !stopped && monitor.getTermAgeMs() > TAKEOVER_MS &&
       monitor.countFresh() >= getMajority(getGroup().targets.length) &&
       options.listMonitors().includes(self);
   }
 
-  async function act(): Promise<void> {
-    const { term } = monitor.view();
-    const lastSeenAt = nowMs() - monitor.getSilenceMs();
-    if (!await isSuspicionShared(term) || !await isChosen(term)) {
+  async function act(cause: Cause): Promise<void> {
+    const { term, primary } = monitor.view();
+    const startedAt = nowMs();
+    const silenceMs = monitor.getSilenceMs();
+    const isShared = cause === "leaving" || await isSuspicionShared(term);
+    if (!isShared || !await isChosen(cause, term)) {
       return;
     }
-    const agreedAt = nowMs();
-    log("suspected", { term, silenceMs: Math.round(agreedAt - lastSeenAt) });
-    observe("detect", agreedAt - lastSeenAt);
-    const next = await fence();
-    const fencedAt = nowMs();
-    observe("fence", fencedAt - agreedAt);
-    const promoted = next && await promote(next);
+    const fencing = nowMs();
+    const detectMs = silenceMs + fencing - startedAt;
+    const chosen = await fence(cause === "silent" ? undefined : primary);
+    const promoting = nowMs();
+    const promoted = chosen && await promote(chosen);
     if (promoted) {
-      observe("promote", nowMs() - fencedAt);
-      await announce(promoted);
+      const phases = {
+        detect: detectMs,
+        fence: promoting - fencing,
+        promote: nowMs() - promoting,
+      };
+      await announce(promoted, { cause, phases });
     }
-    void releaseLease(io, { group: getGroup().group, self });
+    await releaseLease(io, { group: getGroup().group, self });
   }
 
   /** One host alone may be cut off from a primary that others reach. */
@@ -100,12 +142,18 @@
     if (others.length === 0) {
       return true;
     }
-    const answers = others.map((host) => options.askSuspects(host, term));
-    return await isAny(answers);
+    const opinions = others.map((host) => options.askSuspects(host, term));
+    if (await isAny(opinions, "agrees")) {
+      return true;
+    }
+    if (await isAny(opinions, "denies")) {
+      monitor.noteDenied();
+    }
+    return false;
   }
 
   /** Chooses among the hosts that suspect; terms decide if several act. */
-  async function isChosen(term: number): Promise<boolean> {
+  async function isChosen(cause: Cause, term: number): Promise<boolean> {
     const group = getGroup().group;
     const state = await acquireLease(io, { group, self });
     switch (state) {
@@ -118,12 +166,13 @@
         await sleep(options.listMonitors().indexOf(self) * RANK_DELAY_MS);
         break;
     }
-    return !stopped && monitor.view().term === term &&
-      monitor.getSilenceMs() > SUSPECT_MS;
+    return !stopped && monitor.view().term === term && tryCause() === cause;
   }
 
   /** Takes the majority away from every older term. */
-  async function fence(): Promise<TargetStatus | undefined> {
+  async function fence(
+    excluded: TargetId | undefined,
+  ): Promise<TargetStatus | undefined> {
     const { targets } = getGroup();
     const known = monitor.view();
     const term = getNextTerm([
@@ -141,7 +190,11 @@
           if (status) {
             accepted.push(status);
           }
-          const chosen = tryChoosePrimary(accepted, { term, groupSize });
+          const chosen = tryChoosePrimary(accepted, {
+            term,
+            groupSize,
+            ...(excluded ? { excluded } : {}),
+          });
           if (chosen || answers === groupSize) {
             resolve(chosen);
           }
@@ -157,11 +210,18 @@
     return info && await control(info, { kind: "promote", term: chosen.term });
   }
 
-  async function announce(promoted: TargetStatus): Promise<void> {
+  async function announce(
+    promoted: TargetStatus,
+    given: { readonly cause: Cause; readonly phases: Phases },
+  ): Promise<void> {
     const { target, term } = promoted;
     const { group } = getGroup();
-    io.metrics.count("promotions_total", { group });
-    log("promoted", { term, primary: target });
+    const { cause, phases } = given;
+    io.metrics.count("promotions_total", { group, cause });
+    for (const [phase, ms] of Object.entries(phases)) {
+      io.metrics.observe("failover_phase_ms", ms, { phase, group });
+    }
+    log("promoted", { term, primary: target, cause, ...phases });
     pointReplicas();
     options.listMonitors()
       .filter((host) => host !== self)
@@ -218,17 +278,19 @@
     io.log({ component: "promotion", event, fields: { group, ...fields } });
   }
 
-  function observe(phase: string, ms: number): void {
-    const { group } = getGroup();
-    io.metrics.observe("failover_phase_ms", ms, { phase, group });
-  }
-
   return {
     start() {
       timer = setInterval(tick, TICK_MS);
     },
-    isSupporting: (term) =>
-      monitor.view().term <= term && monitor.getSilenceMs() > SUPPORT_MS,
+    getOpinion(term) {
+      if (monitor.view().term !== term) {
+        return monitor.view().term < term ? "agrees" : "unsure";
+      }
+      const silenceMs = monitor.getSilenceMs();
+      return silenceMs > SUPPORT_MS || stall.isSupporting()
+        ? "agrees"
+        : "denies";
+    },
     stop() {
       stopped = true;
       clearInterval(timer);
@@ -236,12 +298,15 @@
   };
 }
 
-/** Resolves to true as soon as one of the promises does. */
-function isAny(promises: readonly Promise<boolean>[]): Promise<boolean> {
+/** Resolves to true as soon as one of the hosts has that opinion. */
+function isAny(
+  opinions: readonly Promise<Opinion>[],
+  sought: Opinion,
+): Promise<boolean> {
   return new Promise((resolve) => {
-    promises.forEach((promise) =>
-      void promise.then((value) => value && resolve(true))
+    opinions.forEach((opinion) =>
+      void opinion.then((value) => value === sought && resolve(true))
     );
-    void Promise.all(promises).then(() => resolve(false));
+    void Promise.all(opinions).then(() => resolve(false));
   });
 }
--- a/src/core/transact.ts
+++ b/src/core/transact.ts
@@ -1,6 +1,7 @@
 /** Runs the operations of transactions, from begin to end. */
 
 import { nowMs } from "./clock.ts";
+import { canHandOver } from "./election.ts";
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
 import { done, failed, unavailable } from "./outcome.ts";
@@ -8,6 +9,7 @@
 import { toFailure } from "./send.ts";
 import type { OpenTransaction, Transactions, TxOwner } from "./transactions.ts";
 import {
+  isTermOver,
   type Leader,
   settle,
   type Settled,
@@ -16,6 +18,7 @@
 } from "./write.ts";
 import type {
   ExecOp,
+  GroupInfo,
   Outcome,
   Position,
   RunReq,
@@ -26,6 +29,7 @@
 /** What transactions need of the pool. */
 export interface TransactContext extends WriteContext {
   readonly transactions: Transactions;
+  getGroup(): GroupInfo;
 }
 
 type OpOf<K extends ExecOp["kind"]> = Extract<ExecOp, { kind: K }>;
@@ -43,7 +47,13 @@
   const { op, task } = options;
   const { deadline } = task;
   const { workspace } = task.req;
-  const leader = await untilLeader(ctx.monitor, deadline);
+  // A primary that is about to hand over would cut the transaction.
+  const isStaying = ({ info }: Leader) =>
+    !info.leaving || !canHandOver(ctx.getGroup());
+  const leader = await untilLeader(ctx.monitor, {
+    deadline,
+    isUsable: isStaying,
+  });
   if (!leader) {
     return failed(unavailable());
   }
@@ -86,7 +96,7 @@
   const leftMs = Math.max(1, task.deadline - nowMs());
   const res = await ctx.watch.until(
     conn.value.run({ kind: "begin", workspace, term }, leftMs),
-    () => isTermOver(ctx, term),
+    () => isTermOver(ctx.monitor, term),
   );
   if (!res?.isOk()) {
     ctx.connections.release(conn.value, { clean: false });
@@ -95,11 +105,6 @@
   return { conn: conn.value, res: res.value };
 }
 
-/** Whether transactions of `term` have lost their primary. */
-export function isTermOver(ctx: WriteContext, term: number): boolean {
-  return ctx.monitor.view().term > term || ctx.monitor.isCutOff();
-}
-
 /** Runs a statement of a transaction, or ends it. */
 export async function transact(
   ctx: TransactContext,
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -38,14 +38,24 @@
   return info && monitor.getSilenceMs() < HOLD_MS ? { info, term } : undefined;
 }
 
+/** Whether a primary of `term` can give this host no answer any more. */
+export function isTermOver(monitor: Monitor, term: number): boolean {
+  return monitor.view().term > term || monitor.isCutOff() ||
+    monitor.isDenied();
+}
+
 /** Waits until there is a primary; undefined if none can come in time. */
 export async function untilLeader(
   monitor: Monitor,
-  deadline: number,
+  options: {
+    readonly deadline: number;
+    readonly isUsable?: (leader: Leader) => boolean;
+  },
 ): Promise<Leader | undefined> {
-  while (nowMs() < deadline && !monitor.isCutOff()) {
+  const { deadline, isUsable = () => true } = options;
+  while (nowMs() < deadline && !monitor.isCutOff() && !monitor.isDenied()) {
     const leader = tryLeader(monitor);
-    if (leader) {
+    if (leader && isUsable(leader)) {
       return leader;
     }
     await sleep(RETRY_PAUSE_MS);
@@ -68,7 +78,7 @@
   const { deadline, req } = options.task;
   let maySent = false;
   while (true) {
-    const leader = await untilLeader(monitor, deadline);
+    const leader = await untilLeader(monitor, { deadline });
     if (!leader) {
       return failed(maySent ? afterSending(unavailable()) : unavailable());
     }
@@ -79,7 +89,7 @@
       req: options.build(term),
       deadline,
     });
-    const isOver = () => monitor.view().term > term || monitor.isCutOff();
+    const isOver = () => isTermOver(monitor, term);
     const res = await watch.until(sending, isOver);
     if (!res) {
       maySent = true;
--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -88,7 +88,6 @@
 }
 
 const UINT32_RANGE = 2 ** 32;
-const FROZEN_POLL_MS = 5;
 
 const NO_METRICS: MetricsSink = {
   count() {},
@@ -105,6 +104,7 @@
   const platformFaults: LocalPlatformFaults = {};
   const platformCalls = new Map<HostId, number>();
   const cuts = new Set<string>();
+  const frozen: (() => void)[] = [];
   const targets = createTargets(options);
   const settingsOfAll = listSettings(options);
 
@@ -112,10 +112,15 @@
     return cuts.has([a, b].sort().join("|"));
   }
 
+  /** Lets everything that waits for a frozen host look at it again. */
+  function resumeFrozen(): void {
+    frozen.splice(0).forEach((resume) => resume());
+  }
+
   /** Waits while a host is frozen; false once it is dead. */
   async function waitRunning(host: LocalHost): Promise<boolean> {
     while (host.state === "frozen") {
-      await sleep(FROZEN_POLL_MS);
+      await new Promise<void>((resolve) => frozen.push(resolve));
     }
     return host.state === "running";
   }
@@ -267,6 +272,7 @@
     kill(id) {
       const host = fleet.getHost(id);
       host.state = "dead";
+      resumeFrozen();
       host.host.stop();
     },
     freeze(id) {
@@ -274,11 +280,13 @@
     },
     thaw(id) {
       fleet.getHost(id).state = "running";
+      resumeFrozen();
     },
     restart(id) {
       const host = fleet.getHost(id);
       host.host.stop();
       host.state = "running";
+      resumeFrozen();
       host.host = createHost(createIo(host), host.settings);
       host.host.start();
     },
--- a/standins/target_node.ts
+++ b/standins/target_node.ts
@@ -47,6 +47,8 @@
   readonly frozen?: boolean;
   /** Replaces the replication lag. */
   readonly lagMs?: number;
+  /** Replaces the one-way latency of every frame. */
+  readonly latencyMs?: number;
   /** Replaces the time that a statement runs. */
   readonly statementMs?: number;
 }
@@ -106,7 +108,8 @@
 
   function getLatencyMs(from: string): number {
     const domain = domains.get(from) ?? "";
-    return options.latencyMsByDomain?.[domain] ?? options.latencyMs;
+    return node.faults.latencyMs ?? options.latencyMsByDomain?.[domain] ??
+      options.latencyMs;
   }
 
   async function thaw(): Promise<void> {
@@ -135,7 +138,7 @@
       const res = next && isReachable
         ? await fetchFrom(next.url, next.req)
         : undefined;
-      if (res) {
+      if (res && (res.entries.length > 0 || res.keep < next!.req.length)) {
         await sleepAbout(node.faults.lagMs ?? options.lagMs);
         await thaw();
         core.applyFetch(res);
--- a/test/promotion.test.ts
+++ b/test/promotion.test.ts
@@ -1,8 +1,13 @@
-import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import type { CallerSession } from "../src/core/entry.ts";
 import { rankNodes } from "../src/core/hash.ts";
-import type { GroupInfo } from "../src/core/types.ts";
+import { listPoolHosts } from "../src/core/route.ts";
+import type { TargetId } from "../src/core/ids.ts";
+import type { Answer, GroupInfo } from "../src/core/types.ts";
+import { GROUPS_KEY } from "../src/core/object_keys.ts";
 import type { TargetNode } from "../standins/target_node.ts";
 import {
+  getFrame,
   putFrame,
   resultOf,
   settle,
@@ -11,10 +16,12 @@
 } from "./fleet.ts";
 
 let fleet: TestFleet;
+let targets: TargetNode[];
 
 beforeEach(async () => {
   vi.useFakeTimers();
   fleet = await startTestFleet();
+  targets = getGroup().targets.map((info) => fleet.getTarget(info.target));
 });
 
 afterEach(() => {
@@ -24,6 +31,10 @@
 
 /** Goal for the gap in service of a killed or cut primary. */
 const GAP_GOAL_MS = 3_000;
+/** Goal for the gap at the size of letter 1, also for two failures at once. */
+const GAP_AT_SIZE_MS = 7_000;
+const REQUEST_TIMEOUT_MS = 12_000;
+const HOSTS = ["h1", "h2", "h3"];
 
 /** The group that keeps the rows of the first workspace. */
 function getGroup(): GroupInfo {
@@ -33,39 +44,243 @@
   return fleet.groups.find((group) => group.group === first)!;
 }
 
-function listTargets(): TargetNode[] {
-  return getGroup().targets.map((info) => fleet.getTarget(info.target));
+function getTerm(): number {
+  return Math.max(...targets.map((target) => target.core.status().term));
 }
 
-function listPrimaries(): TargetNode[] {
-  const all = listTargets().map((target) => target.core.status());
-  const term = Math.max(...all.map((status) => status.term));
-  return listTargets().filter((target) => {
-    const status = target.core.status();
-    return status.role === "primary" && status.term === term;
-  });
+function getPrimary(): TargetNode {
+  return targets.find((target) => {
+    const { role, term } = target.core.status();
+    return role === "primary" && term === getTerm();
+  })!;
+}
+
+function idOf(target: TargetNode): TargetId {
+  return target.core.status().target;
+}
+
+function request(host: string, key: string): Promise<Answer> {
+  const timeoutMs = REQUEST_TIMEOUT_MS;
+  return fleet.open(host).request(putFrame(key, "placed", { timeoutMs }));
 }
 
 /** Time until a write is answered as done. */
 async function measureWrite(host: string, key: string): Promise<number> {
   const startedAt = Date.now();
-  const session = fleet.open(host);
-  resultOf(await settle(session.request(putFrame(key, "placed"))));
+  resultOf(await settle(request(host, key)));
   return Date.now() - startedAt;
 }
 
-test("a cut primary is replaced and rejoins as a replica", async () => {
-  const [old] = listTargets();
-  await measureWrite("h1", "before");
+/** Whether each of the keys has exactly one entry in the log of the primary. */
+function countEntries(key: string): number {
+  return getPrimary().core.log
+    .filter((entry) => entry.changes.some((change) => change.key === key))
+    .length;
+}
+
+function listEvents(event: string): string[] {
+  return fleet.hosts.flatMap((host) =>
+    host.log.filter((change) => change.event === event).map(() => host.id)
+  );
+}
+
+describe("a primary that is lost", () => {
+  test("is replaced and rejoins as a replica without its tail", async () => {
+    const [old] = targets;
+    await measureWrite("h1", "before");
+    old!.faults = { cutFrom: ["*"] };
+    old!.core.openSession().run({
+      kind: "write",
+      workspace: fleet.deployment.workspaces[0]!.workspace,
+      id: putFrame("tail", 1).id,
+      term: 1,
+      body: { op: "put", key: "tail", value: "unacknowledged" },
+      unique: true,
+    });
+    expect(await measureWrite("h1", "after")).toBeLessThan(GAP_GOAL_MS);
+    const primary = getPrimary();
+    expect(primary).not.toBe(old);
+    old!.faults = {};
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(old!.core.status()).toMatchObject({
+      role: "replica",
+      following: idOf(primary),
+      logEnd: primary.core.status().logEnd,
+    });
+    expect(JSON.stringify(old!.core.log)).not.toContain("unacknowledged");
+  });
+
+  test("is replaced in time with the platform down", async () => {
+    fleet.platformFaults.down = true;
+    targets[0]!.faults = { cutFrom: ["*"] };
+    expect(await measureWrite("h2", "after")).toBeLessThan(GAP_GOAL_MS);
+  });
+
+  test("is replaced when it is cut off from the hosts only", async () => {
+    targets[0]!.faults = { cutFrom: HOSTS };
+    expect(await measureWrite("h2", "after")).toBeLessThan(GAP_GOAL_MS);
+  });
+
+  test("is replaced when it is cut off from its replicas only", async () => {
+    const replicas = targets.slice(1).map(idOf);
+    await measureWrite("h1", "before");
+    targets[0]!.faults = { cutFrom: replicas };
+    expect(await measureWrite("h2", "after")).toBeLessThan(GAP_GOAL_MS);
+    expect(getPrimary()).not.toBe(targets[0]);
+  });
+
+  test("acknowledges nothing from a host on its side", async () => {
+    const [lone, ...others] = listPoolHosts(getGroup().group, {
+      alive: fleet.getHost("h1").host.membership.listAlive(),
+      count: 3,
+    });
+    const rest = targets.slice(1);
+    targets[0]!.faults = { cutFrom: [...others, ...rest.map(idOf)] };
+    rest.forEach((target) => target.faults = { cutFrom: [lone!] });
+    others.forEach((host) => fleet.cut(lone!, host));
+    const onItsSide = request(lone!, "old");
+    await measureWrite(others[0]!, "new");
+    const answer = await settle(onItsSide);
+    expect(answer).toMatchObject({ failure: { error: "outcome_unknown" } });
+    expect(countEntries("new")).toBe(1);
+    expect(countEntries("old")).toBe(0);
+  });
+
+  test("wakes and is refused by its replicas", async () => {
+    await measureWrite("h1", "before");
+    targets[0]!.faults = { frozen: true };
+    const sent = request("h1", "across");
+    await vi.advanceTimersByTimeAsync(GAP_GOAL_MS);
+    targets[0]!.faults = {};
+    expect(resultOf(await settle(sent))).toBe("placed");
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(targets[0]!.core.status().role).toBe("replica");
+    expect(countEntries("across")).toBe(1);
+  });
+});
+
+describe("the host that acts", () => {
+  /** Advances until a host has raised the term, and gives that host. */
+  async function untilRaising(): Promise<string> {
+    for (let ms = 0; ms < 5_000; ms++) {
+      await vi.advanceTimersByTimeAsync(1);
+      const [host] = listEvents("raising_term");
+      if (host) {
+        return host;
+      }
+    }
+    throw new Error("no host acted");
+  }
+
+  test("is succeeded when it dies after raising the term", async () => {
+    await measureWrite("h1", "before");
+    targets[0]!.faults = { cutFrom: ["*"] };
+    const actor = await untilRaising();
+    fleet.kill(actor);
+    const other = HOSTS.find((host) => host !== actor)!;
+    expect(await measureWrite(other, "after")).toBeLessThan(GAP_AT_SIZE_MS);
+    expect(getTerm()).toBeGreaterThan(2);
+  });
+
+  test("is beaten by terms when it wakes after its lease", async () => {
+    targets[0]!.faults = { cutFrom: ["*"] };
+    const actor = await untilRaising();
+    fleet.freeze(actor);
+    const other = HOSTS.find((host) => host !== actor)!;
+    expect(await measureWrite(other, "after")).toBeLessThan(GAP_AT_SIZE_MS);
+    const primary = getPrimary();
+    const term = getTerm();
+    fleet.thaw(actor);
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(getPrimary()).toBe(primary);
+    expect(getTerm()).toBe(term);
+    await measureWrite(actor, "later");
+  });
+
+  test("meets a second failure during the first", async () => {
+    fleet.kill("h1");
+    targets[0]!.faults = { cutFrom: ["*"] };
+    await settle(request("h2", "across"));
+    const second = getPrimary();
+    targets[0]!.faults = {};
+    second.faults = { cutFrom: ["*"] };
+    expect(await measureWrite("h3", "after")).toBeLessThan(GAP_AT_SIZE_MS);
+    expect(countEntries("across")).toBe(1);
+  });
+});
+
+test("a replica that is far behind is not promoted", async () => {
+  const [old, behind] = targets;
+  behind!.faults = { lagMs: 4_000 };
+  for (let n = 0; n < 5; n++) {
+    await measureWrite("h1", `order-${n}`);
+  }
   old!.faults = { cutFrom: ["*"] };
-  expect(await measureWrite("h1", "after")).toBeLessThan(GAP_GOAL_MS);
-  const [primary] = listPrimaries();
-  expect(primary).not.toBe(old);
-  old!.faults = {};
-  await vi.advanceTimersByTimeAsync(2_000);
-  expect(old!.core.status()).toMatchObject({
-    role: "replica",
-    following: primary!.core.status().target,
-    logEnd: primary!.core.status().logEnd,
+  await measureWrite("h1", "after");
+  expect(getPrimary()).toBe(targets[2]);
+  expect(countEntries("order-4")).toBe(1);
+});
+
+describe("a living primary stays", () => {
+  async function writeFor(ms: number): Promise<void> {
+    const until = Date.now() + ms;
+    for (let n = 0; Date.now() < until; n++) {
+      await settle(request("h1", `order-${n}`));
+      await vi.advanceTimersByTimeAsync(200);
+    }
+  }
+
+  test.each([
+    ["statements take 1.5 s", { statementMs: 1_500 }],
+    ["frames take 350 ms", { latencyMs: 350 }],
+  ])("when %s", async (_name, faults) => {
+    targets[0]!.faults = faults;
+    await writeFor(15_000);
+    expect(getTerm()).toBe(1);
+  });
+
+  test("when its replicas lag by a second and a half", async () => {
+    targets.slice(1).forEach((target) => target.faults = { lagMs: 1_500 });
+    await writeFor(15_000);
+    expect(getTerm()).toBe(1);
+  });
+
+  test("when a single host misses it", async () => {
+    targets[0]!.faults = { cutFrom: ["h1"] };
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(getTerm()).toBe(1);
+    expect(await measureWrite("h1", "order")).toBeLessThan(GAP_GOAL_MS);
+  });
+
+  test("when all hosts were paused for seconds", async () => {
+    HOSTS.forEach(fleet.freeze);
+    await vi.advanceTimersByTimeAsync(5_000);
+    HOSTS.forEach(fleet.thaw);
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(getTerm()).toBe(1);
   });
 });
+
+test("a leaving primary hands over without cutting a request", async () => {
+  const groups = fleet.groups.map((group) => ({
+    ...group,
+    targets: group.targets.map((info) => ({
+      ...info,
+      ...(info.target === idOf(targets[0]!) ? { leaving: true } : {}),
+    })),
+  }));
+  const session: CallerSession = fleet.open("h1");
+  const begun = await settle(
+    session.request({ ...getFrame(""), kind: "begin" } as never),
+  );
+  fleet.platform.put(GROUPS_KEY, { kind: "groups", groups }, { ifVersion: 1 });
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(resultOf(begun)).toBeDefined();
+  let worstMs = 0;
+  for (let n = 0; n < 30; n++) {
+    worstMs = Math.max(worstMs, await measureWrite("h1", `order-${n}`));
+    await vi.advanceTimersByTimeAsync(100);
+  }
+  expect(getPrimary()).not.toBe(targets[0]);
+  expect(worstMs).toBeLessThan(GAP_GOAL_MS);
+});
