--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -7,9 +7,9 @@
 import { createStaticLimits, type Limits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
-import type { OrderReplicas } from "./pool.ts";
 import { createPools } from "./pools.ts";
 import { createFifoQueue, type Queue } from "./queue.ts";
+import type { OrderReplicas } from "./read.ts";
 import type {
   ExecReq,
   GroupView,
@@ -27,6 +27,7 @@
 const DEFAULT_HOSTS_PER_GROUP = 3;
 /** Time for the way to a pool host and back, in milliseconds. */
 const PEER_MARGIN_MS = 200;
+const END_SESSION_TIMEOUT_MS = 1_000;
 
 /** One running host. */
 export interface Host extends Stoppable {
@@ -99,11 +100,18 @@
     if (res.isOk() && res.value.kind === "exec") {
       return res.value.outcome;
     }
-    const isRead = req.op.kind === "read";
-    return {
-      kind: "failed",
-      error: isRead ? "unavailable" : "outcome_unknown",
-    };
+    return { kind: "failed", error: "outcome_unknown" };
+  }
+
+  function endSession(session: string, hosts: readonly HostId[]): void {
+    for (const host of hosts) {
+      if (host === self.host) {
+        pools.endSession(session);
+      } else {
+        const timeoutMs = END_SESSION_TIMEOUT_MS;
+        void peers.call(host, { kind: "end_session", session }, { timeoutMs });
+      }
+    }
   }
 
   async function handlePeer(_from: HostId, req: PeerReq): Promise<PeerRes> {
@@ -113,7 +121,7 @@
       case "pull":
         return { kind: "pull", objects: [] };
       case "suspect":
-        return { kind: "suspect", agrees: pools.isSupporting(req) };
+        return { kind: "suspect", opinion: pools.getOpinion(req) };
       case "promoted":
         pools.refresh(req.group);
         return { kind: "ack" };
@@ -132,7 +140,7 @@
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: pools.endSession,
+    endSession,
   });
 
   return {
