Spread the configuration from one watcher per failure domain

Every host watched the platform itself, so calls grew with the fleet, and a host that was cut off went on acting on what it held. Now the first host of each failure domain by rendezvous watches, others pull every half second from a watcher, and a change is announced with a heartbeat at once. A host acts on its configuration while it was known to be current within 4 s: by the platform, by a peer that answered after it was asked (ages are counted from the asking, so no clocks are compared), or because a majority of the hosts that had all been confirmed since their start held nothing newer. Otherwise it answers configuration_unconfirmed.

Changes are tracked by one revision in place of a version for each object: one number says that everything up to it is held.

--- a/src/core/authenticate.ts
+++ b/src/core/authenticate.ts
@@ -1,8 +1,10 @@
 /** First phase: finds the workspace of the key that a caller presents. */
 
 import { Err, Ok, type Result } from "ts-results-es";
+import type { KeyRecord } from "../generated/objects.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Failure } from "./errors.ts";
+import type { Freshness } from "./freshness.ts";
 import type { KeyId, WorkspaceId } from "./ids.ts";
 import { isSecretOf, tryGetKeyId } from "./keys.ts";
 
@@ -12,22 +14,44 @@
   readonly keyId: KeyId;
 }
 
+/** What authentication looks at. */
+export interface AuthenticateContext {
+  readonly cfg: Configuration;
+  readonly freshness: Freshness;
+}
+
 /** Finds the caller that holds `secret`. */
 export function authenticate(
-  cfg: Configuration,
+  ctx: AuthenticateContext,
   secret: string | undefined,
 ): Result<Caller, Failure> {
+  if (!ctx.freshness.isConfirmed()) {
+    return Err({ error: "configuration_unconfirmed" });
+  }
   const keyId = tryGetKeyId(secret ?? "");
-  const record = keyId && cfg.tryKey(keyId);
-  if (!record || record.withdrawnAt || !isSecretOf(record, secret!)) {
+  const record = keyId && ctx.cfg.tryKey(keyId);
+  if (!record || !isInForce(record) || !isSecretOf(record, secret!)) {
     return Err({ error: "unauthenticated" });
   }
   return Ok({ workspace: record.workspace, keyId: record.keyId });
 }
 
-/** Tells whether the key of a connected caller is still in force. */
-export function isKeyInForce(cfg: Configuration, caller: Caller): boolean {
-  const record = cfg.tryKey(caller.keyId);
-  return record !== undefined && record.withdrawnAt === undefined &&
-    record.workspace === caller.workspace;
+/** Checks that the key of a connected caller is still in force. */
+export function checkCaller(
+  ctx: AuthenticateContext,
+  caller: Caller,
+): Result<void, Failure> {
+  if (!ctx.freshness.isConfirmed()) {
+    return Err({ error: "configuration_unconfirmed" });
+  }
+  const record = ctx.cfg.tryKey(caller.keyId);
+  return record && isInForce(record) && record.workspace === caller.workspace
+    ? Ok(undefined)
+    : Err({ error: "unauthenticated" });
+}
+
+function isInForce(record: KeyRecord): boolean {
+  return record.withdrawnAt === undefined &&
+    (record.expiresAt === undefined ||
+      Date.now() < Date.parse(record.expiresAt));
 }
--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -3,42 +3,55 @@
 import type {
   GroupInfo,
   GroupStatus,
+  HostRecord,
   KeyRecord,
   PlanAllowance,
 } from "../generated/objects.ts";
 import { validatePlatformObject } from "../generated/objects_validate.ts";
-import { sleep } from "./clock.ts";
-import type { GroupId, KeyId, ObjectKey, WorkspaceId } from "./ids.ts";
-import { CONFIG_PREFIX } from "./object_keys.ts";
-import type { HostIo, Stoppable, StoredObject } from "./types.ts";
-
-const WATCH_WAIT_MS = 10_000;
-const WATCH_RETRY_MS = 500;
+import type { GroupId, HostId, KeyId, ObjectKey, WorkspaceId } from "./ids.ts";
+import type { HostIo, StoredObject, WatchRes } from "./types.ts";
 
 /** What the accepted lists say, ready to look up. */
-export interface Configuration extends Stoppable {
-  start(): void;
+export interface Configuration {
   tryAllowance(workspace: WorkspaceId): PlanAllowance | undefined;
   tryKey(keyId: KeyId): KeyRecord | undefined;
   tryGroup(group: GroupId): GroupInfo | undefined;
   tryGroupStatus(group: GroupId): GroupStatus | undefined;
   readonly groups: readonly GroupInfo[];
+  /** Hosts that registered, the leaving ones included. */
+  readonly hosts: readonly HostRecord[];
   readonly objects: readonly StoredObject[];
-  /** Takes an object if it is newer than the one held. */
-  accept(object: StoredObject): boolean;
+  /** Every change up to this revision of the platform is held. */
+  readonly revision: number;
+  /** Revision up to which the latest change that is held was learnt. */
+  readonly changedAt: number;
+  /** Takes every change after a revision that is held already. */
+  acceptAll(changes: WatchRes): void;
+  listChangedAfter(revision: number): readonly StoredObject[];
+  /** Calls back after objects were accepted. */
+  onChange(listener: () => void): () => void;
   /** Resolves when the first objects have arrived. */
   ready(): Promise<void>;
 }
 
-/** Creates an empty copy that `start` fills from the platform. */
+interface Held {
+  readonly object: StoredObject;
+  /** At or above the revision of the change. */
+  readonly learntAt: number;
+}
+
+/** Creates an empty copy. */
 export function createConfiguration(io: HostIo): Configuration {
-  const objects = new Map<ObjectKey, StoredObject>();
+  const objects = new Map<ObjectKey, Held>();
   const plans = new Map<WorkspaceId, string>();
   const allowances = new Map<string, PlanAllowance>();
   const keys = new Map<KeyId, KeyRecord>();
   const groups = new Map<GroupId, GroupInfo>();
   const statuses = new Map<GroupId, GroupStatus>();
-  let stopped = false;
+  const hosts = new Map<HostId, HostRecord>();
+  const listeners = new Set<() => void>();
+  let revision = 0;
+  let changedAt = 0;
   let markReady: () => void;
   const isReady = new Promise<void>((resolve) => markReady = resolve);
 
@@ -66,14 +79,20 @@
       case "group_status":
         statuses.set(value.group, value);
         break;
+      case "host":
+        hosts.set(value.host, value);
+        break;
     }
   }
 
-  function accept(object: StoredObject): boolean {
-    if (object.version <= (objects.get(object.key)?.version ?? 0)) {
+  /** Takes an object if it is newer than the one held. */
+  function hold(object: StoredObject, learntAt: number): boolean {
+    const held = objects.get(object.key);
+    if (object.version <= (held?.object.version ?? 0)) {
       return false;
     }
-    objects.set(object.key, object);
+    objects.set(object.key, { object, learntAt });
+    changedAt = Math.max(changedAt, learntAt);
     index(object.value);
     io.log({
       component: "configuration",
@@ -83,27 +102,7 @@
     return true;
   }
 
-  async function watch(): Promise<void> {
-    let revision = 0;
-    while (!stopped) {
-      const found = revision === 0
-        ? await io.platform.list(CONFIG_PREFIX)
-        : await io.platform.watch(CONFIG_PREFIX, {
-          after: revision,
-          waitMs: WATCH_WAIT_MS,
-        });
-      if (found.isErr()) {
-        await sleep(WATCH_RETRY_MS * (1 + io.random()));
-        continue;
-      }
-      found.value.objects.forEach(accept);
-      revision = found.value.revision;
-      markReady();
-    }
-  }
-
   return {
-    start: () => void watch(),
     tryAllowance: (workspace) => allowances.get(plans.get(workspace) ?? ""),
     tryKey: (keyId) => keys.get(keyId),
     tryGroup: (group) => groups.get(group),
@@ -111,13 +110,37 @@
     get groups() {
       return [...groups.values()];
     },
+    get hosts() {
+      return [...hosts.values()];
+    },
     get objects() {
-      return [...objects.values()];
+      return [...objects.values()].map((held) => held.object);
     },
-    accept,
-    ready: () => isReady,
-    stop() {
-      stopped = true;
+    get revision() {
+      return revision;
     },
+    get changedAt() {
+      return changedAt;
+    },
+    acceptAll(changes) {
+      const learntAt = Math.max(revision, changes.revision);
+      const isNew = changes.objects
+        .map((object) => hold(object, learntAt))
+        .includes(true);
+      revision = learntAt;
+      markReady();
+      if (isNew) {
+        listeners.forEach((listener) => listener());
+      }
+    },
+    listChangedAfter: (after) =>
+      [...objects.values()]
+        .filter((held) => held.learntAt > after)
+        .map((held) => held.object),
+    onChange(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    ready: () => isReady,
   };
 }
--- /dev/null
+++ b/src/core/dissemination.ts
@@ -0,0 +1,202 @@
+/**
+ * Brings the configuration to this host: few hosts watch the platform, the
+ * others ask them, and the platform only when their peers fail.
+ */
+
+import { nowMs, sleep } from "./clock.ts";
+import type { Configuration } from "./configuration.ts";
+import { FRESH_MS, type Freshness } from "./freshness.ts";
+import { rankNodes } from "./hash.ts";
+import type { DomainId, HostId } from "./ids.ts";
+import type { Membership } from "./membership.ts";
+import { CONFIG_PREFIX } from "./object_keys.ts";
+import type { Peers } from "./peers.ts";
+import type { HostIo, PeerInfo, PeerReq, PeerRes, Stoppable } from "./types.ts";
+
+/** Time for which the platform holds a watch open, in milliseconds. */
+export const WATCH_WAIT_MS = 600;
+/** Shortest time from one call to the platform to the next. */
+export const PLATFORM_SPACING_MS = 250;
+const PLATFORM_RETRY_MS = 500;
+const PLATFORM_MAX_RETRY_MS = 3_000;
+/** Time in which the first heartbeats arrive, in milliseconds. */
+const START_WAIT_MS = 300;
+const PULL_INTERVAL_MS = 500;
+const PULL_TIMEOUT_MS = 400;
+/** From this age on, every peer that this host knows is asked. */
+const ASK_ALL_AGE_MS = FRESH_MS * 9 / 16;
+/** From this age on, a host that does not watch asks the platform too. */
+const ASK_PLATFORM_AGE_MS = FRESH_MS * 3 / 4;
+
+type PullReq = Extract<PeerReq, { kind: "pull" }>;
+type PullRes = Extract<PeerRes, { kind: "pull" }>;
+
+/** Keeps the configuration of one host current. */
+export interface Dissemination extends Stoppable {
+  start(): void;
+  answer(req: PullReq): PullRes;
+  /** A peer holds a change that was learnt at `changedAt`. */
+  notePeer(from: HostId, changedAt: number): void;
+}
+
+/** What the dissemination is made of. */
+export interface DisseminationOptions {
+  readonly self: PeerInfo;
+  readonly cfg: Configuration;
+  readonly freshness: Freshness;
+  readonly membership: Membership;
+  readonly peers: Peers;
+}
+
+/** The host of a failure domain that watches the platform. */
+export function tryWatcher(
+  alive: readonly PeerInfo[],
+  domain: DomainId,
+): HostId | undefined {
+  const hosts = alive.filter((peer) => peer.domain === domain);
+  return rankNodes(`watch|${domain}`, hosts.map((peer) => peer.host))[0];
+}
+
+/** Creates the dissemination of one host. */
+export function createDissemination(
+  io: HostIo,
+  options: DisseminationOptions,
+): Dissemination {
+  const { self, cfg, freshness, membership, peers } = options;
+  const pulling = new Set<HostId>();
+  let failures = 0;
+  let turn = 0;
+  let stopped = false;
+  let startedAt = 0;
+
+  const jitter = (ms: number) => ms * (0.75 + io.random() / 2);
+
+  function isWatcher(): boolean {
+    return tryWatcher(membership.listAlive(), self.domain) === self.host;
+  }
+
+  /** The watchers of all domains, that of the own domain first. */
+  function listWatchers(): HostId[] {
+    const alive = membership.listAlive();
+    const domains = [...new Set(alive.map((peer) => peer.domain))]
+      .filter((domain) => domain !== self.domain);
+    return [self.domain, ...rankNodes(self.host, domains)]
+      .flatMap((domain) => tryWatcher(alive, domain) ?? [])
+      .filter((host) => host !== self.host);
+  }
+
+  /** Peers did not confirm the configuration for too long. */
+  function isLeftAlone(): boolean {
+    const ageMs = Math.min(freshness.getAgeMs(), nowMs() - startedAt);
+    return ageMs > ASK_PLATFORM_AGE_MS;
+  }
+
+  async function callPlatform(): Promise<void> {
+    const askedAt = nowMs();
+    const found = cfg.revision === 0
+      ? await io.platform.list(CONFIG_PREFIX)
+      : await io.platform.watch(CONFIG_PREFIX, {
+        after: cfg.revision,
+        waitMs: WATCH_WAIT_MS,
+      });
+    if (found.isErr()) {
+      failures++;
+      return;
+    }
+    failures = 0;
+    cfg.acceptAll(found.value);
+    freshness.noteConfirmed(askedAt);
+  }
+
+  function getPauseMs(calledAt: number): number {
+    if (failures === 0) {
+      return Math.max(0, calledAt + jitter(PLATFORM_SPACING_MS) - nowMs());
+    }
+    const ceilingMs = Math.min(
+      PLATFORM_RETRY_MS * 2 ** failures,
+      PLATFORM_MAX_RETRY_MS,
+    );
+    return PLATFORM_SPACING_MS + io.random() * ceilingMs;
+  }
+
+  async function watch(): Promise<void> {
+    await sleep(jitter(START_WAIT_MS));
+    while (!stopped) {
+      const calledAt = nowMs();
+      if (isWatcher() || isLeftAlone()) {
+        await callPlatform();
+      }
+      await sleep(getPauseMs(calledAt));
+    }
+  }
+
+  async function pull(from: HostId): Promise<void> {
+    if (pulling.has(from)) {
+      return;
+    }
+    pulling.add(from);
+    const askedAt = nowMs();
+    const req: PullReq = { kind: "pull", after: cfg.revision };
+    const res = await peers.call(from, req, { timeoutMs: PULL_TIMEOUT_MS });
+    pulling.delete(from);
+    if (stopped || res.isErr() || res.value.kind !== "pull") {
+      turn++;
+      return;
+    }
+    const { revision, ready, ageMs, objects } = res.value;
+    if (revision > 0) {
+      cfg.acceptAll({ revision, objects });
+    }
+    freshness.notePeer({ from, askedAt, ready });
+    if (ageMs !== undefined) {
+      // The peer answered after it was asked, so this is no later than when
+      // its configuration was current.
+      freshness.noteConfirmed(askedAt - ageMs);
+    }
+  }
+
+  function pullFromPeers(): void {
+    const ageMs = freshness.getAgeMs();
+    if (ageMs > ASK_ALL_AGE_MS) {
+      membership.listContacts().forEach((host) => void pull(host));
+      return;
+    }
+    const watchers = listWatchers();
+    if (!isWatcher() && watchers.length > 0) {
+      void pull(watchers[turn % watchers.length]!);
+    }
+  }
+
+  async function pullRepeatedly(): Promise<void> {
+    while (!stopped) {
+      pullFromPeers();
+      await sleep(jitter(PULL_INTERVAL_MS));
+    }
+  }
+
+  return {
+    start() {
+      startedAt = nowMs();
+      void watch();
+      void pullRepeatedly();
+    },
+    answer({ after }) {
+      const ready = freshness.isReady();
+      return {
+        kind: "pull",
+        revision: cfg.revision,
+        ready,
+        ...(ready ? { ageMs: freshness.getAgeMs() } : {}),
+        objects: cfg.listChangedAfter(after).map((object) => ({ ...object })),
+      };
+    },
+    notePeer(from, changedAt) {
+      if (changedAt > cfg.revision) {
+        void pull(from);
+      }
+    },
+    stop() {
+      stopped = true;
+    },
+  };
+}
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -3,11 +3,12 @@
 import type { CallerFrame, HelloFrame } from "../generated/caller.ts";
 import { Err, Ok, type Result } from "ts-results-es";
 import { admit } from "./admit.ts";
-import { authenticate, type Caller, isKeyInForce } from "./authenticate.ts";
+import { authenticate, type Caller, checkCaller } from "./authenticate.ts";
 import { nowMs } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
+import type { Freshness } from "./freshness.ts";
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
 import type { Limits } from "./limits.ts";
 import type { Membership } from "./membership.ts";
@@ -46,6 +47,7 @@
 export interface EntryOptions {
   readonly self: HostId;
   readonly cfg: Configuration;
+  readonly freshness: Freshness;
   readonly limits: Limits;
   readonly membership: Membership;
   readonly hostsPerGroup: number;
@@ -109,8 +111,9 @@
     session: Session,
     frame: RequestFrame,
   ): Promise<Outcome> {
-    if (!isKeyInForce(cfg, caller)) {
-      return { kind: "failed", error: "unauthenticated" };
+    const checked = checkCaller(options, caller);
+    if (checked.isErr()) {
+      return { kind: "failed", ...checked.error };
     }
     const timeoutMs = Math.min(
       frame.timeoutMs ?? options.defaultTimeoutMs,
@@ -135,7 +138,7 @@
 
   return {
     open(hello) {
-      const caller = authenticate(cfg, hello.key);
+      const caller = authenticate(options, hello.key);
       if (caller.isErr()) {
         return Err(caller.error);
       }
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -2,13 +2,17 @@
 
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
+import { createDissemination, type Dissemination } from "./dissemination.ts";
 import { createEntry, type Entry } from "./entry.ts";
+import { createFreshness, type Freshness } from "./freshness.ts";
 import type { GroupId, HostId } from "./ids.ts";
 import { createStaticLimits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
+import { LIST_KEYS } from "./object_keys.ts";
 import { createPeers } from "./peers.ts";
 import { createPool, type Pool } from "./pool.ts";
 import { createFifoQueue } from "./queue.ts";
+import { createRegistration } from "./registration.ts";
 import type {
   ExecReq,
   GroupView,
@@ -34,6 +38,7 @@
   receivePeer(from: HostId, msg: PeerMessage): void;
   readonly entry: Entry;
   readonly cfg: Configuration;
+  readonly freshness: Freshness;
   readonly membership: Membership;
   /** What this host knows of the groups that it pools for. */
   listGroupViews(): readonly GroupView[];
@@ -44,9 +49,41 @@
   const self = { host: settings.host, domain: settings.domain };
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
-  const membership = createMembership(io, { self, known });
+  const membership = createMembership(io, {
+    self,
+    known,
+    listRegistered: () => cfg.hosts,
+    getHeld: () => ({
+      revision: cfg.changedAt,
+      versions: cfg.objects
+        .filter((object) => LIST_KEYS.includes(object.key))
+        .map(({ key, version }) => ({ key, version })),
+    }),
+  });
+  const freshness = createFreshness({
+    self: self.host,
+    listHosts: () => [self.host, ...membership.listContacts()],
+  });
   const limits = createStaticLimits(cfg, { hosts: known.length + 1 });
   const peers = createPeers(io, handlePeer);
+  const dissemination: Dissemination = createDissemination(io, {
+    self,
+    cfg,
+    freshness,
+    membership,
+    peers,
+  });
+  const registration = createRegistration(io, {
+    cfg,
+    record: {
+      kind: "host",
+      ...self,
+      url: getPeerUrl(settings),
+      incarnation: membership.incarnation,
+      leaving: false,
+    },
+  });
+  cfg.onChange(membership.announce);
   const pools = new Map<GroupId, Pool>();
 
   function tryPool(group: GroupId): Pool | undefined {
@@ -94,13 +131,14 @@
       case "exec":
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
-        return { kind: "pull", objects: [] };
+        return dissemination.answer(req);
     }
   }
 
   const entry = createEntry(io, {
     self: self.host,
     cfg,
+    freshness,
     limits,
     membership,
     hostsPerGroup: settings.pools?.hostsPerGroup ?? DEFAULT_HOSTS_PER_GROUP,
@@ -112,25 +150,35 @@
 
   return {
     start() {
-      cfg.start();
       membership.start();
+      dissemination.start();
+      registration.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
         membership.receive(msg);
+        dissemination.notePeer(from, msg.revision);
       } else {
         peers.receive(from, msg);
       }
     },
     entry,
     cfg,
+    freshness,
     membership,
     listGroupViews: () => [...pools.values()].map((p) => p.monitor.view()),
     stop() {
-      cfg.stop();
+      dissemination.stop();
+      registration.stop();
       membership.stop();
       peers.stop();
       pools.forEach((pool) => pool.stop());
     },
   };
 }
+
+/** Where peers connect to this host. */
+function getPeerUrl({ peers }: Settings): string {
+  const scheme = peers.tls ? "wss" : "ws";
+  return `${scheme}://${peers.address}:${peers.port}`;
+}
--- a/src/core/object_keys.ts
+++ b/src/core/object_keys.ts
@@ -1,6 +1,6 @@
 /** Keys of the objects that the system keeps in the platform. */
 
-import { asId, type GroupId, type ObjectKey } from "./ids.ts";
+import { asId, type GroupId, type HostId, type ObjectKey } from "./ids.ts";
 
 /** Prefix of every object that hosts hold a copy of. */
 export const CONFIG_PREFIX = "config/";
@@ -12,8 +12,20 @@
 export const GROUPS_KEY = asId<ObjectKey>("config/groups");
 /** Salted hashes of the keys. */
 export const KEYS_KEY = asId<ObjectKey>("config/keys");
+/** The lists that operators edit. */
+export const LIST_KEYS: readonly ObjectKey[] = [
+  PLANS_KEY,
+  SERVICES_KEY,
+  GROUPS_KEY,
+  KEYS_KEY,
+];
 
 /** Where the primary of a group is published. */
 export function getGroupStatusKey(group: GroupId): ObjectKey {
   return asId<ObjectKey>(`config/status/${group}`);
 }
+
+/** Where a host registers when it starts. */
+export function getHostKey(host: HostId): ObjectKey {
+  return asId<ObjectKey>(`config/hosts/${host}`);
+}
--- /dev/null
+++ b/src/core/registration.ts
@@ -0,0 +1,64 @@
+/** Registers this host in the platform, so that others find it. */
+
+import type { HostRecord } from "../generated/objects.ts";
+import { sleep } from "./clock.ts";
+import type { Configuration } from "./configuration.ts";
+import { getHostKey } from "./object_keys.ts";
+import type { HostIo, Stoppable } from "./types.ts";
+
+const RETRY_MS = 1_000;
+const MAX_RETRY_MS = 30_000;
+
+/** The entry of this host in the list of hosts. */
+export interface Registration extends Stoppable {
+  start(): void;
+  /** Marks this host as leaving; one attempt. */
+  leave(): Promise<void>;
+}
+
+/** Creates the registration, which needs one call for each start. */
+export function createRegistration(
+  io: HostIo,
+  options: { readonly record: HostRecord; readonly cfg: Configuration },
+): Registration {
+  const { record, cfg } = options;
+  const key = getHostKey(record.host);
+  let version: number | undefined;
+  let stopped = false;
+
+  function getVersion(): number {
+    const held = cfg.objects.find((object) => object.key === key);
+    return Math.max(version ?? 0, held?.version ?? 0);
+  }
+
+  async function tryPut(value: HostRecord): Promise<boolean> {
+    const res = await io.platform.put(key, value, { ifVersion: getVersion() });
+    if (res.isOk()) {
+      version = res.value.version;
+      return true;
+    }
+    if (res.error.kind === "conflict") {
+      version = res.error.current.version;
+    }
+    return false;
+  }
+
+  async function register(): Promise<void> {
+    await cfg.ready();
+    for (let tries = 1; !stopped && !await tryPut(record); tries++) {
+      const ceilingMs = Math.min(RETRY_MS * 2 ** tries, MAX_RETRY_MS);
+      await sleep(RETRY_MS + io.random() * ceilingMs);
+    }
+  }
+
+  return {
+    start: () => void register(),
+    async leave() {
+      stopped = true;
+      await tryPut({ ...record, leaving: true });
+    },
+    stop() {
+      stopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/test/dissemination.test.ts
@@ -0,0 +1,243 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { createConfiguration } from "../src/core/configuration.ts";
+import { createFreshness } from "../src/core/freshness.ts";
+import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
+import { SERVICES_KEY } from "../src/core/object_keys.ts";
+import type { HostIo } from "../src/core/types.ts";
+import {
+  getFrame,
+  putFrame,
+  resultOf,
+  settle,
+  startTestFleet,
+  type TestFleet,
+} from "./fleet.ts";
+
+/** A change is in force everywhere within this time (issue 6). */
+const IN_FORCE_MS = 5_000;
+/** A tenth of the reads of the platform, over at most 40 hosts that call. */
+const CALLS_PER_HOST_PER_SECOND = 5;
+
+let fleet: TestFleet;
+
+beforeEach(() => void vi.useFakeTimers());
+
+afterEach(() => {
+  fleet?.stop();
+  vi.useRealTimers();
+});
+
+/** Changes the services list as an operator would; gives its version. */
+function changeServices(rate: number): number {
+  const { version, value } = fleet.platform.get(SERVICES_KEY);
+  const list = structuredClone(value) as { plans: { ratePerSecond: number }[] };
+  list.plans[0]!.ratePerSecond = rate;
+  return fleet.platform.put(SERVICES_KEY, list, { ifVersion: version })
+    .unwrap().version;
+}
+
+function listVersions(): number[] {
+  return fleet.hosts.map(({ host }) =>
+    host.cfg.objects.find(({ key }) => key === SERVICES_KEY)?.version ?? 0
+  );
+}
+
+function countCalls(): number {
+  return [...fleet.platformCalls.values()].reduce((a, b) => a + b, 0);
+}
+
+async function tryRead(host: string): Promise<string> {
+  const entry = fleet.getHost(host).host.entry;
+  const key = [...fleet.keys.values()][0]!;
+  const opened = entry.open({ kind: "hello", key });
+  if (opened.isErr()) {
+    return opened.error.error;
+  }
+  const answer = await settle(opened.value.request(getFrame("order-1")));
+  opened.value.end();
+  return answer.kind === "failed" ? answer.failure.error : "served";
+}
+
+test.each([3, 9])(
+  "a change is in force on %i hosts in time, and status shows it",
+  async (hosts) => {
+    fleet = await startTestFleet({ hosts, groups: [] });
+    const version = changeServices(77);
+    await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+    expect(new Set(listVersions())).toEqual(new Set([version]));
+    const holders = fleet.hosts[0]!.host.membership.listHolders();
+    const held = holders.flatMap(({ versions }) =>
+      versions.filter(({ key }) => key === SERVICES_KEY)
+    );
+    expect(held.map((entry) => entry.version)).toEqual(
+      Array.from({ length: hosts }, () => version),
+    );
+  },
+);
+
+test("a late or older answer never takes a version back", async () => {
+  fleet = await startTestFleet();
+  const key = asId<ObjectKey>("config/plans");
+  const cfg = createConfiguration({ log() {} } as unknown as HostIo);
+  const at = (version: number) => ({ key, version, value: {} });
+  cfg.acceptAll({ revision: 9, objects: [at(4)] });
+  cfg.acceptAll({ revision: 5, objects: [at(2)] });
+  expect(cfg.objects).toEqual([at(4)]);
+  expect(cfg.revision).toBe(9);
+  expect(cfg.listChangedAfter(8)).toEqual([at(4)]);
+});
+
+test("no host goes back while hosts restart and the platform is slow", async () => {
+  fleet = await startTestFleet({ hosts: 6, groups: [] });
+  const lowest = new Map<string, number>();
+  for (let step = 0; step < 40; step++) {
+    const version = changeServices(100 + step);
+    fleet.platformFaults.slowMs = step % 3 === 0 ? 900 : 0;
+    fleet.platformFaults.loseAnswers = step % 4 === 0;
+    if (step % 5 === 0) {
+      const { id } = fleet.hosts[step % 6]!;
+      fleet.restart(id);
+      lowest.delete(id);
+    }
+    fleet.cut("h1", step % 2 ? "h2" : "platform");
+    await vi.advanceTimersByTimeAsync(700);
+    fleet.heal();
+    listVersions().forEach((held, index) => {
+      const { id } = fleet.hosts[index]!;
+      expect(held).toBeGreaterThanOrEqual(lowest.get(id) ?? 0);
+      expect(held).toBeLessThanOrEqual(version);
+      lowest.set(id, held);
+    });
+  }
+  fleet.platformFaults.loseAnswers = false;
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(new Set(listVersions()).size).toBe(1);
+});
+
+test("traffic goes on through an outage of the platform", async () => {
+  fleet = await startTestFleet();
+  const session = fleet.open("h1");
+  await settle(session.request(putFrame("order-1", "placed")));
+  fleet.platformFaults.down = true;
+  for (let second = 0; second < 60; second++) {
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(resultOf(await settle(session.request(getFrame("order-1")))))
+      .toBe("placed");
+  }
+});
+
+test("a host that starts in an outage gets what it needs from peers", async () => {
+  fleet = await startTestFleet();
+  fleet.platformFaults.down = true;
+  await vi.advanceTimersByTimeAsync(10_000);
+  fleet.restart("h2");
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(await tryRead("h2")).toBe("served");
+});
+
+test("a host that is cut off from all refuses, and serves again", async () => {
+  fleet = await startTestFleet();
+  ["platform", "h2", "h3"].forEach((other) => fleet.cut("h1", other));
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(await tryRead("h1")).toBe("configuration_unconfirmed");
+  expect(await tryRead("h2")).toBe("served");
+  fleet.heal();
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(await tryRead("h1")).toBe("served");
+});
+
+test("a frozen host acts on nothing old when it wakes", async () => {
+  fleet = await startTestFleet();
+  const session = fleet.open("h1");
+  fleet.freeze("h1");
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  fleet.thaw("h1");
+  const answer = await settle(session.request(getFrame("order-1")));
+  expect(answer.kind === "failed" && answer.failure.error)
+    .toBe("configuration_unconfirmed");
+});
+
+test("hosts that one host alone tells of a change all learn it", async () => {
+  fleet = await startTestFleet({ hosts: 5 });
+  ["h1", "h2", "h3"].forEach((a) =>
+    ["h4", "h5"].forEach((b) => fleet.cut(a, b))
+  );
+  ["h4", "h5"].forEach((host) => fleet.cut(host, "platform"));
+  const version = changeServices(88);
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(await tryRead("h4")).toBe("configuration_unconfirmed");
+  fleet.platformFaults.down = true;
+  fleet.heal();
+  ["h1", "h2"].forEach((a) => ["h4", "h5"].forEach((b) => fleet.cut(a, b)));
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(listVersions()).toEqual(Array.from({ length: 5 }, () => version));
+  expect(await tryRead("h4")).toBe("served");
+});
+
+test("a host that lost what it held does not confirm itself", () => {
+  const [self, other, third] = ["h1", "h2", "h3"].map(asId<HostId>);
+  const hosts = [self!, other!, third!];
+  const freshness = createFreshness({ self: self!, listHosts: () => hosts });
+  const answer = (from: HostId, ready: boolean) =>
+    freshness.notePeer({ from, askedAt: performance.now(), ready });
+  answer(other!, true);
+  expect(freshness.isConfirmed()).toBe(false);
+  answer(third!, false);
+  expect(freshness.isConfirmed()).toBe(false);
+  answer(third!, true);
+  expect(freshness.isConfirmed()).toBe(true);
+});
+
+test("traffic brings no calls to the platform", async () => {
+  fleet = await startTestFleet();
+  const session = fleet.open("h1");
+  const counts: number[] = [];
+  for (const requests of [0, 20]) {
+    fleet.platformCalls.clear();
+    const frames = Array.from({ length: requests }, () => getFrame("order-1"));
+    const answers = frames.map((frame) => session.request(frame));
+    await vi.advanceTimersByTimeAsync(6_000);
+    (await Promise.all(answers)).forEach(resultOf);
+    counts.push(countCalls());
+  }
+  expect(counts[1]).toBe(counts[0]);
+});
+
+test("calls to the platform do not grow with the hosts", async () => {
+  const table: Record<string, number> = {};
+  for (const hosts of [3, 9]) {
+    for (const changes of [1, 100]) {
+      fleet = await startTestFleet({ hosts, groups: [] });
+      await vi.advanceTimersByTimeAsync(3_000);
+      fleet.platformCalls.clear();
+      for (let i = 0; i < changes; i++) {
+        changeServices(50 + i);
+        await vi.advanceTimersByTimeAsync(60_000 / changes);
+      }
+      table[`${hosts} hosts, ${changes} changes`] = countCalls();
+      const most = Math.max(...fleet.platformCalls.values());
+      expect(most).toBeLessThanOrEqual(60 * CALLS_PER_HOST_PER_SECOND);
+      fleet.stop();
+    }
+  }
+  for (const changes of [1, 100]) {
+    const [few, many] = [3, 9].map((n) =>
+      table[`${n} hosts, ${changes} changes`]!
+    );
+    expect(many! / few!).toBeLessThan(1.1);
+  }
+});
+
+test("nothing hammers the platform in an outage or when it comes back", async () => {
+  fleet = await startTestFleet({ hosts: 9, groups: [] });
+  fleet.platformFaults.down = true;
+  await vi.advanceTimersByTimeAsync(60_000);
+  for (const seconds of [1, 10]) {
+    fleet.platformCalls.clear();
+    fleet.platformFaults.down = false;
+    await vi.advanceTimersByTimeAsync(seconds * 1_000);
+    expect(Math.max(...fleet.platformCalls.values()))
+      .toBeLessThanOrEqual(seconds * CALLS_PER_HOST_PER_SECOND);
+    expect(fleet.platformCalls.size).toBeLessThanOrEqual(3);
+  }
+});
