Measure a deployment under seeded faults, beside baselines

Ruled out: a path in the product that adds latency. Targets know the latency to each domain, the tool's relays delay the links between hosts and its callers wait on both sides of a frame.

--- a/standins/target_server.ts
+++ b/standins/target_server.ts
@@ -39,6 +39,8 @@
         return { body: node.faults };
       case "/control/log":
         return { body: { status: node.core.status(), log: node.core.log } };
+      case "/control/status":
+        return { body: node.core.status() };
       case "/control/evidence":
         return { body: showEvidence(node) };
       case "/fetch": {
--- /dev/null
+++ b/tools/measure.ts
@@ -0,0 +1,113 @@
+/** Measures a deployment under faults, the chosen policy beside baselines. */
+
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { cac } from "cac";
+import { readTrace } from "./load.ts";
+import type { Figures } from "./measure/figures.ts";
+import {
+  COMPARED_POLICIES,
+  getPolicy,
+  listBrokenPolicies,
+} from "./measure/policies.ts";
+import { runPolicy, type RunResult } from "./measure/run.ts";
+import { getDeployment } from "./workloads.ts";
+
+const EXIT_BROKEN = 1;
+const EXIT_INVALID = 2;
+const MS_PER_SECOND = 1_000;
+
+interface MeasureOptions {
+  readonly deployment: string;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly trace?: string;
+  readonly policy?: string;
+  readonly json?: boolean;
+  readonly out?: string;
+}
+
+function printRun(name: string, run: RunResult): void {
+  const { figures } = run;
+  const { failoverGapMs: gap, invariants } = figures;
+  const percent = (share: number) => `${(share * 100).toFixed(2)}%`;
+  const broken = Object.entries(invariants).filter(([, count]) => count > 0);
+  console.log([
+    "",
+    name,
+    `  reads served by replicas       ${percent(figures.replicaReadShare)}`,
+    `  failover gap                   ${gap.count} gaps, p50 ${gap.p50} ms, ` +
+    `p99 ${gap.p99} ms, max ${gap.max} ms`,
+    `  worst-served workspace         ${
+      percent(figures.worstWorkspaceServedShare)
+    }`,
+    `  refused within rate            ${
+      percent(figures.refusedWithinRateShare)
+    }`,
+    `  attempts per request           ${figures.attemptsPerRequest.toFixed(3)}`,
+    `  withdrawn key served for       ${run.withdrawnKeyMs ?? "-"} ms`,
+    `  groups settled                 ${run.isSettled ? "yes" : "no"}`,
+    `  invariants                     ${
+      broken.length === 0
+        ? "all 0"
+        : broken.map(([id, count]) => `${id} ${count}`).join(", ")
+    }`,
+  ].join("\n"));
+}
+
+async function measure(options: MeasureOptions): Promise<void> {
+  const { seed, seconds } = options;
+  const deployment = getDeployment(
+    options.deployment === "madhuvan" ? "madhuvan" : "lakaz",
+  );
+  const names = options.policy ? [options.policy] : COMPARED_POLICIES;
+  names.forEach(getPolicy);
+  const runs = new Map<string, RunResult>();
+  for (const policy of names) {
+    const run = await runPolicy(deployment, {
+      policy,
+      seed,
+      durationMs: seconds * MS_PER_SECOND,
+      trace: options.trace ? readTrace(options.trace) : undefined,
+    });
+    runs.set(policy, run);
+    if (!options.json) {
+      printRun(policy, run);
+    }
+  }
+  const policies = Object.fromEntries(
+    [...runs].map(([name, run]): [string, Figures] => [name, run.figures]),
+  );
+  if (options.out) {
+    const details = [...runs].map(([policy, run]) => ({ policy, ...run }));
+    writeFileSync(options.out, JSON.stringify(details, undefined, 2));
+  }
+  const { name } = deployment;
+  console.log(JSON.stringify({ deployment: name, seed, seconds, policies }));
+  const isBroken = Object.values(policies)
+    .some((figures) => Object.values(figures.invariants).some(Boolean));
+  process.exitCode = isBroken ? EXIT_BROKEN : 0;
+}
+
+const cli = cac("measure");
+cli.command("", "Measure a deployment under faults")
+  .option("--deployment <name>", "lakaz or madhuvan", { default: "lakaz" })
+  .option("--seed <n>", "Seed of load and faults", { default: 1 })
+  .option("--seconds <s>", "Length of a run", { default: 20 })
+  .option("--trace <file>", "Load to send in place of the drawn one")
+  .option("--policy <name>", "Only this policy")
+  .option("--json", "Print only the last line")
+  .option("--out <file>", "Write the details of the runs")
+  .example("npm run measure -- --deployment lakaz --seed 1 --policy chosen")
+  .example(
+    `policies: ${[...COMPARED_POLICIES, ...listBrokenPolicies()].join(", ")}`,
+  )
+  .action(measure);
+cli.help();
+try {
+  cli.parse(process.argv, { run: false });
+  await cli.runMatchedCommand();
+} catch (err) {
+  console.error(err instanceof Error ? err.message : err);
+  process.exitCode = EXIT_INVALID;
+}
--- /dev/null
+++ b/tools/measure/faults.ts
@@ -0,0 +1,210 @@
+/** Brings about the faults of a schedule in a running fleet. */
+
+import { sleep } from "../../src/core/clock.ts";
+import { assertNever } from "../../src/core/errors.ts";
+import { KEYS_KEY } from "../../src/core/object_keys.ts";
+import type { KeysList } from "../../src/generated/objects.ts";
+import { createPlatformStore } from "../../src/host/platform_store.ts";
+import type { TargetEvidence } from "../check/history.ts";
+import { endProcess, type Fleet, type FleetTarget } from "../processes.ts";
+import type { PrimaryFault, ScheduledFault } from "./schedule.ts";
+
+const REPLICA_LAG_MS = 1_500;
+
+/** A primary that was taken out of service; wall clock in milliseconds. */
+export interface Failover {
+  readonly group: string;
+  readonly fault: PrimaryFault;
+  readonly at: number;
+}
+
+/** What happened in a run. */
+export interface FaultLog {
+  readonly failovers: Failover[];
+  /** Wall clock, once the key was withdrawn. */
+  keyWithdrawnAt: number | undefined;
+}
+
+/** Sets the faults of a stand-in in place of those it has. */
+export async function setFaults(url: string, faults: unknown): Promise<void> {
+  await fetch(`${url.replace("ws:", "http:")}/control/faults`, {
+    method: "POST",
+    body: JSON.stringify(faults),
+  });
+}
+
+/** Reads what a target can tell the checker. */
+export async function readEvidence(
+  target: FleetTarget,
+): Promise<TargetEvidence> {
+  const url = `${target.url.replace("ws:", "http:")}/control/evidence`;
+  return await (await fetch(url)).json() as TargetEvidence;
+}
+
+/** Reads the status of a target. */
+export async function readStatus(
+  target: FleetTarget,
+): Promise<TargetEvidence["status"]> {
+  const url = `${target.url.replace("ws:", "http:")}/control/status`;
+  return await (await fetch(url)).json() as TargetEvidence["status"];
+}
+
+/** Lists the running targets of a group. */
+export function listTargets(fleet: Fleet, group: number): FleetTarget[] {
+  const names = fleet.groups[group]!.targets.map((info) => info.target);
+  return fleet.targets.filter((target) => names.includes(target.target));
+}
+
+/** Runs the whole schedule; resolves once the last fault is over. */
+export async function runFaults(
+  fleet: Fleet,
+  options: {
+    readonly schedule: readonly ScheduledFault[];
+    /** Public id of the key that is withdrawn. */
+    readonly withdrawnKeyId: string;
+  },
+): Promise<FaultLog> {
+  const log: FaultLog = { failovers: [], keyWithdrawnAt: undefined };
+
+  async function run(fault: ScheduledFault): Promise<void> {
+    await sleep(fault.atMs);
+    switch (fault.kind) {
+      case "primary":
+        return await failPrimary(fleet, { ...fault, log });
+      case "replica_lag":
+        return await lagReplica(fleet, fault);
+      case "host_killed": {
+        const host = fleet.hosts[fault.host]!;
+        await endProcess(host.child);
+        await sleep(fault.forMs);
+        return await fleet.restart(host);
+      }
+      case "host_frozen": {
+        const { child } = fleet.hosts[fault.host]!;
+        child.kill("SIGSTOP");
+        await sleep(fault.forMs);
+        child.kill("SIGCONT");
+        return;
+      }
+      case "platform_down":
+        await setFaults(fleet.platformUrl, { down: true });
+        await sleep(fault.forMs);
+        return await setFaults(fleet.platformUrl, {});
+      case "key_withdrawn":
+        await withdrawKey(fleet, options.withdrawnKeyId);
+        log.keyWithdrawnAt = Date.now();
+        return;
+      default:
+        return assertNever(fault);
+    }
+  }
+
+  await Promise.all(options.schedule.map(run));
+  return log;
+}
+
+async function failPrimary(
+  fleet: Fleet,
+  fault: Extract<ScheduledFault, { kind: "primary" }> & {
+    readonly log: FaultLog;
+  },
+): Promise<void> {
+  const primary = await tryPrimary(fleet, fault.group);
+  if (!primary) {
+    return;
+  }
+  const at = Date.now();
+  await setFaults(primary.url, toTargetFaults(fleet, fault.fault));
+  const group = fleet.groups[fault.group]!.group;
+  fault.log.failovers.push({ group, fault: fault.fault, at });
+  await sleep(fault.forMs);
+  await setFaults(primary.url, {});
+}
+
+/** The target that leads the group in its newest term. */
+async function tryPrimary(
+  fleet: Fleet,
+  group: number,
+): Promise<FleetTarget | undefined> {
+  const targets = listTargets(fleet, group);
+  const statuses = await Promise.all(targets.map(readStatus));
+  const term = Math.max(...statuses.map((status) => status.term));
+  return targets[
+    statuses.findIndex((s) => s.role === "primary" && s.term === term)
+  ];
+}
+
+function toTargetFaults(fleet: Fleet, fault: PrimaryFault) {
+  switch (fault) {
+    case "down":
+      return { down: true };
+    case "cut":
+      return { cutFrom: ["*"] };
+    case "frozen":
+      return { frozen: true };
+    case "partly_cut": {
+      // The first host still reaches it; no other host or target does.
+      const others = fleet.hosts.slice(1).map((host) => host.host);
+      const targets = fleet.targets.map((target) => target.target);
+      return { cutFrom: [...others, ...targets] };
+    }
+    default:
+      return assertNever(fault);
+  }
+}
+
+async function lagReplica(
+  fleet: Fleet,
+  fault: Extract<ScheduledFault, { kind: "replica_lag" }>,
+): Promise<void> {
+  const targets = listTargets(fleet, fault.group);
+  const statuses = await Promise.all(targets.map(readStatus));
+  const replica = targets[statuses.findIndex((s) => s.role === "replica")];
+  if (replica) {
+    await setFaults(replica.url, { lagMs: REPLICA_LAG_MS });
+    await sleep(fault.forMs);
+    await setFaults(replica.url, {});
+  }
+}
+
+async function withdrawKey(fleet: Fleet, keyId: string): Promise<void> {
+  const store = createPlatformStore(fleet.platformUrl, { caller: "tools" });
+  const found = (await store.get(KEYS_KEY)).unwrap();
+  const list = found.value as KeysList;
+  const keys = list.keys.map((key) =>
+    key.keyId === keyId
+      ? { ...key, withdrawnAt: new Date().toISOString() }
+      : key
+  );
+  const options = { ifVersion: found.version };
+  (await store.put(KEYS_KEY, { ...list, keys }, options)).unwrap();
+}
+
+/** Ends all faults and waits until each group agrees; false if it does not. */
+export async function settleGroups(
+  fleet: Fleet,
+  options: { readonly timeoutMs: number },
+): Promise<boolean> {
+  await setFaults(fleet.platformUrl, {});
+  await Promise.all(fleet.targets.map((target) => setFaults(target.url, {})));
+  const deadline = Date.now() + options.timeoutMs;
+  while (Date.now() < deadline) {
+    const isSettled = await Promise.all(
+      fleet.groups.map((_, group) => isGroupSettled(fleet, group)),
+    );
+    if (isSettled.every(Boolean)) {
+      return true;
+    }
+    await sleep(100);
+  }
+  return false;
+}
+
+async function isGroupSettled(fleet: Fleet, group: number): Promise<boolean> {
+  const statuses = await Promise.all(
+    listTargets(fleet, group).map(readStatus),
+  );
+  const ends = new Set(statuses.map((s) => `${s.logEnd.term}/${s.logEnd.pos}`));
+  const primaries = statuses.filter((status) => status.role === "primary");
+  return ends.size === 1 && primaries.length === 1;
+}
--- /dev/null
+++ b/tools/measure/figures.ts
@@ -0,0 +1,191 @@
+/** Works the measures of a run out of what callers were told. */
+
+import { checkHistory, type InvariantCounts } from "../check/check.ts";
+import type { GroupEvidence, History } from "../check/history.ts";
+import type { Call } from "./callers.ts";
+import type { Failover } from "./faults.ts";
+import { groupBy } from "./group_by.ts";
+
+/** A distribution of times, in milliseconds. */
+export interface Quantiles {
+  readonly count: number;
+  readonly p50: number;
+  readonly p99: number;
+  readonly max: number;
+}
+
+/** What one policy is measured by. */
+export interface Figures {
+  readonly replicaReadShare: number;
+  readonly failoverGapMs: Quantiles;
+  readonly worstWorkspaceServedShare: number;
+  readonly refusedWithinRateShare: number;
+  readonly attemptsPerRequest: number;
+  readonly invariants: InvariantCounts;
+}
+
+/** A gap in service with the fault that caused it. */
+export interface Gap {
+  readonly group: string;
+  readonly fault: string;
+  readonly ms: number;
+}
+
+/** What pictures are drawn from. */
+export interface Details {
+  readonly gaps: readonly Gap[];
+  readonly latencies: readonly {
+    readonly workspace: string;
+    readonly quantiles: Quantiles;
+  }[];
+}
+
+/** Everything that a run gave. */
+export interface RunRecord {
+  readonly calls: readonly Call[];
+  readonly failovers: readonly Failover[];
+  readonly groups: readonly GroupEvidence[];
+  readonly plans: History["plans"];
+  /** A workspace that sends more than its rate; not counted as served. */
+  readonly flooder: string;
+}
+
+const MS_PER_SECOND = 1_000;
+/** Length of time before a fault in which the last answer is looked for. */
+const BEFORE_FAULT_MS = 1_000;
+
+/** Works out the figures of a run. */
+export function computeFigures(run: RunRecord): Figures {
+  const history: History = { ...run, reqs: run.calls.map((call) => call.req) };
+  const gaps = listGaps(run).map((gap) => gap.ms);
+  return {
+    replicaReadShare: getReplicaReadShare(run.calls),
+    failoverGapMs: toQuantiles(gaps),
+    worstWorkspaceServedShare: getWorstServedShare(run),
+    refusedWithinRateShare: getRefusedWithinRateShare(run),
+    attemptsPerRequest: getAttemptsPerRequest(run),
+    invariants: checkHistory(history),
+  };
+}
+
+/** Works out what the pictures show. */
+export function computeDetails(run: RunRecord): Details {
+  const answered = run.calls.filter((call) => call.req.answer?.ok);
+  const byWorkspace = groupBy(answered, (call) => call.req.workspace);
+  return {
+    gaps: listGaps(run),
+    latencies: [...byWorkspace].sort().map(([workspace, calls]) => ({
+      workspace,
+      quantiles: toQuantiles(calls.map((call) => call.latencyMs)),
+    })),
+  };
+}
+
+/** Summarises times; without any, all figures are 0. */
+export function toQuantiles(values: readonly number[]): Quantiles {
+  const sorted = values.toSorted((a, b) => a - b);
+  const at = (share: number) =>
+    Math.round(sorted[Math.ceil(share * sorted.length) - 1] ?? 0);
+  return { count: sorted.length, p50: at(0.5), p99: at(0.99), max: at(1) };
+}
+
+function getReplicaReadShare(calls: readonly Call[]): number {
+  const answers = calls.flatMap(({ req }) =>
+    req.op.kind === "read" && req.answer?.ok ? [req.answer] : []
+  );
+  const replicas = answers.filter((answer) => answer.servedBy === "replica");
+  return answers.length ? replicas.length / answers.length : 0;
+}
+
+/**
+ * The gap of each failover: the longest time between two answered writes of the
+ * group's most frequent class, from just before the fault until the next one.
+ */
+export function listGaps(run: RunRecord): Gap[] {
+  const endAt = Math.max(...run.calls.map((call) => call.req.answeredAt));
+  return run.failovers.map(({ group, fault, at }) => {
+    const next = run.failovers.find((f) => f.group === group && f.at > at);
+    const until = next?.at ?? endAt;
+    const answers = listAnsweredWrites(run, group)
+      .filter((t) => t >= at - BEFORE_FAULT_MS && t <= until);
+    const times = [...answers, until];
+    const gaps = times.map((t, index) =>
+      t - (times[index - 1] ?? at - BEFORE_FAULT_MS)
+    );
+    return { group, fault, ms: Math.max(...gaps) };
+  });
+}
+
+/** Times at which writes of the group's most frequent class were answered. */
+function listAnsweredWrites(run: RunRecord, group: string): number[] {
+  const found = run.groups.find((g) => g.group === group);
+  const workspaces = new Set(
+    found?.targets.flatMap((t) => t.statements.map((s) => s.workspace)),
+  );
+  const writes = run.calls.filter(({ req }) =>
+    req.op.kind === "write" && req.op.tx === undefined &&
+    workspaces.has(req.workspace)
+  );
+  const byClass = [...groupBy(writes, (call) => call.class).values()]
+    .sort((a, b) => b.length - a.length);
+  return (byClass[0] ?? [])
+    .filter((call) => call.req.answer?.ok)
+    .map((call) => call.req.answeredAt)
+    .sort((a, b) => a - b);
+}
+
+function getWorstServedShare(run: RunRecord): number {
+  const byWorkspace = groupBy(run.calls, (call) => call.req.workspace);
+  byWorkspace.delete(run.flooder);
+  const shares = [...byWorkspace.values()].map((calls) =>
+    calls.filter((call) => call.req.answer?.ok).length / calls.length
+  );
+  return shares.length ? Math.min(...shares) : 0;
+}
+
+/**
+ * Share of the requests within rate and burst that were refused for the rate.
+ * A request is within when a bucket that pays for every request that was let
+ * in still holds a token.
+ */
+function getRefusedWithinRateShare(run: RunRecord): number {
+  let within = 0;
+  let wrongful = 0;
+  const byWorkspace = groupBy(run.calls, (call) => call.req.workspace);
+  for (const [workspace, calls] of byWorkspace) {
+    const plan = run.plans.get(workspace);
+    if (!plan) {
+      continue;
+    }
+    let tokens = plan.burst;
+    let at = 0;
+    for (
+      const { req } of calls.toSorted((a, b) => a.req.sentAt - b.req.sentAt)
+    ) {
+      const earned = (req.sentAt - at) * plan.ratePerSecond / MS_PER_SECOND;
+      tokens = Math.min(plan.burst, tokens + earned);
+      at = req.sentAt;
+      const isRefused = req.answer?.ok === false &&
+        req.answer.error === "rate_limited";
+      const isWithin = tokens >= 1;
+      within += isWithin ? 1 : 0;
+      wrongful += isWithin && isRefused ? 1 : 0;
+      tokens -= isRefused ? 0 : 1;
+    }
+  }
+  return within ? wrongful / within : 0;
+}
+
+/** Statements that targets ran for each request that was let in. */
+function getAttemptsPerRequest(run: RunRecord): number {
+  const statements = run.groups
+    .flatMap((group) => group.targets)
+    .reduce((sum, target) => sum + target.statements.length, 0);
+  const letIn = run.calls.filter(({ req }) => {
+    const isStatement = req.op.kind === "read" || req.op.kind === "write";
+    const isRefused = req.answer?.ok === false &&
+      req.answer.run === "not_run";
+    return isStatement && !isRefused;
+  }).length;
+  return letIn ? statements / letIn : 0;
+}
--- /dev/null
+++ b/tools/measure/host_main.ts
@@ -0,0 +1,17 @@
+/** Runs a host with the policy that its first argument names. */
+
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { parse } from "yaml";
+import { runHost } from "../../src/daemon/run_host.ts";
+import { validateSettings } from "../../src/generated/settings_validate.ts";
+import { getPolicy } from "./policies.ts";
+
+const [name = "", file = ""] = process.argv.slice(2);
+const settings: unknown = parse(readFileSync(file, "utf8"));
+if (!validateSettings(settings)) {
+  throw new Error(`${file}: not valid`);
+}
+const policy = getPolicy(name);
+await runHost({ ...settings, ...policy.settings }, policy.create(settings));
+console.log(`${settings.host} ready`);
--- /dev/null
+++ b/tools/measure/plan_load.ts
@@ -0,0 +1,76 @@
+/** Draws what the callers of a run send, and when. */
+
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { mersenne } from "pure-rand/generator/mersenne";
+import type { TraceLine } from "../../src/generated/trace.ts";
+import type { CheckedBody } from "../check/history.ts";
+import { type Deployment, drawTrace } from "../workloads.ts";
+
+/** Share of the plans' rates that callers use in ordinary times. */
+const ORDINARY_LOAD = 0.6;
+/** How many times its rate the flooding workspace sends. */
+const FLOOD_FACTOR = 4;
+const FLOOD_SESSIONS = 40;
+/** When the flood begins and ends, as shares of the run. */
+const FLOOD_BEGIN = 0.5;
+const FLOOD_END = 0.8;
+const MS_PER_SECOND = 1_000;
+
+/** Draws the lines of a run, each change unique in its row. */
+export function drawLoad(
+  deployment: Deployment,
+  options: { readonly seed: number; readonly durationMs: number },
+): TraceLine[] {
+  const ordinary = drawTrace(deployment, { ...options, load: ORDINARY_LOAD });
+  const flood = drawFlood(deployment, options);
+  return makeUnique([...ordinary, ...flood]);
+}
+
+/** The workspace that floods. */
+export function getFlooder(deployment: Deployment): string {
+  return deployment.workspaces[0]!.workspace;
+}
+
+/** One large workspace sends several times its rate for a while. */
+function drawFlood(
+  deployment: Deployment,
+  options: { readonly seed: number; readonly durationMs: number },
+): TraceLine[] {
+  const size = deployment.workspaces[0]!;
+  const generator = mersenne(options.seed + 1);
+  const draw = (below: number) => uniformInt(generator, 0, below - 1);
+  const beginMs = options.durationMs * FLOOD_BEGIN;
+  const lengthMs = Math.floor(options.durationMs * (FLOOD_END - FLOOD_BEGIN));
+  const perSecond = size.ratePerSecond * FLOOD_FACTOR;
+  const count = Math.round(perSecond * lengthMs / MS_PER_SECOND);
+  const kind = deployment.requestKinds.find((k) => k.access === "read")!;
+  return Array.from({ length: count }, () => {
+    const session = `${size.workspace}-flood-${draw(FLOOD_SESSIONS)}`;
+    return {
+      atMs: beginMs + draw(lengthMs),
+      workspace: size.workspace,
+      session,
+      service: deployment.service,
+      class: kind.class,
+      access: kind.access,
+      body: kind.body(session, 0),
+    };
+  });
+}
+
+/** Gives every change a value of its own, so that a run shows its request. */
+export function makeUnique(lines: readonly TraceLine[]): TraceLine[] {
+  return lines.toSorted((a, b) => a.atMs - b.atMs).map((line, index) => {
+    const body = line.body as CheckedBody;
+    switch (body.op) {
+      case "get":
+        return line;
+      case "put":
+        return { ...line, body: { ...body, value: `v${index + 1}` } };
+      case "add": {
+        const amount = Math.sign(body.amount) * (index + 1);
+        return { ...line, body: { ...body, amount } };
+      }
+    }
+  });
+}
--- /dev/null
+++ b/tools/measure/policies.ts
@@ -0,0 +1,70 @@
+/** The policies that a run compares: the chosen ones, baselines, broken ones. */
+
+import type { RunHostOptions } from "../../src/daemon/run_host.ts";
+import type { Settings } from "../../src/generated/settings.ts";
+import {
+  createFifo,
+  createRoundRobin,
+  createStaticShareLimits,
+} from "./baselines.ts";
+import { BROKEN_WRAPPERS, type BrokenName } from "./broken.ts";
+
+/** A policy under measurement. */
+export interface MeasuredPolicy {
+  readonly settings: Partial<Settings>;
+  create(settings: Settings): RunHostOptions;
+}
+
+const OWN_POOLS_HOSTS = 9;
+
+/** Names of the policies that a run compares, the chosen ones first. */
+export const COMPARED_POLICIES = [
+  "chosen",
+  "static-share",
+  "fifo",
+  "own-pools",
+  "round-robin",
+] as const;
+
+type ComparedName = (typeof COMPARED_POLICIES)[number];
+
+const COMPARED: Readonly<Record<ComparedName, MeasuredPolicy>> = {
+  "chosen": { settings: {}, create: () => ({}) },
+  "static-share": {
+    settings: {},
+    create: () => ({ policies: { createLimits: createStaticShareLimits } }),
+  },
+  "fifo": {
+    settings: {},
+    create: () => ({ policies: { createQueue: createFifo } }),
+  },
+  "own-pools": {
+    settings: { pools: { hostsPerGroup: OWN_POOLS_HOSTS } },
+    create: () => ({}),
+  },
+  "round-robin": {
+    settings: {},
+    create: () => ({ policies: { orderReplicas: createRoundRobin() } }),
+  },
+};
+
+/** Names of the deliberately broken policies. */
+export function listBrokenPolicies(): string[] {
+  return Object.keys(BROKEN_WRAPPERS).map((name) => `broken-${name}`);
+}
+
+/** Looks a policy up; throws with the names there are. */
+export function getPolicy(name: string): MeasuredPolicy {
+  if (name.startsWith("broken-")) {
+    const wrap = BROKEN_WRAPPERS[name.slice("broken-".length) as BrokenName];
+    if (wrap) {
+      return { settings: {}, create: (own) => ({ wrapIo: wrap(own) }) };
+    }
+  }
+  const found = COMPARED[name as ComparedName];
+  if (!found) {
+    const names = [...COMPARED_POLICIES, ...listBrokenPolicies()];
+    throw new Error(`no policy ${name}; there are ${names.join(", ")}`);
+  }
+  return found;
+}
--- /dev/null
+++ b/tools/measure/run.ts
@@ -0,0 +1,228 @@
+/** One run: a fleet under load and faults with one policy. */
+
+import { nowMs, sleep } from "../../src/core/clock.ts";
+import { issueKey } from "../../src/core/keys.ts";
+import { KEYS_KEY } from "../../src/core/object_keys.ts";
+import type { KeysList } from "../../src/generated/objects.ts";
+import type { TraceLine } from "../../src/generated/trace.ts";
+import { createPlatformStore } from "../../src/host/platform_store.ts";
+import { type Fleet, startFleet } from "../processes.ts";
+import type { Deployment } from "../workloads.ts";
+import { type Callers, createCallers } from "./callers.ts";
+import {
+  listTargets,
+  readEvidence,
+  runFaults,
+  settleGroups,
+} from "./faults.ts";
+import {
+  computeDetails,
+  computeFigures,
+  type Details,
+  type Figures,
+  type RunRecord,
+} from "./figures.ts";
+import { drawLoad, getFlooder, makeUnique } from "./plan_load.ts";
+import { openRelay, type Relay } from "./relay.ts";
+import {
+  drawSchedule,
+  type PrimaryFault,
+  type ScheduledFault,
+} from "./schedule.ts";
+
+const HOSTS = 6;
+const WARM_UP_MS = 2_000;
+const SETTLE_TIMEOUT_MS = 10_000;
+const REPLICATION_LAG_MS = 20;
+const TX_WORKSPACES = 2;
+const TX_SESSIONS = 4;
+const WITHDRAWN_INTERVAL_MS = 250;
+const PRIMARY_FAULTS: readonly PrimaryFault[] = ["down", "cut", "frozen"];
+
+/** What a run is made of. */
+export interface RunOptions {
+  readonly policy: string;
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Replaces the drawn load. */
+  readonly trace: readonly TraceLine[] | undefined;
+}
+
+/** What a run gave. */
+export interface RunResult {
+  readonly figures: Figures;
+  readonly details: Details;
+  readonly faults: number;
+  /** Each group ended with one primary whose log all its targets have. */
+  readonly isSettled: boolean;
+  /** How long a withdrawn key was still served, in milliseconds. */
+  readonly withdrawnKeyMs: number | undefined;
+}
+
+/** Runs a deployment under one policy. */
+export async function runPolicy(
+  deployment: Deployment,
+  options: RunOptions,
+): Promise<RunResult> {
+  const relays: Relay[] = [];
+  const fleet = await startFleet(deployment, {
+    hosts: HOSTS,
+    hostProgram: ["dist/tools/measure/host_main.js", options.policy],
+    targetArgs: (domain) => getTargetArgs(deployment, domain),
+    async peerUrl(from, to) {
+      const delayMs = getLatencyMs(deployment, from.domain, to.domain);
+      const relay = await openRelay(to.peersPort, { delayMs });
+      relays.push(relay);
+      return `ws://127.0.0.1:${relay.port}`;
+    },
+  });
+  try {
+    return await measure(fleet, options);
+  } finally {
+    await fleet.stop();
+    relays.forEach((relay) => relay.close());
+  }
+}
+
+function getLatencyMs(
+  deployment: Deployment,
+  ...[from, to]: readonly [string, string]
+): number {
+  return from === to ? deployment.domainLatencyMs : deployment.regionLatencyMs;
+}
+
+function getTargetArgs(deployment: Deployment, domain: string): string[] {
+  const latencies = deployment.domains.map((other) =>
+    [other, getLatencyMs(deployment, domain, other)] as const
+  );
+  return [
+    `--latency-by-domain=${JSON.stringify(Object.fromEntries(latencies))}`,
+    `--lag-ms=${deployment.regionLatencyMs + REPLICATION_LAG_MS}`,
+  ];
+}
+
+async function measure(fleet: Fleet, options: RunOptions): Promise<RunResult> {
+  const { deployment } = fleet;
+  const { durationMs, seed } = options;
+  const withdrawn = await addKey(fleet);
+  await sleep(WARM_UP_MS);
+  const callers = createCallers({
+    urls: fleet.hosts.map((host) => host.callersUrl),
+    latencyMs: deployment.callerLatencyMs,
+  });
+  const lines = options.trace
+    ? makeUnique(options.trace)
+    : drawLoad(deployment, { seed, durationMs });
+  const schedule = getSchedule(fleet, options);
+  const startedAt = nowMs();
+  const [log] = await Promise.all([
+    runFaults(fleet, { schedule, withdrawnKeyId: withdrawn.keyId }),
+    callers.runLines(lines, fleet.keys),
+    runTransactions(fleet, { callers, durationMs }),
+    useKey(callers, { ...withdrawn, deployment, durationMs }),
+  ]);
+  await sleep(Math.max(0, startedAt + durationMs - nowMs()));
+  const isSettled = await settleGroups(fleet, { timeoutMs: SETTLE_TIMEOUT_MS });
+  const record: RunRecord = {
+    calls: callers.calls,
+    failovers: log.failovers,
+    groups: await Promise.all(fleet.groups.map(async (info, group) => ({
+      group: info.group,
+      targets: await Promise.all(listTargets(fleet, group).map(readEvidence)),
+    }))),
+    plans: new Map(deployment.workspaces.map((w) => [w.workspace, w])),
+    flooder: getFlooder(deployment),
+  };
+  return {
+    figures: computeFigures(record),
+    details: computeDetails(record),
+    faults: schedule.length,
+    isSettled,
+    withdrawnKeyMs: getWithdrawnKeyMs(callers, log.keyWithdrawnAt),
+  };
+}
+
+function getSchedule(fleet: Fleet, options: RunOptions): ScheduledFault[] {
+  return drawSchedule({
+    seed: options.seed,
+    durationMs: options.durationMs,
+    groups: fleet.groups.length,
+    hosts: fleet.hosts.length,
+    primaryFaults: options.policy === "broken-oldPrimaryAcks"
+      ? ["partly_cut"]
+      : [...PRIMARY_FAULTS, "partly_cut"],
+  });
+}
+
+/** Issues one more key, which is withdrawn while its callers are connected. */
+async function addKey(
+  fleet: Fleet,
+): Promise<{ readonly keyId: string; readonly secret: string }> {
+  const store = createPlatformStore(fleet.platformUrl, { caller: "tools" });
+  const { workspace } = fleet.deployment.workspaces[0]!;
+  const issued = issueKey(workspace);
+  const found = (await store.get(KEYS_KEY)).unwrap();
+  const list = found.value as KeysList;
+  const keys = [...list.keys, issued.record];
+  const put = { ifVersion: found.version };
+  (await store.put(KEYS_KEY, { ...list, keys }, put)).unwrap();
+  return { keyId: issued.record.keyId, secret: issued.secret };
+}
+
+const WITHDRAWN_SESSION = "withdrawn";
+
+/** Reads at a fixed interval with the key that will be withdrawn. */
+async function useKey(
+  callers: Callers,
+  given: {
+    readonly secret: string;
+    readonly deployment: Deployment;
+    readonly durationMs: number;
+  },
+): Promise<void> {
+  const { deployment, secret, durationMs } = given;
+  const { workspace } = deployment.workspaces[0]!;
+  const kind = deployment.requestKinds.find((k) => k.access === "read")!;
+  const count = Math.floor(durationMs / WITHDRAWN_INTERVAL_MS);
+  const lines = Array.from({ length: count }, (_, index): TraceLine => ({
+    atMs: index * WITHDRAWN_INTERVAL_MS,
+    workspace,
+    session: WITHDRAWN_SESSION,
+    service: deployment.service,
+    class: kind.class,
+    access: "read",
+    body: kind.body(WITHDRAWN_SESSION, 0),
+  }));
+  await callers.runLines(lines, new Map([[workspace, secret]]));
+}
+
+function getWithdrawnKeyMs(
+  callers: Callers,
+  withdrawnAt: number | undefined,
+): number | undefined {
+  if (withdrawnAt === undefined) {
+    return undefined;
+  }
+  const sent = callers.calls
+    .filter(({ req }) => req.session === WITHDRAWN_SESSION && req.answer?.ok)
+    .map(({ req }) => req.sentAt - withdrawnAt);
+  return Math.max(0, ...sent);
+}
+
+async function runTransactions(
+  fleet: Fleet,
+  given: { readonly callers: Callers; readonly durationMs: number },
+): Promise<void> {
+  const { deployment, keys } = fleet;
+  const sessions = deployment.workspaces.slice(1, 1 + TX_WORKSPACES)
+    .flatMap(({ workspace }) =>
+      Array.from({ length: TX_SESSIONS }, (_, index) => ({
+        workspace,
+        session: `${workspace}-tx-${index}`,
+        service: deployment.service,
+        key: keys.get(workspace)!,
+        durationMs: given.durationMs,
+      }))
+    );
+  await Promise.all(sessions.map(given.callers.runTransactions));
+}
--- /dev/null
+++ b/tools/measure/schedule.ts
@@ -0,0 +1,86 @@
+/** Draws the faults of a run from a seed. */
+
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { mersenne } from "pure-rand/generator/mersenne";
+
+/** How a primary goes out of service. */
+export type PrimaryFault = "down" | "cut" | "frozen" | "partly_cut";
+
+/** A fault with its time since the start of the load, in milliseconds. */
+export type ScheduledFault =
+  & { readonly atMs: number; readonly forMs: number }
+  & (
+    | {
+      readonly kind: "primary";
+      readonly group: number;
+      readonly fault: PrimaryFault;
+    }
+    | { readonly kind: "replica_lag"; readonly group: number }
+    | { readonly kind: "host_killed"; readonly host: number }
+    | { readonly kind: "host_frozen"; readonly host: number }
+    | { readonly kind: "platform_down" }
+    | { readonly kind: "key_withdrawn" }
+  );
+
+/** Sizes that the schedule is drawn for. */
+export interface ScheduleOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly groups: number;
+  readonly hosts: number;
+  readonly primaryFaults: readonly PrimaryFault[];
+}
+
+const FIRST_FAILOVER_MS = 2_000;
+const FAILOVER_INTERVAL_MS = 2_800;
+const FAILOVER_MARGIN_MS = 3_500;
+const PRIMARY_FAULT_MS = 4_000;
+const HOST_KILLED_MS = 1_500;
+const HOST_FROZEN_MS = 1_200;
+const REPLICA_LAG_MS = 3_000;
+
+/** Draws the schedule, ordered by time. */
+export function drawSchedule(options: ScheduleOptions): ScheduledFault[] {
+  const { durationMs, groups, hosts, primaryFaults } = options;
+  const generator = mersenne(options.seed);
+  const draw = (below: number) => uniformInt(generator, 0, below - 1);
+  const faults: ScheduledFault[] = [];
+  const last = durationMs - FAILOVER_MARGIN_MS;
+  for (let at = FIRST_FAILOVER_MS; at <= last; at += FAILOVER_INTERVAL_MS) {
+    faults.push({
+      kind: "primary",
+      atMs: at + draw(200),
+      forMs: PRIMARY_FAULT_MS,
+      group: faults.length % groups,
+      fault: primaryFaults[draw(primaryFaults.length)]!,
+    });
+  }
+  const first = draw(hosts);
+  return [
+    ...faults,
+    {
+      kind: "replica_lag",
+      atMs: durationMs * 0.2,
+      forMs: REPLICA_LAG_MS,
+      group: draw(groups),
+    } as const,
+    { kind: "key_withdrawn", atMs: durationMs * 0.3, forMs: 0 } as const,
+    {
+      kind: "host_killed",
+      atMs: durationMs * 0.35,
+      forMs: HOST_KILLED_MS,
+      host: first,
+    } as const,
+    {
+      kind: "platform_down",
+      atMs: durationMs * 0.5,
+      forMs: durationMs * 0.2,
+    } as const,
+    {
+      kind: "host_frozen",
+      atMs: durationMs * 0.6,
+      forMs: HOST_FROZEN_MS,
+      host: (first + 1 + draw(hosts - 1)) % hosts,
+    } as const,
+  ].sort((a, b) => a.atMs - b.atMs);
+}
