--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -3,11 +3,12 @@
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
 import { createEntry, type Entry } from "./entry.ts";
-import type { GroupId, HostId } from "./ids.ts";
+import type { HostId } from "./ids.ts";
 import { createStaticLimits, type Limits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
-import { createPool, type OrderReplicas, type Pool } from "./pool.ts";
+import type { OrderReplicas } from "./pool.ts";
+import { createPools } from "./pools.ts";
 import { createFifoQueue, type Queue } from "./queue.ts";
 import type {
   ExecReq,
@@ -66,30 +67,24 @@
   const limits = createLimits(cfg, { hosts: known.length + 1 });
   const createQueue = policies.createQueue ?? createFifoQueue;
   const peers = createPeers(io, handlePeer);
-  const pools = new Map<GroupId, Pool>();
-
-  function tryPool(group: GroupId): Pool | undefined {
-    const found = pools.get(group);
-    const info = cfg.tryGroup(group);
-    if (found || !info) {
-      return found;
-    }
-    const pool = createPool(io, {
-      group: info,
-      queue: createQueue({ slotsPerTarget: info.slots }),
-      ...(policies.orderReplicas
-        ? { orderReplicas: policies.orderReplicas }
-        : {}),
-      transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
-        DEFAULT_TRANSACTION_TIMEOUT_MS,
-    });
-    pools.set(group, pool);
-    pool.start();
-    return pool;
-  }
+  const hostsPerGroup = settings.pools?.hostsPerGroup ??
+    DEFAULT_HOSTS_PER_GROUP;
+  const pools = createPools(io, {
+    self: self.host,
+    cfg,
+    membership,
+    peers,
+    hostsPerGroup,
+    transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
+      DEFAULT_TRANSACTION_TIMEOUT_MS,
+    createQueue: (info) => createQueue({ slotsPerTarget: info.slots }),
+    ...(policies.orderReplicas
+      ? { orderReplicas: policies.orderReplicas }
+      : {}),
+  });
 
   async function execHere(req: ExecReq): Promise<Outcome> {
-    const pool = tryPool(req.group);
+    const pool = pools.tryPool(req.group);
     return pool
       ? await pool.exec(req)
       : { kind: "failed", error: "unavailable" };
@@ -117,6 +112,14 @@
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
         return { kind: "pull", objects: [] };
+      case "suspect":
+        return { kind: "suspect", agrees: pools.isSupporting(req) };
+      case "promoted":
+        pools.refresh(req.group);
+        return { kind: "ack" };
+      case "end_session":
+        pools.endSession(req.session);
+        return { kind: "ack" };
     }
   }
 
@@ -125,17 +128,18 @@
     cfg,
     limits,
     membership,
-    hostsPerGroup: settings.pools?.hostsPerGroup ?? DEFAULT_HOSTS_PER_GROUP,
+    hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: (session) => pools.forEach((pool) => pool.endSession(session)),
+    endSession: pools.endSession,
   });
 
   return {
     start() {
       cfg.start();
       membership.start();
+      pools.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
@@ -147,12 +151,12 @@
     entry,
     cfg,
     membership,
-    listGroupViews: () => [...pools.values()].map((p) => p.monitor.view()),
+    listGroupViews: pools.listViews,
     stop() {
       cfg.stop();
       membership.stop();
       peers.stop();
-      pools.forEach((pool) => pool.stop());
+      pools.stop();
     },
   };
 }
