Record and replay runs under a paused clock

Cause: a failure that was seen once must be brought about again, byte for byte, without processes or waiting. Ruled out: recording each host's inputs (answers of targets and platform, peer messages): a change of the message format would void every trace. The inputs are those of the whole fleet: callers, faults and operators; the stand-ins answer as they did. The first recording of old_primary found ranTwice 1: the checker took the copy that a rejoined primary fetched for a second run of its discarded entry.

--- /dev/null
+++ b/src/replay/play.ts
@@ -0,0 +1,341 @@
+/** Plays the inputs of a recorded run on the library, under a paused clock. */
+
+import { type Clock, install } from "@sinonjs/fake-timers";
+import type { CallerSession, RequestFrame } from "../core/entry.ts";
+import { getErrorAnswer } from "../core/errors.ts";
+import { asId, type ReqId } from "../core/ids.ts";
+import type { Answer } from "../core/types.ts";
+import type { Fault } from "../generated/replay.ts";
+import { validateCallerFrame } from "../generated/caller_validate.ts";
+import { checkHistory } from "../../tools/check/check.ts";
+import type {
+  CheckedBody,
+  CheckedReq,
+  GroupEvidence,
+  TargetEvidence,
+} from "../../tools/check/history.ts";
+import type { LocalHost } from "../../standins/local_fleet.ts";
+import { sleep } from "../core/clock.ts";
+import { createReplayFleet, type ReplayFleet } from "./replay_fleet.ts";
+import type { InputLine, LineOf, OutcomeLine, RecordedRun } from "./trace.ts";
+
+/** Time in which a new fleet gets ready, in milliseconds. */
+const SETTLE_MS = 2_000;
+/** Wall clock at the start of every replay. */
+const START_OF_TIME_MS = Date.UTC(2026, 0, 1);
+
+const FROZEN_POLL_MS = 5;
+/** Time in which a withdrawn key stops everywhere, in milliseconds. */
+const WITHDRAWN_KEY_MS = 5_000;
+/** Time in which new work for a leaving target stops, in milliseconds. */
+const LEAVING_TARGET_MS = 3_000;
+
+const FAKED = [
+  "setTimeout",
+  "clearTimeout",
+  "setInterval",
+  "clearInterval",
+  "Date",
+  "performance",
+] as const;
+
+type Header = LineOf<"header">;
+
+/** Plays a run and gives its outcomes, in the order of the inputs. */
+export async function playRun(
+  run: Pick<RecordedRun, "header" | "inputs">,
+): Promise<OutcomeLine[]> {
+  const clock = install({ now: START_OF_TIME_MS, toFake: [...FAKED] });
+  try {
+    return await playUnder(clock, run);
+  } finally {
+    clock.uninstall();
+  }
+}
+
+async function playUnder(
+  clock: Clock,
+  { header, inputs }: Pick<RecordedRun, "header" | "inputs">,
+): Promise<OutcomeLine[]> {
+  const fleet = createReplayFleet(header);
+  await clock.tickAsync(SETTLE_MS);
+  const player = createPlayer(fleet);
+  let atMs = 0;
+  for (const input of inputs) {
+    await clock.tickAsync(Math.max(0, input.atMs - atMs));
+    atMs = Math.max(atMs, input.atMs);
+    player.take(input);
+  }
+  await clock.tickAsync(Math.max(0, header.endMs - atMs));
+  const outcomes = [
+    ...player.listOutcomes(),
+    ...listGroupLines(fleet),
+    countInvariants(fleet, {
+      header,
+      reqs: player.listReqs(),
+      changes: player.listChanges(),
+    }),
+  ];
+  fleet.stop();
+  return outcomes;
+}
+
+/** A request that was sent, with its answer once there is one. */
+interface Sent {
+  readonly line: LineOf<"request">;
+  readonly frame: RequestFrame;
+  readonly workspace: string;
+  readonly sentAt: number;
+  answeredAt: number;
+  answer: Answer | undefined;
+}
+
+/** A session with the process of the host that holds it. */
+interface OpenSession {
+  readonly session: CallerSession;
+  readonly host: LocalHost;
+  readonly process: LocalHost["host"];
+}
+
+/** Waits while the host is frozen; false once its process has ended. */
+async function waitRunning(open: OpenSession): Promise<boolean> {
+  while (open.host.state === "frozen") {
+    await sleep(FROZEN_POLL_MS);
+  }
+  return open.host.state === "running" && open.host.host === open.process;
+}
+
+interface Player {
+  take(input: InputLine): void;
+  listOutcomes(): OutcomeLine[];
+  listReqs(): CheckedReq[];
+  /** Faults with the wall clock of each. */
+  listChanges(): readonly Change[];
+}
+
+interface Change {
+  readonly fault: Fault;
+  readonly at: number;
+}
+
+function createPlayer(fleet: ReplayFleet): Player {
+  const sessions = new Map<string, OpenSession>();
+  const workspaces = new Map<string, string>();
+  const tokens = new Map<string, string>();
+  const outcomes: (() => OutcomeLine)[] = [];
+  const sent: Sent[] = [];
+  const changes: Change[] = [];
+
+  function open(line: LineOf<"open">): void {
+    const token = line.tokenOf ? tokens.get(line.tokenOf) : undefined;
+    const { session, workspace } = line;
+    const opened = fleet.getHost(line.host).host.entry.open({
+      kind: "hello",
+      key: fleet.keys.get(workspace) ?? "",
+      ...(token ? { token } : {}),
+    });
+    workspaces.set(session, workspace);
+    if (opened.isOk()) {
+      const host = fleet.getHost(line.host);
+      const process = host.host;
+      sessions.set(session, { session: opened.value, host, process });
+    }
+    const outcome: OutcomeLine = opened.isOk()
+      ? { kind: "opened", session, ok: true }
+      : { kind: "opened", session, ok: false, error: opened.error.error };
+    outcomes.push(() => outcome);
+  }
+
+  function request(line: LineOf<"request">): void {
+    const frame = withTransaction(line.frame);
+    const session = sessions.get(line.session);
+    const entry: Sent = {
+      line,
+      frame,
+      workspace: workspaces.get(line.session) ?? "",
+      sentAt: Date.now(),
+      answeredAt: Infinity,
+      answer: undefined,
+    };
+    sent.push(entry);
+    outcomes.push(() => toAnswerLine(entry));
+    if (session) {
+      void deliver(session, entry);
+    }
+  }
+
+  /** Carries a frame to the host and the answer back, if the host lives. */
+  async function deliver(open: OpenSession, entry: Sent): Promise<void> {
+    if (!await waitRunning(open)) {
+      return;
+    }
+    const answer = await open.session.request(entry.frame);
+    if (await waitRunning(open)) {
+      entry.answer = answer;
+      entry.answeredAt = Date.now();
+      tokens.set(entry.line.session, answer.token);
+    }
+  }
+
+  /** Puts the id that a begin was answered in place of the begin's own id. */
+  function withTransaction(frame: Readonly<Record<string, unknown>>) {
+    const begin = sent.find((s) => s.frame.id === frame.tx)?.answer;
+    const tx = begin?.kind === "done" ? `${begin.result}` : frame.tx;
+    const named: unknown = tx === undefined ? frame : { ...frame, tx };
+    if (!validateCallerFrame(named) || named.kind === "hello") {
+      throw new Error(`not a frame of a request: ${JSON.stringify(frame)}`);
+    }
+    return named;
+  }
+
+  return {
+    take(input) {
+      switch (input.kind) {
+        case "open":
+          return open(input);
+        case "close":
+          return sessions.get(input.session)?.session.end();
+        case "request":
+          return request(input);
+        case "fault":
+          changes.push({ fault: input.fault, at: Date.now() });
+          return fleet.apply(input.fault);
+      }
+    },
+    listOutcomes: () => outcomes.map((get) => get()),
+    listChanges: () => changes,
+    listReqs: () => sent.flatMap(toCheckedReqs),
+  };
+}
+
+function toAnswerLine({ frame, answer }: Sent): OutcomeLine {
+  const id = asId<ReqId>(frame.id);
+  if (!answer) {
+    return { kind: "answer", id };
+  }
+  if (answer.kind === "failed") {
+    return { kind: "answer", id, ok: false, error: answer.failure.error };
+  }
+  // The id of a transaction is drawn at random.
+  const result = frame.kind === "begin" ? {} : { result: answer.result };
+  const { servedBy } = answer;
+  return { kind: "answer", id, ok: true, ...result, servedBy };
+}
+
+function toCheckedReqs(sent: Sent): CheckedReq[] {
+  const { frame, line, workspace, sentAt, answeredAt } = sent;
+  const op = tryCheckedOp(line, frame);
+  const common = { id: frame.id, workspace, session: line.session };
+  const answer = toToldAnswer(sent.answer);
+  return op ? [{ ...common, sentAt, answeredAt, op, answer }] : [];
+}
+
+function tryCheckedOp(
+  line: LineOf<"request">,
+  frame: RequestFrame,
+): CheckedReq["op"] | undefined {
+  const tx = typeof line.frame.tx === "string" ? { tx: line.frame.tx } : {};
+  switch (frame.kind) {
+    case "read": {
+      const { key } = frame.body as CheckedBody;
+      return { kind: "read", key, ...tx };
+    }
+    case "write": {
+      const change = frame.body as Exclude<CheckedBody, { op: "get" }>;
+      const unrepeatable = !frame.repeatable;
+      return { kind: "write", change, unrepeatable, ...tx };
+    }
+    case "begin":
+      return { kind: "begin", tx: frame.id };
+    case "end":
+      return { kind: "end", tx: tx.tx ?? "", end: frame.end };
+    case "outcome":
+      return undefined;
+  }
+}
+
+function toToldAnswer(answer: Answer | undefined): CheckedReq["answer"] {
+  if (!answer) {
+    return undefined;
+  }
+  if (answer.kind === "done") {
+    return { ok: true, result: answer.result, servedBy: answer.servedBy };
+  }
+  const { error } = answer.failure;
+  return { ok: false, error, run: getErrorAnswer(error).run };
+}
+
+function listEvidence(fleet: ReplayFleet): GroupEvidence[] {
+  return fleet.groups.map(({ group, targets }) => ({
+    group,
+    targets: targets.map(({ target }): TargetEvidence => {
+      const { core, keyHits } = fleet.getTarget(target);
+      const { log, discarded, statements } = core;
+      return { status: core.status(), log, discarded, statements, keyHits };
+    }),
+  }));
+}
+
+function listGroupLines(fleet: ReplayFleet): OutcomeLine[] {
+  return fleet.groups.map(({ group, targets }) => {
+    const statuses = targets
+      .map(({ target }) => fleet.getTarget(target).core.status());
+    const term = Math.max(...statuses.map((status) => status.term));
+    const primary = statuses
+      .find((status) => status.role === "primary" && status.term === term);
+    const named = primary ? { primary: primary.target } : {};
+    return { kind: "group", group, term, ...named };
+  });
+}
+
+function countInvariants(
+  fleet: ReplayFleet,
+  given: {
+    readonly header: Header;
+    readonly reqs: readonly CheckedReq[];
+    readonly changes: readonly Change[];
+  },
+): OutcomeLine {
+  const groups = listEvidence(fleet);
+  const counts = checkHistory({
+    reqs: given.reqs,
+    groups,
+    plans: new Map(given.header.workspaces.map((w) => [w.workspace, w])),
+  });
+  const withdrawnKeyServed = countWithdrawnServed(given);
+  const leavingTargetWork = countLeavingWork(groups, given.changes);
+  return {
+    kind: "invariants",
+    counts: { ...counts, withdrawnKeyServed, leavingTargetWork },
+  };
+}
+
+/** Requests served although their key was withdrawn long enough before. */
+function countWithdrawnServed(given: {
+  readonly reqs: readonly CheckedReq[];
+  readonly changes: readonly Change[];
+}): number {
+  return given.changes.reduce((count, { fault, at }) => {
+    const served = given.reqs.filter((req) =>
+      fault.kind === "withdraw_key" && req.workspace === fault.workspace &&
+      req.sentAt > at + WITHDRAWN_KEY_MS && req.answer?.ok
+    );
+    return count + served.length;
+  }, 0);
+}
+
+/** Statements that a target ran although it was leaving for long enough. */
+function countLeavingWork(
+  groups: readonly GroupEvidence[],
+  changes: readonly Change[],
+): number {
+  const targets = groups.flatMap((group) => group.targets);
+  return changes.reduce((count, { fault, at }) => {
+    const leaving = targets.find(({ status }) =>
+      fault.kind === "target_leaving" && status.target === fault.target
+    );
+    const ran = leaving?.statements
+      .filter((statement) => statement.ranAt > at + LEAVING_TARGET_MS);
+    return count + (ran?.length ?? 0);
+  }, 0);
+}
--- /dev/null
+++ b/src/replay/replay_fleet.ts
@@ -0,0 +1,169 @@
+/** The fleet that a recorded run is played on, with its lists and keys. */
+
+import {
+  asId,
+  type GroupId,
+  type ObjectKey,
+  type PlanId,
+  type TargetId,
+  type WorkspaceId,
+} from "../core/ids.ts";
+import { assertNever } from "../core/errors.ts";
+import { issueKey } from "../core/keys.ts";
+import {
+  GROUPS_KEY,
+  KEYS_KEY,
+  PLANS_KEY,
+  SERVICES_KEY,
+} from "../core/object_keys.ts";
+import type {
+  GroupInfo,
+  GroupsList,
+  KeysList,
+  PlansList,
+  ServicesList,
+} from "../generated/objects.ts";
+import type { Fault } from "../generated/replay.ts";
+import {
+  createLocalFleet,
+  type LocalFleet,
+} from "../../standins/local_fleet.ts";
+import type { LineOf } from "./trace.ts";
+
+type Header = LineOf<"header">;
+
+/** A fleet with the keys of its workspaces. */
+export interface ReplayFleet extends LocalFleet {
+  readonly keys: ReadonlyMap<WorkspaceId, string>;
+  /** Brings a fault about, or lets an operator make a change. */
+  apply(fault: Fault): void;
+}
+
+/** Creates the fleet of a recorded run and writes its lists. */
+export function createReplayFleet(header: Header): ReplayFleet {
+  const groups = listGroups(header);
+  const fleet = createLocalFleet({
+    hosts: header.hosts,
+    domains: header.domains,
+    groups,
+    target: {
+      connectMs: header.connectMs,
+      statementMs: header.statementMs,
+      latencyMs: header.targetLatencyMs,
+      lagMs: header.lagMs,
+    },
+    peerLatencyMs: header.peerLatencyMs,
+    platformLatencyMs: header.platformLatencyMs,
+    seed: header.seed,
+  });
+  const issued = header.workspaces.map((w) => issueKey(w.workspace));
+
+  /** Changes an object as an operator does, on the version it has now. */
+  function edit<T>(key: ObjectKey, change: (value: T) => T): void {
+    const { version, value } = fleet.platform.get(key);
+    const ifVersion = version;
+    fleet.platform.put(key, change(value as T), { ifVersion }).unwrap();
+  }
+
+  edit<PlansList>(PLANS_KEY, () => ({
+    kind: "plans",
+    workspaces: header.workspaces.map(({ workspace }) => ({
+      workspace,
+      plan: asId<PlanId>(workspace),
+    })),
+  }));
+  edit<ServicesList>(SERVICES_KEY, () => ({
+    kind: "services",
+    plans: header.workspaces.map(({ workspace, ratePerSecond, burst }) => ({
+      plan: asId<PlanId>(workspace),
+      ratePerSecond,
+      burst,
+      services: [{ service: header.service }],
+    })),
+  }));
+  edit<GroupsList>(GROUPS_KEY, () => ({ kind: "groups", groups }));
+  edit<KeysList>(KEYS_KEY, () => ({
+    kind: "keys",
+    keys: issued.map((key) => key.record),
+  }));
+
+  function apply(fault: Fault): void {
+    switch (fault.kind) {
+      case "target": {
+        const { kind: _, target, ...faults } = fault;
+        fleet.getTarget(target).faults = faults;
+        return;
+      }
+      case "host":
+        return fleet[fault.change](fault.host);
+      case "cut":
+        return fleet.cut(fault.a, fault.b);
+      case "heal":
+        return fleet.heal();
+      case "platform": {
+        const { down = false, slowMs = 0, loseAnswers = false } = fault;
+        Object.assign(fleet.platformFaults, { down, slowMs, loseAnswers });
+        return;
+      }
+      case "withdraw_key":
+        return edit<KeysList>(KEYS_KEY, (list) => ({
+          ...list,
+          keys: list.keys.map((key) =>
+            key.workspace === fault.workspace
+              ? { ...key, withdrawnAt: new Date().toISOString() }
+              : key
+          ),
+        }));
+      case "target_leaving":
+        return edit<GroupsList>(GROUPS_KEY, (list) => ({
+          ...list,
+          groups: list.groups.map((group) => ({
+            ...group,
+            targets: group.targets.map((target) =>
+              target.target === fault.target
+                ? { ...target, leaving: true }
+                : target
+            ),
+          })),
+        }));
+      case "rate":
+        return edit<ServicesList>(SERVICES_KEY, (list) => ({
+          ...list,
+          plans: list.plans.map((plan) => {
+            const { ratePerSecond, burst } = fault;
+            return `${plan.plan}` === `${fault.workspace}`
+              ? { ...plan, ratePerSecond, burst }
+              : plan;
+          }),
+        }));
+      default:
+        return assertNever(fault);
+    }
+  }
+
+  return {
+    ...fleet,
+    keys: new Map(issued.map((key) => [key.record.workspace, key.secret])),
+    apply,
+  };
+}
+
+function listGroups(header: Header): GroupInfo[] {
+  const { service, domains } = header;
+  const numbers = (count: number) =>
+    Array.from({ length: count }, (_, index) => index + 1);
+  return numbers(header.groups).map((g) => ({
+    group: asId<GroupId>(`${service}-${g}`),
+    service,
+    slots: header.slots,
+    targets: numbers(header.targetsPerGroup).map((t) => {
+      const target = asId<TargetId>(`${service}-${g}-${t}`);
+      return {
+        target,
+        domain: domains[(g + t) % domains.length]!,
+        url: target,
+        maxConnections: header.connectionsPerTarget,
+      };
+    }),
+  }));
+}
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -123,6 +123,12 @@
     .toEqual({ ranTwice: 1 });
 });
 
+test("a run that was discarded and ran again under the next primary is one", () => {
+  const discarded = [{ pos: 1, entry: entry() }];
+  const log = [OPENING_2, entry({ term: 2, ranAt: 1_008 })];
+  expect(check([write()], [target(log, { discarded })])).toEqual({});
+});
+
 test("a repeatable write may run twice", () => {
   const op = { kind: "write", change: put(1), unrepeatable: false } as const;
   const log = [entry({ id: undefined }), entry({ id: undefined })];
--- a/tools/measure/policies.ts
+++ b/tools/measure/policies.ts
@@ -7,12 +7,17 @@
   createRoundRobin,
   createStaticShareLimits,
 } from "./baselines.ts";
+import type { PrimaryFault } from "./schedule.ts";
 import { BROKEN_WRAPPERS, type BrokenName } from "./broken.ts";
 
 /** A policy under measurement. */
 export interface MeasuredPolicy {
   readonly settings: Partial<Settings>;
   create(settings: Settings): RunHostOptions;
+  /** Replaces how primaries fail. */
+  readonly primaryFaults?: readonly PrimaryFault[];
+  /** Replaces the replication lag, in milliseconds. */
+  readonly lagMs?: number;
 }
 
 const OWN_POOLS_HOSTS = 9;
@@ -48,6 +53,17 @@
   },
 };
 
+const LONG_LAG_MS = 1_000;
+
+/** What a broken policy needs so that its fault shows within seconds. */
+const BROKEN_CONDITIONS: Readonly<
+  Record<string, Pick<MeasuredPolicy, "primaryFaults" | "lagMs">>
+> = {
+  "broken-lost": { lagMs: LONG_LAG_MS },
+  "broken-staleReads": { lagMs: LONG_LAG_MS },
+  "broken-oldPrimaryAcks": { primaryFaults: ["partly_cut"] },
+};
+
 /** Names of the deliberately broken policies. */
 export function listBrokenPolicies(): string[] {
   return Object.keys(BROKEN_WRAPPERS).map((name) => `broken-${name}`);
@@ -58,7 +74,11 @@
   if (name.startsWith("broken-")) {
     const wrap = BROKEN_WRAPPERS[name.slice("broken-".length) as BrokenName];
     if (wrap) {
-      return { settings: {}, create: (own) => ({ wrapIo: wrap(own) }) };
+      return {
+        settings: {},
+        create: (own) => ({ wrapIo: wrap(own) }),
+        ...BROKEN_CONDITIONS[name],
+      };
     }
   }
   const found = COMPARED[name as ComparedName];
