Edit lists and keys, drain and show the fleet from the command line

Lists are files that remember what they were written from, so that an operator who edits an older state is told what the other one changed. Entries are compared by name, not by place. Wrong usage and input exit with 2, failures with 1 (test/cli.test.ts, against the platform stand-in).

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -12,11 +12,19 @@
   type Register,
   type Terminal,
 } from "./command.ts";
+import { registerDrain } from "./drain.ts";
+import { registerKeys } from "./keys.ts";
+import { registerLists } from "./lists.ts";
 import { registerRun } from "./run.ts";
+import { registerStatus } from "./status.ts";
 
 const COMMANDS: readonly Register[] = [
   registerRun,
   registerCheck,
+  registerLists,
+  registerKeys,
+  registerDrain,
+  registerStatus,
 ];
 
 /** Runs a command line and resolves with its exit code. */
--- /dev/null
+++ b/src/cli/fleet_status.ts
@@ -0,0 +1,91 @@
+/** Joins the statuses of several hosts into one of the fleet. */
+
+import type { HostId } from "../core/ids.ts";
+import type {
+  GroupReport,
+  HostReport,
+  HostState,
+  HostStatus,
+  RefusalReport,
+  WorkspaceReport,
+} from "../host/status.ts";
+
+/** A host as the fleet sees it. */
+export interface FleetHost extends HostReport {
+  /** Undefined if the host was not asked or did not answer. */
+  readonly state: HostState | undefined;
+  readonly connections: number | undefined;
+}
+
+/** The status of all hosts that answered. */
+export interface FleetStatus {
+  readonly groups: readonly GroupReport[];
+  readonly hosts: readonly FleetHost[];
+  readonly workspaces: readonly WorkspaceReport[];
+  readonly refusals: readonly RefusalReport[];
+  readonly statuses: readonly HostStatus[];
+}
+
+/** Joins statuses: the newest term of a group, sums of use and refusals. */
+export function mergeStatuses(statuses: readonly HostStatus[]): FleetStatus {
+  return {
+    groups: mergeBy(
+      statuses.flatMap((status) => status.groups),
+      (group) => group.group,
+      pickGroup,
+    ),
+    hosts: mergeHosts(statuses),
+    workspaces: mergeBy(
+      statuses.flatMap((status) => status.workspaces),
+      (use) => use.workspace,
+      (a, b) => ({
+        ...a,
+        requestsPerSecond: a.requestsPerSecond + b.requestsPerSecond,
+        refusalsPerSecond: a.refusalsPerSecond + b.refusalsPerSecond,
+      }),
+    ),
+    refusals: mergeBy(
+      statuses.flatMap((status) => status.refusals),
+      (refusal) => refusal.error,
+      (a, b) => ({ ...a, count: a.count + b.count }),
+    ),
+    statuses,
+  };
+}
+
+function pickGroup(a: GroupReport, b: GroupReport): GroupReport {
+  const rank = (group: GroupReport) =>
+    (group.source === "monitored" ? 1 : 0) + 2 * (group.term ?? -1);
+  return rank(b) > rank(a) ? b : a;
+}
+
+function mergeHosts(statuses: readonly HostStatus[]): FleetHost[] {
+  const asked = new Map<HostId, HostStatus>(
+    statuses.map((status) => [status.host, status]),
+  );
+  const reports = mergeBy(
+    statuses.flatMap((status) => status.hosts),
+    (host) => host.host,
+    (a, b) => ({ ...a, alive: a.alive || b.alive }),
+  );
+  return reports.map((report) => ({
+    ...report,
+    state: asked.get(report.host)?.state,
+    connections: asked.get(report.host)?.connections,
+  }));
+}
+
+function mergeBy<T>(
+  entries: readonly T[],
+  getKey: (entry: T) => string,
+  merge: (a: T, b: T) => T,
+): T[] {
+  const merged = new Map<string, T>();
+  for (const entry of entries) {
+    const key = getKey(entry);
+    const held = merged.get(key);
+    merged.set(key, held === undefined ? entry : merge(held, entry));
+  }
+  return [...merged].sort(([a], [b]) => a.localeCompare(b))
+    .map(([, entry]) => entry);
+}
--- /dev/null
+++ b/src/cli/list_file.ts
@@ -0,0 +1,67 @@
+/** Lists as files: YAML that remembers what it was written from. */
+
+import { createHash } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { Err, Ok, type Result } from "ts-results-es";
+import { stringify } from "yaml";
+import type { ListName } from "../core/lists.ts";
+import {
+  createMistake,
+  describeErrors,
+  type Mistake,
+} from "../core/mistakes.ts";
+import type { StoredObject } from "../core/types.ts";
+import { validatePlatformObject } from "../generated/objects_validate.ts";
+import { parseYaml } from "../host/settings.ts";
+
+const BASE_PATTERN = /^# base: ([0-9a-f]+)$/m;
+const BASE_CHARS = 16;
+
+/** A list that an operator wrote. */
+export interface ListFile {
+  readonly value: unknown;
+  /** Digest of the list that the file was written from, if it names one. */
+  readonly base: string | undefined;
+}
+
+/** Writes a list the way operators edit it. */
+export function writeList(object: StoredObject): string {
+  const { kind: _, ...fields } = object.value as { readonly kind: string };
+  return [
+    `# ${object.key}, version ${object.version}`,
+    `# base: ${digestList(object.value)}`,
+    stringify(fields).trimEnd(),
+  ].join("\n");
+}
+
+/** Digest by which a changed list is told from an unchanged one. */
+export function digestList(value: unknown): string {
+  return createHash("sha256").update(JSON.stringify(value) ?? "").digest("hex")
+    .slice(0, BASE_CHARS);
+}
+
+/** Reads a list and names every mistake in its form. */
+export function readListFile(
+  list: ListName,
+  file: string,
+): Result<ListFile, readonly Mistake[]> {
+  let text: string;
+  try {
+    text = readFileSync(file === "-" ? 0 : file, "utf8");
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : `${err}`;
+    return Err([createMistake("", "file_unreadable", { detail })]);
+  }
+  return parseYaml(text).andThen((parsed) => {
+    const value = withKind(list, parsed);
+    return validatePlatformObject(value)
+      ? Ok({ value, base: BASE_PATTERN.exec(text)?.[1] })
+      : Err(describeErrors(validatePlatformObject.errors ?? []));
+  });
+}
+
+function withKind(list: ListName, value: unknown): unknown {
+  return typeof value === "object" && value !== null && !Array.isArray(value)
+    ? { ...value, kind: list }
+    : value;
+}
--- /dev/null
+++ b/src/cli/lists.ts
@@ -0,0 +1,202 @@
+/** `turmericchute plans|services|groups`: applies, shows and compares lists. */
+
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import {
+  applyList,
+  LIST_NAMES,
+  type ListChange,
+  type ListName,
+  readLists,
+} from "../core/lists.ts";
+import type { PlatformStore, StoredObject } from "../core/types.ts";
+import {
+  EXIT_FAILED,
+  EXIT_INVALID,
+  EXIT_OK,
+  type ExitCode,
+  type Register,
+  type Terminal,
+  warnMistakes,
+} from "./command.ts";
+import { compareLists, formatDifferences } from "./list_diff.ts";
+import { digestList, readListFile, writeList } from "./list_file.ts";
+import {
+  findPlatform,
+  type PlatformOptions,
+  warnEdit,
+  withPlatformOptions,
+} from "./platform.ts";
+
+const ACTIONS = "apply, show, diff";
+
+interface ListOptions extends PlatformOptions {
+  readonly json?: boolean;
+  readonly exitCode?: boolean;
+}
+
+interface ListCommand {
+  readonly list: ListName;
+  readonly file: string | undefined;
+  readonly store: PlatformStore;
+  readonly terminal: Terminal;
+  readonly options: ListOptions;
+}
+
+const DESCRIPTIONS: Readonly<Record<ListName, string>> = {
+  plans: "Which plan each workspace holds",
+  services: "What each plan may use",
+  groups: "Database groups and their targets",
+};
+
+/** Adds the commands. */
+export const registerLists: Register = (cli, terminal) => {
+  for (const list of LIST_NAMES) {
+    const command = cli.command(
+      `${list} <action> [file]`,
+      `${DESCRIPTIONS[list]}: ${ACTIONS}`,
+    );
+    withPlatformOptions(command)
+      .option("--json", "Print one JSON object")
+      .option("--exit-code", "With diff: exit with 1 if there are differences")
+      .example(`turmericchute ${list} show > ${list}.yaml`)
+      .example(`turmericchute ${list} diff ${list}.yaml`)
+      .example(`turmericchute ${list} apply ${list}.yaml`)
+      .action(async (action: string, file: string | undefined, options) => {
+        const store = findPlatform(terminal, options);
+        return store.isErr() ? store.error : await runAction(action, {
+          list,
+          file,
+          store: store.value,
+          terminal,
+          options,
+        });
+      });
+  }
+};
+
+async function runAction(
+  action: string,
+  command: ListCommand,
+): Promise<ExitCode> {
+  const { terminal } = command;
+  switch (action) {
+    case "show":
+      return await show(command);
+    case "diff":
+      return await compare(command);
+    case "apply":
+      return await apply(command);
+    default:
+      terminal.warn(
+        formatDiagnostic("action_unknown", { found: action, allowed: ACTIONS }),
+      );
+      return EXIT_INVALID;
+  }
+}
+
+async function show(command: ListCommand): Promise<ExitCode> {
+  const { list, store, terminal, options } = command;
+  const lists = await readLists(store);
+  if (lists.isErr()) {
+    return warnEdit(terminal, lists.error);
+  }
+  const { key, version, value } = lists.value[list];
+  if (options.json) {
+    terminal.print(JSON.stringify({ list, version, value }));
+  } else if (version === 0) {
+    terminal.warn(formatDiagnostic("name_unknown", { name: key }));
+    return EXIT_FAILED;
+  } else {
+    terminal.print(writeList({ key, version, value }));
+  }
+  return EXIT_OK;
+}
+
+async function compare(command: ListCommand): Promise<ExitCode> {
+  const { list, store, terminal, options } = command;
+  const file = readFile(command);
+  if (typeof file === "number") {
+    return file;
+  }
+  const lists = await readLists(store);
+  if (lists.isErr()) {
+    return warnEdit(terminal, lists.error);
+  }
+  const differences = compareLists(lists.value[list].value, file.value);
+  if (options.json) {
+    terminal.print(JSON.stringify({ list, differences }));
+  } else {
+    formatDifferences(differences).forEach(terminal.print);
+  }
+  return options.exitCode && differences.length > 0 ? EXIT_FAILED : EXIT_OK;
+}
+
+async function apply(command: ListCommand): Promise<ExitCode> {
+  const { list, store, terminal } = command;
+  const file = readFile(command);
+  if (typeof file === "number") {
+    return file;
+  }
+  const lists = await readLists(store);
+  if (lists.isErr()) {
+    return warnEdit(terminal, lists.error);
+  }
+  const base = lists.value[list];
+  if (file.base !== undefined && file.base !== digestList(base.value)) {
+    return warnOutdated(command, { base, value: file.value });
+  }
+  const differences = compareLists(base.value, file.value);
+  if (differences.length === 0 && base.version > 0) {
+    return printApplied(command, { version: base.version, differences });
+  }
+  const value = file.value as ListChange["value"];
+  const applied = await applyList(store, { list, value, base });
+  return applied.isErr()
+    ? warnEdit(terminal, applied.error)
+    : printApplied(command, { version: applied.value.version, differences });
+}
+
+function printApplied(
+  command: ListCommand,
+  given: {
+    readonly version: number;
+    readonly differences: ReturnType<typeof compareLists>;
+  },
+): ExitCode {
+  const { list, terminal, options } = command;
+  const { version, differences } = given;
+  if (options.json) {
+    terminal.print(JSON.stringify({ list, version, differences }));
+  } else if (differences.length === 0) {
+    terminal.print(formatDiagnostic("list_unchanged", { list }));
+  } else {
+    formatDifferences(differences).forEach(terminal.print);
+    terminal.print(formatDiagnostic("list_applied", { list, version }));
+  }
+  return EXIT_OK;
+}
+
+function warnOutdated(
+  command: ListCommand,
+  given: { readonly base: StoredObject; readonly value: unknown },
+): ExitCode {
+  const { list, terminal } = command;
+  const { version, value: held } = given.base;
+  terminal.warn(formatDiagnostic("list_outdated", { list, version }));
+  formatDifferences(compareLists(given.value, held)).forEach(terminal.warn);
+  return EXIT_FAILED;
+}
+
+/** Reads the file of a command, or tells what is wrong and how to exit. */
+function readFile(command: ListCommand) {
+  const { list, file, terminal } = command;
+  if (file === undefined) {
+    const what = "the name of a file, or - for the standard input,";
+    terminal.warn(formatDiagnostic("argument_missing", { what }));
+    return EXIT_INVALID;
+  }
+  const read = readListFile(list, file);
+  return read.isErr()
+    ? warnMistakes(terminal, { file, mistakes: read.error })
+    : read.value;
+}
--- /dev/null
+++ b/src/cli/operators.ts
@@ -0,0 +1,70 @@
+/** Reaches the operators' ports of hosts. */
+
+import process from "node:process";
+import { Err, Ok, type Result } from "ts-results-es";
+import { loadSettings } from "../host/settings.ts";
+import type { HostStatus } from "../host/status.ts";
+
+const TIMEOUT_MS = 3_000;
+const OPERATORS_VARIABLE = "TURMERICCHUTE_OPERATORS";
+
+/** Options that name the operators' ports. */
+export interface OperatorsOptions {
+  readonly url?: string | readonly string[];
+  readonly settings?: string | readonly string[];
+}
+
+/** Finds the operators' ports; empty if none is named. */
+export function findOperators(options: OperatorsOptions): readonly string[] {
+  const urls = toList(options.url);
+  const files = toList(options.settings);
+  if (urls.length > 0 || files.length > 0) {
+    return [...urls, ...files.flatMap(readOperatorsUrl)];
+  }
+  return (process.env[OPERATORS_VARIABLE] ?? "").split(/[\s,]+/)
+    .filter((url) => url !== "");
+}
+
+/** Asks a host for its status. */
+export async function fetchStatus(
+  url: string,
+): Promise<Result<HostStatus, string>> {
+  try {
+    const res = await fetch(new URL("/status", url), {
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    return res.ok
+      ? Ok(await res.json() as HostStatus)
+      : Err(`status ${res.status}`);
+  } catch (err) {
+    return Err(describeFault(err));
+  }
+}
+
+/** Asks a host to stop after it has finished what it runs. */
+export async function postDrain(url: string): Promise<Result<void, string>> {
+  try {
+    const res = await fetch(new URL("/drain", url), {
+      method: "POST",
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    return res.ok ? Ok(undefined) : Err(`status ${res.status}`);
+  } catch (err) {
+    return Err(describeFault(err));
+  }
+}
+
+function describeFault(err: unknown): string {
+  const cause = err instanceof Error ? err.cause ?? err : err;
+  return cause instanceof Error ? cause.message : `${cause}`;
+}
+
+function readOperatorsUrl(file: string): string[] {
+  const settings = loadSettings(file);
+  const operators = settings.isOk() ? settings.value.operators : undefined;
+  return operators ? [`http://${operators.address}:${operators.port}`] : [];
+}
+
+function toList(value: string | readonly string[] | undefined): string[] {
+  return value === undefined ? [] : [value].flat();
+}
--- /dev/null
+++ b/src/cli/platform.ts
@@ -0,0 +1,99 @@
+/** Finds the platform that a command works on, and tells how an edit ended. */
+
+import process from "node:process";
+import type { Command } from "cac";
+import { Err, Ok, type Result } from "ts-results-es";
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import { assertNever } from "../core/errors.ts";
+import type { EditErr } from "../core/lists.ts";
+import { describeValue } from "../core/mistakes.ts";
+import type { PlatformStore } from "../core/types.ts";
+import { createPlatformStore } from "../host/platform_store.ts";
+import { loadSettings } from "../host/settings.ts";
+import {
+  EXIT_FAILED,
+  EXIT_INVALID,
+  type ExitCode,
+  type Terminal,
+  warnMistakes,
+} from "./command.ts";
+import { formatDifferences } from "./list_diff.ts";
+
+const PLATFORM_VARIABLE = "TURMERICCHUTE_PLATFORM";
+const CALLER = "turmericchute-cli";
+
+/** Options that name the platform. */
+export interface PlatformOptions {
+  readonly platform?: string;
+  readonly settings?: string;
+}
+
+/** Adds the options that name the platform. */
+export function withPlatformOptions(command: Command): Command {
+  return command
+    .option("--platform <url>", "URL of the object API of the platform")
+    .option("--settings <file>", "Settings that name the platform");
+}
+
+/** Finds the platform, or tells what is missing and how to exit. */
+export function findPlatform(
+  terminal: Terminal,
+  options: PlatformOptions,
+): Result<PlatformStore, ExitCode> {
+  const { settings: file } = options;
+  if (options.platform === undefined && file !== undefined) {
+    const settings = loadSettings(file);
+    if (settings.isErr()) {
+      const mistakes = settings.error;
+      return Err(warnMistakes(terminal, { file, mistakes }));
+    }
+    const { url, timeoutMs } = settings.value.platform;
+    const timeout = timeoutMs ? { timeoutMs } : {};
+    return Ok(createPlatformStore(url, { caller: CALLER, ...timeout }));
+  }
+  const url = options.platform ?? process.env[PLATFORM_VARIABLE];
+  if (!url) {
+    terminal.warn(formatDiagnostic("platform_missing", {}));
+    return Err(EXIT_INVALID);
+  }
+  return Ok(createPlatformStore(url, { caller: CALLER }));
+}
+
+/** Tells why an edit was not accepted. */
+export function warnEdit(terminal: Terminal, err: EditErr): ExitCode {
+  switch (err.kind) {
+    case "invalid":
+      err.problems.forEach(({ path, found, allowed }) =>
+        terminal.warn(
+          formatDiagnostic("list_invalid", {
+            path,
+            found: describeValue(found),
+            allowed,
+          }),
+        )
+      );
+      return EXIT_INVALID;
+    case "conflict": {
+      const { key, version } = err.current;
+      terminal.warn(formatDiagnostic("list_conflict", { key, version }));
+      formatDifferences(err.differences).forEach(terminal.warn);
+      return EXIT_FAILED;
+    }
+    case "unknown":
+      terminal.warn(formatDiagnostic("edit_unknown", {}));
+      return EXIT_FAILED;
+    case "unreachable":
+      terminal.warn(formatDiagnostic("platform_unreachable", {}));
+      return EXIT_FAILED;
+    case "rejected":
+      terminal.warn(
+        formatDiagnostic("platform_rejected", { detail: err.detail }),
+      );
+      return EXIT_FAILED;
+    case "not_found":
+      terminal.warn(formatDiagnostic("name_unknown", { name: err.name }));
+      return EXIT_FAILED;
+    default:
+      return assertNever(err);
+  }
+}
--- /dev/null
+++ b/src/cli/status.ts
@@ -0,0 +1,77 @@
+/** `turmericchute status`: shows the status of the fleet. */
+
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import { sleep } from "../core/clock.ts";
+import {
+  EXIT_FAILED,
+  EXIT_INVALID,
+  EXIT_OK,
+  type ExitCode,
+  type Register,
+  type Terminal,
+} from "./command.ts";
+import { mergeStatuses } from "./fleet_status.ts";
+import {
+  fetchStatus,
+  findOperators,
+  type OperatorsOptions,
+} from "./operators.ts";
+import { renderFleet } from "./status_tables.ts";
+
+const WATCH_INTERVAL_MS = 2_000;
+const CLEAR_SCREEN = "\u001b[H\u001b[2J";
+
+interface StatusOptions extends OperatorsOptions {
+  readonly watch?: boolean;
+  readonly json?: boolean;
+}
+
+/** Adds the command. */
+export const registerStatus: Register = (cli, terminal) => {
+  cli.command("status", "Show groups, hosts, workspaces and refusals")
+    .option("--url <url>", "URL of an operators' port; may be given repeatedly")
+    .option("--settings <file>", "Settings of a host; may be given repeatedly")
+    .option("--watch", "Show it again every two seconds")
+    .option("--json", "Print one JSON object")
+    .example("turmericchute status --url http://10.0.0.7:7001")
+    .example("turmericchute status --settings h1.yaml --watch")
+    .action(async (options: StatusOptions) => {
+      const urls = findOperators(options);
+      if (urls.length === 0) {
+        terminal.warn(formatDiagnostic("operators_missing", {}));
+        return EXIT_INVALID;
+      }
+      while (options.watch) {
+        if (!options.json) {
+          terminal.print(CLEAR_SCREEN);
+        }
+        await show(terminal, { urls, options });
+        await sleep(WATCH_INTERVAL_MS);
+      }
+      return await show(terminal, { urls, options });
+    });
+};
+
+async function show(
+  terminal: Terminal,
+  given: { readonly urls: readonly string[]; readonly options: StatusOptions },
+): Promise<ExitCode> {
+  const found = await Promise.all(given.urls.map(async (url) => ({
+    url,
+    status: await fetchStatus(url),
+  })));
+  for (const { url, status } of found) {
+    if (status.isErr()) {
+      const detail = status.error;
+      terminal.warn(formatDiagnostic("host_unreachable", { url, detail }));
+    }
+  }
+  const statuses = found.flatMap(({ status }) =>
+    status.isOk() ? [status.value] : []
+  );
+  const fleet = mergeStatuses(statuses);
+  terminal.print(
+    given.options.json ? JSON.stringify(fleet) : renderFleet(fleet),
+  );
+  return statuses.length === found.length ? EXIT_OK : EXIT_FAILED;
+}
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -38,6 +38,63 @@
   },
   usage_invalid: { code: 3003, text: "{detail}" },
   command_failed: { code: 3004, text: "failed: {detail}" },
+  action_unknown: {
+    code: 3005,
+    text: "no such action: {found}, allowed: {allowed}",
+  },
+  argument_missing: { code: 3006, text: "{what} is missing" },
+  platform_missing: {
+    code: 3007,
+    text: "name the platform by --platform URL, --settings FILE or " +
+      "TURMERICCHUTE_PLATFORM",
+  },
+  operators_missing: {
+    code: 3008,
+    text: "name the operators' ports by --url URL, --settings FILE or " +
+      "TURMERICCHUTE_OPERATORS",
+  },
+  option_invalid: {
+    code: 3009,
+    text: "--{option}: found {found}, allowed: {allowed}",
+  },
+  list_applied: { code: 4001, text: "{list}: accepted as version {version}" },
+  list_unchanged: { code: 4002, text: "{list}: nothing to change" },
+  list_invalid: {
+    code: 4003,
+    text: "{path}: found {found}, allowed: {allowed}",
+  },
+  list_conflict: {
+    code: 4004,
+    text:
+      "{key} was changed by another operator and is at version {version}; " +
+      "what the other change made of it:",
+  },
+  list_outdated: {
+    code: 4005,
+    text: "{list} was changed since the file was written and is at version " +
+      "{version}; what it holds now in place of the file:",
+  },
+  edit_unknown: {
+    code: 4006,
+    text: "the platform gave no answer; the change may have taken effect",
+  },
+  platform_unreachable: {
+    code: 4007,
+    text: "the platform cannot be reached; nothing was changed",
+  },
+  platform_rejected: { code: 4008, text: "the platform refused: {detail}" },
+  name_unknown: { code: 4009, text: "there is no {name}" },
+  key_issued: { code: 4101, text: "key {keyId} of {workspace}, shown once:" },
+  key_withdrawn: { code: 4102, text: "key {keyId} withdrawn" },
+  key_rotated: {
+    code: 4103,
+    text: "key {keyId} replaces {old}, which stays valid for {overlapMs} ms; " +
+      "shown once:",
+  },
+  target_leaving: { code: 4201, text: "{target} is leaving: no new work" },
+  target_returned: { code: 4202, text: "{target} takes work again" },
+  host_draining: { code: 4203, text: "{url} is draining" },
+  host_unreachable: { code: 4204, text: "{url}: no answer: {detail}" },
 } as const satisfies Readonly<Record<string, Diagnostic>>;
 
 /** Name of a message. */
--- a/src/core/mistakes.ts
+++ b/src/core/mistakes.ts
@@ -140,7 +140,8 @@
   return minimum === undefined ? "" : ` of at least ${minimum}`;
 }
 
-function describeValue(value: unknown): string {
+/** Shows a value in a few words. */
+export function describeValue(value: unknown): string {
   if (value === undefined) {
     return "nothing";
   }
--- a/src/host/latency_report.ts
+++ b/src/host/latency_report.ts
@@ -46,7 +46,8 @@
     series.cumulative.push({ leMs, count: sample.value });
     found.set(key, series);
   }
-  return [...found.values()].map(summarize);
+  return [...found].sort(([a], [b]) => a.localeCompare(b))
+    .map(([, series]) => summarize(series));
 }
 
 function summarize(series: LatencySeries): LatencyReport {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -12,7 +12,21 @@
 import { createUsage, type Usage } from "./usage.ts";
 
 const METRIC_PREFIX = "turmericchute_";
-const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
+/** Upper bounds of the buckets of every histogram. */
+export const BUCKETS_MS = [
+  1,
+  2,
+  5,
+  10,
+  20,
+  50,
+  100,
+  200,
+  500,
+  1_000,
+  2_000,
+  5_000,
+];
 
 /** What each metric counts, for the metrics collector. */
 const HELP: Partial<
--- a/src/host/status_page.ts
+++ b/src/host/status_page.ts
@@ -1,6 +1,7 @@
 /** Writes the status of a host as a plain page. */
 
 import type { LatencyReport } from "./latency_report.ts";
+import { BUCKETS_MS } from "./metrics.ts";
 import type {
   GroupReport,
   HostStatus,
@@ -67,6 +68,8 @@
     )
   }
 <h2>Latency by workspace and class</h2>
+<p>Bars stand for rising bounds in milliseconds: ${BUCKETS_MS.join(", ")}, more.
+</p>
 ${renderLatencies(status.latencies)}
 <h2>Configuration</h2>
 ${
--- /dev/null
+++ b/test/cli.test.ts
@@ -0,0 +1,273 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import type { Server } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { stringify } from "yaml";
+import { runCli } from "../src/cli/cli.ts";
+import { createPlatformServer } from "../standins/platform_server.ts";
+import { listen } from "../standins/serve.ts";
+import {
+  buildGroups,
+  buildPlans,
+  buildServices,
+  LAKAZ,
+} from "../tools/workloads.ts";
+
+let platform: Server;
+let platformUrl: string;
+let dir: string;
+
+interface Outcome {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+async function run(...args: readonly string[]): Promise<Outcome> {
+  const out: string[] = [];
+  const err: string[] = [];
+  const argv = ["node", "turmericchute", ...args];
+  const code = await runCli(argv, {
+    print: (line) => out.push(line),
+    warn: (line) => err.push(line),
+  });
+  return { code, out: out.join("\n"), err: err.join("\n") };
+}
+
+function onPlatform(...args: readonly string[]): Promise<Outcome> {
+  return run(...args, "--platform", platformUrl);
+}
+
+function write(name: string, text: string): string {
+  const file = join(dir, name);
+  writeFileSync(file, text);
+  return file;
+}
+
+async function applyAll(): Promise<void> {
+  const groups = buildGroups(LAKAZ, () => "ws://127.0.0.1:1");
+  const lists = {
+    groups: { kind: "groups", groups },
+    services: buildServices(LAKAZ),
+    plans: buildPlans(LAKAZ),
+  };
+  for (const [list, value] of Object.entries(lists)) {
+    const file = write(`${list}.yaml`, stringify(value));
+    expect(await onPlatform(list, "apply", file)).toMatchObject({ code: 0 });
+  }
+}
+
+beforeEach(async () => {
+  platform = createPlatformServer();
+  platformUrl = `http://127.0.0.1:${await listen(platform, 0)}`;
+  dir = mkdtempSync(join(tmpdir(), "turmericchute-cli-"));
+});
+
+afterEach(() => {
+  platform.close();
+  platform.closeAllConnections();
+  vi.restoreAllMocks();
+});
+
+test("each command has help with an example", async () => {
+  const info = vi.spyOn(console, "info").mockImplementation(() => {});
+  const top = await run("--help");
+  expect(top.code).toBe(0);
+  const listed = `${info.mock.calls.at(-1)}`.matchAll(/^ {2}([a-z]+) /gm);
+  const commands = [...listed].map((match) => match[1]!);
+  expect(commands).toEqual([
+    "run",
+    "check",
+    "plans",
+    "services",
+    "groups",
+    "keys",
+    "drain",
+    "status",
+  ]);
+  for (const command of commands) {
+    expect(await run(command, "--help")).toMatchObject({ code: 0 });
+    expect(`${info.mock.calls.at(-1)}`).toContain(`turmericchute ${command} `);
+  }
+});
+
+test("wrong usage exits with 2 and says why", async () => {
+  vi.stubEnv("TURMERICCHUTE_PLATFORM", "");
+  vi.stubEnv("TURMERICCHUTE_OPERATORS", "");
+  const usages = [
+    ["stats"],
+    ["frobnicate"],
+    ["check"],
+    ["check", "host.yaml", "--jsn"],
+    ["plans", "show"],
+    ["plans", "aply", "--platform", platformUrl],
+    ["plans", "apply", "--platform", platformUrl],
+    ["keys", "issue", "--platform", platformUrl],
+    ["drain", "rack", "r1"],
+    ["status"],
+  ];
+  const outcomes = [];
+  for (const usage of usages) {
+    const { code, err } = await run(...usage);
+    outcomes.push(`${code} ${err}`);
+  }
+  expect(outcomes).toMatchInlineSnapshot(`
+    [
+      "2 no such command: stats, did you mean status?",
+      "2 no such command: frobnicate",
+      "2 missing required args for command \`check <settings>\`",
+      "2 Unknown option \`--jsn\`",
+      "2 name the platform by --platform URL, --settings FILE or TURMERICCHUTE_PLATFORM",
+      "2 no such action: aply, allowed: apply, show, diff",
+      "2 the name of a file, or - for the standard input, is missing",
+      "2 the name of a workspace is missing",
+      "2 no such action: rack, allowed: target, host",
+      "2 name the operators' ports by --url URL, --settings FILE or TURMERICCHUTE_OPERATORS",
+    ]
+  `);
+});
+
+test("a settings file with ten mistakes answers with ten lines", async () => {
+  const file = write(
+    "host.yaml",
+    stringify({
+      host: "H 1",
+      domain: 7,
+      callers: { adress: "127.0.0.1", port: 70_000 },
+      peers: { address: "127.0.0.1", port: "many" },
+      platform: { url: "ftp://store" },
+      requests: { defaultTimeoutMs: 500, maxTimeoutMs: 100 },
+      watchdog: true,
+    }),
+  );
+  const checked = await run("check", file);
+  expect(checked.code).toBe(2);
+  expect(checked.err.split("\n")).toHaveLength(10);
+  expect(checked.err).not.toContain("    at ");
+  expect((await run("run", file)).err).toBe(checked.err);
+});
+
+test("lists are applied, shown and compared", async () => {
+  await applyAll();
+  const shown = await onPlatform("plans", "show");
+  const file = write("plans.yaml", shown.out);
+  expect(await onPlatform("plans", "diff", file)).toMatchObject({
+    code: 0,
+    out: "",
+  });
+  const changed = shown.out.replace("plan-5", "plan-10")
+    .replace("  - workspace: litigants\n    plan: plan-20\n", "");
+  write("plans.yaml", changed);
+  const diff = await onPlatform("plans", "diff", file, "--exit-code");
+  expect(diff).toMatchInlineSnapshot(`
+    {
+      "code": 1,
+      "err": "",
+      "out": "- workspaces.litigants: {"workspace":"litigants","plan":"plan-20"}
+    ~ workspaces.archive.plan: "plan-5" -> "plan-10"",
+    }
+  `);
+  const applied = await onPlatform("plans", "apply", file, "--json");
+  expect(JSON.parse(applied.out)).toMatchObject({ list: "plans" });
+  const again = await onPlatform("plans", "diff", file, "--exit-code");
+  expect(again).toMatchObject({ code: 0, out: "" });
+});
+
+test("of two operators who edit the same list one is told", async () => {
+  await applyAll();
+  const shown = (await onPlatform("plans", "show")).out;
+  const first = write("first.yaml", shown.replace("plan-5", "plan-10"));
+  const second = write("second.yaml", shown.replace("plan-5", "plan-60"));
+  expect(await onPlatform("plans", "apply", first)).toMatchObject({ code: 0 });
+  const late = await onPlatform("plans", "apply", second);
+  expect(late.code).toBe(1);
+  expect(late.err.replace(/version \d+/, "version N")).toMatchInlineSnapshot(`
+    "plans was changed since the file was written and is at version N; what it holds now in place of the file:
+    ~ workspaces.archive.plan: "plan-60" -> "plan-10""
+  `);
+});
+
+test("a list that is not valid is refused with every mistake", async () => {
+  await applyAll();
+  const file = write(
+    "services.yaml",
+    stringify({
+      plans: [
+        { plan: "plan-5", ratePersecond: 5, burst: 0, services: [] },
+        { plan: "Plan 10", ratePerSecond: -1, burst: 1, services: [] },
+      ],
+    }),
+  );
+  const refused = await onPlatform("services", "apply", file);
+  expect(refused.code).toBe(2);
+  expect(refused.err.replaceAll(file, "services.yaml"))
+    .toMatchInlineSnapshot(`
+      "services.yaml: plans[0].ratePerSecond: found nothing, required: a number above 0 [TC1005]
+      services.yaml: plans[0].ratePersecond: found an unknown key, did you mean ratePerSecond? allowed: plan, ratePerSecond, burst, services [TC1004]
+      services.yaml: plans[0].burst: found 0, allowed: a number of at least 1 [TC1006]
+      services.yaml: plans[1].plan: found "Plan 10", allowed: text that matches ^[a-z0-9][a-z0-9-]*$ [TC1006]
+      services.yaml: plans[1].ratePerSecond: found -1, allowed: a number above 0 [TC1006]"
+    `);
+});
+
+test("lists that do not fit together are refused", async () => {
+  await applyAll();
+  const file = write(
+    "plans.yaml",
+    "workspaces: [{ workspace: archive, plan: plan-7 }]\n",
+  );
+  const refused = await onPlatform("plans", "apply", file);
+  expect(refused).toMatchInlineSnapshot(`
+    {
+      "code": 2,
+      "err": "plans.workspaces[0].plan: found "plan-7", allowed: plan-60, plan-30, plan-20, plan-10, plan-5",
+      "out": "",
+    }
+  `);
+});
+
+test("keys are issued, rotated, withdrawn and listed", async () => {
+  await applyAll();
+  const issued = await onPlatform("keys", "issue", "archive");
+  expect(issued.code).toBe(0);
+  expect(issued.out).toMatch(/^tck_[0-9a-f]{18}_[0-9a-f]{48}$/);
+  const keyId = issued.out.split("_")[1]!;
+  const rotated = JSON.parse(
+    (await onPlatform("keys", "rotate", keyId, "--json")).out,
+  );
+  expect(rotated).toMatchObject({ workspace: "archive" });
+  const withdrawn = await onPlatform("keys", "withdraw", keyId);
+  expect(withdrawn).toMatchObject({ code: 0 });
+  const listed = await onPlatform("keys", "list", "archive", "--json");
+  const records = JSON.parse(listed.out);
+  expect(records).toHaveLength(2);
+  expect(records[0].keyId).toBe(keyId);
+  expect(records[0].withdrawnAt).toBeDefined();
+  expect(records[1].keyId).toBe(rotated.keyId);
+  expect(listed.out).not.toContain("hash");
+  expect(await onPlatform("keys", "issue", "nobody")).toMatchObject({
+    code: 1,
+    err: "there is no nobody",
+  });
+});
+
+test("a target is drained and taken back", async () => {
+  await applyAll();
+  const args = ["drain", "target", "ordering-1-2"];
+  expect(await onPlatform(...args)).toMatchObject({ code: 0 });
+  expect((await onPlatform("groups", "show")).out).toContain("leaving: true");
+  expect(await onPlatform(...args, "--undo")).toMatchObject({ code: 0 });
+  expect((await onPlatform("groups", "show")).out)
+    .not.toContain("leaving: true");
+  expect(await onPlatform("drain", "target", "none")).toMatchObject({
+    code: 1,
+  });
+});
+
+test("a platform that is away is told with exit code 1", async () => {
+  platform.close();
+  platform.closeAllConnections();
+  const outcome = await onPlatform("plans", "show");
+  expect(outcome).toMatchObject({ code: 1, out: "" });
+});
