--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -3,7 +3,7 @@
 import { randomBytes } from "node:crypto";
 import { mersenne } from "pure-rand/generator/mersenne";
 import { nowMs } from "../core/clock.ts";
-import { createHost, type Host } from "../core/host.ts";
+import { createHost, type Host, type HostPolicies } from "../core/host.ts";
 import type { HostIo, Stoppable } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
 import { createCallerServer } from "../host/caller_server.ts";
@@ -30,14 +30,27 @@
   readonly stopped: Promise<void>;
 }
 
+/** What a program that embeds a host may replace. */
+export interface RunHostOptions {
+  readonly policies?: HostPolicies;
+  readonly wrapIo?: (io: HostIo) => HostIo;
+}
+
 /** Starts a host and resolves when it accepts callers. */
-export async function runHost(settings: Settings): Promise<RunningHost> {
+export async function runHost(
+  settings: Settings,
+  options: RunHostOptions = {},
+): Promise<RunningHost> {
   const startedAt = nowMs();
   const metrics = createMetrics();
   const links = createPeerLinks(settings, metrics);
   const targets = createTargetDriver(settings, metrics);
   const io = createIo(settings, { metrics, links, targets });
-  const host = createHost(io, settings);
+  const host = createHost(
+    options.wrapIo?.(io) ?? io,
+    settings,
+    options.policies,
+  );
   const callers = createCallerServer(host, settings.callers);
   let state: HostState = "starting";
   let draining: Promise<void> | undefined;
