--- /dev/null
+++ b/src/core/grants.ts
@@ -0,0 +1,228 @@
+/** The owner of workspaces: pools the shares lent to it and grants tokens. */
+
+import type {
+  DelegateReq,
+  DelegateRes,
+  GrantReq,
+  GrantRes,
+} from "../generated/peer.ts";
+import { nowMs } from "./clock.ts";
+import type { HostId, WorkspaceId } from "./ids.ts";
+import { CLOCK_DRIFT } from "./seats.ts";
+import {
+  createTokenPool,
+  type ShareSize,
+  type TokenPool,
+} from "./token_pool.ts";
+import type { Stoppable } from "./types.ts";
+
+/** Longest time that tokens are granted for, in milliseconds. */
+export const GRANT_MS = 700;
+
+const COLLECT_MS = 200;
+const COLLECT_TIMEOUT_MS = 400;
+const ACTIVE_MS = 500;
+const SHORT_MS = 300;
+/** Longest time that a statement of a silent host counts as running. */
+const MAX_STATEMENT_MS = 10_000;
+
+/** Grants the tokens of the workspaces that other hosts ask this one for. */
+export interface Grants extends Stoppable {
+  start(): void;
+  receive(req: GrantReq): Promise<GrantRes>;
+}
+
+/** What grants are made of. */
+export interface GrantsOptions {
+  readonly incarnation: string;
+  listAlive(): readonly HostId[];
+  tryShareSize(workspace: WorkspaceId): ShareSize | undefined;
+  /** Asks a host for shares; undefined without an answer. */
+  delegate(
+    host: HostId,
+    req: DelegateReq,
+    timeoutMs: number,
+  ): Promise<DelegateRes | undefined>;
+}
+
+type Want = GrantReq["wants"][number];
+
+interface Sender {
+  granted: number;
+  settled: number;
+  seq: number;
+  /** When the last of its tokens expires. */
+  until: number;
+}
+
+interface Owned {
+  readonly pool: TokenPool;
+  readonly senders: Map<string, Sender>;
+  size: ShareSize;
+  askedAt: number;
+  shortAt: number;
+  collecting: Promise<void> | undefined;
+}
+
+/** Creates the owner role of a host. */
+export function createGrants(options: GrantsOptions): Grants {
+  const { incarnation } = options;
+  const owned = new Map<WorkspaceId, Owned>();
+  let timer: NodeJS.Timeout | undefined;
+
+  function getOwned(workspace: WorkspaceId, size: ShareSize): Owned {
+    const found = owned.get(workspace);
+    if (found) {
+      return found;
+    }
+    const entry: Owned = {
+      pool: createTokenPool(() => entry.size),
+      senders: new Map(),
+      size,
+      askedAt: 0,
+      shortAt: -Infinity,
+      collecting: undefined,
+    };
+    owned.set(workspace, entry);
+    return entry;
+  }
+
+  /** Asks every host for the shares of its seats, or to extend them. */
+  async function collect(workspaces: readonly WorkspaceId[]): Promise<void> {
+    const req: DelegateReq = {
+      kind: "delegate",
+      owner: incarnation,
+      workspaces: [...workspaces],
+    };
+    await Promise.all(options.listAlive().map(async (host) => {
+      const sentAt = nowMs();
+      const res = await options.delegate(host, req, COLLECT_TIMEOUT_MS);
+      for (const { workspace, seat, ttlMs, tokens } of res?.shares ?? []) {
+        const until = sentAt + ttlMs;
+        owned.get(workspace)?.pool.setShare(seat, { until, tokens });
+      }
+    }));
+  }
+
+  async function collectFirst(
+    workspace: WorkspaceId,
+    entry: Owned,
+  ): Promise<void> {
+    entry.collecting ??= collect([workspace]).finally(() =>
+      entry.collecting = undefined
+    );
+    await entry.collecting;
+  }
+
+  /** Counts the statements of hosts that went silent as ended. */
+  function dropSilent(entry: Owned): void {
+    for (const [key, sender] of entry.senders) {
+      if (nowMs() > sender.until + MAX_STATEMENT_MS) {
+        entry.pool.settle(sender.granted - sender.settled);
+        entry.senders.delete(key);
+      }
+    }
+  }
+
+  function collectAll(): void {
+    const now = nowMs();
+    for (const [workspace, entry] of owned) {
+      dropSilent(entry);
+      if (now - entry.askedAt > ACTIVE_MS && entry.senders.size === 0) {
+        owned.delete(workspace);
+      }
+    }
+    const active = [...owned]
+      .filter(([, entry]) => now - entry.askedAt <= ACTIVE_MS)
+      .map(([workspace]) => workspace);
+    if (active.length > 0) {
+      void collect(active);
+    }
+  }
+
+  function settle(
+    entry: Owned,
+    given: { readonly req: GrantReq; readonly want: Want },
+  ): Sender | undefined {
+    const { req, want } = given;
+    const isKnown = req.owner === incarnation;
+    const received = isKnown ? want.received : 0;
+    const sender = entry.senders.get(req.sender) ??
+      { granted: received, settled: received, seq: -1, until: nowMs() };
+    if (sender.seq >= req.seq) {
+      return undefined;
+    }
+    sender.seq = req.seq;
+    entry.senders.set(req.sender, sender);
+    // Tokens whose grant did not arrive will never be used.
+    const lost = Math.max(0, sender.granted - received);
+    const ended = Math.max(0, (isKnown ? want.settled : 0) - sender.settled);
+    entry.pool.settle(lost + ended);
+    sender.granted -= lost;
+    sender.settled += ended;
+    return sender;
+  }
+
+  function grant(
+    req: GrantReq,
+    given: { readonly want: Want; readonly entry: Owned; readonly sentAt: number },
+  ): GrantRes["grants"][number] {
+    const { want, entry, sentAt } = given;
+    const now = nowMs();
+    const sender = entry.senders.get(req.sender);
+    const isCurrent = sender?.seq === req.seq;
+    const granted = isCurrent
+      ? entry.pool.grant(want.tokens, GRANT_MS)
+      : { tokens: 0, until: now };
+    if (sender && isCurrent) {
+      sender.granted += granted.tokens;
+      sender.until = Math.max(sender.until, granted.until);
+    }
+    if (granted.tokens < want.tokens) {
+      entry.shortAt = now;
+    }
+    return {
+      workspace: want.workspace,
+      tokens: granted.tokens,
+      // The sender counts from its sending, which was before `sentAt`.
+      ttlMs: Math.max(0, granted.until - sentAt) / CLOCK_DRIFT,
+      waitMs: entry.pool.getWaitMs(1),
+      recall: now - entry.shortAt < SHORT_MS,
+    };
+  }
+
+  return {
+    start() {
+      timer = setInterval(collectAll, COLLECT_MS);
+    },
+    async receive(req) {
+      const receivedAt = nowMs();
+      const entries = req.wants.flatMap((want) => {
+        const size = options.tryShareSize(want.workspace);
+        if (!size) {
+          return [];
+        }
+        const entry = getOwned(want.workspace, size);
+        entry.size = size;
+        entry.askedAt = receivedAt;
+        return settle(entry, { req, want }) ? [{ want, entry }] : [];
+      });
+      const missing = entries.filter(({ want, entry }) =>
+        want.tokens > 0 && !entry.pool.hasShares()
+      );
+      await Promise.all(
+        missing.map(({ want, entry }) => collectFirst(want.workspace, entry)),
+      );
+      return {
+        kind: "grant",
+        owner: incarnation,
+        grants: entries.map(({ want, entry }) =>
+          grant(req, { want, entry, sentAt: receivedAt })
+        ),
+      };
+    },
+    stop() {
+      clearInterval(timer);
+    },
+  };
+}
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -1,49 +1,281 @@
-/** Rate and burst of each workspace, counted over the whole fleet. */
+/**
+ * Rate and burst of each workspace, counted over the whole fleet. A statement
+ * is sent with a token, which the owner of the workspace granted this host.
+ */
 
-import { Err, Ok, type Result } from "ts-results-es";
+import type {
+  DelegateReq,
+  DelegateRes,
+  GrantReq,
+  GrantRes,
+  SeatVoteReq,
+  SeatVoteRes,
+} from "../generated/peer.ts";
 import { nowMs } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
-import type { Failure } from "./errors.ts";
-import type { WorkspaceId } from "./ids.ts";
+import { createDelegations } from "./delegations.ts";
+import { createGrants } from "./grants.ts";
+import { rankNodes } from "./hash.ts";
+import type { HostId, WorkspaceId } from "./ids.ts";
+import { createSeats } from "./seats.ts";
+import { createTokenStock, type Token, type TokenStock } from "./token_stock.ts";
+import { getShareSize, type ShareSize } from "./token_pool.ts";
+import type { HostIo, PeerReq, PeerRes, Stoppable } from "./types.ts";
 
-const MS_PER_SECOND = 1_000;
+const ASK_INTERVAL_MS = 100;
+const ASK_TIMEOUT_MS = 250;
+/** An owner that did not answer is passed over for this long. */
+const SUSPECT_MS = 1_000;
+const IDLE_MS = 2_000;
+
+/** Messages between hosts that limits handle. */
+export type LimitsReq = SeatVoteReq | DelegateReq | GrantReq;
+/** Answers to them. */
+export type LimitsRes = SeatVoteRes | DelegateRes | GrantRes;
 
 /** Decides whether a workspace may send one more statement. */
-export interface Limits {
-  tryTake(workspace: WorkspaceId): Result<void, Failure>;
+export interface Limits extends Stoppable {
+  start(): void;
+  /** Takes a token for a statement that is to be sent now. */
+  tryTake(workspace: WorkspaceId): Token | undefined;
+  /** Tells how many requests of a workspace wait at `waiter` for a token. */
+  setWaiting(
+    waiter: object,
+    options: { readonly workspace: WorkspaceId; readonly count: number },
+  ): void;
+  /** Time until a request behind `ahead` others can expect a token. */
+  getWaitMs(workspace: WorkspaceId, ahead: number): number;
+  /** Calls back when tokens of a workspace have arrived or will not come. */
+  onChange(listener: (workspace: WorkspaceId) => void): () => void;
+  receive(req: LimitsReq): Promise<LimitsRes>;
+  /** Gives up seats and tokens; the host sends nothing more. */
+  release(): Promise<void>;
+}
+
+/** What limits are made of. */
+export interface LimitsOptions {
+  readonly self: HostId;
+  readonly cfg: Pick<Configuration, "tryAllowance">;
+  /** Hosts that are alive, this one included. */
+  listAlive(): readonly HostId[];
+  /** Calls a peer; undefined without an answer. */
+  call(
+    host: HostId,
+    req: PeerReq,
+    options: { readonly timeoutMs: number },
+  ): Promise<PeerRes | undefined>;
 }
 
-interface Bucket {
-  tokens: number;
-  at: number;
+interface OwnerLink {
+  incarnation: string;
+  seq: number;
+  busy: boolean;
+  /** There is more to ask for when the answer has come. */
+  again: boolean;
+  suspectUntil: number;
 }
 
-/** Creates limits that give each of `hosts` hosts an equal, fixed share. */
-export function createStaticLimits(
-  cfg: Configuration,
-  options: { readonly hosts: number },
-): Limits {
-  const buckets = new Map<WorkspaceId, Bucket>();
+/** Creates the limits of a host, with its seats and its owner role. */
+export function createLimits(io: HostIo, options: LimitsOptions): Limits {
+  const { self, cfg } = options;
+  const incarnation = `${self}.${io.random().toString(36).slice(2)}`;
+  const stocks = new Map<WorkspaceId, TokenStock>();
+  const links = new Map<HostId, OwnerLink>();
+  const listeners = new Set<(workspace: WorkspaceId) => void>();
+  let timer: NodeJS.Timeout | undefined;
+
+  function tryShareSize(workspace: WorkspaceId): ShareSize | undefined {
+    const plan = cfg.tryAllowance(workspace);
+    return plan && getShareSize(plan);
+  }
+
+  const seats = createSeats(io, {
+    self,
+    incarnation,
+    listAlive: options.listAlive,
+    async vote(peer, req, timeoutMs) {
+      const res = await options.call(peer, req, { timeoutMs });
+      return res?.kind === "seat_vote" ? res : undefined;
+    },
+  });
+  const delegations = createDelegations({
+    listSeats: seats.list,
+    tryShareSize,
+  });
+  const grants = createGrants({
+    incarnation,
+    listAlive: options.listAlive,
+    tryShareSize,
+    async delegate(host, req, timeoutMs) {
+      if (host === self) {
+        return delegations.receive(req);
+      }
+      const res = await options.call(host, req, { timeoutMs });
+      return res?.kind === "delegate" ? res : undefined;
+    },
+  });
+
+  function getLink(owner: HostId): OwnerLink {
+    const found = links.get(owner) ?? {
+      incarnation: "",
+      seq: 0,
+      busy: false,
+      again: false,
+      suspectUntil: -Infinity,
+    };
+    links.set(owner, found);
+    return found;
+  }
+
+  function getOwner(workspace: WorkspaceId): HostId {
+    const ranked = rankNodes(workspace, [...options.listAlive()]);
+    return ranked.find((host) => getLink(host).suspectUntil <= nowMs()) ??
+      ranked[0] ?? self;
+  }
+
+  function getStock(workspace: WorkspaceId): TokenStock {
+    const found = stocks.get(workspace);
+    if (found) {
+      return found;
+    }
+    const stock = createTokenStock({ getOwner: () => getOwner(workspace) });
+    stocks.set(workspace, stock);
+    return stock;
+  }
+
+  function notify(workspace: WorkspaceId): void {
+    listeners.forEach((listener) => listener(workspace));
+  }
+
+  async function callOwner(
+    owner: HostId,
+    req: GrantReq,
+  ): Promise<GrantRes | undefined> {
+    if (owner === self) {
+      return await grants.receive(req);
+    }
+    const timeoutMs = ASK_TIMEOUT_MS;
+    const res = await options.call(owner, req, { timeoutMs });
+    return res?.kind === "grant" ? res : undefined;
+  }
+
+  function apply(
+    owner: HostId,
+    given: { readonly res: GrantRes; readonly sentAt: number },
+  ): void {
+    const { res, sentAt } = given;
+    const link = getLink(owner);
+    if (link.incarnation !== res.owner) {
+      link.incarnation = res.owner;
+      stocks.forEach((stock) => stock.resetTotals(owner));
+    }
+    for (const grant of res.grants) {
+      getStock(grant.workspace).receive(grant, {
+        owner,
+        incarnation: res.owner,
+        sentAt,
+      });
+    }
+    res.grants.forEach((grant) => notify(grant.workspace));
+  }
+
+  /** Asks an owner for what is wanted, one request at a time. */
+  async function ask(owner: HostId): Promise<void> {
+    const link = getLink(owner);
+    if (link.busy) {
+      link.again = true;
+      return;
+    }
+    const wants = [...stocks].flatMap(([workspace, stock]) => {
+      const want = stock.tryWant(owner);
+      return want ? [{ workspace, ...want }] : [];
+    });
+    if (wants.length === 0) {
+      return;
+    }
+    link.busy = true;
+    link.again = false;
+    const sentAt = nowMs();
+    const req: GrantReq = {
+      kind: "grant",
+      sender: incarnation,
+      owner: link.incarnation,
+      seq: link.seq++,
+      wants,
+    };
+    const res = await callOwner(owner, req);
+    link.busy = false;
+    if (res) {
+      apply(owner, { res, sentAt });
+    } else {
+      link.suspectUntil = nowMs() + SUSPECT_MS;
+      wants.forEach(({ workspace }) => {
+        stocks.get(workspace)?.noteLost(owner);
+        askFor(workspace);
+      });
+    }
+    if (link.again) {
+      void ask(owner);
+    }
+  }
+
+  function askFor(workspace: WorkspaceId): void {
+    void ask(getOwner(workspace));
+  }
+
+  function askAll(): void {
+    const owners = new Set<HostId>();
+    for (const [workspace, stock] of stocks) {
+      stock.tick();
+      stock.listOwners().forEach((owner) => owners.add(owner));
+      if (stock.getIdleMs() > IDLE_MS && stock.isSettled()) {
+        stocks.delete(workspace);
+      }
+    }
+    owners.forEach((owner) => void ask(owner));
+    stocks.forEach((_, workspace) => notify(workspace));
+  }
 
   return {
+    start() {
+      seats.start();
+      grants.start();
+      timer = setInterval(askAll, ASK_INTERVAL_MS);
+    },
     tryTake(workspace) {
-      const plan = cfg.tryAllowance(workspace);
-      if (!plan) {
-        return Err({ error: "forbidden" });
+      return cfg.tryAllowance(workspace) && getStock(workspace).tryTake();
+    },
+    setWaiting(waiter, { workspace, count }) {
+      const stock = getStock(workspace);
+      stock.setWaiting(waiter, count);
+      if (stock.isShort()) {
+        askFor(workspace);
       }
-      const rate = plan.ratePerSecond / options.hosts / MS_PER_SECOND;
-      const burst = plan.burst / options.hosts;
-      const now = nowMs();
-      const bucket = buckets.get(workspace) ?? { tokens: burst, at: now };
-      bucket.tokens = Math.min(burst, bucket.tokens + (now - bucket.at) * rate);
-      bucket.at = now;
-      buckets.set(workspace, bucket);
-      if (bucket.tokens < 1) {
-        const retryAfterMs = Math.ceil((1 - bucket.tokens) / rate);
-        return Err({ error: "rate_limited", retryAfterMs });
+    },
+    getWaitMs(workspace, ahead) {
+      const plan = cfg.tryAllowance(workspace);
+      const perMs = (plan?.ratePerSecond ?? 0) / 1_000;
+      return plan ? getStock(workspace).getWaitMs(ahead, perMs) : 0;
+    },
+    onChange(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    async receive(req) {
+      switch (req.kind) {
+        case "seat_vote":
+          return seats.receive(req);
+        case "delegate":
+          return delegations.receive(req);
+        case "grant":
+          return await grants.receive(req);
       }
-      bucket.tokens -= 1;
-      return Ok(undefined);
+    },
+    release: seats.release,
+    stop() {
+      clearInterval(timer);
+      seats.stop();
+      grants.stop();
     },
   };
 }
--- a/src/core/object_keys.ts
+++ b/src/core/object_keys.ts
@@ -17,3 +17,11 @@
 export function getGroupStatusKey(group: GroupId): ObjectKey {
   return asId<ObjectKey>(`config/status/${group}`);
 }
+
+/** Prefix of the leases on shares of the limits. */
+export const SEATS_PREFIX = "seats/";
+
+/** Where the lease of a seat is kept. */
+export function getSeatKey(seat: number): ObjectKey {
+  return asId<ObjectKey>(`${SEATS_PREFIX}${seat}`);
+}
--- /dev/null
+++ b/src/core/seats.ts
@@ -0,0 +1,313 @@
+/**
+ * Leases on numbered seats, kept as objects of the platform. Each seat stands
+ * for an equal share of the rate and burst of every workspace.
+ */
+
+import type { SeatVoteReq, SeatVoteRes } from "../generated/peer.ts";
+import type { SeatLease } from "../generated/objects.ts";
+import { validatePlatformObject } from "../generated/objects_validate.ts";
+import { nowMs, sleep } from "./clock.ts";
+import type { HostId } from "./ids.ts";
+import { getSeatKey, SEATS_PREFIX } from "./object_keys.ts";
+import { createSeatVotes, VOTE_MS } from "./seat_votes.ts";
+import { SEAT_COUNT } from "./token_pool.ts";
+import type { HostIo, Stoppable, StoredObject } from "./types.ts";
+
+/** Time that a lease holds after its renewal was sent, in milliseconds. */
+export const SEAT_LEASE_MS = 5_000;
+/** Longest time that a share of a seat is lent for, in milliseconds. */
+export const DELEGATION_MS = 800;
+/** Allows for clocks that run at different speeds. */
+export const CLOCK_DRIFT = 1.02;
+
+const RENEW_MS = 1_500;
+const KEEP_MS = 500;
+/** The longest time that seats are kept without the platform. */
+const KEEP_MAX_MS = 3_600_000;
+const VOTE_TIMEOUT_MS = 400;
+const MAJORITY = Math.floor(SEAT_COUNT / 2) + 1;
+
+/** A seat that this process may use now. */
+export interface HeldSeat {
+  readonly seat: number;
+  /** The lease lapses then, on this process's monotonic clock. */
+  readonly until: number;
+  /** Since when every share that an earlier holder lent has lapsed. */
+  readonly since: number;
+}
+
+/** The seats of this host. */
+export interface Seats extends Stoppable {
+  start(): void;
+  /** Seats whose lease is in force at this moment. */
+  list(): HeldSeat[];
+  receive(req: SeatVoteReq): SeatVoteRes;
+  /** Frees the seats so that other hosts can take them at once. */
+  release(): Promise<void>;
+}
+
+/** What seats are made of. */
+export interface SeatsOptions {
+  readonly self: HostId;
+  readonly incarnation: string;
+  /** Hosts that are alive, this one included. */
+  listAlive(): readonly HostId[];
+  /** Asks a peer to vote; undefined without an answer. */
+  vote(
+    peer: HostId,
+    req: SeatVoteReq,
+    timeoutMs: number,
+  ): Promise<SeatVoteRes | undefined>;
+}
+
+interface Holding {
+  version: number;
+  until: number;
+  renewedAt: number;
+  readonly since: number;
+}
+
+interface Seen {
+  readonly version: number;
+  readonly lease: SeatLease | undefined;
+  /** When this version was first seen. */
+  readonly at: number;
+}
+
+/** Creates the seats of a host that holds none yet. */
+export function createSeats(io: HostIo, options: SeatsOptions): Seats {
+  const { self, incarnation } = options;
+  const held = new Map<number, Holding>();
+  const seen = new Map<number, Seen>();
+  const votes = createSeatVotes();
+  let stopped = false;
+  let releasing = false;
+
+  function isHeld(seat: number): boolean {
+    return (held.get(seat)?.until ?? 0) > nowMs();
+  }
+
+  function note(object: StoredObject, seat: number): void {
+    if (seen.get(seat)?.version === object.version) {
+      return;
+    }
+    const { value } = object;
+    const lease = validatePlatformObject(value) && value.kind === "seat"
+      ? value
+      : undefined;
+    seen.set(seat, { version: object.version, lease, at: nowMs() });
+  }
+
+  async function put(
+    seat: number,
+    options: { readonly version: number; readonly isFree?: boolean },
+  ): Promise<{ readonly sentAt: number; readonly version: number } | undefined> {
+    const sentAt = nowMs();
+    const lease: SeatLease = options.isFree
+      ? { kind: "seat", seat }
+      : { kind: "seat", seat, host: self, incarnation };
+    const key = getSeatKey(seat);
+    const res = await io.platform.put(key, lease, {
+      ifVersion: options.version,
+    });
+    if (res.isOk()) {
+      note(res.value, seat);
+      return { sentAt, version: res.value.version };
+    }
+    if (res.error.kind === "conflict") {
+      note(res.error.current, seat);
+    }
+    return undefined;
+  }
+
+  /** A change whose answer was lost shows as our own lease of a new version. */
+  function isOwn(seat: number): boolean {
+    return seen.get(seat)?.lease?.incarnation === incarnation;
+  }
+
+  async function renew(seat: number): Promise<void> {
+    const version = isOwn(seat)
+      ? seen.get(seat)!.version
+      : held.get(seat)!.version;
+    const res = await put(seat, { version });
+    const holding = held.get(seat);
+    if (!res || !holding) {
+      return;
+    }
+    holding.version = res.version;
+    holding.renewedAt = res.sentAt;
+    holding.until = Math.max(holding.until, res.sentAt + SEAT_LEASE_MS);
+  }
+
+  async function take(seat: number): Promise<void> {
+    const res = await put(seat, { version: seen.get(seat)?.version ?? 0 });
+    if (!res) {
+      return;
+    }
+    held.set(seat, {
+      version: res.version,
+      renewedAt: res.sentAt,
+      until: res.sentAt + SEAT_LEASE_MS,
+      since: nowMs() + DELEGATION_MS * CLOCK_DRIFT,
+    });
+    log("taken", seat);
+  }
+
+  function log(event: string, seat: number): void {
+    io.log({ component: "seats", event, fields: { seat } });
+  }
+
+  /** Whether a seat is free, or its lease has lapsed on our clock. */
+  function isVacant(seat: number): boolean {
+    const found = seen.get(seat);
+    return !found?.lease?.host || isOwn(seat) ||
+      nowMs() - found.at > SEAT_LEASE_MS * CLOCK_DRIFT;
+  }
+
+  function mayTakeAlone(seat: number): boolean {
+    const found = seen.get(seat);
+    return !found?.lease?.host || found.lease.host === self ||
+      nowMs() - found.at > KEEP_MAX_MS * CLOCK_DRIFT;
+  }
+
+  /** Seats that may vote: promises of an earlier holder have ended. */
+  function listVoters(): number[] {
+    return [...held]
+      .filter(([seat, { since }]) => isHeld(seat) && nowMs() > since + VOTE_MS)
+      .map(([seat]) => seat);
+  }
+
+  function receive(req: SeatVoteReq): SeatVoteRes {
+    const voters = listVoters();
+    const agreed = voters.length === 0
+      ? []
+      : req.ask === "keep"
+      ? votes.keep(req.seats)
+      : votes.take(req.seats);
+    return { kind: "seat_vote", voters, agreed };
+  }
+
+  /** Lists the seats that holders of a majority of seats agree on. */
+  async function poll(req: SeatVoteReq): Promise<number[]> {
+    const answers = await Promise.all(
+      options.listAlive().map((host) =>
+        host === self
+          ? receive(req)
+          : options.vote(host, req, VOTE_TIMEOUT_MS)
+      ),
+    );
+    return req.seats.map(({ seat }) => seat).filter((seat) => {
+      const voters = answers
+        .filter((res) => res?.agreed.includes(seat))
+        .flatMap((res) => res!.voters);
+      return new Set(voters).size >= MAJORITY;
+    });
+  }
+
+  /** Keeps the seats that the platform did not let us renew in time. */
+  async function keep(): Promise<void> {
+    const sentAt = nowMs();
+    const overdue = [...held].filter(([seat, holding]) =>
+      isHeld(seat) && sentAt - holding.renewedAt > RENEW_MS * 2 &&
+      sentAt - holding.renewedAt < KEEP_MAX_MS - VOTE_MS
+    );
+    if (overdue.length === 0) {
+      return;
+    }
+    const seats = overdue.map(([seat, { version }]) => ({ seat, version }));
+    const agreed = await poll({ kind: "seat_vote", ask: "keep", seats });
+    for (const [seat, holding] of overdue) {
+      // A lease that lapsed while the votes came in is not revived.
+      if (agreed.includes(seat) && isHeld(seat)) {
+        const until = sentAt + VOTE_MS / CLOCK_DRIFT;
+        holding.until = Math.max(holding.until, until);
+      }
+    }
+  }
+
+  async function listFree(): Promise<number[]> {
+    const res = await io.platform.list(SEATS_PREFIX);
+    if (res.isErr()) {
+      return [];
+    }
+    for (const object of res.value.objects) {
+      note(object, Number(object.key.slice(SEATS_PREFIX.length)));
+    }
+    const all = Array.from({ length: SEAT_COUNT }, (_, seat) => seat);
+    return all.filter((seat) => !held.has(seat) && isVacant(seat));
+  }
+
+  async function takeFree(): Promise<void> {
+    const free = await listFree();
+    const share = Math.ceil(SEAT_COUNT / Math.max(1, options.listAlive().length));
+    const room = share - held.size;
+    if (free.length === 0 || room <= 0) {
+      return;
+    }
+    const start = Math.floor(io.random() * free.length);
+    const wanted = [...free.slice(start), ...free.slice(0, start)]
+      .slice(0, room);
+    const asked = wanted.filter((seat) => !mayTakeAlone(seat));
+    const agreed = asked.length === 0 ? [] : await poll({
+      kind: "seat_vote",
+      ask: "take",
+      seats: asked.map((seat) => ({ seat, version: seen.get(seat)!.version })),
+    });
+    const taken = wanted.filter((seat) =>
+      mayTakeAlone(seat) || agreed.includes(seat)
+    );
+    await Promise.all(taken.map(take));
+  }
+
+  function dropLapsed(): void {
+    for (const seat of [...held.keys()].filter((seat) => !isHeld(seat))) {
+      held.delete(seat);
+      log("lapsed", seat);
+    }
+  }
+
+  async function renewAll(): Promise<void> {
+    while (!stopped && !releasing) {
+      dropLapsed();
+      await Promise.all([...held.keys()].map(renew));
+      if (!releasing) {
+        await takeFree();
+      }
+      await sleep(RENEW_MS * (0.9 + 0.2 * io.random()));
+    }
+  }
+
+  async function keepAll(): Promise<void> {
+    while (!stopped) {
+      await keep();
+      await sleep(KEEP_MS);
+    }
+  }
+
+  return {
+    start() {
+      void renewAll();
+      void keepAll();
+    },
+    list() {
+      const now = nowMs();
+      return [...held]
+        .map(([seat, { until, since }]) => ({ seat, until, since }))
+        .filter(({ until, since }) => until > now && since <= now);
+    },
+    receive,
+    async release() {
+      releasing = true;
+      const leases = [...held];
+      held.clear();
+      await Promise.all(
+        leases.map(([seat, { version }]) =>
+          put(seat, { version, isFree: true })
+        ),
+      );
+    },
+    stop() {
+      stopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,215 @@
+import fc from "fast-check";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { findWorstWindow } from "../tools/bound_checker.ts";
+import { nowMs } from "../src/core/clock.ts";
+import {
+  createLimitsFleet,
+  type CreateLimits,
+  WORKSPACE,
+} from "./limits_fleet.ts";
+
+const PLAN = { ratePerSecond: 50, burst: 40 };
+const HOSTS = 5;
+const STEP_MS = 20;
+const RUNS = 25;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+/** Each host lets the whole rate through. */
+const createPerHost: CreateLimits = createBucketLimits(() => 1);
+/** Each host takes an equal part by the hosts that it sees alive. */
+const createPerAlive: CreateLimits = createBucketLimits((alive) => 1 / alive);
+
+function createBucketLimits(part: (alive: number) => number): CreateLimits {
+  return (_io, options) => {
+    let used = 0;
+    let at = nowMs();
+    return {
+      start() {},
+      stop() {},
+      setWaiting() {},
+      receive: () => Promise.reject(new Error("no peers")),
+      tryTake() {
+        const share = part(options.listAlive().length);
+        const perMs = PLAN.ratePerSecond / 1_000 * share;
+        used = Math.max(0, used - perMs * (nowMs() - at));
+        at = nowMs();
+        if (used + 1 > PLAN.burst * share) {
+          return undefined;
+        }
+        used++;
+        return { isValid: () => true, settle() {} };
+      },
+    };
+  };
+}
+
+type Fleet = ReturnType<typeof createLimitsFleet>;
+type FaultKind =
+  | "kill"
+  | "restart"
+  | "freeze"
+  | "thaw"
+  | "cut"
+  | "isolate"
+  | "heal"
+  | "platform_down"
+  | "platform_up"
+  | "lose_answers";
+interface Fault {
+  readonly afterMs: number;
+  readonly kind: FaultKind;
+  readonly host: number;
+  readonly other: number;
+}
+
+function inflict(fleet: Fleet, fault: Fault): void {
+  const name = fleet.hosts[fault.host]!.id;
+  switch (fault.kind) {
+    case "kill":
+      return fleet.kill(fault.host);
+    case "restart":
+      return fleet.restart(fault.host);
+    case "freeze":
+      return fleet.freeze(fault.host);
+    case "thaw":
+      return fleet.thaw(fault.host);
+    case "cut":
+      return void fleet.cut(name, fleet.hosts[fault.other]!.id);
+    case "isolate":
+      return void fleet.cut(name, "platform");
+    case "heal":
+      return fleet.heal();
+    case "platform_down":
+      fleet.faults.isPlatformDown = true;
+      return;
+    case "platform_up":
+      fleet.faults.isPlatformDown = false;
+      fleet.faults.isPlatformLossy = false;
+      return;
+    case "lose_answers":
+      fleet.faults.isPlatformLossy = true;
+      return;
+  }
+}
+
+/** Every host sends as much as it may for a while. */
+async function flood(fleet: Fleet, ms: number): Promise<void> {
+  for (let spent = 0; spent < ms; spent += STEP_MS) {
+    fleet.hosts.forEach((host, index) => {
+      if (host.state === "running") {
+        host.limits.setWaiting(fleet, { workspace: WORKSPACE, count: 10 });
+        while (fleet.tryRun(index));
+      }
+    });
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+  }
+}
+
+async function getWorst(
+  faults: readonly Fault[],
+  options: { readonly seed: number; readonly create?: CreateLimits },
+) {
+  const fleet = createLimitsFleet({ hosts: HOSTS, plan: PLAN, ...options });
+  await flood(fleet, 4_000);
+  for (const fault of faults) {
+    inflict(fleet, fault);
+    await flood(fleet, fault.afterMs);
+  }
+  fleet.heal();
+  fleet.faults.isPlatformDown = false;
+  fleet.hosts.forEach((_, index) => fleet.thaw(index));
+  await flood(fleet, 3_000);
+  fleet.stop();
+  return findWorstWindow(fleet.ran.map((s) => s.ranAt), PLAN);
+}
+
+const faultArb = fc.record({
+  afterMs: fc.constantFrom(100, 400, 900, 2_000, 6_000),
+  kind: fc.constantFrom<FaultKind>(
+    "kill",
+    "restart",
+    "freeze",
+    "thaw",
+    "cut",
+    "isolate",
+    "heal",
+    "platform_down",
+    "platform_up",
+    "lose_answers",
+  ),
+  host: fc.nat(HOSTS - 1),
+  other: fc.nat(HOSTS - 1),
+});
+
+async function checkBound(create?: CreateLimits): Promise<void> {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(faultArb, { maxLength: 8 }),
+      fc.nat(1_000),
+      async (faults, seed) => {
+        const worst = await getWorst(faults, {
+          seed,
+          ...(create ? { create } : {}),
+        });
+        expect(worst.excess).toBeLessThanOrEqual(1e-6);
+      },
+    ),
+    { numRuns: RUNS, seed: 5, endOnFailure: true },
+  );
+}
+
+test("the checker finds the worst window", () => {
+  const limit = { ratePerSecond: 10, burst: 3 };
+  expect(findWorstWindow([0, 0, 0, 100], limit).excess).toBe(0);
+  expect(findWorstWindow([0, 1_000, 1_000, 1_000, 1_000, 5_000], limit))
+    .toEqual({ from: 1_000, to: 1_000, ran: 4, excess: 1 });
+});
+
+test("no history of faults lets a workspace beyond its rate", async () => {
+  await checkBound();
+}, 120_000);
+
+test("the bound fails when each host has the whole rate", async () => {
+  await expect(checkBound(createPerHost)).rejects.toThrow(/Property failed/);
+});
+
+test("the bound fails when hosts share by whom they see", async () => {
+  await expect(checkBound(createPerAlive)).rejects.toThrow(/Property failed/);
+});
+
+async function runFor(
+  faults: readonly Fault[],
+  ms: number,
+): Promise<number> {
+  const fleet = createLimitsFleet({ hosts: HOSTS, plan: PLAN, seed: 1 });
+  await flood(fleet, 8_000);
+  for (const fault of faults) {
+    inflict(fleet, fault);
+    await flood(fleet, fault.afterMs);
+  }
+  const before = fleet.ran.length;
+  await flood(fleet, ms);
+  fleet.stop();
+  return (fleet.ran.length - before) / ms * 1_000;
+}
+
+test("a flood gets the whole rate of its plan", async () => {
+  expect(await runFor([], 10_000)).toBeGreaterThan(0.99 * 50);
+});
+
+test("the whole rate is served while the platform is down", async () => {
+  const down = { kind: "platform_down", afterMs: 30_000, host: 0, other: 0 };
+  expect(await runFor([down as Fault], 10_000)).toBeGreaterThan(0.99 * 50);
+});
+
+test("the seats of a dead host are taken over", async () => {
+  const kill = { kind: "kill", afterMs: 9_000, host: 0, other: 0 };
+  expect(await runFor([kill as Fault], 10_000)).toBeGreaterThan(0.99 * 50);
+});
--- /dev/null
+++ b/test/limits_fleet.ts
@@ -0,0 +1,221 @@
+/** Limits of several hosts in one process, with what can happen to them. */
+
+import { mersenne } from "pure-rand/generator/mersenne";
+import { Err, Ok } from "ts-results-es";
+import { nowMs, sleep, withTimeout } from "../src/core/clock.ts";
+import { asId, type HostId, type WorkspaceId } from "../src/core/ids.ts";
+import {
+  createLimits,
+  type Limits,
+  type LimitsOptions,
+  type LimitsReq,
+} from "../src/core/limits.ts";
+import type { HostIo } from "../src/core/types.ts";
+import { createPlatformCore } from "../standins/platform_core.ts";
+import type { RanStatement } from "../tools/bound_checker.ts";
+
+/** The workspace that the tests load. */
+export const WORKSPACE = asId<WorkspaceId>("members");
+
+type State = "running" | "frozen" | "dead";
+
+interface LimitsHost {
+  readonly id: HostId;
+  state: State;
+  limits: Limits;
+  process: number;
+  readonly heard: Map<HostId, number>;
+}
+
+/** How a host decides; tests put naive schemes in place of the product's. */
+export type CreateLimits = (
+  io: HostIo,
+  options: LimitsOptions,
+) => Pick<Limits, "start" | "stop" | "tryTake" | "setWaiting" | "receive">;
+
+const UINT32_RANGE = 2 ** 32;
+const PEER_LATENCY_MS = 2;
+const PLATFORM_LATENCY_MS = 3;
+const MAX_RUN_MS = 60;
+const HEARTBEAT_MS = 250;
+const ALIVE_MS = 1_000;
+const FROZEN_POLL_MS = 10;
+
+/** Starts `hosts` hosts that hold the given plan. */
+export function createLimitsFleet(options: {
+  readonly hosts: number;
+  readonly plan: { readonly ratePerSecond: number; readonly burst: number };
+  readonly seed: number;
+  readonly create?: CreateLimits;
+}) {
+  const generator = mersenne(options.seed);
+  const random = () => (generator.next() >>> 0) / UINT32_RANGE;
+  const platform = createPlatformCore();
+  const cuts = new Set<string>();
+  const ran: RanStatement[] = [];
+  const faults = { isPlatformDown: false, isPlatformLossy: false };
+  const create = options.create ?? createLimits;
+  const cfg = {
+    tryAllowance: () => ({ plan: "p" as never, services: [], ...options.plan }),
+  };
+
+  const isCut = (a: string, b: string) => cuts.has([a, b].sort().join("|"));
+  async function thaw(host: LimitsHost, process: number): Promise<boolean> {
+    while (host.state === "frozen") {
+      await sleep(FROZEN_POLL_MS);
+    }
+    return host.state === "running" && host.process === process;
+  }
+
+  async function travel(from: LimitsHost, to: LimitsHost): Promise<boolean> {
+    const [a, b] = [from.process, to.process];
+    if (!await thaw(from, a)) {
+      return false;
+    }
+    await sleep(PEER_LATENCY_MS * (0.5 + random()));
+    return await thaw(to, b) && !isCut(from.id, to.id);
+  }
+
+  async function callPlatform<T>(
+    host: LimitsHost,
+    run: () => T,
+  ): Promise<T | undefined> {
+    const { process } = host;
+    const isDown = () => faults.isPlatformDown || isCut(host.id, "platform");
+    await thaw(host, process);
+    await sleep(PLATFORM_LATENCY_MS);
+    const res = isDown() ? undefined : run();
+    await sleep(PLATFORM_LATENCY_MS);
+    await thaw(host, process);
+    return isDown() || (faults.isPlatformLossy && random() < 0.5)
+      ? undefined
+      : res;
+  }
+
+  function createProcess(host: LimitsHost): Limits {
+    const process = ++host.process;
+    const unreachable = { kind: "unreachable" } as const;
+    const io = {
+      random,
+      log() {},
+      platform: {
+        async list(prefix: string) {
+          const res = await callPlatform(host, () => platform.list(prefix));
+          return res ? Ok(res) : Err(unreachable);
+        },
+        async put(key: never, value: unknown, opts: { ifVersion: number }) {
+          return await callPlatform(host, () =>
+            platform.put(key, value, opts)) ?? Err(unreachable);
+        },
+      },
+    } as unknown as HostIo;
+    return create(io, {
+      self: host.id,
+      cfg,
+      listAlive: () =>
+        hosts.filter((peer) =>
+          peer === host || nowMs() - (host.heard.get(peer.id) ?? -1e9) <
+            ALIVE_MS
+        ).map((peer) => peer.id),
+      async call(to, req, { timeoutMs }) {
+        const peer = hosts.find((h) => h.id === to)!;
+        async function run() {
+          if (!await travel(host, peer)) {
+            return undefined;
+          }
+          const res = await peer.limits.receive(req as LimitsReq);
+          return await travel(peer, host) && host.process === process
+            ? structuredClone(res)
+            : undefined;
+        }
+        return await withTimeout(run().then(orNever), {
+          ms: timeoutMs,
+          fallback: undefined,
+        });
+      },
+    }) as Limits;
+  }
+
+  const hosts: LimitsHost[] = Array.from(
+    { length: options.hosts },
+    (_, index) => ({
+      id: asId<HostId>(`h${index + 1}`),
+      state: "dead",
+      process: 0,
+      heard: new Map(),
+    } as unknown as LimitsHost),
+  );
+  const heartbeats = setInterval(() => {
+    for (const from of hosts.filter((h) => h.state === "running")) {
+      hosts.filter((to) => !isCut(from.id, to.id))
+        .forEach((to) => to.heard.set(from.id, nowMs()));
+    }
+  }, HEARTBEAT_MS);
+
+  function start(host: LimitsHost): void {
+    host.limits?.stop();
+    host.limits = createProcess(host);
+    host.state = "running";
+    host.limits.start();
+  }
+
+  const fleet = {
+    hosts,
+    platform,
+    ran,
+    faults,
+    random,
+    cut: (a: string, b: string) => cuts.add([a, b].sort().join("|")),
+    heal: () => cuts.clear(),
+    kill(index: number) {
+      const host = hosts[index]!;
+      host.state = "dead";
+      host.limits.stop();
+    },
+    restart: (index: number) => start(hosts[index]!),
+    freeze(index: number) {
+      if (hosts[index]!.state === "running") {
+        hosts[index]!.state = "frozen";
+      }
+    },
+    thaw(index: number) {
+      const host = hosts[index]!;
+      if (host.state === "frozen") {
+        // The process wakes with work to do and without any news.
+        host.state = "running";
+        Array.from({ length: 50 }, () => fleet.tryRun(index));
+      }
+    },
+    /** Sends one statement if the host has a token for it. */
+    tryRun(index: number): boolean {
+      const host = hosts[index]!;
+      if (host.state !== "running") {
+        return false;
+      }
+      const token = host.limits.tryTake(WORKSPACE);
+      if (!token?.isValid()) {
+        token?.settle();
+        return false;
+      }
+      void sleep(random() * MAX_RUN_MS).then(async () => {
+        ran.push({ workspace: WORKSPACE, ranAt: nowMs() });
+        await sleep(random() * MAX_RUN_MS);
+        token.settle();
+      });
+      return true;
+    },
+    stop() {
+      clearInterval(heartbeats);
+      hosts.forEach((host) => host.limits.stop());
+    },
+  };
+  hosts.forEach(start);
+  return fleet;
+}
+
+/** A call that is lost is told by the timeout only. */
+function orNever<T>(value: T): Promise<T> {
+  return value === undefined
+    ? new Promise(() => {})
+    : Promise.resolve(value);
+}
