--- a/src/core/admit.ts
+++ b/src/core/admit.ts
@@ -1,10 +1,9 @@
-/** Second phase: checks the plan, the rate and the route of a request. */
+/** Second phase: checks the plan and the route of a request. */
 
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Configuration } from "./configuration.ts";
 import type { RequestFrame } from "./entry.ts";
 import type { Failure } from "./errors.ts";
-import type { Limits } from "./limits.ts";
 import { tryGroupFor } from "./route.ts";
 import type { Session } from "./session.ts";
 import type { Admitted, ExecOp } from "./types.ts";
@@ -12,7 +11,6 @@
 /** What admission looks at. */
 export interface AdmitContext {
   readonly cfg: Configuration;
-  readonly limits: Limits;
 }
 
 /** A request that is to be admitted. */
@@ -23,7 +21,7 @@
   readonly deadline: number;
 }
 
-/** Admits a request, taking what it costs from its workspace's rate. */
+/** Admits a request; its rate is counted where its statement is sent. */
 export function admit(
   ctx: AdmitContext,
   candidate: Candidate,
@@ -36,10 +34,6 @@
   if (!allowance || !group) {
     return Err({ error: "forbidden" });
   }
-  const taken = ctx.limits.tryTake(workspace);
-  if (taken.isErr()) {
-    return taken;
-  }
   const stale = allowance.staleReads
     ?.find((rule) => op.kind === "read" && rule.class === op.class);
   return Ok({
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -9,7 +9,6 @@
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
-import type { Limits } from "./limits.ts";
 import type { Membership } from "./membership.ts";
 import { listPoolHosts } from "./route.ts";
 import {
@@ -46,7 +45,6 @@
 export interface EntryOptions {
   readonly self: HostId;
   readonly cfg: Configuration;
-  readonly limits: Limits;
   readonly membership: Membership;
   readonly hostsPerGroup: number;
   readonly defaultTimeoutMs: number;
@@ -116,7 +114,7 @@
       frame.timeoutMs ?? options.defaultTimeoutMs,
       options.maxTimeoutMs,
     );
-    const admitted = admit({ cfg, limits: options.limits }, {
+    const admitted = admit({ cfg }, {
       session,
       frame,
       op: toOp(frame, newId),
--- a/src/core/grants.ts
+++ b/src/core/grants.ts
@@ -6,7 +6,7 @@
   GrantReq,
   GrantRes,
 } from "../generated/peer.ts";
-import { nowMs } from "./clock.ts";
+import { nowMs, sleep } from "./clock.ts";
 import type { HostId, WorkspaceId } from "./ids.ts";
 import { CLOCK_DRIFT } from "./seats.ts";
 import {
@@ -21,6 +21,7 @@
 
 const COLLECT_MS = 200;
 const COLLECT_TIMEOUT_MS = 400;
+const FIRST_COLLECT_MS = 120;
 const ACTIVE_MS = 500;
 const SHORT_MS = 300;
 /** Longest time that a statement of a silent host counts as running. */
@@ -94,7 +95,8 @@
       owner: incarnation,
       workspaces: [...workspaces],
     };
-    await Promise.all(options.listAlive().map(async (host) => {
+    const hosts = options.listAlive();
+    await Promise.all(hosts.map(async (host) => {
       const sentAt = nowMs();
       const res = await options.delegate(host, req, COLLECT_TIMEOUT_MS);
       for (const { workspace, seat, ttlMs, tokens } of res?.shares ?? []) {
@@ -111,7 +113,8 @@
     entry.collecting ??= collect([workspace]).finally(() =>
       entry.collecting = undefined
     );
-    await entry.collecting;
+    // A host that does not answer must not hold up the shares of the others.
+    await Promise.race([entry.collecting, sleep(FIRST_COLLECT_MS)]);
   }
 
   /** Counts the statements of hosts that went silent as ended. */
@@ -165,7 +168,11 @@
 
   function grant(
     req: GrantReq,
-    given: { readonly want: Want; readonly entry: Owned; readonly sentAt: number },
+    given: {
+      readonly want: Want;
+      readonly entry: Owned;
+      readonly sentAt: number;
+    },
   ): GrantRes["grants"][number] {
     const { want, entry, sentAt } = given;
     const now = nowMs();
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -4,11 +4,11 @@
 import { type Configuration, createConfiguration } from "./configuration.ts";
 import { createEntry, type Entry } from "./entry.ts";
 import type { GroupId, HostId } from "./ids.ts";
-import { createStaticLimits } from "./limits.ts";
+import { createLimits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
 import { createPool, type Pool } from "./pool.ts";
-import { createFifoQueue } from "./queue.ts";
+import { createFairQueue } from "./queue.ts";
 import type {
   ExecReq,
   GroupView,
@@ -45,8 +45,16 @@
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
   const membership = createMembership(io, { self, known });
-  const limits = createStaticLimits(cfg, { hosts: known.length + 1 });
   const peers = createPeers(io, handlePeer);
+  const limits = createLimits(io, {
+    self: settings.host,
+    cfg,
+    listAlive: () => membership.listAlive().map((peer) => peer.host),
+    async call(host, req, options) {
+      const res = await peers.call(host, req, options);
+      return res.isOk() ? res.value : undefined;
+    },
+  });
   const pools = new Map<GroupId, Pool>();
 
   function tryPool(group: GroupId): Pool | undefined {
@@ -57,7 +65,14 @@
     }
     const pool = createPool(io, {
       group: info,
-      queue: createFifoQueue({ slotsPerTarget: info.slots }),
+      queue: createFairQueue({
+        limits,
+        slotsPerTarget: info.slots,
+        maxInFlight: getConnectionShare(info.targets),
+        getWeight: (workspace) =>
+          cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
+        random: io.random,
+      }),
       transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
         DEFAULT_TRANSACTION_TIMEOUT_MS,
     });
@@ -95,13 +110,16 @@
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
         return { kind: "pull", objects: [] };
+      case "seat_vote":
+      case "delegate":
+      case "grant":
+        return await limits.receive(req);
     }
   }
 
   const entry = createEntry(io, {
     self: self.host,
     cfg,
-    limits,
     membership,
     hostsPerGroup: settings.pools?.hostsPerGroup ?? DEFAULT_HOSTS_PER_GROUP,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
@@ -114,6 +132,7 @@
     start() {
       cfg.start();
       membership.start();
+      limits.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
@@ -129,6 +148,7 @@
     stop() {
       cfg.stop();
       membership.stop();
+      limits.stop();
       peers.stop();
       pools.forEach((pool) => pool.stop());
     },
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -18,7 +18,11 @@
 import { rankNodes } from "./hash.ts";
 import type { HostId, WorkspaceId } from "./ids.ts";
 import { createSeats } from "./seats.ts";
-import { createTokenStock, type Token, type TokenStock } from "./token_stock.ts";
+import {
+  createTokenStock,
+  type Token,
+  type TokenStock,
+} from "./token_stock.ts";
 import { getShareSize, type ShareSize } from "./token_pool.ts";
 import type { HostIo, PeerReq, PeerRes, Stoppable } from "./types.ts";
 
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -1,99 +1,260 @@
-/** Queues requests until the target that they wait for has a free slot. */
+/**
+ * Queues requests at the pool until their workspace has a token and their
+ * target takes one more statement.
+ */
 
 import { Err, Ok, type Result } from "ts-results-es";
 import { nowMs } from "./clock.ts";
+import { type ConcurrencyLimit, createConcurrencyLimit } from "./concurrency.ts";
 import type { Failure } from "./errors.ts";
+import { createFlows, type Flow, type Flows } from "./flows.ts";
 import type { TargetId, WorkspaceId } from "./ids.ts";
+import type { Limits } from "./limits.ts";
+import type { Token } from "./token_stock.ts";
+import type { Stoppable } from "./types.ts";
 
-const MAX_QUEUED_PER_TARGET = 200;
-const RETRY_AFTER_MS = 200;
+/** Longest time that a request waits in a queue, in milliseconds. */
+export const MAX_WAIT_MS = 500;
+
+const MIN_RETRY_AFTER_MS = 20;
+const RETRY_JITTER = 0.5;
 
 /** The right to run one statement at a target. */
 export interface Slot {
+  /** Whether the token still holds; to be asked right before the sending. */
+  isValid(): boolean;
+  /** Lets the next statement go to the target, but keeps the token in use. */
+  detach(): void;
+  /** The statement has ended, or will not be sent. */
   release(): void;
 }
 
 /** Hands out the slots of the targets of one group. */
-export interface Queue {
+export interface Queue extends Stoppable {
   enter(
     target: TargetId,
     options: { readonly workspace: WorkspaceId; readonly deadline: number },
   ): Promise<Result<Slot, Failure>>;
 }
 
+/** What a queue is made of. */
+export interface QueueOptions {
+  readonly limits: Pick<
+    Limits,
+    "tryTake" | "setWaiting" | "getWaitMs" | "onChange"
+  >;
+  /** Statements that a target runs at once. */
+  readonly slotsPerTarget: number;
+  /** Most statements that this host sends to a target at once. */
+  readonly maxInFlight: number;
+  getWeight(workspace: WorkspaceId): number;
+  random(): number;
+}
+
 interface Waiter {
-  readonly deadline: number;
+  readonly workspace: WorkspaceId;
+  readonly flow: Flow<Waiter>;
+  readonly until: number;
   settle(result: Result<Slot, Failure>): void;
 }
 
-interface TargetSlots {
-  free: number;
-  readonly waiting: Waiter[];
+interface TargetQueue {
+  readonly flows: Flows<Waiter>;
+  readonly concurrency: ConcurrencyLimit;
+  inFlight: number;
 }
 
-/** Creates a queue that serves each target first in, first out. */
-export function createFifoQueue(
-  options: { readonly slotsPerTarget: number },
-): Queue {
-  const targets = new Map<TargetId, TargetSlots>();
-
-  function getSlots(target: TargetId): TargetSlots {
-    const found = targets.get(target) ??
-      { free: options.slotsPerTarget, waiting: [] };
-    targets.set(target, found);
-    return found;
+/** Creates a queue that serves workspaces by the rates of their plans. */
+export function createFairQueue(options: QueueOptions): Queue {
+  const { limits } = options;
+  const targets = new Map<TargetId, TargetQueue>();
+  const waiting = new Map<WorkspaceId, number>();
+  const id = {};
+
+  function getTarget(target: TargetId): TargetQueue {
+    const found = targets.get(target);
+    if (found) {
+      return found;
+    }
+    const queue: TargetQueue = {
+      flows: createFlows(),
+      concurrency: createConcurrencyLimit({
+        initial: options.slotsPerTarget,
+        max: options.maxInFlight,
+      }),
+      inFlight: 0,
+    };
+    targets.set(target, queue);
+    return queue;
+  }
+
+  function addWaiting(workspace: WorkspaceId, change: number): void {
+    const count = (waiting.get(workspace) ?? 0) + change;
+    if (count > 0) {
+      waiting.set(workspace, count);
+    } else {
+      waiting.delete(workspace);
+    }
+    limits.setWaiting(id, { workspace, count });
   }
 
-  function createSlot(slots: TargetSlots): Slot {
-    let released = false;
+  /** Time until a target gets to a request behind `ahead` of its workspace. */
+  function getSlotWaitMs(queue: TargetQueue, flow: Flow<Waiter>): number {
+    const others = queue.flows.listWaiting();
+    const weights = others
+      .filter((other) => other !== flow)
+      .reduce((sum, other) => sum + other.weight, flow.weight);
+    const isFree = queue.inFlight < queue.concurrency.limit;
+    const ahead = flow.waiting.length + (isFree ? 0 : 1);
+    const perRequestMs = flow.costMs * weights / flow.weight;
+    return ahead * perRequestMs / queue.concurrency.limit;
+  }
+
+  function refuse(error: "rate_limited" | "overloaded", waitMs: number) {
+    const jitter = 1 + RETRY_JITTER * options.random();
+    const retryAfterMs = Math.ceil(
+      Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter,
+    );
+    return Err({ error, retryAfterMs });
+  }
+
+  /** Refuses a request that could not be served in time. */
+  function tryRefuse(
+    queue: TargetQueue,
+    given: { readonly flow: Flow<Waiter>; readonly leftMs: number },
+  ): Err<Failure> | undefined {
+    const { flow, leftMs } = given;
+    const { workspace } = flow;
+    const tokenMs = limits.getWaitMs(workspace, waiting.get(workspace) ?? 0);
+    if (tokenMs > leftMs) {
+      return refuse("rate_limited", tokenMs);
+    }
+    const slotMs = getSlotWaitMs(queue, flow);
+    return slotMs > leftMs ? refuse("overloaded", slotMs) : undefined;
+  }
+
+  function createSlot(
+    queue: TargetQueue,
+    given: { readonly flow: Flow<Waiter>; readonly token: Token },
+  ): Slot {
+    const { flow, token } = given;
+    const paidMs = flow.costMs;
+    const startedAt = nowMs();
+    let isAttached = true;
+
+    function detach(): void {
+      if (!isAttached) {
+        return;
+      }
+      isAttached = false;
+      const ms = nowMs() - startedAt;
+      const { inFlight } = queue;
+      queue.concurrency.note(flow.workspace, { ms, inFlight });
+      queue.flows.charge(flow, { paidMs, ms });
+      queue.inFlight--;
+      serve(queue);
+    }
+
     return {
+      isValid: token.isValid,
+      detach,
       release() {
-        if (!released) {
-          released = true;
-          slots.free++;
-          serve(slots);
-        }
+        token.settle();
+        detach();
       },
     };
   }
 
-  function serve(slots: TargetSlots): void {
-    while (slots.free > 0 && slots.waiting.length > 0) {
-      const waiter = slots.waiting.shift()!;
-      if (waiter.deadline > nowMs()) {
-        slots.free--;
-        waiter.settle(Ok(createSlot(slots)));
+  function serve(queue: TargetQueue): void {
+    while (queue.inFlight < queue.concurrency.limit) {
+      let token: Token | undefined;
+      const waiter = queue.flows.take((flow) => {
+        token = limits.tryTake(flow.workspace);
+        return token !== undefined;
+      });
+      if (!waiter || !token) {
+        return;
       }
+      queue.inFlight++;
+      const { flow } = waiter;
+      waiter.settle(Ok(createSlot(queue, { flow, token })));
     }
   }
 
-  return {
-    enter(target, { deadline }) {
-      const slots = getSlots(target);
-      if (slots.waiting.length >= MAX_QUEUED_PER_TARGET) {
-        return Promise.resolve(
-          Err({ error: "overloaded", retryAfterMs: RETRY_AFTER_MS }),
-        );
+  /** Refuses those at the end whose tokens will not come in time. */
+  function trim(workspace: WorkspaceId): void {
+    const waiters = [...targets.values()].flatMap((queue) =>
+      queue.flows.listWaiting()
+        .filter((flow) => flow.workspace === workspace)
+        .flatMap((flow) => flow.waiting)
+    );
+    waiters.sort((a, b) => b.until - a.until);
+    for (const [index, waiter] of waiters.entries()) {
+      const ahead = waiters.length - index - 1;
+      const waitMs = limits.getWaitMs(workspace, ahead);
+      if (waitMs <= waiter.until - nowMs()) {
+        return;
       }
-      return new Promise((resolve) => {
-        const timer = setTimeout(
-          () => waiter.settle(Err({ error: "deadline_exceeded" })),
-          Math.max(0, deadline - nowMs()),
+      waiter.settle(refuse("rate_limited", waitMs));
+    }
+  }
+
+  function enqueue(
+    queue: TargetQueue,
+    given: { readonly flow: Flow<Waiter>; readonly leftMs: number },
+  ): Promise<Result<Slot, Failure>> {
+    const { flow, leftMs } = given;
+    const { workspace } = flow;
+    return new Promise((resolve) => {
+      const timer = setTimeout(expire, leftMs);
+      const waiter: Waiter = {
+        workspace,
+        flow,
+        until: nowMs() + leftMs,
+        settle(result) {
+          clearTimeout(timer);
+          const place = flow.waiting.indexOf(waiter);
+          if (place >= 0) {
+            flow.waiting.splice(place, 1);
+          }
+          addWaiting(workspace, -1);
+          resolve(result);
+        },
+      };
+      function expire(): void {
+        const tokenMs = limits.getWaitMs(workspace, 0);
+        waiter.settle(
+          tokenMs > 0
+            ? refuse("rate_limited", tokenMs)
+            : refuse("overloaded", getSlotWaitMs(queue, flow)),
         );
-        const waiter: Waiter = {
-          deadline,
-          settle(result) {
-            clearTimeout(timer);
-            const place = slots.waiting.indexOf(waiter);
-            if (place >= 0) {
-              slots.waiting.splice(place, 1);
-            }
-            resolve(result);
-          },
-        };
-        slots.waiting.push(waiter);
-        serve(slots);
-      });
+      }
+      queue.flows.add(flow, waiter);
+      addWaiting(workspace, 1);
+      serve(queue);
+    });
+  }
+
+  const unsubscribe = limits.onChange((workspace) => {
+    if (waiting.has(workspace)) {
+      targets.forEach(serve);
+      trim(workspace);
+    }
+  });
+
+  return {
+    enter(target, { workspace, deadline }) {
+      const queue = getTarget(target);
+      const flow = queue.flows.get(workspace, options.getWeight(workspace));
+      const leftMs = Math.min(MAX_WAIT_MS, deadline - nowMs());
+      if (leftMs <= 0) {
+        return Promise.resolve(Err({ error: "deadline_exceeded" }));
+      }
+      const refused = tryRefuse(queue, { flow, leftMs });
+      return refused
+        ? Promise.resolve(refused)
+        : enqueue(queue, { flow, leftMs });
     },
+    stop: unsubscribe,
   };
 }
--- a/src/core/seats.ts
+++ b/src/core/seats.ts
@@ -21,6 +21,8 @@
 export const CLOCK_DRIFT = 1.02;
 
 const RENEW_MS = 1_500;
+/** Time to hear of the other hosts before the first seat is taken. */
+const START_MS = 1_000;
 const KEEP_MS = 500;
 /** The longest time that seats are kept without the platform. */
 const KEEP_MAX_MS = 3_600_000;
@@ -81,7 +83,7 @@
   const seen = new Map<number, Seen>();
   const votes = createSeatVotes();
   let stopped = false;
-  let releasing = false;
+  let isReleasing = false;
 
   function isHeld(seat: number): boolean {
     return (held.get(seat)?.until ?? 0) > nowMs();
@@ -101,7 +103,9 @@
   async function put(
     seat: number,
     options: { readonly version: number; readonly isFree?: boolean },
-  ): Promise<{ readonly sentAt: number; readonly version: number } | undefined> {
+  ): Promise<
+    { readonly sentAt: number; readonly version: number } | undefined
+  > {
     const sentAt = nowMs();
     const lease: SeatLease = options.isFree
       ? { kind: "seat", seat }
@@ -191,9 +195,7 @@
   async function poll(req: SeatVoteReq): Promise<number[]> {
     const answers = await Promise.all(
       options.listAlive().map((host) =>
-        host === self
-          ? receive(req)
-          : options.vote(host, req, VOTE_TIMEOUT_MS)
+        host === self ? receive(req) : options.vote(host, req, VOTE_TIMEOUT_MS)
       ),
     );
     return req.seats.map(({ seat }) => seat).filter((seat) => {
@@ -225,7 +227,7 @@
     }
   }
 
-  async function listFree(): Promise<number[]> {
+  async function listVacant(): Promise<number[]> {
     const res = await io.platform.list(SEATS_PREFIX);
     if (res.isErr()) {
       return [];
@@ -237,15 +239,26 @@
     return all.filter((seat) => !held.has(seat) && isVacant(seat));
   }
 
+  /** Seats that this host should hold, so that no death frees too many. */
+  function getFairCount(): number {
+    return Math.ceil(SEAT_COUNT / Math.max(1, options.listAlive().length));
+  }
+
+  async function free(seat: number): Promise<void> {
+    const { version } = held.get(seat)!;
+    held.delete(seat);
+    log("freed", seat);
+    await put(seat, { version, isFree: true });
+  }
+
   async function takeFree(): Promise<void> {
-    const free = await listFree();
-    const share = Math.ceil(SEAT_COUNT / Math.max(1, options.listAlive().length));
-    const room = share - held.size;
-    if (free.length === 0 || room <= 0) {
+    const vacant = await listVacant();
+    const room = getFairCount() - held.size;
+    if (vacant.length === 0 || room <= 0) {
       return;
     }
-    const start = Math.floor(io.random() * free.length);
-    const wanted = [...free.slice(start), ...free.slice(0, start)]
+    const start = Math.floor(io.random() * vacant.length);
+    const wanted = [...vacant.slice(start), ...vacant.slice(0, start)]
       .slice(0, room);
     const asked = wanted.filter((seat) => !mayTakeAlone(seat));
     const agreed = asked.length === 0 ? [] : await poll({
@@ -267,10 +280,13 @@
   }
 
   async function renewAll(): Promise<void> {
-    while (!stopped && !releasing) {
+    await sleep(START_MS);
+    while (!stopped && !isReleasing) {
       dropLapsed();
+      const surplus = [...held.keys()].slice(getFairCount());
+      await Promise.all(surplus.map(free));
       await Promise.all([...held.keys()].map(renew));
-      if (!releasing) {
+      if (!isReleasing) {
         await takeFree();
       }
       await sleep(RENEW_MS * (0.9 + 0.2 * io.random()));
@@ -297,14 +313,8 @@
     },
     receive,
     async release() {
-      releasing = true;
-      const leases = [...held];
-      held.clear();
-      await Promise.all(
-        leases.map(([seat, { version }]) =>
-          put(seat, { version, isFree: true })
-        ),
-      );
+      isReleasing = true;
+      await Promise.all([...held.keys()].map(free));
     },
     stop() {
       stopped = true;
--- a/src/core/token_stock.ts
+++ b/src/core/token_stock.ts
@@ -26,8 +26,9 @@
   /** More requests wait than tokens are held, and asking may help now. */
   isShort(): boolean;
   /** What to ask an owner for; undefined if there is nothing to say. */
-  tryWant(owner: HostId): Omit<GrantReq["wants"][number], "workspace"> |
-    undefined;
+  tryWant(owner: HostId):
+    | Omit<GrantReq["wants"][number], "workspace">
+    | undefined;
   receive(
     grant: GrantRes["grants"][number],
     options: {
@@ -210,10 +211,11 @@
     getIdleMs: () => nowMs() - usedAt,
     isSettled() {
       const held = getHeld();
-      return held === 0 && [...accounts.values()].every((account) =>
-        account.received === account.settled &&
-        account.settled === account.reported
-      );
+      return held === 0 &&
+        [...accounts.values()].every((account) =>
+          account.received === account.settled &&
+          account.settled === account.reported
+        );
     },
     tick() {
       demand += DEMAND_WEIGHT * (taken - demand);
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -3,8 +3,8 @@
 export { createHost, type Host } from "./core/host.ts";
 export { createConfiguration } from "./core/configuration.ts";
 export { createMembership } from "./core/membership.ts";
-export { createStaticLimits } from "./core/limits.ts";
-export { createFifoQueue } from "./core/queue.ts";
+export { createLimits } from "./core/limits.ts";
+export { createFairQueue } from "./core/queue.ts";
 export { createMonitor } from "./core/monitor.ts";
 export { confirmWrite } from "./core/confirm.ts";
 export { createPool } from "./core/pool.ts";
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -3,8 +3,8 @@
 import { findWorstWindow } from "../tools/bound_checker.ts";
 import { nowMs } from "../src/core/clock.ts";
 import {
-  createLimitsFleet,
   type CreateLimits,
+  createLimitsFleet,
   WORKSPACE,
 } from "./limits_fleet.ts";
 
--- a/test/limits_fleet.ts
+++ b/test/limits_fleet.ts
@@ -104,8 +104,10 @@
           return res ? Ok(res) : Err(unreachable);
         },
         async put(key: never, value: unknown, opts: { ifVersion: number }) {
-          return await callPlatform(host, () =>
-            platform.put(key, value, opts)) ?? Err(unreachable);
+          return await callPlatform(
+            host,
+            () => platform.put(key, value, opts),
+          ) ?? Err(unreachable);
         },
       },
     } as unknown as HostIo;
@@ -215,7 +217,5 @@
 
 /** A call that is lost is told by the timeout only. */
 function orNever<T>(value: T): Promise<T> {
-  return value === undefined
-    ? new Promise(() => {})
-    : Promise.resolve(value);
+  return value === undefined ? new Promise(() => {}) : Promise.resolve(value);
 }
