Count rate and burst over the fleet where statements are sent

Cause: the limits were a fixed part of 1/hosts at each entry. All load on one host got 1/hosts of the plan, a change of membership could not be followed without breaking the bound, and requests admitted before a failover ran all at once after it.

Ruled out: one lease for each workspace (calls to the platform grow with the workspaces, and nobody serves one whose owner died until its lease lapses).

A token counts until its statement has ended, so the bound holds where targets run. Without the platform a seat is kept by the votes of a majority of seats. The queue at the pool serves workspaces by weighted fair queueing and refuses what it cannot serve in time; connections are bounded for each host and warm.

Seen failing first: the same property test fails for the whole rate per host and for a part by the hosts seen alive.

Conclusion: test/limits.test.ts finds no excess in its histories.

--- a/src/core/delegations.ts
+++ b/src/core/delegations.ts
@@ -53,7 +53,8 @@
       return { workspace, seat: seat.seat, ttlMs };
     }
     // The last owner may have used up the share just before it lapsed.
-    const idleMs = now - (last?.until ?? seat.since);
+    const idleSince = last?.until ?? (seat.isNew ? -Infinity : seat.since);
+    const idleMs = now - idleSince;
     const tokens = Math.min(size.burst, size.ratePerMs * idleMs);
     return { workspace, seat: seat.seat, ttlMs, tokens };
   }
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -2,12 +2,13 @@
 
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
+import { getConnectionShare } from "./connections.ts";
 import { createEntry, type Entry } from "./entry.ts";
-import type { GroupId, HostId } from "./ids.ts";
+import type { HostId } from "./ids.ts";
 import { createLimits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
-import { createPool, type Pool } from "./pool.ts";
+import { createPools } from "./pools.ts";
 import { createFairQueue } from "./queue.ts";
 import type {
   ExecReq,
@@ -49,40 +50,36 @@
   const limits = createLimits(io, {
     self: settings.host,
     cfg,
+    knownHosts: known.length + 1,
     listAlive: () => membership.listAlive().map((peer) => peer.host),
     async call(host, req, options) {
       const res = await peers.call(host, req, options);
       return res.isOk() ? res.value : undefined;
     },
   });
-  const pools = new Map<GroupId, Pool>();
-
-  function tryPool(group: GroupId): Pool | undefined {
-    const found = pools.get(group);
-    const info = cfg.tryGroup(group);
-    if (found || !info) {
-      return found;
-    }
-    const pool = createPool(io, {
-      group: info,
-      queue: createFairQueue({
+  const hostsPerGroup = settings.pools?.hostsPerGroup ??
+    DEFAULT_HOSTS_PER_GROUP;
+  const pools = createPools(io, {
+    self: self.host,
+    cfg,
+    membership,
+    peers,
+    hostsPerGroup,
+    transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
+      DEFAULT_TRANSACTION_TIMEOUT_MS,
+    createQueue: (info) =>
+      createFairQueue({
         limits,
         slotsPerTarget: info.slots,
-        maxInFlight: getConnectionShare(info.targets),
+        maxInFlight: getConnectionShare(info.targets, hostsPerGroup),
         getWeight: (workspace) =>
           cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
         random: io.random,
       }),
-      transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
-        DEFAULT_TRANSACTION_TIMEOUT_MS,
-    });
-    pools.set(group, pool);
-    pool.start();
-    return pool;
-  }
+  });
 
   async function execHere(req: ExecReq): Promise<Outcome> {
-    const pool = tryPool(req.group);
+    const pool = pools.tryPool(req.group);
     return pool
       ? await pool.exec(req)
       : { kind: "failed", error: "unavailable" };
@@ -114,6 +111,14 @@
       case "delegate":
       case "grant":
         return await limits.receive(req);
+      case "suspect":
+        return { kind: "suspect", agrees: pools.isSupporting(req) };
+      case "promoted":
+        pools.refresh(req.group);
+        return { kind: "ack" };
+      case "end_session":
+        pools.endSession(req.session);
+        return { kind: "ack" };
     }
   }
 
@@ -121,11 +126,11 @@
     self: self.host,
     cfg,
     membership,
-    hostsPerGroup: settings.pools?.hostsPerGroup ?? DEFAULT_HOSTS_PER_GROUP,
+    hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: (session) => pools.forEach((pool) => pool.endSession(session)),
+    endSession: pools.endSession,
   });
 
   return {
@@ -133,6 +138,7 @@
       cfg.start();
       membership.start();
       limits.start();
+      pools.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
@@ -144,13 +150,13 @@
     entry,
     cfg,
     membership,
-    listGroupViews: () => [...pools.values()].map((p) => p.monitor.view()),
+    listGroupViews: pools.listViews,
     stop() {
       cfg.stop();
       membership.stop();
       limits.stop();
       peers.stop();
-      pools.forEach((pool) => pool.stop());
+      pools.stop();
     },
   };
 }
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -60,6 +60,8 @@
 export interface LimitsOptions {
   readonly self: HostId;
   readonly cfg: Pick<Configuration, "tryAllowance">;
+  /** Number of hosts in the settings, this one included. */
+  readonly knownHosts: number;
   /** Hosts that are alive, this one included. */
   listAlive(): readonly HostId[];
   /** Calls a peer; undefined without an answer. */
@@ -96,6 +98,7 @@
   const seats = createSeats(io, {
     self,
     incarnation,
+    knownHosts: options.knownHosts,
     listAlive: options.listAlive,
     async vote(peer, req, timeoutMs) {
       const res = await options.call(peer, req, { timeoutMs });
--- a/src/core/object_keys.ts
+++ b/src/core/object_keys.ts
@@ -25,3 +25,8 @@
 export function getSeatKey(seat: number): ObjectKey {
   return asId<ObjectKey>(`${SEATS_PREFIX}${seat}`);
 }
+
+/** The lease of the host that changes the primary of a group. */
+export function getGroupLeaseKey(group: GroupId): ObjectKey {
+  return asId<ObjectKey>(`lease/${group}`);
+}
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -1,15 +1,17 @@
 /** Runs operations on the targets of one group. */
 
+import type { Result } from "ts-results-es";
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
 import { nowMs, sleep } from "./clock.ts";
-import { confirmWrite } from "./confirm.ts";
+import { createConfirmer } from "./confirm.ts";
 import { type Connections, createConnections } from "./connections.ts";
 import { createMonitor, type Monitor } from "./monitor.ts";
 import { isAtLeast } from "./position.ts";
-import type { Queue } from "./queue.ts";
-import { send, type SendErr, toFailure } from "./send.ts";
-import { createTransactions } from "./transactions.ts";
+import type { Queue, Slot } from "./queue.ts";
+import { openLane, send, type SendErr, toFailure } from "./send.ts";
+import { createTransactions, type OpenTransaction } from "./transactions.ts";
+import { createWatch } from "./watch.ts";
 import type {
   ExecOp,
   ExecReq,
@@ -31,6 +33,8 @@
   start(): void;
   exec(req: ExecReq): Promise<Outcome>;
   endSession(session: string): void;
+  /** Takes the group as it stands after a change of the lists. */
+  update(group: GroupInfo): void;
   readonly monitor: Monitor;
 }
 
@@ -39,6 +43,8 @@
   readonly group: GroupInfo;
   readonly queue: Queue;
   readonly transactionTimeoutMs: number;
+  /** Most connections of this host to one target. */
+  readonly connectionsPerTarget: number;
 }
 
 interface Task {
@@ -50,9 +56,15 @@
 
 /** Creates the pool of a group on this host. */
 export function createPool(io: HostIo, options: PoolOptions): Pool {
-  const { group, queue } = options;
+  const { queue } = options;
+  let group = options.group;
   const monitor = createMonitor(io, group);
-  const connections: Connections = createConnections(io);
+  const confirmer = createConfirmer(io, { getGroup: () => group, monitor });
+  const watch = createWatch(monitor);
+  const connections: Connections = createConnections(io, {
+    maxPerTarget: options.connectionsPerTarget,
+    warm: group.slots,
+  });
   const transactions = createTransactions(connections, {
     timeoutMs: options.transactionTimeoutMs,
   });
@@ -112,6 +124,10 @@
     return monitor.view().primary === target.target;
   }
 
+  function isReplaced(term: number): boolean {
+    return monitor.view().term > term;
+  }
+
   /** Runs a unique request at the primary until its outcome is known. */
   async function runAtPrimary(
     task: Task,
@@ -124,17 +140,21 @@
         await sleep(RETRY_PAUSE_MS);
         continue;
       }
-      const res = await send(ctx, {
+      const sending = send(ctx, {
         target: primary.info,
         workspace: task.req.workspace,
         req: build(primary.term),
         deadline: task.deadline,
       });
+      const res = await watch.until(sending, () => isReplaced(primary.term));
+      if (!res) {
+        maySent = true;
+        continue;
+      }
       if (res.isOk()) {
-        const isHeld = await confirmWrite(io, {
-          group,
-          monitor,
+        const isHeld = await confirmer.confirm({
           at: res.value.at,
+          primary: primary.info.target,
           deadline: task.deadline,
         });
         if (isHeld) {
@@ -144,7 +164,9 @@
         continue;
       }
       maySent ||= isMaybeRun(res.error);
-      if (isFinal(res.error)) {
+      // A refusal says nothing about an earlier sending.
+      const isOpen = maySent && res.error.kind === "refused";
+      if (isFinal(res.error) && !isOpen) {
         return failed(toFailure(res.error));
       }
       await sleep(RETRY_PAUSE_MS);
@@ -160,32 +182,29 @@
     }
     const { info, term } = primary;
     const { deadline } = task;
-    const slot = await queue.enter(info.target, { workspace, deadline });
-    if (slot.isErr()) {
-      return failed(slot.error);
-    }
-    const conn = await connections.acquire(info);
-    if (conn.isErr()) {
-      slot.value.release();
-      return failed({ error: "unavailable" });
+    const lane = await openLane(ctx, { target: info, workspace, deadline });
+    if (lane.isErr()) {
+      return failed(toFailure(lane.error));
     }
+    const { conn, slot } = lane.value;
     const leftMs = Math.max(1, deadline - nowMs());
-    const res = await conn.value.run(
+    const res = await conn.run(
       { kind: "begin", workspace, term },
       leftMs,
     );
     if (res.isErr()) {
-      connections.release(conn.value, { clean: false });
-      slot.value.release();
+      connections.release(conn, { clean: false });
+      slot.release();
       return failed({ error: "unavailable" });
     }
+    slot.detach();
     transactions.open({
       tx: op.tx,
       workspace,
       session,
       term,
-      conn: conn.value,
-      slot: slot.value,
+      conn,
+      slot,
     });
     return done({ ...res.value, result: op.tx }, {
       floor: task.req.floor ?? res.value.at,
@@ -193,6 +212,20 @@
     });
   }
 
+  /** Waits for a token and a slot; the begin has paid for the end. */
+  async function enterTransaction(
+    op: OpOf<"read"> | OpOf<"write"> | OpOf<"end">,
+    given: { readonly open: OpenTransaction | undefined; readonly task: Task },
+  ): Promise<Result<Slot, Failure> | undefined> {
+    const { open, task } = given;
+    const { workspace } = task.req;
+    if (!open || op.kind === "end" || open.workspace !== workspace) {
+      return undefined;
+    }
+    const { target } = open.conn;
+    return await queue.enter(target, { workspace, deadline: task.deadline });
+  }
+
   async function runInTransaction(
     op: OpOf<"read"> | OpOf<"write"> | OpOf<"end">,
     task: Task,
@@ -200,10 +233,15 @@
     const { workspace, session } = task.req;
     const { deadline } = task;
     const open = transactions.tryGet(op.tx!);
+    const slot = await enterTransaction(op, { open, task });
+    if (slot?.isErr()) {
+      return failed(slot.error);
+    }
     const res = await transactions.run(
       { tx: op.tx!, workspace, session },
       { req: toTxReq(op, { workspace, term: open?.term ?? 0 }), deadline },
     );
+    slot?.map((entered) => entered.release());
     if (res.isErr()) {
       return failed(txFailure(res.error, op));
     }
@@ -214,7 +252,8 @@
         isPrimary: true,
       });
     }
-    const isHeld = await confirmWrite(io, { group, monitor, at, deadline });
+    const primary = open!.conn.target;
+    const isHeld = await confirmer.confirm({ at, primary, deadline });
     return isHeld
       ? done(res.value, { floor: at, isPrimary: true })
       : failed({ error: "outcome_unknown" });
@@ -253,14 +292,25 @@
   }
 
   return {
-    start: monitor.start,
+    start() {
+      monitor.start();
+      connections.keepWarm(group.targets);
+    },
     exec: (req) => run({ req, deadline: nowMs() + req.budgetMs }),
     endSession: transactions.endSession,
     monitor,
+    update(changed) {
+      group = changed;
+      monitor.update(changed);
+      connections.keepWarm(changed.targets);
+    },
     stop() {
       monitor.stop();
+      watch.stop();
+      confirmer.stop();
       transactions.stop();
       connections.stop();
+      queue.stop();
     },
   };
 }
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -5,7 +5,10 @@
 
 import { Err, Ok, type Result } from "ts-results-es";
 import { nowMs } from "./clock.ts";
-import { type ConcurrencyLimit, createConcurrencyLimit } from "./concurrency.ts";
+import {
+  type ConcurrencyLimit,
+  createConcurrencyLimit,
+} from "./concurrency.ts";
 import type { Failure } from "./errors.ts";
 import { createFlows, type Flow, type Flows } from "./flows.ts";
 import type { TargetId, WorkspaceId } from "./ids.ts";
--- a/src/core/seats.ts
+++ b/src/core/seats.ts
@@ -21,8 +21,9 @@
 export const CLOCK_DRIFT = 1.02;
 
 const RENEW_MS = 1_500;
-/** Time to hear of the other hosts before the first seat is taken. */
-const START_MS = 1_000;
+/** Longest wait for most other hosts before the first seat is taken. */
+const START_MAX_MS = 3_000;
+const START_POLL_MS = 50;
 const KEEP_MS = 500;
 /** The longest time that seats are kept without the platform. */
 const KEEP_MAX_MS = 3_600_000;
@@ -36,6 +37,8 @@
   readonly until: number;
   /** Since when every share that an earlier holder lent has lapsed. */
   readonly since: number;
+  /** Nobody held the seat before, so that its shares are full. */
+  readonly isNew: boolean;
 }
 
 /** The seats of this host. */
@@ -52,6 +55,8 @@
 export interface SeatsOptions {
   readonly self: HostId;
   readonly incarnation: string;
+  /** Number of hosts in the settings, this one included. */
+  readonly knownHosts: number;
   /** Hosts that are alive, this one included. */
   listAlive(): readonly HostId[];
   /** Asks a peer to vote; undefined without an answer. */
@@ -67,6 +72,7 @@
   until: number;
   renewedAt: number;
   readonly since: number;
+  readonly isNew: boolean;
 }
 
 interface Seen {
@@ -144,7 +150,9 @@
   }
 
   async function take(seat: number): Promise<void> {
-    const res = await put(seat, { version: seen.get(seat)?.version ?? 0 });
+    const version = seen.get(seat)?.version ?? 0;
+    const isNew = version === 0;
+    const res = await put(seat, { version });
     if (!res) {
       return;
     }
@@ -152,7 +160,8 @@
       version: res.version,
       renewedAt: res.sentAt,
       until: res.sentAt + SEAT_LEASE_MS,
-      since: nowMs() + DELEGATION_MS * CLOCK_DRIFT,
+      since: nowMs() + (isNew ? 0 : DELEGATION_MS * CLOCK_DRIFT),
+      isNew,
     });
     log("taken", seat);
   }
@@ -279,8 +288,17 @@
     }
   }
 
+  /** A host that starts alone would take more seats than it should. */
+  async function waitForPeers(): Promise<void> {
+    const latest = nowMs() + START_MAX_MS;
+    const wanted = options.knownHosts / 2;
+    while (nowMs() < latest && options.listAlive().length <= wanted) {
+      await sleep(START_POLL_MS);
+    }
+  }
+
   async function renewAll(): Promise<void> {
-    await sleep(START_MS);
+    await waitForPeers();
     while (!stopped && !isReleasing) {
       dropLapsed();
       const surplus = [...held.keys()].slice(getFairCount());
@@ -308,7 +326,12 @@
     list() {
       const now = nowMs();
       return [...held]
-        .map(([seat, { until, since }]) => ({ seat, until, since }))
+        .map(([seat, { until, since, isNew }]) => ({
+          seat,
+          until,
+          since,
+          isNew,
+        }))
         .filter(({ until, since }) => until > now && since <= now);
     },
     receive,
--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -146,6 +146,7 @@
             if (!open || !await waitRunning(self)) {
               return Err({ kind: "unreachable", sent: false });
             }
+            node.scan(JSON.stringify(req));
             const res = await withTimeout(conn.run(req), {
               ms: timeoutMs,
               fallback: undefined,
@@ -166,6 +167,7 @@
         if (!await waitRunning(self)) {
           return Err({ kind: "unreachable", sent: false });
         }
+        node.scan(JSON.stringify(req));
         const res = await withTimeout(node.control(self.id, req), {
           ms: timeoutMs,
           fallback: undefined,
--- a/test/limits_fleet.ts
+++ b/test/limits_fleet.ts
@@ -114,6 +114,7 @@
     return create(io, {
       self: host.id,
       cfg,
+      knownHosts: options.hosts,
       listAlive: () =>
         hosts.filter((peer) =>
           peer === host || nowMs() - (host.heard.get(peer.id) ?? -1e9) <
