--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -5,11 +5,12 @@
 import { getConnectionShare } from "./connections.ts";
 import { createEntry, type Entry } from "./entry.ts";
 import type { HostId } from "./ids.ts";
-import { createLimits } from "./limits.ts";
+import { createLimits, type Limits, type LimitsOptions } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeers } from "./peers.ts";
+import type { OrderReplicas } from "./pool.ts";
 import { createPools } from "./pools.ts";
-import { createFairQueue } from "./queue.ts";
+import { createFairQueue, type Queue, type QueueOptions } from "./queue.ts";
 import type {
   ExecReq,
   GroupView,
@@ -40,14 +41,26 @@
   listGroupViews(): readonly GroupView[];
 }
 
+/** Parts that a program which embeds a host may replace. */
+export interface HostPolicies {
+  readonly createLimits?: (io: HostIo, options: LimitsOptions) => Limits;
+  readonly createQueue?: (options: QueueOptions) => Queue;
+  /** Orders the replicas that may serve a read, best first. */
+  readonly orderReplicas?: OrderReplicas;
+}
+
 /** Creates a host that acts through `io` only. */
-export function createHost(io: HostIo, settings: Settings): Host {
+export function createHost(
+  io: HostIo,
+  settings: Settings,
+  policies: HostPolicies = {},
+): Host {
   const self = { host: settings.host, domain: settings.domain };
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
   const membership = createMembership(io, { self, known });
   const peers = createPeers(io, handlePeer);
-  const limits = createLimits(io, {
+  const limits = (policies.createLimits ?? createLimits)(io, {
     self: settings.host,
     cfg,
     knownHosts: known.length + 1,
@@ -57,6 +70,7 @@
       return res.isOk() ? res.value : undefined;
     },
   });
+  const createQueue = policies.createQueue ?? createFairQueue;
   const hostsPerGroup = settings.pools?.hostsPerGroup ??
     DEFAULT_HOSTS_PER_GROUP;
   const pools = createPools(io, {
@@ -68,7 +82,7 @@
     transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
       DEFAULT_TRANSACTION_TIMEOUT_MS,
     createQueue: (info) =>
-      createFairQueue({
+      createQueue({
         limits,
         slotsPerTarget: info.slots,
         maxInFlight: getConnectionShare(info.targets, hostsPerGroup),
@@ -76,6 +90,9 @@
           cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
         random: io.random,
       }),
+    ...(policies.orderReplicas
+      ? { orderReplicas: policies.orderReplicas }
+      : {}),
   });
 
   async function execHere(req: ExecReq): Promise<Outcome> {
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -5,7 +5,7 @@
 import type { GroupId, HostId } from "./ids.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
-import { createPool, type Pool } from "./pool.ts";
+import { createPool, type OrderReplicas, type Pool } from "./pool.ts";
 import { createPromotion, type Promotion } from "./promotion.ts";
 import type { Queue } from "./queue.ts";
 import { listPoolHosts } from "./route.ts";
@@ -29,6 +29,8 @@
   readonly hostsPerGroup: number;
   readonly transactionTimeoutMs: number;
   createQueue(group: GroupInfo): Queue;
+  /** The order in which replicas are asked; without it they are asked at random. */
+  readonly orderReplicas?: OrderReplicas;
 }
 
 /** The pools of this host. */
@@ -85,6 +87,9 @@
         info.targets,
         options.hostsPerGroup,
       ),
+      ...(options.orderReplicas
+        ? { orderReplicas: options.orderReplicas }
+        : {}),
     });
     const promotion = createPromotion(io, {
       self,
--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -6,7 +6,7 @@
 import { Err, Ok } from "ts-results-es";
 import { mersenne } from "pure-rand/generator/mersenne";
 import { sleep, withTimeout } from "../src/core/clock.ts";
-import { createHost, type Host } from "../src/core/host.ts";
+import { createHost, type Host, type HostPolicies } from "../src/core/host.ts";
 import {
   asId,
   type DomainId,
@@ -85,6 +85,8 @@
   readonly seed: number;
   /** Adds to the settings of each host. */
   readonly settings?: Partial<Settings>;
+  /** Parts of the hosts that an experiment replaces. */
+  readonly policies?: HostPolicies;
 }
 
 const UINT32_RANGE = 2 ** 32;
@@ -247,7 +249,7 @@
       state: "running",
       log: [],
     } as unknown as LocalHost;
-    self.host = createHost(createIo(self), settings);
+    self.host = createHost(createIo(self), settings, options.policies);
     return self;
   }
 
@@ -279,7 +281,11 @@
       const host = fleet.getHost(id);
       host.host.stop();
       host.state = "running";
-      host.host = createHost(createIo(host), host.settings);
+      host.host = createHost(
+        createIo(host),
+        host.settings,
+        options.policies,
+      );
       host.host.start();
     },
     stop() {
