--- /dev/null
+++ b/tools/experiments/run.ts
@@ -0,0 +1,210 @@
+/** Runs a load against a local fleet under a paused clock. */
+
+import { install } from "@sinonjs/fake-timers";
+import type { CallerSession } from "../../src/core/entry.ts";
+import { asId, type ReqId, type WorkspaceId } from "../../src/core/ids.ts";
+import { issueKey } from "../../src/core/keys.ts";
+import {
+  GROUPS_KEY,
+  KEYS_KEY,
+  PLANS_KEY,
+  SERVICES_KEY,
+} from "../../src/core/object_keys.ts";
+import type { Answer } from "../../src/core/types.ts";
+import {
+  createLocalFleet,
+  type LocalFleet,
+  type LocalFleetOptions,
+} from "../../standins/local_fleet.ts";
+import { buildGroups, buildPlans, buildServices } from "../workloads.ts";
+import type { Deployment } from "../workloads.ts";
+
+const SETTLE_MS = 4_000;
+const STEP_MS = 5;
+const DRAIN_MS = 6_000;
+
+/** A request of the load. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly host: string;
+  readonly workspace: string;
+  readonly access: "read" | "write";
+  readonly costMs?: number;
+  readonly timeoutMs?: number;
+}
+
+/** A request with what became of it. */
+export interface Result {
+  readonly arrival: Arrival;
+  readonly tookMs: number;
+  /** Undefined when no answer came before the end. */
+  readonly answer: Answer | undefined;
+}
+
+/** What happens to the fleet besides the load. */
+export interface Happening {
+  readonly atMs: number;
+  readonly run: (fleet: LocalFleet) => void;
+}
+
+/** One run of an experiment. */
+export interface RunOptions {
+  readonly deployment: Deployment;
+  readonly hosts: number;
+  readonly seed: number;
+  readonly load: readonly Arrival[];
+  readonly happenings?: readonly Happening[];
+  readonly policies?: LocalFleetOptions["policies"];
+  readonly settings?: LocalFleetOptions["settings"];
+}
+
+/** What a run gave. */
+export interface RunReport {
+  readonly results: readonly Result[];
+  /** Statements that targets ran, with their times since the load began. */
+  readonly ran: readonly {
+    readonly workspace: string;
+    readonly ranAt: number;
+  }[];
+  readonly platformCalls: number;
+}
+
+/** Runs a load to its end and reports what callers and targets saw. */
+export async function runLoad(options: RunOptions): Promise<RunReport> {
+  const clock = install({
+    toFake: [
+      "setTimeout",
+      "clearTimeout",
+      "setInterval",
+      "clearInterval",
+      "Date",
+      "performance",
+    ],
+  });
+  try {
+    return await runFaked(options, (ms) => clock.tickAsync(ms));
+  } finally {
+    clock.uninstall();
+  }
+}
+
+async function runFaked(
+  options: RunOptions,
+  advance: (ms: number) => Promise<unknown>,
+): Promise<RunReport> {
+  const { fleet, open } = startFleet(options);
+  await advance(SETTLE_MS);
+  const startedAt = Date.now();
+  const callsBefore = countCalls(fleet);
+  const results: Result[] = [];
+  const load = options.load.toSorted((a, b) => a.atMs - b.atMs);
+  const happenings = [...options.happenings ?? []];
+  const endMs = (load.at(-1)?.atMs ?? 0) + DRAIN_MS;
+  let next = 0;
+  for (let ms = 0; ms < endMs; ms += STEP_MS) {
+    for (const happening of happenings.filter((h) => h.atMs === ms)) {
+      happening.run(fleet);
+    }
+    while (next < load.length && load[next]!.atMs < ms + STEP_MS) {
+      void send(load[next]!, next++);
+    }
+    await advance(STEP_MS);
+  }
+
+  async function send(arrival: Arrival, index: number): Promise<void> {
+    const sentAt = performance.now();
+    const place = results.length;
+    results.push({ arrival, tookMs: Infinity, answer: undefined });
+    const session = open(arrival);
+    const answer = await session.request(toFrame(arrival, {
+      index,
+      service: options.deployment.service,
+    }));
+    const tookMs = performance.now() - sentAt;
+    results[place] = { arrival, tookMs, answer };
+  }
+
+  const ran = [...fleet.targets.values()].flatMap(({ core }) =>
+    core.statements.map(({ workspace, ranAt }) => ({
+      workspace,
+      ranAt: ranAt - startedAt,
+    }))
+  );
+  const platformCalls = countCalls(fleet) - callsBefore;
+  fleet.stop();
+  return { results, ran, platformCalls };
+}
+
+function countCalls(fleet: LocalFleet): number {
+  return [...fleet.platformCalls.values()].reduce((a, b) => a + b, 0);
+}
+
+function toFrame(
+  arrival: Arrival,
+  given: { readonly index: number; readonly service: Deployment["service"] },
+) {
+  const { index, service } = given;
+  const cost = arrival.costMs ? { costMs: arrival.costMs } : {};
+  const key = `row-${index % 50}`;
+  const common = {
+    id: asId<ReqId>(`x${index}`),
+    service,
+    class: "order",
+    timeoutMs: arrival.timeoutMs ?? 2_000,
+  };
+  return arrival.access === "read"
+    ? { kind: "read" as const, ...common, body: { op: "get", key, ...cost } }
+    : {
+      kind: "write" as const,
+      ...common,
+      body: { op: "put", key, value: index, ...cost },
+    };
+}
+
+function startFleet(options: RunOptions) {
+  const { deployment } = options;
+  const fleet = createLocalFleet({
+    hosts: options.hosts,
+    domains: deployment.domains,
+    groups: buildGroups(deployment, (target) => target),
+    target: {
+      connectMs: deployment.connectMs,
+      statementMs: 2,
+      latencyMs: deployment.domainLatencyMs,
+      lagMs: 20,
+    },
+    peerLatencyMs: deployment.domainLatencyMs,
+    platformLatencyMs: 2,
+    seed: options.seed,
+    ...(options.policies ? { policies: options.policies } : {}),
+    ...(options.settings ? { settings: options.settings } : {}),
+  });
+  const issued = deployment.workspaces.map((w) => issueKey(w.workspace));
+  const keys = new Map<string, string>(
+    issued.map((key) => [key.record.workspace, key.secret]),
+  );
+  const objects = [
+    { key: PLANS_KEY, value: buildPlans(deployment) },
+    { key: SERVICES_KEY, value: buildServices(deployment) },
+    { key: GROUPS_KEY, value: { kind: "groups", groups: fleet.groups } },
+    {
+      key: KEYS_KEY,
+      value: { kind: "keys", keys: issued.map((key) => key.record) },
+    },
+  ];
+  for (const { key, value } of objects) {
+    fleet.platform.put(key, value, { ifVersion: 0 }).unwrap();
+  }
+  const sessions = new Map<string, CallerSession>();
+  function open({ host, workspace }: Arrival): CallerSession {
+    const name = `${host}/${workspace}`;
+    const found = sessions.get(name) ??
+      fleet.getHost(host).host.entry.open({
+        kind: "hello",
+        key: keys.get(asId<WorkspaceId>(workspace))!,
+      }).unwrap();
+    sessions.set(name, found);
+    return found;
+  }
+  return { fleet, open };
+}
--- /dev/null
+++ b/tools/experiments/scenarios.ts
@@ -0,0 +1,145 @@
+/** Loads for experiments on limits, fairness, connections and overload. */
+
+import { mersenne } from "pure-rand/generator/mersenne";
+import type { Arrival, Happening } from "./run.ts";
+import { type Deployment, LAKAZ } from "../workloads.ts";
+
+const UINT32_RANGE = 2 ** 32;
+const WRITE_SHARE = 0.3;
+
+/** A load with what happens during it. */
+export interface Scenario {
+  readonly name: string;
+  readonly deployment: Deployment;
+  readonly load: readonly Arrival[];
+  readonly happenings?: readonly Happening[];
+  /** Workspaces that go beyond their plans; left out of the shares. */
+  readonly floods?: readonly string[];
+}
+
+/** Draws the arrivals of one workspace. */
+export function drawArrivals(options: {
+  readonly seed: number;
+  readonly workspace: string;
+  readonly perSecond: number;
+  readonly fromMs?: number;
+  readonly durationMs: number;
+  readonly getHost: (atMs: number, random: number) => string;
+  readonly costMs?: number;
+  readonly writeShare?: number;
+}): Arrival[] {
+  const generator = mersenne(options.seed);
+  const random = () => (generator.next() >>> 0) / UINT32_RANGE;
+  const { perSecond, durationMs, fromMs = 0 } = options;
+  const arrivals: Arrival[] = [];
+  let atMs = fromMs;
+  while (true) {
+    atMs += -Math.log(1 - random()) * 1_000 / perSecond;
+    if (atMs >= fromMs + durationMs) {
+      return arrivals;
+    }
+    arrivals.push({
+      atMs,
+      host: options.getHost(atMs, random()),
+      workspace: options.workspace,
+      access: random() < (options.writeShare ?? WRITE_SHARE) ? "write" : "read",
+      ...(options.costMs ? { costMs: options.costMs } : {}),
+    });
+  }
+}
+
+/** Picks one of `count` hosts evenly. */
+export function spreadOver(count: number) {
+  return (_atMs: number, random: number) =>
+    `h${1 + Math.floor(random * count)}`;
+}
+
+/** Every workspace at a part of its rate. */
+export function drawAll(
+  deployment: Deployment,
+  options: {
+    readonly seed: number;
+    readonly part: number;
+    readonly durationMs: number;
+    readonly getHost: (atMs: number, random: number) => string;
+  },
+): Arrival[] {
+  return deployment.workspaces.flatMap((size, index) =>
+    drawArrivals({
+      ...options,
+      seed: options.seed * 100 + index,
+      workspace: size.workspace,
+      perSecond: size.ratePerSecond * options.part,
+    })
+  );
+}
+
+/** The loads by which limits are compared. */
+export function listLimitScenarios(seed: number, hosts: number): Scenario[] {
+  const durationMs = 15_000;
+  const spread = spreadOver(hosts);
+  const common = { seed, part: 0.9, durationMs };
+  const bursts = LAKAZ.workspaces.flatMap((size) =>
+    [3_000, 10_000].flatMap((fromMs, round) =>
+      Array.from({ length: Math.floor(size.burst * 0.95) }, (_, index) => ({
+        atMs: fromMs + index * 0.5,
+        host: `h${1 + (round * 3) % hosts}`,
+        workspace: size.workspace,
+        access: "read" as const,
+      }))
+    )
+  );
+  const rare = LAKAZ.workspaces.map((size, index) => ({
+    atMs: 1_000 + index * 1_500,
+    host: `h${1 + index % hosts}`,
+    workspace: size.workspace,
+    access: "read" as const,
+  }));
+  const flood = drawArrivals({
+    seed: seed + 7,
+    workspace: "supreme-court",
+    perSecond: 600,
+    durationMs,
+    getHost: spread,
+  });
+  const others = drawAll(LAKAZ, { ...common, getHost: spread })
+    .filter((arrival) => arrival.workspace !== "supreme-court");
+  return [
+    {
+      name: "one host",
+      deployment: LAKAZ,
+      load: drawAll(LAKAZ, { ...common, getHost: () => "h1" }),
+    },
+    {
+      name: "spread",
+      deployment: LAKAZ,
+      load: drawAll(LAKAZ, { ...common, getHost: spread }),
+    },
+    {
+      name: "moving",
+      deployment: LAKAZ,
+      load: drawAll(LAKAZ, {
+        ...common,
+        getHost: (atMs) => `h${1 + Math.floor(atMs / 2_000) % hosts}`,
+      }),
+    },
+    { name: "bursts", deployment: LAKAZ, load: bursts },
+    { name: "rare", deployment: LAKAZ, load: rare },
+    {
+      name: "host dies",
+      deployment: LAKAZ,
+      load: drawAll(LAKAZ, {
+        ...common,
+        durationMs: 10_000,
+        getHost: (_atMs, random) => `h${2 + Math.floor(random * (hosts - 1))}`,
+      }),
+      happenings: [{ atMs: 1_000, run: (fleet) => fleet.kill("h1") }],
+    },
+    {
+      name: "flood",
+      deployment: LAKAZ,
+      load: [...flood, ...others],
+      floods: ["supreme-court"],
+    },
+  ];
+}
