--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -10,7 +10,6 @@
 import { assertNever } from "./errors.ts";
 import type { Freshness } from "./freshness.ts";
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
-import type { Limits } from "./limits.ts";
 import type { Membership } from "./membership.ts";
 import { forward } from "./forward.ts";
 import { listPoolHosts } from "./route.ts";
@@ -50,7 +49,6 @@
   readonly self: HostId;
   readonly cfg: Configuration;
   readonly freshness: Freshness;
-  readonly limits: Limits;
   readonly membership: Membership;
   readonly hostsPerGroup: number;
   readonly defaultTimeoutMs: number;
@@ -95,7 +93,7 @@
       frame.timeoutMs ?? options.defaultTimeoutMs,
       options.maxTimeoutMs,
     );
-    const admitted = admit({ cfg, limits: options.limits }, {
+    const admitted = admit({ cfg }, {
       session,
       frame,
       op: toOp(frame, newId),
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -1,6 +1,7 @@
 /** The pools of this host: one for each group that it is chosen for. */
 
 import type { Configuration } from "./configuration.ts";
+import { getConnectionShare } from "./connections.ts";
 import type { GroupId, HostId } from "./ids.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
@@ -86,6 +87,10 @@
       group: info,
       queue: options.createQueue(info),
       transactionTimeoutMs: options.transactionTimeoutMs,
+      connectionsPerTarget: getConnectionShare(
+        info.targets,
+        options.hostsPerGroup,
+      ),
       ...(options.orderReplicas
         ? { orderReplicas: options.orderReplicas }
         : {}),
--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -6,7 +6,7 @@
 import { Err, Ok } from "ts-results-es";
 import { mersenne } from "pure-rand/generator/mersenne";
 import { sleep, withTimeout } from "../src/core/clock.ts";
-import { createHost, type Host } from "../src/core/host.ts";
+import { createHost, type Host, type HostPolicies } from "../src/core/host.ts";
 import {
   asId,
   type DomainId,
@@ -49,6 +49,12 @@
   loseAnswers?: boolean;
 }
 
+/** A call of a host to the platform for a key or a prefix of keys. */
+export interface PlatformCall {
+  readonly host: HostId;
+  readonly path: string;
+}
+
 /** A fleet in one process. */
 export interface LocalFleet {
   readonly hosts: readonly LocalHost[];
@@ -56,8 +62,8 @@
   readonly groups: readonly GroupInfo[];
   readonly platform: PlatformCore;
   readonly platformFaults: LocalPlatformFaults;
-  /** Calls to the platform by host. */
-  readonly platformCalls: Map<HostId, number>;
+  /** Calls to the platform, in their order. */
+  readonly platformCalls: PlatformCall[];
   /** Stops messages between two hosts, or a host and `platform`. */
   cut(a: string, b: string): void;
   heal(): void;
@@ -85,6 +91,8 @@
   readonly seed: number;
   /** Adds to the settings of each host. */
   readonly settings?: Partial<Settings>;
+  /** Parts of the hosts that an experiment replaces. */
+  readonly policies?: HostPolicies;
 }
 
 const UINT32_RANGE = 2 ** 32;
@@ -102,7 +110,7 @@
   const random = () => (generator.next() >>> 0) / UINT32_RANGE;
   const platform = createPlatformCore();
   const platformFaults: LocalPlatformFaults = {};
-  const platformCalls = new Map<HostId, number>();
+  const platformCalls: PlatformCall[] = [];
   const cuts = new Set<string>();
   const frozen: (() => void)[] = [];
   const targets = createTargets(options);
@@ -186,8 +194,11 @@
   function createStore(self: LocalHost): PlatformStore {
     const unreachable: Err<PlatformErr> = Err({ kind: "unreachable" });
 
-    async function call<T>(run: () => Promise<T> | T): Promise<T | undefined> {
-      platformCalls.set(self.id, (platformCalls.get(self.id) ?? 0) + 1);
+    async function call<T>(
+      path: string,
+      run: () => Promise<T> | T,
+    ): Promise<T | undefined> {
+      platformCalls.push({ host: self.id, path });
       const isDown = () =>
         platformFaults.down || isCut(self.id, "platform") ||
         self.state === "dead";
@@ -203,20 +214,22 @@
 
     return {
       async get(key) {
-        const found = await call(() => platform.get(key));
+        const found = await call(key, () => platform.get(key));
         return found ? Ok(found) : unreachable;
       },
       async list(prefix) {
-        const found = await call(() => platform.list(prefix));
+        const found = await call(prefix, () => platform.list(prefix));
         return found ? Ok(found) : unreachable;
       },
       async put(key, value, opts) {
         const copy: unknown = structuredClone(value);
-        return await call(() => platform.put(key, copy, opts)) ?? unreachable;
+        return await call(key, () => platform.put(key, copy, opts)) ??
+          unreachable;
       },
       async watch(prefix, opts) {
-        const found = await call(() =>
-          waitForChange(platform, { prefix, ...opts })
+        const found = await call(
+          prefix,
+          () => waitForChange(platform, { prefix, ...opts }),
         );
         return found ? Ok(found) : unreachable;
       },
@@ -252,7 +265,7 @@
       state: "running",
       log: [],
     } as unknown as LocalHost;
-    self.host = createHost(createIo(self), settings);
+    self.host = createHost(createIo(self), settings, options.policies);
     return self;
   }
 
@@ -287,7 +300,11 @@
       host.host.stop();
       host.state = "running";
       resumeFrozen();
-      host.host = createHost(createIo(host), host.settings);
+      host.host = createHost(
+        createIo(host),
+        host.settings,
+        options.policies,
+      );
       host.host.start();
     },
     stop() {
--- a/tools/measure/policies.ts
+++ b/tools/measure/policies.ts
@@ -3,9 +3,9 @@
 import type { RunHostOptions } from "../../src/daemon/run_host.ts";
 import type { Settings } from "../../src/generated/settings.ts";
 import {
-  createFifo,
+  createFifoQueue,
   createRoundRobin,
-  createStaticShareLimits,
+  createStaticLimits,
 } from "./baselines.ts";
 import type { PrimaryFault } from "./schedule.ts";
 import { BROKEN_WRAPPERS, type BrokenName } from "./broken.ts";
@@ -37,11 +37,11 @@
   "chosen": { settings: {}, create: () => ({}) },
   "static-share": {
     settings: {},
-    create: () => ({ policies: { createLimits: createStaticShareLimits } }),
+    create: () => ({ policies: { createLimits: createStaticLimits } }),
   },
   "fifo": {
     settings: {},
-    create: () => ({ policies: { createQueue: createFifo } }),
+    create: () => ({ policies: { createQueue: createFifoQueue } }),
   },
   "own-pools": {
     settings: { pools: { hostsPerGroup: OWN_POOLS_HOSTS } },
