--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -29,6 +29,7 @@
     text: "found {found}, which stands at {other} already",
   },
   settings_valid: { code: 1009, text: "valid settings of host {host}" },
+  line_invalid: { code: 1010, text: "{detail}" },
   host_ready: { code: 2001, text: "{host} ready" },
   host_stopped: { code: 2002, text: "{host} stopped" },
   command_unknown: { code: 3001, text: "no such command: {command}" },
--- /dev/null
+++ b/src/core/nesting.ts
@@ -0,0 +1,15 @@
+/** Bounds the nesting of values that come from outside. */
+
+/** Tells whether a value has at most `depth` levels, without recursion. */
+export function isNestedWithin(value: unknown, depth: number): boolean {
+  let level: unknown[] = [value];
+  for (let left = depth; level.length > 0; left--) {
+    if (left < 0) {
+      return false;
+    }
+    level = level
+      .filter((entry) => typeof entry === "object" && entry !== null)
+      .flatMap((entry) => Object.values(entry as object));
+  }
+  return true;
+}
--- a/src/host/caller_frames.ts
+++ b/src/host/caller_frames.ts
@@ -4,6 +4,7 @@
 import { type AnswerFrame, toFrame } from "../core/answer.ts";
 import type { Failure } from "../core/errors.ts";
 import { asId, type ReqId } from "../core/ids.ts";
+import { isNestedWithin } from "../core/nesting.ts";
 import type { CallerFrame } from "../generated/caller.ts";
 import { validateCallerFrame } from "../generated/caller_validate.ts";
 
@@ -44,18 +45,18 @@
   return toFrame({ kind: "failed", id: asId<ReqId>(id), failure, token: "" });
 }
 
-/** Tells whether a value has at most `depth` levels, without recursion. */
-export function isNestedWithin(value: unknown, depth: number): boolean {
-  let level: unknown[] = [value];
-  for (let left = depth; level.length > 0; left--) {
-    if (left < 0) {
-      return false;
-    }
-    level = level
-      .filter((entry) => typeof entry === "object" && entry !== null)
-      .flatMap((entry) => Object.values(entry as object));
+/** Writes a frame; a result that JSON cannot hold is told as a fault. */
+export function encodeAnswer(frame: AnswerFrame): string {
+  try {
+    return JSON.stringify(frame, toJsonValue);
+  } catch {
+    return JSON.stringify(toFailedFrame(frame.id, { error: "internal" }));
   }
-  return true;
+}
+
+/** Integers beyond 2^53 of targets are written as text. */
+function toJsonValue(_key: string, value: unknown): unknown {
+  return typeof value === "bigint" ? `${value}` : value;
 }
 
 function tryParse(text: string): unknown {
--- a/src/host/caller_http.ts
+++ b/src/host/caller_http.ts
@@ -9,6 +9,7 @@
 import type { HelloFrame } from "../generated/caller.ts";
 import {
   decodeCallerFrame,
+  encodeAnswer,
   type FrameErr,
   toFailedFrame,
 } from "./caller_frames.ts";
@@ -66,7 +67,7 @@
 function answer(res: ServerResponse, frame: AnswerFrame): void {
   if (frame.ok) {
     res.writeHead(200, { "content-type": "application/json" });
-    res.end(JSON.stringify(frame));
+    res.end(encodeAnswer(frame));
     return;
   }
   const error = frame.error as Failure["error"];
@@ -79,7 +80,7 @@
       ? {}
       : { "retry-after": `${Math.ceil(retryAfterMs / MS_PER_SECOND)}` }),
   });
-  res.end(JSON.stringify(frame));
+  res.end(encodeAnswer(frame));
 }
 
 /** Reads a body as text, up to a size. */
--- a/src/host/caller_socket.ts
+++ b/src/host/caller_socket.ts
@@ -5,7 +5,11 @@
 import { type AnswerFrame, toFrame } from "../core/answer.ts";
 import type { CallerSession, Entry, RequestFrame } from "../core/entry.ts";
 import type { HelloFrame } from "../generated/caller.ts";
-import { decodeCallerFrame, toFailedFrame } from "./caller_frames.ts";
+import {
+  decodeCallerFrame,
+  encodeAnswer,
+  toFailedFrame,
+} from "./caller_frames.ts";
 import type { WriteBatch } from "./write_batch.ts";
 
 /** Time for the first hello after connecting, in milliseconds. */
@@ -66,7 +70,7 @@
     ws.ping();
   }, PING_MS);
 
-  function send(frame: unknown): void {
+  function send(frame: AnswerFrame): void {
     if (ws.readyState !== ws.OPEN) {
       return;
     }
@@ -76,7 +80,7 @@
       return;
     }
     options.beginWrite();
-    ws.send(JSON.stringify(frame));
+    ws.send(encodeAnswer(frame));
   }
 
   function openSession(hello: HelloFrame): void {
@@ -90,7 +94,7 @@
     session?.end();
     session = opened.value;
     openTransactions.clear();
-    send({ id: "", ok: true, result: "hello" });
+    ws.send(JSON.stringify({ id: "", ok: true, result: "hello" }));
   }
 
   function tryRefuse(frame: RequestFrame): AnswerFrame | undefined {
--- a/src/host/operators_server.ts
+++ b/src/host/operators_server.ts
@@ -64,7 +64,7 @@
   }
 
   async function route(req: IncomingMessage): Promise<Reply> {
-    const { pathname } = new URL(req.url ?? "/", "http://operators");
+    const pathname = tryGetPath(req.url);
     if (pathname === "/drain") {
       return drain(req);
     }
@@ -128,6 +128,14 @@
   };
 }
 
+function tryGetPath(url: string | undefined): string | undefined {
+  try {
+    return new URL(url ?? "", "http://operators").pathname;
+  } catch {
+    return undefined;
+  }
+}
+
 function text(status: number, body: string): Reply {
   return { status, type: "text/plain; charset=utf-8", body };
 }
--- /dev/null
+++ b/src/host/peer_frames.ts
@@ -0,0 +1,26 @@
+/** Decodes the frames of peers. */
+
+import type { Buffer } from "node:buffer";
+import { unpack } from "msgpackr";
+import { isNestedWithin } from "../core/nesting.ts";
+import type { PeerMessage } from "../core/types.ts";
+import { validatePeerMessage } from "../generated/peer_validate.ts";
+
+/** Levels of nesting of a message, statements included. */
+export const MAX_PEER_DEPTH = 48;
+
+/** Decodes a frame; undefined if it is not a valid message. */
+export function tryDecodePeerMessage(data: Buffer): PeerMessage | undefined {
+  const msg = tryUnpack(data);
+  return isNestedWithin(msg, MAX_PEER_DEPTH) && validatePeerMessage(msg)
+    ? msg
+    : undefined;
+}
+
+function tryUnpack(data: Buffer): unknown {
+  try {
+    return unpack(data);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -2,19 +2,24 @@
 
 import type { Buffer } from "node:buffer";
 import { createServer, type Server } from "node:http";
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
 import { assertNever } from "../core/errors.ts";
 import { asId, type HostId } from "../core/ids.ts";
 import type { MetricsSink, PeerMessage } from "../core/types.ts";
-import { validatePeerMessage } from "../generated/peer_validate.ts";
 import type { Settings } from "../generated/settings.ts";
+import { tryDecodePeerMessage } from "./peer_frames.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 const MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024;
 /** A link with more unsent bytes than this drops messages. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 const RECONNECT_MS = 200;
+const CONNECT_TIMEOUT_MS = 2_000;
+/** Messages that wait for a link to open. */
+const MAX_WAITING = 256;
+/** Close code for a peer that breaks the protocol. */
+const MALFORMED_CODE = 1_008;
 
 /** The links of one host. */
 export interface PeerLinks {
@@ -56,7 +61,9 @@
     triedAt.set(to, now);
     const opened = new WebSocket(`${url}/?from=${settings.host}`, {
       perMessageDeflate: false,
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
     });
+    opened.setMaxListeners(MAX_WAITING);
     opened.on("error", () => opened.terminate());
     opened.on(
       "upgrade",
@@ -88,6 +95,9 @@
       const data = pack(msg);
       countControl(msg, { bytes: data.length, direction: "out" });
       if (link.readyState === WebSocket.CONNECTING) {
+        if (link.listenerCount("open") >= MAX_WAITING) {
+          return;
+        }
         link.once("open", () => link.send(data));
       } else if (link.bufferedAmount < MAX_BUFFERED_BYTES) {
         batches.get(link)?.();
@@ -96,16 +106,19 @@
     },
     listen(receive) {
       wss.on("connection", (ws, req) => {
-        const query = new URL(req.url ?? "/", "ws://peer").searchParams;
-        const from = asId<HostId>(query.get("from") ?? "");
+        const from = tryGetSender(req.url);
         ws.on("error", () => ws.terminate());
+        if (!from) {
+          ws.close(MALFORMED_CODE, "no sender");
+          return;
+        }
         ws.on("message", (data: Buffer) => {
-          const msg = tryUnpack(data);
-          if (validatePeerMessage(msg)) {
+          const msg = tryDecodePeerMessage(data);
+          if (msg) {
             countControl(msg, { bytes: data.length, direction: "in" });
             receive(from, msg);
           } else {
-            ws.close(1008, "malformed message");
+            ws.close(MALFORMED_CODE, "malformed message");
           }
         });
       });
@@ -120,9 +133,11 @@
   };
 }
 
-function tryUnpack(data: Buffer): unknown {
+/** The host that a peer says it is; undefined if the URL is malformed. */
+function tryGetSender(url: string | undefined): HostId | undefined {
   try {
-    return unpack(data);
+    const from = new URL(url ?? "", "ws://peer").searchParams.get("from");
+    return from ? asId<HostId>(from) : undefined;
   } catch {
     return undefined;
   }
--- a/src/host/settings.ts
+++ b/src/host/settings.ts
@@ -23,23 +23,29 @@
 
 /** Parses YAML text; names every place that is not well formed. */
 export function parseYaml(text: string): Result<unknown, readonly Mistake[]> {
-  const lineCounter = new LineCounter();
-  const doc = parseDocument(text, { lineCounter, prettyErrors: false });
-  if (doc.errors.length > 0) {
-    return Err(doc.errors.map((err) => {
-      const { line, col } = lineCounter.linePos(err.pos[0]);
-      const detail = err.message.split("\n")[0]!;
-      return createMistake(`${line}:${col}`, "yaml_invalid", { detail });
-    }));
-  }
   try {
-    return Ok(doc.toJS());
+    return parseDocumentText(text);
   } catch (err) {
     const detail = err instanceof Error ? err.message : `${err}`;
     return Err([createMistake("", "yaml_invalid", { detail })]);
   }
 }
 
+function parseDocumentText(
+  text: string,
+): Result<unknown, readonly Mistake[]> {
+  const lineCounter = new LineCounter();
+  const doc = parseDocument(text, { lineCounter, prettyErrors: false });
+  if (doc.errors.length === 0) {
+    return Ok(doc.toJS());
+  }
+  return Err(doc.errors.map((err) => {
+    const { line, col } = lineCounter.linePos(err.pos[0]);
+    const detail = err.message.split("\n")[0]!;
+    return createMistake(`${line}:${col}`, "yaml_invalid", { detail });
+  }));
+}
+
 /** Checks settings that were read from YAML. */
 export function checkSettings(
   value: unknown,
--- /dev/null
+++ b/test/peer_links.test.ts
@@ -0,0 +1,80 @@
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { pack } from "msgpackr";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { WebSocket } from "ws";
+import { asId, type DomainId, type HostId } from "../src/core/ids.ts";
+import type { PeerMessage } from "../src/core/types.ts";
+import { createMetrics } from "../src/host/metrics.ts";
+import { createPeerLinks, type PeerLinks } from "../src/host/peer_links.ts";
+
+const HEARTBEAT: PeerMessage = {
+  kind: "heartbeat",
+  host: asId<HostId>("h2"),
+  domain: asId<DomainId>("curepipe"),
+  incarnation: "i",
+  leaving: false,
+  versions: [],
+};
+
+let links: PeerLinks;
+let port: number;
+let received: PeerMessage[];
+
+/** A port that is free now. */
+async function findPort(): Promise<number> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+beforeEach(async () => {
+  received = [];
+  port = await findPort();
+  links = createPeerLinks({
+    host: asId<HostId>("h1"),
+    domain: asId<DomainId>("port-louis"),
+    region: "mauritius",
+    callers: { address: "127.0.0.1", port: 0 },
+    peers: { address: "127.0.0.1", port },
+    platform: { url: "http://127.0.0.1:1" },
+  }, createMetrics());
+  await links.listen((_from, msg) => received.push(msg));
+});
+
+afterEach(() => links.close());
+
+async function open(): Promise<WebSocket> {
+  const ws = new WebSocket(`ws://127.0.0.1:${port}/?from=h2`);
+  await once(ws, "open");
+  return ws;
+}
+
+test("a frame that is no message closes only its link", async () => {
+  const bad = await open();
+  const good = await open();
+  bad.send(pack({ kind: "nothing" }));
+  const [code] = await once(bad, "close");
+  expect(code).toBe(1_008);
+  good.send(pack(HEARTBEAT));
+  await expect.poll(() => received).toEqual([HEARTBEAT]);
+  good.terminate();
+});
+
+test("a handshake with a malformed path leaves the host alive", async () => {
+  const socket = connect(port);
+  socket.write(
+    "GET // HTTP/1.1\r\nHost: h1\r\nUpgrade: websocket\r\n" +
+      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n" +
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n",
+  );
+  await once(socket, "data");
+  socket.destroy();
+  const good = await open();
+  good.send(pack(HEARTBEAT));
+  await expect.poll(() => received).toEqual([HEARTBEAT]);
+  good.terminate();
+});
--- a/tools/generate.ts
+++ b/tools/generate.ts
@@ -9,6 +9,12 @@
 
 const SCHEMA_DIR = "schema";
 const OUTPUT_DIR = "src/generated";
+/** Schemas whose validators name every mistake with what was found. */
+const WRITTEN_BY_PEOPLE: ReadonlySet<string> = new Set([
+  "settings",
+  "objects",
+  "trace",
+]);
 
 /** A generated file with its path from the root of the repository. */
 interface GeneratedFile {
@@ -58,8 +64,8 @@
   schema: AnySchemaObject,
 ): GeneratedFile {
   const ajv = new Ajv({
-    allErrors: name === "settings" || name === "objects",
-    verbose: name === "settings" || name === "objects",
+    allErrors: WRITTEN_BY_PEOPLE.has(name),
+    verbose: WRITTEN_BY_PEOPLE.has(name),
     discriminator: true,
     strict: false,
     unicode: false,
--- a/tools/load.ts
+++ b/tools/load.ts
@@ -1,12 +1,11 @@
 /** Replays a workload trace against the hosts of a fleet. */
 
-import { readFileSync } from "node:fs";
 import type { AnswerFrame } from "../src/core/answer.ts";
 import { nowMs, sleep } from "../src/core/clock.ts";
 import { asId, type ReqId, type WorkspaceId } from "../src/core/ids.ts";
 import type { TraceLine } from "../src/generated/trace.ts";
-import { validateTraceLine } from "../src/generated/trace_validate.ts";
 import { type Client, tryConnect } from "./client.ts";
+import { tryReadTrace } from "./trace_file.ts";
 
 /** What a caller sent and what it was told; times in milliseconds. */
 export interface Told {
@@ -19,16 +18,13 @@
   readonly answer: AnswerFrame | undefined;
 }
 
-/** Reads a trace; throws with the number of a line that is not valid. */
+/** Reads a trace; throws with every line that is not valid. */
 export function readTrace(file: string): TraceLine[] {
-  const lines = readFileSync(file, "utf8").split("\n").filter(Boolean);
-  return lines.map((text, index) => {
-    const line: unknown = JSON.parse(text);
-    if (!validateTraceLine(line)) {
-      throw new Error(`${file}:${index + 1}: not a line of a trace`);
-    }
-    return line;
-  });
+  const trace = tryReadTrace(file);
+  if (trace.isErr()) {
+    throw new Error(trace.error.join("\n"));
+  }
+  return trace.value;
 }
 
 /** What a load needs of a fleet. */
--- /dev/null
+++ b/tools/trace_file.ts
@@ -0,0 +1,79 @@
+/** Reads workload traces and names every line that is not valid. */
+
+import { readFileSync } from "node:fs";
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+  createMistake,
+  describeErrors,
+  formatMistake,
+  type Mistake,
+} from "../src/core/mistakes.ts";
+import { isNestedWithin } from "../src/core/nesting.ts";
+import type { TraceLine } from "../src/generated/trace.ts";
+import { validateTraceLine } from "../src/generated/trace_validate.ts";
+
+/** Levels of nesting of a line, its statement included. */
+const MAX_LINE_DEPTH = 32;
+/** Mistakes that are named before the reader gives up. */
+const MAX_MISTAKES = 20;
+
+/** Decodes one line of a trace. */
+export function decodeTraceLine(
+  text: string,
+): Result<TraceLine, readonly Mistake[]> {
+  const line = tryParse(text);
+  if (line === undefined) {
+    const detail = "the line is not JSON";
+    return Err([createMistake("", "line_invalid", { detail })]);
+  }
+  if (!isNestedWithin(line, MAX_LINE_DEPTH)) {
+    const detail = `nested deeper than ${MAX_LINE_DEPTH} levels`;
+    return Err([createMistake("", "line_invalid", { detail })]);
+  }
+  return validateTraceLine(line)
+    ? Ok(line)
+    : Err(describeErrors(validateTraceLine.errors ?? []));
+}
+
+/** Decodes a trace; the mistakes are lines with the file and its line. */
+export function decodeTrace(
+  text: string,
+  file: string,
+): Result<TraceLine[], readonly string[]> {
+  const lines: TraceLine[] = [];
+  const mistakes: string[] = [];
+  for (const [index, entry] of text.split("\n").entries()) {
+    if (entry === "" || mistakes.length >= MAX_MISTAKES) {
+      continue;
+    }
+    const line = decodeTraceLine(entry);
+    if (line.isOk()) {
+      lines.push(line.value);
+    } else {
+      const place = `${file}:${index + 1}`;
+      mistakes.push(...line.error.map((m) => formatMistake(place, m)));
+    }
+  }
+  return mistakes.length > 0 ? Err(mistakes) : Ok(lines);
+}
+
+/** Reads a trace from a file. */
+export function tryReadTrace(
+  file: string,
+): Result<TraceLine[], readonly string[]> {
+  try {
+    return decodeTrace(readFileSync(file, "utf8"), file);
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : `${err}`;
+    const mistake = createMistake("", "file_unreadable", { detail });
+    return Err([formatMistake(file, mistake)]);
+  }
+}
+
+function tryParse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
