--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -3,16 +3,19 @@
 import type { CallerFrame, HelloFrame } from "../generated/caller.ts";
 import { Err, Ok, type Result } from "ts-results-es";
 import { admit } from "./admit.ts";
-import { authenticate, type Caller, isKeyInForce } from "./authenticate.ts";
+import { authenticate, type Caller, checkCaller } from "./authenticate.ts";
 import { nowMs } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
+import type { Freshness } from "./freshness.ts";
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
 import type { Limits } from "./limits.ts";
 import type { Membership } from "./membership.ts";
+import { forward } from "./forward.ts";
 import { listPoolHosts } from "./route.ts";
 import {
+  buildSessionId,
   decodeToken,
   encodeToken,
   raiseFloor,
@@ -46,14 +49,16 @@
 export interface EntryOptions {
   readonly self: HostId;
   readonly cfg: Configuration;
+  readonly freshness: Freshness;
   readonly limits: Limits;
   readonly membership: Membership;
   readonly hostsPerGroup: number;
   readonly defaultTimeoutMs: number;
   readonly maxTimeoutMs: number;
-  /** Runs a request at the pool of `host`. */
+  /** Runs a request at a host; `outcome_unknown` if no answer came. */
   exec(host: HostId, req: ExecReq): Promise<Outcome>;
-  endSession(session: string): void;
+  /** Rolls back what a session has left open at the given hosts. */
+  endSession(session: string, hosts: readonly HostId[]): void;
 }
 
 /** Creates the entry of this host. */
@@ -62,14 +67,11 @@
 
   function newId(): string {
     const [a, b] = [io.random(), io.random()];
-    return `${self}.${a.toString(36).slice(2)}${b.toString(36).slice(2)}`;
+    const unique = `${a.toString(36).slice(2)}${b.toString(36).slice(2)}`;
+    return buildSessionId(self, unique);
   }
 
   function listHosts(admitted: Admitted): HostId[] {
-    const tx = tryTxHost(admitted.op);
-    if (tx) {
-      return [tx];
-    }
     const hosts = listPoolHosts(admitted.group.group, {
       alive: membership.listAlive(),
       count: options.hostsPerGroup,
@@ -79,38 +81,15 @@
       : hosts;
   }
 
-  async function run(admitted: Admitted): Promise<Outcome> {
-    const { workspace, group, session, floor } = admitted;
-    let last: Outcome = { kind: "failed", error: "unavailable" };
-    for (const host of listHosts(admitted)) {
-      const budgetMs = admitted.deadline - nowMs();
-      if (budgetMs <= 0) {
-        break;
-      }
-      const req: ExecReq = {
-        kind: "exec",
-        workspace,
-        group: group.group,
-        op: withTxHost(admitted.op, host),
-        session,
-        budgetMs,
-        ...(floor ? { floor } : {}),
-      };
-      last = await options.exec(host, req);
-      if (last.kind === "done" || !mayTryNext(last)) {
-        return last;
-      }
-    }
-    return last;
-  }
-
   async function handle(
     caller: Caller,
     session: Session,
-    frame: RequestFrame,
+    given: { readonly frame: RequestFrame; readonly txHosts: Set<HostId> },
   ): Promise<Outcome> {
-    if (!isKeyInForce(cfg, caller)) {
-      return { kind: "failed", error: "unauthenticated" };
+    const { frame, txHosts } = given;
+    const checked = checkCaller(options, caller);
+    if (checked.isErr()) {
+      return { kind: "failed", ...checked.error };
     }
     const timeoutMs = Math.min(
       frame.timeoutMs ?? options.defaultTimeoutMs,
@@ -125,7 +104,9 @@
     if (admitted.isErr()) {
       return { kind: "failed", ...admitted.error };
     }
-    const outcome = await run(admitted.value);
+    const { exec } = options;
+    const onBegin = (host: HostId) => txHosts.add(host);
+    const outcome = await forward({ listHosts, exec, onBegin }, admitted.value);
     if (outcome.kind === "done") {
       const { group } = admitted.value.group;
       raiseFloor(session, { group, position: outcome.floor });
@@ -135,7 +116,7 @@
 
   return {
     open(hello) {
-      const caller = authenticate(cfg, hello.key);
+      const caller = authenticate(options, hello.key);
       if (caller.isErr()) {
         return Err(caller.error);
       }
@@ -147,14 +128,18 @@
         return Err(floors.error);
       }
       const session = { id: newId(), workspace, floors: floors.value };
+      const txHosts = new Set<HostId>();
       return Ok({
         async request(frame) {
           const startedAt = nowMs();
-          const outcome = await handle(caller.value, session, frame);
+          const outcome = await handle(caller.value, session, {
+            frame,
+            txHosts,
+          });
           observe(io, { frame, outcome, workspace, ms: nowMs() - startedAt });
           return toAnswer(frame.id, { outcome, session });
         },
-        end: () => options.endSession(session.id),
+        end: () => options.endSession(session.id, [...txHosts]),
       });
     },
   };
@@ -235,24 +220,3 @@
 function tx(frame: { readonly tx?: TxId }): { tx?: TxId } {
   return frame.tx ? { tx: frame.tx } : {};
 }
-
-const TX_HOST_SEPARATOR = "/";
-
-/** Names the host that will hold the connection in the transaction's id. */
-function withTxHost(op: ExecOp, host: HostId): ExecOp {
-  return op.kind === "begin"
-    ? { ...op, tx: asId<TxId>(`${host}${TX_HOST_SEPARATOR}${op.tx}`) }
-    : op;
-}
-
-function tryTxHost(op: ExecOp): HostId | undefined {
-  if (op.kind === "begin" || !("tx" in op) || !op.tx) {
-    return undefined;
-  }
-  return asId<HostId>(op.tx.split(TX_HOST_SEPARATOR)[0]!);
-}
-
-/** Only what was not run, or runs once however often it is sent, goes on. */
-function mayTryNext(outcome: Extract<Outcome, { kind: "failed" }>): boolean {
-  return outcome.error === "unavailable" || outcome.error === "shutting_down";
-}
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -2,14 +2,18 @@
 
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
+import { createDissemination, type Dissemination } from "./dissemination.ts";
 import { createEntry, type Entry } from "./entry.ts";
+import { createFreshness, type Freshness } from "./freshness.ts";
 import type { HostId } from "./ids.ts";
 import { createStaticLimits, type Limits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
+import { LIST_KEYS } from "./object_keys.ts";
 import { createPeers } from "./peers.ts";
-import type { OrderReplicas } from "./pool.ts";
 import { createPools } from "./pools.ts";
 import { createFifoQueue, type Queue } from "./queue.ts";
+import type { OrderReplicas } from "./read.ts";
+import { createRegistration } from "./registration.ts";
 import type {
   ExecReq,
   GroupView,
@@ -27,6 +31,7 @@
 const DEFAULT_HOSTS_PER_GROUP = 3;
 /** Time for the way to a pool host and back, in milliseconds. */
 const PEER_MARGIN_MS = 200;
+const END_SESSION_TIMEOUT_MS = 1_000;
 
 /** One running host. */
 export interface Host extends Stoppable {
@@ -35,6 +40,7 @@
   receivePeer(from: HostId, msg: PeerMessage): void;
   readonly entry: Entry;
   readonly cfg: Configuration;
+  readonly freshness: Freshness;
   readonly membership: Membership;
   /** What this host knows of the groups that it pools for. */
   listGroupViews(): readonly GroupView[];
@@ -62,11 +68,43 @@
   const self = { host: settings.host, domain: settings.domain };
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
-  const membership = createMembership(io, { self, known });
+  const membership = createMembership(io, {
+    self,
+    known,
+    listRegistered: () => cfg.hosts,
+    getHeld: () => ({
+      revision: cfg.changedAt,
+      versions: cfg.objects
+        .filter((object) => LIST_KEYS.includes(object.key))
+        .map(({ key, version }) => ({ key, version })),
+    }),
+  });
+  const freshness = createFreshness({
+    self: self.host,
+    listHosts: () => [self.host, ...membership.listContacts()],
+  });
   const createLimits = policies.createLimits ?? createStaticLimits;
   const limits = createLimits(cfg, { hosts: known.length + 1 });
   const createQueue = policies.createQueue ?? createFifoQueue;
   const peers = createPeers(io, handlePeer);
+  const dissemination: Dissemination = createDissemination(io, {
+    self,
+    cfg,
+    freshness,
+    membership,
+    peers,
+  });
+  const registration = createRegistration(io, {
+    cfg,
+    record: {
+      kind: "host",
+      ...self,
+      url: getPeerUrl(settings),
+      incarnation: membership.incarnation,
+      leaving: false,
+    },
+  });
+  cfg.onChange(membership.announce);
   const hostsPerGroup = settings.pools?.hostsPerGroup ??
     DEFAULT_HOSTS_PER_GROUP;
   const pools = createPools(io, {
@@ -99,11 +137,18 @@
     if (res.isOk() && res.value.kind === "exec") {
       return res.value.outcome;
     }
-    const isRead = req.op.kind === "read";
-    return {
-      kind: "failed",
-      error: isRead ? "unavailable" : "outcome_unknown",
-    };
+    return { kind: "failed", error: "outcome_unknown" };
+  }
+
+  function endSession(session: string, hosts: readonly HostId[]): void {
+    for (const host of hosts) {
+      if (host === self.host) {
+        pools.endSession(session);
+      } else {
+        const timeoutMs = END_SESSION_TIMEOUT_MS;
+        void peers.call(host, { kind: "end_session", session }, { timeoutMs });
+      }
+    }
   }
 
   async function handlePeer(_from: HostId, req: PeerReq): Promise<PeerRes> {
@@ -111,9 +156,9 @@
       case "exec":
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
-        return { kind: "pull", objects: [] };
+        return dissemination.answer(req);
       case "suspect":
-        return { kind: "suspect", agrees: pools.isSupporting(req) };
+        return { kind: "suspect", opinion: pools.getOpinion(req) };
       case "promoted":
         pools.refresh(req.group);
         return { kind: "ack" };
@@ -126,37 +171,48 @@
   const entry = createEntry(io, {
     self: self.host,
     cfg,
+    freshness,
     limits,
     membership,
     hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: pools.endSession,
+    endSession,
   });
 
   return {
     start() {
-      cfg.start();
       membership.start();
       pools.start();
+      dissemination.start();
+      registration.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
         membership.receive(msg);
+        dissemination.notePeer(from, msg.revision);
       } else {
         peers.receive(from, msg);
       }
     },
     entry,
     cfg,
+    freshness,
     membership,
     listGroupViews: pools.listViews,
     stop() {
-      cfg.stop();
+      dissemination.stop();
+      registration.stop();
       membership.stop();
       peers.stop();
       pools.stop();
     },
   };
 }
+
+/** Where peers connect to this host. */
+function getPeerUrl({ peers }: Settings): string {
+  const scheme = peers.tls ? "wss" : "ws";
+  return `${scheme}://${peers.address}:${peers.port}`;
+}
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -4,10 +4,12 @@
 import type { GroupId, HostId } from "./ids.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
-import { createPool, type OrderReplicas, type Pool } from "./pool.ts";
-import { createPromotion, type Promotion } from "./promotion.ts";
+import { createPool, type Pool } from "./pool.ts";
+import { createPromotion, type Opinion, type Promotion } from "./promotion.ts";
 import type { Queue } from "./queue.ts";
+import type { OrderReplicas } from "./read.ts";
 import { listPoolHosts } from "./route.ts";
+import { getSessionHost } from "./session.ts";
 import type {
   GroupInfo,
   GroupView,
@@ -16,7 +18,7 @@
   Stoppable,
 } from "./types.ts";
 
-const RECONCILE_MS = 250;
+const TICK_MS = 100;
 const ASK_TIMEOUT_MS = 300;
 
 /** What the pools are made of. */
@@ -39,8 +41,8 @@
   tryPool(group: GroupId): Pool | undefined;
   /** Rolls back what a session has left open here. */
   endSession(session: string): void;
-  /** Whether this host supports the suspicion against a primary. */
-  isSupporting(req: Extract<PeerReq, { kind: "suspect" }>): boolean;
+  /** What this host says of the suspicion against a primary. */
+  getOpinion(req: Extract<PeerReq, { kind: "suspect" }>): Opinion;
   /** Looks at the targets of a group whose primary has changed. */
   refresh(group: GroupId): void;
   listViews(): readonly GroupView[];
@@ -69,11 +71,13 @@
   async function askSuspects(
     host: HostId,
     asked: { readonly group: GroupId; readonly term: number },
-  ): Promise<boolean> {
+  ): Promise<Opinion> {
     const res = await peers.call(host, { kind: "suspect", ...asked }, {
       timeoutMs: ASK_TIMEOUT_MS,
     });
-    return res.isOk() && res.value.kind === "suspect" && res.value.agrees;
+    return res.isOk() && res.value.kind === "suspect"
+      ? res.value.opinion
+      : "unsure";
   }
 
   function open(info: GroupInfo): Held {
@@ -114,6 +118,21 @@
     return found ?? (info && open(info));
   }
 
+  function endSessions(isOver: (session: string) => boolean): void {
+    held.forEach(({ pool }) => pool.endSessions(isOver));
+  }
+
+  /** Gives up on hosts that are gone: calls to them and their sessions. */
+  function dropLostHosts(): void {
+    peers.abandon((host) => !membership.isReachable(host));
+    endSessions((id) => !membership.isReachable(getSessionHost(id)));
+  }
+
+  function tick(): void {
+    dropLostHosts();
+    reconcile();
+  }
+
   /** Opens the pools that this host is chosen for. */
   function reconcile(): void {
     const hosts = membership.listAlive().map((peer) => peer.host).sort();
@@ -132,13 +151,12 @@
 
   return {
     start() {
-      timer = setInterval(reconcile, RECONCILE_MS);
+      timer = setInterval(tick, TICK_MS);
     },
     tryPool: (group) => tryHeld(group)?.pool,
-    endSession: (session) =>
-      held.forEach(({ pool }) => pool.endSession(session)),
-    isSupporting: ({ group, term }) =>
-      held.get(group)?.promotion.isSupporting(term) ?? false,
+    endSession: (session) => endSessions((id) => id === session),
+    getOpinion: ({ group, term }) =>
+      held.get(group)?.promotion.getOpinion(term) ?? "unsure",
     refresh: (group) => held.get(group)?.pool.monitor.refresh(),
     listViews: () => [...held.values()].map((h) => h.pool.monitor.view()),
     stop() {
