--- a/test/fuzz.test.ts
+++ b/test/fuzz.test.ts
@@ -63,6 +63,7 @@
     domain: "curepipe",
     incarnation: "i",
     leaving: false,
+    revision: 3,
     versions: [{ key: "config/plans", version: 3 }],
   },
 ] as unknown as readonly PeerMessage[];
--- a/tools/measure/baselines.ts
+++ b/tools/measure/baselines.ts
@@ -1,7 +1,7 @@
 /** The simpler policies that the chosen ones are measured against. */
 
 import { createStaticLimits } from "../../src/core/limits.ts";
-import type { OrderReplicas } from "../../src/core/pool.ts";
+import type { OrderReplicas } from "../../src/core/read.ts";
 import { createFifoQueue } from "../../src/core/queue.ts";
 
 /** Gives each host an equal, fixed share of every workspace's rate. */
