Show the demo as tables and count refusals against the plan

refusedWithinRate counted every rate_limited answer; it now counts refusals that a bucket at the rate and burst of the workspace would have admitted. The gap was the longest one over all classes and workspaces; it is now that of the most frequent class of writes of the group whose primary was cut off.

--- a/tools/client.ts
+++ b/tools/client.ts
@@ -31,6 +31,7 @@
     });
     const waiting = new Map<string, (frame?: AnswerFrame) => void>();
     let token = options.token ?? "";
+    let isLeaving = false;
 
     const client: Client = {
       request: (frame, timeoutMs) =>
@@ -48,7 +49,7 @@
           waiting.set(frame.id, settle);
           ws.send(JSON.stringify(frame));
         }),
-      isOpen: () => ws.readyState === WebSocket.OPEN,
+      isOpen: () => ws.readyState === WebSocket.OPEN && !isLeaving,
       get token() {
         return token;
       },
@@ -61,6 +62,8 @@
     ws.on("message", (data: Buffer) => {
       const frame = JSON.parse(data.toString("utf8")) as AnswerFrame;
       if (frame.id === "") {
+        // The host is stopping: what is in flight is still answered.
+        isLeaving ||= !frame.ok && frame.error === "shutting_down";
         resolve(frame.ok ? client : undefined);
         return;
       }
--- a/tools/demo.ts
+++ b/tools/demo.ts
@@ -2,22 +2,42 @@
 
 import process from "node:process";
 import { cac } from "cac";
-import { sleep } from "../src/core/clock.ts";
+import Table from "cli-table3";
+import { nowMs, sleep } from "../src/core/clock.ts";
+import { rankNodes } from "../src/core/hash.ts";
+import type { GroupInfo } from "../src/core/types.ts";
+import type { TraceLine } from "../src/generated/trace.ts";
 import { check, type Findings, type ShownEntry } from "./checker.ts";
-import { readTrace, runLoad, type Told } from "./load.ts";
+import {
+  countFailures,
+  countRefusedWithinRate,
+  type Cut,
+  listServed,
+  tryGetFailoverGapMs,
+} from "./demo_figures.ts";
+import { fitDeployment } from "./fit_deployment.ts";
+import { runLoad, type Told } from "./load.ts";
 import { type Fleet, startFleet } from "./processes.ts";
-import { getDeployment } from "./workloads.ts";
+import { tryReadTrace } from "./trace_file.ts";
+import type { Deployment } from "./workloads.ts";
 
 const DEFAULT_TRACE = "traces/lakaz_day.jsonl";
 const HOSTS = 3;
 const REQUEST_TIMEOUT_MS = 6_000;
 const PROGRESS_MS = 2_000;
 const SETTLE_MS = 1_000;
+/** Length of a trace that is replayed, so that the demo ends in a minute. */
+const MAX_TRACE_MS = 30_000;
+/** Nothing is sent later than this after the start of the load. */
+const MAX_LOAD_MS = 38_000;
+const EXIT_INVALID = 2;
+const MS_PER_SECOND = 1_000;
 
 /** What the demo reports on its last line. */
 export interface DemoReport extends Findings {
   readonly refusedWithinRate: number;
-  readonly failoverGapMs: number;
+  /** Null when the trace has no write on one side of the cut. */
+  readonly failoverGapMs: number | null;
 }
 
 /** Sends faults to a stand-in. */
@@ -49,73 +69,181 @@
   return logs;
 }
 
-/** The longest time between two answered writes of the cut group. */
-function measureGap(told: readonly Told[], workspaces: Set<string>): number {
-  const answers = told
-    .filter((t) => t.line.access === "write" && t.answer?.ok)
-    .filter((t) => workspaces.has(t.line.workspace))
-    .map((t) => t.answeredAt)
-    .sort((a, b) => a - b);
-  return answers.reduce(
-    (gap, at, index) => Math.max(gap, at - (answers[index - 1] ?? at)),
-    0,
-  );
+/** The workspaces whose rows each group keeps. */
+function listWorkspaces(
+  fleet: Fleet,
+  group: GroupInfo,
+): ReadonlySet<string> {
+  const groups = fleet.groups.map((entry) => entry.group);
+  const own = fleet.deployment.workspaces
+    .map((size) => size.workspace as string)
+    .filter((workspace) => rankNodes(workspace, groups)[0] === group.group);
+  return new Set(own);
 }
 
-async function runDemo(file: string): Promise<DemoReport> {
-  const trace = readTrace(file);
-  const deployment = getDeployment(
-    trace[0]?.service === "ledger" ? "madhuvan" : "lakaz",
-  );
+/** Cuts off the primary of the group with the most writes. */
+async function cutPrimary(
+  fleet: Fleet,
+  trace: readonly TraceLine[],
+): Promise<Cut> {
+  const [busiest] = fleet.groups
+    .map((group) => ({ group, workspaces: listWorkspaces(fleet, group) }))
+    .map(({ group, workspaces }) => ({
+      group,
+      workspaces,
+      writes:
+        trace.filter((line) =>
+          line.access === "write" && workspaces.has(line.workspace)
+        ).length,
+    }))
+    .sort((a, b) => b.writes - a.writes);
+  const { group, workspaces } = busiest!;
+  const primary = group.targets[0]!;
+  console.log(`cutting off ${primary.target}, the primary of ${group.group}`);
+  await setFaults(primary.url, { cutFrom: ["*"] });
+  return { at: Date.now(), workspaces };
+}
+
+async function replay(
+  fleet: Fleet,
+  trace: readonly TraceLine[],
+): Promise<{ readonly told: readonly Told[]; readonly cut: Cut }> {
   const endMs = trace.at(-1)?.atMs ?? 0;
-  console.log(`starting ${HOSTS} hosts for ${deployment.name} ...`);
+  let answers = 0;
+  const startedAt = nowMs();
+  const timer = setInterval(() => {
+    const seconds = Math.round((nowMs() - startedAt) / MS_PER_SECOND);
+    console.log(`${seconds} s: ${answers} of ${trace.length} requests`);
+  }, PROGRESS_MS);
+  const cutting = sleep(endMs / 2).then(() => cutPrimary(fleet, trace));
+  const told = await runLoad(trace, {
+    urls: fleet.hosts.map((host) => host.callersUrl),
+    keys: fleet.keys,
+    timeoutMs: REQUEST_TIMEOUT_MS,
+    endMs: MAX_LOAD_MS,
+    onTold: () => answers++,
+  });
+  clearInterval(timer);
+  return { told, cut: await cutting };
+}
+
+async function runDemo(
+  deployment: Deployment,
+  trace: readonly TraceLine[],
+): Promise<DemoReport> {
+  const { name, groups, targetsPerGroup } = deployment;
+  console.log(
+    `starting ${HOSTS} hosts, the platform stand-in and ${groups} groups of ` +
+      `${targetsPerGroup} targets (${name})`,
+  );
   const fleet = await startFleet(deployment, { hosts: HOSTS });
   try {
-    const progress: Told[] = [];
-    const timer = setInterval(
-      () => console.log(`${progress.length} of ${trace.length} requests`),
-      PROGRESS_MS,
-    );
-    const cut = sleep(endMs / 2).then(async () => {
-      const target = fleet.targets[0]!;
-      console.log(`cutting off ${target.target}`);
-      await setFaults(target.url, { cutFrom: ["*"] });
-    });
-    const told = await runLoad(trace, {
-      urls: fleet.hosts.map((host) => host.callersUrl),
-      keys: fleet.keys,
-      timeoutMs: REQUEST_TIMEOUT_MS,
-      onTold: (entry) => progress.push(entry),
-    });
-    await cut;
-    clearInterval(timer);
+    const { told, cut } = await replay(fleet, trace);
     await sleep(SETTLE_MS);
     const logs = await readLogs(fleet);
-    const all = new Set<string>(trace.map((line) => line.workspace));
-    return {
-      ...check(told, logs),
-      refusedWithinRate: told
-        .filter((t) => t.answer?.ok === false)
-        .filter((t) => !t.answer!.ok && t.answer!.error === "rate_limited")
-        .length,
-      failoverGapMs: measureGap(told, all),
-    };
+    printTables(told);
+    return toReport({ told, cut, logs, deployment });
   } finally {
     await fleet.stop();
   }
 }
 
+function toReport(run: {
+  readonly told: readonly Told[];
+  readonly cut: Cut;
+  readonly logs: readonly (readonly ShownEntry[])[];
+  readonly deployment: Deployment;
+}): DemoReport {
+  const { told, cut, logs, deployment } = run;
+  const found = check(told, logs);
+  return {
+    sent: found.sent,
+    answered: found.answered,
+    refused: found.refused,
+    refusedWithinRate: countRefusedWithinRate(told, deployment.workspaces),
+    outcomeUnknown: found.outcomeUnknown,
+    lost: found.lost,
+    doubled: found.doubled,
+    staleReads: found.staleReads,
+    wrongWorkspace: found.wrongWorkspace,
+    failoverGapMs: tryGetFailoverGapMs(told, cut) ?? null,
+    replicaReadShare: found.replicaReadShare,
+  };
+}
+
+function printTables(told: readonly Told[]): void {
+  const served = createTable(["Workspace", "Sent", "Answered", "Refused", "?"]);
+  served.push(
+    ...listServed(told).map((entry) => [
+      entry.workspace,
+      entry.sent,
+      entry.answered,
+      entry.refused,
+      entry.unknown,
+    ]),
+  );
+  console.log(served.toString());
+  const failures = countFailures(told);
+  if (failures.size > 0) {
+    const table = createTable(["Failed requests by kind", "Count"]);
+    table.push(...[...failures].map(([kind, count]) => [kind, count]));
+    console.log(table.toString());
+  }
+}
+
+function printReport(report: DemoReport): void {
+  const table = createTable(["Figure", "Value"]);
+  table.push(
+    ...Object.entries(report).map(([name, value]) => [
+      name,
+      name === "replicaReadShare" ? Number(value).toFixed(3) : `${value}`,
+    ]),
+  );
+  console.log(table.toString());
+  console.log(JSON.stringify(report));
+}
+
+function createTable(head: string[]): Table.Table {
+  return new Table({ head, style: { head: [], border: [], compact: true } });
+}
+
+/** Nothing was broken and something was served. */
+function isSound(report: DemoReport): boolean {
+  const { answered, lost, doubled, staleReads, wrongWorkspace } = report;
+  return answered > 0 &&
+    lost + doubled + staleReads + wrongWorkspace === 0;
+}
+
+async function main(file: string): Promise<void> {
+  const read = tryReadTrace(file);
+  if (read.isErr()) {
+    read.error.forEach((line) => console.error(line));
+    process.exitCode = EXIT_INVALID;
+    return;
+  }
+  const trace = read.value
+    .filter((line) => line.atMs <= MAX_TRACE_MS)
+    .sort((a, b) => a.atMs - b.atMs);
+  if (trace.length < read.value.length) {
+    const seconds = MAX_TRACE_MS / MS_PER_SECOND;
+    console.log(`replaying the first ${seconds} s of ${file}`);
+  }
+  const deployment = fitDeployment(trace);
+  if (deployment.isErr()) {
+    console.error(`${file}: ${deployment.error}`);
+    process.exitCode = EXIT_INVALID;
+    return;
+  }
+  const report = await runDemo(deployment.value, trace);
+  printReport(report);
+  process.exitCode = isSound(report) ? 0 : 1;
+}
+
 const cli = cac("demo");
-cli.command("[trace]", "Replay a trace on a fleet")
-  .action(async (file: string | undefined) => {
-    const report = await runDemo(file ?? DEFAULT_TRACE);
-    for (const [name, value] of Object.entries(report)) {
-      console.log(`${name.padEnd(20)} ${value}`);
-    }
-    console.log(JSON.stringify(report));
-    const { lost, doubled, staleReads, wrongWorkspace } = report;
-    process.exitCode = lost + doubled + staleReads + wrongWorkspace ? 1 : 0;
-  });
+cli.command("[trace]", "Replay a trace on a fleet and cut off a primary")
+  .example("npm run demo")
+  .example("npm run demo -- traces/madhuvan_season.jsonl")
+  .action((file: string | undefined) => main(file ?? DEFAULT_TRACE));
 cli.help();
 cli.parse(process.argv, { run: false });
 await cli.runMatchedCommand();
--- /dev/null
+++ b/tools/fit_deployment.ts
@@ -0,0 +1,49 @@
+/** Fits a deployment to a trace that was not drawn for it. */
+
+import { Err, Ok, type Result } from "ts-results-es";
+import { asId, type PlanId } from "../src/core/ids.ts";
+import type { TraceLine } from "../src/generated/trace.ts";
+import { groupBy } from "./measure/group_by.ts";
+import {
+  type Deployment,
+  LAKAZ,
+  MADHUVAN,
+  type WorkspaceSize,
+} from "./workloads.ts";
+
+const MS_PER_SECOND = 1_000;
+/** Rate of a workspace without a plan, as a multiple of its mean rate. */
+const RATE_HEADROOM = 2;
+/** Burst of a workspace without a plan, in seconds of its rate. */
+const BURST_S = 2;
+
+/** Finds the deployment whose service the trace names, with all workspaces. */
+export function fitDeployment(
+  trace: readonly TraceLine[],
+): Result<Deployment, string> {
+  const services = [...new Set(trace.map((line) => line.service))];
+  const [service] = services;
+  if (!service || services.length > 1) {
+    return Err(`the trace names ${services.length} services, allowed: 1`);
+  }
+  const base = service === MADHUVAN.service ? MADHUVAN : LAKAZ;
+  const planned = new Set(base.workspaces.map((size) => size.workspace));
+  const lines = groupBy(trace, (line) => line.workspace);
+  const added = [...lines]
+    .filter(([workspace]) => !planned.has(workspace))
+    .map(([workspace, own]): WorkspaceSize => {
+      const seconds = Math.max(1, (trace.at(-1)?.atMs ?? 0) / MS_PER_SECOND);
+      const ratePerSecond = Math.ceil(own.length / seconds * RATE_HEADROOM);
+      return {
+        workspace,
+        plan: asId<PlanId>(`fitted-${ratePerSecond}`),
+        ratePerSecond,
+        burst: ratePerSecond * BURST_S,
+      };
+    });
+  return Ok({
+    ...base,
+    service,
+    workspaces: [...base.workspaces, ...added],
+  });
+}
--- a/tools/load.ts
+++ b/tools/load.ts
@@ -32,6 +32,8 @@
   readonly urls: readonly string[];
   readonly keys: ReadonlyMap<WorkspaceId, string>;
   readonly timeoutMs: number;
+  /** Nothing is sent later than this after the start, in milliseconds. */
+  readonly endMs?: number;
   readonly onTold?: (told: Told) => void;
 }
 
@@ -44,8 +46,11 @@
   options: LoadOptions,
 ): Promise<Told[]> {
   const startedAt = nowMs();
+  const startedOn = Date.now();
   const told: Told[] = [];
   const sessions = groupBySession(trace);
+  const idPrefix = `r${startedOn.toString(36)}-`;
+  const endMs = options.endMs ?? Infinity;
   let nextId = 1;
 
   async function runSession(lines: readonly TraceLine[]): Promise<void> {
@@ -54,10 +59,12 @@
     let host = nextId;
     for (const line of lines) {
       await sleep(Math.max(0, startedAt + line.atMs - nowMs()));
-      const url = options.urls[host++ % options.urls.length]!;
-      const id = asId<ReqId>(`r${nextId++}`);
+      if (nowMs() - startedAt > endMs) {
+        break;
+      }
+      const id = asId<ReqId>(`${idPrefix}${nextId++}`);
       const sentAt = Date.now();
-      const client = await getClient(clients, { url, line, token });
+      const client = await getClient(clients, { first: host++, line, token });
       const answer = await client?.request(
         toRequest(line, id),
         options.timeoutMs + 1_000,
@@ -70,26 +77,31 @@
     clients.forEach((client) => client.close());
   }
 
+  /** Connects to the first host from `first` on that takes the session. */
   async function getClient(
     clients: Map<string, Client>,
     given: {
-      readonly url: string;
+      readonly first: number;
       readonly line: TraceLine;
       readonly token: string;
     },
   ): Promise<Client | undefined> {
-    const { url, line, token } = given;
-    const held = clients.get(url);
-    if (held?.isOpen() && held.token === token) {
-      return held;
+    const { first, line, token } = given;
+    const key = options.keys.get(line.workspace) ?? "";
+    for (let index = 0; index < options.urls.length; index++) {
+      const url = options.urls[(first + index) % options.urls.length]!;
+      const held = clients.get(url);
+      if (held?.isOpen() && held.token === token) {
+        return held;
+      }
+      held?.close();
+      const client = await tryConnect(url, { key, token });
+      if (client) {
+        clients.set(url, client);
+        return client;
+      }
     }
-    held?.close();
-    const key = options.keys.get(line.workspace);
-    const client = await tryConnect(url, { key: key ?? "", token });
-    if (client) {
-      clients.set(url, client);
-    }
-    return client;
+    return undefined;
   }
 
   function toRequest(line: TraceLine, id: ReqId) {
--- a/tools/processes.ts
+++ b/tools/processes.ts
@@ -33,6 +33,10 @@
 
 /** The root of the repository. */
 export const ROOT = new URL("../..", import.meta.url).pathname;
+/** Signals that end a run, with their numbers. */
+const STOP_SIGNALS = { SIGHUP: 1, SIGINT: 2, SIGTERM: 15 } as const;
+/** Exit code of a process that a signal ended, less the signal's number. */
+const SIGNAL_EXIT_BASE = 128;
 const LOOPBACK = "127.0.0.1";
 const READY_TIMEOUT_MS = 15_000;
 const DEFAULT_HOST_PROGRAM = ["dist/src/cli/main.js", "run"];
@@ -92,7 +96,7 @@
   options: FleetOptions,
 ): Promise<Fleet> {
   const children: ChildProcess[] = [];
-  process.once("exit", () => children.forEach((child) => child.kill()));
+  endWithParent(children);
   function run(args: readonly string[]): ChildProcess {
     const child = spawn(process.execPath, args, {
       cwd: ROOT,
@@ -132,6 +136,14 @@
   };
 }
 
+/** Ends the children however this process ends, by a signal too. */
+function endWithParent(children: readonly ChildProcess[]): void {
+  process.once("exit", () => children.forEach((c) => c.kill("SIGKILL")));
+  for (const [signal, number] of Object.entries(STOP_SIGNALS)) {
+    process.once(signal, () => process.exit(SIGNAL_EXIT_BASE + number));
+  }
+}
+
 type Run = (args: readonly string[]) => ChildProcess;
 
 async function startTargets(
