--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -15,6 +15,8 @@
 import { registerDrain } from "./drain.ts";
 import { registerKeys } from "./keys.ts";
 import { registerLists } from "./lists.ts";
+import { registerLoad } from "./load.ts";
+import { registerReplay } from "./replay.ts";
 import { registerRun } from "./run.ts";
 import { registerStatus } from "./status.ts";
 
@@ -25,6 +27,8 @@
   registerKeys,
   registerDrain,
   registerStatus,
+  registerLoad,
+  registerReplay,
 ];
 
 /** Runs a command line and resolves with its exit code. */
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -85,6 +85,8 @@
     "keys",
     "drain",
     "status",
+    "load",
+    "replay",
   ]);
   for (const command of commands) {
     expect(await run(command, "--help")).toMatchObject({ code: 0 });
--- /dev/null
+++ b/tools/shape_load.ts
@@ -0,0 +1,77 @@
+/** Draws loads and fits recorded ones to a rate and a number of sessions. */
+
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { mersenne } from "pure-rand/generator/mersenne";
+import type { ServiceId, WorkspaceId } from "../src/core/ids.ts";
+import type { TraceLine } from "../src/generated/trace.ts";
+
+const MS_PER_SECOND = 1_000;
+const KEYS_PER_SESSION = 5;
+const MAX_VALUE = 1_000;
+const PERCENT = 100;
+const WRITE_PERCENT = 30;
+
+/** What a load is drawn from. */
+export interface DrawOptions {
+  readonly service: ServiceId;
+  readonly workspaces: readonly WorkspaceId[];
+  readonly ratePerSecond: number;
+  readonly seconds: number;
+  readonly seed: number;
+}
+
+/** Draws puts and gets at random times, 30 % of them puts. */
+export function drawLoad(options: DrawOptions): TraceLine[] {
+  const generator = mersenne(options.seed);
+  const draw = (below: number) => uniformInt(generator, 0, below - 1);
+  const count = Math.round(options.ratePerSecond * options.seconds);
+  const lines = Array.from({ length: count }, (): TraceLine => {
+    const workspace = options.workspaces[draw(options.workspaces.length)]!;
+    const key = `load-${draw(KEYS_PER_SESSION)}`;
+    const isWrite = draw(PERCENT) < WRITE_PERCENT;
+    const common = {
+      atMs: draw(Math.ceil(options.seconds * MS_PER_SECOND)),
+      workspace,
+      session: workspace,
+      service: options.service,
+    };
+    return isWrite
+      ? {
+        ...common,
+        class: "load_write",
+        access: "write",
+        body: { op: "put", key, value: draw(MAX_VALUE) },
+      }
+      : {
+        ...common,
+        class: "load_read",
+        access: "read",
+        body: { op: "get", key },
+      };
+  });
+  return lines.sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Stretches the times of a trace so that it has the given mean rate. */
+export function withRate(
+  trace: readonly TraceLine[],
+  ratePerSecond: number,
+): TraceLine[] {
+  const endMs = trace.at(-1)?.atMs ?? 0;
+  const wantedMs = trace.length / ratePerSecond * MS_PER_SECOND;
+  const factor = endMs > 0 ? wantedMs / endMs : 1;
+  return trace.map((line) => ({ ...line, atMs: line.atMs * factor }));
+}
+
+/** Spreads the requests of each workspace over a number of sessions. */
+export function withSessions(
+  trace: readonly TraceLine[],
+  sessions: number,
+): TraceLine[] {
+  const counts = new Map<WorkspaceId, number>();
+  return trace.map((line) => {
+    const count = counts.get(line.workspace) ?? 0;
+    counts.set(line.workspace, count + 1);
+    return { ...line, session: `${line.workspace}-${count % sessions}` };
+  });
+}
