--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -58,7 +58,7 @@
 
 /** Creates the membership of one host. */
 export function createMembership(
-  io: HostIo,
+  io: Pick<HostIo, "sendPeer" | "random">,
   options: MembershipOptions,
 ): Membership {
   const { self, known } = options;
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -1,14 +1,52 @@
 /** The library: a host, its parts, and the interfaces to the outside. */
 
-export { createHost, type Host } from "./core/host.ts";
-export { createConfiguration } from "./core/configuration.ts";
-export { createMembership } from "./core/membership.ts";
-export { createStaticLimits } from "./core/limits.ts";
-export { createFifoQueue } from "./core/queue.ts";
-export { createMonitor } from "./core/monitor.ts";
+// A host, whole.
+export { createHost, type Host, type HostPolicies } from "./core/host.ts";
+export { runHost, type RunningHost } from "./daemon/run_host.ts";
+export { checkSettings, loadSettings } from "./host/settings.ts";
+export type { Settings } from "./generated/settings.ts";
+
+// Coordination parts, each usable alone.
+export {
+  type Configuration,
+  createConfiguration,
+} from "./core/configuration.ts";
 export { createConfirmer } from "./core/confirm.ts";
+export { createFreshness } from "./core/freshness.ts";
+export { createStaticLimits, type Limits } from "./core/limits.ts";
+export { createMembership, type Membership } from "./core/membership.ts";
+export { createMonitor, type Monitor } from "./core/monitor.ts";
+export { createPeers } from "./core/peers.ts";
 export { createPool } from "./core/pool.ts";
+export { createFifoQueue, type Queue } from "./core/queue.ts";
+export { comparePositions, tryMajorityFloor } from "./core/position.ts";
+export { rankNodes } from "./core/hash.ts";
+
+// What operators change.
+export {
+  applyList,
+  issueWorkspaceKey,
+  listKeys,
+  type Lists,
+  markLeaving,
+  readLists,
+  rotateKey,
+  validateLists,
+  withdrawKey,
+} from "./core/lists.ts";
+
+// The interfaces to the outside and their implementations.
+export { createCallerServer } from "./host/caller_server.ts";
+export { createLog } from "./host/log.ts";
+export { createMetrics } from "./host/metrics.ts";
+export { createOperatorsServer } from "./host/operators_server.ts";
+export { createPeerLinks } from "./host/peer_links.ts";
+export { createPlatformStore } from "./host/platform_store.ts";
+export { createTargetDriver } from "./host/target_driver.ts";
+
+// Shared shapes.
 export { ERROR_ANSWERS, type ErrorKind } from "./core/errors.ts";
+export { asId } from "./core/ids.ts";
+export type { CallerSession, Entry, RequestFrame } from "./core/entry.ts";
 export type * from "./core/types.ts";
 export type * from "./core/ids.ts";
-export type { Settings } from "./generated/settings.ts";
