--- a/tools/verdict.ts
+++ b/tools/verdict.ts
@@ -38,6 +38,11 @@
   );
 }
 
+/** Exit code of the test runner, as given on the command line. */
+function getRunnerExit(): number {
+  return Number(process.argv[2] ?? 0);
+}
+
 function main(): void {
   const results = JSON.parse(readFileSync(RESULTS_FILE, "utf8")) as Results;
   const knownRed = readKnownRed();
@@ -55,7 +60,13 @@
   unexpected.forEach((test) => console.log(`failed: ${test.fullName}`));
   broken.forEach((file) => console.log(`not loaded: ${file.name}`));
   const passed = tests.filter((test) => test.status === "passed").length;
-  const bad = unexpected.length + broken.length;
+  // Without a failed test the runner failed for an error outside of tests.
+  const hasStrayError = getRunnerExit() !== 0 && failed.length === 0 &&
+    broken.length === 0;
+  if (hasStrayError) {
+    console.log(`failed: the runner ended with ${getRunnerExit()}`);
+  }
+  const bad = unexpected.length + broken.length + (hasStrayError ? 1 : 0);
   console.log(`${passed} passed, ${bad} failed`);
   process.exitCode = bad > 0 || passed === 0 ? 1 : 0;
 }
