--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -8,6 +8,7 @@
 import type { Settings } from "../generated/settings.ts";
 import { createCallerServer } from "../host/caller_server.ts";
 import { createLog } from "../host/log.ts";
+import { createMeteredTargets } from "../host/metered_targets.ts";
 import { createMetrics, type HostMetrics } from "../host/metrics.ts";
 import { createOperatorsServer } from "../host/operators_server.ts";
 import { createPeerLinks, type PeerLinks } from "../host/peer_links.ts";
@@ -57,8 +58,16 @@
   let markStopped: () => void;
   const stopped = new Promise<void>((resolve) => markStopped = resolve);
 
+  /** Gauges that are read off when somebody asks for them. */
+  function refreshGauges(): void {
+    metrics.set("peers_alive", host.membership.listAlive().length, {});
+    metrics.set("sessions", callers.countConnections(), {});
+    metrics.set("in_flight_requests", callers.countInFlight(), {});
+  }
+
   const operators = settings.operators && createOperatorsServer({
     metrics,
+    refreshGauges,
     getState: () => state,
     getStatus: () =>
       getHostStatus({
@@ -120,7 +129,7 @@
   const generator = mersenne(randomBytes(4).readInt32LE());
   return {
     sendPeer: parts.links.send,
-    targets: parts.targets,
+    targets: createMeteredTargets(parts.targets, parts.metrics),
     platform: createPlatformStore(url, {
       caller: settings.host,
       metrics: parts.metrics,
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -24,6 +24,8 @@
   listen(): Promise<number>;
   /** Open WebSocket connections. */
   countConnections(): number;
+  /** Requests that are not answered yet. */
+  countInFlight(): number;
   /** Lets what runs finish, for `timeoutMs` at most, and closes callers. */
   drain(timeoutMs: number): Promise<void>;
   close(): void;
@@ -95,6 +97,8 @@
         });
       }),
     countConnections: () => sockets.size,
+    countInFlight: () =>
+      [...sockets].reduce((sum, s) => sum + s.countInFlight(), httpInFlight),
     async drain(timeoutMs) {
       const deadline = nowMs() + timeoutMs;
       isDraining = true;
--- a/src/host/caller_socket.ts
+++ b/src/host/caller_socket.ts
@@ -37,6 +37,7 @@
 
 /** A connection as its server sees it. */
 export interface CallerSocket {
+  countInFlight(): number;
   /** No request is unanswered and no transaction is open. */
   isIdle(): boolean;
   /** Refuses new requests; those of open transactions still run. */
@@ -164,6 +165,7 @@
   });
 
   return {
+    countInFlight: () => inFlight,
     isIdle: () => inFlight === 0 && openTransactions.size === 0,
     drain() {
       isDraining = true;
--- a/src/host/operators_server.ts
+++ b/src/host/operators_server.ts
@@ -19,6 +19,8 @@
 /** What the server shows of a host. */
 export interface OperatorsView {
   readonly metrics: HostMetrics;
+  /** Brings gauges up to date before they are exported. */
+  refreshGauges(): void;
   getState(): HostState;
   getStatus(): Promise<HostStatus>;
   /** Begins a planned stop; the process ends when it is over. */
@@ -82,6 +84,7 @@
           : text(503, `${view.getState()}\n`);
       case "/metrics": {
         const { registry } = view.metrics;
+        view.refreshGauges();
         return {
           status: 200,
           type: registry.contentType,
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -36,6 +36,7 @@
   drain.mockClear();
   server = createOperatorsServer({
     metrics,
+    refreshGauges() {},
     getState: () => state,
     getStatus: () => Promise.reject(new Error("fault")),
     drain,
