--- a/tools/measure/broken.ts
+++ b/tools/measure/broken.ts
@@ -170,11 +170,20 @@
     : res;
 };
 
+/** Shows targets of newer terms as replicas of the first one. */
 function hideNewTerms(control: Control): Control {
   return async (target, req, timeoutMs) => {
     const res = await control(target, req, timeoutMs);
-    const isNewer = res.isOk() && res.value.term > FIRST_TERM;
-    return isNewer ? Err({ kind: "no_answer", sent: true }) : res;
+    return res.map((status): TargetStatus =>
+      status.term > FIRST_TERM
+        ? {
+          ...status,
+          term: FIRST_TERM,
+          role: "replica",
+          logEnd: { ...status.logEnd, term: FIRST_TERM },
+        }
+        : status
+    );
   };
 }
 
