Count only hosts that were current since their start in a majority

A restarted host could be made a witness by a peer's confirmation that was older than the restart, although it had forgotten an accepted change. Seen failing first in 'a restarted host is no witness of what it held before'.

--- a/src/core/dissemination.ts
+++ b/src/core/dissemination.ts
@@ -181,12 +181,12 @@
       void pullRepeatedly();
     },
     answer({ after }) {
-      const ready = freshness.isReady();
+      const ageMs = freshness.getAgeMs();
       return {
         kind: "pull",
         revision: cfg.revision,
-        ready,
-        ...(ready ? { ageMs: freshness.getAgeMs() } : {}),
+        ready: freshness.isReady(),
+        ...(ageMs < Infinity ? { ageMs } : {}),
         objects: cfg.listChangedAfter(after).map((object) => ({ ...object })),
       };
     },
--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -11,7 +11,7 @@
   readonly from: HostId;
   /** When the peer was asked, on the monotonic clock. */
   readonly askedAt: number;
-  /** The peer was confirmed current since it started. */
+  /** The peer was current at some time since it started. */
   readonly ready: boolean;
 }
 
@@ -23,7 +23,7 @@
   /** Time since the configuration was known to be current. */
   getAgeMs(): number;
   isConfirmed(): boolean;
-  /** It was confirmed at least once since the process started. */
+  /** It was current at some time since the process started. */
   isReady(): boolean;
 }
 
@@ -40,6 +40,7 @@
   },
 ): Freshness {
   const askedAt = new Map<HostId, number>();
+  const startedAt = nowMs();
   let confirmedAt = -Infinity;
 
   /** When a majority had been asked that held nothing newer. */
@@ -51,9 +52,12 @@
     return times[Math.floor(hosts.length / 2)] ?? -Infinity;
   }
 
-  /** A host that has just started may have forgotten what it held. */
+  /**
+   * A process that has just started may have forgotten what its host held, and
+   * must not count in a majority until it has met what was accepted before.
+   */
   function isOwn(host: HostId): boolean {
-    return host === options.self && confirmedAt > -Infinity;
+    return host === options.self && confirmedAt >= startedAt;
   }
 
   function update(): number {
@@ -72,6 +76,6 @@
     },
     getAgeMs: () => nowMs() - update(),
     isConfirmed: () => nowMs() - update() < FRESH_MS,
-    isReady: () => update() > -Infinity,
+    isReady: () => update() >= startedAt,
   };
 }
--- a/test/dissemination.test.ts
+++ b/test/dissemination.test.ts
@@ -188,6 +188,19 @@
   expect(freshness.isConfirmed()).toBe(true);
 });
 
+test("a restarted host is no witness of what it held before", async () => {
+  const self = asId<HostId>("h1");
+  await vi.advanceTimersByTimeAsync(1_000);
+  const freshness = createFreshness({ self, listHosts: () => [self] });
+  // A peer may pass on a confirmation that is older than the restart.
+  freshness.noteConfirmed(performance.now() - 1_000);
+  expect([freshness.isConfirmed(), freshness.isReady()]).toEqual([true, false]);
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(freshness.isConfirmed()).toBe(false);
+  freshness.noteConfirmed(performance.now());
+  expect(freshness.isReady()).toBe(true);
+});
+
 test("traffic brings no calls to the platform", async () => {
   fleet = await startTestFleet();
   const session = fleet.open("h1");
