--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -5,13 +5,14 @@
 import { createDissemination, type Dissemination } from "./dissemination.ts";
 import { createEntry, type Entry } from "./entry.ts";
 import { createFreshness, type Freshness } from "./freshness.ts";
-import type { GroupId, HostId } from "./ids.ts";
-import { createStaticLimits } from "./limits.ts";
+import type { HostId } from "./ids.ts";
+import { createStaticLimits, type Limits } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { LIST_KEYS } from "./object_keys.ts";
 import { createPeers } from "./peers.ts";
-import { createPool, type Pool } from "./pool.ts";
-import { createFifoQueue } from "./queue.ts";
+import { createPools } from "./pools.ts";
+import { createFifoQueue, type Queue } from "./queue.ts";
+import type { OrderReplicas } from "./read.ts";
 import { createRegistration } from "./registration.ts";
 import type {
   ExecReq,
@@ -30,6 +31,7 @@
 const DEFAULT_HOSTS_PER_GROUP = 3;
 /** Time for the way to a pool host and back, in milliseconds. */
 const PEER_MARGIN_MS = 200;
+const END_SESSION_TIMEOUT_MS = 1_000;
 
 /** One running host. */
 export interface Host extends Stoppable {
@@ -44,8 +46,25 @@
   listGroupViews(): readonly GroupView[];
 }
 
+/** Parts that a program which embeds a host may replace. */
+export interface HostPolicies {
+  readonly createLimits?: (
+    cfg: Configuration,
+    options: { readonly hosts: number },
+  ) => Limits;
+  readonly createQueue?: (
+    options: { readonly slotsPerTarget: number },
+  ) => Queue;
+  /** Orders the replicas that may serve a read, best first. */
+  readonly orderReplicas?: OrderReplicas;
+}
+
 /** Creates a host that acts through `io` only. */
-export function createHost(io: HostIo, settings: Settings): Host {
+export function createHost(
+  io: HostIo,
+  settings: Settings,
+  policies: HostPolicies = {},
+): Host {
   const self = { host: settings.host, domain: settings.domain };
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
@@ -64,7 +83,9 @@
     self: self.host,
     listHosts: () => [self.host, ...membership.listContacts()],
   });
-  const limits = createStaticLimits(cfg, { hosts: known.length + 1 });
+  const createLimits = policies.createLimits ?? createStaticLimits;
+  const limits = createLimits(cfg, { hosts: known.length + 1 });
+  const createQueue = policies.createQueue ?? createFifoQueue;
   const peers = createPeers(io, handlePeer);
   const dissemination: Dissemination = createDissemination(io, {
     self,
@@ -84,27 +105,24 @@
     },
   });
   cfg.onChange(membership.announce);
-  const pools = new Map<GroupId, Pool>();
-
-  function tryPool(group: GroupId): Pool | undefined {
-    const found = pools.get(group);
-    const info = cfg.tryGroup(group);
-    if (found || !info) {
-      return found;
-    }
-    const pool = createPool(io, {
-      group: info,
-      queue: createFifoQueue({ slotsPerTarget: info.slots }),
-      transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
-        DEFAULT_TRANSACTION_TIMEOUT_MS,
-    });
-    pools.set(group, pool);
-    pool.start();
-    return pool;
-  }
+  const hostsPerGroup = settings.pools?.hostsPerGroup ??
+    DEFAULT_HOSTS_PER_GROUP;
+  const pools = createPools(io, {
+    self: self.host,
+    cfg,
+    membership,
+    peers,
+    hostsPerGroup,
+    transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
+      DEFAULT_TRANSACTION_TIMEOUT_MS,
+    createQueue: (info) => createQueue({ slotsPerTarget: info.slots }),
+    ...(policies.orderReplicas
+      ? { orderReplicas: policies.orderReplicas }
+      : {}),
+  });
 
   async function execHere(req: ExecReq): Promise<Outcome> {
-    const pool = tryPool(req.group);
+    const pool = pools.tryPool(req.group);
     return pool
       ? await pool.exec(req)
       : { kind: "failed", error: "unavailable" };
@@ -119,11 +137,18 @@
     if (res.isOk() && res.value.kind === "exec") {
       return res.value.outcome;
     }
-    const isRead = req.op.kind === "read";
-    return {
-      kind: "failed",
-      error: isRead ? "unavailable" : "outcome_unknown",
-    };
+    return { kind: "failed", error: "outcome_unknown" };
+  }
+
+  function endSession(session: string, hosts: readonly HostId[]): void {
+    for (const host of hosts) {
+      if (host === self.host) {
+        pools.endSession(session);
+      } else {
+        const timeoutMs = END_SESSION_TIMEOUT_MS;
+        void peers.call(host, { kind: "end_session", session }, { timeoutMs });
+      }
+    }
   }
 
   async function handlePeer(_from: HostId, req: PeerReq): Promise<PeerRes> {
@@ -132,6 +157,14 @@
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
         return dissemination.answer(req);
+      case "suspect":
+        return { kind: "suspect", opinion: pools.getOpinion(req) };
+      case "promoted":
+        pools.refresh(req.group);
+        return { kind: "ack" };
+      case "end_session":
+        pools.endSession(req.session);
+        return { kind: "ack" };
     }
   }
 
@@ -141,16 +174,17 @@
     freshness,
     limits,
     membership,
-    hostsPerGroup: settings.pools?.hostsPerGroup ?? DEFAULT_HOSTS_PER_GROUP,
+    hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
-    endSession: (session) => pools.forEach((pool) => pool.endSession(session)),
+    endSession,
   });
 
   return {
     start() {
       membership.start();
+      pools.start();
       dissemination.start();
       registration.start();
     },
@@ -166,13 +200,13 @@
     cfg,
     freshness,
     membership,
-    listGroupViews: () => [...pools.values()].map((p) => p.monitor.view()),
+    listGroupViews: pools.listViews,
     stop() {
       dissemination.stop();
       registration.stop();
       membership.stop();
       peers.stop();
-      pools.forEach((pool) => pool.stop());
+      pools.stop();
     },
   };
 }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -28,6 +28,8 @@
   /** Hosts that are alive and not leaving, this one included. */
   listAlive(): readonly PeerInfo[];
   isAlive(host: HostId): boolean;
+  /** Whether a host was heard of lately, also if it is leaving. */
+  isReachable(host: HostId): boolean;
   /** Other hosts that are known and not leaving, alive or not. */
   listContacts(): readonly HostId[];
   /** Which versions each host holds, this one included. */
@@ -128,6 +130,10 @@
         heardMsAgo: nowMs() - at,
       }));
     },
+    isReachable(host) {
+      const at = heard.get(host)?.at ?? -Infinity;
+      return host === self.host || nowMs() - at < ALIVE_TIMEOUT_MS;
+    },
     announce: sendHeartbeats,
     leave() {
       leaving = true;
--- a/src/core/object_keys.ts
+++ b/src/core/object_keys.ts
@@ -25,6 +25,11 @@
   return asId<ObjectKey>(`config/status/${group}`);
 }
 
+/** The lease of the host that changes the primary of a group. */
+export function getGroupLeaseKey(group: GroupId): ObjectKey {
+  return asId<ObjectKey>(`lease/${group}`);
+}
+
 /** Where a host registers when it starts. */
 export function getHostKey(host: HostId): ObjectKey {
   return asId<ObjectKey>(`config/hosts/${host}`);
