Refuse withdrawn keys on open sessions, and end their transactions

An open transaction of a withdrawn key kept its connection until its own timeout. The entry now ends such sessions when the change arrives.

--- a/src/core/authenticate.ts
+++ b/src/core/authenticate.ts
@@ -44,12 +44,18 @@
   if (!ctx.freshness.isConfirmed()) {
     return Err({ error: "configuration_unconfirmed" });
   }
-  const record = ctx.cfg.tryKey(caller.keyId);
-  return record && isInForce(record) && record.workspace === caller.workspace
+  return isKeyInForce(ctx.cfg, caller)
     ? Ok(undefined)
     : Err({ error: "unauthenticated" });
 }
 
+/** Tells whether the key of a connected caller was not withdrawn. */
+export function isKeyInForce(cfg: Configuration, caller: Caller): boolean {
+  const record = cfg.tryKey(caller.keyId);
+  return record !== undefined && isInForce(record) &&
+    record.workspace === caller.workspace;
+}
+
 function isInForce(record: KeyRecord): boolean {
   return record.withdrawnAt === undefined &&
     (record.expiresAt === undefined ||
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -3,7 +3,12 @@
 import type { CallerFrame, HelloFrame } from "../generated/caller.ts";
 import { Err, Ok, type Result } from "ts-results-es";
 import { admit } from "./admit.ts";
-import { authenticate, type Caller, checkCaller } from "./authenticate.ts";
+import {
+  authenticate,
+  type Caller,
+  checkCaller,
+  isKeyInForce,
+} from "./authenticate.ts";
 import { nowMs } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Failure } from "./errors.ts";
@@ -61,9 +66,25 @@
   endSession(session: string, hosts: readonly HostId[]): void;
 }
 
+interface OpenSession {
+  readonly caller: Caller;
+  end(): void;
+}
+
 /** Creates the entry of this host. */
 export function createEntry(io: HostIo, options: EntryOptions): Entry {
   const { self, cfg, membership } = options;
+  const sessions = new Set<OpenSession>();
+  cfg.onChange(endRefusedSessions);
+
+  /** Rolls back what callers left open whose key was withdrawn. */
+  function endRefusedSessions(): void {
+    for (const { caller, end } of [...sessions]) {
+      if (!isKeyInForce(cfg, caller)) {
+        end();
+      }
+    }
+  }
 
   function newId(): string {
     const [a, b] = [io.random(), io.random()];
@@ -129,6 +150,14 @@
       }
       const session = { id: newId(), workspace, floors: floors.value };
       const txHosts = new Set<HostId>();
+      const open: OpenSession = {
+        caller: caller.value,
+        end() {
+          sessions.delete(open);
+          options.endSession(session.id, [...txHosts]);
+        },
+      };
+      sessions.add(open);
       return Ok({
         async request(frame) {
           const startedAt = nowMs();
@@ -139,7 +168,7 @@
           observe(io, { frame, outcome, workspace, ms: nowMs() - startedAt });
           return toAnswer(frame.id, { outcome, session });
         },
-        end: () => options.endSession(session.id, [...txHosts]),
+        end: open.end,
       });
     },
   };
--- /dev/null
+++ b/test/keys.test.ts
@@ -0,0 +1,177 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { pack } from "msgpackr";
+import type { CallerSession, RequestFrame } from "../src/core/entry.ts";
+import {
+  asId,
+  type KeyId,
+  type ReqId,
+  type TxId,
+  type WorkspaceId,
+} from "../src/core/ids.ts";
+import { isSecretOf, issueKey, tryGetKeyId } from "../src/core/keys.ts";
+import { rotateKey, withdrawKey } from "../src/core/lists.ts";
+import type { Answer } from "../src/core/types.ts";
+import { LAKAZ } from "../tools/workloads.ts";
+import {
+  getFrame,
+  putFrame,
+  settle,
+  startTestFleet,
+  type TestFleet,
+} from "./fleet.ts";
+import { createMemoryStore, type MemoryStore } from "./memory_store.ts";
+
+/** A withdrawn key is refused everywhere within this time (issue 6). */
+const REFUSED_MS = 5_000;
+const WORKSPACE = LAKAZ.workspaces[0]!.workspace;
+
+let fleet: TestFleet;
+let store: MemoryStore;
+
+beforeEach(async () => {
+  vi.useFakeTimers();
+  fleet = await startTestFleet({ hosts: 5 });
+  store = createMemoryStore(fleet.platform);
+});
+
+afterEach(() => {
+  fleet.stop();
+  vi.useRealTimers();
+});
+
+function getKeyId(workspace: WorkspaceId): KeyId {
+  return tryGetKeyId(fleet.keys.get(workspace)!)!;
+}
+
+function tryOpen(host: string, secret: string): string {
+  const opened = fleet.getHost(host).host.entry
+    .open({ kind: "hello", key: secret });
+  return opened.isErr() ? opened.error.error : "opened";
+}
+
+async function ask(
+  session: CallerSession,
+  frame: RequestFrame,
+): Promise<string> {
+  const answer: Answer = await settle(session.request(frame));
+  return answer.kind === "done" ? "done" : answer.failure.error;
+}
+
+function beginFrame(id: string): RequestFrame {
+  return { kind: "begin", id: asId<ReqId>(id), service: LAKAZ.service };
+}
+
+test("a withdrawn key is refused on open sessions and in transactions", async () => {
+  const sessions = fleet.hosts.map(({ id }) => fleet.open(id));
+  const begun = await settle(sessions[0]!.request(beginFrame("begin-1")));
+  expect(begun.kind).toBe("done");
+  const tx = begun.kind === "done" ? begun.result as TxId : undefined;
+  expect(await ask(sessions[0]!, putFrame("row", 1, { tx: tx! }))).toBe("done");
+  // h4 cannot reach the platform, h5 can reach nothing.
+  fleet.cut("h4", "platform");
+  ["platform", "h1", "h2", "h3", "h4"].forEach((n) => fleet.cut("h5", n));
+  (await settle(withdrawKey(store, getKeyId(WORKSPACE)))).unwrap();
+  await vi.advanceTimersByTimeAsync(REFUSED_MS);
+  const refusals = await Promise.all(
+    sessions.map((session) => ask(session, getFrame("row"))),
+  );
+  expect(refusals).toEqual([
+    ...Array.from({ length: 4 }, () => "unauthenticated"),
+    "configuration_unconfirmed",
+  ]);
+  expect(await ask(sessions[0]!, putFrame("row", 2, { tx: tx! })))
+    .toBe("unauthenticated");
+  const opened = fleet.hosts.map(({ id }) =>
+    tryOpen(id, fleet.keys.get(WORKSPACE)!)
+  );
+  expect(opened).toEqual(refusals);
+});
+
+test("a transaction is rolled back when its key is withdrawn", async () => {
+  let ended = 0;
+  for (const node of fleet.targets.values()) {
+    const { tryOpen } = node;
+    node.tryOpen = (from) => {
+      const conn = tryOpen(from);
+      return conn && { ...conn, end: () => (ended++, conn.end()) };
+    };
+  }
+  const holder = fleet.open("h1");
+  const begun = await settle(holder.request(beginFrame("begin-1")));
+  expect(begun.kind).toBe("done");
+  (await settle(withdrawKey(store, getKeyId(WORKSPACE)))).unwrap();
+  expect(ended).toBe(0);
+  // Well before the transaction would have timed out.
+  await vi.advanceTimersByTimeAsync(REFUSED_MS);
+  expect(ended).toBe(1);
+});
+
+test("a key is rotated with overlap", async () => {
+  const old = fleet.keys.get(WORKSPACE)!;
+  const next = (await settle(rotateKey(store, {
+    keyId: getKeyId(WORKSPACE),
+    overlapMs: 20_000,
+  }))).unwrap();
+  await vi.advanceTimersByTimeAsync(REFUSED_MS);
+  expect([tryOpen("h2", old), tryOpen("h2", next.secret)])
+    .toEqual(["opened", "opened"]);
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect([tryOpen("h2", old), tryOpen("h2", next.secret)])
+    .toEqual(["unauthenticated", "opened"]);
+});
+
+test("nobody but its holder gets in with a key", () => {
+  const { record, secret } = issueKey(WORKSPACE);
+  const other = issueKey(WORKSPACE);
+  expect(isSecretOf(record, secret)).toBe(true);
+  const changed = secret.slice(0, -1) + (secret.endsWith("0") ? "1" : "0");
+  expect(isSecretOf(record, changed)).toBe(false);
+  expect(isSecretOf(record, other.secret)).toBe(false);
+  expect(isSecretOf({ ...record, hash: "" }, secret)).toBe(false);
+  const own = fleet.keys.get(WORKSPACE)!;
+  const guesses = ["", "tck", own.slice(0, -1), `${own}0`, own.toUpperCase()];
+  expect(guesses.map((guess) => tryOpen("h1", guess)))
+    .toEqual(guesses.map(() => "unauthenticated"));
+});
+
+test("no target receives a key and no log or answer holds one", async () => {
+  const received: string[] = [];
+  for (const node of fleet.targets.values()) {
+    const { tryOpen, control } = node;
+    node.control = (from, req) => {
+      received.push(pack([from, req]).toString("latin1"));
+      return control(from, req);
+    };
+    node.tryOpen = (from) => {
+      const conn = tryOpen(from);
+      return conn && {
+        ...conn,
+        run(req) {
+          received.push(pack([from, req]).toString("latin1"));
+          return conn.run(req);
+        },
+      };
+    };
+  }
+  const told: unknown[] = [];
+  for (const [workspace, key] of fleet.keys) {
+    const session = fleet.open("h1", { workspace });
+    told.push(await settle(session.request(putFrame("row", "x"))));
+    told.push(await settle(session.request(getFrame("row"))));
+    told.push(await settle(session.request(beginFrame(`begin-${workspace}`))));
+    session.end();
+    told.push(
+      fleet.getHost("h2").host.entry
+        .open({ kind: "hello", key: `${key}0` }),
+    );
+  }
+  await vi.advanceTimersByTimeAsync(1_000);
+  told.push(fleet.hosts.map((host) => host.log));
+  told.push(fleet.hosts.map(({ host }) => host.membership.listHolders()));
+  expect(received.length).toBeGreaterThan(3 * fleet.keys.size);
+  const all = [...received, JSON.stringify(told)].join("\n");
+  for (const secret of fleet.keys.values()) {
+    expect(all).not.toContain(secret);
+    expect(all).not.toContain(secret.split("_")[2]);
+  }
+});
