Bound heartbeats in large fleets and pass on who is down

Every host sent heartbeats to every other, which grows with the fleet. Above 12 hosts a host now exchanges them once a second with the hosts at the distances 1, 2, 4, ... on a ring by hash, and reports of lost hosts are passed on; a host that is wrongly said to be down denies it with a higher number. Hosts that the settings do not name are found by their registration, one call for each start. Weighed: heartbeat counters of all hosts in each message (3,200 entries every few seconds leave no room in 18 KB/s) and a random subset (not mutual, so silence would say nothing).

A late answer to an earlier process of the same host could match a call of the new one: call ids now begin at random. Each test was seen failing: without passing on, without denial, without the host's own number, with call ids from 1, and with the full mesh kept.

--- a/src/core/dissemination.ts
+++ b/src/core/dissemination.ts
@@ -25,6 +25,8 @@
 const PULL_TIMEOUT_MS = 400;
 /** From this age on, every peer that this host knows is asked. */
 const ASK_ALL_AGE_MS = FRESH_MS * 9 / 16;
+/** In a larger fleet a host asks its neighbours only. */
+const MAJORITY_ASK_HOSTS = 64;
 /** From this age on, a host that does not watch asks the platform too. */
 const ASK_PLATFORM_AGE_MS = FRESH_MS * 3 / 4;
 
@@ -155,10 +157,18 @@
     }
   }
 
+  /** Enough hosts for a majority, as long as the fleet is not too large. */
+  function listAsked(): readonly HostId[] {
+    const contacts = membership.listContacts();
+    return contacts.length < MAJORITY_ASK_HOSTS
+      ? contacts
+      : membership.listNeighbours();
+  }
+
   function pullFromPeers(): void {
     const ageMs = freshness.getAgeMs();
     if (ageMs > ASK_ALL_AGE_MS) {
-      membership.listContacts().forEach((host) => void pull(host));
+      listAsked().forEach((host) => void pull(host));
       return;
     }
     const watchers = listWatchers();
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -4,12 +4,16 @@
 import type { Heartbeat } from "../generated/peer.ts";
 import { nowMs } from "./clock.ts";
 import type { DomainId, HostId } from "./ids.ts";
+import { createGossip } from "./gossip.ts";
+import { FULL_MESH_HOSTS, listNeighbours } from "./neighbours.ts";
 import type { HostIo, PeerInfo, Stoppable } from "./types.ts";
 
-/** Interval between heartbeats, in milliseconds. */
+/** Interval between heartbeats in a full mesh, in milliseconds. */
 export const HEARTBEAT_MS = 250;
-/** A peer without a heartbeat for this long is not alive, in milliseconds. */
-export const ALIVE_TIMEOUT_MS = 1_000;
+/** Interval between heartbeats in a larger fleet, in milliseconds. */
+export const SPARSE_HEARTBEAT_MS = 1_000;
+/** A peer that misses this many heartbeats is not alive. */
+const MISSED_HEARTBEATS = 4;
 
 /** Versions of the platform's objects that a host says it holds. */
 export interface Holder extends PeerInfo {
@@ -32,6 +36,8 @@
   isReachable(host: HostId): boolean;
   /** Other hosts that are known and not leaving, alive or not. */
   listContacts(): readonly HostId[];
+  /** Hosts that this host exchanges heartbeats with. */
+  listNeighbours(): readonly HostId[];
   /** Which versions each host holds, this one included. */
   listHolders(): readonly Holder[];
   /** Sends heartbeats at once, after the host's own state has changed. */
@@ -56,6 +62,13 @@
   readonly at: number;
 }
 
+/** What follows from the known hosts, until those change. */
+interface View {
+  readonly peers: ReadonlyMap<HostId, DomainId>;
+  readonly neighbours: ReadonlySet<HostId>;
+  readonly isFullMesh: boolean;
+}
+
 /** Creates the membership of one host. */
 export function createMembership(
   io: HostIo,
@@ -63,15 +76,27 @@
 ): Membership {
   const { self, known } = options;
   const heard = new Map<HostId, Heard>();
+  /** When a neighbour that was not heard yet became one. */
+  const expectedSince = new Map<HostId, number>();
   const incarnation = io.random().toString(36).slice(2);
+  const gossip = createGossip({
+    self: self.host,
+    seq: Date.now(),
+    listNeighbours: () => [...getView().neighbours],
+  });
   let timer: NodeJS.Timeout | undefined;
+  let view: View | undefined;
   let leaving = false;
 
+  /** Other hosts by the settings and the registrations. */
   function listPeers(): ReadonlyMap<HostId, DomainId> {
     const peers = new Map(known.map((peer) => [peer.host, peer.domain]));
     for (const record of options.listRegistered()) {
-      // A host that is heard of is back before its record says so.
-      if (!record.leaving || isFresh(heard.get(record.host))) {
+      const heardMsg = heard.get(record.host)?.msg;
+      // A host that has come back is heard of before its record says so.
+      const isBack = heardMsg !== undefined && !heardMsg.leaving &&
+        heardMsg.incarnation !== record.incarnation;
+      if (!record.leaving || isBack) {
         peers.set(record.host, record.domain);
       } else {
         peers.delete(record.host);
@@ -81,44 +106,123 @@
     return peers;
   }
 
+  function getView(): View {
+    if (!view) {
+      const peers = listPeers();
+      view = {
+        peers,
+        neighbours: new Set(listNeighbours(self.host, [...peers.keys()])),
+        isFullMesh: peers.size < FULL_MESH_HOSTS,
+      };
+    }
+    return view;
+  }
+
+  function getIntervalMs(): number {
+    return getView().isFullMesh ? HEARTBEAT_MS : SPARSE_HEARTBEAT_MS;
+  }
+
   function buildHeartbeat(): Heartbeat {
+    const { revision, versions } = options.getHeld();
     return {
       kind: "heartbeat",
       ...self,
       incarnation,
+      seq: gossip.seq,
       leaving,
-      ...options.getHeld(),
+      revision,
+      versions: getView().isFullMesh ? versions : [],
     };
   }
 
   function sendHeartbeats(): void {
     const msg = buildHeartbeat();
-    for (const host of listPeers().keys()) {
-      io.sendPeer(host, msg);
+    for (const host of getView().neighbours) {
+      const reports = gossip.take(host);
+      io.sendPeer(host, reports.length > 0 ? { ...msg, reports } : msg);
+    }
+  }
+
+  function beat(): void {
+    if (!getView().isFullMesh) {
+      suspectSilent();
+    }
+    sendHeartbeats();
+    timer = setTimeout(beat, getIntervalMs());
+  }
+
+  function suspectSilent(): void {
+    const now = nowMs();
+    for (const host of getView().neighbours) {
+      const since = expectedSince.get(host) ?? now;
+      expectedSince.set(host, since);
+      if (now - Math.max(since, heard.get(host)?.at ?? 0) > getTimeoutMs()) {
+        gossip.suspect(host);
+      }
+    }
+  }
+
+  function getTimeoutMs(): number {
+    return MISSED_HEARTBEATS * getIntervalMs();
+  }
+
+  function isHeard(host: HostId): boolean {
+    const at = heard.get(host)?.at ?? -Infinity;
+    return nowMs() - at < getTimeoutMs();
+  }
+
+  function isReachable(host: HostId): boolean {
+    const { peers, neighbours, isFullMesh } = getView();
+    if (isFullMesh) {
+      return isHeard(host);
     }
+    return peers.has(host) && !gossip.isDown(host) &&
+      (!neighbours.has(host) || isHeard(host));
+  }
+
+  function listReachable(): readonly PeerInfo[] {
+    const { peers, isFullMesh } = getView();
+    return isFullMesh
+      ? [...heard.values()].filter(({ msg }) => isHeard(msg.host))
+        .map(({ msg }) => ({ host: msg.host, domain: msg.domain }))
+      : [...peers].filter(([host]) => isReachable(host))
+        .map(([host, domain]) => ({ host, domain }));
+  }
+
+  function isLeaving(host: HostId): boolean {
+    return heard.get(host)?.msg.leaving ?? false;
   }
 
-  function isFresh(entry: Heard | undefined): entry is Heard {
-    return entry !== undefined && !entry.msg.leaving &&
-      nowMs() - entry.at < ALIVE_TIMEOUT_MS;
+  function listAlive(): readonly PeerInfo[] {
+    const peers = listReachable().filter(({ host }) => !isLeaving(host));
+    return leaving ? peers : [self, ...peers];
   }
 
   return {
     incarnation,
-    start() {
-      sendHeartbeats();
-      timer = setInterval(sendHeartbeats, HEARTBEAT_MS);
-    },
+    start: beat,
     receive(msg) {
+      const before = heard.get(msg.host);
       heard.set(msg.host, { msg, at: nowMs() });
+      const isSame = before?.msg.incarnation === msg.incarnation &&
+        before.msg.leaving === msg.leaving;
+      if (!isSame) {
+        view = undefined;
+      }
+      if (getView().isFullMesh) {
+        return;
+      }
+      gossip.noteHeard(msg.host, msg.seq);
+      gossip.receive(msg.reports ?? []);
+      if (!isSame) {
+        gossip.tellAll(msg.host);
+      }
     },
-    listAlive() {
-      const peers = [...heard.values()].filter(isFresh)
-        .map(({ msg }) => ({ host: msg.host, domain: msg.domain }));
-      return leaving ? peers : [self, ...peers];
-    },
-    isAlive: (host) => host === self.host || isFresh(heard.get(host)),
-    listContacts: () => [...listPeers().keys()],
+    listAlive,
+    isAlive: (host) =>
+      host === self.host || (isReachable(host) && !isLeaving(host)),
+    listContacts: () => [...getView().peers.keys()],
+    listNeighbours: () => [...getView().neighbours],
     listHolders() {
       const own = { msg: buildHeartbeat(), at: nowMs() };
       return [own, ...heard.values()].map(({ msg, at }) => ({
@@ -130,17 +234,17 @@
         heardMsAgo: nowMs() - at,
       }));
     },
-    isReachable(host) {
-      const at = heard.get(host)?.at ?? -Infinity;
-      return host === self.host || nowMs() - at < ALIVE_TIMEOUT_MS;
+    isReachable: (host) => host === self.host || isReachable(host),
+    announce() {
+      view = undefined;
+      sendHeartbeats();
     },
-    announce: sendHeartbeats,
     leave() {
       leaving = true;
       sendHeartbeats();
     },
     stop() {
-      clearInterval(timer);
+      clearTimeout(timer);
     },
   };
 }
--- a/src/core/peers.ts
+++ b/src/core/peers.ts
@@ -34,10 +34,13 @@
   settle(result: Result<PeerRes, PeerErr>): void;
 }
 
+const MAX_FIRST_RID = 2 ** 48;
+
 /** Creates the calls of one host; `handler` answers those of others. */
 export function createPeers(io: HostIo, handler: PeerHandler): Peers {
   const waiting = new Map<number, Waiting>();
-  let nextRid = 1;
+  // A late answer to a process that ran on this host before must not match.
+  let nextRid = Math.floor(io.random() * MAX_FIRST_RID);
 
   async function answer(
     from: HostId,
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,149 @@
+import { pack } from "msgpackr";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId, type DomainId, type HostId } from "../src/core/ids.ts";
+import { createPeers } from "../src/core/peers.ts";
+import type { HostIo, PeerMessage } from "../src/core/types.ts";
+import { startTestFleet, type TestFleet } from "./fleet.ts";
+
+/** Letter 1: what a host may spend on control. */
+const CONTROL_BYTES_PER_SECOND = 18_000;
+/** Letter 1: a change is in force everywhere within this time. */
+const LARGE_IN_FORCE_MS = 13_000;
+/** Issue 6: the same at today's size. */
+const IN_FORCE_MS = 5_000;
+
+let fleet: TestFleet;
+
+beforeEach(() => void vi.useFakeTimers());
+
+afterEach(() => {
+  fleet?.stop();
+  vi.useRealTimers();
+});
+
+function listAlive(host: string): string[] {
+  return fleet.getHost(host).host.membership.listAlive()
+    .map((peer) => peer.host).sort();
+}
+
+/** Counts the packed bytes that each host sends and receives. */
+function countBytes(): Map<string, number> {
+  const bytes = new Map<string, number>();
+  const add = (host: string, count: number) =>
+    bytes.set(host, (bytes.get(host) ?? 0) + count);
+  for (const { id, host } of fleet.hosts) {
+    const { receivePeer } = host;
+    host.receivePeer = (from, msg) => {
+      const { length } = pack(msg);
+      add(id, length);
+      add(from, length);
+      receivePeer(from, msg);
+    };
+  }
+  return bytes;
+}
+
+test("killed, frozen and cut hosts are found out and come back", async () => {
+  fleet = await startTestFleet({ hosts: 5, groups: [] });
+  fleet.kill("h2");
+  fleet.freeze("h3");
+  fleet.cut("h4", "h1");
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(listAlive("h1")).toEqual(["h1", "h5"]);
+  expect(listAlive("h5")).toEqual(["h1", "h4", "h5"]);
+  fleet.restart("h2");
+  fleet.thaw("h3");
+  fleet.heal();
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(listAlive("h1")).toEqual(["h1", "h2", "h3", "h4", "h5"]);
+});
+
+test("hosts that the settings do not name are found by registration", async () => {
+  fleet = await startTestFleet({
+    hosts: 6,
+    groups: [],
+    settings: { peers: { address: "local", port: 0, known: [] } },
+  });
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(listAlive("h1")).toHaveLength(6);
+  const calls = [...fleet.platformCalls.values()];
+  expect(Math.max(...calls)).toBeLessThan(60);
+});
+
+test("all hosts started at once find each other", async () => {
+  fleet = await startTestFleet({ hosts: 9, groups: [] });
+  fleet.hosts.forEach((host) => fleet.kill(host.id));
+  fleet.hosts.forEach((host) => fleet.restart(host.id));
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(fleet.hosts.map(({ id }) => listAlive(id).length))
+    .toEqual(fleet.hosts.map(() => 9));
+  expect(fleet.hosts.map(({ host }) => host.freshness.isConfirmed()))
+    .toEqual(fleet.hosts.map(() => true));
+});
+
+test("a late answer to an earlier process is not taken for another", async () => {
+  const sent: PeerMessage[] = [];
+  let draw = 0.1;
+  const io = {
+    sendPeer: (_to: HostId, msg: PeerMessage) => sent.push(msg),
+    random: () => draw += 0.1,
+  } as unknown as HostIo;
+  const peer = asId<HostId>("h2");
+  const handler = () => Promise.reject(new Error("not called"));
+  const call = { kind: "pull", after: 0 } as const;
+  const before = createPeers(io, handler);
+  void before.call(peer, call, { timeoutMs: 1_000 });
+  const after = createPeers(io, handler);
+  const asked = after.call(peer, call, { timeoutMs: 1_000 });
+  const [first] = sent;
+  const rid = first?.kind === "call" ? first.rid : -1;
+  after.receive(peer, {
+    kind: "return",
+    rid,
+    res: { kind: "pull", revision: 7, ready: true, objects: [] },
+  });
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect((await asked).isErr()).toBe(true);
+});
+
+test("a large fleet learns of losses within the budget", async () => {
+  fleet = await startTestFleet({
+    hosts: 24,
+    domains: ["d1", "d2", "d3", "d4"].map(asId<DomainId>),
+    groups: [],
+    settings: { peers: { address: "local", port: 0, known: [] } },
+  });
+  await vi.advanceTimersByTimeAsync(LARGE_IN_FORCE_MS);
+  expect(listAlive("h1")).toHaveLength(24);
+  const neighbours = fleet.getHost("h1").host.membership.listNeighbours();
+  expect(neighbours.length).toBeLessThanOrEqual(8);
+  // A cut between two hosts must not make the others give up on either.
+  fleet.cut("h1", neighbours[0]!);
+  const gone = ["h7", "h20"];
+  gone.forEach(fleet.kill);
+  await vi.advanceTimersByTimeAsync(LARGE_IN_FORCE_MS);
+  for (const { id, state } of fleet.hosts) {
+    const isCut = id === "h1" || id === neighbours[0];
+    const expected = 22 - (isCut ? 1 : 0);
+    if (state === "running") {
+      expect([id, listAlive(id).length]).toEqual([id, expected]);
+      expect(listAlive(id).filter((host) => gone.includes(host))).toEqual([]);
+    }
+  }
+  gone.forEach(fleet.restart);
+  fleet.heal();
+  await vi.advanceTimersByTimeAsync(LARGE_IN_FORCE_MS);
+  expect(listAlive("h15")).toHaveLength(24);
+  const bytes = countBytes();
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(Math.max(...bytes.values()) / 10)
+    .toBeLessThan(CONTROL_BYTES_PER_SECOND);
+});
+
+test("control of today's fleet is within the budget", async () => {
+  fleet = await startTestFleet({ hosts: 9, groups: [] });
+  const bytes = countBytes();
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(Math.max(...bytes.values()) / 10)
+    .toBeLessThan(CONTROL_BYTES_PER_SECOND);
+});
