--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -16,6 +16,7 @@
   Outcome,
   Position,
   Stoppable,
+  TargetView,
 } from "./types.ts";
 import { createWatch } from "./watch.ts";
 import { isTermOver, runAtPrimary, settle } from "./write.ts";
@@ -31,11 +32,18 @@
   readonly monitor: Monitor;
 }
 
+/** Orders the replicas that may serve a read, best first. */
+export type OrderReplicas = (
+  replicas: readonly TargetView[],
+) => readonly TargetView[];
+
 /** What a pool is made of. */
 export interface PoolOptions {
   readonly group: GroupInfo;
   readonly queue: Queue;
   readonly transactionTimeoutMs: number;
+  /** Without it reads are spread at random. */
+  readonly orderReplicas?: OrderReplicas;
 }
 
 /** Creates the pool of a group on this host. */
@@ -60,11 +68,17 @@
     confirmer,
     transactions,
     getGroup: () => group,
+    orderReplicas: options.orderReplicas ?? rotate,
   };
   monitor.onReport(() =>
     transactions.endWhere(({ term }) => isTermOver(monitor, term))
   );
 
+  function rotate(replicas: readonly TargetView[]): TargetView[] {
+    const start = Math.floor(io.random() * replicas.length);
+    return [...replicas.slice(start), ...replicas.slice(0, start)];
+  }
+
   async function run(task: Task): Promise<Outcome> {
     const { op, workspace } = task.req;
     switch (op.kind) {
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -22,6 +22,8 @@
 export interface ReadContext extends SendContext {
   readonly monitor: Monitor;
   readonly watch: Watch;
+  /** Orders the replicas that may serve a read, best first. */
+  orderReplicas(replicas: readonly TargetView[]): readonly TargetView[];
 }
 
 /** An operation with the time by which it is answered. */
@@ -131,8 +133,7 @@
     isAtLeast(target.status.logEnd, needed);
   const fresh = monitor.view().targets.filter(isUsable);
   const replicas = fresh.filter((t) => t.status?.role === "replica");
-  const start = Math.floor(ctx.io.random() * replicas.length);
-  const rotated = [...replicas.slice(start), ...replicas.slice(0, start)];
+  const ordered = ctx.orderReplicas(replicas);
   const primaries = fresh.filter((t) => t.status?.role === "primary");
-  return [...rotated, ...primaries].map((target) => target.info);
+  return [...ordered, ...primaries].map((target) => target.info);
 }
