--- /dev/null
+++ b/test/group.ts
@@ -0,0 +1,76 @@
+/** The group of a test fleet that keeps the rows of the first workspace. */
+
+import type { RequestFrame } from "../src/core/entry.ts";
+import { rankNodes } from "../src/core/hash.ts";
+import {
+  asId,
+  type HostId,
+  type ReqId,
+  type TargetId,
+} from "../src/core/ids.ts";
+import { listPoolHosts } from "../src/core/route.ts";
+import type { GroupInfo } from "../src/core/types.ts";
+import type { TargetNode } from "../standins/target_node.ts";
+import { LAKAZ } from "../tools/workloads.ts";
+import type { TestFleet } from "./fleet.ts";
+
+/** What tests ask of one group. */
+export interface TestGroup {
+  readonly info: GroupInfo;
+  readonly targets: readonly TargetNode[];
+  /** The hosts that pool for the group, best first. */
+  readonly poolHosts: readonly HostId[];
+  /** Highest term of a target. */
+  getTerm(): number;
+  /** The primary of the highest term. */
+  getPrimary(): TargetNode;
+  /** Entries in the log of the primary that change a row. */
+  countEntries(key: string): number;
+}
+
+/** Finds the group in a fleet. */
+export function getTestGroup(fleet: TestFleet): TestGroup {
+  const workspace = fleet.deployment.workspaces[0]!.workspace;
+  const names = fleet.groups.map((group) => group.group);
+  const first = rankNodes(workspace, names)[0];
+  const info = fleet.groups.find((group) => group.group === first)!;
+  const targets = info.targets.map(({ target }) => fleet.getTarget(target));
+  const getTerm = () =>
+    Math.max(...targets.map((target) => target.core.status().term));
+  const getPrimary = () =>
+    targets.find(({ core }) =>
+      core.status().role === "primary" && core.status().term === getTerm()
+    )!;
+  return {
+    info,
+    targets,
+    poolHosts: listPoolHosts(info.group, {
+      alive: fleet.hosts[0]!.host.membership.listAlive(),
+      count: 3,
+    }),
+    getTerm,
+    getPrimary,
+    countEntries: (key) =>
+      getPrimary().core.log
+        .filter((entry) => entry.changes.some((c) => c.key === key)).length,
+  };
+}
+
+/** Id of a target. */
+export function idOf(target: TargetNode): TargetId {
+  return target.core.status().target;
+}
+
+let nextId = 1;
+
+/** A frame of another kind than read and write. */
+export function frameOf(
+  frame:
+    | { readonly kind: "begin" }
+    | { readonly kind: "end"; readonly tx: string; readonly end: string }
+    | { readonly kind: "outcome"; readonly of: string },
+  id = `g${nextId++}`,
+): RequestFrame {
+  const rest = { id: asId<ReqId>(id), service: LAKAZ.service };
+  return { ...frame, ...rest } as RequestFrame;
+}
--- a/test/promotion.test.ts
+++ b/test/promotion.test.ts
@@ -1,27 +1,26 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import type { CallerSession } from "../src/core/entry.ts";
-import { rankNodes } from "../src/core/hash.ts";
-import { listPoolHosts } from "../src/core/route.ts";
-import type { TargetId } from "../src/core/ids.ts";
-import type { Answer, GroupInfo } from "../src/core/types.ts";
+import type { Answer } from "../src/core/types.ts";
 import { GROUPS_KEY } from "../src/core/object_keys.ts";
 import type { TargetNode } from "../standins/target_node.ts";
 import {
-  getFrame,
   putFrame,
   resultOf,
   settle,
   startTestFleet,
   type TestFleet,
 } from "./fleet.ts";
+import { frameOf, getTestGroup, idOf, type TestGroup } from "./group.ts";
 
 let fleet: TestFleet;
-let targets: TargetNode[];
+let group: TestGroup;
+let targets: readonly TargetNode[];
 
 beforeEach(async () => {
   vi.useFakeTimers();
   fleet = await startTestFleet();
-  targets = getGroup().targets.map((info) => fleet.getTarget(info.target));
+  group = getTestGroup(fleet);
+  targets = group.targets;
 });
 
 afterEach(() => {
@@ -36,29 +35,6 @@
 const REQUEST_TIMEOUT_MS = 12_000;
 const HOSTS = ["h1", "h2", "h3"];
 
-/** The group that keeps the rows of the first workspace. */
-function getGroup(): GroupInfo {
-  const workspace = fleet.deployment.workspaces[0]!.workspace;
-  const names = fleet.groups.map((group) => group.group);
-  const first = rankNodes(workspace, names)[0];
-  return fleet.groups.find((group) => group.group === first)!;
-}
-
-function getTerm(): number {
-  return Math.max(...targets.map((target) => target.core.status().term));
-}
-
-function getPrimary(): TargetNode {
-  return targets.find((target) => {
-    const { role, term } = target.core.status();
-    return role === "primary" && term === getTerm();
-  })!;
-}
-
-function idOf(target: TargetNode): TargetId {
-  return target.core.status().target;
-}
-
 function request(host: string, key: string): Promise<Answer> {
   const timeoutMs = REQUEST_TIMEOUT_MS;
   return fleet.open(host).request(putFrame(key, "placed", { timeoutMs }));
@@ -71,13 +47,6 @@
   return Date.now() - startedAt;
 }
 
-/** Whether each of the keys has exactly one entry in the log of the primary. */
-function countEntries(key: string): number {
-  return getPrimary().core.log
-    .filter((entry) => entry.changes.some((change) => change.key === key))
-    .length;
-}
-
 function listEvents(event: string): string[] {
   return fleet.hosts.flatMap((host) =>
     host.log.filter((change) => change.event === event).map(() => host.id)
@@ -98,7 +67,7 @@
       unique: true,
     });
     expect(await measureWrite("h1", "after")).toBeLessThan(GAP_GOAL_MS);
-    const primary = getPrimary();
+    const primary = group.getPrimary();
     expect(primary).not.toBe(old);
     old!.faults = {};
     await vi.advanceTimersByTimeAsync(2_000);
@@ -126,14 +95,11 @@
     await measureWrite("h1", "before");
     targets[0]!.faults = { cutFrom: replicas };
     expect(await measureWrite("h2", "after")).toBeLessThan(GAP_GOAL_MS);
-    expect(getPrimary()).not.toBe(targets[0]);
+    expect(group.getPrimary()).not.toBe(targets[0]);
   });
 
   test("acknowledges nothing from a host on its side", async () => {
-    const [lone, ...others] = listPoolHosts(getGroup().group, {
-      alive: fleet.getHost("h1").host.membership.listAlive(),
-      count: 3,
-    });
+    const [lone, ...others] = group.poolHosts;
     const rest = targets.slice(1);
     targets[0]!.faults = { cutFrom: [...others, ...rest.map(idOf)] };
     rest.forEach((target) => target.faults = { cutFrom: [lone!] });
@@ -142,8 +108,8 @@
     await measureWrite(others[0]!, "new");
     const answer = await settle(onItsSide);
     expect(answer).toMatchObject({ failure: { error: "outcome_unknown" } });
-    expect(countEntries("new")).toBe(1);
-    expect(countEntries("old")).toBe(0);
+    expect(group.countEntries("new")).toBe(1);
+    expect(group.countEntries("old")).toBe(0);
   });
 
   test("wakes and is refused by its replicas", async () => {
@@ -155,7 +121,7 @@
     expect(resultOf(await settle(sent))).toBe("placed");
     await vi.advanceTimersByTimeAsync(2_000);
     expect(targets[0]!.core.status().role).toBe("replica");
-    expect(countEntries("across")).toBe(1);
+    expect(group.countEntries("across")).toBe(1);
   });
 });
 
@@ -179,7 +145,7 @@
     fleet.kill(actor);
     const other = HOSTS.find((host) => host !== actor)!;
     expect(await measureWrite(other, "after")).toBeLessThan(GAP_AT_SIZE_MS);
-    expect(getTerm()).toBeGreaterThan(2);
+    expect(group.getTerm()).toBeGreaterThan(2);
   });
 
   test("is beaten by terms when it wakes after its lease", async () => {
@@ -188,12 +154,12 @@
     fleet.freeze(actor);
     const other = HOSTS.find((host) => host !== actor)!;
     expect(await measureWrite(other, "after")).toBeLessThan(GAP_AT_SIZE_MS);
-    const primary = getPrimary();
-    const term = getTerm();
+    const primary = group.getPrimary();
+    const term = group.getTerm();
     fleet.thaw(actor);
     await vi.advanceTimersByTimeAsync(3_000);
-    expect(getPrimary()).toBe(primary);
-    expect(getTerm()).toBe(term);
+    expect(group.getPrimary()).toBe(primary);
+    expect(group.getTerm()).toBe(term);
     await measureWrite(actor, "later");
   });
 
@@ -201,11 +167,11 @@
     fleet.kill("h1");
     targets[0]!.faults = { cutFrom: ["*"] };
     await settle(request("h2", "across"));
-    const second = getPrimary();
+    const second = group.getPrimary();
     targets[0]!.faults = {};
     second.faults = { cutFrom: ["*"] };
     expect(await measureWrite("h3", "after")).toBeLessThan(GAP_AT_SIZE_MS);
-    expect(countEntries("across")).toBe(1);
+    expect(group.countEntries("across")).toBe(1);
   });
 });
 
@@ -217,8 +183,8 @@
   }
   old!.faults = { cutFrom: ["*"] };
   await measureWrite("h1", "after");
-  expect(getPrimary()).toBe(targets[2]);
-  expect(countEntries("order-4")).toBe(1);
+  expect(group.getPrimary()).toBe(targets[2]);
+  expect(group.countEntries("order-4")).toBe(1);
 });
 
 describe("a living primary stays", () => {
@@ -236,19 +202,19 @@
   ])("when %s", async (_name, faults) => {
     targets[0]!.faults = faults;
     await writeFor(15_000);
-    expect(getTerm()).toBe(1);
+    expect(group.getTerm()).toBe(1);
   });
 
   test("when its replicas lag by a second and a half", async () => {
     targets.slice(1).forEach((target) => target.faults = { lagMs: 1_500 });
     await writeFor(15_000);
-    expect(getTerm()).toBe(1);
+    expect(group.getTerm()).toBe(1);
   });
 
   test("when a single host misses it", async () => {
     targets[0]!.faults = { cutFrom: ["h1"] };
     await vi.advanceTimersByTimeAsync(5_000);
-    expect(getTerm()).toBe(1);
+    expect(group.getTerm()).toBe(1);
     expect(await measureWrite("h1", "order")).toBeLessThan(GAP_GOAL_MS);
   });
 
@@ -257,7 +223,7 @@
     await vi.advanceTimersByTimeAsync(5_000);
     HOSTS.forEach(fleet.thaw);
     await vi.advanceTimersByTimeAsync(5_000);
-    expect(getTerm()).toBe(1);
+    expect(group.getTerm()).toBe(1);
   });
 });
 
@@ -271,7 +237,7 @@
   }));
   const session: CallerSession = fleet.open("h1");
   const begun = await settle(
-    session.request({ ...getFrame(""), kind: "begin" } as never),
+    session.request(frameOf({ kind: "begin" })),
   );
   fleet.platform.put(GROUPS_KEY, { kind: "groups", groups }, { ifVersion: 1 });
   await vi.advanceTimersByTimeAsync(1_000);
@@ -281,6 +247,6 @@
     worstMs = Math.max(worstMs, await measureWrite("h1", `order-${n}`));
     await vi.advanceTimersByTimeAsync(100);
   }
-  expect(getPrimary()).not.toBe(targets[0]);
+  expect(group.getPrimary()).not.toBe(targets[0]);
   expect(worstMs).toBeLessThan(GAP_GOAL_MS);
 });
--- /dev/null
+++ b/test/transactions.test.ts
@@ -0,0 +1,183 @@
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import type { CallerSession } from "../src/core/entry.ts";
+import type { Answer } from "../src/core/types.ts";
+import type { TxId } from "../src/core/ids.ts";
+import {
+  getFrame,
+  putFrame,
+  resultOf,
+  settle,
+  startTestFleet,
+  type TestFleet,
+} from "./fleet.ts";
+import { frameOf, getTestGroup, type TestGroup } from "./group.ts";
+
+const TRANSACTION_TIMEOUT_MS = 2_000;
+
+let fleet: TestFleet;
+let group: TestGroup;
+let entry: string;
+
+beforeEach(async () => {
+  vi.useFakeTimers();
+  fleet = await startTestFleet({
+    hosts: 5,
+    settings: { requests: { transactionTimeoutMs: TRANSACTION_TIMEOUT_MS } },
+  });
+  group = getTestGroup(fleet);
+  entry = fleet.hosts.find((h) => !group.poolHosts.includes(h.id))!.id;
+});
+
+afterEach(() => {
+  fleet.stop();
+  vi.useRealTimers();
+});
+
+async function begin(session: CallerSession): Promise<TxId> {
+  const begun = await settle(session.request(frameOf({ kind: "begin" })));
+  return resultOf(begun) as TxId;
+}
+
+function commit(
+  session: CallerSession,
+  tx: TxId,
+  id?: string,
+): Promise<Answer> {
+  return session.request(frameOf({ kind: "end", tx, end: "commit" }, id));
+}
+
+/** Begins a transaction that has written a row. */
+async function beginWrite(session: CallerSession, key: string): Promise<TxId> {
+  const tx = await begin(session);
+  resultOf(await settle(session.request(putFrame(key, "placed", { tx }))));
+  return tx;
+}
+
+async function expectLost(answer: Promise<Answer>, key: string): Promise<void> {
+  expect(await settle(answer)).toMatchObject({
+    failure: { error: "transaction_lost" },
+  });
+  expect(group.countEntries(key)).toBe(0);
+}
+
+describe("a transaction", () => {
+  test("commits whole and is seen only then", async () => {
+    const session = fleet.open(entry);
+    const tx = await beginWrite(session, "order");
+    const other = fleet.open("h1");
+    const before = await settle(other.request(getFrame("order")));
+    expect(resultOf(before)).toBeNull();
+    const inside = await settle(session.request(getFrame("order", { tx })));
+    expect(resultOf(inside)).toBe("placed");
+    resultOf(await settle(commit(session, tx)));
+    const after = await settle(fleet.open("h1").request(getFrame("order")));
+    expect(resultOf(after)).toBe("placed");
+  });
+
+  test("is not open to another session or workspace", async () => {
+    const tx = await beginWrite(fleet.open(entry), "order");
+    for (const workspace of [undefined, "archive"]) {
+      const other = fleet.open(entry, workspace ? { workspace } : {});
+      await expectLost(other.request(getFrame("order", { tx })), "order");
+      await expectLost(commit(other, tx), "order");
+    }
+  });
+
+  test("interleaved with another on one pool does not see it", async () => {
+    const sessions = [fleet.open(entry), fleet.open(entry)];
+    const txs = [];
+    for (const [n, session] of sessions.entries()) {
+      txs.push(await beginWrite(session, `order-${n}`));
+    }
+    for (const [n, session] of sessions.entries()) {
+      const tx = txs[n]!;
+      const frame = getFrame(`order-${1 - n}`, { tx });
+      expect(resultOf(await settle(session.request(frame)))).toBeNull();
+    }
+    fleet.kill(entry);
+    await vi.advanceTimersByTimeAsync(1_500);
+    expect(group.countEntries("order-0")).toBe(0);
+    expect(group.countEntries("order-1")).toBe(0);
+  });
+});
+
+describe("a transaction is rolled back", () => {
+  /** Fails unless as many transactions can be begun as there are slots. */
+  async function expectSlotsFree(): Promise<void> {
+    for (let n = 0; n < group.info.slots; n++) {
+      await begin(fleet.open(group.poolHosts[0]!));
+    }
+  }
+
+  test("when its session ends", async () => {
+    const session = fleet.open(entry);
+    await beginWrite(session, "order");
+    session.end();
+    await vi.advanceTimersByTimeAsync(100);
+    expect(group.countEntries("order")).toBe(0);
+    await expectSlotsFree();
+  });
+
+  test("when its entry host dies", async () => {
+    await beginWrite(fleet.open(entry), "order");
+    fleet.kill(entry);
+    await vi.advanceTimersByTimeAsync(1_500);
+    expect(group.countEntries("order")).toBe(0);
+    await expectSlotsFree();
+  });
+
+  test("when its pool host dies", async () => {
+    const session = fleet.open(entry);
+    const tx = await beginWrite(session, "order");
+    fleet.kill(group.poolHosts[0]!);
+    await expectLost(commit(session, tx), "order");
+  });
+
+  test("when its primary is lost", async () => {
+    const session = fleet.open(entry);
+    const tx = await beginWrite(session, "order");
+    group.targets[0]!.faults = { cutFrom: ["*"] };
+    await expectLost(commit(session, tx), "order");
+    expect(group.getPrimary()).not.toBe(group.targets[0]);
+  });
+
+  test("when it takes too long", async () => {
+    const session = fleet.open(entry);
+    const tx = await beginWrite(session, "order");
+    await vi.advanceTimersByTimeAsync(TRANSACTION_TIMEOUT_MS + 100);
+    await expectLost(commit(session, tx), "order");
+    await expectSlotsFree();
+  });
+});
+
+describe("a commit whose answer is lost is settled by its id", () => {
+  const STEPS_MS = [0, 1, 2, 4, 8, 15, 30];
+
+  test.each(STEPS_MS)("with its pool host dead after %i ms", async (ms) => {
+    const session = fleet.open(entry);
+    const tx = await beginWrite(session, "order");
+    const ended = commit(session, tx);
+    await vi.advanceTimersByTimeAsync(ms);
+    fleet.kill(group.poolHosts[0]!);
+    const answer = await settle(ended);
+    const isDone = answer.kind === "done";
+    expect(group.countEntries("order")).toBe(isDone ? 1 : 0);
+    expect(isDone || answer.failure.error).not.toBe("outcome_unknown");
+  });
+
+  test.each(STEPS_MS)("with its primary cut after %i ms", async (ms) => {
+    const session = fleet.open(entry);
+    const tx = await beginWrite(session, "order");
+    const ended = commit(session, tx, "commit-1");
+    await vi.advanceTimersByTimeAsync(ms);
+    group.targets[0]!.faults = { cutFrom: ["*"] };
+    const answer = await settle(ended);
+    const isDone = answer.kind === "done";
+    expect(group.countEntries("order")).toBe(isDone ? 1 : 0);
+    expect(isDone || answer.failure.error).not.toBe("outcome_unknown");
+    // Asking again on another host gives the same answer.
+    const ask = frameOf({ kind: "outcome", of: "commit-1" });
+    const asked = await settle(fleet.open("h1").request(ask));
+    expect(resultOf(asked)).toMatchObject({ ran: isDone });
+  });
+});
--- /dev/null
+++ b/test/write.test.ts
@@ -0,0 +1,195 @@
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import type { RequestFrame } from "../src/core/entry.ts";
+import type { Answer } from "../src/core/types.ts";
+import {
+  getFrame,
+  putFrame,
+  resultOf,
+  settle,
+  startTestFleet,
+  type TestFleet,
+} from "./fleet.ts";
+import { frameOf, getTestGroup, idOf, type TestGroup } from "./group.ts";
+
+let fleet: TestFleet;
+let group: TestGroup;
+let entry: string;
+
+beforeEach(async () => {
+  vi.useFakeTimers();
+  fleet = await startTestFleet({ hosts: 5 });
+  group = getTestGroup(fleet);
+  // This host does not pool for the group.
+  entry = fleet.hosts.find((h) => !group.poolHosts.includes(h.id))!.id;
+});
+
+afterEach(() => {
+  fleet.stop();
+  vi.useRealTimers();
+});
+
+/** A frame that adds to a row, so that a second run would show. */
+function addFrame(key: string, timeoutMs = 8_000): RequestFrame {
+  const body = { op: "add", key, amount: 1 };
+  return { ...putFrame(key, 0, { timeoutMs }), body } as RequestFrame;
+}
+
+function send(host: string, frame: RequestFrame): Promise<Answer> {
+  return fleet.open(host).request(frame);
+}
+
+function errorOf(answer: Answer): string | undefined {
+  return answer.kind === "failed" ? answer.failure.error : undefined;
+}
+
+describe("an unrepeatable write runs once", () => {
+  // From the receipt at the pool host over the statement to the answer.
+  const STEPS_MS = [0, 1, 2, 4, 8, 15, 30];
+
+  test.each(STEPS_MS)("when its pool host dies after %i ms", async (ms) => {
+    const sent = send(entry, addFrame("order"));
+    await vi.advanceTimersByTimeAsync(ms);
+    fleet.kill(group.poolHosts[0]!);
+    expect(resultOf(await settle(sent))).toBe(1);
+    expect(group.countEntries("order")).toBe(1);
+  });
+
+  test.each(STEPS_MS)("when its answer is lost after %i ms", async (ms) => {
+    const sent = send(entry, addFrame("order"));
+    await vi.advanceTimersByTimeAsync(ms);
+    fleet.cut(entry, group.poolHosts[0]!);
+    expect(resultOf(await settle(sent))).toBe(1);
+    expect(group.countEntries("order")).toBe(1);
+  });
+
+  test.each(STEPS_MS)("when its primary is cut after %i ms", async (ms) => {
+    const sent = send(entry, addFrame("order"));
+    await vi.advanceTimersByTimeAsync(ms);
+    group.targets[0]!.faults = { cutFrom: ["*"] };
+    expect(resultOf(await settle(sent))).toBe(1);
+    expect(group.countEntries("order")).toBe(1);
+  });
+
+  test("when the caller repeats it on another host", async () => {
+    const frame = addFrame("order");
+    await settle(send("h1", frame));
+    group.targets[0]!.faults = { cutFrom: ["*"] };
+    const again = await settle(send("h2", frame));
+    expect(again).toMatchObject({ kind: "done", result: 1, replayed: true });
+    expect(group.countEntries("order")).toBe(1);
+  });
+});
+
+describe("not run is said only when it is true", () => {
+  async function expectNotRun(host: string, expected: string): Promise<void> {
+    const frame = addFrame("order", 1_500);
+    expect(errorOf(await settle(send(host, frame)))).toBe(expected);
+    group.targets.forEach((target) => target.faults = {});
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(group.countEntries("order")).toBe(0);
+  }
+
+  test("unavailable: the majority is gone", async () => {
+    group.targets.forEach((target) => target.faults = { cutFrom: ["*"] });
+    await vi.advanceTimersByTimeAsync(2_000);
+    const startedAt = Date.now();
+    const answer = await settle(send(entry, addFrame("order")));
+    expect(answer).toMatchObject({
+      failure: { error: "unavailable", retryAfterMs: expect.any(Number) },
+    });
+    // Nothing can come, so the deadline of 8 s is not waited for.
+    expect(Date.now() - startedAt).toBeLessThan(500);
+    await expectNotRun(entry, "unavailable");
+  });
+
+  test("deadline_exceeded: it waited for a slot", async () => {
+    group.targets[0]!.faults = { statementMs: 3_000 };
+    const ahead = Array.from(
+      { length: 9 },
+      (_, n) => send(group.poolHosts[0]!, addFrame(`other-${n}`, 9_000)),
+    );
+    await vi.advanceTimersByTimeAsync(10);
+    await expectNotRun(group.poolHosts[0]!, "deadline_exceeded");
+    await settle(Promise.all(ahead));
+  });
+
+  test("cancelled: its outcome was asked for first", async () => {
+    const frame = addFrame("order");
+    const ask = frameOf({ kind: "outcome", of: frame.id });
+    const asked = await settle(send("h1", ask));
+    expect(resultOf(asked)).toEqual({ ran: false });
+    expect(errorOf(await settle(send("h2", frame)))).toBe("cancelled");
+    expect(group.countEntries("order")).toBe(0);
+  });
+
+  test("request_id_reused: the id belongs to another statement", async () => {
+    const frame = addFrame("first");
+    await settle(send("h1", frame));
+    const other = { ...addFrame("order"), id: frame.id };
+    expect(errorOf(await settle(send("h2", other)))).toBe("request_id_reused");
+    expect(group.countEntries("order")).toBe(0);
+  });
+});
+
+describe("an unknown outcome", () => {
+  test("is said at the deadline and settled once the group is back", async () => {
+    const replicas = group.targets.slice(1);
+    replicas.forEach((target) => target.faults = { frozen: true });
+    const frame = addFrame("order", 900);
+    const answer = await settle(send(entry, frame));
+    expect(errorOf(answer)).toBe("outcome_unknown");
+    replicas.forEach((target) => target.faults = {});
+    const ask = frameOf({ kind: "outcome", of: frame.id });
+    expect(resultOf(await settle(send("h2", ask)))).toEqual({
+      ran: true,
+      result: 1,
+    });
+    expect(group.countEntries("order")).toBe(1);
+  });
+
+  test("of a write on a lost primary's tail is that it never runs", async () => {
+    const [old, ...replicas] = group.targets;
+    old!.faults = { cutFrom: replicas.map(idOf) };
+    const frame = addFrame("order", 300);
+    expect(errorOf(await settle(send(entry, frame)))).toBe("outcome_unknown");
+    old!.faults = { cutFrom: ["*"] };
+    const ask = frameOf({ kind: "outcome", of: frame.id });
+    expect(resultOf(await settle(send("h1", ask)))).toEqual({ ran: false });
+    old!.faults = {};
+    expect(errorOf(await settle(send("h2", frame)))).toBe("cancelled");
+    expect(group.countEntries("order")).toBe(0);
+  });
+});
+
+test("each target has one open request for all the writes", async () => {
+  let open = 0;
+  let most = 0;
+  const [target] = group.targets.slice(1);
+  const { control } = target!;
+  target!.control = async (from, req) => {
+    open += req.kind === "await" ? 1 : 0;
+    most = Math.max(most, open);
+    const res = await control(from, req);
+    open -= req.kind === "await" ? 1 : 0;
+    return res;
+  };
+  const writes = Array.from(
+    { length: 12 },
+    (_, n) => send(group.poolHosts[0]!, putFrame(`order-${n}`, n)),
+  );
+  (await settle(Promise.all(writes))).forEach(resultOf);
+  expect(most).toBe(1);
+});
+
+test("a read does not wait for a target that stopped answering", async () => {
+  const writer = fleet.open("h1");
+  const { token } = await settle(writer.request(putFrame("order", "placed")));
+  await vi.advanceTimersByTimeAsync(500);
+  group.targets.slice(1).forEach((target) => target.faults = { frozen: true });
+  const startedAt = Date.now();
+  const reader = fleet.open("h2", { token });
+  expect(resultOf(await settle(reader.request(getFrame("order"))))).toBe(
+    "placed",
+  );
+  expect(Date.now() - startedAt).toBeLessThan(3_000);
+});
