--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -87,6 +87,8 @@
   readonly settings?: Partial<Settings>;
 }
 
+/** Time after which a connection that is not answered is given up. */
+const CONNECT_TIMEOUT_MS = 2_000;
 const UINT32_RANGE = 2 ** 32;
 
 const NO_METRICS: MetricsSink = {
@@ -134,10 +136,11 @@
         const node = targets.get(info.target)!;
         const conn = node.isCut(self.id) ? undefined : node.tryOpen(self.id);
         if (!conn) {
-          const kind = node.isCut(self.id)
-            ? "unreachable"
-            : "connection_refused";
-          return Err({ kind, sent: false });
+          if (!node.isCut(self.id)) {
+            return Err({ kind: "connection_refused", sent: false });
+          }
+          await sleep(CONNECT_TIMEOUT_MS);
+          return Err({ kind: "unreachable", sent: false });
         }
         if (!await node.getReady(self.id)) {
           conn.end();
@@ -152,7 +155,7 @@
               return Err({ kind: "unreachable", sent: false });
             }
             node.scan(JSON.stringify(req));
-            const res = await withTimeout(conn.run(req), {
+            const res = await withTimeout(orSilence(conn.run(req)), {
               ms: timeoutMs,
               fallback: undefined,
             });
@@ -173,7 +176,7 @@
           return Err({ kind: "unreachable", sent: false });
         }
         node.scan(JSON.stringify(req));
-        const res = await withTimeout(node.control(self.id, req), {
+        const res = await withTimeout(orSilence(node.control(self.id, req)), {
           ms: timeoutMs,
           fallback: undefined,
         });
@@ -299,6 +302,13 @@
   return fleet;
 }
 
+/** What was lost on the way leaves the caller without any answer. */
+function orSilence<T>(answer: Promise<T | undefined>): Promise<T> {
+  return new Promise((resolve) =>
+    void answer.then((value) => value !== undefined && resolve(value))
+  );
+}
+
 function createTargets(
   options: LocalFleetOptions,
 ): ReadonlyMap<TargetId, TargetNode> {
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -105,7 +105,9 @@
   /** Fails unless as many transactions can be begun as there are slots. */
   async function expectSlotsFree(): Promise<void> {
     for (let n = 0; n < group.info.slots; n++) {
-      await begin(fleet.open(group.poolHosts[0]!));
+      const frame = { ...frameOf({ kind: "begin" }), timeoutMs: 100 };
+      const session = fleet.open(group.poolHosts[0]!);
+      resultOf(await settle(session.request(frame)));
     }
   }
 
--- /dev/null
+++ b/tools/model_check.ts
@@ -0,0 +1,46 @@
+/** Explores the model of a group and shows that faulty variants are caught. */
+
+import process from "node:process";
+import { cac } from "cac";
+import { type Bounds, explore } from "./model.ts";
+import { VARIANTS } from "./model_variants.ts";
+
+const BOUNDS: readonly Bounds[] = [
+  { targets: 3, actors: 2, writes: 1, maxTerm: 2, maxStates: 1_000_000 },
+  { targets: 3, actors: 1, writes: 2, maxTerm: 3, maxStates: 1_000_000 },
+  { targets: 3, actors: 2, writes: 2, maxTerm: 3, maxStates: 1_000_000 },
+];
+
+function checkModel(): boolean {
+  let isGood = true;
+  for (const bounds of BOUNDS) {
+    const { states, isComplete, violation } = explore(bounds);
+    const { actors, writes, maxTerm } = bounds;
+    const scope = `${actors} actors, ${writes} writes, terms to ${maxTerm}`;
+    const extent = isComplete ? "all" : "first";
+    console.log(`${scope}: ${extent} ${states} states, ${violation ?? "good"}`);
+    isGood &&= violation === undefined;
+  }
+  return isGood;
+}
+
+function checkVariants(): boolean {
+  let isGood = true;
+  for (const { name, bounds, decide } of VARIANTS) {
+    const { states, violation } = explore(bounds, decide);
+    const found = violation ? `caught: ${violation}` : "NOT CAUGHT";
+    console.log(`variant "${name}": ${states} states, ${found}`);
+    isGood &&= violation !== undefined;
+  }
+  return isGood;
+}
+
+const cli = cac("model");
+cli.command("", "Explore the model and its faulty variants")
+  .action(() => {
+    const results = [checkModel(), checkVariants()];
+    process.exitCode = results.every((isGood) => isGood) ? 0 : 1;
+  });
+cli.help();
+cli.parse(process.argv, { run: false });
+await cli.runMatchedCommand();
--- /dev/null
+++ b/tools/model_variants.ts
@@ -0,0 +1,85 @@
+/** Faulty decisions that the model check has to catch. */
+
+import { type Bounds, DECISIONS, type Decisions } from "./model.ts";
+import { comparePositions } from "../src/core/position.ts";
+
+/** A faulty variant with bounds that are large enough to show it. */
+export interface Variant {
+  readonly name: string;
+  readonly decide: Decisions;
+  readonly bounds: Bounds;
+}
+
+const SMALL: Bounds = {
+  targets: 3,
+  actors: 1,
+  writes: 1,
+  maxTerm: 2,
+  maxStates: 1_000_000,
+};
+
+/** The variants. */
+export const VARIANTS: readonly Variant[] = [
+  {
+    name: "no term on the majority",
+    bounds: SMALL,
+    decide: {
+      ...DECISIONS,
+      tryChoosePrimary: (accepted, options) =>
+        DECISIONS.tryChoosePrimary(accepted, { ...options, groupSize: 1 }),
+    },
+  },
+  {
+    name: "acknowledge on the primary alone",
+    bounds: SMALL,
+    decide: { ...DECISIONS, getMajority: () => 1 },
+  },
+  {
+    name: "promote the least advanced",
+    bounds: SMALL,
+    decide: {
+      ...DECISIONS,
+      tryChoosePrimary: (accepted, options) =>
+        DECISIONS.tryChoosePrimary(accepted, options) &&
+        accepted.toSorted((a, b) => comparePositions(a.logEnd, b.logEnd))[0],
+    },
+  },
+  {
+    name: "promote by position only",
+    bounds: { ...SMALL, writes: 3, maxTerm: 3 },
+    decide: {
+      ...DECISIONS,
+      tryChoosePrimary: (accepted, options) =>
+        DECISIONS.tryChoosePrimary(accepted, options) &&
+        accepted.toSorted((a, b) => b.logEnd.pos - a.logEnd.pos)[0],
+    },
+  },
+  {
+    name: "a term that another actor uses",
+    bounds: { ...SMALL, actors: 2 },
+    decide: {
+      ...DECISIONS,
+      tryChoosePrimary: (accepted, { term, groupSize }) =>
+        accepted.length + 1 >= DECISIONS.getMajority(groupSize)
+          ? accepted.find((status) => status.term === term)
+          : undefined,
+    },
+  },
+  {
+    name: "count replicas by position only",
+    bounds: { ...SMALL, writes: 2 },
+    decide: {
+      ...DECISIONS,
+      isHolderOf: (status, at) => status.logEnd.pos >= at.pos,
+    },
+  },
+  {
+    name: "a floor of the lowest answer",
+    bounds: SMALL,
+    decide: {
+      ...DECISIONS,
+      tryMajorityFloor: (ends, size) =>
+        ends.length > size / 2 ? ends.toSorted(comparePositions)[0] : undefined,
+    },
+  },
+];
