--- a/test/peer_links.test.ts
+++ b/test/peer_links.test.ts
@@ -13,6 +13,7 @@
   host: asId<HostId>("h2"),
   domain: asId<DomainId>("curepipe"),
   incarnation: "i",
+  seq: 0,
   leaving: false,
   revision: 0,
   versions: [],
