Lose less of a bucket when its owner dies

An owner claims a part of the burst, and a seat counts only that part as used when the share lapses.

--- a/src/core/delegations.ts
+++ b/src/core/delegations.ts
@@ -19,10 +19,16 @@
   tryShareSize(workspace: WorkspaceId): ShareSize | undefined;
 }
 
+type Claim = DelegateReq["claims"][number];
+
 interface Lent {
   readonly owner: string;
   /** Nobody else gets the share before then. */
   readonly until: number;
+  /** The last request that was taken; older ones arrive late. */
+  readonly seq: number;
+  /** Part of the burst that counts as used when the share lapses. */
+  readonly part: number;
   /** The tenure of the seat under which the share was lent. */
   readonly since: number;
 }
@@ -33,30 +39,42 @@
 
   function lend(
     seat: HeldSeat,
-    given: { readonly workspace: WorkspaceId; readonly owner: string },
+    given: { readonly claim: Claim; readonly req: DelegateReq },
   ): DelegateRes["shares"][number] | undefined {
-    const { workspace, owner } = given;
+    const { owner, seq } = given.req;
+    const { workspace } = given.claim;
     const size = options.tryShareSize(workspace);
     const key = `${seat.seat}/${workspace}`;
     const found = lent.get(key);
     const last = found?.since === seat.since ? found : undefined;
     const now = nowMs();
     const isLent = last !== undefined && last.until > now;
-    if (!size || (isLent && last.owner !== owner)) {
+    const isOther = isLent && last.owner !== owner;
+    const isLate = last?.owner === owner && last.seq >= seq;
+    if (!size || isOther || isLate) {
       return undefined;
     }
+    const tokens = isLent ? undefined : getTokens(seat, { size, last });
+    const usedPart = tokens === undefined ? 0 : 1 - tokens / size.burst;
+    const part = Math.max(given.claim.part, usedPart);
     const ttlMs = Math.min(DELEGATION_MS, seat.until - now);
     const until = Math.max(last?.until ?? 0, now + ttlMs * CLOCK_DRIFT);
     lent.delete(key);
-    lent.set(key, { owner, until, since: seat.since });
-    if (isLent) {
-      return { workspace, seat: seat.seat, ttlMs };
-    }
-    // The last owner may have used up the share just before it lapsed.
+    lent.set(key, { owner, until, seq, part, since: seat.since });
+    const share = { workspace, seat: seat.seat, ttlMs, part };
+    return tokens === undefined ? share : { ...share, tokens };
+  }
+
+  /** What a share surely has, whatever its last owner did with its claim. */
+  function getTokens(
+    seat: HeldSeat,
+    given: { readonly size: ShareSize; readonly last: Lent | undefined },
+  ): number {
+    const { size, last } = given;
+    const left = last ? (1 - last.part) * size.burst : 0;
     const idleSince = last?.until ?? (seat.isNew ? -Infinity : seat.since);
-    const idleMs = now - idleSince;
-    const tokens = Math.min(size.burst, size.ratePerMs * idleMs);
-    return { workspace, seat: seat.seat, ttlMs, tokens };
+    const idleMs = nowMs() - idleSince;
+    return Math.min(size.burst, left + size.ratePerMs * idleMs);
   }
 
   /** Forgets the oldest shares that are full again by now. */
@@ -73,10 +91,10 @@
   }
 
   return {
-    receive({ owner, workspaces }) {
+    receive(req) {
       const seats = options.listSeats();
-      const shares = workspaces.flatMap((workspace) =>
-        seats.map((seat) => lend(seat, { workspace, owner }))
+      const shares = req.claims.flatMap((claim) =>
+        seats.map((seat) => lend(seat, { claim, req }))
       );
       prune();
       return {
--- a/src/core/grants.ts
+++ b/src/core/grants.ts
@@ -64,6 +64,8 @@
   askedAt: number;
   shortAt: number;
   collecting: Promise<void> | undefined;
+  /** The last request for shares; answers to earlier ones are dropped. */
+  claimSeq: number;
 }
 
 /** Creates the owner role of a host. */
@@ -71,6 +73,7 @@
   const { incarnation } = options;
   const owned = new Map<WorkspaceId, Owned>();
   let timer: NodeJS.Timeout | undefined;
+  let seq = 0;
 
   function getOwned(workspace: WorkspaceId, size: ShareSize): Owned {
     const found = owned.get(workspace);
@@ -84,6 +87,7 @@
       askedAt: 0,
       shortAt: -Infinity,
       collecting: undefined,
+      claimSeq: -1,
     };
     owned.set(workspace, entry);
     return entry;
@@ -91,22 +95,39 @@
 
   /** Asks every host for the shares of its seats, or to extend them. */
   async function collect(workspaces: readonly WorkspaceId[]): Promise<void> {
+    const entries = workspaces.map((workspace) => owned.get(workspace)!);
+    const claims = workspaces.map((workspace, index) => ({
+      workspace,
+      part: entries[index]!.pool.claim(),
+    }));
     const req: DelegateReq = {
       kind: "delegate",
       owner: incarnation,
-      workspaces: [...workspaces],
+      seq: seq++,
+      claims,
     };
+    entries.forEach((entry) => entry.claimSeq = req.seq);
     const hosts = options.listAlive();
     await Promise.all(hosts.map(async (host) => {
       const sentAt = nowMs();
       const res = await options.delegate(host, req, COLLECT_TIMEOUT_MS);
-      for (const { workspace, seat, ttlMs, tokens } of res?.shares ?? []) {
-        const until = sentAt + ttlMs;
-        owned.get(workspace)?.pool.setShare(seat, { until, tokens });
-      }
+      res?.shares.forEach((share) => applyShare(share, { req, sentAt }));
     }));
   }
 
+  function applyShare(
+    share: DelegateRes["shares"][number],
+    given: { readonly req: DelegateReq; readonly sentAt: number },
+  ): void {
+    const { workspace, seat, ttlMs, tokens, part } = share;
+    const entry = owned.get(workspace);
+    // An answer to an earlier request may speak of a higher claim.
+    if (entry && entry.claimSeq === given.req.seq) {
+      const until = given.sentAt + ttlMs;
+      entry.pool.setShare(seat, { until, tokens, part });
+    }
+  }
+
   async function collectFirst(
     workspace: WorkspaceId,
     entry: Owned,
@@ -150,6 +171,7 @@
     given: { readonly req: GrantReq; readonly want: Want },
   ): Sender | undefined {
     const { req, want } = given;
+    dropSilent(entry);
     const isKnown = req.owner === incarnation;
     const received = isKnown ? want.received : 0;
     const sender = entry.senders.get(req.sender) ??
@@ -168,7 +190,10 @@
     // Tokens whose grant did not arrive will never be used.
     const lost = Math.max(0, sender.granted - received);
     const ended = Math.max(0, (isKnown ? want.settled : 0) - sender.settled);
-    const unused = Math.max(0, (isKnown ? want.unused : 0) - sender.unused);
+    const unused = Math.min(
+      ended,
+      Math.max(0, (isKnown ? want.unused : 0) - sender.unused),
+    );
     const sent = ended - unused;
     entry.pool.settle({ ended: sent, unused: lost + unused });
     sender.granted -= lost;
@@ -229,7 +254,8 @@
         return settle(entry, { req, want }) ? [{ want, entry }] : [];
       });
       const missing = entries.filter(({ want, entry }) =>
-        want.tokens + want.ahead > 0 && !entry.pool.hasShares()
+        want.tokens + want.ahead > 0 &&
+        (!entry.pool.hasShares() || entry.pool.isClaimShort(want.tokens))
       );
       await Promise.all(
         missing.map(({ want, entry }) => collectFirst(want.workspace, entry)),
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -30,7 +30,8 @@
 const ASK_TIMEOUT_MS = 250;
 /** An owner that did not answer is passed over for this long. */
 const SUSPECT_MS = 1_000;
-const IDLE_MS = 2_000;
+/** Owners have forgotten a silent sender by then. */
+const IDLE_MS = 30_000;
 
 /** Messages between hosts that limits handle. */
 export type LimitsReq = SeatVoteReq | DelegateReq | GrantReq;
--- a/src/core/token_pool.ts
+++ b/src/core/token_pool.ts
@@ -7,6 +7,8 @@
 
 const MS_PER_SECOND = 1_000;
 const ROUNDING = 1e-6;
+/** Use until the next claim that a claim allows for, in milliseconds. */
+const CLAIM_AHEAD_MS = 800;
 
 /** Rate and burst of one share. */
 export interface ShareSize {
@@ -30,15 +32,32 @@
   readonly until: number;
 }
 
+/** What a seat lends of its share. */
+export interface ShareOffer {
+  readonly until: number;
+  readonly tokens: number | undefined;
+  /** Part of the share's burst that the seat counts as used when it lapses. */
+  readonly part: number;
+}
+
+interface Share {
+  until: number;
+  part: number;
+}
+
 /** A leaky bucket whose size and rate follow the shares that it holds. */
 export interface TokenPool {
   /** Holds or extends a share; `tokens` is undefined for an extension. */
-  setShare(
-    seat: number,
-    options: { readonly until: number; readonly tokens: number | undefined },
-  ): void;
-  /** Grants up to `wanted` tokens for at most `maxTtlMs`. */
-  grant(wanted: number, maxTtlMs: number): Granted;
+  setShare(seat: number, options: ShareOffer): void;
+  /**
+   * Limits what may be used of each share until the next claim, so that the
+   * rest is not lost with this owner; gives the part of the burst.
+   */
+  claim(): number;
+  /** Whether `tokens` could be granted after another claim. */
+  isClaimShort(tokens: number): boolean;
+  /** Grants up to `count` tokens for at most `maxTtlMs`. */
+  grant(count: number, maxTtlMs: number): Granted;
   /**
    * Takes note that the statements of `ended` tokens have ended, and puts back
    * `unused` tokens that nobody can send with any more.
@@ -54,7 +73,8 @@
 
 /** Creates a pool without shares; `size` answers the current size of one. */
 export function createTokenPool(size: () => ShareSize): TokenPool {
-  const shares = new Map<number, number>();
+  const shares = new Map<number, Share>();
+  let wanted = 0;
   let used = 0;
   let outstanding = 0;
   let at = nowMs();
@@ -68,54 +88,92 @@
   }
 
   function removeShare(seat: number): void {
+    const part = shares.get(seat)?.part ?? 0;
     shares.delete(seat);
-    used = Math.max(outstanding, used - size().burst);
+    used = Math.max(outstanding, used - part * size().burst);
   }
 
   function advance(): void {
     const now = nowMs();
     const lapsed = [...shares]
-      .filter(([, until]) => until <= now)
-      .sort((a, b) => a[1] - b[1]);
-    for (const [seat, until] of lapsed) {
+      .filter(([, { until }]) => until <= now)
+      .sort((a, b) => a[1].until - b[1].until);
+    for (const [seat, { until }] of lapsed) {
       drain(until);
       removeShare(seat);
     }
     drain(now);
   }
 
-  function getFree(): number {
-    return shares.size * size().burst - used;
+  function getCapacity(): number {
+    return shares.size * size().burst;
+  }
+
+  /** What is claimed, with no share counted for more than `part`. */
+  function getClaimed(part = 1): number {
+    return [...shares.values()].reduce(
+      (sum, share) => sum + Math.min(part, share.part) * size().burst,
+      0,
+    );
   }
 
   /** The latest end of a grant that the shares of that time still cover. */
   function getGrantEnd(tokens: number, latest: number): number {
-    const needed = Math.ceil((outstanding + tokens) / size().burst - ROUNDING);
-    const ends = [...shares.values()].sort((a, b) => b - a);
-    return Math.min(latest, ends[Math.max(0, needed - 1)] ?? nowMs());
+    let needed = outstanding + tokens - ROUNDING;
+    const sorted = [...shares.values()].sort((a, b) => b.until - a.until);
+    for (const { until, part } of sorted) {
+      needed -= part * size().burst;
+      if (needed <= 0) {
+        return Math.min(latest, until);
+      }
+    }
+    return nowMs();
   }
 
   return {
-    setShare(seat, { until, tokens }) {
+    setShare(seat, { until, tokens, part }) {
       advance();
       if (until <= nowMs()) {
         return;
       }
       const held = shares.get(seat);
-      if (held !== undefined && tokens === undefined) {
-        shares.set(seat, Math.max(held, until));
+      if (held && tokens === undefined) {
+        held.until = Math.max(held.until, until);
+        held.part = part;
         return;
       }
-      if (held !== undefined) {
+      if (held) {
         removeShare(seat);
       }
-      shares.set(seat, until);
-      used += size().burst - (tokens ?? 0);
+      shares.set(seat, { until, part });
+      used += tokens === undefined
+        ? part * size().burst
+        : size().burst - tokens;
+    },
+    claim() {
+      advance();
+      const ahead = size().ratePerMs * shares.size * CLAIM_AHEAD_MS;
+      const part = Math.min(1, (used + ahead + wanted) / getCapacity());
+      wanted = 0;
+      // The seats may take the claim without our hearing of it, so that it
+      // binds from its sending; a claim below what is used must not be made.
+      if (!(part < 1) || getClaimed(part) < used) {
+        return 1;
+      }
+      shares.forEach((share) => share.part = Math.min(share.part, part));
+      return part;
+    },
+    isClaimShort(tokens) {
+      advance();
+      const isShort = used + tokens > getClaimed() + ROUNDING &&
+        getClaimed() < getCapacity() - ROUNDING;
+      wanted = isShort ? Math.max(wanted, tokens) : wanted;
+      return isShort;
     },
-    grant(wanted, maxTtlMs) {
+    grant(count, maxTtlMs) {
       advance();
-      const free = Math.floor(getFree() + ROUNDING);
-      const tokens = Math.max(0, Math.min(wanted, free));
+      const free = Math.floor(getClaimed() - used + ROUNDING);
+      const tokens = Math.max(0, Math.min(count, free));
       const until = getGrantEnd(tokens, nowMs() + maxTtlMs);
       used += tokens;
       outstanding += tokens;
@@ -128,12 +186,13 @@
     },
     getSpare() {
       advance();
-      return getFree() - shares.size * size().burst / 2;
+      return getCapacity() / 2 - used;
     },
     getWaitMs(tokens) {
       advance();
       const rate = size().ratePerMs * shares.size;
-      return Math.max(0, tokens - getFree()) / Math.max(rate, Number.MIN_VALUE);
+      return Math.max(0, used + tokens - getCapacity()) /
+        Math.max(rate, Number.MIN_VALUE);
     },
     hasShares() {
       advance();
