--- a/src/core/peers.ts
+++ b/src/core/peers.ts
@@ -23,6 +23,8 @@
     req: PeerReq,
     options: { readonly timeoutMs: number },
   ): Promise<Result<PeerRes, PeerErr>>;
+  /** Ends the calls to the hosts that the predicate picks. */
+  abandon(isLost: (host: HostId) => boolean): void;
   /** Takes a call or return that arrived. */
   receive(from: HostId, msg: PeerMessage): void;
 }
@@ -32,10 +34,13 @@
   settle(result: Result<PeerRes, PeerErr>): void;
 }
 
+const MAX_FIRST_RID = 2 ** 48;
+
 /** Creates the calls of one host; `handler` answers those of others. */
 export function createPeers(io: HostIo, handler: PeerHandler): Peers {
   const waiting = new Map<number, Waiting>();
-  let nextRid = 1;
+  // A late answer to a process that ran on this host before must not match.
+  let nextRid = Math.floor(io.random() * MAX_FIRST_RID);
 
   async function answer(
     from: HostId,
@@ -59,6 +64,11 @@
         io.sendPeer(to, { kind: "call", rid, req });
       });
     },
+    abandon(isLost) {
+      [...waiting.values()]
+        .filter((call) => isLost(call.to))
+        .forEach((call) => call.settle(Err("timeout")));
+    },
     receive(from, msg) {
       if (msg.kind === "call") {
         void answer(from, msg);
--- a/src/core/seats.ts
+++ b/src/core/seats.ts
@@ -7,6 +7,7 @@
 import type { SeatLease } from "../generated/objects.ts";
 import { validatePlatformObject } from "../generated/objects_validate.ts";
 import { nowMs, sleep } from "./clock.ts";
+import { rankNodes } from "./hash.ts";
 import type { HostId } from "./ids.ts";
 import { getSeatKey, SEATS_PREFIX } from "./object_keys.ts";
 import { createSeatVotes, VOTE_MS } from "./seat_votes.ts";
@@ -21,6 +22,8 @@
 export const CLOCK_DRIFT = 1.02;
 
 const RENEW_MS = 1_500;
+/** Time until a host that lost a seat to another one tries again. */
+const CONTEND_MS = 300;
 /** Longest wait for most other hosts before the first seat is taken. */
 const START_MAX_MS = 3_000;
 const START_POLL_MS = 50;
@@ -248,9 +251,18 @@
     return all.filter((seat) => !held.has(seat) && isVacant(seat));
   }
 
-  /** Seats that this host should hold, so that no death frees too many. */
-  function getFairCount(): number {
-    return Math.ceil(SEAT_COUNT / Math.max(1, options.listAlive().length));
+  /**
+   * Seats that this host should hold. The quotas add up to the seats, so that
+   * no death frees too many and no host looks for more than there are.
+   */
+  function getQuota(): number {
+    const ranked = rankNodes("seats", [...options.listAlive()]);
+    const rank = ranked.indexOf(self);
+    if (rank < 0) {
+      return 0;
+    }
+    const rest = SEAT_COUNT % ranked.length;
+    return Math.floor(SEAT_COUNT / ranked.length) + (rank < rest ? 1 : 0);
   }
 
   async function free(seat: number): Promise<void> {
@@ -260,11 +272,15 @@
     await put(seat, { version, isFree: true });
   }
 
-  async function takeFree(): Promise<void> {
+  /** Takes vacant seats up to the fair count; false if some are still left. */
+  async function takeFree(): Promise<boolean> {
+    if (getQuota() <= held.size) {
+      return true;
+    }
     const vacant = await listVacant();
-    const room = getFairCount() - held.size;
-    if (vacant.length === 0 || room <= 0) {
-      return;
+    const room = getQuota() - held.size;
+    if (vacant.length === 0) {
+      return true;
     }
     const start = Math.floor(io.random() * vacant.length);
     const wanted = [...vacant.slice(start), ...vacant.slice(0, start)]
@@ -279,6 +295,7 @@
       mayTakeAlone(seat) || agreed.includes(seat)
     );
     await Promise.all(taken.map(take));
+    return held.size >= getQuota();
   }
 
   function dropLapsed(): void {
@@ -299,15 +316,15 @@
 
   async function renewAll(): Promise<void> {
     await waitForPeers();
+    let pauseMs = CONTEND_MS / 2;
     while (!stopped && !isReleasing) {
       dropLapsed();
-      const surplus = [...held.keys()].slice(getFairCount());
+      const surplus = [...held.keys()].slice(getQuota());
       await Promise.all(surplus.map(free));
       await Promise.all([...held.keys()].map(renew));
-      if (!isReleasing) {
-        await takeFree();
-      }
-      await sleep(RENEW_MS * (0.9 + 0.2 * io.random()));
+      const isSettled = isReleasing || await takeFree();
+      pauseMs = isSettled ? RENEW_MS : Math.min(RENEW_MS, pauseMs * 2);
+      await sleep(pauseMs * (0.9 + 0.2 * io.random()));
     }
   }
 
--- /dev/null
+++ b/src/core/transact.ts
@@ -0,0 +1,190 @@
+/** Runs the operations of transactions, from begin to end. */
+
+import type { Result } from "ts-results-es";
+import { nowMs } from "./clock.ts";
+import { canHandOver } from "./election.ts";
+import type { Failure } from "./errors.ts";
+import { assertNever } from "./errors.ts";
+import { done, failed, unavailable } from "./outcome.ts";
+import type { Task } from "./read.ts";
+import type { Slot } from "./queue.ts";
+import { openLane, toFailure } from "./send.ts";
+import type { OpenTransaction, Transactions, TxOwner } from "./transactions.ts";
+import {
+  isTermOver,
+  type Leader,
+  settle,
+  type Settled,
+  untilLeader,
+  type WriteContext,
+} from "./write.ts";
+import type {
+  ExecOp,
+  GroupInfo,
+  Outcome,
+  Position,
+  RunReq,
+  TargetErr,
+} from "./types.ts";
+
+/** What transactions need of the pool. */
+export interface TransactContext extends WriteContext {
+  readonly transactions: Transactions;
+  getGroup(): GroupInfo;
+}
+
+type OpOf<K extends ExecOp["kind"]> = Extract<ExecOp, { kind: K }>;
+
+/** An operation inside a transaction. */
+export type TxOp = OpOf<"read"> | OpOf<"write"> | OpOf<"end">;
+
+const LOST: Failure = { error: "transaction_lost" };
+
+/** Begins a transaction on a connection that stays its own. */
+export async function begin(
+  ctx: TransactContext,
+  options: { readonly op: OpOf<"begin">; readonly task: Task },
+): Promise<Outcome> {
+  const { op, task } = options;
+  const { deadline } = task;
+  const { workspace } = task.req;
+  // A primary that is about to hand over would cut the transaction.
+  const isStaying = ({ info }: Leader) =>
+    !info.leaving || !canHandOver(ctx.getGroup());
+  const leader = await untilLeader(ctx.monitor, {
+    deadline,
+    isUsable: isStaying,
+  });
+  if (!leader) {
+    return failed(unavailable());
+  }
+  const target = leader.info;
+  const lane = await openLane(ctx, { target, workspace, deadline });
+  if (lane.isErr()) {
+    return failed(toFailure(lane.error));
+  }
+  const { conn, slot } = lane.value;
+  const { term } = leader;
+  const res = await ctx.watch.until(
+    conn.run({ kind: "begin", workspace, term }, deadline - nowMs()),
+    () => isTermOver(ctx.monitor, term),
+  );
+  if (!res?.isOk()) {
+    ctx.connections.release(conn, { clean: false });
+    slot.release();
+    return failed(unavailable());
+  }
+  // Statements of the transaction take slots of their own.
+  slot.detach();
+  const { session } = task.req;
+  const { tx } = op;
+  ctx.transactions.open({ tx, workspace, session, term, conn, slot });
+  return done({ ...res.value, result: tx }, {
+    floor: task.req.floor ?? res.value.at,
+    isPrimary: true,
+  });
+}
+
+/** Waits for a token and a slot; the begin has paid for the end. */
+async function enter(
+  ctx: TransactContext,
+  options: {
+    readonly op: TxOp;
+    readonly pinned: OpenTransaction | undefined;
+    readonly deadline: number;
+  },
+): Promise<Result<Slot, Failure> | undefined> {
+  const { op, pinned, deadline } = options;
+  if (!pinned || op.kind === "end") {
+    return undefined;
+  }
+  const { conn, workspace } = pinned;
+  return await ctx.queue.enter(conn.target, { workspace, deadline });
+}
+
+/** Runs a statement of a transaction, or ends it. */
+export async function transact(
+  ctx: TransactContext,
+  options: { readonly op: TxOp; readonly task: Task },
+): Promise<Outcome> {
+  const { op, task } = options;
+  const { workspace, session } = task.req;
+  const { deadline } = task;
+  const owner: TxOwner = { tx: op.tx!, workspace, session };
+  const pinned = ctx.transactions.tryGet(owner);
+  const req = toRunReq(op, { workspace, term: pinned?.term ?? 0 });
+  const slot = await enter(ctx, { op, pinned, deadline });
+  if (slot?.isErr()) {
+    return failed(slot.error);
+  }
+  const res = await ctx.transactions.run(owner, { req, deadline });
+  slot?.map((entered) => entered.release());
+  const isCommit = op.kind === "end" && op.end === "commit";
+  if (res.isErr()) {
+    return isCommit && isUnsettled(res.error)
+      ? await settleCommit(ctx, { op, task })
+      : failed(toTxFailure(res.error));
+  }
+  const { at } = res.value;
+  if (!isCommit) {
+    return done(res.value, { floor: task.req.floor ?? at, isPrimary: true });
+  }
+  const primary = pinned!.conn.target;
+  const confirming = ctx.confirmer.confirm({ at, primary, deadline });
+  return await ctx.watch.until(confirming, ctx.monitor.isCutOff)
+    ? done(res.value, { floor: at, isPrimary: true })
+    : await settleCommit(ctx, { op, task });
+}
+
+/** Whether a commit may have run, now or at an earlier sending. */
+function isUnsettled(err: Failure | TargetErr): boolean {
+  return "error" in err
+    ? err.error === "transaction_lost"
+    : err.kind === "no_answer";
+}
+
+/** Finds out by the id of a commit whether it ran. */
+async function settleCommit(
+  ctx: TransactContext,
+  options: { readonly op: TxOp; readonly task: Task },
+): Promise<Outcome> {
+  const { op, task } = options;
+  const outcome = await settle(ctx, { task, of: op.id });
+  return outcome.kind === "done"
+    ? toCommitOutcome(outcome.result as Settled, outcome.floor)
+    : failed({ error: "outcome_unknown" });
+}
+
+/** How a commit ended, as settled by its id. */
+export function toCommitOutcome(settled: Settled, floor: Position): Outcome {
+  const result = settled.result ?? null;
+  return settled.ran
+    ? done({ result, replayed: true }, { floor, isPrimary: true })
+    : failed(LOST);
+}
+
+function toRunReq(
+  op: TxOp,
+  at: { readonly workspace: Task["req"]["workspace"]; readonly term: number },
+): RunReq {
+  switch (op.kind) {
+    case "read":
+      return { kind: "read", workspace: at.workspace, body: op.body };
+    case "write":
+      return { kind: "write", ...at, id: op.id, body: op.body, unique: false };
+    case "end":
+      return op.end === "commit"
+        ? { kind: "commit", id: op.id, term: at.term }
+        : { kind: "rollback" };
+    default:
+      return assertNever(op);
+  }
+}
+
+function toTxFailure(err: Failure | TargetErr): Failure {
+  if ("error" in err) {
+    return err;
+  }
+  const failure = toFailure({ kind: "target", err });
+  return failure.error === "statement_failed" ? failure : LOST;
+}
--- a/src/host/operators_server.ts
+++ b/src/host/operators_server.ts
@@ -19,6 +19,8 @@
 /** What the server shows of a host. */
 export interface OperatorsView {
   readonly metrics: HostMetrics;
+  /** Brings gauges up to date before they are exported. */
+  refreshGauges(): void;
   getState(): HostState;
   getStatus(): Promise<HostStatus>;
   /** Begins a planned stop; the process ends when it is over. */
@@ -64,7 +66,7 @@
   }
 
   async function route(req: IncomingMessage): Promise<Reply> {
-    const { pathname } = new URL(req.url ?? "/", "http://operators");
+    const pathname = tryGetPath(req.url);
     if (pathname === "/drain") {
       return drain(req);
     }
@@ -82,6 +84,7 @@
           : text(503, `${view.getState()}\n`);
       case "/metrics": {
         const { registry } = view.metrics;
+        view.refreshGauges();
         return {
           status: 200,
           type: registry.contentType,
@@ -128,6 +131,14 @@
   };
 }
 
+function tryGetPath(url: string | undefined): string | undefined {
+  try {
+    return new URL(url ?? "", "http://operators").pathname;
+  } catch {
+    return undefined;
+  }
+}
+
 function text(status: number, body: string): Reply {
   return { status, type: "text/plain; charset=utf-8", body };
 }
--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -49,6 +49,12 @@
   loseAnswers?: boolean;
 }
 
+/** A call of a host to the platform for a key or a prefix of keys. */
+export interface PlatformCall {
+  readonly host: HostId;
+  readonly path: string;
+}
+
 /** A fleet in one process. */
 export interface LocalFleet {
   readonly hosts: readonly LocalHost[];
@@ -56,8 +62,8 @@
   readonly groups: readonly GroupInfo[];
   readonly platform: PlatformCore;
   readonly platformFaults: LocalPlatformFaults;
-  /** Calls to the platform by host. */
-  readonly platformCalls: Map<HostId, number>;
+  /** Calls to the platform, in their order. */
+  readonly platformCalls: PlatformCall[];
   /** Stops messages between two hosts, or a host and `platform`. */
   cut(a: string, b: string): void;
   heal(): void;
@@ -90,7 +96,6 @@
 }
 
 const UINT32_RANGE = 2 ** 32;
-const FROZEN_POLL_MS = 5;
 
 const NO_METRICS: MetricsSink = {
   count() {},
@@ -105,8 +110,9 @@
   const random = () => (generator.next() >>> 0) / UINT32_RANGE;
   const platform = createPlatformCore();
   const platformFaults: LocalPlatformFaults = {};
-  const platformCalls = new Map<HostId, number>();
+  const platformCalls: PlatformCall[] = [];
   const cuts = new Set<string>();
+  const frozen: (() => void)[] = [];
   const targets = createTargets(options);
   const settingsOfAll = listSettings(options);
 
@@ -114,10 +120,15 @@
     return cuts.has([a, b].sort().join("|"));
   }
 
+  /** Lets everything that waits for a frozen host look at it again. */
+  function resumeFrozen(): void {
+    frozen.splice(0).forEach((resume) => resume());
+  }
+
   /** Waits while a host is frozen; false once it is dead. */
   async function waitRunning(host: LocalHost): Promise<boolean> {
     while (host.state === "frozen") {
-      await sleep(FROZEN_POLL_MS);
+      await new Promise<void>((resolve) => frozen.push(resolve));
     }
     return host.state === "running";
   }
@@ -183,8 +194,11 @@
   function createStore(self: LocalHost): PlatformStore {
     const unreachable: Err<PlatformErr> = Err({ kind: "unreachable" });
 
-    async function call<T>(run: () => Promise<T> | T): Promise<T | undefined> {
-      platformCalls.set(self.id, (platformCalls.get(self.id) ?? 0) + 1);
+    async function call<T>(
+      path: string,
+      run: () => Promise<T> | T,
+    ): Promise<T | undefined> {
+      platformCalls.push({ host: self.id, path });
       const isDown = () =>
         platformFaults.down || isCut(self.id, "platform") ||
         self.state === "dead";
@@ -200,20 +214,22 @@
 
     return {
       async get(key) {
-        const found = await call(() => platform.get(key));
+        const found = await call(key, () => platform.get(key));
         return found ? Ok(found) : unreachable;
       },
       async list(prefix) {
-        const found = await call(() => platform.list(prefix));
+        const found = await call(prefix, () => platform.list(prefix));
         return found ? Ok(found) : unreachable;
       },
       async put(key, value, opts) {
         const copy: unknown = structuredClone(value);
-        return await call(() => platform.put(key, copy, opts)) ?? unreachable;
+        return await call(key, () => platform.put(key, copy, opts)) ??
+          unreachable;
       },
       async watch(prefix, opts) {
-        const found = await call(() =>
-          waitForChange(platform, { prefix, ...opts })
+        const found = await call(
+          prefix,
+          () => waitForChange(platform, { prefix, ...opts }),
         );
         return found ? Ok(found) : unreachable;
       },
@@ -269,6 +285,7 @@
     kill(id) {
       const host = fleet.getHost(id);
       host.state = "dead";
+      resumeFrozen();
       host.host.stop();
     },
     freeze(id) {
@@ -276,11 +293,13 @@
     },
     thaw(id) {
       fleet.getHost(id).state = "running";
+      resumeFrozen();
     },
     restart(id) {
       const host = fleet.getHost(id);
       host.host.stop();
       host.state = "running";
+      resumeFrozen();
       host.host = createHost(
         createIo(host),
         host.settings,
--- a/tools/experiments/run.ts
+++ b/tools/experiments/run.ts
@@ -95,7 +95,7 @@
   const { fleet, open } = startFleet(options);
   await advance(SETTLE_MS);
   const startedAt = Date.now();
-  const callsBefore = countCalls(fleet);
+  const callsBefore = fleet.platformCalls.length;
   const results: Result[] = [];
   const load = options.load.toSorted((a, b) => a.atMs - b.atMs);
   const happenings = [...options.happenings ?? []];
@@ -130,15 +130,11 @@
       ranAt: ranAt - startedAt,
     }))
   );
-  const platformCalls = countCalls(fleet) - callsBefore;
+  const platformCalls = fleet.platformCalls.length - callsBefore;
   fleet.stop();
   return { results, ran, platformCalls };
 }
 
-function countCalls(fleet: LocalFleet): number {
-  return [...fleet.platformCalls.values()].reduce((a, b) => a + b, 0);
-}
-
 function toFrame(
   arrival: Arrival,
   given: { readonly index: number; readonly service: Deployment["service"] },
