--- a/src/core/grants.ts
+++ b/src/core/grants.ts
@@ -17,9 +17,9 @@
 import type { Stoppable } from "./types.ts";
 
 /** Longest time that tokens are granted for, in milliseconds. */
-export const GRANT_MS = 700;
+export const GRANT_MS = 500;
 
-const COLLECT_MS = 200;
+const COLLECT_MS = 120;
 const COLLECT_TIMEOUT_MS = 400;
 const FIRST_COLLECT_MS = 120;
 const ACTIVE_MS = 500;
@@ -51,6 +51,7 @@
 interface Sender {
   granted: number;
   settled: number;
+  unused: number;
   seq: number;
   /** When the last of its tokens expires. */
   until: number;
@@ -63,6 +64,8 @@
   askedAt: number;
   shortAt: number;
   collecting: Promise<void> | undefined;
+  /** The last request for shares; answers to earlier ones are dropped. */
+  claimSeq: number;
 }
 
 /** Creates the owner role of a host. */
@@ -70,6 +73,7 @@
   const { incarnation } = options;
   const owned = new Map<WorkspaceId, Owned>();
   let timer: NodeJS.Timeout | undefined;
+  let seq = 0;
 
   function getOwned(workspace: WorkspaceId, size: ShareSize): Owned {
     const found = owned.get(workspace);
@@ -83,6 +87,7 @@
       askedAt: 0,
       shortAt: -Infinity,
       collecting: undefined,
+      claimSeq: -1,
     };
     owned.set(workspace, entry);
     return entry;
@@ -90,22 +95,39 @@
 
   /** Asks every host for the shares of its seats, or to extend them. */
   async function collect(workspaces: readonly WorkspaceId[]): Promise<void> {
+    const entries = workspaces.map((workspace) => owned.get(workspace)!);
+    const claims = workspaces.map((workspace, index) => ({
+      workspace,
+      part: entries[index]!.pool.claim(),
+    }));
     const req: DelegateReq = {
       kind: "delegate",
       owner: incarnation,
-      workspaces: [...workspaces],
+      seq: seq++,
+      claims,
     };
+    entries.forEach((entry) => entry.claimSeq = req.seq);
     const hosts = options.listAlive();
     await Promise.all(hosts.map(async (host) => {
       const sentAt = nowMs();
       const res = await options.delegate(host, req, COLLECT_TIMEOUT_MS);
-      for (const { workspace, seat, ttlMs, tokens } of res?.shares ?? []) {
-        const until = sentAt + ttlMs;
-        owned.get(workspace)?.pool.setShare(seat, { until, tokens });
-      }
+      res?.shares.forEach((share) => applyShare(share, { req, sentAt }));
     }));
   }
 
+  function applyShare(
+    share: DelegateRes["shares"][number],
+    given: { readonly req: DelegateReq; readonly sentAt: number },
+  ): void {
+    const { workspace, seat, ttlMs, tokens, part } = share;
+    const entry = owned.get(workspace);
+    // An answer to an earlier request may speak of a higher claim.
+    if (entry && entry.claimSeq === given.req.seq) {
+      const until = given.sentAt + ttlMs;
+      entry.pool.setShare(seat, { until, tokens, part });
+    }
+  }
+
   async function collectFirst(
     workspace: WorkspaceId,
     entry: Owned,
@@ -121,7 +143,8 @@
   function dropSilent(entry: Owned): void {
     for (const [key, sender] of entry.senders) {
       if (nowMs() > sender.until + MAX_STATEMENT_MS) {
-        entry.pool.settle(sender.granted - sender.settled);
+        const ended = sender.granted - sender.settled;
+        entry.pool.settle({ ended, unused: 0 });
         entry.senders.delete(key);
       }
     }
@@ -148,10 +171,17 @@
     given: { readonly req: GrantReq; readonly want: Want },
   ): Sender | undefined {
     const { req, want } = given;
+    dropSilent(entry);
     const isKnown = req.owner === incarnation;
     const received = isKnown ? want.received : 0;
     const sender = entry.senders.get(req.sender) ??
-      { granted: received, settled: received, seq: -1, until: nowMs() };
+      {
+        granted: received,
+        settled: received,
+        unused: isKnown ? want.unused : 0,
+        seq: -1,
+        until: nowMs(),
+      };
     if (sender.seq >= req.seq) {
       return undefined;
     }
@@ -160,9 +190,15 @@
     // Tokens whose grant did not arrive will never be used.
     const lost = Math.max(0, sender.granted - received);
     const ended = Math.max(0, (isKnown ? want.settled : 0) - sender.settled);
-    entry.pool.settle(lost + ended);
+    const unused = Math.min(
+      ended,
+      Math.max(0, (isKnown ? want.unused : 0) - sender.unused),
+    );
+    const sent = ended - unused;
+    entry.pool.settle({ ended: sent, unused: lost + unused });
     sender.granted -= lost;
     sender.settled += ended;
+    sender.unused += unused;
     return sender;
   }
 
@@ -178,8 +214,11 @@
     const now = nowMs();
     const sender = entry.senders.get(req.sender);
     const isCurrent = sender?.seq === req.seq;
+    // What some host needs now goes before what another may need later.
+    const spare = Math.max(0, Math.floor(entry.pool.getSpare()) - want.tokens);
+    const wanted = want.tokens + Math.min(want.ahead, spare);
     const granted = isCurrent
-      ? entry.pool.grant(want.tokens, GRANT_MS)
+      ? entry.pool.grant(wanted, GRANT_MS)
       : { tokens: 0, until: now };
     if (sender && isCurrent) {
       sender.granted += granted.tokens;
@@ -215,7 +254,8 @@
         return settle(entry, { req, want }) ? [{ want, entry }] : [];
       });
       const missing = entries.filter(({ want, entry }) =>
-        want.tokens > 0 && !entry.pool.hasShares()
+        want.tokens + want.ahead > 0 &&
+        (!entry.pool.hasShares() || entry.pool.isClaimShort(want.tokens))
       );
       await Promise.all(
         missing.map(({ want, entry }) => collectFirst(want.workspace, entry)),
