--- a/src/core/connections.ts
+++ b/src/core/connections.ts
@@ -13,7 +13,7 @@
 
 const MAINTAIN_MS = 500;
 /** Without a request for this long no connection is kept, in milliseconds. */
-const IDLE_MS = 10_000;
+export const IDLE_MS = 10_000;
 const REFUSED_RETRY_MS = 20;
 const DEFAULT_WAIT_MS = 500;
 
--- a/test/keys.test.ts
+++ b/test/keys.test.ts
@@ -96,6 +96,9 @@
       return conn && { ...conn, end: () => (ended++, conn.end()) };
     };
   }
+  // Connections that were opened before are not counted; they close when idle.
+  await vi.advanceTimersByTimeAsync(IDLE_MS + 1_000);
+  expect(ended).toBe(0);
   const holder = fleet.open("h1");
   const begun = await settle(holder.request(beginFrame("begin-1")));
   expect(begun.kind).toBe("done");
