--- a/src/core/grants.ts
+++ b/src/core/grants.ts
@@ -55,6 +55,10 @@
   seq: number;
   /** When the last of its tokens expires. */
   until: number;
+  /** Tokens that it still waits for, since when, and when it last asked. */
+  unmet: number;
+  unmetSince: number;
+  askedAt: number;
 }
 
 interface Owned {
@@ -181,6 +185,9 @@
         unused: isKnown ? want.unused : 0,
         seq: -1,
         until: nowMs(),
+        unmet: 0,
+        unmetSince: 0,
+        askedAt: 0,
       };
     if (sender.seq >= req.seq) {
       return undefined;
@@ -202,6 +209,25 @@
     return sender;
   }
 
+  /** Tokens that hosts wait for which asked before `sender` did. */
+  function getReserved(entry: Owned, sender: Sender): number {
+    const now = nowMs();
+    const since = sender.unmet > 0 ? sender.unmetSince : now;
+    return [...entry.senders.values()]
+      .filter((other) => now - other.askedAt < SHORT_MS)
+      .filter((other) => other !== sender && other.unmetSince < since)
+      .reduce((sum, other) => sum + other.unmet, 0);
+  }
+
+  function noteUnmet(sender: Sender, given: { wanted: number; got: number }) {
+    const { wanted, got } = given;
+    const now = nowMs();
+    // One that got something goes to the end of the line.
+    sender.unmetSince = sender.unmet === 0 || got > 0 ? now : sender.unmetSince;
+    sender.unmet = Math.max(0, wanted - got);
+    sender.askedAt = now;
+  }
+
   function grant(
     req: GrantReq,
     given: {
@@ -217,10 +243,14 @@
     // What some host needs now goes before what another may need later.
     const spare = Math.max(0, Math.floor(entry.pool.getSpare()) - want.tokens);
     const wanted = want.tokens + Math.min(want.ahead, spare);
-    const granted = isCurrent
-      ? entry.pool.grant(wanted, GRANT_MS)
+    const granted = sender && isCurrent
+      ? entry.pool.grant(wanted, {
+        maxTtlMs: GRANT_MS,
+        reserved: getReserved(entry, sender),
+      })
       : { tokens: 0, until: now };
     if (sender && isCurrent) {
+      noteUnmet(sender, { wanted: want.tokens, got: granted.tokens });
       sender.granted += granted.tokens;
       sender.until = Math.max(sender.until, granted.until);
     }
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -17,7 +17,7 @@
 import type { Stoppable } from "./types.ts";
 
 /** Longest time that a request waits in a queue, in milliseconds. */
-export const MAX_WAIT_MS = 1_000;
+export const MAX_WAIT_MS = 800;
 
 const MIN_RETRY_AFTER_MS = 20;
 const RETRY_JITTER = 0.5;
--- a/src/core/token_pool.ts
+++ b/src/core/token_pool.ts
@@ -56,8 +56,11 @@
   claim(): number;
   /** Whether `tokens` could be granted after another claim. */
   isClaimShort(tokens: number): boolean;
-  /** Grants up to `count` tokens for at most `maxTtlMs`. */
-  grant(count: number, maxTtlMs: number): Granted;
+  /** Grants up to `count` tokens, leaving `reserved` ones for others. */
+  grant(
+    count: number,
+    options: { readonly maxTtlMs: number; readonly reserved: number },
+  ): Granted;
   /**
    * Takes note that the statements of `ended` tokens have ended, and puts back
    * `unused` tokens that nobody can send with any more.
@@ -170,9 +173,9 @@
       wanted = isShort ? Math.max(wanted, tokens) : wanted;
       return isShort;
     },
-    grant(count, maxTtlMs) {
+    grant(count, { maxTtlMs, reserved }) {
       advance();
-      const free = Math.floor(getClaimed() - used + ROUNDING);
+      const free = Math.floor(getClaimed() - used - reserved + ROUNDING);
       const tokens = Math.max(0, Math.min(count, free));
       const until = getGrantEnd(tokens, nowMs() + maxTtlMs);
       used += tokens;
@@ -190,9 +193,11 @@
     },
     getWaitMs(tokens) {
       advance();
+      if (shares.size === 0) {
+        return 0;
+      }
       const rate = size().ratePerMs * shares.size;
-      return Math.max(0, used + tokens - getCapacity()) /
-        Math.max(rate, Number.MIN_VALUE);
+      return Math.max(0, used + tokens - getCapacity()) / rate;
     },
     hasShares() {
       advance();
--- a/src/core/token_stock.ts
+++ b/src/core/token_stock.ts
@@ -11,6 +11,8 @@
 /** Least share of the rate that a host expects to get. */
 const MIN_SHARE = 0.25;
 const LASTING_MS = 1_000;
+/** How long an owner's answer tells what to expect, in milliseconds. */
+const ANSWER_AGE_MS = 250;
 /** An owner that fails as often is not told of its tokens any more. */
 const MAX_FAILURES = 3;
 
@@ -85,6 +87,7 @@
   /** The owner had fewer tokens than were asked for. */
   let isLacking = false;
   let lackingSince = 0;
+  let answeredAt = -Infinity;
   let expectedAt = -Infinity;
 
   function getAccount(owner: HostId): Account {
@@ -188,6 +191,7 @@
       }
       if (owner === options.getOwner()) {
         const wasLacking = isLacking;
+        answeredAt = nowMs();
         isLacking = grant.tokens < wanted;
         lackingSince = wasLacking ? lackingSince : nowMs();
         expectedAt = isLacking ? nowMs() + grant.waitMs : -Infinity;
@@ -216,7 +220,9 @@
     },
     getWaitMs(ahead, ratePerMs) {
       const lacking = ahead + 1 - getHeld();
-      if (lacking <= 0 || !isLacking) {
+      // An old answer says nothing about the tokens of now.
+      const isKnown = isLacking && nowMs() - answeredAt < ANSWER_AGE_MS;
+      if (lacking <= 0 || !isKnown) {
         return 0;
       }
       const firstMs = Math.max(0, expectedAt - nowMs());
