--- a/test/keys.test.ts
+++ b/test/keys.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { pack } from "msgpackr";
+import { IDLE_MS } from "../src/core/connections.ts";
 import type { CallerSession, RequestFrame } from "../src/core/entry.ts";
 import {
   asId,
