--- a/src/core/object_keys.ts
+++ b/src/core/object_keys.ts
@@ -25,6 +25,14 @@
   return asId<ObjectKey>(`config/status/${group}`);
 }
 
+/** Prefix of the leases on shares of the limits. */
+export const SEATS_PREFIX = "seats/";
+
+/** Where the lease of a seat is kept. */
+export function getSeatKey(seat: number): ObjectKey {
+  return asId<ObjectKey>(`${SEATS_PREFIX}${seat}`);
+}
+
 /** The lease of the host that changes the primary of a group. */
 export function getGroupLeaseKey(group: GroupId): ObjectKey {
   return asId<ObjectKey>(`lease/${group}`);
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -36,6 +36,8 @@
   readonly group: GroupInfo;
   readonly queue: Queue;
   readonly transactionTimeoutMs: number;
+  /** Most connections of this host to one target. */
+  readonly connectionsPerTarget: number;
   /** Without it reads are spread at random. */
   readonly orderReplicas?: OrderReplicas;
 }
@@ -48,7 +50,10 @@
   const monitor = createMonitor(io, group);
   const confirmer = createConfirmer(io, { getGroup: () => group, monitor });
   const watch = createWatch(monitor);
-  const connections = createConnections(io);
+  const connections = createConnections(io, {
+    maxPerTarget: options.connectionsPerTarget,
+    warm: group.slots,
+  });
   const transactions = createTransactions(connections, {
     timeoutMs: options.transactionTimeoutMs,
     watch,
@@ -124,13 +129,17 @@
   }
 
   return {
-    start: monitor.start,
+    start() {
+      monitor.start();
+      connections.keepWarm(group.targets);
+    },
     exec,
     endSessions: (isOver) =>
       transactions.endWhere(({ session }) => isOver(session)),
     update(changed) {
       group = changed;
       monitor.update(changed);
+      connections.keepWarm(changed.targets);
     },
     monitor,
     stop() {
@@ -139,6 +148,7 @@
       confirmer.stop();
       transactions.stop();
       connections.stop();
+      queue.stop();
     },
   };
 }
--- a/src/core/transact.ts
+++ b/src/core/transact.ts
@@ -1,12 +1,14 @@
 /** Runs the operations of transactions, from begin to end. */
 
+import type { Result } from "ts-results-es";
 import { nowMs } from "./clock.ts";
 import { canHandOver } from "./election.ts";
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
 import { done, failed, unavailable } from "./outcome.ts";
 import type { Task } from "./read.ts";
-import { toFailure } from "./send.ts";
+import type { Slot } from "./queue.ts";
+import { openLane, toFailure } from "./send.ts";
 import type { OpenTransaction, Transactions, TxOwner } from "./transactions.ts";
 import {
   isTermOver,
@@ -22,7 +24,6 @@
   Outcome,
   Position,
   RunReq,
-  RunRes,
   TargetErr,
 } from "./types.ts";
 
@@ -57,52 +58,48 @@
   if (!leader) {
     return failed(unavailable());
   }
-  const slot = await ctx.queue.enter(leader.info.target, {
-    workspace,
-    deadline,
-  });
-  if (slot.isErr()) {
-    return failed(slot.error);
+  const target = leader.info;
+  const lane = await openLane(ctx, { target, workspace, deadline });
+  if (lane.isErr()) {
+    return failed(toFailure(lane.error));
   }
-  const opened = await open(ctx, { leader, task });
-  if (!opened) {
-    slot.value.release();
+  const { conn, slot } = lane.value;
+  const { term } = leader;
+  const res = await ctx.watch.until(
+    conn.run({ kind: "begin", workspace, term }, deadline - nowMs()),
+    () => isTermOver(ctx.monitor, term),
+  );
+  if (!res?.isOk()) {
+    ctx.connections.release(conn, { clean: false });
+    slot.release();
     return failed(unavailable());
   }
-  const { conn, res } = opened;
+  // Statements of the transaction take slots of their own.
+  slot.detach();
   const { session } = task.req;
-  const { term } = leader;
   const { tx } = op;
-  const pinned = { tx, workspace, session, term, conn, slot: slot.value };
-  ctx.transactions.open(pinned);
-  return done({ ...res, result: tx }, {
-    floor: task.req.floor ?? res.at,
+  ctx.transactions.open({ tx, workspace, session, term, conn, slot });
+  return done({ ...res.value, result: tx }, {
+    floor: task.req.floor ?? res.value.at,
     isPrimary: true,
   });
 }
 
-/** Connects and begins; a connection that failed to is closed. */
-async function open(
+/** Waits for a token and a slot; the begin has paid for the end. */
+async function enter(
   ctx: TransactContext,
-  options: { readonly leader: Leader; readonly task: Task },
-): Promise<Pick<OpenTransaction, "conn"> & { res: RunRes } | undefined> {
-  const { leader, task } = options;
-  const { workspace } = task.req;
-  const conn = await ctx.connections.acquire(leader.info);
-  if (conn.isErr()) {
+  options: {
+    readonly op: TxOp;
+    readonly pinned: OpenTransaction | undefined;
+    readonly deadline: number;
+  },
+): Promise<Result<Slot, Failure> | undefined> {
+  const { op, pinned, deadline } = options;
+  if (!pinned || op.kind === "end") {
     return undefined;
   }
-  const { term } = leader;
-  const leftMs = Math.max(1, task.deadline - nowMs());
-  const res = await ctx.watch.until(
-    conn.value.run({ kind: "begin", workspace, term }, leftMs),
-    () => isTermOver(ctx.monitor, term),
-  );
-  if (!res?.isOk()) {
-    ctx.connections.release(conn.value, { clean: false });
-    return undefined;
-  }
-  return { conn: conn.value, res: res.value };
+  const { conn, workspace } = pinned;
+  return await ctx.queue.enter(conn.target, { workspace, deadline });
 }
 
 /** Runs a statement of a transaction, or ends it. */
@@ -116,7 +113,12 @@
   const owner: TxOwner = { tx: op.tx!, workspace, session };
   const pinned = ctx.transactions.tryGet(owner);
   const req = toRunReq(op, { workspace, term: pinned?.term ?? 0 });
+  const slot = await enter(ctx, { op, pinned, deadline });
+  if (slot?.isErr()) {
+    return failed(slot.error);
+  }
   const res = await ctx.transactions.run(owner, { req, deadline });
+  slot?.map((entered) => entered.release());
   const isCommit = op.kind === "end" && op.end === "commit";
   if (res.isErr()) {
     return isCommit && isUnsettled(res.error)
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -13,12 +13,12 @@
 } from "./core/configuration.ts";
 export { createConfirmer } from "./core/confirm.ts";
 export { createFreshness } from "./core/freshness.ts";
-export { createStaticLimits, type Limits } from "./core/limits.ts";
+export { createLimits, type Limits } from "./core/limits.ts";
 export { createMembership, type Membership } from "./core/membership.ts";
 export { createMonitor, type Monitor } from "./core/monitor.ts";
 export { createPeers } from "./core/peers.ts";
 export { createPool } from "./core/pool.ts";
-export { createFifoQueue, type Queue } from "./core/queue.ts";
+export { createFairQueue, type Queue } from "./core/queue.ts";
 export { comparePositions, tryMajorityFloor } from "./core/position.ts";
 export { rankNodes } from "./core/hash.ts";
 
