--- a/test/dissemination.test.ts
+++ b/test/dissemination.test.ts
@@ -200,6 +200,19 @@
   expect(freshness.isConfirmed()).toBe(true);
 });
 
+test("a restarted host is no witness of what it held before", async () => {
+  const self = asId<HostId>("h1");
+  await vi.advanceTimersByTimeAsync(1_000);
+  const freshness = createFreshness({ self, listHosts: () => [self] });
+  // A peer may pass on a confirmation that is older than the restart.
+  freshness.noteConfirmed(performance.now() - 1_000);
+  expect([freshness.isConfirmed(), freshness.isReady()]).toEqual([true, false]);
+  await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
+  expect(freshness.isConfirmed()).toBe(false);
+  freshness.noteConfirmed(performance.now());
+  expect(freshness.isReady()).toBe(true);
+});
+
 test("traffic brings no calls to the platform", async () => {
   fleet = await startTestFleet();
   const session = fleet.open("h1");
@@ -214,8 +227,8 @@
     const others = fleet.platformCalls.length - counts.at(-1)!;
     expect(others).toBeLessThanOrEqual(MAX_SEAT_CALLS_PER_SECOND * 6);
   }
-  // Traffic draws random numbers too, which shifts each host's jitter.
-  expect(counts[1]).toBeLessThanOrEqual(counts[0]! + fleet.hosts.length);
+  // Each watcher may have a call on either side of the border of the time.
+  expect(Math.abs(counts[1]! - counts[0]!)).toBeLessThanOrEqual(3);
 });
 
 test("calls to the platform do not grow with the hosts", async () => {
