--- a/src/core/confirm.ts
+++ b/src/core/confirm.ts
@@ -106,6 +106,7 @@
 
   return {
     confirm({ at, primary, deadline }) {
+      const startedAt = nowMs();
       return new Promise((resolve) => {
         const timer = setTimeout(
           () => write.settle(false),
@@ -117,6 +118,8 @@
           settle(isHeld) {
             clearTimeout(timer);
             waiting.delete(write);
+            const { group } = getGroup();
+            io.metrics.observe("confirm_ms", nowMs() - startedAt, { group });
             resolve(isHeld);
           },
         };
--- a/src/core/send.ts
+++ b/src/core/send.ts
@@ -80,11 +80,13 @@
   ctx: SendContext,
   sending: Sending,
 ): Promise<Result<RunRes, SendErr>> {
-  const { target, req, deadline } = sending;
+  const { target, workspace, req, deadline } = sending;
+  const startedAt = nowMs();
   const lane = await openLane(ctx, sending);
   if (lane.isErr()) {
     return lane;
   }
+  ctx.io.metrics.observe("queue_ms", nowMs() - startedAt, { workspace });
   const { conn, slot } = lane.value;
   ctx.io.metrics.count("target_sends_total", { target: target.target });
   const res = await conn.run(req, deadline - nowMs());
--- a/test/fuzz.test.ts
+++ b/test/fuzz.test.ts
@@ -63,6 +63,7 @@
     domain: "curepipe",
     incarnation: "i",
     leaving: false,
+    seq: 1,
     revision: 3,
     versions: [{ key: "config/plans", version: 3 }],
   },
--- a/test/peer_links.test.ts
+++ b/test/peer_links.test.ts
@@ -14,6 +14,7 @@
   domain: asId<DomainId>("curepipe"),
   incarnation: "i",
   leaving: false,
+  seq: 1,
   revision: 0,
   versions: [],
 };
