--- a/test/fleet.ts
+++ b/test/fleet.ts
@@ -2,7 +2,12 @@
 
 import { vi } from "vitest";
 import type { CallerSession, RequestFrame } from "../src/core/entry.ts";
-import { asId, type ReqId, type WorkspaceId } from "../src/core/ids.ts";
+import {
+  asId,
+  type HostId,
+  type ReqId,
+  type WorkspaceId,
+} from "../src/core/ids.ts";
 import { issueKey } from "../src/core/keys.ts";
 import {
   GROUPS_KEY,
@@ -149,3 +154,12 @@
   }
   return answer.result;
 }
+
+/** Calls to the platform of the host that made the most of them. */
+export function countMostCalls(fleet: TestFleet): number {
+  const counts = new Map<HostId, number>();
+  fleet.platformCalls.forEach(({ host }) =>
+    counts.set(host, (counts.get(host) ?? 0) + 1)
+  );
+  return Math.max(...counts.values());
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,7 @@
 export default defineConfig({
   test: {
     include: ["test/**/*.test.ts"],
-    testTimeout: 30_000,
+    testTimeout: 300_000,
     fakeTimers: {
       toFake: [
         "setTimeout",
