--- a/test/peer_links.test.ts
+++ b/test/peer_links.test.ts
@@ -15,7 +15,6 @@
   incarnation: "i",
   seq: 0,
   leaving: false,
-  seq: 1,
   revision: 0,
   versions: [],
 };
