--- a/tools/measure/figures.ts
+++ b/tools/measure/figures.ts
@@ -37,7 +37,11 @@
   readonly latencies: readonly {
     readonly workspace: string;
     readonly quantiles: Quantiles;
+    /** Failed requests by error. */
+    readonly errors: Readonly<Record<string, number>>;
   }[];
+  /** Requests refused for the rate in each second of the run. */
+  readonly refusedBySecond: readonly number[];
 }
 
 /** Everything that a run gave. */
@@ -70,17 +74,48 @@
 
 /** Works out what the pictures show. */
 export function computeDetails(run: RunRecord): Details {
-  const answered = run.calls.filter((call) => call.req.answer?.ok);
-  const byWorkspace = groupBy(answered, (call) => call.req.workspace);
+  const byWorkspace = groupBy(run.calls, (call) => call.req.workspace);
   return {
     gaps: listGaps(run),
-    latencies: [...byWorkspace].sort().map(([workspace, calls]) => ({
-      workspace,
-      quantiles: toQuantiles(calls.map((call) => call.latencyMs)),
-    })),
+    latencies: [...byWorkspace].sort().map(([workspace, calls]) => {
+      const answered = calls.filter((call) => call.req.answer?.ok);
+      return {
+        workspace,
+        quantiles: toQuantiles(answered.map((call) => call.latencyMs)),
+        errors: countErrors(calls),
+      };
+    }),
+    refusedBySecond: countRefusedBySecond(run.calls),
   };
 }
 
+function countErrors(calls: readonly Call[]): Record<string, number> {
+  const errors: Record<string, number> = {};
+  for (const { req } of calls) {
+    const error = req.answer === undefined
+      ? "no_answer"
+      : req.answer.ok
+      ? undefined
+      : req.answer.error;
+    if (error !== undefined) {
+      errors[error] = (errors[error] ?? 0) + 1;
+    }
+  }
+  return errors;
+}
+
+function countRefusedBySecond(calls: readonly Call[]): number[] {
+  const startedAt = Math.min(...calls.map((call) => call.req.sentAt));
+  const counts: number[] = [];
+  for (const { req } of calls) {
+    const isRefused = req.answer?.ok === false &&
+      req.answer.error === "rate_limited";
+    const second = Math.floor((req.sentAt - startedAt) / MS_PER_SECOND);
+    counts[second] = (counts[second] ?? 0) + (isRefused ? 1 : 0);
+  }
+  return [...counts].map((count) => count ?? 0);
+}
+
 /** Summarises times; without any, all figures are 0. */
 export function toQuantiles(values: readonly number[]): Quantiles {
   const sorted = values.toSorted((a, b) => a - b);
@@ -102,7 +137,7 @@
  * group's most frequent class, from just before the fault until the next one.
  */
 export function listGaps(run: RunRecord): Gap[] {
-  const endAt = Math.max(...run.calls.map((call) => call.req.answeredAt));
+  const endAt = Math.max(...run.calls.map((call) => call.req.sentAt));
   return run.failovers.map(({ group, fault, at }) => {
     const next = run.failovers.find((f) => f.group === group && f.at > at);
     const until = next?.at ?? endAt;
--- a/tools/measure/plan_load.ts
+++ b/tools/measure/plan_load.ts
@@ -16,14 +16,14 @@
 const FLOOD_END = 0.8;
 const MS_PER_SECOND = 1_000;
 
-/** Draws the lines of a run, each change unique in its row. */
+/** Draws what the workspaces of a deployment send. */
 export function drawLoad(
   deployment: Deployment,
   options: { readonly seed: number; readonly durationMs: number },
 ): TraceLine[] {
   const ordinary = drawTrace(deployment, { ...options, load: ORDINARY_LOAD });
   const flood = drawFlood(deployment, options);
-  return makeUnique([...ordinary, ...flood]);
+  return [...ordinary, ...flood];
 }
 
 /** The workspace that floods. */
--- /dev/null
+++ b/tools/measure/probes.ts
@@ -0,0 +1,62 @@
+/**
+ * Probe workspaces, one for each database group, whose steady writes give every
+ * group the same resolution of its gap in service.
+ */
+
+import { rankNodes } from "../../src/core/hash.ts";
+import { asId, type PlanId, type WorkspaceId } from "../../src/core/ids.ts";
+import type { TraceLine } from "../../src/generated/trace.ts";
+import { buildGroups, type Deployment } from "../workloads.ts";
+
+const PROBE_PLAN = asId<PlanId>("plan-probe");
+const PROBE_RATE_PER_SECOND = 100;
+const SESSIONS = 3;
+const INTERVAL_MS = 200;
+
+/** Adds a probe workspace for each group of a deployment. */
+export function addProbes(deployment: Deployment): Deployment {
+  const probes = listProbes(deployment).map((workspace) => ({
+    workspace,
+    plan: PROBE_PLAN,
+    ratePerSecond: PROBE_RATE_PER_SECOND,
+    burst: PROBE_RATE_PER_SECOND * 2,
+  }));
+  return { ...deployment, workspaces: [...deployment.workspaces, ...probes] };
+}
+
+/** The probe workspaces, in the order of the groups. */
+function listProbes(deployment: Deployment): WorkspaceId[] {
+  const groups = buildGroups(deployment, () => "").map((g) => g.group);
+  return groups.map((group) => {
+    for (let number = 1;; number++) {
+      const workspace = asId<WorkspaceId>(`probe-${number}`);
+      if (rankNodes(workspace, groups)[0] === group) {
+        return workspace;
+      }
+    }
+  });
+}
+
+/** Draws the steady writes of the probes. */
+export function drawProbes(
+  deployment: Deployment,
+  options: { readonly durationMs: number },
+): TraceLine[] {
+  const kind = deployment.requestKinds.find((k) => k.unrepeatable)!;
+  const count = Math.floor(options.durationMs / INTERVAL_MS);
+  return listProbes(deployment).flatMap((workspace) =>
+    Array.from({ length: count * SESSIONS }, (_, index): TraceLine => {
+      const session = `${workspace}-${index % SESSIONS}`;
+      return {
+        atMs: Math.floor(index * INTERVAL_MS / SESSIONS),
+        workspace,
+        session,
+        service: deployment.service,
+        class: kind.class,
+        access: "write",
+        unrepeatable: true,
+        body: kind.body(session, 1),
+      };
+    })
+  );
+}
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -23,6 +23,7 @@
   type RunRecord,
 } from "./figures.ts";
 import { drawLoad, getFlooder, makeUnique } from "./plan_load.ts";
+import { addProbes, drawProbes } from "./probes.ts";
 import { getPolicy } from "./policies.ts";
 import { openRelay, type Relay } from "./relay.ts";
 import {
@@ -71,7 +72,7 @@
   options: RunOptions,
 ): Promise<RunResult> {
   const relays: Relay[] = [];
-  const fleet = await startFleet(deployment, {
+  const fleet = await startFleet(addProbes(deployment), {
     hosts: HOSTS,
     hostProgram: ["dist/tools/measure/host_main.js", options.policy],
     targetArgs: (domain) =>
@@ -88,7 +89,7 @@
     },
   });
   try {
-    return await measure(fleet, options);
+    return await measure(fleet, { deployment, ...options });
   } finally {
     await fleet.stop();
     relays.forEach((relay) => relay.close());
@@ -116,18 +117,21 @@
   ];
 }
 
-async function measure(fleet: Fleet, options: RunOptions): Promise<RunResult> {
-  const { deployment } = fleet;
-  const { durationMs, seed } = options;
+async function measure(
+  fleet: Fleet,
+  options: RunOptions & { readonly deployment: Deployment },
+): Promise<RunResult> {
+  const { deployment, durationMs, seed } = options;
   const withdrawn = await addKey(fleet);
   await sleep(WARM_UP_MS);
   const callers = createCallers({
     urls: fleet.hosts.map((host) => host.callersUrl),
     latencyMs: deployment.callerLatencyMs,
   });
-  const lines = options.trace
-    ? makeUnique(options.trace)
-    : drawLoad(deployment, { seed, durationMs });
+  const lines = makeUnique([
+    ...options.trace ?? drawLoad(deployment, { seed, durationMs }),
+    ...drawProbes(deployment, { durationMs }),
+  ]);
   const schedule = getSchedule(fleet, options);
   const startedAt = nowMs();
   const [log] = await Promise.all([
@@ -145,7 +149,9 @@
       group: info.group,
       targets: await Promise.all(listTargets(fleet, group).map(readEvidence)),
     }))),
-    plans: new Map(deployment.workspaces.map((w) => [w.workspace, w])),
+    plans: new Map(
+      fleet.deployment.workspaces.map((w) => [w.workspace, w]),
+    ),
     flooder: getFlooder(deployment),
   };
   return {
