--- a/tools/processes.ts
+++ b/tools/processes.ts
@@ -225,9 +225,7 @@
   },
 ): Promise<FleetHost[]> {
   const dir = mkdtempSync(join(tmpdir(), "turmericchute-"));
-  const ports = await Promise.all(
-    Array.from({ length: options.hosts * 3 }, findPort),
-  );
+  const ports = await findPorts(options.hosts * 3);
   const planned = Array.from({ length: options.hosts }, (_, index) => ({
     host: asId<HostId>(`h${index + 1}`),
     domain: deployment.domains[index % deployment.domains.length]!,
@@ -305,14 +303,26 @@
   });
 }
 
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+
+/** Finds ports that differ from each other. */
+async function findPorts(count: number): Promise<number[]> {
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    ports.add(await findPort());
+  }
+  return [...ports];
+}
+
+/** Finds a port that nothing listens on and no connection will take. */
 function findPort(): Promise<number> {
+  const port = FIRST_PORT +
+    Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, LOOPBACK, () => {
-      const address = server.address();
-      server.close(() =>
-        resolve(typeof address === "object" && address ? address.port : 0)
-      );
-    });
+    server.once("error", () => resolve(findPort()));
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(port)));
   });
 }
