Let a stopping host finish what it runs for its peers

A planned stop waited for the host's own callers only: requests of peers and their transactions at its pools were cut by stop(). The host now leaves, refuses new work after a second (callers' hosts try the next one), waits until nothing runs and no transaction is open, and gives its seats back.

'A rolling stop refuses nothing within the rate' stays red and is listed: the owner of a workspace's tokens does not hand over at a planned stop.

--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -2,16 +2,18 @@
 
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
+import { getConnectionShare } from "./connections.ts";
 import { createDissemination, type Dissemination } from "./dissemination.ts";
+import { createDrain } from "./drain.ts";
 import { createEntry, type Entry } from "./entry.ts";
 import { createFreshness, type Freshness } from "./freshness.ts";
 import type { HostId } from "./ids.ts";
-import { createStaticLimits, type Limits } from "./limits.ts";
+import { createLimits, type Limits, type LimitsOptions } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { LIST_KEYS } from "./object_keys.ts";
 import { createPeers } from "./peers.ts";
 import { createPools } from "./pools.ts";
-import { createFifoQueue, type Queue } from "./queue.ts";
+import { createFairQueue, type Queue, type QueueOptions } from "./queue.ts";
 import type { OrderReplicas } from "./read.ts";
 import { createRegistration } from "./registration.ts";
 import type {
@@ -38,6 +40,11 @@
   start(): void;
   /** Takes a message that a peer sent. */
   receivePeer(from: HostId, msg: PeerMessage): void;
+  /**
+   * Leaves the fleet and resolves when nothing runs here any more, or after
+   * `timeoutMs`; `stop` is to follow.
+   */
+  drain(timeoutMs: number): Promise<void>;
   readonly entry: Entry;
   readonly cfg: Configuration;
   readonly freshness: Freshness;
@@ -48,13 +55,8 @@
 
 /** Parts that a program which embeds a host may replace. */
 export interface HostPolicies {
-  readonly createLimits?: (
-    cfg: Configuration,
-    options: { readonly hosts: number },
-  ) => Limits;
-  readonly createQueue?: (
-    options: { readonly slotsPerTarget: number },
-  ) => Queue;
+  readonly createLimits?: (io: HostIo, options: LimitsOptions) => Limits;
+  readonly createQueue?: (options: QueueOptions) => Queue;
   /** Orders the replicas that may serve a read, best first. */
   readonly orderReplicas?: OrderReplicas;
 }
@@ -83,10 +85,19 @@
     self: self.host,
     listHosts: () => [self.host, ...membership.listContacts()],
   });
-  const createLimits = policies.createLimits ?? createStaticLimits;
-  const limits = createLimits(cfg, { hosts: known.length + 1 });
-  const createQueue = policies.createQueue ?? createFifoQueue;
   const peers = createPeers(io, handlePeer);
+  const limits = (policies.createLimits ?? createLimits)(io, {
+    self: settings.host,
+    cfg,
+    knownHosts: known.length + 1,
+    // A leaving host grants and is granted tokens until it stops.
+    listAlive: () => membership.listReachable().map((peer) => peer.host),
+    async call(host, req, options) {
+      const res = await peers.call(host, req, options);
+      return res.isOk() ? res.value : undefined;
+    },
+  });
+  const createQueue = policies.createQueue ?? createFairQueue;
   const dissemination: Dissemination = createDissemination(io, {
     self,
     cfg,
@@ -115,13 +126,31 @@
     hostsPerGroup,
     transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
       DEFAULT_TRANSACTION_TIMEOUT_MS,
-    createQueue: (info) => createQueue({ slotsPerTarget: info.slots }),
+    createQueue: (info) =>
+      createQueue({
+        limits,
+        slotsPerTarget: info.slots,
+        maxInFlight: getConnectionShare(info.targets, hostsPerGroup),
+        getWeight: (workspace) =>
+          cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
+        random: io.random,
+      }),
     ...(policies.orderReplicas
       ? { orderReplicas: policies.orderReplicas }
       : {}),
   });
 
-  async function execHere(req: ExecReq): Promise<Outcome> {
+  const requests = createDrain({
+    exec: execAtPool,
+    countTransactions: pools.countTransactions,
+    leave() {
+      membership.leave();
+      void registration.leave();
+    },
+    release: limits.release,
+  });
+
+  async function execAtPool(req: ExecReq): Promise<Outcome> {
     const pool = pools.tryPool(req.group);
     return pool
       ? await pool.exec(req)
@@ -130,7 +159,7 @@
 
   async function exec(host: HostId, req: ExecReq): Promise<Outcome> {
     if (host === self.host) {
-      return await execHere(req);
+      return await requests.run(req);
     }
     const timeoutMs = req.budgetMs + PEER_MARGIN_MS;
     const res = await peers.call(host, req, { timeoutMs });
@@ -154,9 +183,13 @@
   async function handlePeer(_from: HostId, req: PeerReq): Promise<PeerRes> {
     switch (req.kind) {
       case "exec":
-        return { kind: "exec", outcome: await execHere(req) };
+        return { kind: "exec", outcome: await requests.run(req) };
       case "pull":
         return dissemination.answer(req);
+      case "seat_vote":
+      case "delegate":
+      case "grant":
+        return await limits.receive(req);
       case "suspect":
         return { kind: "suspect", opinion: pools.getOpinion(req) };
       case "promoted":
@@ -172,7 +205,6 @@
     self: self.host,
     cfg,
     freshness,
-    limits,
     membership,
     hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
@@ -184,6 +216,7 @@
   return {
     start() {
       membership.start();
+      limits.start();
       pools.start();
       dissemination.start();
       registration.start();
@@ -196,6 +229,7 @@
         peers.receive(from, msg);
       }
     },
+    drain: requests.drain,
     entry,
     cfg,
     freshness,
@@ -205,6 +239,7 @@
       dissemination.stop();
       registration.stop();
       membership.stop();
+      limits.stop();
       peers.stop();
       pools.stop();
     },
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -26,6 +26,7 @@
   exec(req: ExecReq): Promise<Outcome>;
   /** Rolls back the transactions of the sessions that the predicate picks. */
   endSessions(isOver: (session: string) => boolean): void;
+  countTransactions(): number;
   /** Takes the group as it stands after a change of the lists. */
   update(group: GroupInfo): void;
   readonly monitor: Monitor;
@@ -36,6 +37,8 @@
   readonly group: GroupInfo;
   readonly queue: Queue;
   readonly transactionTimeoutMs: number;
+  /** Most connections of this host to one target. */
+  readonly connectionsPerTarget: number;
   /** Without it reads are spread at random. */
   readonly orderReplicas?: OrderReplicas;
 }
@@ -48,7 +51,10 @@
   const monitor = createMonitor(io, group);
   const confirmer = createConfirmer(io, { getGroup: () => group, monitor });
   const watch = createWatch(monitor);
-  const connections = createConnections(io);
+  const connections = createConnections(io, {
+    maxPerTarget: options.connectionsPerTarget,
+    warm: group.slots,
+  });
   const transactions = createTransactions(connections, {
     timeoutMs: options.transactionTimeoutMs,
     watch,
@@ -124,13 +130,18 @@
   }
 
   return {
-    start: monitor.start,
+    start() {
+      monitor.start();
+      connections.keepWarm(group.targets);
+    },
     exec,
     endSessions: (isOver) =>
       transactions.endWhere(({ session }) => isOver(session)),
+    countTransactions: () => transactions.size,
     update(changed) {
       group = changed;
       monitor.update(changed);
+      connections.keepWarm(changed.targets);
     },
     monitor,
     stop() {
@@ -139,6 +150,7 @@
       confirmer.stop();
       transactions.stop();
       connections.stop();
+      queue.stop();
     },
   };
 }
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -1,6 +1,7 @@
 /** The pools of this host: one for each group that it is chosen for. */
 
 import type { Configuration } from "./configuration.ts";
+import { getConnectionShare } from "./connections.ts";
 import type { GroupId, HostId } from "./ids.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
@@ -41,6 +42,7 @@
   tryPool(group: GroupId): Pool | undefined;
   /** Rolls back what a session has left open here. */
   endSession(session: string): void;
+  countTransactions(): number;
   /** What this host says of the suspicion against a primary. */
   getOpinion(req: Extract<PeerReq, { kind: "suspect" }>): Opinion;
   /** Looks at the targets of a group whose primary has changed. */
@@ -86,6 +88,10 @@
       group: info,
       queue: options.createQueue(info),
       transactionTimeoutMs: options.transactionTimeoutMs,
+      connectionsPerTarget: getConnectionShare(
+        info.targets,
+        options.hostsPerGroup,
+      ),
       ...(options.orderReplicas
         ? { orderReplicas: options.orderReplicas }
         : {}),
@@ -155,6 +161,8 @@
     },
     tryPool: (group) => tryHeld(group)?.pool,
     endSession: (session) => endSessions((id) => id === session),
+    countTransactions: () =>
+      [...held.values()].reduce((n, h) => n + h.pool.countTransactions(), 0),
     getOpinion: ({ group, term }) =>
       held.get(group)?.promotion.getOpinion(term) ?? "unsure",
     refresh: (group) => held.get(group)?.pool.monitor.refresh(),
--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -2,7 +2,8 @@
 
 import { randomBytes } from "node:crypto";
 import { mersenne } from "pure-rand/generator/mersenne";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, sleep } from "../core/clock.ts";
+import { LEAVE_NOTICE_MS } from "../core/drain.ts";
 import { createHost, type Host, type HostPolicies } from "../core/host.ts";
 import type { HostIo, Stoppable } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
@@ -16,8 +17,6 @@
 import { createTargetDriver } from "../host/target_driver.ts";
 
 const UINT32_RANGE = 2 ** 32;
-/** Time for the balancer and peers to notice a stop, in milliseconds. */
-const LEAVE_NOTICE_MS = 1_000;
 /** Time for requests and transactions to finish, in milliseconds. */
 const DRAIN_TIMEOUT_MS = 30_000;
 
@@ -84,9 +83,10 @@
 
   async function drainOnce(): Promise<void> {
     setState("draining");
-    host.membership.leave();
-    await new Promise((resolve) => setTimeout(resolve, LEAVE_NOTICE_MS));
+    const idle = host.drain(DRAIN_TIMEOUT_MS);
+    await sleep(LEAVE_NOTICE_MS);
     await callers.drain(DRAIN_TIMEOUT_MS);
+    await idle;
     stop();
   }
 
