Authenticate links between hosts and serve callers over TLS

Links took messages from anyone who said a host's name. With certificates in the settings both ends of a link now need one of the same authority that names the host; a host speaks of its own state only; certificates are read again when their files change. Without TLS only loopback is served, and a state line says so. A connection over HTTP is good for one wrong key, as over WebSocket; nothing is counted per workspace, so that guesses lock nobody out.

--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -99,6 +99,8 @@
     markStopped();
   }
 
+  warnUnencrypted(settings, io);
+  host.cfg.onChange(() => links.learn(host.cfg.hosts));
   await operators?.listen();
   await links.listen(host.receivePeer);
   host.start();
@@ -108,6 +110,16 @@
   return { host, drain, stop, stopped };
 }
 
+/** Says loudly which connections are not encrypted. */
+function warnUnencrypted(settings: Settings, io: HostIo): void {
+  for (const port of ["callers", "peers"] as const) {
+    if (!settings[port].tls) {
+      const fields = { port, address: settings[port].address };
+      io.log({ component: "tls", event: "unencrypted", fields });
+    }
+  }
+}
+
 function createIo(
   settings: Settings,
   parts: {
--- a/src/host/caller_http.ts
+++ b/src/host/caller_http.ts
@@ -5,7 +5,11 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { type AnswerFrame, toFrame } from "../core/answer.ts";
 import type { Entry } from "../core/entry.ts";
-import { type Failure, getErrorAnswer } from "../core/errors.ts";
+import {
+  type ErrorKind,
+  type Failure,
+  getErrorAnswer,
+} from "../core/errors.ts";
 import type { HelloFrame } from "../generated/caller.ts";
 import {
   decodeCallerFrame,
@@ -15,6 +19,14 @@
 
 const TOKEN_HEADER = "x-session-token";
 const MS_PER_SECOND = 1_000;
+/**
+ * The rest of a body that is too large is not read, and a connection is good
+ * for one wrong key, which costs nobody but its own caller.
+ */
+const ENDS_CONNECTION: ReadonlySet<string> = new Set<ErrorKind>([
+  "too_large",
+  "unauthenticated",
+]);
 
 /** Reads, runs and answers one request. */
 export async function serveCallerHttp(
@@ -73,8 +85,7 @@
   const { retryAfterMs } = frame;
   res.writeHead(getErrorAnswer(error).httpStatus, {
     "content-type": "application/json",
-    // The rest of a body that is too large is not read.
-    ...(error === "too_large" ? { connection: "close" } : {}),
+    ...(ENDS_CONNECTION.has(error) ? { connection: "close" } : {}),
     ...(retryAfterMs === undefined
       ? {}
       : { "retry-after": `${Math.ceil(retryAfterMs / MS_PER_SECOND)}` }),
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -1,6 +1,5 @@
 /** Takes callers over WebSocket sessions and one-shot HTTP requests. */
 
-import { createServer } from "node:http";
 import { WebSocketServer } from "ws";
 import { nowMs, sleep } from "../core/clock.ts";
 import type { Host } from "../core/host.ts";
@@ -8,6 +7,7 @@
 import { toFailedFrame } from "./caller_frames.ts";
 import { serveCallerHttp } from "./caller_http.ts";
 import { type CallerSocket, serveCallerSocket } from "./caller_socket.ts";
+import { createReloadedTls, createTlsServer } from "./tls.ts";
 import { createWriteBatch } from "./write_batch.ts";
 
 const DEFAULT_MAX_FRAME_BYTES = 256 * 1024;
@@ -39,7 +39,9 @@
   let httpInFlight = 0;
   let isDraining = false;
 
-  const server = createServer(async (req, res) => {
+  const tls = settings.tls && createReloadedTls(settings.tls);
+  const server = createTlsServer(settings.address, { tls });
+  server.on("request", async (req, res) => {
     if (isDraining) {
       res.writeHead(503, { connection: "close" });
       res.end(JSON.stringify(toFailedFrame("", { error: "shutting_down" })));
@@ -76,6 +78,7 @@
   }
 
   function close(): void {
+    tls?.stop();
     wss.clients.forEach((client) => client.terminate());
     server.close();
     server.closeAllConnections();
--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -1,7 +1,8 @@
 /** Links between hosts: WebSocket frames packed with msgpackr. */
 
 import type { Buffer } from "node:buffer";
-import { createServer, type Server } from "node:http";
+import type { IncomingMessage } from "node:http";
+import type { ConnectionOptions } from "node:tls";
 import { pack, unpack } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
 import { assertNever } from "../core/errors.ts";
@@ -9,6 +10,13 @@
 import type { MetricsSink, PeerMessage } from "../core/types.ts";
 import { validatePeerMessage } from "../generated/peer_validate.ts";
 import type { Settings } from "../generated/settings.ts";
+import {
+  createReloadedTls,
+  createTlsServer,
+  isAuthenticated,
+  isLoopback,
+  isNamed,
+} from "./tls.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 const MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024;
@@ -22,6 +30,10 @@
   listen(
     receive: (from: HostId, msg: PeerMessage) => void,
   ): Promise<void>;
+  /** Takes the addresses of hosts that the settings do not name. */
+  learn(
+    hosts: readonly { readonly host: HostId; readonly url: string }[],
+  ): void;
   close(): void;
 }
 
@@ -30,19 +42,30 @@
   settings: Settings,
   metrics: MetricsSink,
 ): PeerLinks {
-  const urls = new Map(
+  const known = new Map(
     (settings.peers.known ?? []).map((peer) => [peer.host, peer.url]),
   );
+  const urls = new Map(known);
   const links = new Map<HostId, WebSocket>();
   const batches = new WeakMap<WebSocket, WriteBatch>();
   const triedAt = new Map<HostId, number>();
-  const server: Server = createServer();
+  const { tls: files, address, port } = settings.peers;
+  const tls = files && createReloadedTls(files);
+  const server = createTlsServer(address, { tls, requestCert: true });
   const wss = new WebSocketServer({
     server,
+    verifyClient: ({ req }: { req: IncomingMessage }) =>
+      tls === undefined || isAuthenticated(req, getSender(req)),
     perMessageDeflate: false,
     maxPayload: MAX_PEER_FRAME_BYTES,
   });
 
+  /** Without TLS a link must not leave the machine. */
+  function isAllowed(url: string): boolean {
+    const { protocol, hostname } = new URL(url);
+    return tls ? protocol === "wss:" : isLoopback(hostname);
+  }
+
   function tryLink(to: HostId): WebSocket | undefined {
     const link = links.get(to);
     if (link && link.readyState <= WebSocket.OPEN) {
@@ -50,12 +73,16 @@
     }
     const url = urls.get(to);
     const now = performance.now();
-    if (!url || now - (triedAt.get(to) ?? -Infinity) < RECONNECT_MS) {
+    if (
+      !url || !isAllowed(url) ||
+      now - (triedAt.get(to) ?? -Infinity) < RECONNECT_MS
+    ) {
       return undefined;
     }
     triedAt.set(to, now);
     const opened = new WebSocket(`${url}/?from=${settings.host}`, {
       perMessageDeflate: false,
+      ...(tls ? { ...tls.content, ...identify(to) } : {}),
     });
     opened.on("error", () => opened.terminate());
     opened.on(
@@ -96,12 +123,11 @@
     },
     listen(receive) {
       wss.on("connection", (ws, req) => {
-        const query = new URL(req.url ?? "/", "ws://peer").searchParams;
-        const from = asId<HostId>(query.get("from") ?? "");
+        const from = getSender(req);
         ws.on("error", () => ws.terminate());
         ws.on("message", (data: Buffer) => {
           const msg = tryUnpack(data);
-          if (validatePeerMessage(msg)) {
+          if (validatePeerMessage(msg) && isFrom(msg, from)) {
             countControl(msg, { bytes: data.length, direction: "in" });
             receive(from, msg);
           } else {
@@ -109,10 +135,14 @@
           }
         });
       });
-      const { address, port } = settings.peers;
       return new Promise((resolve) => server.listen(port, address, resolve));
     },
+    learn(hosts) {
+      hosts.filter(({ host }) => !known.has(host))
+        .forEach(({ host, url }) => urls.set(host, url));
+    },
     close() {
+      tls?.stop();
       links.forEach((link) => link.terminate());
       wss.clients.forEach((client) => client.terminate());
       server.close();
@@ -120,6 +150,28 @@
   };
 }
 
+/** The host that opened a link, as it says. */
+function getSender(req: IncomingMessage): HostId {
+  const query = new URL(req.url ?? "/", "ws://peer").searchParams;
+  return asId<HostId>(query.get("from") ?? "");
+}
+
+/** A host speaks of its own state only. */
+function isFrom(msg: PeerMessage, from: HostId): boolean {
+  return msg.kind !== "heartbeat" || msg.host === from;
+}
+
+/** Options by which a link is opened to `host` only. */
+function identify(host: HostId): ConnectionOptions {
+  return {
+    servername: host,
+    checkServerIdentity: (_name, cert) =>
+      isNamed(cert, host)
+        ? undefined
+        : new Error(`the certificate is not that of ${host}`),
+  };
+}
+
 function tryUnpack(data: Buffer): unknown {
   try {
     return unpack(data);
--- /dev/null
+++ b/src/host/tls.ts
@@ -0,0 +1,129 @@
+/** Certificates of this host, read from files and again when those change. */
+
+import { readFileSync } from "node:fs";
+import type { IncomingMessage } from "node:http";
+import { createServer as createHttpServer, type Server } from "node:http";
+import { createServer as createHttpsServer } from "node:https";
+import { BlockList, isIP } from "node:net";
+import {
+  createSecureContext,
+  type PeerCertificate,
+  type TLSSocket,
+} from "node:tls";
+import type { HostId } from "../core/ids.ts";
+import type { Stoppable } from "../core/types.ts";
+import type { Tls } from "../generated/settings.ts";
+
+/** Interval between looks at the files, in milliseconds. */
+export const RELOAD_MS = 5_000;
+
+/** The contents of the files. */
+export interface TlsContent {
+  readonly cert: string;
+  readonly key: string;
+  readonly ca?: string;
+}
+
+/** Certificates that follow their files. */
+export interface ReloadedTls extends Stoppable {
+  readonly content: TlsContent;
+  /** Calls back with new contents that are valid. */
+  onReload(listener: (content: TlsContent) => void): void;
+}
+
+/** Reads the certificates; throws if they cannot be used. */
+export function createReloadedTls(files: Tls): ReloadedTls {
+  const listeners: ((content: TlsContent) => void)[] = [];
+  let content = readContent(files);
+  createSecureContext(content);
+
+  function reload(): void {
+    const next = tryReadValid(files);
+    if (next && JSON.stringify(next) !== JSON.stringify(content)) {
+      content = next;
+      listeners.forEach((listener) => listener(next));
+    }
+  }
+
+  const timer = setInterval(reload, RELOAD_MS);
+  return {
+    get content() {
+      return content;
+    },
+    onReload: (listener) => void listeners.push(listener),
+    stop: () => clearInterval(timer),
+  };
+}
+
+function readContent({ certFile, keyFile, caFile }: Tls): TlsContent {
+  return {
+    cert: readFileSync(certFile, "utf8"),
+    key: readFileSync(keyFile, "utf8"),
+    ...(caFile ? { ca: readFileSync(caFile, "utf8") } : {}),
+  };
+}
+
+/** Files that are being replaced may not fit together for a moment. */
+function tryReadValid(files: Tls): TlsContent | undefined {
+  try {
+    const content = readContent(files);
+    createSecureContext(content);
+    return content;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Creates an HTTP server, over TLS if certificates are given. Without them the
+ * address must be a loopback one.
+ */
+export function createTlsServer(
+  address: string,
+  options: {
+    readonly tls: ReloadedTls | undefined;
+    /** Clients need a certificate of the same authority. */
+    readonly requestCert?: boolean;
+  },
+): Server {
+  const { tls, requestCert = false } = options;
+  if (!tls) {
+    if (!isLoopback(address)) {
+      throw new Error(`${address} needs TLS: it is not a loopback address`);
+    }
+    return createHttpServer();
+  }
+  const server = createHttpsServer({
+    ...tls.content,
+    requestCert,
+    rejectUnauthorized: requestCert,
+  });
+  tls.onReload((content) => server.setSecureContext(content));
+  return server;
+}
+
+const LOOPBACK = new BlockList();
+LOOPBACK.addSubnet("127.0.0.0", 8, "ipv4");
+LOOPBACK.addAddress("::1", "ipv6");
+
+/** Tells whether an address is reachable from its own machine only. */
+export function isLoopback(address: string): boolean {
+  const bare = address.replace(/^\[(.*)\]$/, "$1");
+  const family = isIP(bare);
+  return bare === "localhost" ||
+    (family !== 0 && LOOPBACK.check(bare, family === 4 ? "ipv4" : "ipv6"));
+}
+
+/** Tells whether a certificate names a host as its subject or otherwise. */
+export function isNamed(cert: PeerCertificate, host: HostId): boolean {
+  const names = (cert.subjectaltname ?? "").split(", ");
+  return cert.subject?.CN === host || names.includes(`DNS:${host}`);
+}
+
+/** Tells whether the client of a request proved to be `host`. */
+export function isAuthenticated(req: IncomingMessage, host: HostId): boolean {
+  const socket = req.socket as Partial<TLSSocket>;
+  return socket.authorized === true &&
+    socket.getPeerCertificate !== undefined &&
+    isNamed(socket.getPeerCertificate(), host);
+}
--- /dev/null
+++ b/test/tls.test.ts
@@ -0,0 +1,254 @@
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { connect } from "node:tls";
+import { pack } from "msgpackr";
+import { generate } from "selfsigned";
+import { Err } from "ts-results-es";
+import { afterAll, afterEach, beforeAll, expect, test, vi } from "vitest";
+import { WebSocket, WebSocketServer } from "ws";
+import type { Entry } from "../src/core/entry.ts";
+import { asId, type DomainId, type HostId } from "../src/core/ids.ts";
+import type { MetricsSink, PeerMessage } from "../src/core/types.ts";
+import type { Settings } from "../src/generated/settings.ts";
+import { createCallerServer } from "../src/host/caller_server.ts";
+import { createPeerLinks, type PeerLinks } from "../src/host/peer_links.ts";
+import {
+  createReloadedTls,
+  createTlsServer,
+  isLoopback,
+  RELOAD_MS,
+} from "../src/host/tls.ts";
+
+const LOOPBACK = "127.0.0.1";
+const NO_METRICS: MetricsSink = {
+  count() {},
+  add() {},
+  observe() {},
+  set() {},
+};
+const NO_ENTRY: Entry = { open: () => Err({ error: "unauthenticated" }) };
+
+interface Pair {
+  readonly cert: string;
+  readonly private: string;
+}
+
+let dir: string;
+let authority: Pair;
+let stops: (() => void)[] = [];
+
+async function issue(host: string, ca?: Pair): Promise<Pair> {
+  return await generate([{ name: "commonName", value: host }], {
+    keyType: "ec",
+    algorithm: "sha256",
+    ...(ca ? { ca: { key: ca.private, cert: ca.cert } } : {
+      extensions: [
+        { name: "basicConstraints", cA: true },
+        { name: "keyUsage", keyCertSign: true },
+      ],
+    }),
+  });
+}
+
+function writeFiles(name: string, pair: Pair) {
+  const at = (suffix: string) => join(dir, `${name}.${suffix}`);
+  writeFileSync(at("crt"), pair.cert);
+  writeFileSync(at("key"), pair.private);
+  writeFileSync(at("ca"), authority.cert);
+  return { certFile: at("crt"), keyFile: at("key"), caFile: at("ca") };
+}
+
+async function findPort(): Promise<number> {
+  const server = createServer().listen(0, LOOPBACK);
+  await once(server, "listening");
+  const address = server.address();
+  server.close();
+  return typeof address === "object" && address ? address.port : 0;
+}
+
+beforeAll(async () => {
+  dir = mkdtempSync(join(tmpdir(), "turmericchute-"));
+  authority = await issue("authority");
+});
+
+afterAll(() => rmSync(dir, { recursive: true }));
+
+afterEach(() => {
+  stops.forEach((stop) => stop());
+  stops = [];
+  vi.useRealTimers();
+});
+
+function createLinks(
+  host: string,
+  options: {
+    readonly port: number;
+    readonly tls?: Settings["peers"]["tls"];
+    readonly peer?: { readonly host: string; readonly port: number };
+  },
+): PeerLinks {
+  const { port, tls, peer } = options;
+  const scheme = tls ? "wss" : "ws";
+  const links = createPeerLinks({
+    host: asId<HostId>(host),
+    domain: asId<DomainId>("d1"),
+    region: "r1",
+    callers: { address: LOOPBACK, port: 0 },
+    platform: { url: "http://127.0.0.1" },
+    peers: {
+      address: LOOPBACK,
+      port,
+      ...(tls ? { tls } : {}),
+      known: peer
+        ? [{
+          host: asId<HostId>(peer.host),
+          domain: asId<DomainId>("d1"),
+          url: `${scheme}://${LOOPBACK}:${peer.port}`,
+        }]
+        : [],
+    },
+  }, NO_METRICS);
+  stops.push(links.close);
+  return links;
+}
+
+function heartbeat(host: string): PeerMessage {
+  return {
+    kind: "heartbeat",
+    host: asId<HostId>(host),
+    domain: asId<DomainId>("d1"),
+    incarnation: "1",
+    seq: 1,
+    leaving: false,
+    revision: 0,
+    versions: [],
+  };
+}
+
+/** Opens a link to h1 as `from` would; tells what became of it. */
+function tryLink(
+  port: number,
+  client: { readonly from: string; readonly cert?: Pair },
+): Promise<"opened" | "refused"> {
+  const { from, cert } = client;
+  const ws = new WebSocket(`wss://${LOOPBACK}:${port}/?from=${from}`, {
+    ...{ ca: authority.cert, servername: "h1" },
+    ...(cert ? { cert: cert.cert, key: cert.private } : {}),
+  });
+  return new Promise((resolve) => {
+    ws.on("error", () => resolve("refused"));
+    ws.on("open", () => ws.ping());
+    ws.on("pong", () => {
+      resolve("opened");
+      ws.terminate();
+    });
+  });
+}
+
+test("hosts take links of hosts with the right certificate only", async () => {
+  const [h1, h2, h3] = await Promise.all(
+    ["h1", "h2", "h3"].map((host) => issue(host, authority)),
+  );
+  const forged = await issue("h2", await issue("other-authority"));
+  const port = await findPort();
+  const links = createLinks("h1", { port, tls: writeFiles("h1", h1!) });
+  await links.listen(() => {});
+  expect({
+    genuine: await tryLink(port, { from: "h2", cert: h2! }),
+    ofAnotherHost: await tryLink(port, { from: "h2", cert: h3! }),
+    ofAnotherAuthority: await tryLink(port, { from: "h2", cert: forged }),
+    without: await tryLink(port, { from: "h2" }),
+  }).toEqual({
+    genuine: "opened",
+    ofAnotherHost: "refused",
+    ofAnotherAuthority: "refused",
+    without: "refused",
+  });
+});
+
+test.each([["h1", true], ["h3", false]] as const)(
+  "a link to h1 that ends at the certificate of %s is used: %s",
+  async (name, isUsed) => {
+    const tls = createReloadedTls(
+      writeFiles(name, await issue(name, authority)),
+    );
+    const server = createTlsServer(LOOPBACK, { tls, requestCert: true });
+    const wss = new WebSocketServer({ server });
+    stops.push(() => (tls.stop(), wss.close(), server.close()));
+    server.listen(0, LOOPBACK);
+    await once(server, "listening");
+    const address = server.address();
+    const port = typeof address === "object" && address ? address.port : 0;
+    const ended = new Promise((resolve) => {
+      wss.on("connection", (ws) => ws.on("message", () => resolve(true)));
+      server.on(
+        "secureConnection",
+        (socket) => socket.on("close", () => resolve(false)),
+      );
+      server.on("tlsClientError", () => resolve(false));
+    });
+    const links = createLinks("h2", {
+      port: 0,
+      tls: writeFiles("h2", await issue("h2", authority)),
+      peer: { host: "h1", port },
+    });
+    links.send(asId<HostId>("h1"), heartbeat("h2"));
+    expect(await ended).toBe(isUsed);
+  },
+);
+
+test("a host cannot speak for another one", async () => {
+  const port = await findPort();
+  const received: HostId[] = [];
+  const links = createLinks("h1", { port });
+  await links.listen((from) => received.push(from));
+  const ws = new WebSocket(`ws://${LOOPBACK}:${port}/?from=h2`);
+  await once(ws, "open");
+  ws.send(pack(heartbeat("h3")));
+  await once(ws, "close");
+  expect(received).toEqual([]);
+});
+
+test("callers connect over TLS and certificates reload", async () => {
+  const files = writeFiles("callers", await issue("first", authority));
+  vi.useFakeTimers({ toFake: ["setInterval", "clearInterval"] });
+  const server = createCallerServer({ entry: NO_ENTRY }, {
+    address: LOOPBACK,
+    port: 0,
+    tls: files,
+  });
+  stops.push(server.close);
+  const port = await server.listen();
+
+  async function getSubject(): Promise<string> {
+    const socket = connect({
+      port,
+      host: LOOPBACK,
+      ca: authority.cert,
+      checkServerIdentity: () => undefined,
+    });
+    await once(socket, "secureConnect");
+    const subject = socket.getPeerCertificate().subject.CN;
+    socket.destroy();
+    return `${subject}`;
+  }
+
+  expect(await getSubject()).toBe("first");
+  writeFileSync(files.certFile, "half of a file");
+  vi.advanceTimersByTime(RELOAD_MS);
+  expect(await getSubject()).toBe("first");
+  writeFiles("callers", await issue("second", authority));
+  vi.advanceTimersByTime(RELOAD_MS);
+  expect(await getSubject()).toBe("second");
+});
+
+test("without TLS only loopback is served", () => {
+  expect(["127.0.0.1", "127.8.0.1", "::1", "localhost"].map(isLoopback))
+    .toEqual([true, true, true, true]);
+  expect(["0.0.0.0", "10.0.0.1", "::", "example"].map(isLoopback))
+    .toEqual([false, false, false, false]);
+  expect(() => createTlsServer("0.0.0.0", { tls: undefined })).toThrow("TLS");
+});
