--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -1,7 +1,8 @@
 /** Links between hosts: WebSocket frames packed with msgpackr. */
 
 import type { Buffer } from "node:buffer";
-import { createServer, type Server } from "node:http";
+import type { IncomingMessage } from "node:http";
+import type { ConnectionOptions } from "node:tls";
 import { pack } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
 import { assertNever } from "../core/errors.ts";
@@ -9,6 +10,13 @@
 import type { MetricsSink, PeerMessage } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
 import { tryDecodePeerMessage } from "./peer_frames.ts";
+import {
+  createReloadedTls,
+  createTlsServer,
+  isAuthenticated,
+  isLoopback,
+  isNamed,
+} from "./tls.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 const MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024;
@@ -27,6 +35,10 @@
   listen(
     receive: (from: HostId, msg: PeerMessage) => void,
   ): Promise<void>;
+  /** Takes the addresses of hosts that the settings do not name. */
+  learn(
+    hosts: readonly { readonly host: HostId; readonly url: string }[],
+  ): void;
   close(): void;
 }
 
@@ -35,19 +47,30 @@
   settings: Settings,
   metrics: MetricsSink,
 ): PeerLinks {
-  const urls = new Map(
+  const known = new Map(
     (settings.peers.known ?? []).map((peer) => [peer.host, peer.url]),
   );
+  const urls = new Map(known);
   const links = new Map<HostId, WebSocket>();
   const batches = new WeakMap<WebSocket, WriteBatch>();
   const triedAt = new Map<HostId, number>();
-  const server: Server = createServer();
+  const { tls: files, address, port } = settings.peers;
+  const tls = files && createReloadedTls(files);
+  const server = createTlsServer(address, { tls, requestCert: true });
   const wss = new WebSocketServer({
     server,
+    verifyClient: ({ req }: { req: IncomingMessage }) =>
+      tls === undefined || isFromNamed(req),
     perMessageDeflate: false,
     maxPayload: MAX_PEER_FRAME_BYTES,
   });
 
+  /** Without TLS a link must not leave the machine. */
+  function isAllowed(url: string): boolean {
+    const { protocol, hostname } = new URL(url);
+    return tls ? protocol === "wss:" : isLoopback(hostname);
+  }
+
   function tryLink(to: HostId): WebSocket | undefined {
     const link = links.get(to);
     if (link && link.readyState <= WebSocket.OPEN) {
@@ -55,13 +78,17 @@
     }
     const url = urls.get(to);
     const now = performance.now();
-    if (!url || now - (triedAt.get(to) ?? -Infinity) < RECONNECT_MS) {
+    if (
+      !url || !isAllowed(url) ||
+      now - (triedAt.get(to) ?? -Infinity) < RECONNECT_MS
+    ) {
       return undefined;
     }
     triedAt.set(to, now);
     const opened = new WebSocket(`${url}/?from=${settings.host}`, {
       perMessageDeflate: false,
       handshakeTimeout: CONNECT_TIMEOUT_MS,
+      ...(tls ? { ...tls.content, ...identify(to) } : {}),
     });
     opened.setMaxListeners(MAX_WAITING);
     opened.on("error", () => opened.terminate());
@@ -114,7 +141,7 @@
         }
         ws.on("message", (data: Buffer) => {
           const msg = tryDecodePeerMessage(data);
-          if (msg) {
+          if (msg && isFrom(msg, from)) {
             countControl(msg, { bytes: data.length, direction: "in" });
             receive(from, msg);
           } else {
@@ -122,10 +149,14 @@
           }
         });
       });
-      const { address, port } = settings.peers;
       return new Promise((resolve) => server.listen(port, address, resolve));
     },
+    learn(hosts) {
+      hosts.filter(({ host }) => !known.has(host))
+        .forEach(({ host, url }) => urls.set(host, url));
+    },
     close() {
+      tls?.stop();
       links.forEach((link) => link.terminate());
       wss.clients.forEach((client) => client.terminate());
       server.close();
@@ -133,6 +164,28 @@
   };
 }
 
+/** The certificate of a link is that of the host it says it is. */
+function isFromNamed(req: IncomingMessage): boolean {
+  const from = tryGetSender(req.url);
+  return from !== undefined && isAuthenticated(req, from);
+}
+
+/** A host speaks of its own state only. */
+function isFrom(msg: PeerMessage, from: HostId): boolean {
+  return msg.kind !== "heartbeat" || msg.host === from;
+}
+
+/** Options by which a link is opened to `host` only. */
+function identify(host: HostId): ConnectionOptions {
+  return {
+    servername: host,
+    checkServerIdentity: (_name, cert) =>
+      isNamed(cert, host)
+        ? undefined
+        : new Error(`the certificate is not that of ${host}`),
+  };
+}
+
 /** The host that a peer says it is; undefined if the URL is malformed. */
 function tryGetSender(url: string | undefined): HostId | undefined {
   try {
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -67,6 +67,9 @@
   await vi.advanceTimersByTimeAsync(IN_FORCE_MS);
   expect(listAlive("h1")).toHaveLength(6);
   expect(countMostCalls(fleet)).toBeLessThan(60);
+  const registered = fleet.platformCalls
+    .filter(({ path }) => path.startsWith("config/hosts/"));
+  expect(registered).toHaveLength(6);
 });
 
 test("all hosts started at once find each other", async () => {
