--- a/src/core/connections.ts
+++ b/src/core/connections.ts
@@ -1,6 +1,7 @@
 /** Connections of this host to the targets of one group. */
 
-import { Ok, type Result } from "ts-results-es";
+import { Err, Ok, type Result } from "ts-results-es";
+import { nowMs } from "./clock.ts";
 import type { TargetId } from "./ids.ts";
 import type {
   HostIo,
@@ -10,46 +11,222 @@
   TargetInfo,
 } from "./types.ts";
 
+const MAINTAIN_MS = 500;
+/** Without a request for this long no connection is kept, in milliseconds. */
+const IDLE_MS = 10_000;
+const REFUSED_RETRY_MS = 20;
+const DEFAULT_WAIT_MS = 500;
+
 /** Lends connections that are in a known, clean state. */
 export interface Connections extends Stoppable {
-  acquire(target: TargetInfo): Promise<Result<TargetConn, TargetErr>>;
+  /** Waits for a connection if this host has as many as it may. */
+  acquire(
+    target: TargetInfo,
+    options?: { readonly deadline: number },
+  ): Promise<Result<TargetConn, TargetErr>>;
   /** Takes a connection back; one whose state is unknown is closed. */
   release(conn: TargetConn, options: { readonly clean: boolean }): void;
+  /** Keeps connections ready to these targets while requests come. */
+  keepWarm(targets: readonly TargetInfo[]): void;
+}
+
+/** What connections are made of. */
+export interface ConnectionsOptions {
+  /** Most connections of this host to one target. */
+  readonly maxPerTarget: number;
+  /** Connections to each target that are kept ready. */
+  readonly warm: number;
+}
+
+/** What a pool host may take of the connections of each target. */
+export function getConnectionShare(
+  targets: readonly TargetInfo[],
+  hostsPerGroup: number,
+): number {
+  const least = Math.min(...targets.map((target) => target.maxConnections));
+  return Math.max(1, Math.floor(least / hostsPerGroup));
+}
+
+type Acquired = Result<TargetConn, TargetErr>;
+
+interface Waiter {
+  readonly deadline: number;
+  settle(result: Acquired): void;
+}
+
+interface TargetConnections {
+  readonly info: TargetInfo;
+  readonly idle: TargetConn[];
+  readonly waiting: Waiter[];
+  /** Connections that are open or being opened. */
+  total: number;
+  /** The target had no room at this time. */
+  refusedAt: number;
 }
 
 /** Creates an empty set of connections. */
-export function createConnections(io: HostIo): Connections {
-  const idle = new Map<TargetId, TargetConn[]>();
+export function createConnections(
+  io: HostIo,
+  options: ConnectionsOptions,
+): Connections {
+  const targets = new Map<TargetId, TargetConnections>();
+  let warmTargets: readonly TargetInfo[] = [];
+  let usedAt = nowMs();
   let stopped = false;
+  const timer = setInterval(maintain, MAINTAIN_MS);
 
-  function listIdle(target: TargetId): TargetConn[] {
-    const found = idle.get(target) ?? [];
-    idle.set(target, found);
+  function getTarget(info: TargetInfo): TargetConnections {
+    const found = targets.get(info.target) ??
+      { info, idle: [], waiting: [], total: 0, refusedAt: -Infinity };
+    targets.set(info.target, found);
     return found;
   }
 
-  return {
-    async acquire(target) {
-      const free = listIdle(target.target);
-      while (free.length > 0) {
-        const conn = free.pop()!;
-        if (conn.isOpen()) {
-          return Ok(conn);
-        }
+  function close(target: TargetConnections, conn: TargetConn): void {
+    conn.close();
+    target.total--;
+  }
+
+  function tryIdle(target: TargetConnections): TargetConn | undefined {
+    while (target.idle.length > 0) {
+      const conn = target.idle.pop()!;
+      if (conn.isOpen()) {
+        return conn;
+      }
+      close(target, conn);
+    }
+    return undefined;
+  }
+
+  async function open(target: TargetConnections): Promise<Acquired> {
+    target.total++;
+    const res = await io.targets.connect(target.info);
+    if (res.isErr()) {
+      target.total--;
+      target.refusedAt = res.error.kind === "connection_refused"
+        ? nowMs()
+        : target.refusedAt;
+    } else if (stopped) {
+      close(target, res.value);
+    }
+    return res;
+  }
+
+  function mayOpen(target: TargetConnections): boolean {
+    return target.total < options.maxPerTarget &&
+      nowMs() - target.refusedAt >= REFUSED_RETRY_MS;
+  }
+
+  /** Lends what is free, and opens connections for those that wait. */
+  function serve(target: TargetConnections): void {
+    while (target.waiting.length > 0) {
+      const conn = tryIdle(target);
+      if (!conn) {
+        break;
+      }
+      target.waiting[0]!.settle(Ok(conn));
+    }
+    if (target.waiting.length > 0 && mayOpen(target)) {
+      void openForWaiting(target);
+    }
+  }
+
+  async function openForWaiting(target: TargetConnections): Promise<void> {
+    const res = await open(target);
+    if (res.isOk()) {
+      lend(target, res.value);
+    } else if (res.error.kind === "connection_refused") {
+      setTimeout(() => serve(target), REFUSED_RETRY_MS);
+    } else {
+      target.waiting[0]?.settle(res);
+    }
+  }
+
+  function lend(target: TargetConnections, conn: TargetConn): void {
+    if (stopped) {
+      return;
+    }
+    target.idle.push(conn);
+    serve(target);
+  }
+
+  function wait(
+    target: TargetConnections,
+    deadline: number,
+  ): Promise<Acquired> {
+    return new Promise((resolve) => {
+      const timeout = setTimeout(
+        () => waiter.settle(Err({ kind: "connection_refused", sent: false })),
+        Math.max(0, deadline - nowMs()),
+      );
+      const waiter: Waiter = {
+        deadline,
+        settle(result) {
+          clearTimeout(timeout);
+          const place = target.waiting.indexOf(waiter);
+          if (place >= 0) {
+            target.waiting.splice(place, 1);
+          }
+          resolve(result);
+        },
+      };
+      target.waiting.push(waiter);
+      serve(target);
+    });
+  }
+
+  async function warmUp(target: TargetConnections): Promise<void> {
+    if (target.total < options.warm && mayOpen(target)) {
+      const res = await open(target);
+      if (res.isOk()) {
+        lend(target, res.value);
+        await warmUp(target);
       }
-      return await io.targets.connect(target);
+    }
+  }
+
+  function maintain(): void {
+    if (nowMs() - usedAt < IDLE_MS) {
+      warmTargets.map(getTarget).forEach((target) => void warmUp(target));
+      return;
+    }
+    // Another host may have been chosen for the group and need the room.
+    for (const target of targets.values()) {
+      target.idle.splice(0).forEach((conn) => close(target, conn));
+    }
+  }
+
+  return {
+    async acquire(info, given) {
+      usedAt = nowMs();
+      const target = getTarget(info);
+      const conn = target.waiting.length === 0 ? tryIdle(target) : undefined;
+      return conn
+        ? Ok(conn)
+        : await wait(target, given?.deadline ?? nowMs() + DEFAULT_WAIT_MS);
     },
     release(conn, { clean }) {
+      const target = targets.get(conn.target)!;
       if (clean && conn.isOpen() && !stopped) {
-        listIdle(conn.target).push(conn);
+        lend(target, conn);
       } else {
-        conn.close();
+        close(target, conn);
+        serve(target);
       }
     },
+    keepWarm(infos) {
+      warmTargets = infos.filter((info) => !info.leaving);
+      maintain();
+    },
     stop() {
       stopped = true;
-      [...idle.values()].flat().forEach((conn) => conn.close());
-      idle.clear();
+      clearInterval(timer);
+      for (const target of targets.values()) {
+        target.idle.splice(0).forEach((conn) => close(target, conn));
+        [...target.waiting].forEach((waiter) =>
+          waiter.settle(Err({ kind: "unreachable", sent: false }))
+        );
+      }
     },
   };
 }
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -3,13 +3,18 @@
 import type { CallerFrame, HelloFrame } from "../generated/caller.ts";
 import { Err, Ok, type Result } from "ts-results-es";
 import { admit } from "./admit.ts";
-import { authenticate, type Caller, isKeyInForce } from "./authenticate.ts";
+import {
+  authenticate,
+  type Caller,
+  checkCaller,
+  isKeyInForce,
+} from "./authenticate.ts";
 import { nowMs } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
+import type { Freshness } from "./freshness.ts";
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
-import type { Limits } from "./limits.ts";
 import type { Membership } from "./membership.ts";
 import { forward } from "./forward.ts";
 import { listPoolHosts } from "./route.ts";
@@ -48,7 +53,7 @@
 export interface EntryOptions {
   readonly self: HostId;
   readonly cfg: Configuration;
-  readonly limits: Limits;
+  readonly freshness: Freshness;
   readonly membership: Membership;
   readonly hostsPerGroup: number;
   readonly defaultTimeoutMs: number;
@@ -59,9 +64,25 @@
   endSession(session: string, hosts: readonly HostId[]): void;
 }
 
+interface OpenSession {
+  readonly caller: Caller;
+  end(): void;
+}
+
 /** Creates the entry of this host. */
 export function createEntry(io: HostIo, options: EntryOptions): Entry {
   const { self, cfg, membership } = options;
+  const sessions = new Set<OpenSession>();
+  cfg.onChange(endRefusedSessions);
+
+  /** Rolls back what callers left open whose key was withdrawn. */
+  function endRefusedSessions(): void {
+    for (const { caller, end } of [...sessions]) {
+      if (!isKeyInForce(cfg, caller)) {
+        end();
+      }
+    }
+  }
 
   function newId(): string {
     const [a, b] = [io.random(), io.random()];
@@ -85,14 +106,15 @@
     given: { readonly frame: RequestFrame; readonly txHosts: Set<HostId> },
   ): Promise<Outcome> {
     const { frame, txHosts } = given;
-    if (!isKeyInForce(cfg, caller)) {
-      return { kind: "failed", error: "unauthenticated" };
+    const checked = checkCaller(options, caller);
+    if (checked.isErr()) {
+      return { kind: "failed", ...checked.error };
     }
     const timeoutMs = Math.min(
       frame.timeoutMs ?? options.defaultTimeoutMs,
       options.maxTimeoutMs,
     );
-    const admitted = admit({ cfg, limits: options.limits }, {
+    const admitted = admit({ cfg }, {
       session,
       frame,
       op: toOp(frame, newId),
@@ -113,7 +135,7 @@
 
   return {
     open(hello) {
-      const caller = authenticate(cfg, hello.key);
+      const caller = authenticate(options, hello.key);
       if (caller.isErr()) {
         return Err(caller.error);
       }
@@ -126,6 +148,14 @@
       }
       const session = { id: newId(), workspace, floors: floors.value };
       const txHosts = new Set<HostId>();
+      const open: OpenSession = {
+        caller: caller.value,
+        end() {
+          sessions.delete(open);
+          options.endSession(session.id, [...txHosts]);
+        },
+      };
+      sessions.add(open);
       return Ok({
         async request(frame) {
           const startedAt = nowMs();
@@ -136,7 +166,7 @@
           observe(io, { frame, outcome, workspace, ms: nowMs() - startedAt });
           return toAnswer(frame.id, { outcome, session });
         },
-        end: () => options.endSession(session.id, [...txHosts]),
+        end: open.end,
       });
     },
   };
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -2,14 +2,19 @@
 
 import type { Settings } from "../generated/settings.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
+import { getConnectionShare } from "./connections.ts";
+import { createDissemination, type Dissemination } from "./dissemination.ts";
 import { createEntry, type Entry } from "./entry.ts";
+import { createFreshness, type Freshness } from "./freshness.ts";
 import type { HostId } from "./ids.ts";
-import { createStaticLimits, type Limits } from "./limits.ts";
+import { createLimits, type Limits, type LimitsOptions } from "./limits.ts";
 import { createMembership, type Membership } from "./membership.ts";
+import { LIST_KEYS } from "./object_keys.ts";
 import { createPeers } from "./peers.ts";
-import type { OrderReplicas } from "./pool.ts";
 import { createPools } from "./pools.ts";
-import { createFifoQueue, type Queue } from "./queue.ts";
+import { createFairQueue, type Queue, type QueueOptions } from "./queue.ts";
+import type { OrderReplicas } from "./read.ts";
+import { createRegistration } from "./registration.ts";
 import type {
   ExecReq,
   GroupView,
@@ -36,6 +41,7 @@
   receivePeer(from: HostId, msg: PeerMessage): void;
   readonly entry: Entry;
   readonly cfg: Configuration;
+  readonly freshness: Freshness;
   readonly membership: Membership;
   /** What this host knows of the groups that it pools for. */
   listGroupViews(): readonly GroupView[];
@@ -43,13 +49,8 @@
 
 /** Parts that a program which embeds a host may replace. */
 export interface HostPolicies {
-  readonly createLimits?: (
-    cfg: Configuration,
-    options: { readonly hosts: number },
-  ) => Limits;
-  readonly createQueue?: (
-    options: { readonly slotsPerTarget: number },
-  ) => Queue;
+  readonly createLimits?: (io: HostIo, options: LimitsOptions) => Limits;
+  readonly createQueue?: (options: QueueOptions) => Queue;
   /** Orders the replicas that may serve a read, best first. */
   readonly orderReplicas?: OrderReplicas;
 }
@@ -63,11 +64,51 @@
   const self = { host: settings.host, domain: settings.domain };
   const cfg = createConfiguration(io);
   const known = settings.peers.known ?? [];
-  const membership = createMembership(io, { self, known });
-  const createLimits = policies.createLimits ?? createStaticLimits;
-  const limits = createLimits(cfg, { hosts: known.length + 1 });
-  const createQueue = policies.createQueue ?? createFifoQueue;
+  const membership = createMembership(io, {
+    self,
+    known,
+    listRegistered: () => cfg.hosts,
+    getHeld: () => ({
+      revision: cfg.changedAt,
+      versions: cfg.objects
+        .filter((object) => LIST_KEYS.includes(object.key))
+        .map(({ key, version }) => ({ key, version })),
+    }),
+  });
+  const freshness = createFreshness({
+    self: self.host,
+    listHosts: () => [self.host, ...membership.listContacts()],
+  });
   const peers = createPeers(io, handlePeer);
+  const limits = (policies.createLimits ?? createLimits)(io, {
+    self: settings.host,
+    cfg,
+    knownHosts: known.length + 1,
+    listAlive: () => membership.listAlive().map((peer) => peer.host),
+    async call(host, req, options) {
+      const res = await peers.call(host, req, options);
+      return res.isOk() ? res.value : undefined;
+    },
+  });
+  const createQueue = policies.createQueue ?? createFairQueue;
+  const dissemination: Dissemination = createDissemination(io, {
+    self,
+    cfg,
+    freshness,
+    membership,
+    peers,
+  });
+  const registration = createRegistration(io, {
+    cfg,
+    record: {
+      kind: "host",
+      ...self,
+      url: getPeerUrl(settings),
+      incarnation: membership.incarnation,
+      leaving: false,
+    },
+  });
+  cfg.onChange(membership.announce);
   const hostsPerGroup = settings.pools?.hostsPerGroup ??
     DEFAULT_HOSTS_PER_GROUP;
   const pools = createPools(io, {
@@ -78,7 +119,15 @@
     hostsPerGroup,
     transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
       DEFAULT_TRANSACTION_TIMEOUT_MS,
-    createQueue: (info) => createQueue({ slotsPerTarget: info.slots }),
+    createQueue: (info) =>
+      createQueue({
+        limits,
+        slotsPerTarget: info.slots,
+        maxInFlight: getConnectionShare(info.targets, hostsPerGroup),
+        getWeight: (workspace) =>
+          cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
+        random: io.random,
+      }),
     ...(policies.orderReplicas
       ? { orderReplicas: policies.orderReplicas }
       : {}),
@@ -119,7 +168,11 @@
       case "exec":
         return { kind: "exec", outcome: await execHere(req) };
       case "pull":
-        return { kind: "pull", objects: [] };
+        return dissemination.answer(req);
+      case "seat_vote":
+      case "delegate":
+      case "grant":
+        return await limits.receive(req);
       case "suspect":
         return { kind: "suspect", opinion: pools.getOpinion(req) };
       case "promoted":
@@ -134,7 +187,7 @@
   const entry = createEntry(io, {
     self: self.host,
     cfg,
-    limits,
+    freshness,
     membership,
     hostsPerGroup,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
@@ -145,26 +198,38 @@
 
   return {
     start() {
-      cfg.start();
       membership.start();
+      limits.start();
       pools.start();
+      dissemination.start();
+      registration.start();
     },
     receivePeer(from, msg) {
       if (msg.kind === "heartbeat") {
         membership.receive(msg);
+        dissemination.notePeer(from, msg.revision);
       } else {
         peers.receive(from, msg);
       }
     },
     entry,
     cfg,
+    freshness,
     membership,
     listGroupViews: pools.listViews,
     stop() {
-      cfg.stop();
+      dissemination.stop();
+      registration.stop();
       membership.stop();
+      limits.stop();
       peers.stop();
       pools.stop();
     },
   };
 }
+
+/** Where peers connect to this host. */
+function getPeerUrl({ peers }: Settings): string {
+  const scheme = peers.tls ? "wss" : "ws";
+  return `${scheme}://${peers.address}:${peers.port}`;
+}
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,88 +1,250 @@
 /** Which hosts are alive, learnt from heartbeats. */
 
+import type { HostRecord } from "../generated/objects.ts";
+import type { Heartbeat } from "../generated/peer.ts";
 import { nowMs } from "./clock.ts";
-import type { HostId } from "./ids.ts";
-import type { HostIo, PeerInfo, PeerMessage, Stoppable } from "./types.ts";
+import type { DomainId, HostId } from "./ids.ts";
+import { createGossip } from "./gossip.ts";
+import { FULL_MESH_HOSTS, listNeighbours } from "./neighbours.ts";
+import type { HostIo, PeerInfo, Stoppable } from "./types.ts";
 
-/** Interval between heartbeats, in milliseconds. */
+/** Interval between heartbeats in a full mesh, in milliseconds. */
 export const HEARTBEAT_MS = 250;
-/** A peer without a heartbeat for this long is not alive, in milliseconds. */
-export const ALIVE_TIMEOUT_MS = 1_000;
+/** Interval between heartbeats in a larger fleet, in milliseconds. */
+export const SPARSE_HEARTBEAT_MS = 1_000;
+/** A peer that misses this many heartbeats is not alive. */
+const MISSED_HEARTBEATS = 4;
+
+/** Versions of the platform's objects that a host says it holds. */
+export interface Holder extends PeerInfo {
+  readonly revision: number;
+  readonly versions: Heartbeat["versions"];
+  readonly leaving: boolean;
+  /** Time since the host was heard of. */
+  readonly heardMsAgo: number;
+}
 
 /** The hosts that this host counts on. */
 export interface Membership extends Stoppable {
+  readonly incarnation: string;
   start(): void;
-  receive(msg: Extract<PeerMessage, { kind: "heartbeat" }>): void;
+  receive(msg: Heartbeat): void;
   /** Hosts that are alive and not leaving, this one included. */
   listAlive(): readonly PeerInfo[];
   isAlive(host: HostId): boolean;
   /** Whether a host was heard of lately, also if it is leaving. */
   isReachable(host: HostId): boolean;
+  /** Other hosts that are known and not leaving, alive or not. */
+  listContacts(): readonly HostId[];
+  /** Hosts that this host exchanges heartbeats with. */
+  listNeighbours(): readonly HostId[];
+  /** Which versions each host holds, this one included. */
+  listHolders(): readonly Holder[];
+  /** Sends heartbeats at once, after the host's own state has changed. */
+  announce(): void;
   /** Tells peers that this host takes no new work. */
   leave(): void;
 }
 
+/** What the membership is made of. */
+export interface MembershipOptions {
+  readonly self: PeerInfo;
+  /** Peers that the settings name. */
+  readonly known: readonly PeerInfo[];
+  /** Hosts that registered in the platform. */
+  listRegistered(): readonly HostRecord[];
+  /** What this host holds of the platform's objects. */
+  getHeld(): Pick<Heartbeat, "revision" | "versions">;
+}
+
 interface Heard {
-  readonly info: PeerInfo;
-  readonly leaving: boolean;
+  readonly msg: Heartbeat;
   readonly at: number;
 }
 
-/** Creates the membership of `self`; `known` are the peers to contact first. */
+/** What follows from the known hosts, until those change. */
+interface View {
+  readonly peers: ReadonlyMap<HostId, DomainId>;
+  readonly neighbours: ReadonlySet<HostId>;
+  readonly isFullMesh: boolean;
+}
+
+/** Creates the membership of one host. */
 export function createMembership(
-  io: HostIo,
-  options: { readonly self: PeerInfo; readonly known: readonly PeerInfo[] },
+  io: Pick<HostIo, "sendPeer" | "random">,
+  options: MembershipOptions,
 ): Membership {
   const { self, known } = options;
   const heard = new Map<HostId, Heard>();
+  /** When a neighbour that was not heard yet became one. */
+  const expectedSince = new Map<HostId, number>();
   const incarnation = io.random().toString(36).slice(2);
+  const gossip = createGossip({
+    self: self.host,
+    seq: Date.now(),
+    listNeighbours: () => [...getView().neighbours],
+  });
   let timer: NodeJS.Timeout | undefined;
+  let view: View | undefined;
   let leaving = false;
 
+  /** Other hosts by the settings and the registrations. */
+  function listPeers(): ReadonlyMap<HostId, DomainId> {
+    const peers = new Map(known.map((peer) => [peer.host, peer.domain]));
+    for (const record of options.listRegistered()) {
+      const heardMsg = heard.get(record.host)?.msg;
+      // A host that has come back is heard of before its record says so.
+      const isBack = heardMsg !== undefined && !heardMsg.leaving &&
+        heardMsg.incarnation !== record.incarnation;
+      if (!record.leaving || isBack) {
+        peers.set(record.host, record.domain);
+      } else {
+        peers.delete(record.host);
+      }
+    }
+    peers.delete(self.host);
+    return peers;
+  }
+
+  function getView(): View {
+    if (!view) {
+      const peers = listPeers();
+      view = {
+        peers,
+        neighbours: new Set(listNeighbours(self.host, [...peers.keys()])),
+        isFullMesh: peers.size < FULL_MESH_HOSTS,
+      };
+    }
+    return view;
+  }
+
+  function getIntervalMs(): number {
+    return getView().isFullMesh ? HEARTBEAT_MS : SPARSE_HEARTBEAT_MS;
+  }
+
+  function buildHeartbeat(): Heartbeat {
+    const { revision, versions } = options.getHeld();
+    return {
+      kind: "heartbeat",
+      ...self,
+      incarnation,
+      seq: gossip.seq,
+      leaving,
+      revision,
+      versions: getView().isFullMesh ? versions : [],
+    };
+  }
+
   function sendHeartbeats(): void {
-    for (const peer of known) {
-      io.sendPeer(peer.host, {
-        kind: "heartbeat",
-        host: self.host,
-        domain: self.domain,
-        incarnation,
-        leaving,
-        versions: [],
-      });
+    const msg = buildHeartbeat();
+    for (const host of getView().neighbours) {
+      const reports = gossip.take(host);
+      io.sendPeer(host, reports.length > 0 ? { ...msg, reports } : msg);
     }
   }
 
-  function isFresh(entry: Heard): boolean {
-    return !entry.leaving && nowMs() - entry.at < ALIVE_TIMEOUT_MS;
+  function beat(): void {
+    if (!getView().isFullMesh) {
+      suspectSilent();
+    }
+    sendHeartbeats();
+    timer = setTimeout(beat, getIntervalMs());
+  }
+
+  function suspectSilent(): void {
+    const now = nowMs();
+    for (const host of getView().neighbours) {
+      const since = expectedSince.get(host) ?? now;
+      expectedSince.set(host, since);
+      if (now - Math.max(since, heard.get(host)?.at ?? 0) > getTimeoutMs()) {
+        gossip.suspect(host);
+      }
+    }
+  }
+
+  function getTimeoutMs(): number {
+    return MISSED_HEARTBEATS * getIntervalMs();
+  }
+
+  function isHeard(host: HostId): boolean {
+    const at = heard.get(host)?.at ?? -Infinity;
+    return nowMs() - at < getTimeoutMs();
+  }
+
+  function isReachable(host: HostId): boolean {
+    const { peers, neighbours, isFullMesh } = getView();
+    if (isFullMesh) {
+      return isHeard(host);
+    }
+    return peers.has(host) && !gossip.isDown(host) &&
+      (!neighbours.has(host) || isHeard(host));
+  }
+
+  function listReachable(): readonly PeerInfo[] {
+    const { peers, isFullMesh } = getView();
+    return isFullMesh
+      ? [...heard.values()].filter(({ msg }) => isHeard(msg.host))
+        .map(({ msg }) => ({ host: msg.host, domain: msg.domain }))
+      : [...peers].filter(([host]) => isReachable(host))
+        .map(([host, domain]) => ({ host, domain }));
+  }
+
+  function isLeaving(host: HostId): boolean {
+    return heard.get(host)?.msg.leaving ?? false;
+  }
+
+  function listAlive(): readonly PeerInfo[] {
+    const peers = listReachable().filter(({ host }) => !isLeaving(host));
+    return leaving ? peers : [self, ...peers];
   }
 
   return {
-    start() {
-      sendHeartbeats();
-      timer = setInterval(sendHeartbeats, HEARTBEAT_MS);
-    },
+    incarnation,
+    start: beat,
     receive(msg) {
-      const info = { host: msg.host, domain: msg.domain };
-      heard.set(msg.host, { info, leaving: msg.leaving, at: nowMs() });
+      const before = heard.get(msg.host);
+      heard.set(msg.host, { msg, at: nowMs() });
+      const isSame = before?.msg.incarnation === msg.incarnation &&
+        before.msg.leaving === msg.leaving;
+      if (!isSame) {
+        view = undefined;
+      }
+      if (getView().isFullMesh) {
+        return;
+      }
+      gossip.noteHeard(msg.host, msg.seq);
+      gossip.receive(msg.reports ?? []);
+      if (!isSame) {
+        gossip.tellAll(msg.host);
+      }
     },
-    listAlive() {
-      const peers = [...heard.values()].filter(isFresh).map((e) => e.info);
-      return leaving ? peers : [self, ...peers];
+    listAlive,
+    isAlive: (host) =>
+      host === self.host || (isReachable(host) && !isLeaving(host)),
+    listContacts: () => [...getView().peers.keys()],
+    listNeighbours: () => [...getView().neighbours],
+    listHolders() {
+      const own = { msg: buildHeartbeat(), at: nowMs() };
+      return [own, ...heard.values()].map(({ msg, at }) => ({
+        host: msg.host,
+        domain: msg.domain,
+        revision: msg.revision,
+        versions: msg.versions,
+        leaving: msg.leaving,
+        heardMsAgo: nowMs() - at,
+      }));
     },
-    isAlive(host) {
-      const entry = heard.get(host);
-      return host === self.host || (entry !== undefined && isFresh(entry));
-    },
-    isReachable(host) {
-      const at = heard.get(host)?.at ?? -Infinity;
-      return host === self.host || nowMs() - at < ALIVE_TIMEOUT_MS;
+    isReachable: (host) => host === self.host || isReachable(host),
+    announce() {
+      view = undefined;
+      sendHeartbeats();
     },
     leave() {
       leaving = true;
       sendHeartbeats();
     },
     stop() {
-      clearInterval(timer);
+      clearTimeout(timer);
     },
   };
 }
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -6,7 +6,7 @@
 import { assertNever } from "./errors.ts";
 import { createMonitor, type Monitor } from "./monitor.ts";
 import type { Queue } from "./queue.ts";
-import { read, type Task } from "./read.ts";
+import { type OrderReplicas, read, type Task } from "./read.ts";
 import { begin, transact } from "./transact.ts";
 import { createTransactions } from "./transactions.ts";
 import type {
@@ -16,7 +16,6 @@
   Outcome,
   Position,
   Stoppable,
-  TargetView,
 } from "./types.ts";
 import { createWatch } from "./watch.ts";
 import { isTermOver, runAtPrimary, settle } from "./write.ts";
@@ -32,16 +31,13 @@
   readonly monitor: Monitor;
 }
 
-/** Orders the replicas that may serve a read, best first. */
-export type OrderReplicas = (
-  replicas: readonly TargetView[],
-) => readonly TargetView[];
-
 /** What a pool is made of. */
 export interface PoolOptions {
   readonly group: GroupInfo;
   readonly queue: Queue;
   readonly transactionTimeoutMs: number;
+  /** Most connections of this host to one target. */
+  readonly connectionsPerTarget: number;
   /** Without it reads are spread at random. */
   readonly orderReplicas?: OrderReplicas;
 }
@@ -54,7 +50,10 @@
   const monitor = createMonitor(io, group);
   const confirmer = createConfirmer(io, { getGroup: () => group, monitor });
   const watch = createWatch(monitor);
-  const connections = createConnections(io);
+  const connections = createConnections(io, {
+    maxPerTarget: options.connectionsPerTarget,
+    warm: group.slots,
+  });
   const transactions = createTransactions(connections, {
     timeoutMs: options.transactionTimeoutMs,
     watch,
@@ -67,18 +66,13 @@
     watch,
     confirmer,
     transactions,
+    ...(options.orderReplicas ? { orderReplicas: options.orderReplicas } : {}),
     getGroup: () => group,
-    orderReplicas: options.orderReplicas ?? rotate,
   };
   monitor.onReport(() =>
     transactions.endWhere(({ term }) => isTermOver(monitor, term))
   );
 
-  function rotate(replicas: readonly TargetView[]): TargetView[] {
-    const start = Math.floor(io.random() * replicas.length);
-    return [...replicas.slice(start), ...replicas.slice(0, start)];
-  }
-
   async function run(task: Task): Promise<Outcome> {
     const { op, workspace } = task.req;
     switch (op.kind) {
@@ -135,13 +129,17 @@
   }
 
   return {
-    start: monitor.start,
+    start() {
+      monitor.start();
+      connections.keepWarm(group.targets);
+    },
     exec,
     endSessions: (isOver) =>
       transactions.endWhere(({ session }) => isOver(session)),
     update(changed) {
       group = changed;
       monitor.update(changed);
+      connections.keepWarm(changed.targets);
     },
     monitor,
     stop() {
@@ -150,6 +148,7 @@
       confirmer.stop();
       transactions.stop();
       connections.stop();
+      queue.stop();
     },
   };
 }
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -1,12 +1,14 @@
 /** The pools of this host: one for each group that it is chosen for. */
 
 import type { Configuration } from "./configuration.ts";
+import { getConnectionShare } from "./connections.ts";
 import type { GroupId, HostId } from "./ids.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
-import { createPool, type OrderReplicas, type Pool } from "./pool.ts";
+import { createPool, type Pool } from "./pool.ts";
 import { createPromotion, type Opinion, type Promotion } from "./promotion.ts";
 import type { Queue } from "./queue.ts";
+import type { OrderReplicas } from "./read.ts";
 import { listPoolHosts } from "./route.ts";
 import { getSessionHost } from "./session.ts";
 import type {
@@ -85,6 +87,10 @@
       group: info,
       queue: options.createQueue(info),
       transactionTimeoutMs: options.transactionTimeoutMs,
+      connectionsPerTarget: getConnectionShare(
+        info.targets,
+        options.hostsPerGroup,
+      ),
       ...(options.orderReplicas
         ? { orderReplicas: options.orderReplicas }
         : {}),
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -22,10 +22,15 @@
 export interface ReadContext extends SendContext {
   readonly monitor: Monitor;
   readonly watch: Watch;
-  /** Orders the replicas that may serve a read, best first. */
-  orderReplicas(replicas: readonly TargetView[]): readonly TargetView[];
+  /** Without it reads are spread at random. */
+  readonly orderReplicas?: OrderReplicas;
 }
 
+/** Orders the replicas that may serve a read, best first. */
+export type OrderReplicas = (
+  replicas: readonly TargetView[],
+) => readonly TargetView[];
+
 /** An operation with the time by which it is answered. */
 export interface Task {
   readonly req: ExecReq;
@@ -133,7 +138,15 @@
     isAtLeast(target.status.logEnd, needed);
   const fresh = monitor.view().targets.filter(isUsable);
   const replicas = fresh.filter((t) => t.status?.role === "replica");
-  const ordered = ctx.orderReplicas(replicas);
+  const ordered = ctx.orderReplicas?.(replicas) ?? rotate(ctx, replicas);
   const primaries = fresh.filter((t) => t.status?.role === "primary");
   return [...ordered, ...primaries].map((target) => target.info);
 }
+
+function rotate(
+  ctx: ReadContext,
+  replicas: readonly TargetView[],
+): TargetView[] {
+  const start = Math.floor(ctx.io.random() * replicas.length);
+  return [...replicas.slice(start), ...replicas.slice(0, start)];
+}
--- a/src/core/send.ts
+++ b/src/core/send.ts
@@ -6,8 +6,15 @@
 import type { Failure } from "./errors.ts";
 import { assertNever } from "./errors.ts";
 import type { WorkspaceId } from "./ids.ts";
-import type { Queue } from "./queue.ts";
-import type { HostIo, RunReq, RunRes, TargetErr, TargetInfo } from "./types.ts";
+import type { Queue, Slot } from "./queue.ts";
+import type {
+  HostIo,
+  RunReq,
+  RunRes,
+  TargetConn,
+  TargetErr,
+  TargetInfo,
+} from "./types.ts";
 
 /** Shortest useful wait for the answer of a target, in milliseconds. */
 const MIN_SEND_MS = 1;
@@ -32,36 +39,59 @@
   | { readonly kind: "refused"; readonly failure: Failure }
   | { readonly kind: "target"; readonly err: TargetErr };
 
-/** Waits for a slot and a connection, runs the statement, frees both. */
+/** A slot and a connection for one statement. */
+export interface Lane {
+  readonly conn: TargetConn;
+  readonly slot: Slot;
+}
+
+/** Waits for a token, a slot and a connection, in this order. */
+export async function openLane(
+  ctx: Omit<SendContext, "io">,
+  sending: Omit<Sending, "req">,
+): Promise<Result<Lane, SendErr>> {
+  const { target, workspace, deadline } = sending;
+  while (true) {
+    const slot = await ctx.queue.enter(target.target, { workspace, deadline });
+    if (slot.isErr()) {
+      return Err({ kind: "refused", failure: slot.error });
+    }
+    const conn = await ctx.connections.acquire(target, { deadline });
+    if (conn.isErr()) {
+      slot.value.release();
+      return Err({ kind: "target", err: conn.error });
+    }
+    const isInTime = deadline - nowMs() >= MIN_SEND_MS;
+    // The caller sends in this turn of the loop, while the token still holds.
+    if (isInTime && slot.value.isValid()) {
+      return Ok({ conn: conn.value, slot: slot.value });
+    }
+    ctx.connections.release(conn.value, { clean: true });
+    slot.value.release();
+    if (!isInTime) {
+      const failure: Failure = { error: "deadline_exceeded" };
+      return Err({ kind: "refused", failure });
+    }
+  }
+}
+
+/** Opens a lane, runs the statement on it and closes it. */
 export async function send(
   ctx: SendContext,
   sending: Sending,
 ): Promise<Result<RunRes, SendErr>> {
-  const { target, workspace, req, deadline } = sending;
-  const slot = await ctx.queue.enter(target.target, { workspace, deadline });
-  if (slot.isErr()) {
-    return Err({ kind: "refused", failure: slot.error });
-  }
-  const conn = await ctx.connections.acquire(target);
-  if (conn.isErr()) {
-    slot.value.release();
-    return Err({ kind: "target", err: conn.error });
-  }
-  const leftMs = deadline - nowMs();
-  if (leftMs < MIN_SEND_MS) {
-    ctx.connections.release(conn.value, { clean: true });
-    slot.value.release();
-    return Err({
-      kind: "refused",
-      failure: { error: "deadline_exceeded" },
-    });
+  const { target, req, deadline } = sending;
+  const lane = await openLane(ctx, sending);
+  if (lane.isErr()) {
+    return lane;
   }
+  const { conn, slot } = lane.value;
   ctx.io.metrics.count("target_sends_total", { target: target.target });
-  const res = await conn.value.run(req, leftMs);
+  const res = await conn.run(req, deadline - nowMs());
   // Without an answer the connection may still be running the statement.
   const clean = res.isOk() || res.error.kind !== "no_answer";
-  ctx.connections.release(conn.value, { clean });
-  slot.value.release();
+  ctx.connections.release(conn, { clean });
+  slot.release();
   if (res.isErr()) {
     return Err({ kind: "target", err: res.error });
   }
