--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -1,11 +1,12 @@
 /** Runs reads on any target that is as fresh as the reader needs. */
 
+import { attempt } from "./attempt.ts";
 import { nowMs, sleep } from "./clock.ts";
 import { isBeyond } from "./floors.ts";
 import type { Monitor } from "./monitor.ts";
 import { done, failed, isFinal, readFailure, unavailable } from "./outcome.ts";
 import { isAtLeast, maxPosition } from "./position.ts";
-import { send, type SendContext, toFailure } from "./send.ts";
+import { type SendContext, toFailure } from "./send.ts";
 import type {
   ExecOp,
   ExecReq,
@@ -59,24 +60,23 @@
   while (nowMs() < task.deadline) {
     const readers = listReaders(ctx, getNeeded());
     for (const target of readers) {
-      const sending = send(ctx, {
-        target,
-        workspace,
-        req: { kind: "read", workspace, body: op.body },
-        deadline: task.deadline,
+      const res = await attempt(ctx, {
+        sending: {
+          target,
+          workspace,
+          req: { kind: "read", workspace, body: op.body },
+          deadline: task.deadline,
+        },
+        isOver: () => monitor.isSilent(target.target),
       });
-      const res = await ctx.watch.until(
-        sending,
-        () => monitor.isSilent(target.target),
-      );
-      if (res?.isOk() && isAtLeast(res.value.at, getNeeded())) {
+      if (res.isOk() && isAtLeast(res.value.at, getNeeded())) {
         const isPrimary = monitor.view().primary === target.target;
         return done(res.value, { floor, isPrimary });
       }
-      if (res?.isErr() && isFinal(res.error)) {
+      if (res.isErr() && isFinal(res.error)) {
         return failed(toFailure(res.error));
       }
-      if (res?.isErr()) {
+      if (res.isErr()) {
         last = readFailure(res.error);
       }
     }
