--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -28,6 +28,8 @@
   /** Charges what a statement took beyond what was charged at its start. */
   charge(flow: Flow<T>, options: { paidMs: number; ms: number }): void;
   listWaiting(): Flow<T>[];
+  /** Virtual time until the flow has its turn. */
+  getLag(flow: Flow<T>): number;
 }
 
 /** Creates flows with nothing waiting. */
@@ -68,5 +70,6 @@
       flow.costMs += COST_WEIGHT * (ms - flow.costMs);
     },
     listWaiting,
+    getLag: (flow) => Math.max(0, flow.tag - virtualTime),
   };
 }
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -17,8 +17,10 @@
 import type { Stoppable } from "./types.ts";
 
 /** Longest time that a request waits in a queue, in milliseconds. */
-export const MAX_WAIT_MS = 800;
+export const MAX_WAIT_MS = 1_500;
 
+/** A request that is expected to wait longer is refused at once. */
+const MAX_EXPECTED_MS = 400;
 const MIN_RETRY_AFTER_MS = 20;
 const RETRY_JITTER = 0.5;
 
@@ -107,10 +109,11 @@
     const weights = others
       .filter((other) => other !== flow)
       .reduce((sum, other) => sum + other.weight, flow.weight);
-    const isFree = queue.inFlight < queue.concurrency.limit;
-    const ahead = flow.waiting.length + (isFree ? 0 : 1);
-    const perRequestMs = flow.costMs * weights / flow.weight;
-    return ahead * perRequestMs / queue.concurrency.limit;
+    const { limit } = queue.concurrency;
+    const isFree = queue.inFlight < limit;
+    const ahead = flow.waiting.length * flow.costMs / flow.weight;
+    const shareMs = (queue.flows.getLag(flow) + ahead) * weights / limit;
+    return shareMs + (isFree ? 0 : flow.costMs / limit);
   }
 
   function refuse(error: "rate_limited" | "overloaded", waitMs: number) {
@@ -126,8 +129,9 @@
     queue: TargetQueue,
     given: { readonly flow: Flow<Waiter>; readonly leftMs: number },
   ): Err<Failure> | undefined {
-    const { flow, leftMs } = given;
+    const { flow } = given;
     const { workspace } = flow;
+    const leftMs = Math.min(MAX_EXPECTED_MS, given.leftMs);
     const tokenMs = limits.getWaitMs(workspace, waiting.get(workspace) ?? 0);
     if (tokenMs > leftMs) {
       return refuse("rate_limited", tokenMs);
--- a/tools/experiments/main.ts
+++ b/tools/experiments/main.ts
@@ -2,10 +2,15 @@
 
 import { cac } from "cac";
 import Table from "cli-table3";
-import { createStaticLimits } from "./baselines.ts";
+import { createFifoQueue, createStaticLimits } from "./baselines.ts";
 import { type Figures, getFigures } from "./report.ts";
 import { runLoad, type RunOptions } from "./run.ts";
-import { listLimitScenarios, type Scenario } from "./scenarios.ts";
+import {
+  listFairnessScenarios,
+  listLimitScenarios,
+  listOverloadScenarios,
+  type Scenario,
+} from "./scenarios.ts";
 
 const HOSTS = 7;
 
@@ -27,6 +32,36 @@
         static: { policies: { createLimits: createStaticLimits } },
       },
     },
+    {
+      name: "fairness",
+      scenarios: listFairnessScenarios(seed, HOSTS),
+      variants: {
+        product: {},
+        fifo: { policies: { createQueue: createFifoQueue } },
+      },
+    },
+    {
+      name: "overload",
+      scenarios: listOverloadScenarios(seed, HOSTS),
+      variants: {
+        product: {},
+        fifo: { policies: { createQueue: createFifoQueue } },
+      },
+    },
+    {
+      name: "connections",
+      scenarios: [
+        ...listLimitScenarios(seed, HOSTS)
+          .filter(({ name }) => name === "spread" || name === "host dies"),
+        ...listFairnessScenarios(seed, HOSTS)
+          .filter(({ name }) => name === "heavy"),
+      ],
+      variants: {
+        product: {},
+        "all hosts": { settings: { pools: { hostsPerGroup: HOSTS } } },
+        "one host": { settings: { pools: { hostsPerGroup: 1 } } },
+      },
+    },
   ];
 }
 
--- a/tools/experiments/scenarios.ts
+++ b/tools/experiments/scenarios.ts
@@ -1,6 +1,7 @@
 /** Loads for experiments on limits, fairness, connections and overload. */
 
 import { mersenne } from "pure-rand/generator/mersenne";
+import { asId, type PlanId } from "../../src/core/ids.ts";
 import type { Arrival, Happening } from "./run.ts";
 import { type Deployment, LAKAZ } from "../workloads.ts";
 
@@ -143,3 +144,82 @@
     },
   ];
 }
+
+const HEAVY_MS = 20;
+
+/** One group, with a workspace that asks for more than its targets do. */
+function buildShared(largeRate: number): Deployment {
+  const sizes = LAKAZ.workspaces.map((size, index) =>
+    index === 0
+      ? {
+        ...size,
+        plan: asId<PlanId>("plan-large"),
+        ratePerSecond: largeRate,
+        burst: largeRate * 2,
+      }
+      : size
+  );
+  return { ...LAKAZ, groups: 1, workspaces: sizes };
+}
+
+/** The loads by which queues are compared. */
+export function listFairnessScenarios(
+  seed: number,
+  hosts: number,
+): Scenario[] {
+  const durationMs = 8_000;
+  const getHost = spreadOver(hosts);
+  const deployment = buildShared(800);
+  const large = deployment.workspaces[0]!.workspace;
+  const small = drawAll(deployment, { seed, part: 0.8, durationMs, getHost })
+    .filter((arrival) => arrival.workspace !== large);
+  const heavy = drawArrivals({
+    seed,
+    workspace: large,
+    perSecond: 800,
+    durationMs,
+    getHost,
+    costMs: HEAVY_MS,
+    writeShare: 0.1,
+  });
+  return [
+    { name: "no flood", deployment, load: small, floods: [large] },
+    { name: "heavy", deployment, load: [...small, ...heavy], floods: [large] },
+    {
+      name: "heavy, slow target",
+      deployment,
+      load: [...small, ...heavy],
+      floods: [large],
+      happenings: [{
+        atMs: 2_000,
+        run: (fleet) => {
+          fleet.getTarget("ordering-1-2").faults = { statementMs: 40 };
+        },
+      }],
+    },
+  ];
+}
+
+/** Reads at parts of what the targets of one group can do. */
+export function listOverloadScenarios(
+  seed: number,
+  hosts: number,
+): Scenario[] {
+  const deployment = buildShared(5_000);
+  const { workspace } = deployment.workspaces[0]!;
+  const capacity = deployment.targetsPerGroup * deployment.slots * 1_000 /
+    HEAVY_MS;
+  return [0.9, 1.5, 3].map((part) => ({
+    name: `${part} times capacity`,
+    deployment,
+    load: drawArrivals({
+      seed,
+      workspace,
+      perSecond: capacity * part,
+      durationMs: 6_000,
+      getHost: spreadOver(hosts),
+      costMs: HEAVY_MS,
+      writeShare: 0,
+    }),
+  }));
+}
