--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -1,6 +1,6 @@
 /**
- * Weighted fair queueing of the requests that wait for one target: one flow a
- * workspace, served by start tags that advance with the time statements take.
+ * Fair queueing of the requests that wait for one target: one flow a workspace,
+ * served by start tags that advance with the time that its statements take.
  */
 
 import type { WorkspaceId } from "./ids.ts";
@@ -14,14 +14,13 @@
   readonly waiting: T[];
   /** Mean time that a statement of the workspace takes, in milliseconds. */
   costMs: number;
-  weight: number;
   /** Virtual time at which its next request starts. */
   tag: number;
 }
 
 /** The flows of one target. */
 export interface Flows<T> {
-  get(workspace: WorkspaceId, weight: number): Flow<T>;
+  get(workspace: WorkspaceId): Flow<T>;
   add(flow: Flow<T>, item: T): void;
   /** Takes the next request among the flows that `isReady` lets through. */
   take(isReady: (flow: Flow<T>) => boolean): T | undefined;
@@ -42,10 +41,9 @@
   }
 
   return {
-    get(workspace, weight) {
+    get(workspace) {
       const flow = flows.get(workspace) ??
-        { workspace, waiting: [], costMs: INITIAL_COST_MS, weight, tag: 0 };
-      flow.weight = weight;
+        { workspace, waiting: [], costMs: INITIAL_COST_MS, tag: 0 };
       flows.set(workspace, flow);
       return flow;
     },
@@ -62,11 +60,11 @@
         return undefined;
       }
       virtualTime = Math.max(virtualTime, flow.tag);
-      flow.tag += flow.costMs / flow.weight;
+      flow.tag += flow.costMs;
       return flow.waiting.shift();
     },
     charge(flow, { paidMs, ms }) {
-      flow.tag += (ms - paidMs) / flow.weight;
+      flow.tag += ms - paidMs;
       flow.costMs += COST_WEIGHT * (ms - flow.costMs);
     },
     listWaiting,
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -124,8 +124,6 @@
         limits,
         slotsPerTarget: info.slots,
         maxInFlight: getConnectionShare(info.targets, hostsPerGroup),
-        getWeight: (workspace) =>
-          cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
         random: io.random,
       }),
     ...(policies.orderReplicas
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -52,7 +52,6 @@
   readonly slotsPerTarget: number;
   /** Most statements that this host sends to a target at once. */
   readonly maxInFlight: number;
-  getWeight(workspace: WorkspaceId): number;
   random(): number;
 }
 
@@ -69,7 +68,7 @@
   inFlight: number;
 }
 
-/** Creates a queue that serves workspaces by the rates of their plans. */
+/** Creates a queue in which every workspace has an equal part of a target. */
 export function createFairQueue(options: QueueOptions): Queue {
   const { limits } = options;
   const targets = new Map<TargetId, TargetQueue>();
@@ -105,14 +104,12 @@
 
   /** Time until a target gets to a request behind `ahead` of its workspace. */
   function getSlotWaitMs(queue: TargetQueue, flow: Flow<Waiter>): number {
-    const others = queue.flows.listWaiting();
-    const weights = others
-      .filter((other) => other !== flow)
-      .reduce((sum, other) => sum + other.weight, flow.weight);
+    const others = queue.flows.listWaiting().filter((f) => f !== flow);
     const { limit } = queue.concurrency;
     const isFree = queue.inFlight < limit;
-    const ahead = flow.waiting.length * flow.costMs / flow.weight;
-    const shareMs = (queue.flows.getLag(flow) + ahead) * weights / limit;
+    const ahead = flow.waiting.length * flow.costMs;
+    const lag = queue.flows.getLag(flow) + ahead;
+    const shareMs = lag * (others.length + 1) / limit;
     return shareMs + (isFree ? 0 : flow.costMs / limit);
   }
 
@@ -252,7 +249,7 @@
   return {
     enter(target, { workspace, deadline }) {
       const queue = getTarget(target);
-      const flow = queue.flows.get(workspace, options.getWeight(workspace));
+      const flow = queue.flows.get(workspace);
       const leftMs = Math.min(MAX_WAIT_MS, deadline - nowMs());
       if (leftMs <= 0) {
         return Promise.resolve(Err({ error: "deadline_exceeded" }));
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -5,7 +5,7 @@
 import type { Monitor } from "./monitor.ts";
 import { done, failed, isFinal, readFailure, unavailable } from "./outcome.ts";
 import { isAtLeast, maxPosition } from "./position.ts";
-import { send, type SendContext, toFailure } from "./send.ts";
+import { send, type SendContext, type SendErr, toFailure } from "./send.ts";
 import type {
   ExecOp,
   ExecReq,
@@ -73,7 +73,8 @@
         const isPrimary = monitor.view().primary === target.target;
         return done(res.value, { floor, isPrimary });
       }
-      if (res?.isErr() && isFinal(res.error)) {
+      const isLast = target === readers.at(-1);
+      if (res?.isErr() && isFinalAt(res.error, { isLast })) {
         return failed(toFailure(res.error));
       }
       if (res?.isErr()) {
@@ -150,3 +151,12 @@
   const start = Math.floor(ctx.io.random() * replicas.length);
   return [...replicas.slice(start), ...replicas.slice(0, start)];
 }
+
+/** A target that is busy leaves the read to the others. */
+function isFinalAt(
+  err: SendErr,
+  { isLast }: { readonly isLast: boolean },
+): boolean {
+  const isBusy = err.kind === "refused" && err.failure.error === "overloaded";
+  return isFinal(err) && (isLast || !isBusy);
+}
--- a/tools/experiments/main.ts
+++ b/tools/experiments/main.ts
@@ -6,6 +6,7 @@
 import { type Figures, getFigures } from "./report.ts";
 import { runLoad, type RunOptions } from "./run.ts";
 import {
+  listFailoverScenarios,
   listFairnessScenarios,
   listLimitScenarios,
   listOverloadScenarios,
@@ -48,6 +49,11 @@
         fifo: { policies: { createQueue: createFifoQueue } },
       },
     },
+    {
+      name: "retries",
+      scenarios: listFailoverScenarios(seed, HOSTS),
+      variants: { product: {} },
+    },
     {
       name: "connections",
       scenarios: [
--- a/tools/experiments/report.ts
+++ b/tools/experiments/report.ts
@@ -16,6 +16,7 @@
   readonly failed: Readonly<Record<string, number>>;
   /** Statements beyond rate and burst in the worst window. */
   readonly worstExcess: number;
+  /** Statements sent, for each request that was answered. */
   readonly sendsPerAnswer: number;
   readonly refusalP99Ms: number;
   readonly platformCalls: number;
@@ -50,7 +51,7 @@
     answered,
     failed: countFailures(results),
     worstExcess: Math.max(...[...windows.values()].map((w) => w.excess)),
-    sendsPerAnswer: ran.length / Math.max(1, answered),
+    sendsPerAnswer: report.attempts / Math.max(1, answered),
     refusalP99Ms: percentile(
       results.filter((r) => !isDone(r)).map((r) => r.tookMs),
       0.99,
--- a/tools/experiments/run.ts
+++ b/tools/experiments/run.ts
@@ -10,6 +10,7 @@
   PLANS_KEY,
   SERVICES_KEY,
 } from "../../src/core/object_keys.ts";
+import { createFairQueue } from "../../src/core/queue.ts";
 import type { Answer } from "../../src/core/types.ts";
 import {
   createLocalFleet,
@@ -67,6 +68,8 @@
     readonly ranAt: number;
   }[];
   readonly platformCalls: number;
+  /** Statements that were sent or about to be. */
+  readonly attempts: number;
 }
 
 /** Runs a load to its end and reports what callers and targets saw. */
@@ -92,7 +95,7 @@
   options: RunOptions,
   advance: (ms: number) => Promise<unknown>,
 ): Promise<RunReport> {
-  const { fleet, open } = startFleet(options);
+  const { fleet, open, attempts } = startFleet(options);
   await advance(SETTLE_MS);
   const startedAt = Date.now();
   const callsBefore = fleet.platformCalls.length;
@@ -132,7 +135,7 @@
   );
   const platformCalls = fleet.platformCalls.length - callsBefore;
   fleet.stop();
-  return { results, ran, platformCalls };
+  return { results, ran, platformCalls, attempts: attempts.count };
 }
 
 function toFrame(
@@ -159,6 +162,7 @@
 
 function startFleet(options: RunOptions) {
   const { deployment } = options;
+  const attempts = { count: 0 };
   const fleet = createLocalFleet({
     hosts: options.hosts,
     domains: deployment.domains,
@@ -172,7 +176,7 @@
     peerLatencyMs: deployment.domainLatencyMs,
     platformLatencyMs: 2,
     seed: options.seed,
-    ...(options.policies ? { policies: options.policies } : {}),
+    policies: countAttempts(options.policies, attempts),
     ...(options.settings ? { settings: options.settings } : {}),
   });
   const issued = deployment.workspaces.map((w) => issueKey(w.workspace));
@@ -202,5 +206,27 @@
     sessions.set(name, found);
     return found;
   }
-  return { fleet, open };
+  return { fleet, open, attempts };
+}
+
+/** Counts the statements that queues let go to a target. */
+function countAttempts(
+  policies: LocalFleetOptions["policies"],
+  attempts: { count: number },
+): LocalFleetOptions["policies"] {
+  const createQueue = policies?.createQueue ?? createFairQueue;
+  return {
+    ...policies,
+    createQueue(options) {
+      const queue = createQueue(options);
+      return {
+        stop: queue.stop,
+        async enter(target, request) {
+          const slot = await queue.enter(target, request);
+          attempts.count += slot.isOk() ? 1 : 0;
+          return slot;
+        },
+      };
+    },
+  };
 }
--- a/tools/experiments/scenarios.ts
+++ b/tools/experiments/scenarios.ts
@@ -223,3 +223,37 @@
     }),
   }));
 }
+
+/** Loads during which a primary is lost, by which retries are judged. */
+export function listFailoverScenarios(seed: number, hosts: number): Scenario[] {
+  const getHost = spreadOver(hosts);
+  const load = drawAll(LAKAZ, { seed, part: 0.8, durationMs: 12_000, getHost });
+  return [
+    {
+      name: "primary cut off",
+      deployment: LAKAZ,
+      load,
+      happenings: [{
+        atMs: 3_000,
+        run: (fleet) => {
+          fleet.getTarget("ordering-1-1").faults = { cutFrom: ["*"] };
+        },
+      }],
+    },
+    {
+      name: "group away for 4 s",
+      deployment: LAKAZ,
+      load,
+      happenings: [3_000, 7_000].map((atMs) => ({
+        atMs,
+        run: (fleet) => {
+          for (const number of [1, 2, 3]) {
+            fleet.getTarget(`ordering-1-${number}`).faults = atMs === 3_000
+              ? { cutFrom: ["*"] }
+              : {};
+          }
+        },
+      })),
+    },
+  ];
+}
