End a measurement whose fleet did not start

Cause: relays and children kept a run alive after a host had failed to listen. Change: the tool exits, which ends the processes that it started.

--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -109,5 +109,6 @@
   await cli.runMatchedCommand();
 } catch (err) {
   console.error(err instanceof Error ? err.message : err);
-  process.exitCode = EXIT_INVALID;
+  // Processes and relays of a fleet that did not start would keep this alive.
+  process.exit(EXIT_INVALID);
 }
