--- a/src/replay/play.ts
+++ b/src/replay/play.ts
@@ -5,15 +5,9 @@
 import { getErrorAnswer } from "../core/errors.ts";
 import { asId, type ReqId } from "../core/ids.ts";
 import type { Answer } from "../core/types.ts";
-import type { Fault } from "../generated/replay.ts";
 import { validateCallerFrame } from "../generated/caller_validate.ts";
-import { checkHistory } from "../../tools/check/check.ts";
-import type {
-  CheckedBody,
-  CheckedReq,
-  GroupEvidence,
-  TargetEvidence,
-} from "../../tools/check/history.ts";
+import type { CheckedBody, CheckedReq } from "../../tools/check/history.ts";
+import { type Change, countInvariants, listGroupLines } from "./counts.ts";
 import type { LocalHost } from "../../standins/local_fleet.ts";
 import { sleep } from "../core/clock.ts";
 import { createReplayFleet, type ReplayFleet } from "./replay_fleet.ts";
@@ -25,10 +19,6 @@
 const START_OF_TIME_MS = Date.UTC(2026, 0, 1);
 
 const FROZEN_POLL_MS = 5;
-/** Time in which a withdrawn key stops everywhere, in milliseconds. */
-const WITHDRAWN_KEY_MS = 5_000;
-/** Time in which new work for a leaving target stops, in milliseconds. */
-const LEAVING_TARGET_MS = 3_000;
 
 const FAKED = [
   "setTimeout",
@@ -39,8 +29,6 @@
   "performance",
 ] as const;
 
-type Header = LineOf<"header">;
-
 /** Plays a run and gives its outcomes, in the order of the inputs. */
 export async function playRun(
   run: Pick<RecordedRun, "header" | "inputs">,
@@ -113,11 +101,6 @@
   listChanges(): readonly Change[];
 }
 
-interface Change {
-  readonly fault: Fault;
-  readonly at: number;
-}
-
 function createPlayer(fleet: ReplayFleet): Player {
   const sessions = new Map<string, OpenSession>();
   const workspaces = new Map<string, string>();
@@ -264,78 +247,3 @@
   const { error } = answer.failure;
   return { ok: false, error, run: getErrorAnswer(error).run };
 }
-
-function listEvidence(fleet: ReplayFleet): GroupEvidence[] {
-  return fleet.groups.map(({ group, targets }) => ({
-    group,
-    targets: targets.map(({ target }): TargetEvidence => {
-      const { core, keyHits } = fleet.getTarget(target);
-      const { log, discarded, statements } = core;
-      return { status: core.status(), log, discarded, statements, keyHits };
-    }),
-  }));
-}
-
-function listGroupLines(fleet: ReplayFleet): OutcomeLine[] {
-  return fleet.groups.map(({ group, targets }) => {
-    const statuses = targets
-      .map(({ target }) => fleet.getTarget(target).core.status());
-    const term = Math.max(...statuses.map((status) => status.term));
-    const primary = statuses
-      .find((status) => status.role === "primary" && status.term === term);
-    const named = primary ? { primary: primary.target } : {};
-    return { kind: "group", group, term, ...named };
-  });
-}
-
-function countInvariants(
-  fleet: ReplayFleet,
-  given: {
-    readonly header: Header;
-    readonly reqs: readonly CheckedReq[];
-    readonly changes: readonly Change[];
-  },
-): OutcomeLine {
-  const groups = listEvidence(fleet);
-  const counts = checkHistory({
-    reqs: given.reqs,
-    groups,
-    plans: new Map(given.header.workspaces.map((w) => [w.workspace, w])),
-  });
-  const withdrawnKeyServed = countWithdrawnServed(given);
-  const leavingTargetWork = countLeavingWork(groups, given.changes);
-  return {
-    kind: "invariants",
-    counts: { ...counts, withdrawnKeyServed, leavingTargetWork },
-  };
-}
-
-/** Requests served although their key was withdrawn long enough before. */
-function countWithdrawnServed(given: {
-  readonly reqs: readonly CheckedReq[];
-  readonly changes: readonly Change[];
-}): number {
-  return given.changes.reduce((count, { fault, at }) => {
-    const served = given.reqs.filter((req) =>
-      fault.kind === "withdraw_key" && req.workspace === fault.workspace &&
-      req.sentAt > at + WITHDRAWN_KEY_MS && req.answer?.ok
-    );
-    return count + served.length;
-  }, 0);
-}
-
-/** Statements that a target ran although it was leaving for long enough. */
-function countLeavingWork(
-  groups: readonly GroupEvidence[],
-  changes: readonly Change[],
-): number {
-  const targets = groups.flatMap((group) => group.targets);
-  return changes.reduce((count, { fault, at }) => {
-    const leaving = targets.find(({ status }) =>
-      fault.kind === "target_leaving" && status.target === fault.target
-    );
-    const ran = leaving?.statements
-      .filter((statement) => statement.ranAt > at + LEAVING_TARGET_MS);
-    return count + (ran?.length ?? 0);
-  }, 0);
-}
