--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -32,6 +32,8 @@
   /** Hosts that are alive and not leaving, this one included. */
   listAlive(): readonly PeerInfo[];
   isAlive(host: HostId): boolean;
+  /** Hosts that were heard of lately, leaving ones and this one included. */
+  listReachable(): readonly PeerInfo[];
   /** Whether a host was heard of lately, also if it is leaving. */
   isReachable(host: HostId): boolean;
   /** Other hosts that are known and not leaving, alive or not. */
@@ -219,6 +221,7 @@
       }
     },
     listAlive,
+    listReachable: () => [self, ...listReachable()],
     isAlive: (host) =>
       host === self.host || (isReachable(host) && !isLeaving(host)),
     listContacts: () => [...getView().peers.keys()],
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -26,6 +26,7 @@
   exec(req: ExecReq): Promise<Outcome>;
   /** Rolls back the transactions of the sessions that the predicate picks. */
   endSessions(isOver: (session: string) => boolean): void;
+  countTransactions(): number;
   /** Takes the group as it stands after a change of the lists. */
   update(group: GroupInfo): void;
   readonly monitor: Monitor;
@@ -136,6 +137,7 @@
     exec,
     endSessions: (isOver) =>
       transactions.endWhere(({ session }) => isOver(session)),
+    countTransactions: () => transactions.size,
     update(changed) {
       group = changed;
       monitor.update(changed);
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -1,5 +1,6 @@
 /** Runs what changes the log at the primary, until its outcome is known. */
 
+import { attempt } from "./attempt.ts";
 import { nowMs, sleep } from "./clock.ts";
 import type { Confirmer } from "./confirm.ts";
 import type { ReqId } from "./ids.ts";
@@ -13,7 +14,7 @@
   unavailable,
 } from "./outcome.ts";
 import type { ReadContext, Task } from "./read.ts";
-import { send, toFailure } from "./send.ts";
+import { toFailure } from "./send.ts";
 import type { Outcome, RunReq, TargetInfo } from "./types.ts";
 
 const RETRY_PAUSE_MS = 25;
@@ -83,18 +84,15 @@
       return failed(maySent ? afterSending(unavailable()) : unavailable());
     }
     const { info, term } = leader;
-    const sending = send(ctx, {
-      target: info,
-      workspace: req.workspace,
-      req: options.build(term),
-      deadline,
+    const res = await attempt(ctx, {
+      sending: {
+        target: info,
+        workspace: req.workspace,
+        req: options.build(term),
+        deadline,
+      },
+      isOver: () => isTermOver(monitor, term),
     });
-    const isOver = () => isTermOver(monitor, term);
-    const res = await watch.until(sending, isOver);
-    if (!res) {
-      maySent = true;
-      continue;
-    }
     if (res.isErr()) {
       if (isFinal(res.error)) {
         const failure = toFailure(res.error);
