--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -60,7 +60,7 @@
   const wss = new WebSocketServer({
     server,
     verifyClient: ({ req }: { req: IncomingMessage }) =>
-      tls === undefined || isAuthenticated(req, tryGetSender(req.url)),
+      tls === undefined || isFromNamed(req),
     perMessageDeflate: false,
     maxPayload: MAX_PEER_FRAME_BYTES,
   });
@@ -87,8 +87,8 @@
     triedAt.set(to, now);
     const opened = new WebSocket(`${url}/?from=${settings.host}`, {
       perMessageDeflate: false,
-      ...(tls ? { ...tls.content, ...identify(to) } : {}),
       handshakeTimeout: CONNECT_TIMEOUT_MS,
+      ...(tls ? { ...tls.content, ...identify(to) } : {}),
     });
     opened.setMaxListeners(MAX_WAITING);
     opened.on("error", () => opened.terminate());
@@ -164,6 +164,12 @@
   };
 }
 
+/** The certificate of a link is that of the host it says it is. */
+function isFromNamed(req: IncomingMessage): boolean {
+  const from = tryGetSender(req.url);
+  return from !== undefined && isAuthenticated(req, from);
+}
+
 /** A host speaks of its own state only. */
 function isFrom(msg: PeerMessage, from: HostId): boolean {
   return msg.kind !== "heartbeat" || msg.host === from;
--- a/src/host/tls.ts
+++ b/src/host/tls.ts
@@ -121,12 +121,9 @@
 }
 
 /** Tells whether the client of a request proved to be `host`. */
-export function isAuthenticated(
-  req: IncomingMessage,
-  host: HostId | undefined,
-): boolean {
+export function isAuthenticated(req: IncomingMessage, host: HostId): boolean {
   const socket = req.socket as Partial<TLSSocket>;
-  return host !== undefined && socket.authorized === true &&
+  return socket.authorized === true &&
     socket.getPeerCertificate !== undefined &&
     isNamed(socket.getPeerCertificate(), host);
 }
