--- a/src/core/dissemination.ts
+++ b/src/core/dissemination.ts
@@ -201,7 +201,8 @@
       };
     },
     notePeer(from, changedAt) {
-      if (changedAt > cfg.revision) {
+      // Many peers tell of the same change; one of them is enough to ask.
+      if (changedAt > cfg.revision && pulling.size === 0) {
         void pull(from);
       }
     },
