--- /dev/null
+++ b/tools/experiments/control.ts
@@ -0,0 +1,104 @@
+/**
+ * What hosts without traffic spend on control, by the size of the fleet and
+ * the changes a minute. Prints a table; the same for the same seed.
+ */
+
+import { install } from "@sinonjs/fake-timers";
+import Table from "cli-table3";
+import { pack } from "msgpackr";
+import { asId, type DomainId } from "../../src/core/ids.ts";
+import { SERVICES_KEY } from "../../src/core/object_keys.ts";
+import { createLocalFleet } from "../../standins/local_fleet.ts";
+import { buildServices, LAKAZ } from "../workloads.ts";
+
+const SETTLE_MS = 8_000;
+const MEASURED_MS = 60_000;
+const MS_PER_SECOND = 1_000;
+const CASES = [
+  ...[3, 6, 9].flatMap((hosts) => [1, 10, 100].map((n) => [hosts, n])),
+  [12, 1],
+  [16, 1],
+  [24, 1],
+] as [number, number][];
+
+interface Figures {
+  readonly bytesPerSecond: number;
+  readonly callsOfAll: number;
+  readonly callsOfOne: number;
+}
+
+async function measure(hosts: number, changes: number): Promise<Figures> {
+  const clock = install({
+    toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval"]
+      .concat("Date", "performance") as never,
+  });
+  const fleet = createLocalFleet({
+    hosts,
+    domains: ["d1", "d2", "d3"].map(asId<DomainId>),
+    groups: [],
+    target: { connectMs: 1, statementMs: 1, latencyMs: 0.5, lagMs: 1 },
+    peerLatencyMs: 0.5,
+    platformLatencyMs: 2,
+    seed: 1,
+  });
+  let version = 0;
+  function change(): void {
+    const services = buildServices(LAKAZ);
+    services.plans[0]!.ratePerSecond = version + 1;
+    fleet.platform.put(SERVICES_KEY, services, { ifVersion: version++ });
+  }
+  change();
+  await clock.tickAsync(SETTLE_MS);
+  const bytes = new Map<string, number>();
+  for (const { id, host } of fleet.hosts) {
+    const { receivePeer } = host;
+    host.receivePeer = (from, msg) => {
+      for (const end of [id, from]) {
+        bytes.set(end, (bytes.get(end) ?? 0) + pack(msg).length);
+      }
+      receivePeer(from, msg);
+    };
+  }
+  fleet.platformCalls.length = 0;
+  for (let i = 0; i < changes; i++) {
+    change();
+    await clock.tickAsync(MEASURED_MS / changes);
+  }
+  const calls = fleet.platformCalls.filter((c) => c.path.startsWith("config/"));
+  const ofHosts = fleet.hosts.map(({ id }) =>
+    calls.filter((call) => call.host === id).length
+  );
+  fleet.stop();
+  clock.uninstall();
+  return {
+    bytesPerSecond: Math.max(...bytes.values()) * MS_PER_SECOND / MEASURED_MS,
+    callsOfAll: calls.length,
+    callsOfOne: Math.max(...ofHosts),
+  };
+}
+
+async function main(): Promise<void> {
+  const table = new Table({
+    head: [
+      "hosts",
+      "changes a minute",
+      "bytes/s of a host, in and out",
+      "platform calls a minute, all hosts",
+      "most of one host",
+    ],
+    style: { head: [], border: [] },
+  });
+  for (const [hosts, changes] of CASES) {
+    const found = await measure(hosts, changes);
+    table.push([
+      hosts,
+      changes,
+      Math.round(found.bytesPerSecond),
+      found.callsOfAll,
+      found.callsOfOne,
+    ]);
+  }
+  console.log(table.toString());
+}
+
+await main();
