--- /dev/null
+++ b/test/connections.test.ts
@@ -0,0 +1,122 @@
+import { Err, Ok } from "ts-results-es";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { nowMs, sleep } from "../src/core/clock.ts";
+import { createConnections } from "../src/core/connections.ts";
+import { asId, type DomainId, type TargetId } from "../src/core/ids.ts";
+import type { HostIo, TargetConn, TargetInfo } from "../src/core/types.ts";
+
+const INFO: TargetInfo = {
+  target: asId<TargetId>("t1"),
+  domain: asId<DomainId>("d1"),
+  url: "local",
+  maxConnections: 4,
+};
+const CONNECT_MS = 30;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+/** A target with a limit of connections that several hosts share. */
+function createTarget() {
+  const state = { open: 0, made: 0 };
+  const io = {
+    targets: {
+      async connect() {
+        if (state.open >= INFO.maxConnections) {
+          return Err({ kind: "connection_refused", sent: false });
+        }
+        state.open++;
+        state.made++;
+        await sleep(CONNECT_MS);
+        let isOpen = true;
+        return Ok({
+          target: INFO.target,
+          isOpen: () => isOpen,
+          close() {
+            state.open -= isOpen ? 1 : 0;
+            isOpen = false;
+          },
+        });
+      },
+    },
+  } as unknown as HostIo;
+  return { state, io };
+}
+
+async function acquire(
+  connections: ReturnType<typeof createConnections>,
+): Promise<{ conn: TargetConn | undefined; tookMs: number }> {
+  const startedAt = nowMs();
+  const deadline = startedAt + 1_000;
+  const res = await connections.acquire(INFO, { deadline });
+  return { conn: res.unwrapOr(undefined), tookMs: nowMs() - startedAt };
+}
+
+test("a host never has more connections than its part", async () => {
+  const { state, io } = createTarget();
+  const connections = createConnections(io, { maxPerTarget: 2, warm: 0 });
+  const all = Array.from({ length: 6 }, () => acquire(connections));
+  all.forEach((one) =>
+    void one.then(async ({ conn }) => {
+      await sleep(20);
+      connections.release(conn!, { clean: true });
+    })
+  );
+  await vi.advanceTimersByTimeAsync(500);
+  const got = await Promise.all(all);
+  expect(got.every(({ conn }) => conn !== undefined)).toBe(true);
+  expect(state.made).toBe(2);
+  connections.stop();
+});
+
+test("a refused connection is waited for, not an error", async () => {
+  const { state, io } = createTarget();
+  const other = createConnections(io, { maxPerTarget: 4, warm: 4 });
+  other.keepWarm([INFO]);
+  await vi.advanceTimersByTimeAsync(200);
+  expect(state.open).toBe(4);
+  const connections = createConnections(io, { maxPerTarget: 2, warm: 0 });
+  const waiting = acquire(connections);
+  await vi.advanceTimersByTimeAsync(100);
+  other.stop();
+  await vi.advanceTimersByTimeAsync(200);
+  expect((await waiting).conn).toBeDefined();
+  connections.stop();
+});
+
+test("a warm connection costs a request no time", async () => {
+  const { io } = createTarget();
+  const connections = createConnections(io, { maxPerTarget: 2, warm: 1 });
+  connections.keepWarm([INFO]);
+  await vi.advanceTimersByTimeAsync(100);
+  expect((await acquire(connections)).tookMs).toBe(0);
+  connections.stop();
+});
+
+test("a connection of unknown state is not lent again", async () => {
+  const { io } = createTarget();
+  const connections = createConnections(io, { maxPerTarget: 2, warm: 1 });
+  connections.keepWarm([INFO]);
+  await vi.advanceTimersByTimeAsync(100);
+  const first = await acquire(connections);
+  connections.release(first.conn!, { clean: false });
+  const second = acquire(connections);
+  await vi.advanceTimersByTimeAsync(100);
+  expect((await second).conn).not.toBe(first.conn);
+  expect(first.conn!.isOpen()).toBe(false);
+  connections.stop();
+});
+
+test("a host that is not used lets its connections go", async () => {
+  const { state, io } = createTarget();
+  const connections = createConnections(io, { maxPerTarget: 2, warm: 2 });
+  connections.keepWarm([INFO]);
+  await vi.advanceTimersByTimeAsync(11_000);
+  expect(state.open).toBe(0);
+  connections.stop();
+});
--- /dev/null
+++ b/test/queue.test.ts
@@ -0,0 +1,130 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { nowMs, sleep } from "../src/core/clock.ts";
+import { asId, type TargetId, type WorkspaceId } from "../src/core/ids.ts";
+import {
+  createFairQueue,
+  type Queue,
+  type QueueOptions,
+} from "../src/core/queue.ts";
+import { createFifoQueue } from "../tools/experiments/baselines.ts";
+
+const TARGET = asId<TargetId>("t1");
+const LARGE = asId<WorkspaceId>("large");
+const SMALL = asId<WorkspaceId>("small");
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const UNLIMITED: QueueOptions["limits"] = {
+  tryTake: () => ({ isValid: () => true, settle() {} }),
+  setWaiting() {},
+  getWaitMs: () => 0,
+  onChange: () => () => {},
+};
+
+const OPTIONS: QueueOptions = {
+  limits: UNLIMITED,
+  slotsPerTarget: 2,
+  maxInFlight: 2,
+  random: () => 0.5,
+};
+
+/** Runs a statement of `ms`; gives what became of it after how long. */
+async function run(
+  queue: Queue,
+  given: { workspace: WorkspaceId; ms: number; timeoutMs?: number },
+): Promise<{ error: string | undefined; tookMs: number; retryMs?: number }> {
+  const startedAt = nowMs();
+  const slot = await queue.enter(TARGET, {
+    workspace: given.workspace,
+    deadline: startedAt + (given.timeoutMs ?? 5_000),
+  });
+  const tookMs = nowMs() - startedAt;
+  if (slot.isErr()) {
+    const { error, retryAfterMs = 0 } = slot.error;
+    return { error, tookMs, retryMs: retryAfterMs };
+  }
+  await sleep(given.ms);
+  slot.value.release();
+  return { error: undefined, tookMs };
+}
+
+/** The longest wait of a small workspace while a large one floods. */
+async function getSmallWaitMs(queue: Queue): Promise<number> {
+  const waits: number[] = [];
+  for (let ms = 0; ms < 2_000; ms += 10) {
+    void run(queue, { workspace: LARGE, ms: 20 });
+    void run(queue, { workspace: LARGE, ms: 20 });
+    if (ms % 100 === 0) {
+      void run(queue, { workspace: SMALL, ms: 2 })
+        .then(({ tookMs, error }) => waits.push(error ? Infinity : tookMs));
+    }
+    await vi.advanceTimersByTimeAsync(10);
+  }
+  await vi.advanceTimersByTimeAsync(6_000);
+  return Math.max(...waits);
+}
+
+test("a flood does not make another workspace wait", async () => {
+  expect(await getSmallWaitMs(createFairQueue(OPTIONS))).toBeLessThan(60);
+});
+
+test("a flood makes others wait when served first in, first out", async () => {
+  expect(await getSmallWaitMs(createFifoQueue(OPTIONS))).toBeGreaterThan(60);
+});
+
+test("what cannot be served in time is refused at once", async () => {
+  const queue = createFairQueue(OPTIONS);
+  const results: Awaited<ReturnType<typeof run>>[] = [];
+  for (let count = 0; count < 200; count++) {
+    void run(queue, { workspace: LARGE, ms: 20 }).then((r) => results.push(r));
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  await vi.advanceTimersByTimeAsync(5_000);
+  const refused = results.filter((r) => r.error);
+  expect(refused.length).toBeGreaterThan(0);
+  expect(new Set(refused.map((r) => r.error))).toEqual(new Set(["overloaded"]));
+  expect(Math.max(...refused.map((r) => r.tookMs))).toBe(0);
+  expect(Math.min(...refused.map((r) => r.retryMs!))).toBeGreaterThan(0);
+});
+
+test("a request that waits for a token is told when to come back", async () => {
+  const queue = createFairQueue({
+    ...OPTIONS,
+    limits: { ...UNLIMITED, tryTake: () => undefined, getWaitMs: () => 2_000 },
+  });
+  const result = await run(queue, { workspace: LARGE, ms: 1 });
+  expect(result).toEqual({ error: "rate_limited", tookMs: 0, retryMs: 2_500 });
+});
+
+test("statements in flight follow what the target takes at once", async () => {
+  const queue = createFairQueue({ ...OPTIONS, maxInFlight: 20 });
+  let running = 0;
+  let most = 0;
+  async function runShared(): Promise<void> {
+    const slot = await queue.enter(TARGET, {
+      workspace: LARGE,
+      deadline: nowMs() + 5_000,
+    });
+    if (slot.isErr()) {
+      return;
+    }
+    running++;
+    most = Math.max(most, running);
+    // The target runs two at once; the others wait inside it.
+    await sleep(10 * Math.max(1, running / 2));
+    running--;
+    slot.value.release();
+  }
+  for (let ms = 0; ms < 4_000; ms += 2) {
+    void runShared();
+    most = ms === 1_000 ? 0 : most;
+    await vi.advanceTimersByTimeAsync(2);
+  }
+  expect(most).toBeLessThanOrEqual(6);
+});
