--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { stringify } from "yaml";
 import { runCli } from "../src/cli/cli.ts";
+import { DIAGNOSTICS } from "../src/core/diagnostics.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
 import {
@@ -273,3 +274,8 @@
   const outcome = await onPlatform("plans", "show");
   expect(outcome).toMatchObject({ code: 1, out: "" });
 });
+
+test("no two messages share a number", () => {
+  const codes = Object.values(DIAGNOSTICS).map((message) => message.code);
+  expect(new Set(codes).size).toBe(codes.length);
+});
