Show a cut-off primary as silent or old

Found by looking at the page after a cut: the target that was cut off stood as primary beside the new one, by a report that was seconds old. Seen failing: 'a primary that is cut off is not shown as one' in test/operators.test.ts.

--- a/src/cli/status_tables.ts
+++ b/src/cli/status_tables.ts
@@ -15,7 +15,7 @@
           index === 0 ? group.group : "",
           index === 0 ? `${group.term ?? "?"}` : "",
           target.target + (target.leaving ? " (leaving)" : ""),
-          target.target === group.primary ? "primary" : target.role,
+          target.role,
           target.domain,
           target.logEnd ? `${target.logEnd.term}/${target.logEnd.pos}` : "",
           `${target.lagEntries ?? ""}`,
--- a/src/host/status.ts
+++ b/src/host/status.ts
@@ -16,6 +16,9 @@
 import { type LatencyReport, reportLatencies } from "./latency_report.ts";
 import { type HostMetrics, readSamples } from "./metrics.ts";
 
+/** Time without a report after which a target counts as silent. */
+const SILENT_MS = 3_000;
+
 /** Whether a host takes callers. */
 export type HostState = "starting" | "serving" | "draining";
 
@@ -52,11 +55,17 @@
   readonly targets: readonly TargetReport[];
 }
 
+/**
+ * Role of a target by its last report. An old primary believes that it leads,
+ * in a term that is over; a target without a recent report is silent.
+ */
+export type TargetRole = "primary" | "replica" | "old primary" | "silent";
+
 /** A target of a group. */
 export interface TargetReport {
   readonly target: TargetId;
   readonly domain: DomainId;
-  readonly role: "primary" | "replica" | "unknown";
+  readonly role: TargetRole;
   readonly leaving: boolean;
   readonly logEnd: Position | undefined;
   /** Log entries that the primary has and this target has not. */
@@ -142,16 +151,27 @@
     term: view.term,
     primary: view.primary,
     source: "monitored",
-    targets: view.targets.map((t) => reportTarget(t, primary?.status?.logEnd)),
+    targets: view.targets.map((t) => reportTarget(t, primary)),
   };
 }
 
-function reportTarget(view: TargetView, primaryEnd?: Position): TargetReport {
+function getRole(view: TargetView, primary?: TargetView): TargetRole {
+  const { info, status, reportedAt } = view;
+  if (!status || nowMs() - reportedAt > SILENT_MS) {
+    return "silent";
+  }
+  return status.role === "primary" && info.target !== primary?.info.target
+    ? "old primary"
+    : status.role;
+}
+
+function reportTarget(view: TargetView, primary?: TargetView): TargetReport {
   const { info, status, reportedAt } = view;
+  const primaryEnd = primary?.status?.logEnd;
   return {
     target: info.target,
     domain: info.domain,
-    role: status?.role ?? "unknown",
+    role: getRole(view, primary),
     leaving: info.leaving ?? false,
     logEnd: status?.logEnd,
     lagEntries: status && primaryEnd
--- a/src/host/status_page.ts
+++ b/src/host/status_page.ts
@@ -1,5 +1,6 @@
 /** Writes the status of a host as a plain page. */
 
+import { assertNever } from "../core/errors.ts";
 import type { LatencyReport } from "./latency_report.ts";
 import { BUCKETS_MS } from "./metrics.ts";
 import type {
@@ -92,9 +93,7 @@
       index === 0 ? escape(group.group) : "",
       index === 0 ? `${group.term ?? "unknown"}` : "",
       escape(target.target),
-      target.target === group.primary
-        ? "<strong>primary</strong>"
-        : escape(target.role),
+      renderRole(target),
       escape(target.domain),
       renderLogEnd(target),
       `${target.lagEntries ?? ""}`,
@@ -113,6 +112,20 @@
   ], rows);
 }
 
+function renderRole({ role }: TargetReport): string {
+  switch (role) {
+    case "primary":
+      return "<strong>primary</strong>";
+    case "replica":
+      return "replica";
+    case "old primary":
+    case "silent":
+      return bad(role);
+    default:
+      return assertNever(role);
+  }
+}
+
 function renderLogEnd({ logEnd }: TargetReport): string {
   return logEnd ? `${logEnd.term}/${logEnd.pos}` : "";
 }
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -30,6 +30,9 @@
 let url: string;
 const drain = vi.fn();
 
+/** Time within which a failover is over, and reports are old. */
+const FAILOVER_MS = 7_000;
+
 beforeEach(async () => {
   metrics = createMetrics();
   state = "serving";
@@ -138,6 +141,27 @@
   expect(lines.join("\n")).not.toContain("aaaa");
 });
 
+test("a primary that is cut off is not shown as one", async () => {
+  vi.useFakeTimers();
+  const fleet = await startTestFleet();
+  fleet.getTarget("ordering-1-1").faults = { cutFrom: ["*"] };
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  const { host, settings } = fleet.getHost("h1");
+  const status = await getHostStatus({
+    host,
+    settings,
+    metrics,
+    startedAt: 0,
+    state: "serving",
+    connections: 0,
+  });
+  const group = status.groups.find((g) => g.group === "ordering-1");
+  const roles = group?.targets.map((target) => target.role);
+  expect(roles?.[0]).toBe("silent");
+  expect(roles?.filter((role) => role === "primary")).toHaveLength(1);
+  fleet.stop();
+});
+
 test("the status of a fleet shows groups, hosts and use", async () => {
   vi.useFakeTimers();
   const fleet = await startTestFleet();
