--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -2,7 +2,8 @@
 
 import { randomBytes } from "node:crypto";
 import { mersenne } from "pure-rand/generator/mersenne";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, sleep } from "../core/clock.ts";
+import { LEAVE_NOTICE_MS } from "../core/drain.ts";
 import { createHost, type Host, type HostPolicies } from "../core/host.ts";
 import type { HostIo, Stoppable } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
@@ -17,8 +18,6 @@
 import { createTargetDriver } from "../host/target_driver.ts";
 
 const UINT32_RANGE = 2 ** 32;
-/** Time for the balancer and peers to notice a stop, in milliseconds. */
-const LEAVE_NOTICE_MS = 1_000;
 /** Time for requests and transactions to finish, in milliseconds. */
 const DRAIN_TIMEOUT_MS = 30_000;
 
@@ -93,9 +92,10 @@
 
   async function drainOnce(): Promise<void> {
     setState("draining");
-    host.membership.leave();
-    await new Promise((resolve) => setTimeout(resolve, LEAVE_NOTICE_MS));
+    const idle = host.drain(DRAIN_TIMEOUT_MS);
+    await sleep(LEAVE_NOTICE_MS);
     await callers.drain(DRAIN_TIMEOUT_MS);
+    await idle;
     stop();
   }
 
@@ -108,6 +108,8 @@
     markStopped();
   }
 
+  warnUnencrypted(settings, io);
+  host.cfg.onChange(() => links.learn(host.cfg.hosts));
   await operators?.listen();
   await links.listen(host.receivePeer);
   host.start();
@@ -117,6 +119,16 @@
   return { host, drain, stop, stopped };
 }
 
+/** Says loudly which connections are not encrypted. */
+function warnUnencrypted(settings: Settings, io: HostIo): void {
+  for (const port of ["callers", "peers"] as const) {
+    if (!settings[port].tls) {
+      const fields = { port, address: settings[port].address };
+      io.log({ component: "tls", event: "unencrypted", fields });
+    }
+  }
+}
+
 function createIo(
   settings: Settings,
   parts: {
--- /dev/null
+++ b/test/drain.test.ts
@@ -0,0 +1,191 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type { CallerSession } from "../src/core/entry.ts";
+import { asId, type ReqId, type TargetId, type TxId } from "../src/core/ids.ts";
+import { markLeaving } from "../src/core/lists.ts";
+import type { Answer } from "../src/core/types.ts";
+import { LAKAZ } from "../tools/workloads.ts";
+import {
+  getFrame,
+  putFrame,
+  settle,
+  startTestFleet,
+  type TestFleet,
+} from "./fleet.ts";
+import { createMemoryStore } from "./memory_store.ts";
+
+/** A leaving target gets no new work after this time (issue 6). */
+const LEAVING_MS = 3_000;
+const DRAIN_TIMEOUT_MS = 30_000;
+const RESTART_MS = 2_500;
+const PAUSE_MS = 150;
+
+let fleet: TestFleet;
+let failures: string[];
+
+beforeEach(async () => {
+  vi.useFakeTimers();
+  fleet = await startTestFleet();
+  failures = [];
+});
+
+afterEach(() => {
+  fleet.stop();
+  vi.useRealTimers();
+});
+
+const wait = (ms: number) => new Promise((done) => setTimeout(done, ms));
+
+function note(answer: Answer): Answer {
+  if (answer.kind === "failed") {
+    failures.push(answer.failure.error);
+  }
+  return answer;
+}
+
+/** A caller that moves to another host when its own one is stopping. */
+function startCaller(name: string, stopping: Set<string>) {
+  let running = true;
+  let session: CallerSession | undefined;
+  let at = "";
+  let token: string | undefined;
+
+  function getSession(): CallerSession {
+    if (!session || stopping.has(at)) {
+      session?.end();
+      at = fleet.hosts.map(({ id }) => `${id}`)
+        .find((id) => !stopping.has(id))!;
+      session = fleet.open(at, token ? { token } : {});
+    }
+    return session;
+  }
+
+  /** Whether the row was written and the transaction was committed. */
+  async function transact(held: CallerSession, n: number): Promise<boolean> {
+    const { service } = LAKAZ;
+    const id = (part: string) => asId<ReqId>(`${name}-${n}-${part}`);
+    const begun = note(
+      await held.request({ kind: "begin", id: id("begin"), service }),
+    );
+    if (begun.kind === "failed") {
+      return false;
+    }
+    const tx = begun.result as TxId;
+    const put = note(await held.request(putFrame(`${name}-row`, n, { tx })));
+    await wait(PAUSE_MS);
+    const ended = note(
+      await held.request({
+        kind: "end",
+        id: id("end"),
+        service,
+        tx,
+        end: "commit",
+      }),
+    );
+    return put.kind === "done" && ended.kind === "done";
+  }
+
+  async function run(): Promise<void> {
+    let written: number | null = null;
+    for (let n = 0; running; n++) {
+      const held = getSession();
+      written = await transact(held, n) ? n : written;
+      const read = note(await held.request(getFrame(`${name}-row`)));
+      token = read.token;
+      if (read.kind === "done" && read.result !== written) {
+        failures.push(`read ${read.result} after writing ${written}`);
+      }
+      await wait(PAUSE_MS);
+    }
+  }
+
+  const done = run();
+  return {
+    stop() {
+      running = false;
+      return done;
+    },
+  };
+}
+
+/** Stops and restarts each host in turn while callers go on. */
+async function stopAllInTurn(): Promise<void> {
+  const stopping = new Set<string>();
+  const callers = ["a", "b", "c"].map((name) => startCaller(name, stopping));
+  await vi.advanceTimersByTimeAsync(1_000);
+  for (const { id, host } of fleet.hosts) {
+    stopping.add(id);
+    await settle(host.drain(DRAIN_TIMEOUT_MS));
+    fleet.kill(id);
+    await vi.advanceTimersByTimeAsync(500);
+    fleet.restart(id);
+    await vi.advanceTimersByTimeAsync(RESTART_MS);
+    stopping.delete(id);
+  }
+  await settle(Promise.all(callers.map((caller) => caller.stop())));
+}
+
+test("a rolling stop of all hosts under load cuts nothing", async () => {
+  await stopAllInTurn();
+  expect(failures.filter((error) => error !== "rate_limited")).toEqual([]);
+});
+
+test("a rolling stop refuses nothing within the rate", async () => {
+  await stopAllInTurn();
+  expect(failures).toEqual([]);
+});
+
+test("a stopping host refuses new work and ends open transactions", async () => {
+  const session = fleet.open("h1");
+  const begun = note(
+    await settle(session.request({
+      kind: "begin",
+      id: asId<ReqId>("begin-1"),
+      service: LAKAZ.service,
+    })),
+  );
+  const tx = begun.kind === "done" ? begun.result as TxId : undefined;
+  const holder = fleet.getHost(`${tx}`.split("/")[0]!).host;
+  let isStopped = false;
+  const stopped = holder.drain(DRAIN_TIMEOUT_MS).then(() => isStopped = true);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(isStopped).toBe(false);
+  note(await settle(session.request(putFrame("row", 1, { tx: tx! }))));
+  note(
+    await settle(session.request({
+      kind: "end",
+      id: asId<ReqId>("end-1"),
+      service: LAKAZ.service,
+      tx: tx!,
+      end: "commit",
+    })),
+  );
+  await settle(stopped);
+  expect(failures).toEqual([]);
+});
+
+test("a leaving target gets no new work", async () => {
+  const stopping = new Set<string>();
+  const callers = ["a", "b"].map((name) => startCaller(name, stopping));
+  const group = fleet.groups.find(({ group }) =>
+    fleet.hosts[0]!.host.listGroupViews()
+      .some((view) => view.group === group)
+  )!;
+  const replica = group.targets[1]!.target;
+  const store = createMemoryStore(fleet.platform);
+  await vi.advanceTimersByTimeAsync(1_000);
+  const target = asId<TargetId>(replica);
+  (await settle(markLeaving(store, { target, leaving: true }))).unwrap();
+  await vi.advanceTimersByTimeAsync(LEAVING_MS);
+  let runs = 0;
+  const node = fleet.getTarget(replica);
+  const { tryOpen } = node;
+  node.tryOpen = (from) => {
+    runs++;
+    return tryOpen(from);
+  };
+  const before = node.core.statements.length;
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect([runs, node.core.statements.length - before]).toEqual([0, 0]);
+  await settle(Promise.all(callers.map((caller) => caller.stop())));
+  expect(failures).toEqual([]);
+});
