Name missing certificates as mistakes in the settings

A host on an address that others reach failed with an exception when it had no certificates, and a file that cannot be read did so too; both are named with their place now, and a host on loopback says that it is not encrypted. The test of the queue no longer gives an option that the queue does not have.

--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -4,7 +4,13 @@
 import { runHost } from "../daemon/run_host.ts";
 import { formatDiagnostic } from "../core/diagnostics.ts";
 import { loadSettings } from "../host/settings.ts";
-import { EXIT_OK, type Register, warnMistakes } from "./command.ts";
+import type { Settings } from "../generated/settings.ts";
+import {
+  EXIT_OK,
+  type Register,
+  type Terminal,
+  warnMistakes,
+} from "./command.ts";
 
 /** Adds the command. */
 export const registerRun: Register = (cli, terminal) => {
@@ -15,6 +21,7 @@
       if (settings.isErr()) {
         return warnMistakes(terminal, { file, mistakes: settings.error });
       }
+      warnUnencrypted(terminal, settings.value);
       const running = await runHost(settings.value);
       // The first signal lets requests finish, the second one does not.
       let signals = 0;
@@ -29,3 +36,13 @@
       return EXIT_OK;
     });
 };
+
+/** Says which ports have no certificates. */
+function warnUnencrypted(terminal: Terminal, settings: Settings): void {
+  const roles = (["callers", "peers"] as const)
+    .filter((role) => !settings[role].tls).join(" and ");
+  if (roles !== "") {
+    const { host } = settings;
+    terminal.warn(formatDiagnostic("host_unencrypted", { host, roles }));
+  }
+}
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -30,8 +30,17 @@
   },
   settings_valid: { code: 1009, text: "valid settings of host {host}" },
   line_invalid: { code: 1010, text: "{detail}" },
+  tls_missing: {
+    code: 1011,
+    text: "found nothing, required: certificates, since {address} is not a " +
+      "loopback address",
+  },
   host_ready: { code: 2001, text: "{host} ready" },
   host_stopped: { code: 2002, text: "{host} stopped" },
+  host_unencrypted: {
+    code: 2003,
+    text: "{host}: the ports of {roles} are not encrypted",
+  },
   command_unknown: { code: 3001, text: "no such command: {command}" },
   command_misspelt: {
     code: 3002,
--- a/src/host/settings.ts
+++ b/src/host/settings.ts
@@ -10,6 +10,10 @@
 } from "../core/mistakes.ts";
 import type { Settings } from "../generated/settings.ts";
 import { validateSettings } from "../generated/settings_validate.ts";
+import { isLoopback } from "./tls.ts";
+
+/** Ports that need certificates unless they are on a loopback address. */
+const ENCRYPTED_ROLES = ["callers", "peers"] as const;
 
 /** Reads a YAML file; the result is not checked against a schema. */
 export function readYaml(file: string): Result<unknown, readonly Mistake[]> {
@@ -62,7 +66,33 @@
 export function loadSettings(
   file: string,
 ): Result<Settings, readonly Mistake[]> {
-  return readYaml(file).andThen(checkSettings);
+  return readYaml(file).andThen(checkSettings).andThen((settings) => {
+    const mistakes = checkFiles(settings);
+    return mistakes.length > 0 ? Err(mistakes) : Ok(settings);
+  });
+}
+
+/** Certificates that cannot be read. */
+function checkFiles(settings: Settings): Mistake[] {
+  return ENCRYPTED_ROLES.flatMap((role) =>
+    Object.entries(settings[role].tls ?? {}).flatMap(([key, file]) => {
+      const detail = tryReadFault(file);
+      const path = `${role}.tls.${key}`;
+      return detail === undefined
+        ? []
+        : [createMistake(path, "file_unreadable", { detail })];
+    })
+  );
+}
+
+/** Why a file cannot be read. */
+function tryReadFault(file: string): string | undefined {
+  try {
+    readFileSync(file);
+    return undefined;
+  } catch (err) {
+    return err instanceof Error ? err.message : `${err}`;
+  }
 }
 
 /** Mistakes that lie between values, looked for in whatever is there. */
@@ -71,9 +101,23 @@
     ...checkTimeouts(value),
     ...checkPorts(value),
     ...checkKnownHosts(value),
+    ...checkTls(value),
   ];
 }
 
+/** Only loopback addresses may go without certificates. */
+function checkTls(value: unknown): Mistake[] {
+  return ENCRYPTED_ROLES.flatMap((role) => {
+    const server = getField(value, role);
+    const address = getField(server, "address");
+    const isOpen = typeof address === "string" && !isLoopback(address) &&
+      getField(server, "tls") === undefined;
+    return isOpen
+      ? [createMistake(`${role}.tls`, "tls_missing", { address })]
+      : [];
+  });
+}
+
 function checkTimeouts(value: unknown): Mistake[] {
   const requests = getField(value, "requests");
   const timeoutMs = getField(requests, "defaultTimeoutMs");
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,3 +1,6 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { expect, test } from "vitest";
 import { formatMistake } from "../src/core/mistakes.ts";
 import {
@@ -101,3 +104,24 @@
   const mistakes = loadSettings("/nowhere/host.yaml").unwrapErr();
   expect(mistakes.map((mistake) => mistake.name)).toEqual(["file_unreadable"]);
 });
+
+test("an address that others reach needs certificates", () => {
+  const text = VALID.replace(
+    "address: 127.0.0.1, port: 7000",
+    "address: 10.0.0.7, port: 7000",
+  );
+  expect(listMistakes(text)).toMatchInlineSnapshot(`
+    [
+      "host.yaml: callers.tls: found nothing, required: certificates, since 10.0.0.7 is not a loopback address [TC1011]",
+    ]
+  `);
+});
+
+test("certificates that cannot be read are named", () => {
+  const file = join(mkdtempSync(join(tmpdir(), "settings-")), "host.yaml");
+  const tls = "tls: { certFile: /nowhere/h1.crt, keyFile: /nowhere/h1.key }";
+  writeFileSync(file, VALID.replace("port: 7000", `port: 7000, ${tls}`));
+  const mistakes = loadSettings(file).unwrapErr();
+  expect(mistakes.map((mistake) => mistake.path))
+    .toEqual(["callers.tls.certFile", "callers.tls.keyFile"]);
+});
--- a/test/write.test.ts
+++ b/test/write.test.ts
@@ -114,7 +114,6 @@
       },
       slotsPerTarget: 3,
       maxInFlight: 3,
-      getWeight: () => 1,
       random: () => 0,
     });
     const entered = await queue.enter(group.targets[0]!.core.status().target, {
