--- a/src/core/send.ts
+++ b/src/core/send.ts
@@ -32,6 +32,8 @@
   readonly workspace: WorkspaceId;
   readonly req: RunReq;
   readonly deadline: number;
+  /** Asked right before the sending; false keeps it from being sent. */
+  tryStart?(): boolean;
 }
 
 /** Why a sending gave no result: refused before, or failed at the target. */
@@ -88,6 +90,11 @@
   }
   ctx.io.metrics.observe("queue_ms", nowMs() - startedAt, { workspace });
   const { conn, slot } = lane.value;
+  if (sending.tryStart && !sending.tryStart()) {
+    ctx.connections.release(conn, { clean: true });
+    slot.release();
+    return Err({ kind: "refused", failure: { error: "unavailable" } });
+  }
   ctx.io.metrics.count("target_sends_total", { target: target.target });
   const res = await conn.run(req, deadline - nowMs());
   // Without an answer the connection may still be running the statement.
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -59,7 +59,7 @@
     return session;
   }
 
-  /** Tells whether the row was written. */
+  /** Whether the row was written and the transaction was committed. */
   async function transact(held: CallerSession, n: number): Promise<boolean> {
     const { service } = LAKAZ;
     const id = (part: string) => asId<ReqId>(`${name}-${n}-${part}`);
@@ -85,13 +85,14 @@
   }
 
   async function run(): Promise<void> {
+    let written: number | null = null;
     for (let n = 0; running; n++) {
       const held = getSession();
-      const isWritten = await transact(held, n);
+      written = await transact(held, n) ? n : written;
       const read = note(await held.request(getFrame(`${name}-row`)));
       token = read.token;
-      if (isWritten && read.kind === "done" && read.result !== n) {
-        failures.push(`read ${read.result} after writing ${n}`);
+      if (read.kind === "done" && read.result !== written) {
+        failures.push(`read ${read.result} after writing ${written}`);
       }
       await wait(PAUSE_MS);
     }
--- a/test/write.test.ts
+++ b/test/write.test.ts
@@ -136,6 +136,16 @@
     await settle(Promise.all(ahead));
   });
 
+  test("unavailable: no primary came before the deadline", async () => {
+    group.targets[0]!.faults = { cutFrom: ["*"] };
+    await vi.advanceTimersByTimeAsync(700);
+    const answer = await settle(send(entry, addFrame("order", 100)));
+    expect(errorOf(answer)).toBe("unavailable");
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(group.getTerm()).toBe(2);
+    expect(group.countEntries("order")).toBe(0);
+  });
+
   test("cancelled: its outcome was asked for first", async () => {
     const frame = addFrame("order");
     const ask = frameOf({ kind: "outcome", of: frame.id });
