Test what faults in a scratch copy had passed by

Cause: two transaction tests no longer noticed a connection that stays open, since transactions give their slot back, and nothing noticed a token refused without a primary or a sending started after it was given up.

--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -12,7 +12,7 @@
   startTestFleet,
   type TestFleet,
 } from "./fleet.ts";
-import { getTestGroup, type TestGroup } from "./group.ts";
+import { getTestGroup, idOf, type TestGroup } from "./group.ts";
 
 let fleet: TestFleet;
 let group: TestGroup;
@@ -109,15 +109,18 @@
   });
 
   test("is not refused while the primary that holds it is lost", async () => {
-    const token = await write("h1", "placed");
-    group.targets.slice(1).forEach((t) => t.faults = { frozen: true });
-    group.targets[0]!.faults = { cutFrom: ["*"] };
-    const reading = read("h2", token);
-    await vi.advanceTimersByTimeAsync(500);
-    group.targets.slice(1).forEach((t) => t.faults = {});
-    const answer = await settle(reading);
-    const error = answer.kind === "failed" ? answer.failure.error : undefined;
-    expect(error).not.toBe("token_invalid");
+    const [old, behind, frozen] = group.targets;
+    await write("h1", "placed");
+    old!.faults = { cutFrom: [idOf(behind!)] };
+    frozen!.faults = { frozen: true };
+    const unanswered = putFrame("order", "tail", { timeoutMs: 300 });
+    await settle(fleet.open("h1").request(unanswered));
+    // The floor of this read is on the primary only.
+    const { token } = await read("h1");
+    old!.faults = { cutFrom: ["*"] };
+    frozen!.faults = {};
+    expect(resultOf(await read("h2", token))).toBe("placed");
+    expect(group.getPrimary()).not.toBe(old);
   });
 
   test("from before several changes of primary still reads", async () => {
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import { getConnectionShare } from "../src/core/connections.ts";
 import type { CallerSession } from "../src/core/entry.ts";
 import type { Answer } from "../src/core/types.ts";
 import type { TxId } from "../src/core/ids.ts";
@@ -102,9 +103,10 @@
 });
 
 describe("a transaction is rolled back", () => {
-  /** Fails unless as many transactions can be begun as there are slots. */
-  async function expectSlotsFree(): Promise<void> {
-    for (let n = 0; n < group.info.slots; n++) {
+  /** Fails unless each connection of the pool host can begin one. */
+  async function expectConnectionsFree(): Promise<void> {
+    const count = getConnectionShare(group.info.targets, 3);
+    for (let n = 0; n < count; n++) {
       const frame = { ...frameOf({ kind: "begin" }), timeoutMs: 100 };
       const session = fleet.open(group.poolHosts[0]!);
       resultOf(await settle(session.request(frame)));
@@ -117,7 +119,7 @@
     session.end();
     await vi.advanceTimersByTimeAsync(100);
     expect(group.countEntries("order")).toBe(0);
-    await expectSlotsFree();
+    await expectConnectionsFree();
   });
 
   test("when its entry host dies", async () => {
@@ -125,7 +127,7 @@
     fleet.kill(entry);
     await vi.advanceTimersByTimeAsync(1_500);
     expect(group.countEntries("order")).toBe(0);
-    await expectSlotsFree();
+    await expectConnectionsFree();
   });
 
   test("when its pool host dies", async () => {
@@ -148,7 +150,7 @@
     const tx = await beginWrite(session, "order");
     await vi.advanceTimersByTimeAsync(TRANSACTION_TIMEOUT_MS + 100);
     await expectLost(commit(session, tx), "order");
-    await expectSlotsFree();
+    await expectConnectionsFree();
   });
 });
 
--- /dev/null
+++ b/test/write_attempt.test.ts
@@ -0,0 +1,44 @@
+import { Ok } from "ts-results-es";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { attempt } from "../src/core/attempt.ts";
+import { nowMs, sleep } from "../src/core/clock.ts";
+import { asId, type TargetId, type WorkspaceId } from "../src/core/ids.ts";
+import type { SendContext } from "../src/core/send.ts";
+import type { TargetInfo } from "../src/core/types.ts";
+import type { Watch } from "../src/core/watch.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const QUEUE_MS = 100;
+const workspace = asId<WorkspaceId>("archive");
+const target = { target: asId<TargetId>("t1") } as TargetInfo;
+
+test("what is given up in the queue is not sent and says so", async () => {
+  let runs = 0;
+  const conn = { run: () => Promise.resolve(runs++) };
+  const slot = { isValid: () => true, detach() {}, release() {} };
+  const ctx = {
+    io: { metrics: { count() {} } },
+    queue: { enter: () => sleep(QUEUE_MS).then(() => Ok(slot)) },
+    connections: { acquire: () => Promise.resolve(Ok(conn)), release() {} },
+  } as unknown as SendContext;
+  const watch = {
+    until: (promise: Promise<unknown>) =>
+      Promise.race([promise, sleep(QUEUE_MS / 2).then(() => undefined)]),
+  } as unknown as Watch;
+  const attempted = attempt({ ...ctx, watch }, {
+    sending: {
+      target,
+      workspace,
+      req: { kind: "rollback" },
+      deadline: nowMs() + 1_000,
+    },
+    isOver: () => true,
+  });
+  await vi.advanceTimersByTimeAsync(2 * QUEUE_MS);
+  expect((await attempted).unwrapErr()).toMatchObject({
+    err: { kind: "unreachable", sent: false },
+  });
+  expect(runs).toBe(0);
+});
