--- a/src/core/send.ts
+++ b/src/core/send.ts
@@ -18,6 +18,8 @@
 
 /** Shortest useful wait for the answer of a target, in milliseconds. */
 const MIN_SEND_MS = 1;
+/** How long a statement without an answer may still run, in milliseconds. */
+const UNKNOWN_HOLD_MS = 5_000;
 
 /** What sending needs of the pool. */
 export interface SendContext {
@@ -100,7 +102,13 @@
   // Without an answer the connection may still be running the statement.
   const clean = res.isOk() || res.error.kind !== "no_answer";
   ctx.connections.release(conn, { clean });
-  slot.release();
+  // A statement without an answer may run yet, and counts until then.
+  if (clean) {
+    slot.release();
+  } else {
+    slot.detach();
+    setTimeout(slot.release, UNKNOWN_HOLD_MS);
+  }
   if (res.isErr()) {
     return Err({ kind: "target", err: res.error });
   }
