--- a/tools/measure/callers.ts
+++ b/tools/measure/callers.ts
@@ -20,6 +20,7 @@
 /** A session changes its host once in this many requests. */
 const MOVE_EVERY = 8;
 const TX_INTERVAL_MS = 500;
+const MAX_BEHIND_MS = 3_000;
 
 /** A checked request with what the figures need besides. */
 export interface Call {
@@ -30,6 +31,8 @@
 
 /** What callers need of the fleet. */
 export interface CallersOptions {
+  /** Sessions that lag behind stop sending after this time. */
+  readonly durationMs: number;
   readonly urls: readonly string[];
   /** One-way latency between callers and hosts, in milliseconds. */
   readonly latencyMs: number;
@@ -152,6 +155,9 @@
     const caller = createCaller({ workspace, session, ...given });
     for (const [index, line] of lines.entries()) {
       await sleep(Math.max(0, given.startedAt + line.atMs - nowMs()));
+      if (nowMs() > given.startedAt + options.durationMs + MAX_BEHIND_MS) {
+        break;
+      }
       if (index % MOVE_EVERY === MOVE_EVERY - 1) {
         caller.move();
       }
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -127,6 +127,7 @@
   const callers = createCallers({
     urls: fleet.hosts.map((host) => host.callersUrl),
     latencyMs: deployment.callerLatencyMs,
+    durationMs,
   });
   const lines = makeUnique([
     ...options.trace ?? drawLoad(deployment, { seed, durationMs }),
