--- /dev/null
+++ b/test/measure.test.ts
@@ -0,0 +1,106 @@
+import { expect, test } from "vitest";
+import type { Call } from "../tools/measure/callers.ts";
+import {
+  computeFigures,
+  listGaps,
+  type RunRecord,
+} from "../tools/measure/figures.ts";
+import { drawSchedule } from "../tools/measure/schedule.ts";
+
+const OK = { ok: true, result: 1, servedBy: "primary" } as const;
+const LIMITED = { ok: false, error: "rate_limited", run: "not_run" } as const;
+
+function call(
+  sentAt: number,
+  rest: Partial<Call["req"]> & { readonly class?: string } = {},
+): Call {
+  const { class: requestClass = "order", ...req } = rest;
+  const change = { op: "put", key: "k", value: sentAt } as const;
+  return {
+    req: {
+      id: `r${sentAt}`,
+      workspace: "w",
+      session: "s",
+      sentAt,
+      answeredAt: sentAt + 10,
+      op: { kind: "write", change, unrepeatable: true },
+      answer: OK,
+      ...req,
+    },
+    class: requestClass,
+    latencyMs: 10,
+  };
+}
+
+function run(calls: readonly Call[], rest: Partial<RunRecord> = {}): RunRecord {
+  const status = {
+    target: "t",
+    term: 1,
+    role: "primary",
+    logEnd: { term: 1, pos: 0 },
+  } as const;
+  const statements = [
+    { kind: "write", workspace: "w", key: "k", ranAt: 0 },
+  ] as const;
+  const target = { status, log: [], discarded: [], statements, keyHits: 0 };
+  return {
+    calls,
+    failovers: [],
+    groups: [{ group: "g", targets: [target] }],
+    plans: new Map([["w", { ratePerSecond: 10, burst: 2 }]]),
+    flooder: "flooder",
+    ...rest,
+  };
+}
+
+test("a schedule is the same for a seed and has five failovers in 20 s", () => {
+  const options = {
+    seed: 7,
+    durationMs: 20_000,
+    groups: 3,
+    hosts: 6,
+    primaryFaults: ["down", "cut"],
+  } as const;
+  const schedule = drawSchedule(options);
+  expect(drawSchedule(options)).toEqual(schedule);
+  const groups = schedule.flatMap((fault) =>
+    fault.kind === "primary" ? [fault.group] : []
+  );
+  expect(groups.length).toBeGreaterThanOrEqual(5);
+  expect(new Set(groups)).toEqual(new Set([0, 1, 2]));
+});
+
+test("a gap runs between answered writes of the most frequent class", () => {
+  const calls = [
+    ...[0, 100, 200, 2_300, 2_400].map((at) => call(at)),
+    call(1_000, { class: "payment" }),
+    call(1_500, { answer: LIMITED }),
+  ];
+  const failovers = [{ group: "g", fault: "cut", at: 250 }] as const;
+  expect(listGaps(run(calls, { failovers: [...failovers] })))
+    .toEqual([{ group: "g", fault: "cut", ms: 2_100 }]);
+});
+
+test("only a refusal within rate and burst counts as wrongful", () => {
+  const within = [call(1_000), call(1_001, { answer: LIMITED })];
+  const beyond = [
+    call(1_002),
+    call(1_003, { answer: LIMITED }),
+    call(1_004, { answer: LIMITED }),
+  ];
+  const { refusedWithinRateShare } = computeFigures(
+    run([...within, ...beyond]),
+  );
+  expect(refusedWithinRateShare).toBeCloseTo(1 / 3);
+});
+
+test("the worst-served workspace leaves the flooding one out", () => {
+  const calls = [
+    call(1),
+    call(2),
+    call(3, { workspace: "small" }),
+    call(4, { workspace: "small", answer: LIMITED }),
+    call(5, { workspace: "flooder", answer: LIMITED }),
+  ];
+  expect(computeFigures(run(calls)).worstWorkspaceServedShare).toBe(0.5);
+});
