--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -17,8 +17,10 @@
 import type { Stoppable } from "./types.ts";
 
 /** Longest time that a request waits in a queue, in milliseconds. */
-export const MAX_WAIT_MS = 800;
+export const MAX_WAIT_MS = 1_500;
 
+/** A request that is expected to wait longer is refused at once. */
+const MAX_EXPECTED_MS = 400;
 const MIN_RETRY_AFTER_MS = 20;
 const RETRY_JITTER = 0.5;
 
@@ -50,7 +52,6 @@
   readonly slotsPerTarget: number;
   /** Most statements that this host sends to a target at once. */
   readonly maxInFlight: number;
-  getWeight(workspace: WorkspaceId): number;
   random(): number;
 }
 
@@ -67,7 +68,7 @@
   inFlight: number;
 }
 
-/** Creates a queue that serves workspaces by the rates of their plans. */
+/** Creates a queue in which every workspace has an equal part of a target. */
 export function createFairQueue(options: QueueOptions): Queue {
   const { limits } = options;
   const targets = new Map<TargetId, TargetQueue>();
@@ -103,14 +104,13 @@
 
   /** Time until a target gets to a request behind `ahead` of its workspace. */
   function getSlotWaitMs(queue: TargetQueue, flow: Flow<Waiter>): number {
-    const others = queue.flows.listWaiting();
-    const weights = others
-      .filter((other) => other !== flow)
-      .reduce((sum, other) => sum + other.weight, flow.weight);
-    const isFree = queue.inFlight < queue.concurrency.limit;
-    const ahead = flow.waiting.length + (isFree ? 0 : 1);
-    const perRequestMs = flow.costMs * weights / flow.weight;
-    return ahead * perRequestMs / queue.concurrency.limit;
+    const others = queue.flows.listWaiting().filter((f) => f !== flow);
+    const { limit } = queue.concurrency;
+    const isFree = queue.inFlight < limit;
+    const ahead = flow.waiting.length * flow.costMs;
+    const lag = queue.flows.getLag(flow) + ahead;
+    const shareMs = lag * (others.length + 1) / limit;
+    return shareMs + (isFree ? 0 : flow.costMs / limit);
   }
 
   function refuse(error: "rate_limited" | "overloaded", waitMs: number) {
@@ -126,8 +126,9 @@
     queue: TargetQueue,
     given: { readonly flow: Flow<Waiter>; readonly leftMs: number },
   ): Err<Failure> | undefined {
-    const { flow, leftMs } = given;
+    const { flow } = given;
     const { workspace } = flow;
+    const leftMs = Math.min(MAX_EXPECTED_MS, given.leftMs);
     const tokenMs = limits.getWaitMs(workspace, waiting.get(workspace) ?? 0);
     if (tokenMs > leftMs) {
       return refuse("rate_limited", tokenMs);
@@ -248,7 +249,7 @@
   return {
     enter(target, { workspace, deadline }) {
       const queue = getTarget(target);
-      const flow = queue.flows.get(workspace, options.getWeight(workspace));
+      const flow = queue.flows.get(workspace);
       const leftMs = Math.min(MAX_WAIT_MS, deadline - nowMs());
       if (leftMs <= 0) {
         return Promise.resolve(Err({ error: "deadline_exceeded" }));
