Keep who stands for a group until a change of hosts concerns it

Cause: each request ranked all live hosts for its group and all groups for its workspace, and each look at the pools (ten a second) ranked all hosts for every group. Ruled out: ranking at fixed intervals, which is 12 s of work for 3,800 groups. Change: placement.ts keeps the chosen hosts of each key and forgets only those that a joined or lost host may concern; the group of a workspace is kept until the groups change; the pools look at two numbers to see that nothing changed. Pools that other hosts have taken over are closed after 30 s, where they were watched for ever.

--- a/src/core/admit.ts
+++ b/src/core/admit.ts
@@ -4,7 +4,6 @@
 import type { Configuration } from "./configuration.ts";
 import type { RequestFrame } from "./entry.ts";
 import type { Failure } from "./errors.ts";
-import { tryGroupFor } from "./route.ts";
 import type { Session } from "./session.ts";
 import type { Admitted, ExecOp } from "./types.ts";
 
@@ -30,8 +29,11 @@
   const { workspace } = session;
   const allowance = ctx.cfg.tryAllowance(workspace)?.services
     .find((service) => service.service === frame.service);
-  const group = tryGroupFor(ctx.cfg, { service: frame.service, workspace });
-  if (!allowance || !group) {
+  const group = allowance && ctx.cfg.tryGroupFor({
+    service: frame.service,
+    workspace,
+  });
+  if (!group) {
     return Err({ error: "forbidden" });
   }
   const stale = allowance.staleReads
--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -8,7 +8,15 @@
   PlanAllowance,
 } from "../generated/objects.ts";
 import { validatePlatformObject } from "../generated/objects_validate.ts";
-import type { GroupId, HostId, KeyId, ObjectKey, WorkspaceId } from "./ids.ts";
+import type {
+  GroupId,
+  HostId,
+  KeyId,
+  ObjectKey,
+  ServiceId,
+  WorkspaceId,
+} from "./ids.ts";
+import { tryGroupFor } from "./route.ts";
 import type { HostIo, StoredObject, WatchRes } from "./types.ts";
 
 /** What the accepted lists say, ready to look up. */
@@ -16,6 +24,10 @@
   tryAllowance(workspace: WorkspaceId): PlanAllowance | undefined;
   tryKey(keyId: KeyId): KeyRecord | undefined;
   tryGroup(group: GroupId): GroupInfo | undefined;
+  /** The group of a service that keeps the rows of a workspace. */
+  tryGroupFor(
+    place: { readonly service: ServiceId; readonly workspace: WorkspaceId },
+  ): GroupInfo | undefined;
   tryGroupStatus(group: GroupId): GroupStatus | undefined;
   readonly groups: readonly GroupInfo[];
   /** Hosts that registered, the leaving ones included. */
@@ -47,6 +59,8 @@
   const allowances = new Map<string, PlanAllowance>();
   const keys = new Map<KeyId, KeyRecord>();
   const groups = new Map<GroupId, GroupInfo>();
+  /** What the hash of a workspace over the groups of a service gave. */
+  const groupsByPlace = new Map<string, GroupInfo | undefined>();
   const statuses = new Map<GroupId, GroupStatus>();
   const hosts = new Map<HostId, HostRecord>();
   const listeners = new Set<() => void>();
@@ -74,6 +88,7 @@
         break;
       case "groups":
         groups.clear();
+        groupsByPlace.clear();
         value.groups.forEach((group) => groups.set(group.group, group));
         break;
       case "group_status":
@@ -106,6 +121,14 @@
     tryAllowance: (workspace) => allowances.get(plans.get(workspace) ?? ""),
     tryKey: (keyId) => keys.get(keyId),
     tryGroup: (group) => groups.get(group),
+    tryGroupFor({ service, workspace }) {
+      const place = `${service}/${workspace}`;
+      if (!groupsByPlace.has(place)) {
+        const found = [...groups.values()].filter((g) => g.service === service);
+        groupsByPlace.set(place, tryGroupFor(workspace, found));
+      }
+      return groupsByPlace.get(place);
+    },
     tryGroupStatus: (group) => statuses.get(group),
     get groups() {
       return [...groups.values()];
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -15,9 +15,8 @@
 import { assertNever } from "./errors.ts";
 import type { Freshness } from "./freshness.ts";
 import { asId, type HostId, type ReqId, type TxId } from "./ids.ts";
-import type { Membership } from "./membership.ts";
 import { forward } from "./forward.ts";
-import { listPoolHosts } from "./route.ts";
+import type { Placement } from "./placement.ts";
 import {
   buildSessionId,
   decodeToken,
@@ -54,8 +53,7 @@
   readonly self: HostId;
   readonly cfg: Configuration;
   readonly freshness: Freshness;
-  readonly membership: Membership;
-  readonly hostsPerGroup: number;
+  readonly placement: Placement;
   readonly defaultTimeoutMs: number;
   readonly maxTimeoutMs: number;
   /** Runs a request at a host; `outcome_unknown` if no answer came. */
@@ -71,7 +69,7 @@
 
 /** Creates the entry of this host. */
 export function createEntry(io: HostIo, options: EntryOptions): Entry {
-  const { self, cfg, membership } = options;
+  const { self, cfg } = options;
   const sessions = new Set<OpenSession>();
   cfg.onChange(endRefusedSessions);
 
@@ -90,11 +88,8 @@
     return buildSessionId(self, unique);
   }
 
-  function listHosts(admitted: Admitted): HostId[] {
-    const hosts = listPoolHosts(admitted.group.group, {
-      alive: membership.listAlive(),
-      count: options.hostsPerGroup,
-    });
+  function listHosts(admitted: Admitted): readonly HostId[] {
+    const hosts = options.placement.listPoolHosts(admitted.group.group);
     return hosts.includes(self)
       ? [self, ...hosts.filter((host) => host !== self)]
       : hosts;
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -12,6 +12,7 @@
 import { createMembership, type Membership } from "./membership.ts";
 import { LIST_KEYS } from "./object_keys.ts";
 import { createPeers } from "./peers.ts";
+import { createPlacement } from "./placement.ts";
 import { createPools } from "./pools.ts";
 import { createFairQueue, type Queue, type QueueOptions } from "./queue.ts";
 import type { OrderReplicas } from "./read.ts";
@@ -118,11 +119,16 @@
   cfg.onChange(membership.announce);
   const hostsPerGroup = settings.pools?.hostsPerGroup ??
     DEFAULT_HOSTS_PER_GROUP;
+  const placement = createPlacement({
+    listHosts: membership.listAlive,
+    hostsPerGroup,
+  });
   const pools = createPools(io, {
     self: self.host,
     cfg,
     membership,
     peers,
+    placement,
     hostsPerGroup,
     transactionTimeoutMs: settings.requests?.transactionTimeoutMs ??
       DEFAULT_TRANSACTION_TIMEOUT_MS,
@@ -203,8 +209,7 @@
     self: self.host,
     cfg,
     freshness,
-    membership,
-    hostsPerGroup,
+    placement,
     defaultTimeoutMs: settings.requests?.defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS,
     maxTimeoutMs: settings.requests?.maxTimeoutMs ?? DEFAULT_MAX_TIMEOUT_MS,
     exec,
--- a/src/core/pools.ts
+++ b/src/core/pools.ts
@@ -1,15 +1,16 @@
 /** The pools of this host: one for each group that it is chosen for. */
 
+import { nowMs } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
 import { getConnectionShare } from "./connections.ts";
 import type { GroupId, HostId } from "./ids.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
+import type { Placement } from "./placement.ts";
 import { createPool, type Pool } from "./pool.ts";
 import { createPromotion, type Opinion, type Promotion } from "./promotion.ts";
 import type { Queue } from "./queue.ts";
 import type { OrderReplicas } from "./read.ts";
-import { listPoolHosts } from "./route.ts";
 import { getSessionHost } from "./session.ts";
 import type {
   GroupInfo,
@@ -21,6 +22,8 @@
 
 const TICK_MS = 100;
 const ASK_TIMEOUT_MS = 300;
+/** A pool that this host is not chosen for is closed after this long. */
+const UNUSED_MS = 30_000;
 
 /** What the pools are made of. */
 export interface PoolsOptions {
@@ -28,6 +31,7 @@
   readonly cfg: Configuration;
   readonly membership: Membership;
   readonly peers: Peers;
+  readonly placement: Placement;
   readonly hostsPerGroup: number;
   readonly transactionTimeoutMs: number;
   createQueue(group: GroupInfo): Queue;
@@ -54,6 +58,8 @@
   readonly pool: Pool;
   readonly promotion: Promotion;
   info: GroupInfo;
+  /** When it was last asked for, or this host was chosen for it. */
+  usedAt: number;
 }
 
 /** Creates the pools of this host; `start` keeps them in step. */
@@ -63,11 +69,8 @@
   let timer: NodeJS.Timeout | undefined;
   let seenKey = "";
 
-  function listMonitors(group: GroupId): HostId[] {
-    return listPoolHosts(group, {
-      alive: membership.listAlive(),
-      count: options.hostsPerGroup,
-    });
+  function listMonitors(group: GroupId): readonly HostId[] {
+    return options.placement.listPoolHosts(group);
   }
 
   async function askSuspects(
@@ -107,7 +110,7 @@
           timeoutMs: ASK_TIMEOUT_MS,
         }),
     });
-    const entry: Held = { pool, promotion, info };
+    const entry: Held = { pool, promotion, info, usedAt: nowMs() };
     held.set(group, entry);
     pool.start();
     promotion.start();
@@ -134,16 +137,30 @@
     endSessions((id) => !membership.isReachable(getSessionHost(id)));
   }
 
+  /** Closes the pools that other hosts have taken over. */
+  function closeUnused(): void {
+    for (const [group, entry] of held) {
+      if (listMonitors(group).includes(self)) {
+        entry.usedAt = nowMs();
+      }
+      const isUnused = nowMs() - entry.usedAt > UNUSED_MS;
+      if (isUnused && entry.pool.countTransactions() === 0) {
+        held.delete(group);
+        entry.promotion.stop();
+        entry.pool.stop();
+      }
+    }
+  }
+
   function tick(): void {
     dropLostHosts();
     reconcile();
+    closeUnused();
   }
 
   /** Opens the pools that this host is chosen for. */
   function reconcile(): void {
-    const hosts = membership.listAlive().map((peer) => peer.host).sort();
-    const versions = cfg.objects.map((object) => object.version);
-    const key = `${hosts.join()}|${versions.join()}`;
+    const key = `${options.placement.getRevision()}|${cfg.revision}`;
     if (key === seenKey) {
       return;
     }
@@ -159,7 +176,13 @@
     start() {
       timer = setInterval(tick, TICK_MS);
     },
-    tryPool: (group) => tryHeld(group)?.pool,
+    tryPool(group) {
+      const entry = tryHeld(group);
+      if (entry) {
+        entry.usedAt = nowMs();
+      }
+      return entry?.pool;
+    },
     endSession: (session) => endSessions((id) => id === session),
     countTransactions: () =>
       [...held.values()].reduce((n, h) => n + h.pool.countTransactions(), 0),
--- a/src/core/route.ts
+++ b/src/core/route.ts
@@ -1,20 +1,17 @@
 /** Finds the database group of a request and the hosts that pool for it. */
 
-import type { Configuration } from "./configuration.ts";
 import { rankNodes } from "./hash.ts";
-import type { GroupId, HostId, ServiceId, WorkspaceId } from "./ids.ts";
+import type { GroupId, HostId, WorkspaceId } from "./ids.ts";
 import type { GroupInfo, PeerInfo } from "./types.ts";
 
 /** The group of a service that keeps the rows of a workspace. */
 export function tryGroupFor(
-  cfg: Configuration,
-  options: { readonly service: ServiceId; readonly workspace: WorkspaceId },
+  workspace: WorkspaceId,
+  groups: readonly GroupInfo[],
 ): GroupInfo | undefined {
-  const groups = cfg.groups
-    .filter((group) => group.service === options.service)
-    .map((group) => group.group);
-  const first = rankNodes(options.workspace, groups)[0];
-  return first && cfg.tryGroup(first);
+  const byId = new Map(groups.map((group) => [group.group, group]));
+  const first = rankNodes(workspace, [...byId.keys()])[0];
+  return first && byId.get(first);
 }
 
 /**
