Make the test of a sending that is given up fail without the guard

Cause: its fake lacked a metric, so that nothing could be sent and it passed with the guard taken out. Seen failing: with tryStart always answering true, one run sent.

--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -111,7 +111,7 @@
   test("is not refused while the primary that holds it is lost", async () => {
     const [old, behind, frozen] = group.targets;
     await write("h1", "placed");
-    old!.faults = { cutFrom: [idOf(behind!)] };
+    old!.faults = { cutFrom: [idOf(behind!), idOf(frozen!)] };
     frozen!.faults = { frozen: true };
     const unanswered = putFrame("order", "tail", { timeoutMs: 300 });
     await settle(fleet.open("h1").request(unanswered));
--- a/test/write_attempt.test.ts
+++ b/test/write_attempt.test.ts
@@ -19,7 +19,7 @@
   const conn = { run: () => Promise.resolve(runs++) };
   const slot = { isValid: () => true, detach() {}, release() {} };
   const ctx = {
-    io: { metrics: { count() {} } },
+    io: { metrics: { count() {}, observe() {} } },
     queue: { enter: () => sleep(QUEUE_MS).then(() => Ok(slot)) },
     connections: { acquire: () => Promise.resolve(Ok(conn)), release() {} },
   } as unknown as SendContext;
