--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -4,6 +4,7 @@
 import { type Configuration, createConfiguration } from "./configuration.ts";
 import { getConnectionShare } from "./connections.ts";
 import { createDissemination, type Dissemination } from "./dissemination.ts";
+import { createDrain } from "./drain.ts";
 import { createEntry, type Entry } from "./entry.ts";
 import { createFreshness, type Freshness } from "./freshness.ts";
 import type { HostId } from "./ids.ts";
@@ -39,6 +40,11 @@
   start(): void;
   /** Takes a message that a peer sent. */
   receivePeer(from: HostId, msg: PeerMessage): void;
+  /**
+   * Leaves the fleet and resolves when nothing runs here any more, or after
+   * `timeoutMs`; `stop` is to follow.
+   */
+  drain(timeoutMs: number): Promise<void>;
   readonly entry: Entry;
   readonly cfg: Configuration;
   readonly freshness: Freshness;
@@ -84,7 +90,8 @@
     self: settings.host,
     cfg,
     knownHosts: known.length + 1,
-    listAlive: () => membership.listAlive().map((peer) => peer.host),
+    // A leaving host grants and is granted tokens until it stops.
+    listAlive: () => membership.listReachable().map((peer) => peer.host),
     async call(host, req, options) {
       const res = await peers.call(host, req, options);
       return res.isOk() ? res.value : undefined;
@@ -124,8 +131,6 @@
         limits,
         slotsPerTarget: info.slots,
         maxInFlight: getConnectionShare(info.targets, hostsPerGroup),
-        getWeight: (workspace) =>
-          cfg.tryAllowance(workspace)?.ratePerSecond ?? 1,
         random: io.random,
       }),
     ...(policies.orderReplicas
@@ -133,7 +138,17 @@
       : {}),
   });
 
-  async function execHere(req: ExecReq): Promise<Outcome> {
+  const requests = createDrain({
+    exec: execAtPool,
+    countTransactions: pools.countTransactions,
+    leave() {
+      membership.leave();
+      void registration.leave();
+    },
+    release: limits.release,
+  });
+
+  async function execAtPool(req: ExecReq): Promise<Outcome> {
     const pool = pools.tryPool(req.group);
     return pool
       ? await pool.exec(req)
@@ -142,7 +157,7 @@
 
   async function exec(host: HostId, req: ExecReq): Promise<Outcome> {
     if (host === self.host) {
-      return await execHere(req);
+      return await requests.run(req);
     }
     const timeoutMs = req.budgetMs + PEER_MARGIN_MS;
     const res = await peers.call(host, req, { timeoutMs });
@@ -166,7 +181,7 @@
   async function handlePeer(_from: HostId, req: PeerReq): Promise<PeerRes> {
     switch (req.kind) {
       case "exec":
-        return { kind: "exec", outcome: await execHere(req) };
+        return { kind: "exec", outcome: await requests.run(req) };
       case "pull":
         return dissemination.answer(req);
       case "seat_vote":
@@ -212,6 +227,7 @@
         peers.receive(from, msg);
       }
     },
+    drain: requests.drain,
     entry,
     cfg,
     freshness,
