--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -240,7 +240,16 @@
 
 test("a seat is not taken from a holder that peers confirm", async () => {
   for (let host = 0; host < HOSTS; host++) {
-    const faults = [{ ...LASTING, kind: "isolate" as const, host }];
+    const faults = [
+      { ...LASTING, afterMs: 7_000, kind: "isolate" as const, host },
+      // Now the others look for more seats than they have.
+      {
+        ...LASTING,
+        afterMs: 8_000,
+        kind: "kill" as const,
+        host: (host + 1) % HOSTS,
+      },
+    ];
     const worst = await getWorst(faults, { seed: 2 });
     expect(worst.excess).toBeLessThanOrEqual(1e-6);
   }
