--- a/test/promotion.test.ts
+++ b/test/promotion.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import type { CallerSession } from "../src/core/entry.ts";
+import { STATUS_INTERVAL_MS } from "../src/core/monitor.ts";
 import type { Answer } from "../src/core/types.ts";
 import { GROUPS_KEY } from "../src/core/object_keys.ts";
 import type { TargetNode } from "../standins/target_node.ts";
@@ -85,6 +86,21 @@
     expect(await measureWrite("h2", "after")).toBeLessThan(GAP_GOAL_MS);
   });
 
+  test("leaves the time of each phase of its replacement", async () => {
+    await measureWrite("h2", "before");
+    targets[0]!.faults = { cutFrom: ["*"] };
+    const gapMs = await measureWrite("h2", "after");
+    const changes = fleet.hosts.flatMap((host) => host.log);
+    const phases = ["promoted", "rerouted"]
+      .map((event) => changes.find((change) => change.event === event)?.fields);
+    expect(phases).toMatchObject([
+      { cause: "silent", fence: expect.any(Number), term: 2 },
+      { reroute: expect.any(Number), term: 2 },
+    ]);
+    expect(phases[0]!.detect).toBeGreaterThan(Number(phases[0]!.fence));
+    expect(phases[0]!.detect).toBeLessThan(gapMs + STATUS_INTERVAL_MS);
+  });
+
   test("is replaced when it is cut off from the hosts only", async () => {
     targets[0]!.faults = { cutFrom: HOSTS };
     expect(await measureWrite("h2", "after")).toBeLessThan(GAP_GOAL_MS);
