Ask only the hosts that may hold seats, and rank owners once

Cause: an owner of workspaces asked every host for shares eight times a second, votes went to every host, and each request ranked all hosts for its owner: terms that grow with the square of the fleet. Ruled out: reading the holders from the platform, which costs calls.

--- a/src/core/grants.ts
+++ b/src/core/grants.ts
@@ -36,7 +36,8 @@
 /** What grants are made of. */
 export interface GrantsOptions {
   readonly incarnation: string;
-  listAlive(): readonly HostId[];
+  /** Hosts that may hold seats. */
+  listSeatHosts(): readonly HostId[];
   tryShareSize(workspace: WorkspaceId): ShareSize | undefined;
   /** Asks a host for shares; undefined without an answer. */
   delegate(
@@ -97,7 +98,7 @@
     return entry;
   }
 
-  /** Asks every host for the shares of its seats, or to extend them. */
+  /** Asks the hosts with seats for their shares, or to extend them. */
   async function collect(workspaces: readonly WorkspaceId[]): Promise<void> {
     const entries = workspaces.map((workspace) => owned.get(workspace)!);
     const claims = workspaces.map((workspace, index) => ({
@@ -111,7 +112,7 @@
       claims,
     };
     entries.forEach((entry) => entry.claimSeq = req.seq);
-    const hosts = options.listAlive();
+    const hosts = options.listSeatHosts();
     await Promise.all(hosts.map(async (host) => {
       const sentAt = nowMs();
       const res = await options.delegate(host, req, COLLECT_TIMEOUT_MS);
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -87,12 +87,21 @@
     listHosts: () => [self.host, ...membership.listContacts()],
   });
   const peers = createPeers(io, handlePeer);
+  const hostsPerGroup = settings.pools?.hostsPerGroup ??
+    DEFAULT_HOSTS_PER_GROUP;
+  // A host that is leaving accounts for its workspaces until it stops.
+  const owners = createPlacement({
+    listHosts: membership.listReachable,
+    hostsPerGroup,
+  });
   const limits = (policies.createLimits ?? createLimits)(io, {
     self: settings.host,
     cfg,
     knownHosts: known.length + 1,
     // A leaving host grants and is granted tokens until it stops.
-    listAlive: () => membership.listReachable().map((peer) => peer.host),
+    countAlive: () => membership.listReachable().length,
+    listOwners: owners.listOwners,
+    listSeatHosts: owners.listSeatHosts,
     async call(host, req, options) {
       const res = await peers.call(host, req, options);
       return res.isOk() ? res.value : undefined;
@@ -117,8 +126,6 @@
     },
   });
   cfg.onChange(membership.announce);
-  const hostsPerGroup = settings.pools?.hostsPerGroup ??
-    DEFAULT_HOSTS_PER_GROUP;
   const placement = createPlacement({
     listHosts: membership.listAlive,
     hostsPerGroup,
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -15,7 +15,6 @@
 import type { Configuration } from "./configuration.ts";
 import { createDelegations } from "./delegations.ts";
 import { createGrants } from "./grants.ts";
-import { rankNodes } from "./hash.ts";
 import type { HostId, WorkspaceId } from "./ids.ts";
 import { createSeats } from "./seats.ts";
 import {
@@ -66,7 +65,11 @@
   /** Number of hosts in the settings, this one included. */
   readonly knownHosts: number;
   /** Hosts that are alive, this one included. */
-  listAlive(): readonly HostId[];
+  countAlive(): number;
+  /** Hosts that may account for a workspace, best first. */
+  listOwners(workspace: WorkspaceId): readonly HostId[];
+  /** Hosts that may hold seats, best first. */
+  listSeatHosts(): readonly HostId[];
   /** Calls a peer; undefined without an answer. */
   call(
     host: HostId,
@@ -102,7 +105,8 @@
     self,
     incarnation,
     knownHosts: options.knownHosts,
-    listAlive: options.listAlive,
+    countAlive: options.countAlive,
+    listSeatHosts: options.listSeatHosts,
     async vote(peer, req, timeoutMs) {
       const res = await options.call(peer, req, { timeoutMs });
       return res?.kind === "seat_vote" ? res : undefined;
@@ -114,7 +118,7 @@
   });
   const grants = createGrants({
     incarnation,
-    listAlive: options.listAlive,
+    listSeatHosts: options.listSeatHosts,
     tryShareSize,
     async delegate(host, req, timeoutMs) {
       if (host === self) {
@@ -138,7 +142,7 @@
   }
 
   function getOwner(workspace: WorkspaceId): HostId {
-    const ranked = rankNodes(workspace, [...options.listAlive()]);
+    const ranked = options.listOwners(workspace);
     return ranked.find((host) => getLink(host).suspectUntil <= nowMs()) ??
       ranked[0] ?? self;
   }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -13,12 +13,16 @@
   rankAll,
   type Scored,
 } from "./route.ts";
+import { SEAT_COUNT } from "./token_pool.ts";
 import type { PeerInfo } from "./types.ts";
 
 /** Age at which the view of the hosts is looked at again, in milliseconds. */
 const REFRESH_MS = 50;
 /** Owners of a workspace that are known in advance. */
 const OWNERS = 4;
+/** Hosts that may hold seats: each seat has one, and one that may take over. */
+const SEAT_HOSTS = 2 * SEAT_COUNT;
+const SEATS_KEY = "seats";
 
 /** Who stands for what, by rendezvous hashing over the hosts. */
 export interface Placement {
@@ -26,6 +30,8 @@
   listPoolHosts(group: GroupId): readonly HostId[];
   /** Hosts that may account for a workspace, best first. */
   listOwners(workspace: WorkspaceId): readonly HostId[];
+  /** Hosts that may hold seats, best first. */
+  listSeatHosts(): readonly HostId[];
   /** Rises with each change of the hosts that may be chosen. */
   getRevision(): number;
 }
@@ -58,10 +64,8 @@
     // A host of a domain that is missing goes before a better one of another.
     return toChosen(chosen, { isFull: isSpread });
   });
-  const workspaces = createCache((keyHash, domains) => {
-    const chosen = rankAll(keyHash, domains).slice(0, OWNERS);
-    return toChosen(chosen, { isFull: chosen.length === OWNERS });
-  });
+  const workspaces = createBestCache(OWNERS);
+  const seats = createBestCache(SEAT_HOSTS);
   let hosts: Hosts = new Map();
   let domains: readonly HashedDomain[] = [];
   let refreshedAt = -Infinity;
@@ -86,6 +90,7 @@
     domains = hashPeers(found);
     groups.forget(change);
     workspaces.forget(change);
+    seats.forget(change);
   }
 
   return {
@@ -97,6 +102,10 @@
       refresh();
       return workspaces.get(workspace, domains);
     },
+    listSeatHosts() {
+      refresh();
+      return seats.get(SEATS_KEY, domains);
+    },
     getRevision() {
       refresh();
       return revision;
@@ -104,6 +113,14 @@
   };
 }
 
+/** Keeps the best hosts of each key, whatever their domains. */
+function createBestCache(count: number): Cache {
+  return createCache((keyHash, domains) => {
+    const chosen = rankAll(keyHash, domains).slice(0, count);
+    return toChosen(chosen, { isFull: chosen.length === count });
+  });
+}
+
 function toChosen(
   chosen: readonly Scored[],
   options: { readonly isFull: boolean },
--- a/src/core/seats.ts
+++ b/src/core/seats.ts
@@ -7,7 +7,6 @@
 import type { SeatLease } from "../generated/objects.ts";
 import { validatePlatformObject } from "../generated/objects_validate.ts";
 import { nowMs, sleep } from "./clock.ts";
-import { rankNodes } from "./hash.ts";
 import type { HostId } from "./ids.ts";
 import { getSeatKey, SEATS_PREFIX } from "./object_keys.ts";
 import { createSeatVotes, VOTE_MS } from "./seat_votes.ts";
@@ -61,7 +60,9 @@
   /** Number of hosts in the settings, this one included. */
   readonly knownHosts: number;
   /** Hosts that are alive, this one included. */
-  listAlive(): readonly HostId[];
+  countAlive(): number;
+  /** Hosts that may hold seats, best first. */
+  listSeatHosts(): readonly HostId[];
   /** Asks a peer to vote; undefined without an answer. */
   vote(
     peer: HostId,
@@ -206,7 +207,7 @@
   /** Lists the seats that holders of a majority of seats agree on. */
   async function poll(req: SeatVoteReq): Promise<number[]> {
     const answers = await Promise.all(
-      options.listAlive().map((host) =>
+      options.listSeatHosts().map((host) =>
         host === self ? receive(req) : options.vote(host, req, VOTE_TIMEOUT_MS)
       ),
     );
@@ -256,13 +257,13 @@
    * no death frees too many and no host looks for more than there are.
    */
   function getQuota(): number {
-    const ranked = rankNodes("seats", [...options.listAlive()]);
-    const rank = ranked.indexOf(self);
+    const rank = options.listSeatHosts().indexOf(self);
     if (rank < 0) {
       return 0;
     }
-    const rest = SEAT_COUNT % ranked.length;
-    return Math.floor(SEAT_COUNT / ranked.length) + (rank < rest ? 1 : 0);
+    const hosts = options.countAlive();
+    const rest = SEAT_COUNT % hosts;
+    return Math.floor(SEAT_COUNT / hosts) + (rank < rest ? 1 : 0);
   }
 
   async function free(seat: number): Promise<void> {
@@ -309,7 +310,7 @@
   async function waitForPeers(): Promise<void> {
     const latest = nowMs() + START_MAX_MS;
     const wanted = options.knownHosts / 2;
-    while (nowMs() < latest && options.listAlive().length <= wanted) {
+    while (nowMs() < latest && options.countAlive() <= wanted) {
       await sleep(START_POLL_MS);
     }
   }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -37,7 +37,7 @@
       setWaiting() {},
       receive: () => Promise.reject(new Error("no peers")),
       tryTake() {
-        const share = part(options.listAlive().length);
+        const share = part(options.countAlive());
         const perMs = PLAN.ratePerSecond / 1_000 * share;
         used = Math.max(0, used - perMs * (nowMs() - at));
         at = nowMs();
--- a/test/limits_fleet.ts
+++ b/test/limits_fleet.ts
@@ -3,6 +3,7 @@
 import { mersenne } from "pure-rand/generator/mersenne";
 import { Err, Ok } from "ts-results-es";
 import { nowMs, sleep, withTimeout } from "../src/core/clock.ts";
+import { rankNodes } from "../src/core/hash.ts";
 import { asId, type HostId, type WorkspaceId } from "../src/core/ids.ts";
 import {
   createLimits,
@@ -112,15 +113,17 @@
         },
       },
     } as unknown as HostIo;
+    const listAlive = () =>
+      hosts.filter((peer) =>
+        peer === host || nowMs() - (host.heard.get(peer.id) ?? -1e9) < ALIVE_MS
+      ).map((peer) => peer.id);
     return create(io, {
       self: host.id,
       cfg,
       knownHosts: options.hosts,
-      listAlive: () =>
-        hosts.filter((peer) =>
-          peer === host || nowMs() - (host.heard.get(peer.id) ?? -1e9) <
-            ALIVE_MS
-        ).map((peer) => peer.id),
+      countAlive: () => listAlive().length,
+      listOwners: (workspace) => rankNodes(workspace, listAlive()),
+      listSeatHosts: () => rankNodes("seats", listAlive()),
       async call(to, req, { timeoutMs }) {
         const peer = hosts.find((h) => h.id === to)!;
         async function run() {
