Take callers when the limits can be used, and move seats less

Cause: wrongful refusals in runs of real processes. In the first second no seat was held yet, while hosts already took callers; a few seconds later hosts that had taken seats before all peers were known freed the surplus, and a freed seat starts empty for its next holder. An owner without any share told a wait without end, so that requests were refused at once. Change: a host takes callers once its seats are settled, or after 3 s; the first seats wait for all known hosts, for up to a second; surplus seats are freed once the quota has lasted 10 s; an owner without shares tells when it will have them.

--- a/examples/embed.ts
+++ b/examples/embed.ts
@@ -156,7 +156,7 @@
   };
   const host = createHost(createIo(store, settings), settings);
   host.start();
-  await host.cfg.ready();
+  await host.ready();
   const session = host.entry.open({ kind: "hello", key }).unwrap();
   await writeAndRead(session);
   session.end();
--- a/src/core/grants.ts
+++ b/src/core/grants.ts
@@ -263,7 +263,9 @@
       tokens: granted.tokens,
       // The sender counts from its sending, which was before `sentAt`.
       ttlMs: Math.max(0, granted.until - sentAt) / CLOCK_DRIFT,
-      waitMs: entry.pool.getWaitMs(1),
+      waitMs: entry.pool.hasShares()
+        ? entry.pool.getWaitMs(1)
+        : COLLECT_MS + COLLECT_TIMEOUT_MS / 2,
       recall: now - entry.shortAt < SHORT_MS,
     };
   }
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -1,6 +1,7 @@
 /** Puts the parts of one host together. */
 
 import type { Settings } from "../generated/settings.ts";
+import { withTimeout } from "./clock.ts";
 import { type Configuration, createConfiguration } from "./configuration.ts";
 import { getConnectionShare } from "./connections.ts";
 import { createDissemination, type Dissemination } from "./dissemination.ts";
@@ -32,6 +33,8 @@
 const DEFAULT_MAX_TIMEOUT_MS = 60_000;
 const DEFAULT_TRANSACTION_TIMEOUT_MS = 10_000;
 const DEFAULT_HOSTS_PER_GROUP = 3;
+/** Longest wait for the shares of the limits before callers are taken. */
+const LIMITS_READY_MS = 3_000;
 /** Time for the way to a pool host and back, in milliseconds. */
 const PEER_MARGIN_MS = 200;
 const END_SESSION_TIMEOUT_MS = 1_000;
@@ -46,6 +49,8 @@
    * `timeoutMs`; `stop` is to follow.
    */
   drain(timeoutMs: number): Promise<void>;
+  /** Resolves when the host can serve callers. */
+  ready(): Promise<void>;
   readonly entry: Entry;
   readonly cfg: Configuration;
   readonly freshness: Freshness;
@@ -240,6 +245,14 @@
       }
     },
     drain: requests.drain,
+    async ready() {
+      await cfg.ready();
+      // Whoever starts while others live is granted tokens without a seat.
+      await withTimeout(limits.ready(), {
+        ms: LIMITS_READY_MS,
+        fallback: undefined,
+      });
+    },
     entry,
     cfg,
     freshness,
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -52,6 +52,8 @@
   /** Calls back when tokens of a workspace have arrived or will not come. */
   onChange(listener: (workspace: WorkspaceId) => void): () => void;
   receive(req: LimitsReq): Promise<LimitsRes>;
+  /** Resolves when the shares of the limits are taken. */
+  ready(): Promise<void>;
   /** Numbers of the seats that this host may use now. */
   listSeats(): number[];
   /** Gives up seats and tokens; the host sends nothing more. */
@@ -286,6 +288,7 @@
       }
     },
     listSeats: () => seats.list().map(({ seat }) => seat),
+    ready: seats.settled,
     release: seats.release,
     stop() {
       clearInterval(timer);
--- a/src/core/seats.ts
+++ b/src/core/seats.ts
@@ -23,7 +23,11 @@
 const RENEW_MS = 1_500;
 /** Time until a host that lost a seat to another one tries again. */
 const CONTEND_MS = 300;
-/** Longest wait for most other hosts before the first seat is taken. */
+/** Time for which a quota must have lasted before seats above it are freed. */
+const SURPLUS_MS = 10_000;
+/** Longest wait for all other hosts before the first seat is taken. */
+const START_MS = 1_000;
+/** Longest wait for most of them. */
 const START_MAX_MS = 3_000;
 const START_POLL_MS = 50;
 const KEEP_MS = 500;
@@ -49,6 +53,8 @@
   /** Seats whose lease is in force at this moment. */
   list(): HeldSeat[];
   receive(req: SeatVoteReq): SeatVoteRes;
+  /** Resolves when there is no seat left that this host should take. */
+  settled(): Promise<void>;
   /** Frees the seats so that other hosts can take them at once. */
   release(): Promise<void>;
 }
@@ -94,6 +100,9 @@
   const votes = createSeatVotes();
   let stopped = false;
   let isReleasing = false;
+  let surplusSince = Infinity;
+  let markSettled: () => void;
+  const isSettledOnce = new Promise<void>((resolve) => markSettled = resolve);
 
   function isHeld(seat: number): boolean {
     return (held.get(seat)?.until ?? 0) > nowMs();
@@ -308,22 +317,43 @@
 
   /** A host that starts alone would take more seats than it should. */
   async function waitForPeers(): Promise<void> {
-    const latest = nowMs() + START_MAX_MS;
-    const wanted = options.knownHosts / 2;
-    while (nowMs() < latest && options.countAlive() <= wanted) {
+    const startedAt = nowMs();
+    function isEnough(): boolean {
+      const alive = options.countAlive();
+      const ms = nowMs() - startedAt;
+      // Settings that name no peer leave it to the registrations to find them.
+      const isWhole = options.knownHosts > 1 && alive >= options.knownHosts;
+      return isWhole || ms > START_MAX_MS ||
+        (ms > START_MS && alive > options.knownHosts / 2);
+    }
+    while (!isEnough()) {
       await sleep(START_POLL_MS);
     }
   }
 
+  /** Seats above the quota, once the quota has lasted. */
+  function listSurplus(): number[] {
+    const surplus = [...held.keys()].slice(getQuota());
+    if (surplus.length === 0) {
+      surplusSince = Infinity;
+      return [];
+    }
+    surplusSince = Math.min(surplusSince, nowMs());
+    // A freed seat starts empty, so a host that just restarts costs nothing.
+    return nowMs() - surplusSince > SURPLUS_MS ? surplus : [];
+  }
+
   async function renewAll(): Promise<void> {
     await waitForPeers();
     let pauseMs = CONTEND_MS / 2;
     while (!stopped && !isReleasing) {
       dropLapsed();
-      const surplus = [...held.keys()].slice(getQuota());
-      await Promise.all(surplus.map(free));
+      await Promise.all(listSurplus().map(free));
       await Promise.all([...held.keys()].map(renew));
       const isSettled = isReleasing || await takeFree();
+      if (isSettled) {
+        markSettled();
+      }
       pauseMs = isSettled ? RENEW_MS : Math.min(RENEW_MS, pauseMs * 2);
       await sleep(pauseMs * (0.9 + 0.2 * io.random()));
     }
@@ -353,6 +383,7 @@
         .filter(({ until, since }) => until > now && since <= now);
     },
     receive,
+    settled: () => isSettledOnce,
     async release() {
       isReleasing = true;
       await Promise.all([...held.keys()].map(free));
--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -113,7 +113,7 @@
   await operators?.listen();
   await links.listen(host.receivePeer);
   host.start();
-  await host.cfg.ready();
+  await host.ready();
   await callers.listen();
   setState("serving");
   return { host, drain, stop, stopped };
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -35,6 +35,7 @@
       start() {},
       stop() {},
       setWaiting() {},
+      ready: () => Promise.resolve(),
       receive: () => Promise.reject(new Error("no peers")),
       tryTake() {
         const share = part(options.countAlive());
--- a/tools/experiments/baselines.ts
+++ b/tools/experiments/baselines.ts
@@ -40,6 +40,7 @@
     start() {},
     stop() {},
     setWaiting() {},
+    ready: () => Promise.resolve(),
     onChange: () => () => {},
     receive: () => Promise.reject(new Error("no messages")),
     listSeats: () => [],
