--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -205,7 +205,6 @@
   | "refusals_total"
   | "target_sends_total"
   | "target_errors_total"
-  | "peer_messages_total"
   | "platform_calls_total"
   | "control_messages_total"
   | "control_bytes_total"
@@ -223,11 +222,9 @@
 export type GaugeName =
   | "sessions"
   | "target_connections"
-  | "queued_requests"
   | "in_flight_requests"
   | "group_term"
-  | "peers_alive"
-  | "limit_tokens";
+  | "peers_alive";
 
 /** Everything that a host has of the outside. */
 export interface HostIo {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -36,7 +36,6 @@
   refusals_total: "Requests that were not answered with a result, by error",
   target_sends_total: "Statements sent to targets",
   target_errors_total: "Statements that a target did not answer, by kind",
-  peer_messages_total: "Messages between hosts",
   platform_calls_total: "Calls to the object API of the platform",
   control_messages_total: "Control frames, by channel and direction",
   control_bytes_total: "Bytes of control frames, by channel and direction",
@@ -48,11 +47,9 @@
   failover_phase_ms: "Time of each phase of a failover in milliseconds",
   sessions: "Open sessions of callers",
   target_connections: "Data connections to targets",
-  queued_requests: "Requests that wait for a target",
   in_flight_requests: "Requests of callers that are not answered yet",
   group_term: "Highest term seen in a database group",
   peers_alive: "Hosts that this host counts as alive",
-  limit_tokens: "Tokens that this host may spend for a workspace",
 };
 
 /** Metrics with the registry that exports them. */
