--- a/standins/target_core.ts
+++ b/standins/target_core.ts
@@ -6,103 +6,30 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { assertNever } from "../src/core/errors.ts";
 import type { ReqId, TargetId, WorkspaceId } from "../src/core/ids.ts";
-import { isAtLeast } from "../src/core/position.ts";
 import type {
   ControlReq,
-  Position,
   RunReq,
   RunRes,
   TargetErr,
   TargetErrKind,
   TargetStatus,
 } from "../src/core/types.ts";
-
-/** A change of one row. */
-export type RowChange =
-  | { readonly op: "put"; readonly key: string; readonly value: unknown }
-  /** Adds to a number; a row that is not there counts as 0. */
-  | { readonly op: "add"; readonly key: string; readonly amount: number };
-
-/** A statement as callers write it. */
-export type Statement =
-  | { readonly op: "get"; readonly key: string; readonly costMs?: number }
-  | (RowChange & { readonly costMs?: number });
-
-/** One entry of the log. */
-export interface LogEntry {
-  readonly term: number;
-  readonly workspace?: WorkspaceId;
-  readonly id?: ReqId;
-  readonly changes: readonly RowChange[];
-  readonly result?: unknown;
-  /** The request with this id must never run. */
-  readonly cancelled?: boolean;
-  /** Wall clock when the primary ran it, in milliseconds. */
-  readonly ranAt: number;
-}
-
-/** Where a term begins in a log. */
-export interface TermStart {
-  readonly term: number;
-  readonly pos: number;
-}
-
-/** What a replica asks of its primary. */
-export interface FetchReq {
-  readonly target: TargetId;
-  readonly term: number;
-  readonly length: number;
-  readonly termStarts: readonly TermStart[];
-}
-
-/** What a primary gives a replica. */
-export interface FetchRes {
-  readonly term: number;
-  /** Entries that the replica keeps before it appends. */
-  readonly keep: number;
-  readonly entries: readonly LogEntry[];
-}
-
-/** A statement that the target ran, for the checker. */
-export interface StatementRecord {
-  readonly kind: "read" | "write";
-  readonly workspace: WorkspaceId;
-  readonly key: string;
-  /** Wall clock, in milliseconds. */
-  readonly ranAt: number;
-}
-
-/** An entry that left the log because the primary of a newer term lacks it. */
-export interface DiscardedEntry {
-  readonly pos: number;
-  readonly entry: LogEntry;
-}
-
-/** One data connection as the target sees it. */
-export interface TargetSession {
-  run(req: RunReq): Result<RunRes, TargetErr>;
-  /** The connection ended: an open transaction is rolled back. */
-  end(): void;
-}
-
-/** A target without its network. */
-export interface TargetCore {
-  openSession(): TargetSession;
-  control(req: ControlReq): Result<TargetStatus, TargetErr>;
-  status(): TargetStatus;
-  /** Serves a replica; undefined if this target is not its primary. */
-  fetch(req: FetchReq): FetchRes | undefined;
-  /** What a replica asks next, and whom; undefined if it follows nobody. */
-  nextFetch(): { readonly url: string; readonly req: FetchReq } | undefined;
-  applyFetch(res: FetchRes): void;
-  /** Calls back each time that the log grows or the term rises. */
-  onChange(listener: () => void): () => void;
-  readonly log: readonly LogEntry[];
-  /** Every statement that ran, whether or not it stays in the log. */
-  readonly statements: readonly StatementRecord[];
-  readonly discarded: readonly DiscardedEntry[];
-  row(workspace: WorkspaceId, key: string): unknown;
-}
+import { commonLength } from "./target_log.ts";
+import type {
+  DiscardedEntry,
+  FetchReq,
+  FetchRes,
+  LogEntry,
+  RowChange,
+  Statement,
+  StatementRecord,
+  TargetCore,
+  TargetSession,
+  TargetStart,
+  TermStart,
+} from "./target_types.ts";
+
+export type * from "./target_types.ts";
 
 interface Recorded {
   readonly body: string;
@@ -140,11 +67,6 @@
   return isStatement(body) ? body.costMs ?? 0 : 0;
 }
 
-/** How a target begins in term 1: it leads, or follows the primary. */
-export type TargetStart =
-  | { readonly kind: "primary" }
-  | { readonly kind: "replica"; readonly of: TargetId; readonly url: string };
-
 /** Creates a target with an empty log. */
 export function createTargetCore(
   self: TargetId,
@@ -488,29 +410,3 @@
     ? change.value
     : (typeof current === "number" ? current : 0) + change.amount;
 }
-
-/** Entries that two logs have in common, found by where their terms begin. */
-function commonLength(
-  replica: { readonly termStarts: readonly TermStart[]; length: number },
-  primary: { readonly termStarts: readonly TermStart[]; length: number },
-): number {
-  let common = 0;
-  for (const [index, start] of replica.termStarts.entries()) {
-    const other = primary.termStarts[index];
-    if (other?.term !== start.term || other.pos !== start.pos) {
-      break;
-    }
-    const end = replica.termStarts[index + 1]?.pos ?? replica.length + 1;
-    const otherEnd = primary.termStarts[index + 1]?.pos ?? primary.length + 1;
-    common = Math.min(end, otherEnd) - 1;
-    if (end !== otherEnd) {
-      break;
-    }
-  }
-  return common;
-}
-
-/** Tells whether an await request is answered. */
-export function isAwaitMet(status: TargetStatus, at: Position): boolean {
-  return isAtLeast(status.logEnd, at);
-}
--- a/standins/target_node.ts
+++ b/standins/target_node.ts
@@ -15,10 +15,10 @@
   type FetchReq,
   type FetchRes,
   getCostMs,
-  isAwaitMet,
   type TargetCore,
   type TargetStart,
 } from "./target_core.ts";
+import { isAwaitMet } from "./target_log.ts";
 
 /** Settings of a target stand-in; times in milliseconds. */
 export interface TargetOptions {
