Tell every refused caller a finite time to come back

Cause: a wait that could not be told was endless, and JSON writes that as null. Seen failing: the new test of the queue, Infinity for at most 90 s. The advice is now at most a minute, with its jitter.

--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -22,6 +22,8 @@
 /** A request that is expected to wait longer is refused at once. */
 const MAX_EXPECTED_MS = 400;
 const MIN_RETRY_AFTER_MS = 20;
+/** A wait that nobody can tell is not told as endless, in milliseconds. */
+const MAX_RETRY_AFTER_MS = 60_000;
 const RETRY_JITTER = 0.5;
 
 /** The right to run one statement at a target. */
@@ -120,7 +122,8 @@
   function refuse(error: "rate_limited" | "overloaded", waitMs: number) {
     const jitter = 1 + RETRY_JITTER * options.random();
     const retryAfterMs = Math.ceil(
-      Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter,
+      Math.min(Math.max(MIN_RETRY_AFTER_MS, waitMs), MAX_RETRY_AFTER_MS) *
+        jitter,
     );
     return Err({ error, retryAfterMs });
   }
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -144,3 +144,13 @@
   }
   expect(errors).toEqual(Array.from({ length: 10 }, () => undefined));
 });
+
+test("a caller is never told to come back at no time", async () => {
+  const queue = createFairQueue({
+    ...OPTIONS,
+    limits: { ...UNLIMITED, getWaitMs: () => Infinity },
+  });
+  const { error, retryMs } = await run(queue, { workspace: SMALL, ms: 2 });
+  expect(error).toBe("rate_limited");
+  expect(retryMs).toBeLessThanOrEqual(90_000);
+});
