Open the ports of both servers in one place

Cause: the servers of callers and of operators held the same eleven lines that listen and find the port. Both call listenAt now; behaviour stays as it is.

--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -9,6 +9,7 @@
 import { type CallerSocket, serveCallerSocket } from "./caller_socket.ts";
 import { createReloadedTls, createTlsServer } from "./tls.ts";
 import { createWriteBatch } from "./write_batch.ts";
+import { listenAt } from "./listen.ts";
 
 const DEFAULT_MAX_FRAME_BYTES = 256 * 1024;
 const DEFAULT_MAX_CONNECTIONS = 10_000;
@@ -87,18 +88,7 @@
   }
 
   return {
-    listen: () =>
-      new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(settings.port, settings.address, () => {
-          const address = server.address();
-          resolve(
-            typeof address === "object" && address
-              ? address.port
-              : settings.port,
-          );
-        });
-      }),
+    listen: () => listenAt(server, settings),
     countConnections: () => sockets.size,
     countInFlight: () =>
       [...sockets].reduce((sum, s) => sum + s.countInFlight(), httpInFlight),
--- a/src/host/operators_server.ts
+++ b/src/host/operators_server.ts
@@ -9,6 +9,7 @@
 import type { HostMetrics } from "./metrics.ts";
 import type { HostState, HostStatus } from "./status.ts";
 import { renderStatusPage } from "./status_page.ts";
+import { listenAt } from "./listen.ts";
 
 /** Time for a whole request to arrive, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 5_000;
@@ -112,18 +113,7 @@
   }
 
   return {
-    listen: () =>
-      new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(settings.port, settings.address, () => {
-          const address = server.address();
-          resolve(
-            typeof address === "object" && address
-              ? address.port
-              : settings.port,
-          );
-        });
-      }),
+    listen: () => listenAt(server, settings),
     close() {
       server.close();
       server.closeAllConnections();
