--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -17,6 +17,8 @@
 export type GroupId = Id<"group">;
 /** A database service that plans name. */
 export type ServiceId = Id<"service">;
+/** A database as clients name it when they open a session. */
+export type DatabaseName = Id<"database">;
 /** A plan that workspaces hold. */
 export type PlanId = Id<"plan">;
 /** The public part of a key. */
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -154,11 +154,15 @@
   | { readonly kind: "unreachable" }
   /** The object has another version than the change was made for. */
   | { readonly kind: "conflict"; readonly current: StoredObject }
-  | { readonly kind: "rejected"; readonly detail: string };
+  | { readonly kind: "rejected"; readonly detail: string }
+  /** Changes since the revision of a watch are no longer known: list again. */
+  | { readonly kind: "history_gone" };
 
 /** What a watch tells: objects that changed since a revision. */
 export interface WatchRes {
+  /** The revision to watch from. */
   readonly revision: number;
+  /** Changed objects in order; a removed one has version 0. */
   readonly objects: readonly StoredObject[];
 }
 
@@ -204,12 +208,14 @@
   | "requests_total"
   | "refusals_total"
   | "target_sends_total"
+  | "target_dials_total"
   | "target_errors_total"
   | "platform_calls_total"
   | "control_messages_total"
   | "control_bytes_total"
   | "promotions_total"
-  | "state_changes_total";
+  | "state_changes_total"
+  | "log_lines_dropped_total";
 
 /** Names of the histograms; values are in milliseconds. */
 export type HistogramName =
--- /dev/null
+++ b/src/pooling/catalog.ts
@@ -0,0 +1,51 @@
+/** The configuration in force on this host; its version only rises. */
+
+import type { StoredObject } from "../core/types.ts";
+import type { Catalog, PoolIo } from "./types.ts";
+
+/** Holds the catalog. */
+export interface CatalogHolder {
+  /** Undefined until the first configuration was read. */
+  tryGet(): Catalog | undefined;
+  /** Takes what the store holds, unless it is older or not valid. */
+  offer(object: StoredObject): void;
+  onChange(listener: (catalog: Catalog) => void): void;
+}
+
+/** Creates an empty holder. */
+export function createCatalogHolder(
+  io: Pick<PoolIo, "log" | "metrics">,
+  options: {
+    tryDecode(value: unknown): Catalog | undefined;
+  },
+): CatalogHolder {
+  const listeners = new Set<(catalog: Catalog) => void>();
+  let current: Catalog | undefined;
+  return {
+    tryGet: () => current,
+    offer(object) {
+      const decoded = options.tryDecode(object.value);
+      if (!decoded) {
+        io.log.info("configuration_invalid", { revision: object.version });
+        io.metrics.count("state_changes_total", {
+          component: "catalog",
+          event: "invalid",
+        });
+        return;
+      }
+      if (current && decoded.version <= current.version) {
+        return;
+      }
+      io.log.info("configuration_applied", {
+        version: decoded.version,
+        previous: current?.version,
+        revision: object.version,
+        routes: decoded.routes.size,
+        keys: decoded.workspaceByKey.size,
+      });
+      current = decoded;
+      listeners.forEach((listener) => listener(decoded));
+    },
+    onChange: (listener) => void listeners.add(listener),
+  };
+}
--- /dev/null
+++ b/src/pooling/clock_guard.ts
@@ -0,0 +1,35 @@
+/** Notices that the process was suspended or that the time of day jumped. */
+
+import { nowMs } from "../core/clock.ts";
+
+/** Drift between both clocks that counts as a jump; NTP slews by less. */
+const MAX_DRIFT_MS = 250;
+
+/** Tells whether what was believed before may be older than it looks. */
+export interface ClockGuard {
+  /** Number of jumps so far; beliefs of an older epoch are void. */
+  getEpoch(): number;
+}
+
+/**
+ * Creates a guard. The monotonic clock stands still during a suspension and
+ * the time of day does not, so that their difference changes.
+ */
+export function createClockGuard(
+  onJump: (driftMs: number) => void = () => {},
+): ClockGuard {
+  let offset = Date.now() - nowMs();
+  let epoch = 0;
+  return {
+    getEpoch() {
+      const current = Date.now() - nowMs();
+      const drift = current - offset;
+      if (Math.abs(drift) > MAX_DRIFT_MS) {
+        epoch++;
+        onJump(Math.round(drift));
+      }
+      offset = current;
+      return epoch;
+    },
+  };
+}
--- /dev/null
+++ b/src/pooling/directory.ts
@@ -0,0 +1,154 @@
+/** The targets that registered themselves, and whether they still count. */
+
+import { nowMs } from "../core/clock.ts";
+import type { ServiceId, TargetId } from "../core/ids.ts";
+import type { StoredObject } from "../core/types.ts";
+import type { PoolIo, TargetRecord } from "./types.ts";
+
+/**
+ * Time after the return of the store in which a live target has registered
+ * again: two seconds, and one heartbeat for the way.
+ */
+const REGISTER_AGAIN_MS = 2_200;
+
+/** What a change of the directory was. */
+export type DirectoryEvent =
+  | { readonly kind: "found"; readonly target: TargetRecord }
+  | {
+    readonly kind: "changed";
+    readonly target: TargetRecord;
+    readonly previous: TargetRecord;
+  }
+  | { readonly kind: "gone"; readonly target: TargetRecord };
+
+/** The targets known to this host. */
+export interface Directory {
+  tryGet(id: TargetId): TargetRecord | undefined;
+  list(service: ServiceId): readonly TargetRecord[];
+  replaceAll(objects: readonly StoredObject[]): void;
+  apply(object: StoredObject): void;
+  /** The store answers again; entries that lapsed meanwhile may return. */
+  noteRegained(): void;
+  /** Removes what lapsed and did not return. */
+  expire(): void;
+  onChange(listener: (event: DirectoryEvent) => void): void;
+  readonly size: number;
+}
+
+/** Creates an empty directory. */
+export function createDirectory(
+  io: Pick<PoolIo, "log" | "metrics">,
+  options: {
+    tryDecode(object: StoredObject): TargetRecord | undefined;
+    /** Whether the store could not be reached a moment ago. */
+    isStoreLost(): boolean;
+  },
+): Directory {
+  const targets = new Map<TargetId, TargetRecord>();
+  /** Entries that lapsed while the store was away, and until when they hold. */
+  const lapsed = new Map<TargetId, number>();
+  const listeners = new Set<(event: DirectoryEvent) => void>();
+  let regainedAt = -Infinity;
+
+  function emit(event: DirectoryEvent): void {
+    const { target } = event;
+    io.log.info(`target_${event.kind}`, {
+      target: target.id,
+      service: target.service,
+      role: target.role,
+      isDraining: target.isDraining,
+      incarnation: target.incarnation,
+    });
+    listeners.forEach((listener) => listener(event));
+  }
+
+  function put(target: TargetRecord): void {
+    const previous = targets.get(target.id);
+    lapsed.delete(target.id);
+    targets.set(target.id, target);
+    if (!previous) {
+      emit({ kind: "found", target });
+    } else if (!isSame(previous, target)) {
+      emit({ kind: "changed", target, previous });
+    }
+  }
+
+  function remove(id: TargetId): void {
+    const target = targets.get(id);
+    if (!target) {
+      return;
+    }
+    const graceLeftMs = regainedAt + REGISTER_AGAIN_MS - nowMs();
+    if (options.isStoreLost() || graceLeftMs > 0) {
+      lapsed.set(id, nowMs() + Math.max(graceLeftMs, 0));
+      io.log.info("target_lapsed", { target: id, graceLeftMs });
+      return;
+    }
+    drop(target);
+  }
+
+  function drop(target: TargetRecord): void {
+    targets.delete(target.id);
+    lapsed.delete(target.id);
+    emit({ kind: "gone", target });
+  }
+
+  function apply(object: StoredObject): void {
+    const target = options.tryDecode(object);
+    if (target) {
+      put(target);
+      return;
+    }
+    if (object.version > 0) {
+      // Whoever wrote it, it names no target; a good entry stays in force.
+      io.log.info("target_entry_invalid", { key: object.key });
+      io.metrics.count("state_changes_total", {
+        component: "directory",
+        event: "invalid_entry",
+      });
+      return;
+    }
+    remove(object.key.slice(object.key.indexOf("/") + 1) as TargetId);
+  }
+
+  return {
+    tryGet: (id) => targets.get(id),
+    list: (service) =>
+      [...targets.values()].filter((target) => target.service === service),
+    replaceAll(objects) {
+      const listed = new Set(
+        objects.map(({ key }) => key.slice(key.indexOf("/") + 1)),
+      );
+      objects.forEach(apply);
+      [...targets.keys()].filter((id) => !listed.has(id)).forEach(remove);
+    },
+    apply,
+    noteRegained() {
+      regainedAt = nowMs();
+      for (const id of lapsed.keys()) {
+        lapsed.set(id, regainedAt + REGISTER_AGAIN_MS);
+      }
+    },
+    expire() {
+      if (options.isStoreLost()) {
+        return;
+      }
+      for (const [id, until] of [...lapsed]) {
+        const target = targets.get(id);
+        if (target && nowMs() >= until) {
+          drop(target);
+        }
+      }
+    },
+    onChange: (listener) => void listeners.add(listener),
+    get size() {
+      return targets.size;
+    },
+  };
+}
+
+function isSame(a: TargetRecord, b: TargetRecord): boolean {
+  return a.incarnation === b.incarnation && a.address === b.address &&
+    a.isDraining === b.isDraining && a.role === b.role &&
+    a.service === b.service && a.slots === b.slots;
+}
--- /dev/null
+++ b/src/pooling/fleet.ts
@@ -0,0 +1,179 @@
+/** Objects that the hosts share in the store: hosts, quota shares, duties. */
+
+import { nowMs } from "../core/clock.ts";
+import { asId, type HostId, type ObjectKey } from "../core/ids.ts";
+import type { StoredObject, Stoppable } from "../core/types.ts";
+import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
+import type { PoolIo } from "./types.ts";
+
+const KIND = "turmericchute-fleet";
+const HOST_PREFIX = `${KIND}/host.`;
+/** Key of the ledger of quota shares. */
+export const LEDGER_KEY = asId<ObjectKey>(`${KIND}/shares`);
+
+/** Time between the heartbeats of a host in the store, in milliseconds. */
+const HEARTBEAT_MS = 10_000;
+/** Silence after which a host no longer counts, in milliseconds. */
+const SILENT_MS = 45_000;
+/** Time for which a host may use its shares without a heartbeat accepted. */
+export const SELF_SILENT_MS = 30_000;
+const RETRY_MS = 400;
+
+/** Key of the record of who replaces the primary of a service. */
+export function getDutyKey(service: string): ObjectKey {
+  return asId<ObjectKey>(`${KIND}/duty.${service}`);
+}
+
+/** A host as it registered itself. */
+interface HostRecord {
+  readonly incarnation: number;
+  readonly beat: number;
+}
+
+interface Seen {
+  readonly version: number;
+  readonly at: number;
+}
+
+/** The shared objects as this host knows them. */
+export interface Fleet extends Stoppable {
+  start(): void;
+  tryGet(key: ObjectKey): StoredObject | undefined;
+  /** Takes an object that a conditional update returned. */
+  learn(object: StoredObject): void;
+  /** Time since the object was last seen to change, in milliseconds. */
+  getAgeMs(key: ObjectKey): number;
+  /** Hosts whose heartbeat was seen recently, this one included. */
+  countHosts(): number;
+  /** Hosts that registered and have been silent for too long. */
+  listSilent(): readonly HostId[];
+  /** Time since the last heartbeat of this host that the store accepted. */
+  getOwnSilenceMs(): number;
+  isListed(): boolean;
+  onChange(listener: (key: ObjectKey) => void): void;
+  /** Removes this host from the count; it is about to stop. */
+  leave(): Promise<void>;
+}
+
+/** Creates the view of the shared objects. */
+export function createFleet(
+  io: PoolIo,
+  options: { readonly self: HostId },
+): Fleet {
+  const ownKey = asId<ObjectKey>(HOST_PREFIX + options.self);
+  const incarnation = Date.now();
+  const objects = new Map<ObjectKey, StoredObject>();
+  const seen = new Map<ObjectKey, Seen>();
+  const listeners = new Set<(key: ObjectKey) => void>();
+  let isListed = false;
+  let isLeaving = false;
+  let beat = 0;
+  let acceptedAt = -Infinity;
+  let timer: NodeJS.Timeout | undefined;
+
+  const feed: StoreFeed = createStoreFeed(io, {
+    prefix: `${KIND}/`,
+    handlers: {
+      onList(listed) {
+        const keys = new Set(listed.map(({ key }) => key));
+        for (const key of [...objects.keys()]) {
+          if (!keys.has(key)) {
+            learn({ key, version: 0, value: undefined });
+          }
+        }
+        listed.forEach(learn);
+        if (!isListed) {
+          isListed = true;
+          void sendHeartbeat();
+        }
+      },
+      onChange: learn,
+    },
+  });
+
+  function learn(object: StoredObject): void {
+    const { key, version } = object;
+    const known = objects.get(key);
+    if (known && version !== 0 && version <= known.version) {
+      return;
+    }
+    if (version === 0) {
+      objects.delete(key);
+      seen.delete(key);
+    } else {
+      objects.set(key, object);
+      seen.set(key, { version, at: nowMs() });
+    }
+    if (key.startsWith(HOST_PREFIX) && !known !== (version === 0)) {
+      const event = version === 0 ? "host_left" : "host_seen";
+      io.log.info(event, { host: key.slice(HOST_PREFIX.length) });
+    }
+    listeners.forEach((listener) => listener(key));
+  }
+
+  async function sendHeartbeat(): Promise<void> {
+    clearTimeout(timer);
+    if (isLeaving) {
+      return;
+    }
+    const sentAt = nowMs();
+    const record: HostRecord = { incarnation, beat: beat++ };
+    const put = await io.store.put(ownKey, record, {
+      ifVersion: objects.get(ownKey)?.version ?? 0,
+    });
+    if (put.isOk()) {
+      acceptedAt = sentAt;
+      learn(put.value);
+    } else if (put.error.kind === "conflict") {
+      learn(put.error.current);
+    }
+    timer = setTimeout(
+      () => void sendHeartbeat(),
+      put.isOk() ? HEARTBEAT_MS : RETRY_MS,
+    );
+  }
+
+  function isSilent(key: ObjectKey): boolean {
+    const at = seen.get(key)?.at ?? -Infinity;
+    // Without an answer of the store nobody's heartbeat can be seen.
+    return nowMs() - at - feed.getSilenceMs() > SILENT_MS;
+  }
+
+  function listHosts(): ObjectKey[] {
+    return [...objects.keys()].filter((key) => key.startsWith(HOST_PREFIX));
+  }
+
+  return {
+    start: feed.start,
+    tryGet: (key) => objects.get(key),
+    learn,
+    getAgeMs: (key) => nowMs() - (seen.get(key)?.at ?? -Infinity),
+    countHosts() {
+      const others = listHosts().filter((key) =>
+        key !== ownKey && !isSilent(key)
+      );
+      return others.length + 1;
+    },
+    listSilent: () =>
+      listHosts().filter((key) => key !== ownKey && isSilent(key))
+        .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
+    getOwnSilenceMs: () => nowMs() - acceptedAt,
+    isListed: () => isListed,
+    onChange: (listener) => void listeners.add(listener),
+    async leave() {
+      isLeaving = true;
+      clearTimeout(timer);
+      const version = objects.get(ownKey)?.version;
+      if (version !== undefined) {
+        const value = { incarnation, beat: -1 };
+        const put = await io.store.put(ownKey, value, { ifVersion: version });
+        io.log.info("host_leaving", { isTold: put.isOk() });
+      }
+    },
+    stop() {
+      isLeaving = true;
+      clearTimeout(timer);
+      feed.stop();
+    },
+  };
+}
--- /dev/null
+++ b/src/pooling/health.ts
@@ -0,0 +1,117 @@
+/** Outlier detection: targets that fail, stall or lag get less work. */
+
+import { nowMs } from "../core/clock.ts";
+import type { TargetId } from "../core/ids.ts";
+import { isAtLeast } from "../core/position.ts";
+import type { Position } from "./types.ts";
+
+/** First and longest ejection after failures in a row, in milliseconds. */
+const MIN_EJECT_MS = 300;
+const MAX_EJECT_MS = 3_000;
+/** Weight of a new observation in the moving average of latency. */
+const EWMA_WEIGHT = 0.15;
+/** Lag that is assumed until a replica showed another one, in milliseconds. */
+const DEFAULT_LAG_MS = 60;
+
+/** What is known about one target. */
+interface Record {
+  latencyMs: number | undefined;
+  failures: number;
+  /** When the failures in a row began. */
+  failingSince: number | undefined;
+  ejectedUntil: number;
+  position: Position | undefined;
+  lagMs: number;
+  lagNotedAt: number;
+}
+
+/** Health of the targets as seen from the traffic of this host. */
+export interface Health {
+  noteServed(
+    target: TargetId,
+    options: { readonly ms: number; readonly position: Position | undefined },
+  ): void;
+  noteFailure(target: TargetId): void;
+  /** It answered something other than a statement of a client. */
+  noteAlive(target: TargetId): void;
+  /** Time for which it has answered nothing; 0 unless it fails. */
+  getFailingMs(target: TargetId): number;
+  /** A replica lacked a position that a read needed. */
+  noteLagging(target: TargetId): void;
+  noteLag(target: TargetId, lagMs: number): void;
+  isEjected(target: TargetId): boolean;
+  /** Moving average of the time to an answer; undefined without one. */
+  tryLatencyMs(target: TargetId): number | undefined;
+  /** Lag of the replica as last known, in milliseconds. */
+  getLagMs(target: TargetId): number;
+  /** Whether the target was seen at or past the position. */
+  hasReached(target: TargetId, position: Position): boolean;
+  forget(target: TargetId): void;
+}
+
+/** Creates records without observations. */
+export function createHealth(): Health {
+  const records = new Map<TargetId, Record>();
+
+  function get(target: TargetId): Record {
+    const found = records.get(target) ?? {
+      latencyMs: undefined,
+      failures: 0,
+      failingSince: undefined,
+      ejectedUntil: -Infinity,
+      position: undefined,
+      lagMs: DEFAULT_LAG_MS,
+      lagNotedAt: -Infinity,
+    };
+    records.set(target, found);
+    return found;
+  }
+
+  function noteAlive(target: TargetId): void {
+    const record = get(target);
+    record.failures = 0;
+    record.failingSince = undefined;
+    record.ejectedUntil = -Infinity;
+  }
+
+  return {
+    noteServed(target, { ms, position }) {
+      const record = get(target);
+      const previous = record.latencyMs ?? ms;
+      record.latencyMs = previous + EWMA_WEIGHT * (ms - previous);
+      noteAlive(target);
+      record.position = position ?? record.position;
+    },
+    noteFailure(target) {
+      const record = get(target);
+      const ms = Math.min(MAX_EJECT_MS, MIN_EJECT_MS * 2 ** record.failures);
+      record.failures++;
+      record.failingSince ??= nowMs();
+      record.ejectedUntil = nowMs() + ms;
+    },
+    noteAlive,
+    getFailingMs(target) {
+      const { failingSince } = get(target);
+      return failingSince === undefined ? 0 : nowMs() - failingSince;
+    },
+    noteLagging(target) {
+      const record = get(target);
+      // Half as much again until a status or a served read says otherwise.
+      record.lagMs = Math.min(10_000, record.lagMs * 1.5 + 20);
+      record.lagNotedAt = nowMs();
+    },
+    noteLag(target, lagMs) {
+      const record = get(target);
+      record.lagMs = lagMs;
+      record.lagNotedAt = nowMs();
+    },
+    isEjected: (target) => nowMs() < get(target).ejectedUntil,
+    tryLatencyMs: (target) => get(target).latencyMs,
+    getLagMs: (target) => get(target).lagMs,
+    hasReached(target, position) {
+      const seen = get(target).position;
+      return seen !== undefined && isAtLeast(seen, position);
+    },
+    forget: (target) => void records.delete(target),
+  };
+}
--- /dev/null
+++ b/src/pooling/pooler.ts
@@ -0,0 +1,261 @@
+/** Puts the parts of a session pool together. */
+
+import { nowMs, sleep } from "../core/clock.ts";
+import type { DomainId, HostId, ServiceId, TargetId } from "../core/ids.ts";
+import type { Result } from "ts-results-es";
+import type { StoredObject, Stoppable } from "../core/types.ts";
+import { createCatalogHolder } from "./catalog.ts";
+import { createClockGuard } from "./clock_guard.ts";
+import { createDirectory, type DirectoryEvent } from "./directory.ts";
+import { createDispatcher } from "./dispatch.ts";
+import type { PoolFailure } from "./errors.ts";
+import { createFailover } from "./failover.ts";
+import { createFleet } from "./fleet.ts";
+import { createFloorLog, type FloorLog } from "./floor_log.ts";
+import { createHealth } from "./health.ts";
+import { createLeaders } from "./leaders.ts";
+import { createProbes } from "./probes.ts";
+import { createQuotas } from "./quotas.ts";
+import {
+  openSession,
+  type Session,
+  type SessionContext,
+  type SessionOptions,
+} from "./session.ts";
+import { createShareSync } from "./share_sync.ts";
+import { createStoreFeed } from "./store_feed.ts";
+import type { Catalog, PoolIo, TargetRecord } from "./types.ts";
+
+/** Time between two looks at what lapsed and what idles, in milliseconds. */
+const HOUSEKEEPING_MS = 100;
+/** Connections that are used when the service has no limit configured. */
+const DEFAULT_MAX_CONNECTIONS = 10;
+
+/** How the platform names and writes what the pool reads. */
+export interface PoolerDecoding {
+  readonly catalogPrefix: string;
+  readonly catalogKey: string;
+  readonly targetPrefix: string;
+  tryDecodeCatalog(value: unknown): Catalog | undefined;
+  tryDecodeTarget(object: StoredObject): TargetRecord | undefined;
+}
+
+/** Settings of a session pool. */
+export interface PoolerOptions {
+  readonly host: HostId;
+  readonly domain: DomainId;
+  readonly regions: ReadonlyMap<DomainId, string>;
+  readonly decoding: PoolerDecoding;
+}
+
+/** A running session pool. */
+export interface Pooler extends Stoppable {
+  start(): void;
+  /** Whether configuration, targets and quota shares are known. */
+  isReady(): boolean;
+  open(options: SessionOptions): Result<Session, PoolFailure>;
+  /** Forgets a session that its client or this host ended. */
+  close(session: Session): void;
+  countSessions(): number;
+  /** Calls back when sessions may have lost their key or route. */
+  onCatalog(listener: () => void): void;
+  /** Ends transactions that were idle for `idleMs` or longer. */
+  abortIdle(idleMs: number): void;
+  /** Hands this host's shares over; it is about to stop. */
+  leave(): Promise<void>;
+}
+
+/** Creates a session pool that acts through `io` only. */
+export function createPooler(io: PoolIo, options: PoolerOptions): Pooler {
+  const { decoding } = options;
+  const guard = createClockGuard((driftMs) =>
+    io.log.info("clock_jumped", { driftMs })
+  );
+  const catalog = createCatalogHolder(io, {
+    tryDecode: decoding.tryDecodeCatalog,
+  });
+  const directory = createDirectory(io, {
+    tryDecode: decoding.tryDecodeTarget,
+    isStoreLost: () => targetFeed.isLost(),
+  });
+  const leaders = createLeaders(io);
+  const health = createHealth();
+  const quotas = createQuotas({ random: io.random });
+  const dispatcher = createDispatcher(io, {
+    health,
+    getOwnWorkspace: () => catalog.tryGet()?.quotas.keys().next().value,
+  });
+  const fleet = createFleet(io, { self: options.host });
+  const floors = new Map<ServiceId, FloorLog>();
+  const sessions = new Set<Session>();
+
+  function getFloors(service: ServiceId): FloorLog {
+    const found = floors.get(service) ?? createFloorLog(guard);
+    floors.set(service, found);
+    return found;
+  }
+
+  const ctx: SessionContext = {
+    io,
+    place: { domain: options.domain, regions: options.regions },
+    catalog,
+    directory,
+    leaders,
+    health,
+    dispatcher,
+    guard,
+    quotas,
+    getFloors,
+  };
+  const shares = createShareSync(io, {
+    self: options.host,
+    fleet,
+    quotas,
+    guard,
+  });
+  const probes = createProbes(ctx);
+  const failover = createFailover(ctx, { self: options.host, fleet });
+  const catalogFeed = createStoreFeed(io, {
+    prefix: decoding.catalogPrefix,
+    handlers: {
+      onList: (objects) => objects.forEach(takeCatalog),
+      onChange: takeCatalog,
+    },
+  });
+  const targetFeed = createStoreFeed(io, {
+    prefix: decoding.targetPrefix,
+    handlers: {
+      onList: directory.replaceAll,
+      onChange: directory.apply,
+      onRegained: directory.noteRegained,
+    },
+  });
+  let timer: NodeJS.Timeout | undefined;
+
+  function takeCatalog(object: StoredObject): void {
+    if (object.key === decoding.catalogKey && object.version > 0) {
+      catalog.offer(object);
+    }
+  }
+
+  catalog.onChange((next) => {
+    quotas.setQuotas(next.quotas);
+    updateCaps();
+  });
+  fleet.onChange(updateCaps);
+  leaders.onChange(() => dispatcher.pump());
+  directory.onChange(takeTarget);
+
+  let hostCount = 0;
+
+  /** Shares the connections that a target takes among the hosts. */
+  function updateCaps(): void {
+    hostCount = fleet.countHosts();
+    dispatcher.setCaps((target) => {
+      const most = catalog.tryGet()?.services.get(target.service)
+        ?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+      return Math.max(1, Math.floor(most / hostCount));
+    });
+  }
+
+  function takeTarget(event: DirectoryEvent): void {
+    const { kind, target } = event;
+    const { service, id } = target;
+    switch (kind) {
+      case "gone":
+        dispatcher.forget(id);
+        return;
+      case "changed":
+        if (isOther(target, event.previous)) {
+          dispatcher.forget(id);
+        }
+        break;
+      case "found":
+        break;
+    }
+    if (target.role === "primary") {
+      leaders.note(service, id, { kind: "registered" });
+    } else {
+      leaders.note(service, id, { kind: "denied" });
+    }
+    dispatcher.pump();
+  }
+
+  function keepHouse(): void {
+    guard.getEpoch();
+    directory.expire();
+    const idleMs = catalog.tryGet()?.transactionIdleMs;
+    if (idleMs !== undefined) {
+      sessions.forEach((session) => session.abortIdle(idleMs));
+    }
+    if (fleet.countHosts() !== hostCount) {
+      updateCaps();
+    }
+    io.metrics.set("sessions", sessions.size, {});
+  }
+
+  return {
+    start() {
+      catalogFeed.start();
+      targetFeed.start();
+      fleet.start();
+      shares.start();
+      probes.start();
+      failover.start();
+      timer = setInterval(keepHouse, HOUSEKEEPING_MS);
+    },
+    isReady: () =>
+      catalog.tryGet() !== undefined && directory.size > 0 && shares.isReady(),
+    open(sessionOptions) {
+      const opened = openSession(ctx, sessionOptions);
+      return opened.map((session) => {
+        sessions.add(session);
+        return session;
+      });
+    },
+    close(session) {
+      session.end();
+      sessions.delete(session);
+    },
+    countSessions: () => sessions.size,
+    onCatalog: (listener) => catalog.onChange(listener),
+    abortIdle: (idleMs) =>
+      sessions.forEach((session) => session.abortIdle(idleMs)),
+    leave: fleet.leave,
+    stop() {
+      clearInterval(timer);
+      failover.stop();
+      probes.stop();
+      shares.stop();
+      fleet.stop();
+      catalogFeed.stop();
+      targetFeed.stop();
+      sessions.forEach((session) => session.end());
+      dispatcher.close();
+    },
+  };
+}
+
+/** Whether an id stands for another process than before. */
+function isOther(target: TargetRecord, previous: TargetRecord): boolean {
+  return target.incarnation !== previous.incarnation ||
+    target.address !== previous.address ||
+    target.service !== previous.service;
+}
+
+/** Resolves once `isDone` holds, or after `timeoutMs`. */
+export async function waitUntil(
+  isDone: () => boolean,
+  timeoutMs: number,
+): Promise<boolean> {
+  const until = nowMs() + timeoutMs;
+  while (!isDone() && nowMs() < until) {
+    await sleep(20);
+  }
+  return isDone();
+}
+
+/** Ids of targets, for messages. */
+export function listIds(targets: readonly TargetRecord[]): TargetId[] {
+  return targets.map(({ id }) => id);
+}
--- /dev/null
+++ b/src/pooling/probes.ts
@@ -0,0 +1,89 @@
+/** Asks targets for their status where traffic does not tell enough. */
+
+import { nowMs } from "../core/clock.ts";
+import type { ServiceId, TargetId } from "../core/ids.ts";
+import type { Stoppable } from "../core/types.ts";
+import { control } from "./control.ts";
+import type { TargetRecord } from "./types.ts";
+import type { WorkContext } from "./work.ts";
+
+/** Time between two looks at what to ask, in milliseconds. */
+const TICK_MS = 100;
+/** Age of a floor at which the primary is asked for a newer one. */
+const FLOOR_AGE_MS = 400;
+/** Time between two questions to a primary that fails or is not known. */
+const SUSPECT_INTERVAL_MS = 250;
+/** Time between two questions to a replica, in milliseconds. */
+const REPLICA_INTERVAL_MS = 3_000;
+/** A replica that was paused for so long was left behind by its pauser. */
+const PAUSE_LEFT_MS = 6_000;
+
+/** Running probes. */
+export interface Probes extends Stoppable {
+  start(): void;
+}
+
+/** Creates the probes of all services in the catalog. */
+export function createProbes(ctx: WorkContext): Probes {
+  const askedAt = new Map<TargetId, number>();
+  const pausedSince = new Map<TargetId, number>();
+  let timer: NodeJS.Timeout | undefined;
+
+  function getIntervalMs(target: TargetRecord): number {
+    const { service, id } = target;
+    const primary = ctx.leaders.tryPrimary(service);
+    if (primary === undefined || ctx.health.getFailingMs(id) > 0) {
+      return SUSPECT_INTERVAL_MS;
+    }
+    if (primary !== id) {
+      return REPLICA_INTERVAL_MS;
+    }
+    const ageMs = ctx.getFloors(service).getAgeMs();
+    return ageMs > FLOOR_AGE_MS ? FLOOR_AGE_MS / 2 : Infinity;
+  }
+
+  async function ask(target: TargetRecord): Promise<void> {
+    askedAt.set(target.id, nowMs());
+    const report = await control(ctx, target, { kind: "status" });
+    if (!report || report.pausedTerm === 0) {
+      pausedSince.delete(target.id);
+      return;
+    }
+    const since = pausedSince.get(target.id) ?? nowMs();
+    pausedSince.set(target.id, since);
+    const pausedMs = nowMs() - since;
+    if (pausedMs > PAUSE_LEFT_MS && isLed(target.service)) {
+      pausedSince.delete(target.id);
+      ctx.io.log.info("replica_resumed", {
+        target: target.id,
+        pausedTerm: report.pausedTerm,
+        pausedMs: Math.round(pausedMs),
+      });
+      await control(ctx, target, { kind: "resume" });
+    }
+  }
+
+  function isLed(service: ServiceId): boolean {
+    const primary = ctx.leaders.tryPrimary(service);
+    return primary !== undefined && ctx.health.getFailingMs(primary) === 0;
+  }
+
+  function tick(): void {
+    const services = ctx.catalog.tryGet()?.services.keys() ?? [];
+    for (const service of services) {
+      for (const target of ctx.directory.list(service)) {
+        const last = askedAt.get(target.id) ?? -Infinity;
+        if (nowMs() - last >= getIntervalMs(target)) {
+          void ask(target);
+        }
+      }
+    }
+  }
+
+  return {
+    start() {
+      timer = setInterval(tick, TICK_MS);
+    },
+    stop: () => clearInterval(timer),
+  };
+}
--- /dev/null
+++ b/src/pooling/reads.ts
@@ -0,0 +1,314 @@
+/** Single reads: any target above the floor, or the primary proved as such. */
+
+import { nowMs, sleep } from "../core/clock.ts";
+import type { TargetId } from "../core/ids.ts";
+import type { Hold } from "./dispatch.ts";
+import type { Floor } from "./floor_log.ts";
+import { getLeftMs, rankReaders } from "./ranking.ts";
+import type { TargetRecord } from "./types.ts";
+import {
+  isClean,
+  listPrimary,
+  listUsable,
+  noteReply,
+  type Outcome,
+  prepareLink,
+  sendTimed,
+  type Task,
+  type TimedReply,
+  toCommand,
+  type WorkContext,
+} from "./work.ts";
+
+/** Most targets that one read is sent to, one after the other. */
+const MAX_ATTEMPTS = 5;
+/** Share of the latency objective that may be spent waiting for a connection. */
+export const ADMISSION_SHARE = 0.25;
+/** A read is sent to a second target after this silence, in milliseconds. */
+const MIN_HEDGE_MS = 250;
+/** Multiple of the usual latency that counts as silence. */
+const HEDGE_FACTOR = 4;
+/** Pause before a read that met a full target is sent again. */
+const BUSY_PAUSE_MS = 15;
+
+/** Result of one sending. */
+type Attempt =
+  | { readonly kind: "outcome"; readonly outcome: Outcome }
+  /** Nothing was served; another target may do. */
+  | { readonly kind: "retry"; readonly reason: string };
+
+/** Runs a single read for a session. */
+export async function read(ctx: WorkContext, task: Task): Promise<Outcome> {
+  const tried = new Set<TargetId>();
+  let reason = "no target tried";
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    if (getTimeLeftMs(task) <= 0) {
+      break;
+    }
+    const floor = tryFloor(ctx, task);
+    const result = floor
+      ? await readHedged(ctx, { task, floor, tried })
+      : await readAtPrimary(ctx, task);
+    if (result.kind === "outcome") {
+      return result.outcome;
+    }
+    reason = result.reason;
+  }
+  // A read keeps nothing, so the client may be told to try it again.
+  return { kind: "failed", error: "overloaded", detail: reason };
+}
+
+/** The floor for the task; undefined if only the primary will do. */
+export function tryFloor(ctx: WorkContext, task: Task): Floor | undefined {
+  const { consistency, service } = task.route;
+  return consistency.kind === "primary"
+    ? undefined
+    : ctx.getFloors(service).tryFloor({
+      maxStaleMs: consistency.maxStaleMs,
+      own: consistency.kind === "session" ? task.own : undefined,
+    });
+}
+
+/** Candidates for a read above a floor. */
+export function rankFor(
+  ctx: WorkContext,
+  given: {
+    readonly task: Task;
+    readonly floor: Floor;
+    readonly tried: ReadonlySet<TargetId>;
+  },
+): readonly TargetRecord[] {
+  const { task, floor, tried } = given;
+  const { service } = task.route;
+  const targets = listUsable(ctx, service).filter(({ id }) => !tried.has(id));
+  return rankReaders(targets, {
+    place: ctx.place,
+    health: ctx.health,
+    dispatcher: ctx.dispatcher,
+    primary: ctx.leaders.tryPrimary(service),
+    floor,
+    workspace: task.workspace,
+    context: task.context,
+  });
+}
+
+function getTimeLeftMs(task: Task): number {
+  return getLeftMs(task.startedAt + task.route.statementTimeoutMs);
+}
+
+/** Latest time at which a connection for the task is of use. */
+export function getAdmitUntil(task: Task): number {
+  return task.startedAt + task.route.objectiveMs * ADMISSION_SHARE;
+}
+
+interface FloorRead {
+  readonly task: Task;
+  readonly floor: Floor;
+  readonly tried: Set<TargetId>;
+}
+
+/** Sends the read, and a second time elsewhere if the first stays silent. */
+function readHedged(ctx: WorkContext, given: FloorRead): Promise<Attempt> {
+  return new Promise((resolve) => {
+    let open = 1;
+    let hedge: NodeJS.Timeout | undefined;
+    const settle = (attempt: Attempt) => {
+      open--;
+      if (attempt.kind === "outcome" || open === 0) {
+        clearTimeout(hedge);
+        resolve(attempt);
+      }
+    };
+    void readAbove(ctx, {
+      ...given,
+      onSent(hold) {
+        const usual = ctx.health.tryLatencyMs(hold.target.id) ?? 0;
+        hedge = setTimeout(() => {
+          ctx.health.noteFailure(hold.target.id);
+          ctx.io.log.info("read_hedged", {
+            id: given.task.work.id,
+            silent: hold.target.id,
+          });
+          open++;
+          void readAbove(ctx, given).then(settle);
+        }, Math.max(MIN_HEDGE_MS, usual * HEDGE_FACTOR));
+      },
+    }).then(settle);
+  });
+}
+
+async function readAbove(
+  ctx: WorkContext,
+  given: FloorRead & { onSent?(hold: Hold): void },
+): Promise<Attempt> {
+  const { task, floor, tried } = given;
+  const { route, workspace, context } = task;
+  const acquired = await ctx.dispatcher.acquire({
+    service: route.service,
+    workspace,
+    context,
+    priority: route.priority,
+    until: Math.max(getAdmitUntil(task), nowMs() + 1),
+    rank: () => rankFor(ctx, given),
+  });
+  if (acquired.isErr()) {
+    return toRefused(acquired.error);
+  }
+  const hold = acquired.value;
+  tried.add(hold.target.id);
+  given.onSent?.(hold);
+  const timeoutMs = getTimeLeftMs(task);
+  const fault = await prepareLink(hold, { context, timeoutMs });
+  if (fault) {
+    hold.release(false);
+    return { kind: "retry", reason: describe(fault) };
+  }
+  const sentAt = nowMs();
+  const reply = await sendTimed(
+    hold,
+    toCommand(task.work, { hold, after: floor.position }),
+    getTimeLeftMs(task),
+  );
+  noteReply(ctx, hold, { reply, ms: nowMs() - sentAt });
+  hold.release(isClean(reply));
+  const attempt = toAttempt(reply);
+  logRead(ctx, task, { hold, attempt, floor });
+  if (attempt.kind === "retry" && isBusy(reply)) {
+    await sleep(BUSY_PAUSE_MS);
+  }
+  return attempt;
+}
+
+/**
+ * Reads inside a plain transaction of this host's own, in which a target that
+ * lost the lead refuses every statement.
+ */
+async function readAtPrimary(ctx: WorkContext, task: Task): Promise<Attempt> {
+  const { route, workspace, context } = task;
+  const acquired = await ctx.dispatcher.acquire({
+    service: route.service,
+    workspace,
+    context,
+    priority: route.priority,
+    until: Math.max(getAdmitUntil(task), nowMs() + 1),
+    rank: () => listPrimary(ctx, route.service),
+  });
+  if (acquired.isErr()) {
+    return toRefused(acquired.error);
+  }
+  const hold = acquired.value;
+  const fault = await prepareLink(hold, {
+    context,
+    then: { kind: "begin", isReadOnly: false },
+    timeoutMs: getTimeLeftMs(task),
+  });
+  if (fault) {
+    noteReply(ctx, hold, { reply: fault, ms: 0 });
+    hold.release(false);
+    return { kind: "retry", reason: describe(fault) };
+  }
+  const sentAt = nowMs();
+  const sent = sendTimed(
+    hold,
+    toCommand(task.work, { hold }),
+    getTimeLeftMs(task),
+  );
+  const ended = sendTimed(hold, { kind: "rollback" }, getTimeLeftMs(task));
+  const reply = await sent;
+  noteReply(ctx, hold, { reply, ms: nowMs() - sentAt });
+  if (reply.kind === "done" && reply.position) {
+    notePrimary(ctx, hold, { position: reply.position, askedAt: sentAt });
+  }
+  void ended.then((last) =>
+    hold.release(reply.kind !== "silent" && isClean(last))
+  );
+  const attempt = toAttempt(reply);
+  logRead(ctx, task, { hold, attempt });
+  return attempt;
+}
+
+/** Takes the position of a target that proved to be primary. */
+export function notePrimary(
+  ctx: WorkContext,
+  hold: Hold,
+  given: {
+    readonly position: { readonly term: number; readonly pos: number };
+    readonly askedAt: number;
+  },
+): void {
+  const { service, id } = hold.target;
+  const { position, askedAt } = given;
+  ctx.leaders.note(service, id, { kind: "answered", term: position.term });
+  ctx.getFloors(service).note(position, askedAt);
+}
+
+function toRefused(
+  error: { readonly error: string; readonly detail?: string },
+): Attempt {
+  return { kind: "outcome", outcome: { kind: "failed", ...error } as Outcome };
+}
+
+function toAttempt(reply: TimedReply): Attempt {
+  if (reply.kind === "done") {
+    const { rows, signature, position } = reply;
+    return {
+      kind: "outcome",
+      outcome: { kind: "done", rows, signature, position },
+    };
+  }
+  if (reply.kind === "error" && reply.code === "malformed") {
+    const { detail } = reply;
+    return {
+      kind: "outcome",
+      outcome: { kind: "failed", error: "malformed", detail },
+    };
+  }
+  return { kind: "retry", reason: describe(reply) };
+}
+
+/** Says for logs and clients what a target answered. */
+export function describe(reply: TimedReply): string {
+  switch (reply.kind) {
+    case "done":
+      return "done";
+    case "error":
+      return `the target answered ${reply.code}`;
+    case "lost":
+      return `the connection to the target was lost: ${reply.detail}`;
+    case "silent":
+      return "the target did not answer in time";
+  }
+}
+
+function isBusy(reply: TimedReply): boolean {
+  return reply.kind === "error" && reply.code === "busy";
+}
+
+function logRead(
+  ctx: WorkContext,
+  task: Task,
+  given: {
+    readonly hold: Hold;
+    readonly attempt: Attempt;
+    readonly floor?: Floor;
+  },
+): void {
+  const { hold, attempt, floor } = given;
+  const fields = {
+    id: task.work.id,
+    workspace: task.workspace,
+    service: task.route.service,
+    target: hold.target.id,
+    floor: floor && `${floor.position.term}.${floor.position.pos}`,
+    floorAgeMs: floor && Math.round(floor.ageMs),
+    ms: Math.round(nowMs() - task.startedAt),
+  };
+  if (attempt.kind === "retry") {
+    ctx.io.log.info("read_retried", { ...fields, reason: attempt.reason });
+  } else {
+    ctx.io.log.request("read_answered", {
+      ...fields,
+      outcome: attempt.outcome.kind,
+    });
+  }
+}
--- /dev/null
+++ b/src/pooling/share_sync.ts
@@ -0,0 +1,175 @@
+/** Keeps this host's shares of the quotas in step with the ledger. */
+
+import { nowMs } from "../core/clock.ts";
+import type { HostId, WorkspaceId } from "../core/ids.ts";
+import type { StoredObject, Stoppable } from "../core/types.ts";
+import type { ClockGuard } from "./clock_guard.ts";
+import { type Fleet, LEDGER_KEY, SELF_SILENT_MS } from "./fleet.ts";
+import type { Quotas } from "./quotas.ts";
+import {
+  EMPTY_LEDGER,
+  getFloorShare,
+  type Ledger,
+  reclaim,
+  type Row,
+  tryAdjust,
+  tryDecodeLedger,
+} from "./share_ledger.ts";
+import type { PoolIo } from "./types.ts";
+
+/** Time between two looks at the demand, in milliseconds. */
+const TICK_MS = 500;
+/** Time after the first sight of the fleet in which hosts register. */
+const SETTLE_MS = 1_500;
+
+/** A reduction that was sent and of which nothing is known yet. */
+interface Pending {
+  readonly row: Row;
+  /** Version that the update was made for; it can't apply to a newer one. */
+  readonly version: number;
+}
+
+/** Keeps the shares. */
+export interface ShareSync extends Stoppable {
+  start(): void;
+  /** Whether this host has a row of its own. */
+  isReady(): boolean;
+}
+
+/** Creates the part that adjusts this host's shares to its demand. */
+export function createShareSync(
+  io: PoolIo,
+  options: {
+    readonly self: HostId;
+    readonly fleet: Fleet;
+    readonly quotas: Quotas;
+    readonly guard: ClockGuard;
+  },
+): ShareSync {
+  const { self, fleet, quotas, guard } = options;
+  let timer: NodeJS.Timeout | undefined;
+  let pending: Pending[] = [];
+  let isBusy = false;
+  let listedAt: number | undefined;
+  let epoch = guard.getEpoch();
+  /** After a suspension the row counts again once the store confirmed it. */
+  let isConfirmed = true;
+
+  function getObject(): StoredObject {
+    return fleet.tryGet(LEDGER_KEY) ??
+      { key: LEDGER_KEY, version: 0, value: undefined };
+  }
+
+  function getLedger(): Ledger {
+    return tryDecodeLedger(getObject().value) ?? EMPTY_LEDGER;
+  }
+
+  /** Uses the smallest of what the store holds and what may replace it. */
+  function apply(): void {
+    const { version } = getObject();
+    pending = pending.filter((update) => update.version >= version);
+    const row = getLedger().shares[self] ?? {};
+    const isInTouch = isConfirmed && fleet.getOwnSilenceMs() < SELF_SILENT_MS;
+    const most = isInTouch ? Infinity : getFloorShare(fleet.countHosts());
+    for (const workspace of quotas.listDemand().keys()) {
+      const shares = [
+        row[workspace] ?? 0,
+        ...pending.map((update) => update.row[workspace] ?? 0),
+      ];
+      quotas.setShare(workspace, Math.min(most, ...shares));
+    }
+  }
+
+  async function update(next: Ledger): Promise<void> {
+    const { version } = getObject();
+    const row = next.shares[self] ?? {};
+    pending.push({ row, version });
+    apply();
+    const put = await io.store.put(LEDGER_KEY, next, { ifVersion: version });
+    if (put.isOk()) {
+      fleet.learn(put.value);
+      logRow(row);
+    } else if (put.error.kind === "conflict") {
+      fleet.learn(put.error.current);
+    }
+    apply();
+  }
+
+  function logRow(row: Row): void {
+    io.log.info("shares_changed", {
+      version: getObject().version,
+      hosts: fleet.countHosts(),
+      sum: Object.values(row).reduce((sum, share) => sum + share, 0),
+    });
+  }
+
+  async function confirm(): Promise<void> {
+    const found = await io.store.get(LEDGER_KEY);
+    if (found.isOk()) {
+      fleet.learn(found.value);
+      isConfirmed = true;
+    }
+  }
+
+  async function tick(): Promise<void> {
+    if (isBusy || !fleet.isListed()) {
+      return;
+    }
+    isBusy = true;
+    try {
+      if (guard.getEpoch() !== epoch) {
+        epoch = guard.getEpoch();
+        isConfirmed = false;
+      }
+      if (!isConfirmed) {
+        await confirm();
+      }
+      apply();
+      await adjust();
+    } finally {
+      isBusy = false;
+    }
+  }
+
+  async function adjust(): Promise<void> {
+    listedAt ??= nowMs();
+    const ledger = getLedger();
+    const hasRow = ledger.shares[self] !== undefined;
+    if (!hasRow && nowMs() - listedAt < SETTLE_MS) {
+      return;
+    }
+    const hostCount = fleet.countHosts();
+    const silent = fleet.listSilent().find((host) =>
+      Object.values(ledger.shares[host] ?? {})
+        .some((share) => share > getFloorShare(hostCount))
+    );
+    if (silent) {
+      io.log.info("shares_reclaimed", { host: silent });
+      await update(reclaim(ledger, { host: silent, hostCount }));
+      return;
+    }
+    const demand: ReadonlyMap<WorkspaceId, number> = quotas.listDemand();
+    if (demand.size === 0) {
+      return;
+    }
+    const next = tryAdjust(ledger, { host: self, hostCount, demand });
+    if (next) {
+      await update(next);
+    }
+  }
+
+  return {
+    start() {
+      fleet.onChange((key) => key === LEDGER_KEY && apply());
+      const schedule = () => {
+        timer = setTimeout(
+          () => void tick().finally(schedule),
+          TICK_MS * (0.75 + io.random() / 2),
+        );
+      };
+      schedule();
+    },
+    isReady: () => getLedger().shares[self] !== undefined,
+    stop: () => clearTimeout(timer),
+  };
+}
--- /dev/null
+++ b/src/pooling/store_feed.ts
@@ -0,0 +1,116 @@
+/** Follows the objects of one kind in the platform's store. */
+
+import { nowMs, sleep } from "../core/clock.ts";
+import type {
+  PlatformStore,
+  StoredObject,
+  Stoppable,
+} from "../core/types.ts";
+import type { PoolIo } from "./types.ts";
+
+/** Longest wait of one watch; a silent connection is found that late. */
+const WATCH_WAIT_MS = 3_000;
+/** First and longest pause after a failed call, in milliseconds. */
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 800;
+
+/** What a feed tells. */
+export interface FeedHandlers {
+  /** The whole kind, at the start and after history was lost. */
+  onList(objects: readonly StoredObject[]): void;
+  /** One object that changed; version 0 when it was removed. */
+  onChange(object: StoredObject): void;
+  /** The store answered again after `outageMs` without an answer. */
+  onRegained?(outageMs: number): void;
+}
+
+/** A running feed. */
+export interface StoreFeed extends Stoppable {
+  start(): void;
+  /** Time since the last answer of the store, in milliseconds. */
+  getSilenceMs(): number;
+  /** Whether the last call failed. */
+  isLost(): boolean;
+}
+
+/** Creates a feed of the objects under `prefix`. */
+export function createStoreFeed(
+  io: Pick<PoolIo, "log" | "random"> & { readonly store: PlatformStore },
+  options: { readonly prefix: string; readonly handlers: FeedHandlers },
+): StoreFeed {
+  const { prefix, handlers } = options;
+  let isStopped = false;
+  let isLost = false;
+  let answeredAt = nowMs();
+  let revision: number | undefined;
+
+  function noteAnswer(): void {
+    const outageMs = nowMs() - answeredAt;
+    answeredAt = nowMs();
+    if (isLost) {
+      isLost = false;
+      io.log.info("store_regained", { prefix, outageMs: Math.round(outageMs) });
+      handlers.onRegained?.(outageMs);
+    }
+  }
+
+  function noteFailure(detail: string): void {
+    if (!isLost) {
+      isLost = true;
+      io.log.info("store_lost", { prefix, detail });
+    }
+  }
+
+  /** One call; false if it failed. */
+  async function step(): Promise<boolean> {
+    if (revision === undefined) {
+      const listed = await io.store.list(prefix);
+      if (listed.isErr()) {
+        noteFailure(listed.error.kind);
+        return false;
+      }
+      noteAnswer();
+      revision = listed.value.revision;
+      handlers.onList(listed.value.objects);
+      return true;
+    }
+    const changes = await io.store.watch(prefix, {
+      after: revision,
+      waitMs: WATCH_WAIT_MS,
+    });
+    if (changes.isErr()) {
+      if (changes.error.kind === "history_gone") {
+        io.log.info("history_gone", { prefix, revision });
+        revision = undefined;
+        return true;
+      }
+      noteFailure(changes.error.kind);
+      return false;
+    }
+    noteAnswer();
+    revision = changes.value.revision;
+    changes.value.objects.forEach(handlers.onChange);
+    return true;
+  }
+
+  async function run(): Promise<void> {
+    let pauseMs = MIN_RETRY_MS;
+    while (!isStopped) {
+      if (await step()) {
+        pauseMs = MIN_RETRY_MS;
+        continue;
+      }
+      await sleep(pauseMs * (0.5 + io.random()));
+      pauseMs = Math.min(MAX_RETRY_MS, pauseMs * 2);
+    }
+  }
+
+  return {
+    start: () => void run(),
+    getSilenceMs: () => nowMs() - answeredAt,
+    isLost: () => isLost,
+    stop() {
+      isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/src/pooling/token_bucket.ts
@@ -0,0 +1,66 @@
+/** A token bucket whose rate and size follow a share of a quota. */
+
+import { nowMs } from "../core/clock.ts";
+
+/** Rate and size of a bucket. */
+export interface BucketSize {
+  readonly ratePerS: number;
+  readonly burst: number;
+}
+
+/** A bucket of one workspace on this host. */
+export interface TokenBucket {
+  tryTake(): boolean;
+  /** Time until a token is there for one that `ahead` others precede. */
+  getWaitMs(ahead: number): number;
+  /** A smaller bucket loses what does not fit; a larger one starts no fuller. */
+  resize(size: BucketSize): void;
+  /** Returns a token that was not used. */
+  giveBack(): void;
+}
+
+/** Creates a bucket with `initial` tokens. */
+export function createTokenBucket(
+  given: BucketSize & { readonly initial: number },
+): TokenBucket {
+  let size: BucketSize = given;
+  let level = Math.min(given.initial, given.burst);
+  let filledAt = nowMs();
+
+  function fill(): void {
+    const now = nowMs();
+    const added = ((now - filledAt) / 1_000) * size.ratePerS;
+    // Less than one token must fit, or a small share would never give any.
+    const room = Math.max(1, size.burst);
+    level = Math.min(room, level + added);
+    filledAt = now;
+  }
+
+  return {
+    tryTake() {
+      fill();
+      if (level < 1) {
+        return false;
+      }
+      level--;
+      return true;
+    },
+    getWaitMs(ahead) {
+      fill();
+      const missing = ahead + 1 - level;
+      return missing <= 0
+        ? 0
+        : size.ratePerS > 0
+        ? (missing / size.ratePerS) * 1_000
+        : Infinity;
+    },
+    resize(next) {
+      fill();
+      size = next;
+      level = Math.min(level, Math.max(1, next.burst));
+    },
+    giveBack() {
+      level = Math.min(Math.max(1, size.burst), level + 1);
+    },
+  };
+}
--- /dev/null
+++ b/src/pooling/writes.ts
@@ -0,0 +1,152 @@
+/** Single writes: sent to the primary at most once. */
+
+import { nowMs, sleep } from "../core/clock.ts";
+import type { Hold } from "./dispatch.ts";
+import { getLeftMs } from "./ranking.ts";
+import { describe, getAdmitUntil, notePrimary } from "./reads.ts";
+import {
+  isClean,
+  listPrimary,
+  noteReply,
+  type Outcome,
+  prepareLink,
+  sendTimed,
+  type Task,
+  type TimedReply,
+  toCommand,
+  type WorkContext,
+} from "./work.ts";
+
+/** Most sendings of a write that a target refused without running it. */
+const MAX_ATTEMPTS = 4;
+/** Pause before a refused write is sent again, in milliseconds. */
+const RETRY_PAUSE_MS = 20;
+
+/** Runs a single write for a session. */
+export async function write(ctx: WorkContext, task: Task): Promise<Outcome> {
+  const { route, workspace, context } = task;
+  let reason = "not sent";
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    const acquired = await ctx.dispatcher.acquire({
+      service: route.service,
+      workspace,
+      context,
+      priority: route.priority,
+      until: Math.max(getAdmitUntil(task), nowMs() + 1),
+      rank: () => listPrimary(ctx, route.service),
+    });
+    if (acquired.isErr()) {
+      return { kind: "failed", ...acquired.error };
+    }
+    const sent = await send(ctx, task, acquired.value);
+    if (sent.kind !== "refused") {
+      return sent;
+    }
+    reason = sent.reason;
+    await sleep(RETRY_PAUSE_MS);
+  }
+  return { kind: "failed", error: "overloaded", detail: reason };
+}
+
+type Sent = Outcome | {
+  /** The target did not run it. */
+  readonly kind: "refused";
+  readonly reason: string;
+};
+
+async function send(
+  ctx: WorkContext,
+  task: Task,
+  hold: Hold,
+): Promise<Sent> {
+  const until = task.startedAt + task.route.statementTimeoutMs;
+  const fault = await prepareLink(hold, {
+    context: task.context,
+    timeoutMs: getLeftMs(until),
+  });
+  if (fault || !hold.pooled.link.isOpen()) {
+    hold.release(false);
+    return { kind: "refused", reason: fault ? describe(fault) : "closed" };
+  }
+  const sentAt = nowMs();
+  const reply = await sendTimed(
+    hold,
+    toCommand(task.work, { hold }),
+    getLeftMs(until),
+  );
+  noteReply(ctx, hold, { reply, ms: nowMs() - sentAt });
+  hold.release(isClean(reply));
+  if (reply.kind === "done" && reply.position) {
+    notePrimary(ctx, hold, { position: reply.position, askedAt: sentAt });
+  }
+  const sent = toSent(reply);
+  const fields = {
+    id: task.work.id,
+    workspace: task.workspace,
+    service: task.route.service,
+    target: hold.target.id,
+    ms: Math.round(nowMs() - task.startedAt),
+  };
+  if (sent.kind === "done") {
+    ctx.io.log.request("write_answered", fields);
+  } else {
+    ctx.io.log.info("write_not_acknowledged", {
+      ...fields,
+      reason: describe(reply),
+      kind: sent.kind,
+    });
+  }
+  return sent;
+}
+
+function toSent(reply: TimedReply): Sent {
+  const detail = describe(reply);
+  switch (reply.kind) {
+    case "done": {
+      const { rows, signature, position } = reply;
+      return { kind: "done", rows, signature, position };
+    }
+    case "lost":
+    case "silent":
+      return { kind: "failed", error: "in_doubt", detail };
+    case "error":
+      return hasNotRun(reply.code)
+        ? { kind: "refused", reason: detail }
+        : toFailure(reply.code, detail);
+  }
+}
+
+type ErrorReply = Extract<TimedReply, { readonly kind: "error" }>;
+
+/** Whether a target that answers this has run nothing. */
+export function hasNotRun(code: ErrorReply["code"]): boolean {
+  switch (code) {
+    case "busy":
+    case "lagging":
+    case "read_only":
+    case "unknown_statement":
+    case "wrong_target":
+    case "too_many_connections":
+      return true;
+    case "failed":
+    case "timeout":
+    case "malformed":
+    case "other":
+      return false;
+  }
+}
+
+/** What a client is told when a target ran a statement and failed it. */
+export function toFailure(
+  code: ErrorReply["code"],
+  detail: string,
+): Extract<Outcome, { readonly kind: "failed" }> {
+  switch (code) {
+    case "failed":
+      return { kind: "failed", error: "failed", detail };
+    case "malformed":
+      return { kind: "failed", error: "malformed", detail };
+    default:
+      return { kind: "failed", error: "in_doubt", detail };
+  }
+}
--- a/tools/generate.ts
+++ b/tools/generate.ts
@@ -12,6 +12,7 @@
 /** Schemas whose validators name every mistake with what was found. */
 const WRITTEN_BY_PEOPLE: ReadonlySet<string> = new Set([
   "settings",
+  "pool_host",
   "objects",
   "trace",
 ]);
