--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -199,10 +199,11 @@
 
   /** Expected wait of a further statement of the service. */
   function getExpectedMs(need: Need): number {
-    const ahead = waiting.filter((waiter) =>
-      waiter.need.service === need.service &&
-      waiter.need.priority <= need.priority
-    ).length;
+    const ahead =
+      waiting.filter((waiter) =>
+        waiter.need.service === need.service &&
+        waiter.need.priority <= need.priority
+      ).length;
     const links = need.rank().reduce(
       (sum, target) => sum + Math.max(1, getCap(target)),
       0,
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -2,7 +2,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import { asId, type HostId, type ObjectKey } from "../core/ids.ts";
-import type { StoredObject, Stoppable } from "../core/types.ts";
+import type { Stoppable, StoredObject } from "../core/types.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import type { PoolIo } from "./types.ts";
 
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -3,7 +3,7 @@
 import { nowMs, sleep } from "../core/clock.ts";
 import type { DomainId, HostId, ServiceId, TargetId } from "../core/ids.ts";
 import type { Result } from "ts-results-es";
-import type { StoredObject, Stoppable } from "../core/types.ts";
+import type { Stoppable, StoredObject } from "../core/types.ts";
 import { createCatalogHolder } from "./catalog.ts";
 import { createClockGuard } from "./clock_guard.ts";
 import { createDirectory, type DirectoryEvent } from "./directory.ts";
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -317,9 +317,7 @@
       });
     }
     state = "idle";
-    return statement.kind === "rollback"
-      ? done()
-      : fail({ error: "aborted" });
+    return statement.kind === "rollback" ? done() : fail({ error: "aborted" });
   }
 
   async function execute(
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -2,7 +2,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { HostId, WorkspaceId } from "../core/ids.ts";
-import type { StoredObject, Stoppable } from "../core/types.ts";
+import type { Stoppable, StoredObject } from "../core/types.ts";
 import type { ClockGuard } from "./clock_guard.ts";
 import { type Fleet, LEDGER_KEY, SELF_SILENT_MS } from "./fleet.ts";
 import type { Quotas } from "./quotas.ts";
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -1,11 +1,7 @@
 /** Follows the objects of one kind in the platform's store. */
 
 import { nowMs, sleep } from "../core/clock.ts";
-import type {
-  PlatformStore,
-  StoredObject,
-  Stoppable,
-} from "../core/types.ts";
+import type { PlatformStore, Stoppable, StoredObject } from "../core/types.ts";
 import type { PoolIo } from "./types.ts";
 
 /** Longest wait of one watch; a silent connection is found that late. */
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -8,12 +8,7 @@
   createLinkContext,
   type LinkContext,
 } from "./link_context.ts";
-import type {
-  DialErr,
-  PoolIo,
-  TargetLink,
-  TargetRecord,
-} from "./types.ts";
+import type { DialErr, PoolIo, TargetLink, TargetRecord } from "./types.ts";
 import type { Result } from "ts-results-es";
 
 /** Time to open a connection, in milliseconds. */
