Lend quota tokens between hosts and ask the store less

The ledger is looked at every 2 s with a larger hysteresis; floors are renewed at 0.4 of the shortest bound.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -215,7 +215,9 @@
   | "control_bytes_total"
   | "promotions_total"
   | "state_changes_total"
-  | "log_lines_dropped_total";
+  | "log_lines_dropped_total"
+  | "datagrams_ignored_total"
+  | "quota_borrowed_total";
 
 /** Names of the histograms; values are in milliseconds. */
 export type HistogramName =
--- /dev/null
+++ b/src/host/datagram_peers.ts
@@ -0,0 +1,76 @@
+/** Datagrams between hosts: small, independent messages that may be lost. */
+
+import { createSocket } from "node:dgram";
+import { pack, unpack } from "msgpackr";
+import type { HostId } from "../core/ids.ts";
+import type { MetricsSink } from "../core/types.ts";
+import type { PoolPeerMessage } from "../generated/pool_peer.ts";
+import { validatePoolPeerMessage } from "../generated/pool_peer_validate.ts";
+import type { PeerReceiver, PoolLog, PoolPeers } from "../pooling/types.ts";
+
+/** Peers by datagram, with the port that they use. */
+export interface DatagramPeers extends PoolPeers {
+  listen(): void;
+  close(): void;
+}
+
+/** Creates the socket at `address`, which is `HOST:PORT`. */
+export function createDatagramPeers(
+  address: string,
+  options: { readonly log: PoolLog; readonly metrics: MetricsSink },
+): DatagramPeers {
+  const { log, metrics } = options;
+  const [host = "", port = "0"] = address.split(":");
+  const socket = createSocket("udp4");
+  const addresses = new Map<HostId, string>();
+  const hosts = new Map<string, HostId>();
+  let receive: PeerReceiver = () => {};
+
+  socket.on("error", (err) => log.info("peers_failed", { detail: `${err}` }));
+  socket.on("message", (data, from) => {
+    const sender = hosts.get(`${from.address}:${from.port}`);
+    const msg = tryDecode(data);
+    const labels = { channel: "datagram", direction: "in" };
+    metrics.count("control_messages_total", labels);
+    if (sender !== undefined && msg) {
+      receive(sender, msg);
+    } else {
+      metrics.count("datagrams_ignored_total", {});
+    }
+  });
+
+  return {
+    listen: () => void socket.bind(Number(port), host),
+    setAddresses(known) {
+      addresses.clear();
+      hosts.clear();
+      for (const [id, at] of known) {
+        addresses.set(id, at);
+        hosts.set(at, id);
+      }
+    },
+    send(to, msg) {
+      const [ip, toPort] = addresses.get(to)?.split(":") ?? [];
+      if (ip === undefined) {
+        return;
+      }
+      const labels = { channel: "datagram", direction: "out" };
+      metrics.count("control_messages_total", labels);
+      socket.send(pack(msg), Number(toPort), ip);
+    },
+    onMessage(receiver) {
+      receive = receiver;
+    },
+    close: () => socket.close(),
+  };
+}
+
+function tryDecode(data: Uint8Array): PoolPeerMessage | undefined {
+  try {
+    const msg: unknown = unpack(data);
+    return validatePoolPeerMessage(msg) ? msg : undefined;
+  } catch {
+    // Counted by the caller as a datagram that says nothing.
+    return undefined;
+  }
+}
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -18,6 +18,8 @@
 /** Time for which a host may use its shares without a heartbeat accepted. */
 export const SELF_SILENT_MS = 30_000;
 const RETRY_MS = 400;
+/** Longest wait of one watch; nothing here is urgent. */
+const WATCH_WAIT_MS = 10_000;
 
 /** Key of the record of who replaces the primary of a service. */
 export function getDutyKey(service: string): ObjectKey {
@@ -28,6 +30,8 @@
 interface HostRecord {
   readonly incarnation: number;
   readonly beat: number;
+  /** Where the host takes datagrams of its peers. */
+  readonly peers: string;
 }
 
 interface Seen {
@@ -47,6 +51,8 @@
   countHosts(): number;
   /** Hosts that registered and have been silent for too long. */
   listSilent(): readonly HostId[];
+  /** Other hosts that are thought to run. */
+  listPeers(): readonly HostId[];
   /** Time since the last heartbeat of this host that the store accepted. */
   getOwnSilenceMs(): number;
   isListed(): boolean;
@@ -58,7 +64,7 @@
 /** Creates the view of the shared objects. */
 export function createFleet(
   io: PoolIo,
-  options: { readonly self: HostId },
+  options: { readonly self: HostId; readonly peerAddress: string },
 ): Fleet {
   const ownKey = asId<ObjectKey>(HOST_PREFIX + options.self);
   const incarnation = Date.now();
@@ -73,6 +79,7 @@
 
   const feed: StoreFeed = createStoreFeed(io, {
     prefix: `${KIND}/`,
+    waitMs: WATCH_WAIT_MS,
     handlers: {
       onList(listed) {
         const keys = new Set(listed.map(({ key }) => key));
@@ -108,16 +115,34 @@
       const event = version === 0 ? "host_left" : "host_seen";
       io.log.info(event, { host: key.slice(HOST_PREFIX.length) });
     }
+    if (key.startsWith(HOST_PREFIX)) {
+      io.peers.setAddresses(listAddresses());
+    }
     listeners.forEach((listener) => listener(key));
   }
 
+  function listAddresses(): Map<HostId, string> {
+    const found = new Map<HostId, string>();
+    for (const key of listHosts()) {
+      const { peers } = (objects.get(key)?.value ?? {}) as Partial<HostRecord>;
+      if (key !== ownKey && typeof peers === "string") {
+        found.set(asId<HostId>(key.slice(HOST_PREFIX.length)), peers);
+      }
+    }
+    return found;
+  }
+
   async function sendHeartbeat(): Promise<void> {
     clearTimeout(timer);
     if (isLeaving) {
       return;
     }
     const sentAt = nowMs();
-    const record: HostRecord = { incarnation, beat: beat++ };
+    const record: HostRecord = {
+      incarnation,
+      beat: beat++,
+      peers: options.peerAddress,
+    };
     const put = await io.store.put(ownKey, record, {
       ifVersion: objects.get(ownKey)?.version ?? 0,
     });
@@ -143,17 +168,23 @@
     return [...objects.keys()].filter((key) => key.startsWith(HOST_PREFIX));
   }
 
+  function isLeavingHost(key: ObjectKey): boolean {
+    return (objects.get(key)?.value as Partial<HostRecord>)?.beat === -1;
+  }
+
+  function listPeers(): HostId[] {
+    return listHosts().filter((key) =>
+      key !== ownKey && !isSilent(key) && !isLeavingHost(key)
+    ).map((key) => asId<HostId>(key.slice(HOST_PREFIX.length)));
+  }
+
   return {
     start: feed.start,
     tryGet: (key) => objects.get(key),
     learn,
     getAgeMs: (key) => nowMs() - (seen.get(key)?.at ?? -Infinity),
-    countHosts() {
-      const others = listHosts().filter((key) =>
-        key !== ownKey && !isSilent(key)
-      );
-      return others.length + 1;
-    },
+    countHosts: () => listPeers().length + 1,
+    listPeers,
     listSilent: () =>
       listHosts().filter((key) => key !== ownKey && isSilent(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
@@ -165,7 +196,7 @@
       clearTimeout(timer);
       const version = objects.get(ownKey)?.version;
       if (version !== undefined) {
-        const value = { incarnation, beat: -1 };
+        const value = { incarnation, beat: -1, peers: options.peerAddress };
         const put = await io.store.put(ownKey, value, { ifVersion: version });
         io.log.info("host_leaving", { isTold: put.isOk() });
       }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -15,7 +15,8 @@
 import { createHealth } from "./health.ts";
 import { createLeaders } from "./leaders.ts";
 import { createProbes } from "./probes.ts";
-import { createQuotas } from "./quotas.ts";
+import { createBorrowing } from "./borrowing.ts";
+import { createQuotas, type Quotas } from "./quotas.ts";
 import {
   openSession,
   type Session,
@@ -44,6 +45,8 @@
 export interface PoolerOptions {
   readonly host: HostId;
   readonly domain: DomainId;
+  /** Where this host takes messages of its peers. */
+  readonly peerAddress: string;
   readonly regions: ReadonlyMap<DomainId, string>;
   readonly decoding: PoolerDecoding;
 }
@@ -80,12 +83,18 @@
   });
   const leaders = createLeaders(io);
   const health = createHealth();
-  const quotas = createQuotas({ random: io.random });
+  const quotas: Quotas = createQuotas({
+    random: io.random,
+    borrow: (workspace, count) => borrowing.borrow(workspace, count),
+  });
   const dispatcher = createDispatcher(io, {
     health,
     getOwnWorkspace: () => catalog.tryGet()?.quotas.keys().next().value,
   });
-  const fleet = createFleet(io, { self: options.host });
+  const fleet = createFleet(io, {
+    self: options.host,
+    peerAddress: options.peerAddress,
+  });
   const floors = new Map<ServiceId, FloorLog>();
   const sessions = new Set<Session>();
 
@@ -113,6 +122,11 @@
     quotas,
     guard,
   });
+  const borrowing = createBorrowing(io, {
+    listPeers: fleet.listPeers,
+    getShare: shares.getShare,
+    lend: quotas.lend,
+  });
   const probes = createProbes(ctx);
   const failover = createFailover(ctx, { self: options.host, fleet });
   const catalogFeed = createStoreFeed(io, {
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -9,8 +9,10 @@
 
 /** Time between two looks at what to ask, in milliseconds. */
 const TICK_MS = 100;
-/** Age of a floor at which the primary is asked for a newer one. */
-const FLOOR_AGE_MS = 400;
+/** Part of the shortest staleness bound at which a floor is renewed. */
+const FLOOR_PART = 0.4;
+/** Age at which a floor is renewed that no route needs, in milliseconds. */
+const UNUSED_FLOOR_AGE_MS = 3_000;
 /** Time between two questions to a primary that fails or is not known. */
 const SUSPECT_INTERVAL_MS = 250;
 /** Time between two questions to a replica, in milliseconds. */
@@ -39,7 +41,20 @@
       return REPLICA_INTERVAL_MS;
     }
     const ageMs = ctx.getFloors(service).getAgeMs();
-    return ageMs > FLOOR_AGE_MS ? FLOOR_AGE_MS / 2 : Infinity;
+    const dueMs = getFloorDueMs(service);
+    return ageMs > dueMs ? dueMs / 2 : Infinity;
+  }
+
+  /** Age at which the floor of a service is to be renewed. */
+  function getFloorDueMs(service: ServiceId): number {
+    let due = UNUSED_FLOOR_AGE_MS;
+    for (const route of ctx.catalog.tryGet()?.routes.values() ?? []) {
+      const { consistency } = route;
+      if (route.service === service && consistency.kind !== "primary") {
+        due = Math.min(due, consistency.maxStaleMs * FLOOR_PART);
+      }
+    }
+    return due;
   }
 
   async function ask(target: TargetRecord): Promise<void> {
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -4,16 +4,18 @@
 import { nowMs } from "../core/clock.ts";
 import type { WorkspaceId } from "../core/ids.ts";
 import type { PoolFailure } from "./errors.ts";
+import { WHOLE } from "./share_ledger.ts";
 import { createTokenBucket, type TokenBucket } from "./token_bucket.ts";
 import type { Quota } from "./types.ts";
-import { WHOLE } from "./share_ledger.ts";
 
 /** Half-life of the measured demand, in milliseconds. */
-const DEMAND_HALF_LIFE_MS = 2_000;
-/** Spread of the demand within a second that a share must bear. */
-const BURST_SIGMA = 1.5;
+const DEMAND_HALF_LIFE_MS = 5_000;
 /** Headroom over the measured demand. */
-const HEADROOM = 1.25;
+const HEADROOM = 1.2;
+/** Tokens that a host keeps for its own clients when it lends. */
+const LEND_RESERVE = 1;
+/** After peers had nothing to lend they are not asked for this long. */
+const DRY_MS = 200;
 const MIN_RETRY_AFTER_MS = 30;
 const MAX_RETRY_AFTER_MS = 5_000;
 
@@ -24,6 +26,8 @@
     workspace: WorkspaceId,
     options: { readonly maxWaitMs: number },
   ): Promise<Result<void, PoolFailure>>;
+  /** Gives up tokens for a peer; the number given. */
+  lend(workspace: WorkspaceId, count: number): number;
   /** Sets this host's share of a workspace, in ten-thousandths. */
   setShare(workspace: WorkspaceId, share: number): void;
   setQuotas(quotas: ReadonlyMap<WorkspaceId, Quota>): void;
@@ -31,20 +35,34 @@
   listDemand(): ReadonlyMap<WorkspaceId, number>;
 }
 
+/** What quotas need of the outside. */
+export interface QuotaOptions {
+  random(): number;
+  /** Asks peers for tokens; resolves with how many they gave up. */
+  borrow(workspace: WorkspaceId, count: number): Promise<number>;
+}
+
+interface Waiter {
+  readonly until: number;
+  settle(result: Result<void, PoolFailure>): void;
+}
+
 interface Entry {
+  readonly workspace: WorkspaceId;
   quota: Quota;
   share: number;
-  bucket: TokenBucket;
-  waiting: number;
+  readonly bucket: TokenBucket;
+  readonly waiters: Waiter[];
+  timer: NodeJS.Timeout | undefined;
+  isBorrowing: boolean;
+  dryUntil: number;
   /** Operations a second, decaying. */
   demandPerS: number;
   demandAt: number;
 }
 
 /** Creates counters without quotas; unknown workspaces are not limited. */
-export function createQuotas(
-  options: { random(): number },
-): Quotas {
+export function createQuotas(options: QuotaOptions): Quotas {
   const entries = new Map<WorkspaceId, Entry>();
 
   function decay(entry: Entry): number {
@@ -60,6 +78,7 @@
       ratePerS: entry.quota.ratePerS * part,
       burst: entry.quota.burst * part,
     });
+    serve(entry);
   }
 
   function refuse(waitMs: number): Err<PoolFailure> {
@@ -71,27 +90,96 @@
     return Err({ error: "over_quota", retryAfterMs });
   }
 
+  /** Serves waiters in order, and refuses those whose token comes too late. */
+  function serve(entry: Entry): void {
+    const { waiters, bucket } = entry;
+    while (waiters.length > 0 && bucket.tryTake()) {
+      waiters.shift()!.settle(Ok(undefined));
+    }
+    if (!entry.isBorrowing) {
+      trim(entry);
+    }
+    clearTimeout(entry.timer);
+    if (waiters.length === 0) {
+      return;
+    }
+    const nextMs = Math.min(
+      bucket.getWaitMs(0),
+      Math.min(...waiters.map(({ until }) => until)) - nowMs(),
+    );
+    entry.timer = setTimeout(
+      () => serve(entry),
+      Math.max(1, Math.ceil(nextMs)),
+    );
+  }
+
+  function trim(entry: Entry): void {
+    const { waiters, bucket } = entry;
+    for (let ahead = waiters.length - 1; ahead >= 0; ahead--) {
+      const waitMs = bucket.getWaitMs(ahead);
+      if (nowMs() + waitMs > waiters[ahead]!.until) {
+        waiters.splice(ahead, 1)[0]!.settle(refuse(waitMs));
+      }
+    }
+  }
+
+  async function borrow(entry: Entry): Promise<void> {
+    if (entry.isBorrowing || nowMs() < entry.dryUntil) {
+      return;
+    }
+    entry.isBorrowing = true;
+    // One more than waits, for the next operation that is on its way.
+    const count = entry.waiters.length + 1;
+    const given = await options.borrow(entry.workspace, count);
+    entry.isBorrowing = false;
+    entry.bucket.add(given);
+    if (given === 0) {
+      entry.dryUntil = nowMs() + DRY_MS;
+    }
+    serve(entry);
+    if (given > 0 && entry.waiters.length > 0) {
+      await borrow(entry);
+    }
+  }
+
+  function createEntry(workspace: WorkspaceId, quota: Quota): Entry {
+    return {
+      workspace,
+      quota,
+      share: 0,
+      bucket: createTokenBucket({ ratePerS: 0, burst: 0, initial: 0 }),
+      waiters: [],
+      timer: undefined,
+      isBorrowing: false,
+      dryUntil: -Infinity,
+      demandPerS: 0,
+      demandAt: nowMs(),
+    };
+  }
+
   return {
-    async take(workspace, { maxWaitMs }) {
+    take(workspace, { maxWaitMs }) {
       const entry = entries.get(workspace);
       if (!entry) {
-        return Ok(undefined);
+        return Promise.resolve(Ok(undefined));
       }
       decay(entry);
       entry.demandPerS += Math.LN2 / (DEMAND_HALF_LIFE_MS / 1_000);
-      if (entry.waiting === 0 && entry.bucket.tryTake()) {
-        return Ok(undefined);
-      }
-      const waitMs = entry.bucket.getWaitMs(entry.waiting);
-      if (waitMs > maxWaitMs) {
-        return refuse(waitMs);
+      if (entry.waiters.length === 0 && entry.bucket.tryTake()) {
+        return Promise.resolve(Ok(undefined));
       }
-      entry.waiting++;
-      await new Promise((resolve) => setTimeout(resolve, Math.ceil(waitMs)));
-      entry.waiting--;
-      return entry.bucket.tryTake()
-        ? Ok(undefined)
-        : refuse(entry.bucket.getWaitMs(entry.waiting));
+      return new Promise((resolve) => {
+        const until = nowMs() + maxWaitMs;
+        entry.waiters.push({ until, settle: resolve });
+        void borrow(entry);
+        serve(entry);
+      });
+    },
+    lend(workspace, count) {
+      const entry = entries.get(workspace);
+      return entry
+        ? entry.bucket.give(count, LEND_RESERVE + entry.waiters.length)
+        : 0;
     },
     setShare(workspace, share) {
       const entry = entries.get(workspace);
@@ -101,34 +189,25 @@
       }
     },
     setQuotas(quotas) {
-      for (const workspace of entries.keys()) {
+      for (const [workspace, entry] of entries) {
         if (!quotas.has(workspace)) {
+          entry.waiters.splice(0).forEach(({ settle }) => settle(refuse(0)));
+          clearTimeout(entry.timer);
           entries.delete(workspace);
         }
       }
       for (const [workspace, quota] of quotas) {
-        const entry = entries.get(workspace);
-        if (entry) {
-          entry.quota = quota;
-          resize(entry);
-          continue;
-        }
-        entries.set(workspace, {
-          quota,
-          share: 0,
-          bucket: createTokenBucket({ ratePerS: 0, burst: 0, initial: 0 }),
-          waiting: 0,
-          demandPerS: 0,
-          demandAt: nowMs(),
-        });
+        const entry = entries.get(workspace) ?? createEntry(workspace, quota);
+        entries.set(workspace, entry);
+        entry.quota = quota;
+        resize(entry);
       }
     },
     listDemand() {
       const demand = new Map<WorkspaceId, number>();
       for (const [workspace, entry] of entries) {
-        const perS = decay(entry);
-        const needed = perS * HEADROOM + BURST_SIGMA * Math.sqrt(perS);
-        const part = needed / Math.max(1e-9, entry.quota.ratePerS);
+        const part = (decay(entry) * HEADROOM) /
+          Math.max(1e-9, entry.quota.ratePerS);
         demand.set(workspace, Math.min(1, part) * WHOLE);
       }
       return demand;
--- a/src/pooling/share_ledger.ts
+++ b/src/pooling/share_ledger.ts
@@ -13,9 +13,9 @@
 /** Smallest share that a host asks for, as a part of an even share. */
 const FLOOR_PART = 0.25;
 /** A change smaller than this is not worth a call to the store. */
-const MIN_CHANGE = 60;
+const MIN_CHANGE = 150;
 /** A host keeps this much more than it needs before it gives any back. */
-const KEEP_FACTOR = 1.25;
+const KEEP_FACTOR = 1.5;
 
 /** Shares or wishes of one host by workspace. */
 export type Row = Readonly<Record<string, number>>;
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -18,7 +18,9 @@
 import type { PoolIo } from "./types.ts";
 
 /** Time between two looks at the demand, in milliseconds. */
-const TICK_MS = 500;
+const TICK_MS = 2_000;
+/** Time between two looks until this host has a row, in milliseconds. */
+const FIRST_TICK_MS = 250;
 /** Time after the first sight of the fleet in which hosts register. */
 const SETTLE_MS = 1_500;
 
@@ -34,6 +36,8 @@
   start(): void;
   /** Whether this host has a row of its own. */
   isReady(): boolean;
+  /** Shares of a workspace by host, as last known. */
+  getShare(host: HostId, workspace: WorkspaceId): number;
 }
 
 /** Creates the part that adjusts this host's shares to its demand. */
@@ -168,7 +172,15 @@
         );
       };
       schedule();
+      const early = setInterval(() => {
+        if (getLedger().shares[self]) {
+          clearInterval(early);
+        }
+        void tick();
+      }, FIRST_TICK_MS);
     },
+    getShare: (host, workspace) =>
+      getLedger().shares[host]?.[workspace] ?? 0,
     isReady: () => getLedger().shares[self] !== undefined,
     stop: () => clearTimeout(timer),
   };
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -32,7 +32,12 @@
 /** Creates a feed of the objects under `prefix`. */
 export function createStoreFeed(
   io: Pick<PoolIo, "log" | "random"> & { readonly store: PlatformStore },
-  options: { readonly prefix: string; readonly handlers: FeedHandlers },
+  options: {
+    readonly prefix: string;
+    /** Longest wait of one watch, in milliseconds. */
+    readonly waitMs?: number;
+    readonly handlers: FeedHandlers;
+  },
 ): StoreFeed {
   const { prefix, handlers } = options;
   let isStopped = false;
@@ -72,7 +77,7 @@
     }
     const changes = await io.store.watch(prefix, {
       after: revision,
-      waitMs: WATCH_WAIT_MS,
+      waitMs: options.waitMs ?? WATCH_WAIT_MS,
     });
     if (changes.isErr()) {
       if (changes.error.kind === "history_gone") {
--- a/src/pooling/token_bucket.ts
+++ b/src/pooling/token_bucket.ts
@@ -15,8 +15,10 @@
   getWaitMs(ahead: number): number;
   /** A smaller bucket loses what does not fit; a larger one starts no fuller. */
   resize(size: BucketSize): void;
-  /** Returns a token that was not used. */
-  giveBack(): void;
+  /** Adds tokens that a peer gave up; what does not fit is lost. */
+  add(count: number): void;
+  /** Gives up at most `count` tokens, keeping `reserve`. */
+  give(count: number, reserve: number): number;
 }
 
 /** Creates a bucket with `initial` tokens. */
@@ -59,8 +61,15 @@
       size = next;
       level = Math.min(level, Math.max(1, next.burst));
     },
-    giveBack() {
-      level = Math.min(Math.max(1, size.burst), level + 1);
+    add(count) {
+      fill();
+      level = Math.min(Math.max(1, size.burst) + count, level + count);
+    },
+    give(count, reserve) {
+      fill();
+      const given = Math.max(0, Math.min(count, Math.floor(level - reserve)));
+      level -= given;
+      return given;
     },
   };
 }
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -11,6 +11,7 @@
   WorkspaceId,
 } from "../core/ids.ts";
 import type { MetricsSink, PlatformStore, Position } from "../core/types.ts";
+import type { PoolPeerMessage } from "../generated/pool_peer.ts";
 import type { PoolErrKind } from "./errors.ts";
 
 export type { Position } from "../core/types.ts";
@@ -234,6 +235,17 @@
   }): Promise<PromoteRes>;
 }
 
+/** Takes a message of another host. */
+export type PeerReceiver = (from: HostId, msg: PoolPeerMessage) => void;
+
+/** Reaches other hosts; messages may be lost. */
+export interface PoolPeers {
+  send(to: HostId, msg: PoolPeerMessage): void;
+  /** Sets where the other hosts are; messages of others are ignored. */
+  setAddresses(known: ReadonlyMap<HostId, string>): void;
+  onMessage(receiver: PeerReceiver): void;
+}
+
 /** Fields of a log line. */
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
@@ -252,6 +264,7 @@
   readonly store: PlatformStore;
   readonly dialer: TargetDialer;
   readonly promoter: Promoter;
+  readonly peers: PoolPeers;
   readonly log: PoolLog;
   readonly metrics: MetricsSink;
   /** Draws a number that is at least 0 and less than 1. */
