Pay a restart out of the quota's tolerance and keep fewer idle connections

Change: the first share of a process starts with its part of the tolerance unless a predecessor started in the same window; a third of the connections is closed once idle; admission waits up to half of the latency objective.

--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -119,6 +119,7 @@
         );
         pool.release(pooled, isClean);
         pump();
+        pool.trim(pooled);
       },
     };
   }
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -56,6 +56,11 @@
   /** Time since the last heartbeat of this host that the store accepted. */
   getOwnSilenceMs(): number;
   isListed(): boolean;
+  /**
+   * Time between the starts of this process and of the last one on this host,
+   * by the time of day; infinite if there was none.
+   */
+  getSincePreviousStartMs(): number;
   onChange(listener: (key: ObjectKey) => void): void;
   /** Removes this host from the count; it is about to stop. */
   leave(): Promise<void>;
@@ -72,6 +77,7 @@
   const seen = new Map<ObjectKey, Seen>();
   const listeners = new Set<(key: ObjectKey) => void>();
   let isListed = false;
+  let previousStart = -Infinity;
   let isLeaving = false;
   let beat = 0;
   let acceptedAt = -Infinity;
@@ -91,6 +97,8 @@
         listed.forEach(learn);
         if (!isListed) {
           isListed = true;
+          const own = objects.get(ownKey)?.value as Partial<HostRecord>;
+          previousStart = own?.incarnation ?? -Infinity;
           void sendHeartbeat();
         }
       },
@@ -190,6 +198,7 @@
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
     getOwnSilenceMs: () => nowMs() - acceptedAt,
     isListed: () => isListed,
+    getSincePreviousStartMs: () => Math.abs(incarnation - previousStart),
     onChange: (listener) => void listeners.add(listener),
     async leave() {
       isLeaving = true;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -16,7 +16,7 @@
 import { createLeaders } from "./leaders.ts";
 import { createProbes } from "./probes.ts";
 import { createBorrowing } from "./borrowing.ts";
-import { createQuotas, type Quotas } from "./quotas.ts";
+import { createQuotas, type Quotas, type QuotaTolerance } from "./quotas.ts";
 import {
   openSession,
   type Session,
@@ -48,6 +48,7 @@
   /** Where this host takes messages of its peers. */
   readonly peerAddress: string;
   readonly regions: ReadonlyMap<DomainId, string>;
+  readonly quotaTolerance: QuotaTolerance;
   readonly decoding: PoolerDecoding;
 }
 
@@ -85,6 +86,10 @@
   const health = createHealth();
   const quotas: Quotas = createQuotas({
     random: io.random,
+    tolerance: options.quotaTolerance,
+    isToleranceUnused: () =>
+      fleet.getSincePreviousStartMs() >
+        2_000 * options.quotaTolerance.windowS,
     borrow: (workspace, count) => borrowing.borrow(workspace, count),
   });
   const dispatcher = createDispatcher(io, {
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -35,8 +35,20 @@
   listDemand(): ReadonlyMap<WorkspaceId, number>;
 }
 
+/** How far a quota may be exceeded within a window, over the whole fleet. */
+export interface QuotaTolerance {
+  readonly windowS: number;
+  /** Part of what the quota allows in the window. */
+  readonly part: number;
+  /** Operations beside that part. */
+  readonly operations: number;
+}
+
 /** What quotas need of the outside. */
 export interface QuotaOptions {
+  readonly tolerance: QuotaTolerance;
+  /** Whether no process of this host started in the window before this one. */
+  isToleranceUnused(): boolean;
   random(): number;
   /** Asks peers for tokens; resolves with how many they gave up. */
   borrow(workspace: WorkspaceId, count: number): Promise<number>;
@@ -51,6 +63,7 @@
   readonly workspace: WorkspaceId;
   quota: Quota;
   share: number;
+  hasStarted: boolean;
   readonly bucket: TokenBucket;
   readonly waiters: Waiter[];
   timer: NodeJS.Timeout | undefined;
@@ -81,6 +94,21 @@
     serve(entry);
   }
 
+  /**
+   * Tokens that the first share of this process starts with. It does not know
+   * what its predecessor has used, so they come out of the tolerance, and only
+   * once in a window.
+   */
+  function getInitialTokens(entry: Entry): number {
+    if (!options.isToleranceUnused()) {
+      return 0;
+    }
+    const { windowS, part, operations } = options.tolerance;
+    const { ratePerS, burst } = entry.quota;
+    const tolerated = part * (ratePerS * windowS + burst) + operations;
+    return tolerated * (entry.share / WHOLE);
+  }
+
   function refuse(waitMs: number): Err<PoolFailure> {
     const bounded = Math.min(
       MAX_RETRY_AFTER_MS,
@@ -147,6 +175,7 @@
       workspace,
       quota,
       share: 0,
+      hasStarted: false,
       bucket: createTokenBucket({ ratePerS: 0, burst: 0, initial: 0 }),
       waiters: [],
       timer: undefined,
@@ -184,8 +213,14 @@
     setShare(workspace, share) {
       const entry = entries.get(workspace);
       if (entry && entry.share !== share) {
+        const isFirst = !entry.hasStarted;
+        entry.hasStarted = true;
         entry.share = share;
         resize(entry);
+        if (isFirst) {
+          entry.bucket.add(getInitialTokens(entry));
+          serve(entry);
+        }
       }
     },
     setQuotas(quotas) {
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -23,7 +23,7 @@
 /** Most targets that one read is sent to, one after the other. */
 const MAX_ATTEMPTS = 5;
 /** Share of the latency objective that may be spent waiting for a connection. */
-export const ADMISSION_SHARE = 0.25;
+export const ADMISSION_SHARE = 0.5;
 /** A read is sent to a second target after this silence, in milliseconds. */
 const MIN_HEDGE_MS = 250;
 /** Multiple of the usual latency that counts as silence. */
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -179,8 +179,7 @@
         void tick();
       }, FIRST_TICK_MS);
     },
-    getShare: (host, workspace) =>
-      getLedger().shares[host]?.[workspace] ?? 0,
+    getShare: (host, workspace) => getLedger().shares[host]?.[workspace] ?? 0,
     isReady: () => getLedger().shares[self] !== undefined,
     stop: () => clearTimeout(timer),
   };
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -14,7 +14,13 @@
 /** Time to open a connection, in milliseconds. */
 const DIAL_TIMEOUT_MS = 1_000;
 /** Pause of dialing after the target refused a further connection. */
-const FULL_PAUSE_MS = 400;
+const FULL_PAUSE_MS = 150;
+/**
+ * Part of this host's connections that stay open while idle. A target keeps
+ * those of a host that lost power for seconds, and the rest is what the
+ * restarted host gets meanwhile.
+ */
+const KEPT_PART = 0.7;
 
 /** A pooled connection; it belongs to one workspace from its start. */
 export interface PooledLink {
@@ -46,6 +52,8 @@
   countBusy(): number;
   countOpen(): number;
   setCap(cap: number): void;
+  /** Closes a connection that nobody took and that is not to be kept. */
+  trim(pooled: PooledLink): void;
   closeIdle(): void;
   close(): void;
 }
@@ -163,6 +171,12 @@
       listIdle().sort((a, b) => a.usedAt - b.usedAt)
         .slice(0, Math.max(0, excess)).forEach(drop);
     },
+    trim(pooled) {
+      const kept = Math.max(1, Math.floor(cap * KEPT_PART));
+      if (!pooled.isBusy && links.size > kept && links.has(pooled)) {
+        drop(pooled);
+      }
+    },
     closeIdle: () => listIdle().forEach(drop),
     close() {
       isClosed = true;
