Speak the platform's published protocol to the store everywhere

Cause: there were two clients for one store, and the stand-in spoke a protocol of its own that the platform does not have.

--- a/examples/embed.ts
+++ b/examples/embed.ts
@@ -13,7 +13,7 @@
   createHost,
   createLog,
   createMetrics,
-  createPlatformStore,
+  createObjectStore,
   createTargetDriver,
   type DomainId,
   type GroupId,
@@ -144,7 +144,7 @@
 async function main(): Promise<void> {
   const servers: Server[] = [createPlatformServer()];
   const url = `http://127.0.0.1:${await listen(servers[0]!, 0)}`;
-  const store = createPlatformStore(url, { caller: "embed" });
+  const store = createObjectStore(url, { caller: "embed" });
   const key = await configure(store, await startGroup(servers));
   const settings: Settings = {
     host: asId<HostId>("h1"),
--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -8,7 +8,7 @@
 import type { EditErr } from "../core/lists.ts";
 import { describeValue } from "../core/mistakes.ts";
 import type { PlatformStore } from "../core/types.ts";
-import { createPlatformStore } from "../host/platform_store.ts";
+import { createObjectStore } from "../../platform/object_store.ts";
 import { loadSettings } from "../host/settings.ts";
 import {
   EXIT_FAILED,
@@ -49,14 +49,14 @@
     }
     const { url, timeoutMs } = settings.value.platform;
     const timeout = timeoutMs ? { timeoutMs } : {};
-    return Ok(createPlatformStore(url, { caller: CALLER, ...timeout }));
+    return Ok(createObjectStore(url, { caller: CALLER, ...timeout }));
   }
   const url = options.platform ?? process.env[PLATFORM_VARIABLE];
   if (!url) {
     terminal.warn(formatDiagnostic("platform_missing", {}));
     return Err(EXIT_INVALID);
   }
-  return Ok(createPlatformStore(url, { caller: CALLER }));
+  return Ok(createObjectStore(url, { caller: CALLER }));
 }
 
 /** Tells why an edit was not accepted. */
--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -13,7 +13,7 @@
 import { createMetrics, type HostMetrics } from "../host/metrics.ts";
 import { createOperatorsServer } from "../host/operators_server.ts";
 import { createPeerLinks, type PeerLinks } from "../host/peer_links.ts";
-import { createPlatformStore } from "../host/platform_store.ts";
+import { createObjectStore } from "../../platform/object_store.ts";
 import { getHostStatus, type HostState } from "../host/status.ts";
 import { createTargetDriver } from "../host/target_driver.ts";
 
@@ -142,7 +142,7 @@
   return {
     sendPeer: parts.links.send,
     targets: createMeteredTargets(parts.targets, parts.metrics),
-    platform: createPlatformStore(url, {
+    platform: createObjectStore(url, {
       caller: settings.host,
       metrics: parts.metrics,
       ...(timeoutMs ? { timeoutMs } : {}),
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -41,7 +41,7 @@
 export { createMetrics } from "./host/metrics.ts";
 export { createOperatorsServer } from "./host/operators_server.ts";
 export { createPeerLinks } from "./host/peer_links.ts";
-export { createPlatformStore } from "./host/platform_store.ts";
+export { createObjectStore } from "../platform/object_store.ts";
 export { createTargetDriver } from "./host/target_driver.ts";
 
 // Shared shapes.
--- a/standins/platform_server.ts
+++ b/standins/platform_server.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
 import { sleep } from "../src/core/clock.ts";
-import type { WatchRes } from "../src/core/types.ts";
+import type { StoredObject, WatchRes } from "../src/core/types.ts";
 import { createPlatformCore, type PlatformCore } from "./platform_core.ts";
 import { createJsonServer, type JsonAnswer, readJson } from "./serve.ts";
 
@@ -17,6 +17,17 @@
   readonly loseAnswers?: boolean;
 }
 
+/** An object as it stands on the wire. */
+interface WireObject {
+  readonly meta: { readonly name: string; readonly rev?: number };
+  readonly spec: unknown;
+}
+
+function toWire({ key, version, value }: StoredObject): WireObject {
+  const name = key.slice(key.indexOf("/") + 1);
+  return { meta: { name, rev: version }, spec: value };
+}
+
 /** Creates the server of an empty platform. */
 export function createPlatformServer(): Server {
   const core = createPlatformCore();
@@ -24,29 +35,49 @@
   let faults: PlatformFaults = {};
 
   async function serve(url: URL, req: IncomingMessage): Promise<JsonAnswer> {
-    const query = url.searchParams;
-    if (url.pathname === "/list") {
-      return { body: core.list(query.get("prefix") ?? "") };
+    const [kind = "", name] = url.pathname.replace("/objects/", "")
+      .split("/").map(decodeURIComponent);
+    const prefix = `${kind}/`;
+    if (req.method === "POST" || req.method === "PUT") {
+      return await change(prefix, req);
     }
-    if (url.pathname === "/watch") {
-      const body = await waitForChange(core, {
-        prefix: query.get("prefix") ?? "",
-        after: Number(query.get("after")),
-        waitMs: Number(query.get("waitMs")),
-      });
-      return { body };
+    if (name !== undefined) {
+      const object = core.get(asId<ObjectKey>(prefix + name));
+      return object.version === 0
+        ? { status: 404, body: null }
+        : { body: toWire(object) };
     }
-    const key = asId<ObjectKey>(url.pathname.replace("/objects/", ""));
-    if (req.method !== "PUT") {
-      return { body: core.get(key) };
+    const after = url.searchParams.get("watch");
+    if (after === null) {
+      const { revision, objects } = core.list(prefix);
+      const items = objects.map(toWire);
+      return { body: { items, truncated: false, currentRev: revision } };
     }
-    const ifVersion = Number(query.get("ifVersion"));
-    const res = core.put(key, await readJson(req), { ifVersion });
+    const { revision, objects } = await waitForChange(core, {
+      prefix,
+      after: Number(after),
+      waitMs: Number(url.searchParams.get("waitMs")),
+    });
+    const events = objects.map((object) => ({
+      object: toWire(object),
+      deleted: false,
+    }));
+    return { body: { events, currentRev: revision } };
+  }
+
+  /** Creates an object, or replaces it if the revision is still its own. */
+  async function change(
+    prefix: string,
+    req: IncomingMessage,
+  ): Promise<JsonAnswer> {
+    const { meta, spec } = await readJson(req) as WireObject;
+    const key = asId<ObjectKey>(prefix + meta.name);
+    const res = core.put(key, spec, { ifVersion: meta.rev ?? 0 });
     if (res.isOk()) {
-      return { body: res.value };
+      return { body: toWire(res.value) };
     }
     return res.error.kind === "conflict"
-      ? { status: 409, body: res.error.current }
+      ? { status: 409, body: toWire(res.error.current) }
       : { status: 400, body: res.error };
   }
 
--- a/tools/bench/control.ts
+++ b/tools/bench/control.ts
@@ -3,7 +3,7 @@
 import { sleep } from "../../src/core/clock.ts";
 import { PLANS_KEY } from "../../src/core/object_keys.ts";
 import type { PlatformStore } from "../../src/core/types.ts";
-import { createPlatformStore } from "../../src/host/platform_store.ts";
+import { createObjectStore } from "../../platform/object_store.ts";
 import { type Fleet, startFleet } from "../processes.ts";
 import { type Deployment, LAKAZ } from "../workloads.ts";
 import {
@@ -72,7 +72,7 @@
   fleet: Fleet,
   options: { readonly change: boolean; readonly seconds: number },
 ): Promise<ControlReport> {
-  const store = createPlatformStore(fleet.platformUrl, { caller: "bench" });
+  const store = createObjectStore(fleet.platformUrl, { caller: "bench" });
   const timer = options.change
     ? setInterval(() => void touchPlans(store), CHANGE_INTERVAL_MS)
     : undefined;
--- a/tools/experiments/operations.ts
+++ b/tools/experiments/operations.ts
@@ -8,7 +8,7 @@
 import { asId, type ReqId } from "../../src/core/ids.ts";
 import { tryGetKeyId } from "../../src/core/keys.ts";
 import { withdrawKey } from "../../src/core/lists.ts";
-import { createPlatformStore } from "../../src/host/platform_store.ts";
+import { createObjectStore } from "../../platform/object_store.ts";
 import { type Client, tryConnect } from "../client.ts";
 import { type Fleet, type FleetHost, startFleet } from "../processes.ts";
 import { LAKAZ } from "../workloads.ts";
@@ -105,7 +105,7 @@
   const clients = await Promise.all(
     fleet.hosts.map((host) => tryConnect(host.callersUrl, { key: secret })),
   );
-  const store = createPlatformStore(fleet.platformUrl, { caller: "tools" });
+  const store = createObjectStore(fleet.platformUrl, { caller: "tools" });
   (await withdrawKey(store, tryGetKeyId(secret)!)).unwrap();
   const startedAt = performance.now();
   const times = await Promise.all(clients.map(async (client, index) => {
--- a/tools/measure/faults.ts
+++ b/tools/measure/faults.ts
@@ -4,7 +4,7 @@
 import { assertNever } from "../../src/core/errors.ts";
 import { KEYS_KEY } from "../../src/core/object_keys.ts";
 import type { KeysList } from "../../src/generated/objects.ts";
-import { createPlatformStore } from "../../src/host/platform_store.ts";
+import { createObjectStore } from "../../platform/object_store.ts";
 import type { TargetEvidence } from "../check/history.ts";
 import { endProcess, type Fleet, type FleetTarget } from "../processes.ts";
 import type { PrimaryFault, ScheduledFault } from "./schedule.ts";
@@ -168,7 +168,7 @@
 }
 
 async function withdrawKey(fleet: Fleet, keyId: string): Promise<void> {
-  const store = createPlatformStore(fleet.platformUrl, { caller: "tools" });
+  const store = createObjectStore(fleet.platformUrl, { caller: "tools" });
   const found = (await store.get(KEYS_KEY)).unwrap();
   const list = found.value as KeysList;
   const keys = list.keys.map((key) =>
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -5,7 +5,7 @@
 import { KEYS_KEY } from "../../src/core/object_keys.ts";
 import type { KeysList } from "../../src/generated/objects.ts";
 import type { TraceLine } from "../../src/generated/trace.ts";
-import { createPlatformStore } from "../../src/host/platform_store.ts";
+import { createObjectStore } from "../../platform/object_store.ts";
 import { type Fleet, startFleet } from "../processes.ts";
 import type { Deployment } from "../workloads.ts";
 import { type Callers, createCallers } from "./callers.ts";
@@ -178,7 +178,7 @@
 async function addKey(
   fleet: Fleet,
 ): Promise<{ readonly keyId: string; readonly secret: string }> {
-  const store = createPlatformStore(fleet.platformUrl, { caller: "tools" });
+  const store = createObjectStore(fleet.platformUrl, { caller: "tools" });
   const { workspace } = fleet.deployment.workspaces[0]!;
   const issued = issueKey(workspace);
   const found = (await store.get(KEYS_KEY)).unwrap();
--- a/tools/processes.ts
+++ b/tools/processes.ts
@@ -23,7 +23,7 @@
 } from "../src/core/object_keys.ts";
 import type { GroupInfo, TargetInfo } from "../src/generated/objects.ts";
 import type { Settings } from "../src/generated/settings.ts";
-import { createPlatformStore } from "../src/host/platform_store.ts";
+import { createObjectStore } from "../platform/object_store.ts";
 import {
   buildGroups,
   buildPlans,
@@ -197,7 +197,7 @@
     readonly groups: readonly GroupInfo[];
   },
 ): Promise<Map<WorkspaceId, string>> {
-  const store = createPlatformStore(given.platformUrl, { caller: "tools" });
+  const store = createObjectStore(given.platformUrl, { caller: "tools" });
   const issued = deployment.workspaces.map((w) => issueKey(w.workspace));
   const objects = [
     { key: PLANS_KEY, value: buildPlans(deployment) },
