--- a/src/pooling/borrowing.ts
+++ b/src/pooling/borrowing.ts
@@ -5,6 +5,7 @@
  */
 
 import type { HostId, WorkspaceId } from "../core/ids.ts";
+import type { Borrow, Lend } from "../generated/pool_peer.ts";
 import type { PoolIo } from "./types.ts";
 
 /** Time for an answer of a peer, in milliseconds: one far round trip. */
@@ -14,6 +15,10 @@
 
 /** Asks peers for tokens. */
 export interface Borrowing {
+  /** Answers a peer that asks for tokens. */
+  serve(from: HostId, msg: Borrow): void;
+  /** Takes the tokens that a peer gave up. */
+  take(msg: Lend): void;
   /** Resolves with the number of tokens that peers gave up. */
   borrow(workspace: WorkspaceId, count: number): Promise<number>;
 }
@@ -35,19 +40,11 @@
   const pending = new Map<number, (count: number) => void>();
   let nextId = 0;
 
-  io.peers.onMessage((from, msg) => {
-    switch (msg.kind) {
-      case "borrow": {
-        const count = options.lend(msg.workspace, msg.count);
-        const { id, workspace } = msg;
-        io.peers.send(from, { kind: "lend", id, workspace, count });
-        return;
-      }
-      case "lend":
-        pending.get(msg.id)?.(msg.count);
-        return;
-    }
-  });
+  function serve(from: HostId, msg: Borrow): void {
+    const { id, workspace } = msg;
+    const count = options.lend(workspace, msg.count);
+    io.peers.send(from, { kind: "lend", id, workspace, count });
+  }
 
   function ask(
     peer: HostId,
@@ -78,6 +75,8 @@
   }
 
   return {
+    serve,
+    take: (msg) => pending.get(msg.id)?.(msg.count),
     async borrow(workspace, count) {
       const asked = rankPeers(workspace).slice(0, ASKED_AT_ONCE);
       const lent = await Promise.all(
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -13,10 +13,18 @@
 
 /** Time between the heartbeats of a host in the store, in milliseconds. */
 const HEARTBEAT_MS = 10_000;
-/** Silence after which a host no longer counts, in milliseconds. */
-const SILENT_MS = 45_000;
-/** Time for which a host may use its shares without a heartbeat accepted. */
-export const SELF_SILENT_MS = 30_000;
+/**
+ * Hosts up to which the interval holds. Every host hears every heartbeat, so
+ * a larger fleet sends them less often.
+ */
+const HEARTBEAT_HOSTS = 8;
+/** Intervals of silence after which a host no longer counts. */
+const SILENT_INTERVALS = 4.5;
+/**
+ * Intervals for which a host may use its shares without a heartbeat accepted;
+ * less than the others wait, so that it stops before they reclaim them.
+ */
+const SELF_SILENT_INTERVALS = 3;
 const RETRY_MS = 400;
 /** Longest wait of one watch; nothing here is urgent. */
 const WATCH_WAIT_MS = 10_000;
@@ -53,8 +61,8 @@
   listSilent(): readonly HostId[];
   /** Other hosts that are thought to run. */
   listPeers(): readonly HostId[];
-  /** Time since the last heartbeat of this host that the store accepted. */
-  getOwnSilenceMs(): number;
+  /** Whether the store has accepted no heartbeat of this host for too long. */
+  isSelfSilent(): boolean;
   isListed(): boolean;
   /**
    * Time between the starts of this process and of the last one on this host,
@@ -162,14 +170,20 @@
     }
     timer = setTimeout(
       () => void sendHeartbeat(),
-      put.isOk() ? HEARTBEAT_MS : RETRY_MS,
+      put.isOk() ? getIntervalMs() : RETRY_MS,
     );
   }
 
   function isSilent(key: ObjectKey): boolean {
     const at = seen.get(key)?.at ?? -Infinity;
     // Without an answer of the store nobody's heartbeat can be seen.
-    return nowMs() - at - feed.getSilenceMs() > SILENT_MS;
+    return nowMs() - at - feed.getSilenceMs() >
+      SILENT_INTERVALS * getIntervalMs();
+  }
+
+  /** By the registered hosts, whose number every host sees alike. */
+  function getIntervalMs(): number {
+    return HEARTBEAT_MS * Math.max(1, listHosts().length / HEARTBEAT_HOSTS);
   }
 
   function listHosts(): ObjectKey[] {
@@ -196,7 +210,8 @@
     listSilent: () =>
       listHosts().filter((key) => key !== ownKey && isSilent(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
-    getOwnSilenceMs: () => nowMs() - acceptedAt,
+    isSelfSilent: () =>
+      nowMs() - acceptedAt > SELF_SILENT_INTERVALS * getIntervalMs(),
     isListed: () => isListed,
     getSincePreviousStartMs: () => Math.abs(incarnation - previousStart),
     onChange: (listener) => void listeners.add(listener),
--- a/src/pooling/floor_log.ts
+++ b/src/pooling/floor_log.ts
@@ -41,6 +41,8 @@
   note(position: Position, askedAt: number): void;
   /** The lowest floor that satisfies the need. */
   tryFloor(need: FloorNeed): Floor | undefined;
+  /** The newest sample, to be told to a peer. */
+  tryNewest(): Floor | undefined;
   /** Age of the newest sample in milliseconds; infinite without one. */
   getAgeMs(): number;
 }
@@ -102,6 +104,12 @@
         ? { position: usable.position, ageMs }
         : { position: maxPosition(usable.position, own), ageMs };
     },
+    tryNewest() {
+      dropVoid();
+      const last = samples.at(-1);
+      return last &&
+        { position: last.position, ageMs: nowMs() - last.askedAt };
+    },
     getAgeMs() {
       dropVoid();
       const last = samples.at(-1);
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -1,6 +1,7 @@
 /** Puts the parts of a session pool together. */
 
 import { nowMs, sleep } from "../core/clock.ts";
+import { assertNever } from "../core/errors.ts";
 import type { DomainId, HostId, ServiceId, TargetId } from "../core/ids.ts";
 import type { Result } from "ts-results-es";
 import type { Stoppable, StoredObject } from "../core/types.ts";
@@ -11,6 +12,7 @@
 import type { PoolFailure } from "./errors.ts";
 import { createFailover } from "./failover.ts";
 import { createFleet } from "./fleet.ts";
+import { createFloorSharing } from "./floor_sharing.ts";
 import { createFloorLog, type FloorLog } from "./floor_log.ts";
 import { createHealth } from "./health.ts";
 import { createLeaders } from "./leaders.ts";
@@ -132,7 +134,26 @@
     getShare: shares.getShare,
     lend: quotas.lend,
   });
-  const probes = createProbes(ctx);
+  const sharing = createFloorSharing(io, {
+    self: options.host,
+    listPeers: fleet.listPeers,
+    getFloors,
+  });
+  io.peers.onMessage((from, msg) => {
+    switch (msg.kind) {
+      case "borrow":
+        return borrowing.serve(from, msg);
+      case "lend":
+        return borrowing.take(msg);
+      case "ask_floor":
+        return sharing.serve(from, msg);
+      case "tell_floor":
+        return sharing.take(msg);
+      default:
+        return assertNever(msg);
+    }
+  });
+  const probes = createProbes(ctx, sharing);
   const failover = createFailover(ctx, { self: options.host, fleet });
   const catalogFeed = createStoreFeed(io, {
     prefix: decoding.catalogPrefix,
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -4,6 +4,7 @@
 import type { ServiceId, TargetId } from "../core/ids.ts";
 import type { Stoppable } from "../core/types.ts";
 import { control } from "./control.ts";
+import type { FloorSharing } from "./floor_sharing.ts";
 import type { TargetRecord } from "./types.ts";
 import type { WorkContext } from "./work.ts";
 
@@ -11,6 +12,8 @@
 const TICK_MS = 100;
 /** Part of the shortest staleness bound at which a floor is renewed. */
 const FLOOR_PART = 0.4;
+/** Multiple of that age at which this host asks the primary itself. */
+const UNTOLD_FACTOR = 1.6;
 /** Age at which a floor is renewed that no route needs, in milliseconds. */
 const UNUSED_FLOOR_AGE_MS = 3_000;
 /** Time between two questions to a primary that fails or is not known. */
@@ -26,8 +29,12 @@
 }
 
 /** Creates the probes of all services in the catalog. */
-export function createProbes(ctx: WorkContext): Probes {
+export function createProbes(
+  ctx: WorkContext,
+  sharing: FloorSharing,
+): Probes {
   const askedAt = new Map<TargetId, number>();
+  const peerAskedAt = new Map<ServiceId, number>();
   const pausedSince = new Map<TargetId, number>();
   let timer: NodeJS.Timeout | undefined;
 
@@ -42,7 +49,25 @@
     }
     const ageMs = ctx.getFloors(service).getAgeMs();
     const dueMs = getFloorDueMs(service);
-    return ageMs > dueMs ? dueMs / 2 : Infinity;
+    if (ageMs <= dueMs) {
+      return Infinity;
+    }
+    // Peers that do not tell in time leave it to this host.
+    const isOwnTask = sharing.isKeeper(service) ||
+      ageMs > dueMs * UNTOLD_FACTOR;
+    if (isOwnTask) {
+      return dueMs / 2;
+    }
+    askPeer(service, dueMs / 4);
+    return Infinity;
+  }
+
+  function askPeer(service: ServiceId, intervalMs: number): void {
+    const last = peerAskedAt.get(service) ?? -Infinity;
+    if (nowMs() - last >= intervalMs) {
+      peerAskedAt.set(service, nowMs());
+      sharing.ask(service);
+    }
   }
 
   /** Age at which the floor of a service is to be renewed. */
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -4,7 +4,7 @@
 import { nowMs } from "../core/clock.ts";
 import type { WorkspaceId } from "../core/ids.ts";
 import type { PoolFailure } from "./errors.ts";
-import { WHOLE } from "./share_ledger.ts";
+import { type Demand, WHOLE } from "./share_ledger.ts";
 import { createTokenBucket, type TokenBucket } from "./token_bucket.ts";
 import type { Quota } from "./types.ts";
 
@@ -31,8 +31,8 @@
   /** Sets this host's share of a workspace, in ten-thousandths. */
   setShare(workspace: WorkspaceId, share: number): void;
   setQuotas(quotas: ReadonlyMap<WorkspaceId, Quota>): void;
-  /** Share that the demand of the last seconds needs, by workspace. */
-  listDemand(): ReadonlyMap<WorkspaceId, number>;
+  /** What the operations of the last seconds need, by workspace. */
+  listDemand(): ReadonlyMap<WorkspaceId, Demand>;
 }
 
 /** How far a quota may be exceeded within a window, over the whole fleet. */
@@ -156,8 +156,7 @@
       return;
     }
     entry.isBorrowing = true;
-    // One more than waits, for the next operation that is on its way.
-    const count = entry.waiters.length + 1;
+    const count = Math.max(1, entry.waiters.length);
     const given = await options.borrow(entry.workspace, count);
     entry.isBorrowing = false;
     entry.bucket.add(given);
@@ -239,11 +238,12 @@
       }
     },
     listDemand() {
-      const demand = new Map<WorkspaceId, number>();
+      const demand = new Map<WorkspaceId, Demand>();
       for (const [workspace, entry] of entries) {
         const part = (decay(entry) * HEADROOM) /
           Math.max(1e-9, entry.quota.ratePerS);
-        demand.set(workspace, Math.min(1, part) * WHOLE);
+        const { burst } = entry.quota;
+        demand.set(workspace, { share: Math.min(1, part) * WHOLE, burst });
       }
       return demand;
     },
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -13,8 +13,8 @@
 const NEAR_RTT_MS = 1;
 const REGION_RTT_MS = 3;
 const FAR_RTT_MS = 40;
-/** Work of a statement that is assumed before one was measured. */
-const DEFAULT_WORK_MS = 25;
+/** Work assumed before one was measured: little, so that targets get tried. */
+const DEFAULT_WORK_MS = 5;
 /** Cost of a new connection beside its round trips, in milliseconds. */
 const HANDSHAKE_MS = 20;
 /** Keeps the slots of primaries for writes, in milliseconds. */
--- a/src/pooling/share_ledger.ts
+++ b/src/pooling/share_ledger.ts
@@ -4,14 +4,21 @@
  * those of one workspace never add up to more than the whole.
  */
 
+import { rankNodes } from "../core/hash.ts";
 import type { HostId, WorkspaceId } from "../core/ids.ts";
 
 /** The whole quota of a workspace. */
 export const WHOLE = 10_000;
 /** Part of the quota that is handed out evenly before demand is known. */
 const EVEN_PART = 0.7;
-/** Smallest share that a host asks for, as a part of an even share. */
+/** Smallest share that a holder asks for, as a part of an even share. */
 const FLOOR_PART = 0.25;
+/**
+ * Tokens of the burst that a share is worth at least. A quota cut into smaller
+ * pieces is of no use to anybody, so small workspaces have few holders and the
+ * other hosts borrow.
+ */
+const MIN_TOKENS = 4;
 /** A change smaller than this is not worth a call to the store. */
 const MIN_CHANGE = 150;
 /** A host keeps this much more than it needs before it gives any back. */
@@ -53,12 +60,48 @@
     .reduce((sum, row) => sum + (row[workspace] ?? 0), 0);
 }
 
+/** What a host needs of a workspace. */
+export interface Demand {
+  /** Share that the operations of the last seconds need. */
+  readonly share: number;
+  readonly burst: number;
+}
+
 /** What a host bases its next row on. */
 export interface ShareNeed {
   readonly host: HostId;
-  readonly hostCount: number;
-  /** Share that each workspace's demand at this host needs. */
-  readonly demand: ReadonlyMap<WorkspaceId, number>;
+  /** Hosts that run, this one included. */
+  readonly hosts: readonly HostId[];
+  readonly demand: ReadonlyMap<WorkspaceId, Demand>;
+}
+
+/** Hosts that hold a part of a workspace's quota whatever their demand is. */
+export function listHolders(
+  workspace: WorkspaceId,
+  given: { readonly hosts: readonly HostId[]; readonly burst: number },
+): readonly HostId[] {
+  const count = Math.max(1, Math.floor(given.burst / MIN_TOKENS));
+  return count >= given.hosts.length
+    ? given.hosts
+    : rankNodes(workspace, given.hosts).slice(0, count);
+}
+
+/** The first ledger: every holder has an even share. */
+export function createLedger(
+  hosts: readonly HostId[],
+  demand: ReadonlyMap<WorkspaceId, Demand>,
+): Ledger {
+  const shares: Record<string, Record<string, number>> = {};
+  hosts.forEach((host) => shares[host] = {});
+  for (const [workspace, { burst }] of demand) {
+    const holders = listHolders(workspace, { hosts, burst });
+    for (const host of holders) {
+      shares[host]![workspace] = Math.floor(
+        (WHOLE / holders.length) * EVEN_PART,
+      );
+    }
+  }
+  return { shares, wants: {} };
 }
 
 /** The ledger after this host adjusted its row; undefined to leave it. */
@@ -66,20 +109,19 @@
   ledger: Ledger,
   need: ShareNeed,
 ): Ledger | undefined {
-  const { host, hostCount, demand } = need;
+  const { host, hosts, demand } = need;
   const row = ledger.shares[host];
-  const even = WHOLE / Math.max(1, hostCount);
   const shares: Record<string, number> = {};
   const wants: Record<string, number> = {};
   let isChanged = row === undefined;
-  for (const [workspace, needed] of demand) {
+  for (const [workspace, given] of demand) {
     const own = row?.[workspace] ?? 0;
-    const floor = Math.ceil(even * (row ? FLOOR_PART : EVEN_PART));
-    const wanted = Math.min(WHOLE, Math.max(floor, Math.ceil(needed)));
+    const wanted = getWanted(workspace, { given, host, hosts });
     const next = getNext(ledger, { host, workspace, own, wanted });
-    shares[workspace] = next;
-    const unmet = wanted - next;
-    if (unmet >= MIN_CHANGE) {
+    if (next > 0) {
+      shares[workspace] = next;
+    }
+    if (wanted - next >= MIN_CHANGE) {
       wants[workspace] = wanted;
     }
     const wasWanted = ledger.wants[host]?.[workspace] ?? 0;
@@ -94,6 +136,25 @@
     : undefined;
 }
 
+/** Share that a host asks for; 0 if it would be too small to be of use. */
+function getWanted(
+  workspace: WorkspaceId,
+  options: {
+    readonly given: Demand;
+    readonly host: HostId;
+    readonly hosts: readonly HostId[];
+  },
+): number {
+  const { given, host, hosts } = options;
+  const holders = listHolders(workspace, { hosts, burst: given.burst });
+  const floor = holders.includes(host)
+    ? Math.ceil((WHOLE / holders.length) * FLOOR_PART)
+    : 0;
+  const needed = Math.min(WHOLE, Math.ceil(given.share));
+  const isUseful = needed * given.burst / WHOLE >= MIN_TOKENS;
+  return Math.max(floor, isUseful ? needed : 0);
+}
+
 function getNext(
   ledger: Ledger,
   given: {
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -4,9 +4,10 @@
 import type { HostId, WorkspaceId } from "../core/ids.ts";
 import type { Stoppable, StoredObject } from "../core/types.ts";
 import type { ClockGuard } from "./clock_guard.ts";
-import { type Fleet, LEDGER_KEY, SELF_SILENT_MS } from "./fleet.ts";
+import { type Fleet, LEDGER_KEY } from "./fleet.ts";
 import type { Quotas } from "./quotas.ts";
 import {
+  createLedger,
   EMPTY_LEDGER,
   getFloorShare,
   type Ledger,
@@ -19,6 +20,8 @@
 
 /** Time between two looks at the demand, in milliseconds. */
 const TICK_MS = 2_000;
+/** Hosts up to which the interval holds; more hosts look less often. */
+const TICK_HOSTS = 8;
 /** Time between two looks until this host has a row, in milliseconds. */
 const FIRST_TICK_MS = 250;
 /** Time after the first sight of the fleet in which hosts register. */
@@ -73,7 +76,7 @@
     const { version } = getObject();
     pending = pending.filter((update) => update.version >= version);
     const row = getLedger().shares[self] ?? {};
-    const isInTouch = isConfirmed && fleet.getOwnSilenceMs() < SELF_SILENT_MS;
+    const isInTouch = isConfirmed && !fleet.isSelfSilent();
     const most = isInTouch ? Infinity : getFloorShare(fleet.countHosts());
     for (const workspace of quotas.listDemand().keys()) {
       const shares = [
@@ -142,7 +145,8 @@
     if (!hasRow && nowMs() - listedAt < SETTLE_MS) {
       return;
     }
-    const hostCount = fleet.countHosts();
+    const hosts = [self, ...fleet.listPeers()].sort();
+    const hostCount = hosts.length;
     const silent = fleet.listSilent().find((host) =>
       Object.values(ledger.shares[host] ?? {})
         .some((share) => share > getFloorShare(hostCount))
@@ -152,11 +156,13 @@
       await update(reclaim(ledger, { host: silent, hostCount }));
       return;
     }
-    const demand: ReadonlyMap<WorkspaceId, number> = quotas.listDemand();
+    const demand = quotas.listDemand();
     if (demand.size === 0) {
       return;
     }
-    const next = tryAdjust(ledger, { host: self, hostCount, demand });
+    const next = getObject().version === 0
+      ? createLedger(hosts, demand)
+      : tryAdjust(ledger, { host: self, hosts, demand });
     if (next) {
       await update(next);
     }
@@ -168,7 +174,8 @@
       const schedule = () => {
         timer = setTimeout(
           () => void tick().finally(schedule),
-          TICK_MS * (0.75 + io.random() / 2),
+          TICK_MS * Math.max(1, fleet.countHosts() / TICK_HOSTS) *
+            (0.75 + io.random() / 2),
         );
       };
       schedule();
@@ -177,7 +184,7 @@
           clearInterval(early);
         }
         void tick();
-      }, FIRST_TICK_MS);
+      }, FIRST_TICK_MS * (0.5 + io.random()));
     },
     getShare: (host, workspace) => getLedger().shares[host]?.[workspace] ?? 0,
     isReady: () => getLedger().shares[self] !== undefined,
--- a/src/pooling/token_bucket.ts
+++ b/src/pooling/token_bucket.ts
@@ -2,6 +2,9 @@
 
 import { nowMs } from "../core/clock.ts";
 
+/** Time for which borrowed tokens may stand above the burst. */
+const BORROWED_MS = 300;
+
 /** Rate and size of a bucket. */
 export interface BucketSize {
   readonly ratePerS: number;
@@ -28,12 +31,14 @@
   let size: BucketSize = given;
   let level = Math.min(given.initial, given.burst);
   let filledAt = nowMs();
+  let borrowedAt = -Infinity;
 
   function fill(): void {
     const now = nowMs();
     const added = ((now - filledAt) / 1_000) * size.ratePerS;
-    // Less than one token must fit, or a small share would never give any.
-    const room = Math.max(1, size.burst);
+    // What peers gave up is used soon or lost, so that it never piles up.
+    const isBorrowed = now - borrowedAt < BORROWED_MS;
+    const room = isBorrowed ? Math.max(size.burst, level) : size.burst;
     level = Math.min(room, level + added);
     filledAt = now;
   }
@@ -52,18 +57,21 @@
       const missing = ahead + 1 - level;
       return missing <= 0
         ? 0
-        : size.ratePerS > 0
+        : size.ratePerS > 0 && size.burst >= 1
         ? (missing / size.ratePerS) * 1_000
         : Infinity;
     },
     resize(next) {
       fill();
       size = next;
-      level = Math.min(level, Math.max(1, next.burst));
+      level = Math.min(level, next.burst);
     },
     add(count) {
       fill();
-      level = Math.min(Math.max(1, size.burst) + count, level + count);
+      if (count > 0) {
+        borrowedAt = nowMs();
+        level += count;
+      }
     },
     give(count, reserve) {
       fill();
--- /dev/null
+++ b/standins/statement_group.ts
@@ -0,0 +1,447 @@
+/**
+ * Stand-in for one database group that speaks statements: a primary, its
+ * replicas, sessions with values and prepared names, and faults.
+ */
+
+import { Err, Ok, type Result } from "ts-results-es";
+import { assertNever } from "../src/core/errors.ts";
+import { sleep } from "../src/core/clock.ts";
+import { asId, type ServiceId, type TargetId } from "../src/core/ids.ts";
+import { isAtLeast } from "../src/core/position.ts";
+import type {
+  DialErr,
+  Position,
+  Prepared,
+  PromoteRes,
+  TargetCommand,
+  TargetErrCode,
+  TargetLink,
+  TargetRecord,
+  TargetReply,
+  TransactionState,
+} from "../src/pooling/types.ts";
+
+/** An entry of a log. */
+export interface LogEntry {
+  readonly at: Position;
+  /** Ids of the statements that it holds. */
+  readonly ids: readonly string[];
+}
+
+/** A statement that a target ran. */
+export interface Run {
+  readonly id: string;
+  readonly target: TargetId;
+  readonly workspace: string;
+  readonly text: string;
+  readonly values: Readonly<Record<string, string>>;
+  /** What the log held; commits that came later are not visible. */
+  readonly position: Position;
+  /** The connection, numbered in the order of opening. */
+  readonly connection: number;
+  readonly isInTransaction: boolean;
+}
+
+/** What can go wrong with a target. */
+export interface TargetFaults {
+  /** Takes connections and commands and answers nothing. */
+  isDark?: boolean;
+  /** Runs statements, and then breaks the connection. */
+  losesAnswers?: boolean;
+  /** Receives nothing from the primary. */
+  isDeaf?: boolean;
+  /** Refuses statements as if its queue were full. */
+  isBusy?: boolean;
+}
+
+/** One target of the group. */
+export interface StatementTarget {
+  readonly record: TargetRecord;
+  readonly faults: TargetFaults;
+  readonly log: readonly LogEntry[];
+  readonly role: "primary" | "replica";
+  readonly term: number;
+  /** Connections that are open. */
+  readonly connections: number;
+}
+
+/** The group with what it has seen. */
+export interface StatementGroup {
+  readonly targets: readonly StatementTarget[];
+  readonly runs: readonly Run[];
+  /** Ids of statements whose commit was acknowledged. */
+  readonly acknowledged: ReadonlySet<string>;
+  connect(id: TargetId, workspace: string): Result<TargetLink, DialErr>;
+  promote(id: TargetId, fencingToken: number): Promise<PromoteRes>;
+}
+
+/** What a group is created with. */
+export interface GroupOptions {
+  readonly service: ServiceId;
+  readonly ids: readonly string[];
+  readonly lagMs?: number;
+  readonly workMs?: number;
+  readonly maxConnections?: number;
+  readonly promoteMs?: number;
+}
+
+interface Target {
+  readonly record: TargetRecord;
+  readonly faults: TargetFaults;
+  log: LogEntry[];
+  /** Entries that reads see; later ones were received only. */
+  appliedCount: number;
+  role: "primary" | "replica";
+  term: number;
+  pausedTerm: number;
+  connections: number;
+}
+
+const ORIGIN: Position = { term: 1, pos: 0 };
+
+/** Creates a group whose first target leads in term 1. */
+export function createStatementGroup(options: GroupOptions): StatementGroup {
+  const { lagMs = 20, workMs = 5, promoteMs = 300 } = options;
+  const maxConnections = options.maxConnections ?? 20;
+  const runs: Run[] = [];
+  const acknowledged = new Set<string>();
+  let fence = 0;
+  let opened = 0;
+  const targets: Target[] = options.ids.map((id, index) => ({
+    record: {
+      id: asId<TargetId>(id),
+      incarnation: 1,
+      service: options.service,
+      address: "127.0.0.1:1",
+      domain: asId(`d${index}`),
+      slots: 3,
+      isDraining: false,
+      role: index === 0 ? "primary" : "replica",
+    },
+    faults: {},
+    log: [],
+    appliedCount: 0,
+    role: index === 0 ? "primary" : "replica",
+    term: 1,
+    pausedTerm: 0,
+    connections: 0,
+  }));
+
+  function getTarget(id: TargetId): Target {
+    return targets.find((target) => target.record.id === id)!;
+  }
+
+  /** Appends a commit and waits until one replica has received it. */
+  async function append(
+    primary: Target,
+    ids: readonly string[],
+  ): Promise<boolean> {
+    const last = primary.log.at(-1)?.at ?? ORIGIN;
+    const { term } = primary;
+    const entry = {
+      at: { term, pos: last.pos + 1 },
+      ids,
+    };
+    primary.log.push(entry);
+    primary.appliedCount = primary.log.length;
+    for (;;) {
+      const isReceived = targets.filter((replica) =>
+        replica !== primary && receive(replica, primary)
+      ).length > 0;
+      if (primary.role !== "primary" || primary.term !== term) {
+        return false;
+      }
+      if (isReceived) {
+        ids.forEach((id) =>
+          acknowledged.add(id)
+        );
+        return true;
+      }
+      await sleep(5);
+    }
+  }
+
+  /** Copies the log of the primary to a replica that receives. */
+  function receive(replica: Target, primary: Target): boolean {
+    const { faults } = replica;
+    if (
+      replica.role !== "replica" || faults.isDeaf || faults.isDark ||
+      replica.pausedTerm > 0 || primary.faults.isDark
+    ) {
+      return false;
+    }
+    replica.log = [...primary.log];
+    replica.term = primary.term;
+    const length = replica.log.length;
+    setTimeout(() => {
+      replica.appliedCount = Math.max(replica.appliedCount, length);
+    }, lagMs);
+    return true;
+  }
+
+  function getApplied(target: Target): Position {
+    return target.log[target.appliedCount - 1]?.at ??
+      { ...ORIGIN, term: target.log.length === 0 ? 1 : ORIGIN.term };
+  }
+
+  function connect(
+    id: TargetId,
+    workspace: string,
+  ): Result<TargetLink, DialErr> {
+    const target = getTarget(id);
+    if (target.connections >= maxConnections) {
+      return Err({ code: "too_many_connections", detail: id });
+    }
+    target.connections++;
+    opened++;
+    return Ok(createConnection(target, { workspace, connection: opened }));
+  }
+
+  function createConnection(
+    target: Target,
+    given: { readonly workspace: string; readonly connection: number },
+  ): TargetLink {
+    const { workspace, connection } = given;
+    const values = new Map<string, string>();
+    const names = new Map<string, Prepared>();
+    const waiting = new Set<(reply: TargetReply) => void>();
+    let state: TransactionState = "idle";
+    let isPlain = false;
+    let written: string[] = [];
+    let isOpen = true;
+    let queue: Promise<unknown> = Promise.resolve();
+
+    function close(): void {
+      if (isOpen) {
+        isOpen = false;
+        target.connections--;
+        waiting.forEach((end) => end({ kind: "lost", detail: "closed" }));
+      }
+    }
+
+    function done(rows: readonly string[] = [], signature = "-"): TargetReply {
+      return {
+        kind: "done",
+        rows,
+        signature,
+        state,
+        position: getApplied(target),
+      };
+    }
+
+    function fail(code: TargetErrCode): TargetReply {
+      state = state === "open" ? "failed" : state;
+      return {
+        kind: "error",
+        code,
+        detail: code,
+        state,
+        position: getApplied(target),
+      };
+    }
+
+    function note(id: string, text: string): void {
+      runs.push({
+        id,
+        target: target.record.id,
+        workspace,
+        text,
+        values: Object.fromEntries(values),
+        position: getApplied(target),
+        connection,
+        isInTransaction: state === "open",
+      });
+    }
+
+    async function runStatement(
+      command: Extract<TargetCommand, { kind: "run" | "execute" }>,
+    ): Promise<TargetReply> {
+      const prepared = command.kind === "execute"
+        ? names.get(command.name)
+        : undefined;
+      if (command.kind === "execute" && !prepared) {
+        return fail("unknown_statement");
+      }
+      const text = command.kind === "run"
+        ? command.text
+        : `${prepared!.shape} ${command.args}`;
+      const isWrite = prepared
+        ? prepared.access === "write"
+        : text.startsWith("WRITE");
+      if (target.faults.isBusy) {
+        return { ...fail("busy"), state } as TargetReply;
+      }
+      if (command.after && !isAtLeast(getApplied(target), command.after)) {
+        return fail("lagging");
+      }
+      const mustLead = isWrite || (state === "open" && isPlain);
+      if (mustLead && target.role !== "primary") {
+        return fail("read_only");
+      }
+      await sleep(workMs);
+      note(command.id, text);
+      if (isWrite && state === "open") {
+        written.push(command.id);
+      } else if (isWrite && !await append(target, [command.id])) {
+        return fail("read_only");
+      }
+      return done([`row of ${text}`], `signed-${command.id}`);
+    }
+
+    async function commit(
+      command: Extract<TargetCommand, { kind: "commit" }>,
+    ): Promise<TargetReply> {
+      if (state === "open" && written.length > 0) {
+        if (target.role !== "primary") {
+          return fail("read_only");
+        }
+        await append(target, written);
+      }
+      note(command.id, command.text);
+      state = "idle";
+      written = [];
+      return done([], `signed-${command.id}`);
+    }
+
+    async function execute(command: TargetCommand): Promise<TargetReply> {
+      switch (command.kind) {
+        case "begin":
+          if (command.after && !isAtLeast(getApplied(target), command.after)) {
+            return fail("lagging");
+          }
+          if (!command.isReadOnly && target.role !== "primary") {
+            return fail("read_only");
+          }
+          isPlain = !command.isReadOnly;
+          state = "open";
+          return done();
+        case "commit":
+          return await commit(command);
+        case "rollback":
+          state = "idle";
+          written = [];
+          return done();
+        case "run":
+        case "execute":
+          return await runStatement(command);
+        case "set":
+          values.set(command.name, command.value);
+          return done();
+        case "prepare":
+          names.set(command.name, command.prepared);
+          return done();
+        case "reset":
+          values.clear();
+          names.clear();
+          return done();
+        default:
+          return control(command);
+      }
+    }
+
+    function control(
+      command: Extract<
+        TargetCommand,
+        { kind: "status" | "pause" | "resume" | "step_down" }
+      >,
+    ): TargetReply {
+      switch (command.kind) {
+        case "status":
+          break;
+        case "pause":
+          if (target.role === "replica" && command.term > target.term) {
+            target.pausedTerm = command.term;
+          }
+          break;
+        case "resume":
+          target.pausedTerm = 0;
+          break;
+        case "step_down":
+          if (command.term > target.term) {
+            target.role = "replica";
+            target.pausedTerm = command.term;
+          }
+          break;
+        default:
+          return assertNever(command);
+      }
+      const end = target.log.at(-1)?.at ?? ORIGIN;
+      const row = [
+        target.role,
+        target.term,
+        `${end.term}.${end.pos}`,
+        target.pausedTerm,
+        lagMs,
+        0,
+        target.connections,
+      ];
+      return done([row.join(" ")]);
+    }
+
+    return {
+      target: target.record,
+      workspace: asId(workspace),
+      isOpen: () => isOpen,
+      close,
+      send(command) {
+        if (!isOpen) {
+          return Promise.resolve({ kind: "lost", detail: "closed before" });
+        }
+        return new Promise((resolve) => {
+          const end = (reply: TargetReply) => {
+            waiting.delete(end);
+            resolve(reply);
+          };
+          waiting.add(end);
+          queue = queue.then(async () => {
+            if (target.faults.isDark || !isOpen) {
+              return;
+            }
+            const reply = await execute(command);
+            if (target.faults.losesAnswers && command.kind !== "status") {
+              close();
+            } else if (!target.faults.isDark) {
+              end(reply);
+            }
+          });
+        });
+      },
+    };
+  }
+
+  return {
+    targets,
+    runs,
+    acknowledged,
+    connect,
+    async promote(id, fencingToken) {
+      if (fencingToken < fence) {
+        return { kind: "refused", detail: "older token" };
+      }
+      fence = fencingToken;
+      await sleep(promoteMs);
+      const chosen = getTarget(id);
+      if (chosen.role === "primary") {
+        return { kind: "accepted" };
+      }
+      const term = Math.max(...targets.map((target) => target.term)) + 1;
+      for (const target of targets) {
+        target.role = target === chosen ? "primary" : "replica";
+        target.pausedTerm = 0;
+      }
+      chosen.term = term;
+      chosen.appliedCount = chosen.log.length;
+      for (const target of targets) {
+        if (target !== chosen && !target.faults.isDark) {
+          target.log = [...chosen.log];
+          target.term = term;
+          target.appliedCount = Math.min(
+            target.appliedCount,
+            target.log.length,
+          );
+        }
+      }
+      return { kind: "accepted" };
+    },
+  };
+}
--- /dev/null
+++ b/test/pool_fleet.ts
@@ -0,0 +1,247 @@
+/** Session pools in one process, on the stand-ins, under a paused clock. */
+
+import { Err, Ok } from "ts-results-es";
+import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
+import type { PlatformStore, StoredObject } from "../src/core/types.ts";
+import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
+import type { Session } from "../src/pooling/session.ts";
+import type {
+  Catalog,
+  Consistency,
+  LogFields,
+  PeerReceiver,
+  Statement,
+  StatementAnswer,
+  TargetRecord,
+} from "../src/pooling/types.ts";
+import { createTargetDialer } from "../platform/target_link.ts";
+import { tryDecodeStatement } from "../platform/line_codec.ts";
+import {
+  createPlatformCore,
+  type PlatformCore,
+} from "../standins/platform_core.ts";
+import { waitForChange } from "../standins/platform_server.ts";
+import {
+  createStatementGroup,
+  type GroupOptions,
+  type StatementGroup,
+  type StatementTarget,
+} from "../standins/statement_group.ts";
+import { vi } from "vitest";
+
+const SERVICE = asId<TargetRecord["service"]>("ledger");
+const CATALOG_KEY = asId<ObjectKey>("config/main");
+
+/** What a test may choose. */
+export interface PoolFleetOptions {
+  readonly hosts?: number;
+  readonly group?: Partial<GroupOptions>;
+  readonly ratePerS?: number;
+  readonly maxConnections?: number;
+}
+
+/** Pools, their targets and the store between them. */
+export interface PoolFleet {
+  readonly group: StatementGroup;
+  readonly poolers: readonly Pooler[];
+  readonly store: PlatformCore;
+  /** Makes calls of a host to the store fail. */
+  readonly cutFromStore: Set<string>;
+  readonly lines: { event: string; fields: LogFields }[];
+  open(database: string, host?: number): Session;
+  getTarget(id: string): StatementTarget;
+  setCatalog(change?: Partial<Catalog>): void;
+  register(id: string, change?: Partial<TargetRecord>): void;
+  stop(): void;
+}
+
+/** Starts pools and waits until they are ready. */
+export async function startPoolFleet(
+  options: PoolFleetOptions = {},
+): Promise<PoolFleet> {
+  vi.useFakeTimers();
+  const store = createPlatformCore();
+  const group = createStatementGroup({
+    service: SERVICE,
+    ids: ["t1", "t2", "t3"],
+    ...options.group,
+  });
+  const cutFromStore = new Set<string>();
+  const lines: { event: string; fields: LogFields }[] = [];
+  const receivers = new Map<HostId, PeerReceiver>();
+  let version = 0;
+  let seed = 1;
+  const random = () => {
+    seed = (seed * 48_271) % 2_147_483_647;
+    return seed / 2_147_483_647;
+  };
+
+  function put(key: ObjectKey, value: unknown): void {
+    store.put(key, value, { ifVersion: store.get(key).version }).unwrap();
+  }
+
+  function setCatalog(change: Partial<Catalog> = {}): void {
+    version += 3;
+    const ratePerS = options.ratePerS ?? 1_000;
+    put(CATALOG_KEY, {
+      version,
+      routes: new Map([
+        route("orders", { kind: "primary" }),
+        route("reports", { kind: "bounded", maxStaleMs: 1_500 }),
+        route("accounts", { kind: "session", maxStaleMs: 2_500 }),
+      ]),
+      services: new Map([[SERVICE, {
+        service: SERVICE,
+        maxConnections: options.maxConnections ?? 20,
+        syncReplicas: 1,
+      }]]),
+      quotas: new Map([["w1", { ratePerS, burst: ratePerS }]]),
+      workspaceByKey: new Map([["key1", "w1"]]),
+      transactionIdleMs: 3_000,
+      ...change,
+    });
+  }
+
+  function register(id: string, change: Partial<TargetRecord> = {}): void {
+    const { record } = group.targets.find((t) => t.record.id === id)!;
+    put(asId<ObjectKey>(`servers/${id}`), { ...record, ...change });
+  }
+
+  function createStore(host: string): PlatformStore {
+    const guard = async <T>(call: () => T | Promise<T>) =>
+      cutFromStore.has(host) || cutFromStore.has("all")
+        ? Err({ kind: "unreachable" } as const)
+        : Ok(await call());
+    return {
+      get: (key) => guard(() => store.get(key)),
+      list: (prefix) => guard(() => store.list(prefix)),
+      watch: (prefix, { after, waitMs }) =>
+        guard(() => waitForChange(store, { prefix, after, waitMs })),
+      put(key, value, put) {
+        return Promise.resolve(
+          cutFromStore.has(host) || cutFromStore.has("all")
+            ? Err({ kind: "unreachable" })
+            : store.put(key, value, put),
+        );
+      },
+    };
+  }
+
+  function createHost(index: number): Pooler {
+    const host = asId<HostId>(`h${index}`);
+    return createPooler({
+      store: createStore(host),
+      dialer: {
+        tryReport: createTargetDialer().tryReport,
+        dial(target, { workspace, timeoutMs }) {
+          if (
+            group.targets.find((t) => t.record.id === target.id)?.faults
+              .isDark
+          ) {
+            return new Promise((resolve) =>
+              setTimeout(
+                () => resolve(Err({ code: "unreachable", detail: "dark" })),
+                timeoutMs,
+              )
+            );
+          }
+          return Promise.resolve(group.connect(target.id, workspace));
+        },
+      },
+      promoter: {
+        promote: ({ target, fencingToken }) =>
+          group.promote(target, fencingToken),
+      },
+      peers: {
+        setAddresses() {},
+        send: (to, msg) =>
+          void setTimeout(() => receivers.get(to)?.(host, msg), 1),
+        onMessage: (receiver) => void receivers.set(host, receiver),
+      },
+      log: {
+        info: (event, fields) => lines.push({ event, fields }),
+        request: (event, fields) => lines.push({ event, fields }),
+      },
+      metrics: { count() {}, add() {}, observe() {}, set() {} },
+      random,
+    }, {
+      host,
+      domain: asId("d1"),
+      peerAddress: `127.0.0.1:${index}`,
+      regions: new Map(),
+      quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
+      decoding: {
+        catalogPrefix: "config/",
+        catalogKey: CATALOG_KEY,
+        targetPrefix: "servers/",
+        tryDecodeCatalog: (value) => value as Catalog,
+        tryDecodeTarget: (object: StoredObject) =>
+          object.value as TargetRecord | undefined,
+      },
+    });
+  }
+
+  setCatalog();
+  group.targets.forEach(({ record }) => register(record.id));
+  const poolers = Array.from(
+    { length: options.hosts ?? 1 },
+    (_, index) => createHost(index),
+  );
+  poolers.forEach((pooler) => pooler.start());
+  await vi.advanceTimersByTimeAsync(4_000);
+  return {
+    group,
+    poolers,
+    store,
+    cutFromStore,
+    lines,
+    setCatalog,
+    register,
+    open: (database, host = 0) =>
+      poolers[host]!.open({ database: asId(database), key: "key1" }).unwrap(),
+    getTarget: (id) => group.targets.find((t) => t.record.id === id)!,
+    stop() {
+      poolers.forEach((pooler) => pooler.stop());
+      vi.useRealTimers();
+    },
+  };
+}
+
+function route(database: string, consistency: Consistency) {
+  return [database, {
+    database,
+    service: SERVICE,
+    consistency,
+    statementTimeoutMs: 1_000,
+    objectiveMs: 1_000,
+    priority: 1,
+    isPublic: false,
+  }] as const;
+}
+
+let statements = 0;
+
+/** Sends the text of a statement and advances the clock until its answer. */
+export async function run(
+  session: Session,
+  text: string,
+  options: { readonly id?: string; readonly limitMs?: number } = {},
+): Promise<StatementAnswer> {
+  statements++;
+  const statement = tryDecodeStatement(text) as Statement;
+  const id = options.id ?? `s${statements}`;
+  let answer: StatementAnswer | undefined;
+  void session.execute(asId(id), statement).then((res) => answer = res);
+  for (let ms = 0; ms < (options.limitMs ?? 10_000); ms += 5) {
+    await vi.advanceTimersByTimeAsync(5);
+    if (answer) {
+      return answer;
+    }
+  }
+  throw new Error(`no answer to ${text}`);
+}
+
+/** What an answer says, in short: `done` or the kind of the error. */
+export function told(answer: StatementAnswer): string {
+  return answer.kind === "done" ? "done" : answer.error;
+}
--- /dev/null
+++ b/test/session_pool.test.ts
@@ -0,0 +1,346 @@
+import { afterEach, expect, test, vi } from "vitest";
+import { type PoolFleet, run, startPoolFleet, told } from "./pool_fleet.ts";
+
+let fleet: PoolFleet;
+afterEach(() => fleet.stop());
+
+test("a write is read back by its session and by others", async () => {
+  fleet = await startPoolFleet({ group: { lagMs: 80 } });
+  const session = fleet.open("accounts");
+  expect(told(await run(session, "WRITE a 1", { id: "w" }))).toBe("done");
+  const { targets, runs } = fleet.group;
+  expect(targets[0]!.log.map((entry) => entry.ids)).toEqual([["w"]]);
+  expect(told(await run(session, "READ a", { id: "r" }))).toBe("done");
+  const read = runs.find(({ id }) => id === "r")!;
+  expect(read.position).toEqual({ term: 1, pos: 1 });
+});
+
+test("a read of a session that wrote never runs on a log without it", async () => {
+  fleet = await startPoolFleet({ group: { lagMs: 400 } });
+  const session = fleet.open("accounts");
+  for (let n = 1; n <= 8; n++) {
+    await run(session, `WRITE a ${n}`, { id: `w${n}` });
+    await run(session, "READ a", { id: `r${n}` });
+  }
+  const seen = fleet.group.runs.filter(({ id }) => id.startsWith("r"))
+    .map(({ position }) => position.pos);
+  expect(seen).toEqual([1, 2, 3, 4, 5, 6, 7, 8]);
+});
+
+test("bounded reads are served by replicas within the bound", async () => {
+  fleet = await startPoolFleet({ group: { lagMs: 100 } });
+  const writer = fleet.open("orders");
+  const reader = fleet.open("reports");
+  const acknowledged: { at: number; pos: number }[] = [];
+  for (let n = 1; n <= 30; n++) {
+    await run(writer, `WRITE a ${n}`);
+    acknowledged.push({ at: performance.now(), pos: n });
+    const sentAt = performance.now();
+    await run(reader, "READ a", { id: `r${n}` });
+    const { position } = fleet.group.runs.find(({ id }) => id === `r${n}`)!;
+    const owed = acknowledged.filter(({ at }) => at <= sentAt - 1_500);
+    expect(position.pos).toBeGreaterThanOrEqual(owed.at(-1)?.pos ?? 0);
+    await vi.advanceTimersByTimeAsync(100);
+  }
+  const servedBy = new Set(
+    fleet.group.runs.filter(({ id }) => id.startsWith("r"))
+      .map(({ target }) => target),
+  );
+  expect([...servedBy].some((target) => target !== "t1")).toBe(true);
+});
+
+test("a suspended host trusts no floor from before", async () => {
+  fleet = await startPoolFleet({ group: { lagMs: 100 } });
+  const writer = fleet.open("orders");
+  const reader = fleet.open("reports");
+  await run(writer, "WRITE a 1");
+  await run(reader, "READ a");
+  fleet.getTarget("t2").faults.isDeaf = true;
+  fleet.getTarget("t3").faults.isDeaf = true;
+  fleet.cutFromStore.add("all");
+  // Another host's commit is acknowledged while this one is suspended: the
+  // time of day goes on, the monotonic clock stands still.
+  fleet.getTarget("t3").faults.isDeaf = false;
+  void fleet.group.connect(fleet.getTarget("t1").record.id, "w1").unwrap()
+    .send({ kind: "run", id: "w2" as never, text: "WRITE a 2" });
+  await vi.advanceTimersByTimeAsync(50);
+  expect(fleet.group.acknowledged.has("w2")).toBe(true);
+  fleet.getTarget("t3").faults.isDeaf = true;
+  vi.setSystemTime(Date.now() + 8_000);
+  await run(reader, "READ a", { id: "r" });
+  const { position } = fleet.group.runs.find(({ id }) => id === "r")!;
+  expect(position).toEqual({ term: 1, pos: 2 });
+});
+
+test("values and prepared statements follow the session", async () => {
+  fleet = await startPoolFleet({ maxConnections: 1 });
+  const [a, b] = [fleet.open("accounts"), fleet.open("accounts")];
+  await run(a, "SET zone north");
+  await run(a, "PREPARE s WRITE shape_a");
+  await run(b, "SET tone low");
+  await run(b, "PREPARE s WRITE shape_b");
+  for (let n = 0; n < 4; n++) {
+    expect(told(await run(a, "EXEC s k 1", { id: `a${n}` }))).toBe("done");
+    expect(told(await run(b, "EXEC s k 1", { id: `b${n}` }))).toBe("done");
+  }
+  for (const { id, text, values } of fleet.group.runs) {
+    expect({ text, values }).toEqual(
+      id.startsWith("a")
+        ? { text: "shape_a k 1", values: { zone: "north" } }
+        : { text: "shape_b k 1", values: { tone: "low" } },
+    );
+  }
+  await run(a, "DEALLOC s");
+  expect(told(await run(a, "EXEC s k 1"))).toBe("unknown_statement");
+});
+
+test("a transaction stays on one connection that nobody else uses", async () => {
+  fleet = await startPoolFleet();
+  const [a, b] = [fleet.open("orders"), fleet.open("orders")];
+  expect(told(await run(a, "BEGIN"))).toBe("done");
+  await run(a, "WRITE k 1", { id: "a1" });
+  await run(b, "WRITE k 2", { id: "b1" });
+  await run(a, "READ k", { id: "a2" });
+  expect(told(await run(a, "COMMIT", { id: "a3" }))).toBe("done");
+  const inside = fleet.group.runs.filter(({ id }) => id.startsWith("a"));
+  expect(new Set(inside.map(({ connection }) => connection)).size).toBe(1);
+  const other = fleet.group.runs.find(({ id }) => id === "b1")!;
+  expect(other.connection).not.toBe(inside[0]!.connection);
+  expect(fleet.group.acknowledged).toEqual(new Set(["a1", "b1"]));
+});
+
+test("a failed transaction takes nothing but its end", async () => {
+  fleet = await startPoolFleet();
+  const session = fleet.open("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE k 1", { id: "w" });
+  fleet.getTarget("t1").faults.losesAnswers = true;
+  const answer = await run(session, "WRITE k 2");
+  expect([told(answer), answer.state]).toEqual(["aborted", "failed"]);
+  expect(told(await run(session, "READ k"))).toBe("malformed");
+  expect(told(await run(session, "COMMIT"))).toBe("aborted");
+  expect(session.state).toBe("idle");
+  expect(fleet.group.acknowledged.size).toBe(0);
+});
+
+test("an idle transaction is rolled back and gives its connection back", async () => {
+  fleet = await startPoolFleet({ maxConnections: 1 });
+  const session = fleet.open("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE k 1", { id: "w" });
+  await vi.advanceTimersByTimeAsync(3_500);
+  expect(session.state).toBe("failed");
+  expect(told(await run(fleet.open("orders"), "WRITE k 2"))).toBe("done");
+  expect(fleet.group.acknowledged.has("w")).toBe(false);
+});
+
+test("a client that leaves in a transaction keeps nothing", async () => {
+  fleet = await startPoolFleet();
+  const session = fleet.open("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE k 1", { id: "w" });
+  fleet.poolers[0]!.close(session);
+  await run(fleet.open("orders"), "WRITE k 2", { id: "v" });
+  expect(fleet.group.targets[0]!.log.map(({ ids }) => ids)).toEqual([["v"]]);
+});
+
+test("a write whose answer is lost is in doubt and is not sent again", async () => {
+  fleet = await startPoolFleet();
+  fleet.getTarget("t1").faults.losesAnswers = true;
+  const answer = await run(fleet.open("orders"), "WRITE k 1", { id: "w" });
+  expect(told(answer)).toBe("in_doubt");
+  expect(fleet.group.runs.filter(({ id }) => id === "w").length).toBe(1);
+});
+
+test("a commit whose answer is lost is in doubt only if it wrote", async () => {
+  fleet = await startPoolFleet();
+  const [writer, reader] = [fleet.open("orders"), fleet.open("orders")];
+  await run(writer, "BEGIN");
+  await run(writer, "WRITE k 1");
+  await run(reader, "BEGIN READ");
+  await run(reader, "READ k");
+  fleet.getTarget("t1").faults.losesAnswers = true;
+  expect(told(await run(writer, "COMMIT"))).toBe("in_doubt");
+  expect(told(await run(reader, "COMMIT"))).toBe("aborted");
+});
+
+test("a write that targets refuse is told as not run", async () => {
+  fleet = await startPoolFleet();
+  fleet.getTarget("t1").faults.isBusy = true;
+  const answer = await run(fleet.open("orders"), "WRITE k 1", { id: "w" });
+  expect(told(answer)).toBe("overloaded");
+  expect(fleet.group.runs.some(({ id }) => id === "w")).toBe(false);
+});
+
+test("a read whose answer is lost is served by another target", async () => {
+  fleet = await startPoolFleet();
+  const session = fleet.open("reports");
+  for (const target of fleet.group.targets) {
+    target.faults.losesAnswers = target.record.id === "t2";
+  }
+  for (let n = 0; n < 10; n++) {
+    expect(told(await run(session, "READ k"))).toBe("done");
+  }
+});
+
+test("a silent primary is replaced and loses no acknowledged write", async () => {
+  fleet = await startPoolFleet({ hosts: 3, group: { lagMs: 60 } });
+  const session = fleet.open("orders");
+  for (let n = 0; n < 5; n++) {
+    await run(session, `WRITE k ${n}`, { id: `w${n}` });
+  }
+  fleet.getTarget("t3").faults.isDeaf = true;
+  await run(session, "WRITE k 5", { id: "w5" });
+  fleet.getTarget("t1").faults.isDark = true;
+  fleet.getTarget("t3").faults.isDeaf = false;
+  let answer = await run(session, "WRITE k 6", { id: "x0" });
+  expect(["in_doubt", "overloaded"]).toContain(told(answer));
+  for (let n = 1; n < 60 && told(answer) !== "done"; n++) {
+    await vi.advanceTimersByTimeAsync(100);
+    answer = await run(session, "WRITE k 6", { id: `x${n}` });
+  }
+  expect(told(answer)).toBe("done");
+  // The replica that was deaf lacks w5 and must not lead.
+  const leader = fleet.group.targets.find(({ record, role }) =>
+    role === "primary" && record.id !== "t1"
+  )!;
+  expect(leader.record.id).toBe("t2");
+  const held = new Set(leader.log.flatMap(({ ids }) => ids));
+  for (const id of fleet.group.acknowledged) {
+    expect(held.has(id)).toBe(true);
+  }
+  const claims = fleet.lines.filter(({ event }) => event === "failover_started")
+    .map(({ fields }) => fields.fencingToken);
+  expect(new Set(claims).size).toBe(claims.length);
+});
+
+test("no target leads while too few can be reached", async () => {
+  fleet = await startPoolFleet({ hosts: 2 });
+  await run(fleet.open("orders"), "WRITE k 1", { id: "w" });
+  fleet.getTarget("t1").faults.isDark = true;
+  fleet.getTarget("t3").faults.isDark = true;
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(fleet.getTarget("t2").role).toBe("replica");
+  const events = fleet.lines.map(({ event }) => event);
+  expect(events).toContain("failover_waits");
+  expect(events).not.toContain("promotion_ordered");
+});
+
+test("without the store nobody promotes", async () => {
+  fleet = await startPoolFleet({ hosts: 2 });
+  fleet.cutFromStore.add("all");
+  fleet.getTarget("t1").faults.isDark = true;
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(fleet.lines.map(({ event }) => event)).not
+    .toContain("promotion_ordered");
+  fleet.cutFromStore.clear();
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(fleet.getTarget("t1").role).toBe("replica");
+});
+
+test("a primary that drains hands over without losing a write", async () => {
+  fleet = await startPoolFleet({ hosts: 2 });
+  const session = fleet.open("orders");
+  await run(session, "WRITE k 1", { id: "w1" });
+  fleet.register("t1", { isDraining: true });
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(fleet.getTarget("t1").role).toBe("replica");
+  expect(told(await run(session, "WRITE k 2", { id: "w2" }))).toBe("done");
+  const leader = fleet.group.targets.find(({ role }) => role === "primary")!;
+  expect(leader.log.flatMap(({ ids }) => ids)).toEqual(["w1", "w2"]);
+  const after = fleet.group.runs.filter(({ id }) => id === "w2");
+  expect(after.map(({ target }) => target)).toEqual([leader.record.id]);
+});
+
+test("replicas that a pauser left behind receive again", async () => {
+  fleet = await startPoolFleet();
+  const link = fleet.group.connect(fleet.getTarget("t2").record.id, "w1")
+    .unwrap();
+  await link.send({ kind: "pause", term: 9 });
+  await vi.advanceTimersByTimeAsync(15_000);
+  const report = await link.send({ kind: "status" });
+  expect(report.kind === "done" && report.rows[0]!.split(" ")[3]).toBe("0");
+});
+
+test("a withdrawn key and a dropped route end their sessions", async () => {
+  fleet = await startPoolFleet();
+  const session = fleet.open("orders");
+  await run(session, "WRITE k 1");
+  fleet.setCatalog({ workspaceByKey: new Map() });
+  await vi.advanceTimersByTimeAsync(100);
+  expect(session.isAdmitted()).toBe(false);
+  expect(told(await run(session, "WRITE k 2", { id: "w" })))
+    .toBe("unauthenticated");
+  fleet.setCatalog({ routes: new Map() });
+  await vi.advanceTimersByTimeAsync(100);
+  expect(told(await run(session, "READ k"))).toBe("unknown_database");
+  expect(fleet.group.runs.some(({ id }) => id === "w")).toBe(false);
+});
+
+test("an older configuration never replaces a newer one", async () => {
+  fleet = await startPoolFleet();
+  fleet.setCatalog({ version: 50 });
+  await vi.advanceTimersByTimeAsync(100);
+  fleet.setCatalog({ version: 40, routes: new Map() });
+  await vi.advanceTimersByTimeAsync(100);
+  expect(told(await run(fleet.open("orders"), "WRITE k 1"))).toBe("done");
+});
+
+test("entries that lapse while the store is away stay in use", async () => {
+  fleet = await startPoolFleet();
+  fleet.cutFromStore.add("all");
+  await vi.advanceTimersByTimeAsync(4_000);
+  for (const id of ["t1", "t2", "t3"]) {
+    const key = `servers/${id}` as never;
+    fleet.store.put(key, undefined, {
+      ifVersion: fleet.store.get(key).version,
+    });
+  }
+  fleet.cutFromStore.clear();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(told(await run(fleet.open("orders"), "WRITE k 1"))).toBe("done");
+});
+
+test("what hosts let through stays within the quota of a workspace", async () => {
+  fleet = await startPoolFleet({ hosts: 3, ratePerS: 20 });
+  await vi.advanceTimersByTimeAsync(6_000);
+  const sessions = [0, 1, 2].map((host) => fleet.open("reports", host));
+  const sentAt: number[] = [];
+  const stopAt = performance.now() + 8_000;
+  let n = 0;
+  const flood = sessions.map(async (session, host) => {
+    while (performance.now() < stopAt) {
+      n++;
+      const answer = await session.execute(
+        `f${host}-${n}` as never,
+        { kind: "run", access: "read", text: "READ k" },
+      );
+      if (answer.kind === "done") {
+        sentAt.push(performance.now());
+      } else {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+      }
+    }
+  });
+  await vi.advanceTimersByTimeAsync(9_000);
+  await Promise.all(flood);
+  const allowed = 20 * 5 + 20;
+  for (const from of sentAt) {
+    const inWindow = sentAt.filter((at) => at >= from && at < from + 5_000);
+    expect(inWindow.length).toBeLessThanOrEqual(allowed * 1.1 + 20);
+  }
+  // Most of the rate is used although one host alone has a third of it.
+  expect(sentAt.length).toBeGreaterThan(20 * 8 * 0.8);
+});
+
+test("one busy host gets the quota that the others leave unused", async () => {
+  fleet = await startPoolFleet({ hosts: 3, ratePerS: 30 });
+  await vi.advanceTimersByTimeAsync(6_000);
+  const session = fleet.open("reports", 0);
+  let refused = 0;
+  for (let n = 0; n < 40; n++) {
+    refused += told(await run(session, "READ k")) === "done" ? 0 : 1;
+    await vi.advanceTimersByTimeAsync(50);
+  }
+  expect(refused).toBe(0);
+});
