Test the parts of the session pool and the adapter

Properties of the share ledger, the choice of a successor and the state of connections; floors through clock jumps; decoders on damaged input; the store client against its published answers; sessions over real sockets.

--- /dev/null
+++ b/test/platform_adapter.test.ts
@@ -0,0 +1,346 @@
+import fc from "fast-check";
+import { createServer, type Server } from "node:http";
+import { connect, type Socket } from "node:net";
+import { readFileSync } from "node:fs";
+import { afterEach, expect, test, vi } from "vitest";
+import { parse } from "yaml";
+import { encodeAnswer } from "../platform/client_listener.ts";
+import { createClientListener } from "../platform/client_listener.ts";
+import { tryDecodeCatalog } from "../platform/decode_catalog.ts";
+import { tryDecodeTarget } from "../platform/decode_target.ts";
+import {
+  encodeCommand,
+  tryDecodePosition,
+  tryDecodeStatement,
+} from "../platform/line_codec.ts";
+import {
+  createLineReader,
+  MAX_LINE_BYTES,
+  splitFields,
+} from "../platform/line_reader.ts";
+import { createObjectStore } from "../platform/object_store.ts";
+import { asId, type ObjectKey } from "../src/core/ids.ts";
+import { validatePoolHostSettings } from "../src/generated/pool_host_validate.ts";
+import { POOL_ERRORS, type PoolErrKind } from "../src/pooling/errors.ts";
+import { createPlatformServer } from "../standins/platform_server.ts";
+import { listen } from "../standins/serve.ts";
+import { startPoolFleet } from "./pool_fleet.ts";
+
+const closing: { close(): unknown }[] = [];
+afterEach(() => {
+  closing.splice(0).forEach((one) => one.close());
+  vi.useRealTimers();
+});
+
+test("lines survive any cut of the stream", () => {
+  const line = fc.string({ maxLength: 30 }).map((text) =>
+    text.replaceAll("\r", "").replaceAll("\n", "")
+  );
+  fc.assert(
+    fc.property(
+      fc.array(line, { maxLength: 8 }),
+      fc.infiniteStream(fc.integer({ min: 1, max: 7 })),
+      (lines, sizes) => {
+        const reader = createLineReader();
+        const read: string[] = [];
+        let text = lines.map((one) => `${one}\r\n`).join("");
+        while (text !== "") {
+          const size = sizes.next().value as number;
+          expect(reader.push(text.slice(0, size))).toBe(true);
+          text = text.slice(size);
+          for (let next; (next = reader.tryNext()) !== undefined;) {
+            read.push(next);
+          }
+        }
+        expect(read).toEqual(lines);
+      },
+    ),
+    { seed: 5, numRuns: 300 },
+  );
+});
+
+test("a line without an end is refused beyond the limit", () => {
+  const reader = createLineReader();
+  expect(reader.push("x".repeat(MAX_LINE_BYTES))).toBe(true);
+  expect(reader.push("x")).toBe(false);
+});
+
+test("statements are decoded, and nothing else", () => {
+  const texts = [
+    "BEGIN",
+    "BEGIN READ",
+    "BEGIN NOW",
+    "COMMIT",
+    "COMMIT x",
+    "ROLLBACK",
+    "READ a",
+    "READ",
+    "WRITE a b c",
+    "WRITE a",
+    "SET n v w",
+    "SET n",
+    "PREPARE s READ q",
+    "PREPARE s DROP q",
+    "EXEC s a",
+    "EXEC s a b c",
+    "DEALLOC s",
+    "DEALLOC s t",
+    "AFTER 1.2 READ a",
+    "RESET",
+    "STATUS",
+    "PAUSE 3",
+    "STEPDOWN 3",
+    "",
+    "read a",
+  ];
+  expect(
+    Object.fromEntries(texts.map((text) => [text, tryDecodeStatement(text)])),
+  ).toMatchSnapshot();
+});
+
+test("commands carry the text of the client unchanged", () => {
+  const after = { term: 3, pos: 1207 };
+  const id = asId<never>("5c0e");
+  expect([
+    encodeCommand({ kind: "run", id, text: "WRITE a  b \t c" }),
+    encodeCommand({ kind: "run", id, text: "READ 1a4", after }),
+    encodeCommand({ kind: "execute", id, name: "p1", args: "a b", after }),
+    encodeCommand({ kind: "begin", isReadOnly: true, after }),
+    encodeCommand({ kind: "commit", id, text: "COMMIT" }),
+    encodeCommand({ kind: "step_down", term: 4 }),
+  ]).toMatchSnapshot();
+  expect(tryDecodePosition("3.1207")).toEqual(after);
+  expect(tryDecodePosition("-")).toBeUndefined();
+  expect(splitFields("a b c d", 3)).toEqual(["a", "b", "c d"]);
+});
+
+test("a promise to the client is made only where nothing is kept", () => {
+  const promises = ["BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE"];
+  for (const [error, info] of Object.entries(POOL_ERRORS)) {
+    const text = encodeAnswer({
+      kind: "failed",
+      error: error as PoolErrKind,
+      detail: "why",
+      state: "idle",
+    });
+    const code = text.split(" ")[1]!;
+    if (promises.includes(code)) {
+      expect([error, info.keeps]).toEqual([error, "nothing"]);
+    }
+  }
+});
+
+const ENTRY = {
+  service: "s",
+  addr: "10.0.0.1:80",
+  zone: "z",
+  slots: 3,
+  state: "ready",
+  dbRole: "replica",
+  born: 5,
+};
+
+function decodeEntry(value: unknown) {
+  const key = asId<ObjectKey>("servers/i-1");
+  return tryDecodeTarget({ key, version: 1, value });
+}
+
+test("an entry that is damaged names no target", () => {
+  expect(decodeEntry(ENTRY)).toMatchSnapshot();
+  const damaged: unknown[] = [undefined, null, 7, "text", [], {}];
+  for (const field of ["service", "addr", "zone", "state", "dbRole"]) {
+    damaged.push({ ...ENTRY, [field]: undefined }, { ...ENTRY, [field]: 7 });
+  }
+  damaged.push(
+    { ...ENTRY, state: "resting" },
+    { ...ENTRY, dbRole: "leader" },
+    { ...ENTRY, addr: "nowhere" },
+    { ...ENTRY, born: 1.5 },
+    { ...ENTRY, born: "5" },
+  );
+  for (const value of damaged) {
+    expect(decodeEntry(value)).toBeUndefined();
+  }
+});
+
+test("a configuration is decoded into the product's words", () => {
+  expect(tryDecodeCatalog({
+    version: 7,
+    routes: [
+      {
+        host: "db1",
+        type: "bounded_staleness",
+        timeoutMs: 2000,
+        sloMs: 1200,
+        prio: 2,
+        service: "s",
+        maxStaleMs: 1500,
+        public: false,
+      },
+      { host: "db2", type: "read_your_writes", service: "s", maxStaleMs: 9 },
+      { host: "db3", type: "something new", service: "s", public: true },
+      { host: 4 },
+      null,
+    ],
+    services: [{ name: "s", maxConns: 21, syncReplicas: 1 }, "x"],
+    limits: { txIdleMs: 3000 },
+    tenants: [{ name: "t", apiKeys: ["k", 5], ratePerS: 82, burst: 80 }, {}],
+  })).toMatchSnapshot();
+  for (const value of [undefined, null, 5, {}, { version: "7" }]) {
+    expect(tryDecodeCatalog(value)).toBeUndefined();
+  }
+});
+
+test("the template gives valid settings", () => {
+  const fields: Record<string, string> = {
+    "node|json": `"n1"`,
+    "zone|json": `"z1"`,
+    "zones|json": `{"z1":"r1"}`,
+    "listen.front|json": `"10.0.0.1:1"`,
+    "listen.ready|json": `"10.0.0.1:2"`,
+    ip: "10.0.0.1",
+    "portRange.0": "7000",
+    "portRange.1": "7001",
+    "platform.addr|json": `"10.0.0.2:1"`,
+    "cloud.addr|json": `"10.0.0.3:1"`,
+    "bounds.graceS|json": "6",
+    "bounds.quotaWindowS|json": "5",
+    "bounds.quotaOver|json": "0.1",
+    "bounds.quotaSlack|json": "20",
+  };
+  const text = readFileSync("deploy/pool_host.yaml", "utf8")
+    .replace(/\{\{(.*?)\}\}/g, (_, name: string) => fields[name] ?? "MISSING");
+  expect(text).not.toContain("MISSING");
+  expect(validatePoolHostSettings(parse(text))).toBe(true);
+  expect(validatePoolHostSettings({ host: "n1" })).toBe(false);
+  expect(validatePoolHostSettings.errors!.length).toBeGreaterThan(5);
+});
+
+async function startStore(): Promise<ReturnType<typeof createObjectStore>> {
+  const server = createPlatformServer();
+  closing.push(server);
+  const port = await listen(server, 0);
+  return createObjectStore(`http://127.0.0.1:${port}`, { caller: "test" });
+}
+
+test("the store client creates, replaces, lists and watches", async () => {
+  const store = await startStore();
+  const key = asId<ObjectKey>("things/a b");
+  expect((await store.get(key)).unwrap().version).toBe(0);
+  const made = (await store.put(key, { n: 1 }, { ifVersion: 0 })).unwrap();
+  const stale = await store.put(key, { n: 2 }, { ifVersion: 0 });
+  expect(stale.isErr() && stale.error).toEqual({
+    kind: "conflict",
+    current: made,
+  });
+  const { revision, objects } = (await store.list("things/")).unwrap();
+  expect(objects).toEqual([made]);
+  const watching = store.watch("things/", { after: revision, waitMs: 5_000 });
+  const put = { ifVersion: made.version };
+  const next = (await store.put(key, { n: 3 }, put)).unwrap();
+  expect((await watching).unwrap().objects).toEqual([next]);
+});
+
+async function startAnswering(
+  status: number,
+  body: string,
+): Promise<ReturnType<typeof createObjectStore>> {
+  const server: Server = createServer((_req, res) => {
+    res.statusCode = status;
+    res.end(body);
+  });
+  closing.push(server);
+  const port = await listen(server, 0);
+  return createObjectStore(`http://127.0.0.1:${port}`, { caller: "test" });
+}
+
+test("answers of the store are told apart", async () => {
+  const cases: readonly [number, string][] = [
+    [200, "not json"],
+    [200, "{}"],
+    [200, `{"items":[7,null,{"meta":{}}],"currentRev":3}`],
+    [400, "{}"],
+    [410, "{}"],
+    [429, "{}"],
+    [503, ""],
+  ];
+  const seen: unknown[] = [];
+  for (const [status, body] of cases) {
+    const store = await startAnswering(status, body);
+    const listed = await store.list("things/");
+    const options = { after: 1, waitMs: 10 };
+    const watched = await store.watch("things/", options);
+    seen.push({
+      status,
+      body,
+      list: listed.isOk() ? listed.value : listed.error,
+      watch: watched.isOk() ? watched.value : watched.error,
+    });
+  }
+  expect(seen).toMatchSnapshot();
+});
+
+/** Reads lines from a socket until `count` ready messages came. */
+function readAnswers(socket: Socket, count: number): Promise<string> {
+  return new Promise((resolve) => {
+    let text = "";
+    socket.setEncoding("latin1");
+    const finish = () => {
+      socket.removeAllListeners("data");
+      resolve(text);
+    };
+    socket.on("data", (chunk) => {
+      text += chunk;
+      if ((text.match(/^READY/gm) ?? []).length >= count) {
+        finish();
+      }
+    });
+    socket.on("close", finish);
+  });
+}
+
+test("sessions over sockets: pipelined, cut, malformed, refused", async () => {
+  const fleet = await startPoolFleet();
+  vi.useRealTimers();
+  closing.push({ close: () => fleet.stop() });
+  const listener = createClientListener(fleet.poolers[0]!, {
+    address: "127.0.0.1:0",
+    log: { info() {}, request() {} },
+  });
+  const port = await listener.listen();
+  closing.push(listener);
+  const open = () => connect({ host: "127.0.0.1", port });
+
+  const unknown = open();
+  unknown.write("START nothing key1\r\n");
+  expect(await readAnswers(unknown, 1)).toMatch(/^ERR NODB /);
+  const refused = open();
+  refused.write("START orders wrong\r\n");
+  expect(await readAnswers(refused, 1)).toMatch(/^ERR NOAUTH /);
+  const confused = open();
+  confused.write("GET / HTTP/1.1\r\n");
+  expect(await readAnswers(confused, 1)).toMatch(/^ERR MALFORMED /);
+
+  const client = open();
+  client.write("START orders key1\r\nQUERY 1 SET a b\r\nQUERY 2 PRE");
+  client.write("PARE s READ q\r\nQUERY 3 EXEC t x\r\nNONSENSE\r\nQUERY 4 COM");
+  client.write("MIT\r\n");
+  expect((await readAnswers(client, 6)).split("\r\n")).toEqual([
+    "READY I -",
+    "DONE -",
+    "READY I -",
+    "DONE -",
+    "READY I -",
+    "ERR NOSTMT no statement was prepared under this name",
+    "READY I -",
+    "ERR MALFORMED not a statement",
+    "READY I -",
+    "ERR MALFORMED no transaction is open",
+    "READY I -",
+    "",
+  ]);
+  const ended = new Promise((resolve) => client.on("close", resolve));
+  listener.drainIdle();
+  await ended;
+  await vi.waitFor(() => expect(listener.countConnections()).toBe(0));
+});
--- /dev/null
+++ b/test/pooling_parts.test.ts
@@ -0,0 +1,327 @@
+import fc from "fast-check";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId, type HostId, type WorkspaceId } from "../src/core/ids.ts";
+import { createClockGuard } from "../src/pooling/clock_guard.ts";
+import { createFloorLog } from "../src/pooling/floor_log.ts";
+import { createHealth } from "../src/pooling/health.ts";
+import {
+  applyContext,
+  countCommands,
+  createLinkContext,
+} from "../src/pooling/link_context.ts";
+import { createQuotas } from "../src/pooling/quotas.ts";
+import {
+  createLedger,
+  type Demand,
+  EMPTY_LEDGER,
+  type Ledger,
+  listHolders,
+  reclaim,
+  sumShares,
+  tryAdjust,
+  tryDecodeLedger,
+  WHOLE,
+  withoutHost,
+} from "../src/pooling/share_ledger.ts";
+import {
+  type Fenced,
+  getRequiredCount,
+  trySuccessor,
+} from "../src/pooling/succession.ts";
+import { createTokenBucket } from "../src/pooling/token_bucket.ts";
+import type { TargetRecord } from "../src/pooling/types.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const HOSTS = Array.from({ length: 5 }, (_, n) => asId<HostId>(`h${n}`));
+const W = asId<WorkspaceId>("w");
+const at = (term: number, pos: number) => ({ term, pos });
+
+test("shares never add up to more than the whole, whoever asks", () => {
+  const step = fc.record({
+    host: fc.constantFrom(...HOSTS),
+    share: fc.integer({ min: 0, max: WHOLE }),
+    kind: fc.constantFrom("adjust", "reclaim", "leave"),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const first = new Map([[W, { share: 0, burst: 100 }]]);
+      let ledger: Ledger = createLedger(HOSTS.slice(0, 3), first);
+      for (const { host, share, kind } of steps) {
+        const demand = new Map<WorkspaceId, Demand>([
+          [W, { share, burst: 100 }],
+        ]);
+        ledger = kind === "adjust"
+          ? tryAdjust(ledger, { host, hosts: HOSTS, demand }) ?? ledger
+          : kind === "reclaim"
+          ? reclaim(ledger, { host, hostCount: HOSTS.length })
+          : withoutHost(ledger, host);
+        expect(sumShares(ledger, W)).toBeLessThanOrEqual(WHOLE);
+      }
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test("a host gives back what another one wants, and no more", () => {
+  const demand = (share: number) => new Map([[W, { share, burst: 100 }]]);
+  const hosts = HOSTS.slice(0, 2);
+  const [a, b] = hosts as [HostId, HostId];
+  let ledger: Ledger = {
+    shares: { [a]: { [W]: 8_000 }, [b]: { [W]: 2_000 } },
+    wants: {},
+  };
+  ledger = tryAdjust(ledger, { host: b, hosts, demand: demand(5_000) })!;
+  expect(ledger.wants[b]).toEqual({ [W]: 5_000 });
+  ledger = tryAdjust(ledger, { host: a, hosts, demand: demand(1_000) })!;
+  ledger = tryAdjust(ledger, { host: b, hosts, demand: demand(5_000) })!;
+  expect(ledger).toMatchSnapshot();
+});
+
+test("a small quota has few holders, a large one all hosts", () => {
+  expect(listHolders(W, { hosts: HOSTS, burst: 100 })).toEqual(HOSTS);
+  expect(listHolders(W, { hosts: HOSTS, burst: 9 }).length).toBe(2);
+  expect(listHolders(W, { hosts: HOSTS, burst: 1 }).length).toBe(1);
+});
+
+test("what is not a ledger is not taken for one", () => {
+  for (
+    const value of [
+      undefined,
+      null,
+      7,
+      {},
+      { shares: {} },
+      { shares: { a: 1 }, wants: {} },
+      { shares: { a: { w: "x" } }, wants: {} },
+      { shares: { a: { w: -1 } }, wants: {} },
+    ]
+  ) {
+    expect(tryDecodeLedger(value)).toBeUndefined();
+  }
+  expect(tryDecodeLedger(EMPTY_LEDGER)).toEqual(EMPTY_LEDGER);
+});
+
+test("a bucket gives its rate, its burst and what peers lend", () => {
+  const bucket = createTokenBucket({ ratePerS: 10, burst: 5, initial: 5 });
+  const takeAll = () => {
+    let taken = 0;
+    while (bucket.tryTake()) {
+      taken++;
+    }
+    return taken;
+  };
+  expect(takeAll()).toBe(5);
+  vi.advanceTimersByTime(10_000);
+  expect(takeAll()).toBe(5);
+  bucket.add(3);
+  expect(takeAll()).toBe(3);
+  bucket.add(9);
+  vi.advanceTimersByTime(1_000);
+  // Borrowed tokens that nobody used are lost; the burst is not exceeded.
+  expect(takeAll()).toBe(5);
+  bucket.resize({ ratePerS: 0, burst: 0 });
+  expect(bucket.getWaitMs(0)).toBe(Infinity);
+});
+
+test("a wait that cannot end in time is refused at once", async () => {
+  const quotas = createQuotas({
+    tolerance: { windowS: 5, part: 0, operations: 0 },
+    isToleranceUnused: () => false,
+    random: () => 0,
+    borrow: () => Promise.resolve(0),
+  });
+  quotas.setQuotas(new Map([[W, { ratePerS: 10, burst: 10 }]]));
+  quotas.setShare(W, WHOLE);
+  vi.advanceTimersByTime(1_000);
+  for (let n = 0; n < 10; n++) {
+    expect((await quotas.take(W, { maxWaitMs: 0 })).isOk()).toBe(true);
+  }
+  const startedAt = performance.now();
+  const refused = await quotas.take(W, { maxWaitMs: 50 });
+  expect(refused.isErr() && refused.error).toEqual({
+    error: "over_quota",
+    retryAfterMs: 100,
+  });
+  expect(performance.now() - startedAt).toBe(0);
+  const waiting = quotas.take(W, { maxWaitMs: 150 });
+  await vi.advanceTimersByTimeAsync(100);
+  expect((await waiting).isOk()).toBe(true);
+});
+
+test("the tolerance pays for one start in a window, not for two", async () => {
+  const take = async (isToleranceUnused: boolean) => {
+    const quotas = createQuotas({
+      tolerance: { windowS: 5, part: 0.1, operations: 20 },
+      isToleranceUnused: () => isToleranceUnused,
+      random: () => 0,
+      borrow: () => Promise.resolve(0),
+    });
+    quotas.setQuotas(new Map([[W, { ratePerS: 10, burst: 10 }]]));
+    quotas.setShare(W, WHOLE / 2);
+    let taken = 0;
+    while ((await quotas.take(W, { maxWaitMs: 0 })).isOk()) {
+      taken++;
+    }
+    return taken;
+  };
+  // A tenth of 5 s of rate and the burst, and 20 operations: half of 26.
+  expect(await take(true)).toBe(13);
+  expect(await take(false)).toBe(0);
+});
+
+test("a floor covers what was acknowledged before the bound", () => {
+  const floors = createFloorLog(createClockGuard());
+  expect(floors.tryFloor({ maxStaleMs: 1_500 })).toBeUndefined();
+  for (let n = 1; n <= 20; n++) {
+    floors.note(at(1, n), performance.now());
+    vi.advanceTimersByTime(100);
+  }
+  // Position n was taken (21 - n) x 100 ms ago; the margin is 100 ms.
+  expect(floors.tryFloor({ maxStaleMs: 1_500 })).toEqual({
+    position: at(1, 7),
+    ageMs: 1_400,
+  });
+  expect(floors.tryFloor({ maxStaleMs: 1_500, own: at(1, 19) })?.position)
+    .toEqual(at(1, 19));
+});
+
+test("a newer term replaces the floors of the older one", () => {
+  const floors = createFloorLog(createClockGuard());
+  floors.note(at(1, 90), performance.now());
+  vi.advanceTimersByTime(50);
+  floors.note(at(2, 80), performance.now());
+  floors.note(at(1, 95), performance.now());
+  const own = at(1, 90);
+  expect(floors.tryFloor({ maxStaleMs: 1_500, own })?.position)
+    .toEqual(at(2, 80));
+});
+
+test("a jump of the time of day voids floors", () => {
+  const floors = createFloorLog(createClockGuard());
+  floors.note(at(1, 1), performance.now());
+  for (const jumpMs of [2_000, -2_000]) {
+    vi.setSystemTime(Date.now() + jumpMs);
+    expect(floors.tryFloor({ maxStaleMs: 1_500 })).toBeUndefined();
+    floors.note(at(1, 2), performance.now());
+    expect(floors.tryFloor({ maxStaleMs: 1_500 })?.position).toEqual(at(1, 2));
+  }
+});
+
+test("a connection holds exactly the values of the session it serves", () => {
+  const values = fc.dictionary(
+    fc.constantFrom("a", "b", "c"),
+    fc.constantFrom("1", "2"),
+  );
+  const prepared = fc.option(
+    fc.record({
+      access: fc.constantFrom("read" as const, "write" as const),
+      shape: fc.constantFrom("q1", "q2"),
+    }),
+    { nil: undefined },
+  );
+  fc.assert(
+    fc.property(
+      fc.array(fc.record({ values, prepared }), { maxLength: 12 }),
+      (needs) => {
+        const context = createLinkContext();
+        const held = new Map<string, string>();
+        const names = new Map<string, string>();
+        for (const need of needs) {
+          const wanted = new Map(Object.entries(need.values));
+          const options = { values: wanted, prepared: need.prepared };
+          const expected = countCommands(context, options);
+          const commands = applyContext(context, options);
+          expect(commands.length).toBe(expected);
+          for (const command of commands) {
+            if (command.kind === "reset") {
+              held.clear();
+              names.clear();
+            } else if (command.kind === "set") {
+              held.set(command.name, command.value);
+            } else if (command.kind === "prepare") {
+              names.set(command.name, command.prepared.shape);
+            }
+          }
+          expect(held).toEqual(wanted);
+          if (need.prepared) {
+            const { access, shape } = need.prepared;
+            const name = context.names.get(`${access} ${shape}`)!;
+            expect(names.get(name)).toBe(shape);
+          }
+        }
+      },
+    ),
+    { seed: 11, numRuns: 300 },
+  );
+});
+
+test("a successor holds every acknowledged commit, or there is none", () => {
+  // Logs are prefixes of the primary's; a commit is acknowledged once the
+  // primary and one replica hold it.
+  const scene = fc.record({
+    lengths: fc.tuple(
+      fc.integer({ min: 0, max: 6 }),
+      fc.integer({ min: 0, max: 6 }),
+    ),
+    unacknowledged: fc.integer({ min: 0, max: 3 }),
+    fenced: fc.subarray([0, 1, 2]),
+    draining: fc.subarray([0, 1, 2]),
+    mayKeep: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(scene, ({ lengths, fenced, draining, ...rest }) => {
+      const acknowledged = Math.max(...lengths);
+      const logs = [acknowledged + rest.unacknowledged, ...lengths];
+      const report = (index: number): Fenced => ({
+        target: {
+          id: `t${index}`,
+          isDraining: draining.includes(index),
+        } as unknown as TargetRecord,
+        report: {
+          role: "replica",
+          term: 1,
+          position: at(1, logs[index]!),
+          pausedTerm: 2,
+          lagMs: 0,
+          busy: 0,
+          connections: 0,
+        },
+      });
+      const successor = trySuccessor(fenced.map(report), {
+        copies: 3,
+        syncReplicas: 1,
+        oldPrimary: asId("t0"),
+        mayKeep: rest.mayKeep,
+      });
+      if (fenced.length < getRequiredCount({ copies: 3, syncReplicas: 1 })) {
+        expect(successor).toBeUndefined();
+      } else if (successor) {
+        expect(successor.report.position.pos)
+          .toBeGreaterThanOrEqual(acknowledged);
+      }
+    }),
+    { seed: 3, numRuns: 1_000 },
+  );
+});
+
+test("a failing target is left alone for longer each time", () => {
+  const health = createHealth();
+  const target = asId<TargetRecord["id"]>("t");
+  const getEjectedMs = () => {
+    health.noteFailure(target);
+    let ms = 0;
+    while (health.isEjected(target)) {
+      vi.advanceTimersByTime(50);
+      ms += 50;
+    }
+    return ms;
+  };
+  expect([getEjectedMs(), getEjectedMs(), getEjectedMs(), getEjectedMs()])
+    .toEqual([300, 600, 1_200, 2_400]);
+  expect(health.getFailingMs(target)).toBe(4_500);
+  health.noteServed(target, { ms: 5, position: undefined });
+  expect(health.getFailingMs(target)).toBe(0);
+  expect(getEjectedMs()).toBe(300);
+});
