Ask peers for quota a second time before refusing

Change: peers are asked twice; a workspace counts as used up for 200 ms only after empty rounds; holders lend all that their own clients do not wait for.

--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -1,7 +1,7 @@
 /** Counts operations against this host's share of each workspace's quota. */
 
 import { Err, Ok, type Result } from "ts-results-es";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, sleep } from "../core/clock.ts";
 import type { WorkspaceId } from "../core/ids.ts";
 import type { PoolFailure } from "./errors.ts";
 import { type Demand, WHOLE } from "./share_ledger.ts";
@@ -12,9 +12,11 @@
 const DEMAND_HALF_LIFE_MS = 5_000;
 /** Headroom over the measured demand. */
 const HEADROOM = 1.2;
-/** Tokens that a host keeps for its own clients when it lends. */
-const LEND_RESERVE = 1;
-/** After peers had nothing to lend they are not asked for this long. */
+/** Pause before peers are asked again that had nothing to lend. */
+const ASK_AGAIN_MS = 30;
+/** Rounds without a token after which the quota counts as used up. */
+const DRY_ROUNDS = 2;
+/** Then peers are not asked for this long, in milliseconds. */
 const DRY_MS = 200;
 const MIN_RETRY_AFTER_MS = 30;
 const MAX_RETRY_AFTER_MS = 5_000;
@@ -69,6 +71,8 @@
   timer: NodeJS.Timeout | undefined;
   isBorrowing: boolean;
   dryUntil: number;
+  /** Rounds in a row in which peers had nothing to lend. */
+  emptyRounds: number;
   /** Operations a second, decaying. */
   demandPerS: number;
   demandAt: number;
@@ -124,9 +128,7 @@
     while (waiters.length > 0 && bucket.tryTake()) {
       waiters.shift()!.settle(Ok(undefined));
     }
-    if (!entry.isBorrowing) {
-      trim(entry);
-    }
+    trim(entry);
     clearTimeout(entry.timer);
     if (waiters.length === 0) {
       return;
@@ -144,9 +146,11 @@
   function trim(entry: Entry): void {
     const { waiters, bucket } = entry;
     for (let ahead = waiters.length - 1; ahead >= 0; ahead--) {
-      const waitMs = bucket.getWaitMs(ahead);
-      if (nowMs() + waitMs > waiters[ahead]!.until) {
-        waiters.splice(ahead, 1)[0]!.settle(refuse(waitMs));
+      // While peers are asked, a token may come before the own share has it.
+      const waitMs = entry.isBorrowing ? 0 : bucket.getWaitMs(ahead);
+      if (nowMs() + waitMs >= waiters[ahead]!.until) {
+        waiters.splice(ahead, 1)[0]!
+          .settle(refuse(bucket.getWaitMs(ahead)));
       }
     }
   }
@@ -156,17 +160,24 @@
       return;
     }
     entry.isBorrowing = true;
-    const count = Math.max(1, entry.waiters.length);
-    const given = await options.borrow(entry.workspace, count);
+    entry.emptyRounds = 0;
+    while (entry.waiters.length > 0 && entry.emptyRounds < DRY_ROUNDS) {
+      const count = entry.waiters.length;
+      const given = await options.borrow(entry.workspace, count);
+      entry.bucket.add(given);
+      serve(entry);
+      if (given === 0) {
+        entry.emptyRounds++;
+        await sleep(ASK_AGAIN_MS);
+      } else {
+        entry.emptyRounds = 0;
+      }
+    }
     entry.isBorrowing = false;
-    entry.bucket.add(given);
-    if (given === 0) {
+    if (entry.emptyRounds > 0) {
       entry.dryUntil = nowMs() + DRY_MS;
     }
     serve(entry);
-    if (given > 0 && entry.waiters.length > 0) {
-      await borrow(entry);
-    }
   }
 
   function createEntry(workspace: WorkspaceId, quota: Quota): Entry {
@@ -180,6 +191,7 @@
       timer: undefined,
       isBorrowing: false,
       dryUntil: -Infinity,
+      emptyRounds: 0,
       demandPerS: 0,
       demandAt: nowMs(),
     };
@@ -205,9 +217,7 @@
     },
     lend(workspace, count) {
       const entry = entries.get(workspace);
-      return entry
-        ? entry.bucket.give(count, LEND_RESERVE + entry.waiters.length)
-        : 0;
+      return entry ? entry.bucket.give(count, entry.waiters.length) : 0;
     },
     setShare(workspace, share) {
       const entry = entries.get(workspace);
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -29,7 +29,7 @@
 /** Name that targets are told for clients of public routes without a key. */
 const PUBLIC_WORKSPACE = "public" as WorkspaceId;
 /** Longest share of the objective that waits for quota. */
-const QUOTA_WAIT_SHARE = 0.2;
+const QUOTA_WAIT_SHARE = 0.3;
 
 /** What a session is opened with. */
 export interface SessionOptions {
