--- a/src/pooling/share_ledger.ts
+++ b/src/pooling/share_ledger.ts
@@ -9,8 +9,6 @@
 
 /** The whole quota of a workspace. */
 export const WHOLE = 10_000;
-/** Part of the quota that is handed out evenly before demand is known. */
-const EVEN_PART = 0.7;
 /** Smallest share that a holder asks for, as a part of an even share. */
 const FLOOR_PART = 0.25;
 /**
@@ -96,9 +94,7 @@
   for (const [workspace, { burst }] of demand) {
     const holders = listHolders(workspace, { hosts, burst });
     for (const host of holders) {
-      shares[host]![workspace] = Math.floor(
-        (WHOLE / holders.length) * EVEN_PART,
-      );
+      shares[host]![workspace] = Math.floor(WHOLE / holders.length);
     }
   }
   return { shares, wants: {} };
