Promote only on logs that were read again, and never resume under an open order

Change: a returning registration does not replace a believed primary; the holder first asks all targets and stops if a primary answers; targets are paused by the role they report, a stepped-down one too; fenced logs are read again right before the order, and the order is written to the duty first. Replicas are resumed only after the platform has seen a newer token through an order for the present primary, if an older order may be open. Replicas left paused are found by the same duty instead of by a probe.

--- a/src/pooling/control.ts
+++ b/src/pooling/control.ts
@@ -48,10 +48,13 @@
     return undefined;
   }
   ctx.leaders.note(service, id, { kind: "reported", report });
-  if (report.role === "primary") {
+  const isPrimary = report.role === "primary";
+  if (isPrimary) {
     ctx.getFloors(service).note(report.position, askedAt);
-  } else {
-    ctx.health.noteLag(id, report.lagMs);
   }
+  ctx.health.noteReport(id, {
+    lagMs: report.lagMs,
+    isPaused: !isPrimary && report.pausedTerm > 0,
+  });
   return report;
 }
--- a/src/pooling/failover.ts
+++ b/src/pooling/failover.ts
@@ -1,12 +1,10 @@
-/** Replaces primaries that are lost or leave; one host at a time acts. */
+/** Decides when a primary is replaced and which host does it. */
 
 import { nowMs, sleep } from "../core/clock.ts";
-import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
+import type { HostId, ServiceId } from "../core/ids.ts";
 import type { Stoppable } from "../core/types.ts";
-import { control } from "./control.ts";
 import { type Fleet, getDutyKey } from "./fleet.ts";
-import { type Fenced, trySuccessor } from "./succession.ts";
-import type { TargetRecord, TargetReport } from "./types.ts";
+import { createTakeover } from "./takeover.ts";
 import type { WorkContext } from "./work.ts";
 
 const TICK_MS = 100;
@@ -14,27 +12,32 @@
 const SILENT_MS = 900;
 /** Time without any primary known after which one is appointed. */
 const LEADERLESS_MS = 1_200;
-/** Time that another host has to finish what it began. */
-const TAKEOVER_MS = 4_000;
+/** Time that another host has to finish; longer than a takeover lasts. */
+const TAKEOVER_MS = 7_000;
 /** Time after a change of primary in which no further one is made. */
 const COOLDOWN_MS = 3_000;
-/** Time for the targets to be fenced, in milliseconds. */
-const FENCE_MS = 1_500;
-/** Time for a promoted target to lead, in milliseconds. */
-const LEAD_MS = 2_500;
-const POLL_MS = 50;
+/** A replica paused for longer was left behind; no takeover lasts as long. */
+const LEFT_PAUSED_MS = 8_000;
 /** Hosts that see the same fault act one after the other. */
 const MAX_JITTER_MS = 250;
 
 /** Why a primary is replaced. */
-export type FailoverCause = "leaving" | "silent" | "gone" | "leaderless";
+export type FailoverCause =
+  | "leaving"
+  | "silent"
+  | "gone"
+  | "leaderless"
+  /** A host stopped in the middle; its replicas still receive nothing. */
+  | "left_paused";
 
 /** A claim of the duty to replace the primary of a service. */
-interface Duty {
+export interface Duty {
   readonly holder: HostId;
   /** Rises with every claim; the platform refuses older ones. */
   readonly fencingToken: number;
   readonly isDone: boolean;
+  /** An order of this or an older claim may still take effect. */
+  readonly isOrderOpen: boolean;
 }
 
 /** Watches primaries and replaces them. */
@@ -51,6 +54,11 @@
   const busy = new Set<ServiceId>();
   const triedAt = new Map<ServiceId, number>();
   const copies = new Map<ServiceId, number>();
+  const takeover = createTakeover(ctx, {
+    self,
+    getCopies: (service) => copies.get(service) ?? 0,
+    update,
+  });
   let timer: NodeJS.Timeout | undefined;
   let tickedAt = nowMs();
 
@@ -68,7 +76,12 @@
     if (ctx.health.getFailingMs(primary) > SILENT_MS) {
       return "silent";
     }
-    return target.isDraining ? "leaving" : undefined;
+    if (target.isDraining) {
+      return "leaving";
+    }
+    const isLeftPaused = ctx.directory.list(service)
+      .some(({ id }) => ctx.health.getPausedMs(id) > LEFT_PAUSED_MS);
+    return isLeftPaused ? "left_paused" : undefined;
   }
 
   function tick(): void {
@@ -108,27 +121,46 @@
   ): Promise<Duty | undefined> {
     const key = getDutyKey(service);
     const known = fleet.tryGet(key);
+    const previous = tryDuty(known?.value);
     const duty: Duty = {
       holder: self,
-      fencingToken: (tryDuty(known?.value)?.fencingToken ?? 0) + 1,
+      fencingToken: (previous?.fencingToken ?? 0) + 1,
       isDone: false,
+      isOrderOpen: previous?.isOrderOpen ?? false,
     };
-    const put = await ctx.io.store.put(key, duty, {
-      ifVersion: known?.version ?? 0,
-    });
-    if (put.isOk()) {
-      fleet.learn(put.value);
-      return duty;
+    const isClaimed = await put(service, duty, known?.version ?? 0);
+    if (!isClaimed) {
+      ctx.io.log.info("failover_not_claimed", { service, cause });
+    }
+    return isClaimed ? duty : undefined;
+  }
+
+  /** Writes the duty unless another host changed it. */
+  async function put(
+    service: ServiceId,
+    duty: Duty,
+    ifVersion: number,
+  ): Promise<boolean> {
+    const key = getDutyKey(service);
+    const res = await ctx.io.store.put(key, duty, { ifVersion });
+    if (res.isOk()) {
+      fleet.learn(res.value);
+      return true;
     }
-    if (put.error.kind === "conflict") {
-      fleet.learn(put.error.current);
+    if (res.error.kind === "conflict") {
+      fleet.learn(res.error.current);
     }
-    ctx.io.log.info("failover_not_claimed", {
-      service,
-      cause,
-      reason: put.error.kind,
-    });
-    return undefined;
+    return false;
+  }
+
+  /** Changes the duty if it is still this claim's; false if it is not. */
+  async function update(service: ServiceId, duty: Duty): Promise<boolean> {
+    const known = fleet.tryGet(getDutyKey(service));
+    const held = tryDuty(known?.value);
+    const isOwn = held?.fencingToken === duty.fencingToken &&
+      held.holder === self;
+    return known !== undefined && isOwn &&
+      await put(service, duty, known.version);
   }
 
   async function act(service: ServiceId, cause: FailoverCause): Promise<void> {
@@ -141,151 +173,23 @@
       return;
     }
     const startedAt = nowMs();
-    const oldPrimary = ctx.leaders.tryPrimary(service);
     ctx.io.log.info("failover_started", {
       service,
       cause,
-      oldPrimary,
+      oldPrimary: ctx.leaders.tryPrimary(service),
       fencingToken: duty.fencingToken,
     });
-    const successor = await fence(service, { cause, oldPrimary });
-    const isPromoted = successor !== undefined &&
-      await promote(service, { successor, duty });
+    const result = await takeover.run(service, { cause, duty });
     ctx.io.log.info("failover_ended", {
       service,
       cause,
-      isPromoted,
-      successor: successor?.target.id,
+      result,
+      primary: ctx.leaders.tryPrimary(service),
       ms: Math.round(nowMs() - startedAt),
     });
-    ctx.io.metrics.count("promotions_total", { group: service, cause });
-    triedAt.set(service, isPromoted ? nowMs() : -Infinity);
-    await resumeAll(service);
-    await finish(service, duty);
-  }
-
-  /** Stops acknowledgements on enough targets to see the whole log. */
-  async function fence(
-    service: ServiceId,
-    given: {
-      readonly cause: FailoverCause;
-      readonly oldPrimary: TargetId | undefined;
-    },
-  ): Promise<Fenced | undefined> {
-    const { cause, oldPrimary } = given;
-    const fenced = new Map<TargetId, Fenced>();
-    const until = nowMs() + FENCE_MS;
-    const term = ctx.leaders.getTerm(service) + 1;
-    const open = new Set<TargetId>();
-
-    async function fenceOne(target: TargetRecord): Promise<void> {
-      open.add(target.id);
-      const report = await control(
-        ctx,
-        target,
-        target.id === oldPrimary
-          ? { kind: "step_down", term }
-          : { kind: "pause", term },
-      );
-      open.delete(target.id);
-      if (report && isFenced(report, term)) {
-        fenced.set(target.id, { target, report });
-      } else if (report) {
-        ctx.io.log.info("target_not_fenced", {
-          target: target.id,
-          role: report.role,
-          pausedTerm: report.pausedTerm,
-          term: report.term,
-          wanted: term,
-        });
-      }
-    }
-
-    while (nowMs() < until) {
-      const targets = ctx.directory.list(service);
-      targets.filter(({ id }) => !fenced.has(id) && !open.has(id))
-        .forEach((target) => void fenceOne(target));
-      await sleep(POLL_MS);
-      const successor = trySuccessor([...fenced.values()], {
-        copies: Math.max(copies.get(service) ?? 0, targets.length),
-        syncReplicas: ctx.catalog.tryGet()?.services.get(service)
-          ?.syncReplicas ?? 0,
-        oldPrimary,
-        mayKeep: cause !== "leaving",
-      });
-      if (successor) {
-        return successor;
-      }
-    }
-    ctx.io.log.info("failover_waits", {
-      service,
-      fenced: fenced.size,
-      copies: copies.get(service) ?? 0,
-      reason: "too few targets can be reached to see every commit",
-    });
-    return undefined;
-  }
-
-  async function promote(
-    service: ServiceId,
-    given: { readonly successor: Fenced; readonly duty: Duty },
-  ): Promise<boolean> {
-    const { target } = given.successor;
-    const { fencingToken } = given.duty;
-    const res = await ctx.io.promoter.promote({
-      service,
-      target: target.id,
-      holder: self,
-      fencingToken,
-    });
-    ctx.io.log.info("promotion_ordered", {
-      service,
-      target: target.id,
-      fencingToken,
-      result: res.kind,
-      detail: res.kind === "accepted" ? undefined : res.detail,
-    });
-    if (res.kind === "refused") {
-      return false;
-    }
-    const until = nowMs() + LEAD_MS;
-    while (nowMs() < until) {
-      await sleep(POLL_MS);
-      if (ctx.leaders.tryPrimary(service) === target.id) {
-        return true;
-      }
-      const report = await control(ctx, target, { kind: "status" });
-      if (report?.role === "primary") {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Lets replicas receive again that the promotion left paused. */
-  async function resumeAll(service: ServiceId): Promise<void> {
-    await Promise.all(
-      ctx.directory.list(service).map(async (target) => {
-        const report = await control(ctx, target, { kind: "status" });
-        if (report && report.pausedTerm > 0) {
-          await control(ctx, target, { kind: "resume" });
-        }
-      }),
-    );
-  }
-
-  async function finish(service: ServiceId, duty: Duty): Promise<void> {
-    const key = getDutyKey(service);
-    const known = fleet.tryGet(key);
-    const held = tryDuty(known?.value);
-    if (!known || held?.fencingToken !== duty.fencingToken) {
-      return;
-    }
-    const put = await ctx.io.store.put(key, { ...duty, isDone: true }, {
-      ifVersion: known.version,
-    });
-    if (put.isOk()) {
-      fleet.learn(put.value);
+    ctx.io.metrics.count("promotions_total", { group: service, cause, result });
+    if (result === "promoted") {
+      triedAt.set(service, nowMs());
     }
   }
 
@@ -298,10 +202,6 @@
   };
 }
 
-function isFenced(report: TargetReport, term: number): boolean {
-  return report.role === "replica" && report.pausedTerm >= term;
-}
-
 function tryDuty(value: unknown): Duty | undefined {
   const duty = value as Partial<Duty> | undefined;
   return typeof duty?.fencingToken === "number" && duty.holder !== undefined
@@ -309,6 +209,7 @@
       holder: duty.holder,
       fencingToken: duty.fencingToken,
       isDone: duty.isDone === true,
+      isOrderOpen: duty.isOrderOpen === true,
     }
     : undefined;
 }
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -22,7 +22,8 @@
   ejectedUntil: number;
   position: Position | undefined;
   lagMs: number;
-  lagNotedAt: number;
+  /** When it was first seen to receive nothing, on order of a host. */
+  pausedSince: number | undefined;
 }
 
 /** Health of the targets as seen from the traffic of this host. */
@@ -38,7 +39,13 @@
   getFailingMs(target: TargetId): number;
   /** A replica lacked a position that a read needed. */
   noteLagging(target: TargetId): void;
-  noteLag(target: TargetId, lagMs: number): void;
+  /** Takes what a target reported of itself. */
+  noteReport(
+    target: TargetId,
+    report: { readonly lagMs: number; readonly isPaused: boolean },
+  ): void;
+  /** Time for which it has been seen paused; 0 if it receives. */
+  getPausedMs(target: TargetId): number;
   isEjected(target: TargetId): boolean;
   /** Moving average of the time to an answer; undefined without one. */
   tryLatencyMs(target: TargetId): number | undefined;
@@ -61,7 +68,7 @@
       ejectedUntil: -Infinity,
       position: undefined,
       lagMs: DEFAULT_LAG_MS,
-      lagNotedAt: -Infinity,
+      pausedSince: undefined,
     };
     records.set(target, found);
     return found;
@@ -98,12 +105,15 @@
       const record = get(target);
       // Half as much again until a status or a served read says otherwise.
       record.lagMs = Math.min(10_000, record.lagMs * 1.5 + 20);
-      record.lagNotedAt = nowMs();
     },
-    noteLag(target, lagMs) {
+    noteReport(target, { lagMs, isPaused }) {
       const record = get(target);
       record.lagMs = lagMs;
-      record.lagNotedAt = nowMs();
+      record.pausedSince = isPaused ? record.pausedSince ?? nowMs() : undefined;
+    },
+    getPausedMs(target) {
+      const { pausedSince } = get(target);
+      return pausedSince === undefined ? 0 : nowMs() - pausedSince;
     },
     isEjected: (target) => nowMs() < get(target).ejectedUntil,
     tryLatencyMs: (target) => get(target).latencyMs,
--- a/src/pooling/leaders.ts
+++ b/src/pooling/leaders.ts
@@ -14,8 +14,10 @@
 
 /** Evidence that a target leads or does not lead. */
 export type Evidence =
-  /** It registered itself as primary. */
+  /** It registered itself as primary; its view of itself may be old. */
   | { readonly kind: "registered" }
+  /** Its registration changed from replica to primary just now. */
+  | { readonly kind: "turned_primary" }
   | { readonly kind: "reported"; readonly report: TargetReport }
   /** It answered as only a primary does. */
   | { readonly kind: "answered"; readonly term: number }
@@ -81,6 +83,12 @@
       const lost = { ...found, primary: undefined };
       switch (evidence.kind) {
         case "registered":
+          // A target that was cut off while it was replaced still says so.
+          if (belief.primary === undefined) {
+            setPrimary(service, { ...found, term: 0 });
+          }
+          return;
+        case "turned_primary":
           setPrimary(service, { ...found, term: 0 });
           return;
         case "promoted":
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -209,14 +209,20 @@
         if (isOther(target, event.previous)) {
           dispatcher.forget(id);
         }
+        if (target.role !== event.previous.role) {
+          const turned = target.role === "primary"
+            ? "turned_primary"
+            : "denied";
+          leaders.note(service, id, { kind: turned });
+        }
         break;
       case "found":
+        if (target.role === "primary") {
+          leaders.note(service, id, { kind: "registered" });
+        }
         break;
-    }
-    if (target.role === "primary") {
-      leaders.note(service, id, { kind: "registered" });
-    } else {
-      leaders.note(service, id, { kind: "denied" });
+      default:
+        return assertNever(kind);
     }
     dispatcher.pump();
   }
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -20,8 +20,6 @@
 const SUSPECT_INTERVAL_MS = 250;
 /** Time between two questions to a replica, in milliseconds. */
 const REPLICA_INTERVAL_MS = 3_000;
-/** A replica that was paused for so long was left behind by its pauser. */
-const PAUSE_LEFT_MS = 6_000;
 
 /** Running probes. */
 export interface Probes extends Stoppable {
@@ -35,7 +33,6 @@
 ): Probes {
   const askedAt = new Map<TargetId, number>();
   const peerAskedAt = new Map<ServiceId, number>();
-  const pausedSince = new Map<TargetId, number>();
   let timer: NodeJS.Timeout | undefined;
 
   function getIntervalMs(target: TargetRecord): number {
@@ -82,30 +79,9 @@
     return due;
   }
 
-  async function ask(target: TargetRecord): Promise<void> {
+  function ask(target: TargetRecord): void {
     askedAt.set(target.id, nowMs());
-    const report = await control(ctx, target, { kind: "status" });
-    if (!report || report.pausedTerm === 0) {
-      pausedSince.delete(target.id);
-      return;
-    }
-    const since = pausedSince.get(target.id) ?? nowMs();
-    pausedSince.set(target.id, since);
-    const pausedMs = nowMs() - since;
-    if (pausedMs > PAUSE_LEFT_MS && isLed(target.service)) {
-      pausedSince.delete(target.id);
-      ctx.io.log.info("replica_resumed", {
-        target: target.id,
-        pausedTerm: report.pausedTerm,
-        pausedMs: Math.round(pausedMs),
-      });
-      await control(ctx, target, { kind: "resume" });
-    }
-  }
-
-  function isLed(service: ServiceId): boolean {
-    const primary = ctx.leaders.tryPrimary(service);
-    return primary !== undefined && ctx.health.getFailingMs(primary) === 0;
+    void control(ctx, target, { kind: "status" });
   }
 
   function tick(): void {
@@ -114,7 +90,7 @@
       for (const target of ctx.directory.list(service)) {
         const last = askedAt.get(target.id) ?? -Infinity;
         if (nowMs() - last >= getIntervalMs(target)) {
-          void ask(target);
+          ask(target);
         }
       }
     }
--- /dev/null
+++ b/src/pooling/takeover.ts
@@ -0,0 +1,281 @@
+/** Replaces the primary of one service: fence, choose, verify, promote. */
+
+import { nowMs, sleep } from "../core/clock.ts";
+import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
+import { control } from "./control.ts";
+import type { Duty, FailoverCause } from "./failover.ts";
+import { type Fenced, getRequiredCount, trySuccessor } from "./succession.ts";
+import type { PromoteRes, TargetRecord, TargetReport } from "./types.ts";
+import type { WorkContext } from "./work.ts";
+
+/** Time for the targets to be fenced, in milliseconds. */
+const FENCE_MS = 1_500;
+/** Time for a promoted target to lead, in milliseconds. */
+const LEAD_MS = 2_500;
+const POLL_MS = 50;
+
+/** How a takeover ended. */
+export type TakeoverResult =
+  | "promoted"
+  /** A primary answers and stays. */
+  | "not_needed"
+  /** Too few targets could be fenced to see every commit. */
+  | "too_few"
+  /** Another host took the duty over, or let a target receive again. */
+  | "overtaken"
+  /** The order was refused, or nobody led in time. */
+  | "not_promoted";
+
+/** Carries takeovers out. */
+export interface Takeover {
+  run(
+    service: ServiceId,
+    given: { readonly cause: FailoverCause; readonly duty: Duty },
+  ): Promise<TakeoverResult>;
+}
+
+/** Creates the part that carries takeovers out. */
+export function createTakeover(
+  ctx: WorkContext,
+  options: {
+    readonly self: HostId;
+    /** Copies of the log that the service has. */
+    getCopies(service: ServiceId): number;
+    /** Writes the duty if it is still this host's; false if it is not. */
+    update(service: ServiceId, duty: Duty): Promise<boolean>;
+  },
+): Takeover {
+  /** The primary that answers, if it may stay. */
+  async function tryLiving(
+    service: ServiceId,
+    cause: FailoverCause,
+  ): Promise<TargetId | undefined> {
+    const reports = await askAll(ctx.directory.list(service));
+    const leading = reports.find(({ report }) => report.role === "primary");
+    const isLeaving = leading?.target.isDraining === true;
+    return isLeaving || cause === "leaving" ? undefined : leading?.target.id;
+  }
+
+  async function askAll(
+    targets: readonly TargetRecord[],
+  ): Promise<readonly Fenced[]> {
+    const asked = await Promise.all(targets.map(async (target) => {
+      const report = await control(ctx, target, { kind: "status" });
+      return report ? [{ target, report }] : [];
+    }));
+    return asked.flat();
+  }
+
+  /** Stops a target from acknowledging and receiving. */
+  async function fenceOne(
+    target: TargetRecord,
+    term: number,
+  ): Promise<TargetReport | undefined> {
+    const paused = await control(ctx, target, { kind: "pause", term });
+    if (paused?.role !== "primary") {
+      return paused;
+    }
+    const steppedDown = await control(ctx, target, { kind: "step_down", term });
+    return steppedDown?.role === "replica"
+      ? await control(ctx, target, { kind: "pause", term })
+      : steppedDown;
+  }
+
+  /** Fences until a target is known to hold every acknowledged commit. */
+  async function fence(
+    service: ServiceId,
+    given: {
+      readonly cause: FailoverCause;
+      readonly oldPrimary: TargetId | undefined;
+      readonly term: number;
+    },
+  ): Promise<readonly Fenced[] | undefined> {
+    const { term } = given;
+    const fenced = new Map<TargetId, Fenced>();
+    const open = new Set<TargetId>();
+    const until = nowMs() + FENCE_MS;
+
+    async function add(target: TargetRecord): Promise<void> {
+      open.add(target.id);
+      const report = await fenceOne(target, term);
+      open.delete(target.id);
+      if (report && isFenced(report, term)) {
+        fenced.set(target.id, { target, report });
+      }
+    }
+
+    while (nowMs() < until) {
+      ctx.directory.list(service)
+        .filter(({ id }) => !fenced.has(id) && !open.has(id))
+        .forEach((target) => void add(target));
+      await sleep(POLL_MS);
+      const all = [...fenced.values()];
+      if (trySuccessor(all, getSuccession(service, given))) {
+        return all;
+      }
+    }
+    ctx.io.log.info("failover_waits", {
+      service,
+      fenced: [...fenced.keys()].join(" "),
+      copies: options.getCopies(service),
+      reason: "too few targets can be reached to see every commit",
+    });
+    return undefined;
+  }
+
+  function getSuccession(
+    service: ServiceId,
+    given: {
+      readonly cause: FailoverCause;
+      readonly oldPrimary: TargetId | undefined;
+    },
+  ) {
+    return {
+      copies: Math.max(
+        options.getCopies(service),
+        ctx.directory.list(service).length,
+      ),
+      syncReplicas: ctx.catalog.tryGet()?.services.get(service)
+        ?.syncReplicas ?? 0,
+      oldPrimary: given.oldPrimary,
+      mayKeep: given.cause !== "leaving",
+    };
+  }
+
+  /**
+   * Reads the fenced targets again: one that someone let receive meanwhile may
+   * hold commits that the others lack.
+   */
+  async function confirm(
+    fenced: readonly Fenced[],
+    term: number,
+  ): Promise<readonly Fenced[]> {
+    const again = await askAll(fenced.map(({ target }) => target));
+    return again.filter(({ target, report }) => {
+      const before = fenced.find((one) => one.target.id === target.id)!.report;
+      return isFenced(report, term) &&
+        report.position.term === before.position.term &&
+        report.position.pos === before.position.pos;
+    });
+  }
+
+  async function promote(
+    service: ServiceId,
+    given: { readonly target: TargetRecord; readonly duty: Duty },
+  ): Promise<TakeoverResult> {
+    const { target, duty } = given;
+    const res = await order(service, { target: target.id, duty });
+    const until = nowMs() + LEAD_MS;
+    while (res !== "refused" && nowMs() < until) {
+      await sleep(POLL_MS);
+      if (ctx.leaders.tryPrimary(service) === target.id) {
+        return "promoted";
+      }
+      const report = await control(ctx, target, { kind: "status" });
+      if (report?.role === "primary") {
+        return "promoted";
+      }
+    }
+    return "not_promoted";
+  }
+
+  async function order(
+    service: ServiceId,
+    given: { readonly target: TargetId; readonly duty: Duty },
+  ): Promise<PromoteRes["kind"]> {
+    const { target, duty: { fencingToken } } = given;
+    const res = await ctx.io.promoter.promote({
+      service,
+      target,
+      holder: options.self,
+      fencingToken,
+    });
+    ctx.io.log.info("promotion_ordered", {
+      service,
+      target,
+      fencingToken,
+      result: res.kind,
+      detail: res.kind === "accepted" ? undefined : res.detail,
+    });
+    return res.kind;
+  }
+
+  /**
+   * Lets replicas receive again. Orders that may still be on their way were
+   * given by hosts that have read logs which are about to grow, so the
+   * platform is made to refuse them first: an order for the present primary
+   * changes nothing but the newest token seen.
+   */
+  async function resumeAll(service: ServiceId, duty: Duty): Promise<Duty> {
+    const reports = await askAll(ctx.directory.list(service));
+    let settled = duty;
+    if (duty.isOrderOpen) {
+      const leading = reports.find(({ report }) => report.role === "primary");
+      const isSettled = leading !== undefined &&
+        await order(service, { target: leading.target.id, duty }) ===
+          "accepted";
+      if (!isSettled) {
+        ctx.io.log.info("replicas_stay_paused", { service });
+        return duty;
+      }
+      settled = { ...duty, isOrderOpen: false };
+    }
+    await Promise.all(
+      reports.filter(({ report }) => report.pausedTerm > 0)
+        .map(({ target }) => control(ctx, target, { kind: "resume" })),
+    );
+    return settled;
+  }
+
+  async function replace(
+    service: ServiceId,
+    given: { readonly cause: FailoverCause; readonly duty: Duty },
+  ): Promise<{ readonly result: TakeoverResult; readonly duty: Duty }> {
+    const { cause, duty } = given;
+    const oldPrimary = ctx.leaders.tryPrimary(service);
+    const term = ctx.leaders.getTerm(service) + 1;
+    const fenced = await fence(service, { cause, oldPrimary, term });
+    if (!fenced) {
+      return { result: "too_few", duty };
+    }
+    const ordering: Duty = { ...duty, isOrderOpen: true };
+    if (!await options.update(service, ordering)) {
+      return { result: "overtaken", duty };
+    }
+    const confirmed = await confirm(fenced, term);
+    const succession = getSuccession(service, { cause, oldPrimary });
+    const successor = trySuccessor(confirmed, succession);
+    if (!successor) {
+      ctx.io.log.info("failover_overtaken", {
+        service,
+        confirmed: confirmed.length,
+        required: getRequiredCount(succession),
+      });
+      // No order was given, so none of this claim is open.
+      return { result: "overtaken", duty };
+    }
+    const { target } = successor;
+    const result = await promote(service, { target, duty: ordering });
+    const isOrderOpen = result !== "promoted";
+    return { result, duty: { ...ordering, isOrderOpen } };
+  }
+
+  return {
+    async run(service, given) {
+      const living = await tryLiving(service, given.cause);
+      const { result, duty } = living === undefined
+        ? await replace(service, given)
+        : { result: "not_needed" as const, duty: given.duty };
+      // Whoever holds the duty by now resumes what it does not need.
+      if (await options.update(service, duty)) {
+        const settled = await resumeAll(service, duty);
+        await options.update(service, { ...settled, isDone: true });
+      }
+      return result;
+    },
+  };
+}
+
+function isFenced(report: TargetReport, term: number): boolean {
+  return report.role === "replica" && report.pausedTerm >= term;
+}
--- a/standins/platform_core.ts
+++ b/standins/platform_core.ts
@@ -13,6 +13,8 @@
     value: unknown,
     options: { readonly ifVersion: number },
   ): Result<StoredObject, PlatformErr>;
+  /** Removes an object; watches are told of it with version 0. */
+  remove(key: ObjectKey): void;
   /** Objects under `prefix` that changed after a revision. */
   changesAfter(prefix: string, revision: number): WatchRes;
   /** Calls back after each change. */
@@ -44,7 +46,11 @@
 
   return {
     get,
-    list: (prefix) => changesAfter(prefix, 0),
+    list(prefix) {
+      const { objects } = changesAfter(prefix, 0);
+      const present = objects.filter(({ version }) => version > 0);
+      return { revision, objects: present };
+    },
     put(key, value, { ifVersion }) {
       const current = get(key);
       if (current.version !== ifVersion) {
@@ -56,6 +62,12 @@
       listeners.forEach((listener) => listener());
       return Ok(object);
     },
+    remove(key) {
+      revision++;
+      const object = { key, version: 0, value: undefined };
+      entries.set(key, { object, revision });
+      listeners.forEach((listener) => listener());
+    },
     changesAfter,
     onChange(listener) {
       listeners.add(listener);
--- a/standins/platform_server.ts
+++ b/standins/platform_server.ts
@@ -60,7 +60,7 @@
     });
     const events = objects.map((object) => ({
       object: toWire(object),
-      deleted: false,
+      deleted: object.version === 0,
     }));
     return { body: { events, currentRev: revision } };
   }
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -12,7 +12,9 @@
   PeerReceiver,
   Statement,
   StatementAnswer,
+  TargetCommand,
   TargetRecord,
+  TargetReply,
 } from "../src/pooling/types.ts";
 import { createTargetDialer } from "../platform/target_link.ts";
 import { tryDecodeStatement } from "../platform/line_codec.ts";
@@ -47,6 +49,8 @@
   readonly store: PlatformCore;
   /** Makes calls of a host to the store fail. */
   readonly cutFromStore: Set<string>;
+  /** Targets that no host reaches, though they reach each other. */
+  readonly cutTargets: Set<string>;
   readonly lines: { event: string; fields: LogFields }[];
   open(database: string, host?: number): Session;
   getTarget(id: string): StatementTarget;
@@ -67,6 +71,10 @@
     ...options.group,
   });
   const cutFromStore = new Set<string>();
+  const cutTargets = new Set<string>();
+  const isSilent = (id: string) =>
+    cutTargets.has(id) ||
+    group.targets.find((t) => t.record.id === id)?.faults.isDark === true;
   const lines: { event: string; fields: LogFields }[] = [];
   const receivers = new Map<HostId, PeerReceiver>();
   let version = 0;
@@ -134,10 +142,7 @@
       dialer: {
         tryReport: createTargetDialer().tryReport,
         dial(target, { workspace, timeoutMs }) {
-          if (
-            group.targets.find((t) => t.record.id === target.id)?.faults
-              .isDark
-          ) {
+          if (isSilent(target.id)) {
             return new Promise((resolve) =>
               setTimeout(
                 () => resolve(Err({ code: "unreachable", detail: "dark" })),
@@ -145,7 +150,15 @@
               )
             );
           }
-          return Promise.resolve(group.connect(target.id, workspace));
+          return Promise.resolve(
+            group.connect(target.id, workspace).map((link) => ({
+              ...link,
+              send: (command: TargetCommand) =>
+                isSilent(target.id)
+                  ? new Promise<TargetReply>(() => {})
+                  : link.send(command),
+            })),
+          );
         },
       },
       promoter: {
@@ -194,6 +207,7 @@
     poolers,
     store,
     cutFromStore,
+    cutTargets,
     lines,
     setCatalog,
     register,
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -214,6 +214,63 @@
   expect(new Set(claims).size).toBe(claims.length);
 });
 
+test("an old primary that comes back does not replace its successor", async () => {
+  fleet = await startPoolFleet({ hosts: 3 });
+  await run(fleet.open("orders"), "WRITE k 1", { id: "w1" });
+  fleet.getTarget("t1").faults.isDark = true;
+  await vi.advanceTimersByTimeAsync(4_000);
+  const leader = fleet.group.targets.find(({ record, role }) =>
+    role === "primary" && record.id !== "t1"
+  )!;
+  fleet.register(leader.record.id, { role: "primary" });
+  fleet.store.remove("servers/t1" as never);
+  await vi.advanceTimersByTimeAsync(4_000);
+  // It is back and has not yet heard that it was replaced.
+  fleet.getTarget("t1").faults.isDark = false;
+  fleet.register("t1", { role: "primary" });
+  const before = fleet.lines.length;
+  for (let n = 0; n < 20; n++) {
+    const id = `x${n}`;
+    expect(told(await run(fleet.open("orders"), "WRITE k 2", { id })))
+      .toBe("done");
+    await vi.advanceTimersByTimeAsync(200);
+  }
+  const events = fleet.lines.slice(before).map(({ event }) => event);
+  expect(events).not.toContain("failover_started");
+  expect(events).not.toContain("write_not_acknowledged");
+  expect(leader.role).toBe("primary");
+});
+
+test("nobody promotes on logs that grew after they were read", async () => {
+  fleet = await startPoolFleet({ hosts: 1 });
+  await run(fleet.open("orders"), "WRITE k 1", { id: "w1" });
+  const connect = (id: string) =>
+    fleet.group.connect(fleet.getTarget(id).record.id, "w1").unwrap();
+  const [writer, rogue] = [connect("t1"), connect("t3")];
+  // This host alone has lost the primary. Whenever it has paused t3, someone
+  // else lets t3 receive again and the primary acknowledges another write.
+  fleet.cutTargets.add("t1");
+  for (let n = 0; n < 1_200; n++) {
+    void rogue.send({ kind: "status" }).then((reply) => {
+      if (reply.kind === "done" && reply.rows[0]!.split(" ")[3] !== "0") {
+        void rogue.send({ kind: "resume" });
+        const id = `v${n}` as never;
+        void writer.send({ kind: "run", id, text: "WRITE k 2" });
+      }
+    });
+    await vi.advanceTimersByTimeAsync(5);
+  }
+  const leader = fleet.group.targets.find(({ record, role }) =>
+    role === "primary" && record.id !== "t1"
+  );
+  const held = new Set(
+    (leader ?? fleet.getTarget("t1")).log
+      .flatMap(({ ids }) => ids),
+  );
+  expect([...fleet.group.acknowledged].filter((id) => !held.has(id)))
+    .toEqual([]);
+});
+
 test("no target leads while too few can be reached", async () => {
   fleet = await startPoolFleet({ hosts: 2 });
   await run(fleet.open("orders"), "WRITE k 1", { id: "w" });
@@ -291,10 +348,7 @@
   fleet.cutFromStore.add("all");
   await vi.advanceTimersByTimeAsync(4_000);
   for (const id of ["t1", "t2", "t3"]) {
-    const key = `servers/${id}` as never;
-    fleet.store.put(key, undefined, {
-      ifVersion: fleet.store.get(key).version,
-    });
+    fleet.store.remove(`servers/${id}` as never);
   }
   fleet.cutFromStore.clear();
   await vi.advanceTimersByTimeAsync(1_000);
