Explain a request from the hosts' logs

Change: turmericchute explain ID FILE... prints the lines of a request and what hosts came to believe about its service meanwhile. A refusal for quota tells the share, the next token and whether peers were asked. Tests: test/explain.test.ts brings three kinds of failed request about and demands the lines that lead to their cause.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -13,6 +13,7 @@
   type Terminal,
 } from "./command.ts";
 import { registerDrain } from "./drain.ts";
+import { registerExplain } from "./explain.ts";
 import { registerKeys } from "./keys.ts";
 import { registerLists } from "./lists.ts";
 import { registerLoad } from "./load.ts";
@@ -29,6 +30,7 @@
   registerStatus,
   registerLoad,
   registerReplay,
+  registerExplain,
 ];
 
 /** Runs a command line and resolves with its exit code. */
--- /dev/null
+++ b/src/cli/explain.ts
@@ -0,0 +1,66 @@
+/** `turmericchute explain`: tells what became of one request. */
+
+import { readFileSync } from "node:fs";
+import { explain, type LogLine, parseLogLines } from "../host/explain.ts";
+import { formatDiagnostic } from "../core/diagnostics.ts";
+import { createMistake } from "../core/mistakes.ts";
+import {
+  EXIT_FAILED,
+  EXIT_OK,
+  type ExitCode,
+  type Register,
+  type Terminal,
+  warnMistakes,
+} from "./command.ts";
+
+interface ExplainOptions {
+  readonly json?: boolean;
+}
+
+/** Adds the command. */
+export const registerExplain: Register = (cli, terminal) => {
+  cli.command("explain <id> <...files>", "Tell a request's way from the logs")
+    .option("--json", "Print the lines as JSON")
+    .example("turmericchute explain 5c0e7a21d94b36f8 h1.log h2.log")
+    .action((id: string, files: string[], options: ExplainOptions) =>
+      explainRequest(terminal, { id: `${id}`, files, options })
+    );
+};
+
+function explainRequest(
+  terminal: Terminal,
+  given: {
+    readonly id: string;
+    readonly files: readonly string[];
+    readonly options: ExplainOptions;
+  },
+): ExitCode {
+  const { id, files, options } = given;
+  const lines: LogLine[] = [];
+  for (const file of files) {
+    try {
+      lines.push(...parseLogLines(readFileSync(file, "utf8")));
+    } catch (err) {
+      const detail = err instanceof Error ? err.message : `${err}`;
+      const mistakes = [createMistake("", "file_unreadable", { detail })];
+      return warnMistakes(terminal, { file, mistakes });
+    }
+  }
+  const story = explain(lines, id);
+  if (story.length === 0) {
+    terminal.warn(formatDiagnostic("request_unknown", { id }));
+    return EXIT_FAILED;
+  }
+  story.forEach((line) =>
+    terminal.print(options.json ? JSON.stringify(line) : format(line, id))
+  );
+  return EXIT_OK;
+}
+
+function format(line: LogLine, id: string): string {
+  const { time, host, msg, level: _, ...fields } = line;
+  const mark = line.id === id ? "*" : " ";
+  const told = Object.entries(fields).filter(([name]) => name !== "id")
+    .map(([name, value]) => `${name}=${value}`).join(" ");
+  return `${new Date(time).toISOString()} ${mark} ${host} ${msg} ${told}`;
+}
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -53,6 +53,7 @@
     text: "no such action: {found}, allowed: {allowed}",
   },
   argument_missing: { code: 3006, text: "{what} is missing" },
+  request_unknown: { code: 3019, text: "no line tells of request {id}" },
   platform_missing: {
     code: 3007,
     text: "name the platform by --platform URL, --settings FILE or " +
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -113,13 +113,20 @@
     return tolerated * (entry.share / WHOLE);
   }
 
-  function refuse(waitMs: number): Err<PoolFailure> {
+  function refuse(entry: Entry, waitMs: number): Err<PoolFailure> {
     const bounded = Math.min(
       MAX_RETRY_AFTER_MS,
       Math.max(MIN_RETRY_AFTER_MS, waitMs),
     );
     const retryAfterMs = Math.ceil(bounded * (1 + options.random() / 2));
-    return Err({ error: "over_quota", retryAfterMs });
+    const asked = nowMs() < entry.dryUntil ? "have none" : "were asked";
+    return Err({
+      error: "over_quota",
+      detail: `share ${entry.share} of ${WHOLE}, next token in ${
+        Number.isFinite(waitMs) ? `${Math.round(waitMs)} ms` : "peers only"
+      }, peers ${asked}`,
+      retryAfterMs,
+    });
   }
 
   /** Serves waiters in order, and refuses those whose token comes too late. */
@@ -150,7 +157,7 @@
       const waitMs = entry.isBorrowing ? 0 : bucket.getWaitMs(ahead);
       if (nowMs() + waitMs >= waiters[ahead]!.until) {
         waiters.splice(ahead, 1)[0]!
-          .settle(refuse(bucket.getWaitMs(ahead)));
+          .settle(refuse(entry, bucket.getWaitMs(ahead)));
       }
     }
   }
@@ -235,7 +242,9 @@
     setQuotas(quotas) {
       for (const [workspace, entry] of entries) {
         if (!quotas.has(workspace)) {
-          entry.waiters.splice(0).forEach(({ settle }) => settle(refuse(0)));
+          entry.waiters.splice(0).forEach(({ settle }) =>
+            settle(refuse(entry, 0))
+          );
           clearTimeout(entry.timer);
           entries.delete(workspace);
         }
--- /dev/null
+++ b/test/explain.test.ts
@@ -0,0 +1,73 @@
+import { afterEach, expect, test, vi } from "vitest";
+import { explain, type LogLine, parseLogLines } from "../src/host/explain.ts";
+import type { StatementAnswer } from "../src/pooling/types.ts";
+import { type PoolFleet, run, startPoolFleet, told } from "./pool_fleet.ts";
+
+let fleet: PoolFleet;
+afterEach(() => fleet.stop());
+
+/** What the hosts' logs tell of a request. */
+function tell(id: string): readonly LogLine[] {
+  const text = fleet.lines.map(({ event, fields, time }) =>
+    JSON.stringify({ time, host: "h0", ...fields, msg: event })
+  ).join("\n");
+  return explain(parseLogLines(`noise\n${text}\n{broken`), id);
+}
+
+const names = (lines: readonly LogLine[]) => lines.map(({ msg }) => msg);
+
+test("a refusal within the rate leads to the share of the host", async () => {
+  fleet = await startPoolFleet({ hosts: 2, ratePerS: 5 });
+  const answers: [string, StatementAnswer][] = [];
+  for (let n = 0; n < 30; n++) {
+    const statement = { kind: "run", access: "read", text: "READ k" } as const;
+    void fleet.open("reports").execute(`q${n}` as never, statement)
+      .then((answer) => answers.push([`q${n}`, answer]));
+  }
+  await vi.advanceTimersByTimeAsync(1_000);
+  const [id] = answers.find(([, answer]) => told(answer) === "over_quota")!;
+  const refused = tell(id).find((line) => line.id === id)!;
+  expect(refused.msg).toBe("statement_refused");
+  expect(refused.detail).toMatch(/^share \d+ of 10000, next token in /);
+  expect(refused.configuration).toBe(3);
+});
+
+test("a write in doubt leads to the failover around it", async () => {
+  fleet = await startPoolFleet({ hosts: 2 });
+  const session = fleet.open("orders");
+  await run(session, "WRITE k 1");
+  fleet.getTarget("t1").faults.isDark = true;
+  expect(told(await run(session, "WRITE k 2", { id: "w" }))).toBe("in_doubt");
+  await vi.advanceTimersByTimeAsync(3_000);
+  const story = tell("w");
+  expect(names(story)).toEqual(expect.arrayContaining([
+    "write_not_acknowledged",
+    "statement_refused",
+    "failover_started",
+    "promotion_ordered",
+    "failover_ended",
+  ]));
+  const [line] = story.filter(({ msg }) => msg === "write_not_acknowledged");
+  expect(line).toMatchObject({
+    target: "t1",
+    reason: "the target did not answer in time",
+  });
+});
+
+test("a slow read leads to the replica that lacked its floor", async () => {
+  fleet = await startPoolFleet({ group: { lagMs: 800 } });
+  const session = fleet.open("accounts");
+  await run(session, "READ k");
+  await run(session, "WRITE k 1");
+  fleet.getTarget("t1").faults.isBusy = true;
+  await run(session, "READ k", { id: "r" });
+  const retried = tell("r").filter(({ msg }) => msg === "read_retried");
+  expect(retried.length).toBeGreaterThan(0);
+  expect(retried).toEqual(expect.arrayContaining([
+    expect.objectContaining({
+      reason: "the target answered lagging",
+      floor: "1.1",
+    }),
+  ]));
+  expect(retried[0]).toHaveProperty("floorAgeMs");
+});
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -42,6 +42,13 @@
   readonly maxConnections?: number;
 }
 
+/** A line that a host wrote. */
+export interface Line {
+  readonly event: string;
+  readonly fields: LogFields;
+  readonly time: number;
+}
+
 /** Pools, their targets and the store between them. */
 export interface PoolFleet {
   readonly group: StatementGroup;
@@ -51,7 +58,7 @@
   readonly cutFromStore: Set<string>;
   /** Targets that no host reaches, though they reach each other. */
   readonly cutTargets: Set<string>;
-  readonly lines: { event: string; fields: LogFields }[];
+  readonly lines: Line[];
   open(database: string, host?: number): Session;
   getTarget(id: string): StatementTarget;
   setCatalog(change?: Partial<Catalog>): void;
@@ -75,7 +82,9 @@
   const isSilent = (id: string) =>
     cutTargets.has(id) ||
     group.targets.find((t) => t.record.id === id)?.faults.isDark === true;
-  const lines: { event: string; fields: LogFields }[] = [];
+  const lines: Line[] = [];
+  const note = (event: string, fields: LogFields) =>
+    lines.push({ event, fields, time: Date.now() });
   const receivers = new Map<HostId, PeerReceiver>();
   let version = 0;
   let seed = 1;
@@ -172,8 +181,8 @@
         onMessage: (receiver) => void receivers.set(host, receiver),
       },
       log: {
-        info: (event, fields) => lines.push({ event, fields }),
-        request: (event, fields) => lines.push({ event, fields }),
+        info: note,
+        request: note,
       },
       metrics: { count() {}, add() {}, observe() {}, set() {} },
       random,
--- a/test/pooling_parts.test.ts
+++ b/test/pooling_parts.test.ts
@@ -147,6 +147,7 @@
   const refused = await quotas.take(W, { maxWaitMs: 30 });
   expect(refused.isErr() && refused.error).toEqual({
     error: "over_quota",
+    detail: "share 10000 of 10000, next token in 40 ms, peers have none",
     retryAfterMs: 40,
   });
   expect(performance.now() - startedAt).toBe(0);
