--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -88,6 +88,7 @@
     "status",
     "load",
     "replay",
+    "explain",
   ]);
   for (const command of commands) {
     expect(await run(command, "--help")).toMatchObject({ code: 0 });
