--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -20,7 +20,7 @@
  * those of a host that lost power for seconds, and the rest is what the
  * restarted host gets meanwhile.
  */
-const KEPT_PART = 0.7;
+const KEPT_PART = 0.4;
 
 /** A pooled connection; it belongs to one workspace from its start. */
 export interface PooledLink {
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -109,6 +109,23 @@
   expect(fleet.group.acknowledged).toEqual(new Set(["a1", "b1"]));
 });
 
+test("idle connections leave room for a host that comes back", async () => {
+  // A target keeps the connections of a host that lost power for seconds; the
+  // restarted host needs some that its predecessor had not opened.
+  fleet = await startPoolFleet({ maxConnections: 5 });
+  const sessions = [0, 1, 2, 3, 4].map(() => fleet.open("orders"));
+  for (const session of sessions) {
+    await run(session, "BEGIN");
+    await run(session, "WRITE k 1");
+  }
+  expect(fleet.getTarget("t1").connections).toBe(5);
+  for (const session of sessions) {
+    await run(session, "COMMIT");
+  }
+  await vi.advanceTimersByTimeAsync(50);
+  expect(fleet.getTarget("t1").connections).toBeLessThanOrEqual(2);
+});
+
 test("a failed transaction takes nothing but its end", async () => {
   fleet = await startPoolFleet();
   const session = fleet.open("orders");
