Hold writes back from a primary that has gone silent

Cause: a dark primary was found only when a statement ran into its time limit of 1 s; until a takeover ended, every write sent to it came back in doubt, which clients must not repeat.

--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -94,7 +94,7 @@
       return found;
     }
     found?.close();
-    const pool = createTargetPool(io, target);
+    const pool = createTargetPool(io, { target, health });
     pool.setCap(getCap(target));
     pools.set(target.id, pool);
     return pool;
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -8,6 +8,11 @@
 /** First and longest ejection after failures in a row, in milliseconds. */
 const MIN_EJECT_MS = 300;
 const MAX_EJECT_MS = 3_000;
+/** Failing for longer makes a target doubtful, in milliseconds. */
+const DOUBT_MS = 100;
+/** Silence that makes a target doubtful: a least, and by its usual latency. */
+const MIN_SILENT_MS = 300;
+const SILENT_FACTOR = 6;
 /** Weight of a new observation in the moving average of latency. */
 const EWMA_WEIGHT = 0.15;
 /** Lag that is assumed until a replica showed another one, in milliseconds. */
@@ -22,6 +27,10 @@
   ejectedUntil: number;
   position: Position | undefined;
   lagMs: number;
+  /** Commands that are not answered yet. */
+  pending: number;
+  /** Since when something is unanswered and nothing was heard. */
+  silentSince: number | undefined;
   /** When it was first seen to receive nothing, on order of a host. */
   pausedSince: number | undefined;
 }
@@ -37,6 +46,13 @@
   noteAlive(target: TargetId): void;
   /** Time for which it has answered nothing; 0 unless it fails. */
   getFailingMs(target: TargetId): number;
+  /** A command went out; tells by the result that an answer came or not. */
+  noteSent(target: TargetId): { end(isHeard: boolean): void };
+  /**
+   * Whether it probably gives no answer: it fails, or has been silent for much
+   * longer than usual. What is sent to it now may be in doubt.
+   */
+  isDoubtful(target: TargetId): boolean;
   /** A replica lacked a position that a read needed. */
   noteLagging(target: TargetId): void;
   /** Takes what a target reported of itself. */
@@ -68,6 +84,8 @@
       ejectedUntil: -Infinity,
       position: undefined,
       lagMs: DEFAULT_LAG_MS,
+      pending: 0,
+      silentSince: undefined,
       pausedSince: undefined,
     };
     records.set(target, found);
@@ -93,10 +111,34 @@
       const record = get(target);
       const ms = Math.min(MAX_EJECT_MS, MIN_EJECT_MS * 2 ** record.failures);
       record.failures++;
-      record.failingSince ??= nowMs();
+      record.failingSince ??= record.silentSince ?? nowMs();
       record.ejectedUntil = nowMs() + ms;
     },
     noteAlive,
+    noteSent(target) {
+      const record = get(target);
+      record.pending++;
+      record.silentSince ??= nowMs();
+      return {
+        end(isHeard) {
+          record.pending--;
+          if (record.pending === 0) {
+            record.silentSince = undefined;
+          } else if (isHeard) {
+            record.silentSince = nowMs();
+          }
+        },
+      };
+    },
+    isDoubtful(target) {
+      const { failingSince, silentSince, latencyMs } = get(target);
+      const now = nowMs();
+      const usualMs = (latencyMs ?? 0) * SILENT_FACTOR;
+      return (failingSince !== undefined &&
+        now - failingSince > DOUBT_MS) ||
+        (silentSince !== undefined &&
+          now - silentSince > Math.max(MIN_SILENT_MS, usualMs));
+    },
     getFailingMs(target) {
       const { failingSince } = get(target);
       return failingSince === undefined ? 0 : nowMs() - failingSince;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -230,6 +230,8 @@
   function keepHouse(): void {
     guard.getEpoch();
     directory.expire();
+    // A target that is no longer in doubt may serve what waits.
+    dispatcher.pump();
     const idleMs = catalog.tryGet()?.transactionIdleMs;
     if (idleMs !== undefined) {
       sessions.forEach((session) => session.abortIdle(idleMs));
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -38,7 +38,9 @@
   function getIntervalMs(target: TargetRecord): number {
     const { service, id } = target;
     const primary = ctx.leaders.tryPrimary(service);
-    if (primary === undefined || ctx.health.getFailingMs(id) > 0) {
+    const isSuspect = ctx.health.getFailingMs(id) > 0 ||
+      ctx.health.isDoubtful(id);
+    if (primary === undefined || isSuspect) {
       return SUSPECT_INTERVAL_MS;
     }
     if (primary !== id) {
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -9,6 +9,7 @@
   type LinkContext,
 } from "./link_context.ts";
 import type { DialErr, PoolIo, TargetLink, TargetRecord } from "./types.ts";
+import type { Health } from "./health.ts";
 import type { Result } from "ts-results-es";
 
 /** Time to open a connection, in milliseconds. */
@@ -68,14 +69,28 @@
 /** Creates an empty pool. */
 export function createTargetPool(
   io: Pick<PoolIo, "dialer" | "log" | "metrics">,
-  target: TargetRecord,
+  options: { readonly target: TargetRecord; readonly health: Health },
 ): TargetPool {
+  const { target, health } = options;
   const links = new Set<PooledLink>();
   let opening = 0;
   let cap = 1;
   let fullUntil = -Infinity;
   let isClosed = false;
 
+  /** Notes what goes out and what is heard. */
+  function watch(link: TargetLink): TargetLink {
+    return {
+      ...link,
+      async send(command) {
+        const sent = health.noteSent(target.id);
+        const reply = await link.send(command);
+        sent.end(reply.kind !== "lost");
+        return reply;
+      },
+    };
+  }
+
   function drop(pooled: PooledLink): void {
     links.delete(pooled);
     pooled.link.close();
@@ -143,7 +158,7 @@
       }
       return dialed.map((link) => {
         const pooled: PooledLink = {
-          link,
+          link: watch(link),
           context: createLinkContext(),
           usedAt: nowMs(),
           isBusy: true,
--- a/src/pooling/work.ts
+++ b/src/pooling/work.ts
@@ -143,14 +143,17 @@
   return ctx.directory.list(service).filter((target) => !target.isDraining);
 }
 
-/** The primary as the only candidate, or nothing. */
+/**
+ * The primary as the only candidate, or nothing while it probably gives no
+ * answer: a write that waits can still be refused as not run.
+ */
 export function listPrimary(
   ctx: WorkContext,
   service: ServiceId,
 ): readonly TargetRecord[] {
   const id = ctx.leaders.tryPrimary(service);
   const target = id && ctx.directory.tryGet(id);
-  return target ? [target] : [];
+  return target && !ctx.health.isDoubtful(target.id) ? [target] : [];
 }
 
 /** Takes what a reply tells about the health and position of a target. */
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -231,6 +231,25 @@
   expect(new Set(claims).size).toBe(claims.length);
 });
 
+test("a write is not sent to a primary that has gone silent", async () => {
+  fleet = await startPoolFleet({ hosts: 2 });
+  const sessions = Array.from({ length: 6 }, () => fleet.open("orders"));
+  await run(sessions[0]!, "WRITE k 0");
+  fleet.getTarget("t1").faults.isDark = true;
+  // The first one finds the silence out; those after it are told at once or
+  // within their admission that they have not run, and may come back.
+  void sessions[0]!.execute("first" as never, {
+    kind: "run",
+    access: "write",
+    text: "WRITE k 1",
+  });
+  await vi.advanceTimersByTimeAsync(450);
+  for (const [n, session] of sessions.slice(1).entries()) {
+    const answer = await run(session, "WRITE k 2", { id: `later${n}` });
+    expect(["no_primary", "done"]).toContain(told(answer));
+  }
+});
+
 test("an old primary that comes back does not replace its successor", async () => {
   fleet = await startPoolFleet({ hosts: 3 });
   await run(fleet.open("orders"), "WRITE k 1", { id: "w1" });
