--- a/src/pooling/failover.ts
+++ b/src/pooling/failover.ts
@@ -18,6 +18,8 @@
 const COOLDOWN_MS = 3_000;
 /** A replica paused for longer was left behind; no takeover lasts as long. */
 const LEFT_PAUSED_MS = 8_000;
+/** The same while no takeover is under way. */
+const LEFT_PAUSED_IDLE_MS = 1_000;
 /** Hosts that see the same fault act one after the other. */
 const MAX_JITTER_MS = 250;
 
@@ -79,8 +81,10 @@
     if (target.isDraining) {
       return "leaving";
     }
+    const duty = tryDuty(fleet.tryGet(getDutyKey(service))?.value);
+    const limitMs = duty && !duty.isDone ? LEFT_PAUSED_MS : LEFT_PAUSED_IDLE_MS;
     const isLeftPaused = ctx.directory.list(service)
-      .some(({ id }) => ctx.health.getPausedMs(id) > LEFT_PAUSED_MS);
+      .some(({ id }) => ctx.health.getPausedMs(id) > limitMs);
     return isLeftPaused ? "left_paused" : undefined;
   }
 
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -39,7 +39,7 @@
     const { service, id } = target;
     const primary = ctx.leaders.tryPrimary(service);
     const isSuspect = ctx.health.getFailingMs(id) > 0 ||
-      ctx.health.isDoubtful(id);
+      ctx.health.isDoubtful(id) || ctx.health.getPausedMs(id) > 0;
     if (primary === undefined || isSuspect) {
       return SUSPECT_INTERVAL_MS;
     }
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -355,6 +355,17 @@
   expect(report.kind === "done" && report.rows[0]!.split(" ")[3]).toBe("0");
 });
 
+test("a replica left paused is found soon while nobody replaces", async () => {
+  fleet = await startPoolFleet({ hosts: 3 });
+  const link = fleet.group.connect(fleet.getTarget("t2").record.id, "w1")
+    .unwrap();
+  await link.send({ kind: "pause", term: 9 });
+  await vi.advanceTimersByTimeAsync(6_000);
+  const report = await link.send({ kind: "status" });
+  expect(report.kind === "done" && report.rows[0]!.split(" ")[3]).toBe("0");
+  expect(fleet.getTarget("t1").role).toBe("primary");
+});
+
 test("a withdrawn key and a dropped route end their sessions", async () => {
   fleet = await startPoolFleet();
   const session = fleet.open("orders");
