Take circles between files apart and acquire connections in one place

The takeover and the failover share duty.ts; the frames of a request stand with the shared types; reads, writes and transactions wait for a connection through one function.

--- a/src/core/admit.ts
+++ b/src/core/admit.ts
@@ -2,7 +2,7 @@
 
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Configuration } from "./configuration.ts";
-import type { RequestFrame } from "./entry.ts";
+import type { RequestFrame } from "./types.ts";
 import type { Failure } from "./errors.ts";
 import type { Session } from "./session.ts";
 import type { Admitted, ExecOp } from "./types.ts";
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -1,6 +1,6 @@
 /** The way of a caller's request: authenticate, admit, route, run, answer. */
 
-import type { CallerFrame, HelloFrame } from "../generated/caller.ts";
+import type { HelloFrame } from "../generated/caller.ts";
 import { Err, Ok, type Result } from "ts-results-es";
 import { admit } from "./admit.ts";
 import {
@@ -31,10 +31,10 @@
   ExecReq,
   HostIo,
   Outcome,
+  RequestFrame,
 } from "./types.ts";
 
-/** A request of a caller, as opposed to the opening of a session. */
-export type RequestFrame = Exclude<CallerFrame, HelloFrame>;
+export type { RequestFrame } from "./types.ts";
 
 /** One session of a caller on this host. */
 export interface CallerSession {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -12,6 +12,7 @@
   TxId,
   WorkspaceId,
 } from "./ids.ts";
+import type { CallerFrame, HelloFrame } from "../generated/caller.ts";
 import type { GroupInfo, TargetInfo } from "../generated/objects.ts";
 import type { ExecOp, PeerMessage, Position } from "../generated/peer.ts";
 
@@ -28,6 +29,9 @@
   Position,
 } from "../generated/peer.ts";
 
+/** A request of a caller, as opposed to the opening of a session. */
+export type RequestFrame = Exclude<CallerFrame, HelloFrame>;
+
 /** What a target reports of itself on its control channel. */
 export interface TargetStatus {
   readonly target: TargetId;
--- a/src/pooling/failover.ts
+++ b/src/pooling/failover.ts
@@ -3,6 +3,7 @@
 import { nowMs, sleep } from "../core/clock.ts";
 import type { HostId, ServiceId } from "../core/ids.ts";
 import type { Stoppable } from "../core/types.ts";
+import { type Duty, type FailoverCause, tryDecodeDuty } from "./duty.ts";
 import { type Fleet, getDutyKey } from "./fleet.ts";
 import { createTakeover } from "./takeover.ts";
 import type { WorkContext } from "./work.ts";
@@ -23,25 +24,6 @@
 /** Hosts that see the same fault act one after the other. */
 const MAX_JITTER_MS = 250;
 
-/** Why a primary is replaced. */
-export type FailoverCause =
-  | "leaving"
-  | "silent"
-  | "gone"
-  | "leaderless"
-  /** A host stopped in the middle; its replicas still receive nothing. */
-  | "left_paused";
-
-/** A claim of the duty to replace the primary of a service. */
-export interface Duty {
-  readonly holder: HostId;
-  /** Rises with every claim; the platform refuses older ones. */
-  readonly fencingToken: number;
-  readonly isDone: boolean;
-  /** An order of this or an older claim may still take effect. */
-  readonly isOrderOpen: boolean;
-}
-
 /** Watches primaries and replaces them. */
 export interface Failover extends Stoppable {
   start(): void;
@@ -81,7 +63,7 @@
     if (target.isDraining) {
       return "leaving";
     }
-    const duty = tryDuty(fleet.tryGet(getDutyKey(service))?.value);
+    const duty = tryDecodeDuty(fleet.tryGet(getDutyKey(service))?.value);
     const limitMs = duty && !duty.isDone ? LEFT_PAUSED_MS : LEFT_PAUSED_IDLE_MS;
     const isLeftPaused = ctx.directory.list(service)
       .some(({ id }) => ctx.health.getPausedMs(id) > limitMs);
@@ -114,7 +96,7 @@
   /** Whether no other host has claimed the duty a moment ago. */
   function isDutyFree(service: ServiceId): boolean {
     const key = getDutyKey(service);
-    const duty = tryDuty(fleet.tryGet(key)?.value);
+    const duty = tryDecodeDuty(fleet.tryGet(key)?.value);
     return !duty || fleet.getAgeMs(key) >
         (duty.isDone ? COOLDOWN_MS : TAKEOVER_MS);
   }
@@ -125,7 +107,7 @@
   ): Promise<Duty | undefined> {
     const key = getDutyKey(service);
     const known = fleet.tryGet(key);
-    const previous = tryDuty(known?.value);
+    const previous = tryDecodeDuty(known?.value);
     const duty: Duty = {
       holder: self,
       fencingToken: (previous?.fencingToken ?? 0) + 1,
@@ -160,7 +142,7 @@
   /** Changes the duty if it is still this claim's; false if it is not. */
   async function update(service: ServiceId, duty: Duty): Promise<boolean> {
     const known = fleet.tryGet(getDutyKey(service));
-    const held = tryDuty(known?.value);
+    const held = tryDecodeDuty(known?.value);
     const isOwn = held?.fencingToken === duty.fencingToken &&
       held.holder === self;
     return known !== undefined && isOwn &&
@@ -205,15 +187,3 @@
     stop: () => clearInterval(timer),
   };
 }
-
-function tryDuty(value: unknown): Duty | undefined {
-  const duty = value as Partial<Duty> | undefined;
-  return typeof duty?.fencingToken === "number" && duty.holder !== undefined
-    ? {
-      holder: duty.holder,
-      fencingToken: duty.fencingToken,
-      isDone: duty.isDone === true,
-      isOrderOpen: duty.isOrderOpen === true,
-    }
-    : undefined;
-}
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -1,7 +1,6 @@
 /** Latency-aware choice among the targets that may serve a read. */
 
 import type { DomainId } from "../core/ids.ts";
-import { nowMs } from "../core/clock.ts";
 import type { Dispatcher } from "./dispatch.ts";
 import type { Floor } from "./floor_log.ts";
 import type { Health } from "./health.ts";
@@ -92,8 +91,3 @@
     ? REGION_RTT_MS
     : FAR_RTT_MS;
 }
-
-/** Time left until `until`, never negative. */
-export function getLeftMs(until: number): number {
-  return Math.max(0, until - nowMs());
-}
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -4,12 +4,17 @@
 import type { TargetId } from "../core/ids.ts";
 import type { Hold } from "./dispatch.ts";
 import type { Floor } from "./floor_log.ts";
-import { getLeftMs, rankReaders } from "./ranking.ts";
+import type { PoolFailure } from "./errors.ts";
+import { rankReaders } from "./ranking.ts";
 import type { TargetRecord } from "./types.ts";
 import {
+  acquireFor,
+  describe,
+  getTimeLeftMs,
   isClean,
   listPrimary,
   listUsable,
+  notePrimary,
   noteReply,
   type Outcome,
   prepareLink,
@@ -22,8 +27,6 @@
 
 /** Most targets that one read is sent to, one after the other. */
 const MAX_ATTEMPTS = 5;
-/** Share of the latency objective that may be spent waiting for a connection. */
-export const ADMISSION_SHARE = 0.5;
 /** A read is sent to a second target after this silence, in milliseconds. */
 const MIN_HEDGE_MS = 250;
 /** Multiple of the usual latency that counts as silence. */
@@ -92,15 +95,6 @@
   });
 }
 
-function getTimeLeftMs(task: Task): number {
-  return getLeftMs(task.startedAt + task.route.statementTimeoutMs);
-}
-
-/** Latest time at which a connection for the task is of use. */
-export function getAdmitUntil(task: Task): number {
-  return task.startedAt + task.route.objectiveMs * ADMISSION_SHARE;
-}
-
 interface FloorRead {
   readonly task: Task;
   readonly floor: Floor;
@@ -142,15 +136,8 @@
   given: FloorRead & { onSent?(hold: Hold): void },
 ): Promise<Attempt> {
   const { task, floor, tried } = given;
-  const { route, workspace, context } = task;
-  const acquired = await ctx.dispatcher.acquire({
-    service: route.service,
-    workspace,
-    context,
-    priority: route.priority,
-    until: Math.max(getAdmitUntil(task), nowMs() + 1),
-    rank: () => rankFor(ctx, given),
-  });
+  const { context } = task;
+  const acquired = await acquireFor(ctx, task, () => rankFor(ctx, given));
   if (acquired.isErr()) {
     return toRefused(acquired.error);
   }
@@ -184,15 +171,12 @@
  * lost the lead refuses every statement.
  */
 async function readAtPrimary(ctx: WorkContext, task: Task): Promise<Attempt> {
-  const { route, workspace, context } = task;
-  const acquired = await ctx.dispatcher.acquire({
-    service: route.service,
-    workspace,
-    context,
-    priority: route.priority,
-    until: Math.max(getAdmitUntil(task), nowMs() + 1),
-    rank: () => listPrimary(ctx, route.service),
-  });
+  const { route, context } = task;
+  const acquired = await acquireFor(
+    ctx,
+    task,
+    () => listPrimary(ctx, route.service),
+  );
   if (acquired.isErr()) {
     return toRefused(acquired.error);
   }
@@ -227,25 +211,8 @@
   return attempt;
 }
 
-/** Takes the position of a target that proved to be primary. */
-export function notePrimary(
-  ctx: WorkContext,
-  hold: Hold,
-  given: {
-    readonly position: { readonly term: number; readonly pos: number };
-    readonly askedAt: number;
-  },
-): void {
-  const { service, id } = hold.target;
-  const { position, askedAt } = given;
-  ctx.leaders.note(service, id, { kind: "answered", term: position.term });
-  ctx.getFloors(service).note(position, askedAt);
-}
-
-function toRefused(
-  error: { readonly error: string; readonly detail?: string },
-): Attempt {
-  return { kind: "outcome", outcome: { kind: "failed", ...error } as Outcome };
+function toRefused(failure: PoolFailure): Attempt {
+  return { kind: "outcome", outcome: { kind: "failed", ...failure } };
 }
 
 function toAttempt(reply: TimedReply): Attempt {
@@ -266,20 +233,6 @@
   return { kind: "retry", reason: describe(reply) };
 }
 
-/** Says for logs and clients what a target answered. */
-export function describe(reply: TimedReply): string {
-  switch (reply.kind) {
-    case "done":
-      return "done";
-    case "error":
-      return `the target answered ${reply.code}`;
-    case "lost":
-      return `the connection to the target was lost: ${reply.detail}`;
-    case "silent":
-      return "the target did not answer in time";
-  }
-}
-
 function isBusy(reply: TimedReply): boolean {
   return reply.kind === "error" && reply.code === "busy";
 }
--- a/src/pooling/takeover.ts
+++ b/src/pooling/takeover.ts
@@ -3,7 +3,7 @@
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
 import { control } from "./control.ts";
-import type { Duty, FailoverCause } from "./failover.ts";
+import type { Duty, FailoverCause } from "./duty.ts";
 import { type Fenced, getRequiredCount, trySuccessor } from "./succession.ts";
 import type { PromoteRes, TargetRecord, TargetReport } from "./types.ts";
 import type { WorkContext } from "./work.ts";
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -3,17 +3,14 @@
 import { nowMs, sleep } from "../core/clock.ts";
 import type { Hold } from "./dispatch.ts";
 import type { ContextNeed } from "./link_context.ts";
-import { getLeftMs } from "./ranking.ts";
-import {
-  describe,
-  getAdmitUntil,
-  notePrimary,
-  rankFor,
-  tryFloor,
-} from "./reads.ts";
+import { rankFor, tryFloor } from "./reads.ts";
 import type { Position, TargetCommand } from "./types.ts";
 import {
+  acquireFor,
+  describe,
+  getTimeLeftMs,
   listPrimary,
+  notePrimary,
   noteReply,
   type Outcome,
   prepareLink,
@@ -88,17 +85,14 @@
       // A read-only transaction at a primary is begun as a plain one, in
       // which a target that lost the lead refuses every statement.
       const floor = isReadOnly ? tryFloor(ctx, task) : undefined;
-      const acquired = await ctx.dispatcher.acquire({
-        service: task.route.service,
-        workspace: task.workspace,
-        context: task.context,
-        priority: task.route.priority,
-        until: Math.max(getAdmitUntil(task), nowMs() + 1),
-        rank: () =>
+      const acquired = await acquireFor(
+        ctx,
+        task,
+        () =>
           floor
             ? rankFor(ctx, { task, floor, tried })
             : listPrimary(ctx, task.route.service),
-      });
+      );
       if (acquired.isErr()) {
         return { kind: "failed", ...acquired.error };
       }
@@ -110,7 +104,7 @@
       const fault = await prepareLink(taken, {
         context: task.context,
         then,
-        timeoutMs: getTaskLeftMs(task),
+        timeoutMs: getTimeLeftMs(task),
       });
       if (!fault) {
         return taken;
@@ -139,7 +133,7 @@
     }
     const fault = await prepareLink(hold, {
       context: task.context,
-      timeoutMs: getTaskLeftMs(task),
+      timeoutMs: getTimeLeftMs(task),
     });
     return fault
       ? { kind: "failed", error: "aborted", detail: describe(fault) }
@@ -154,11 +148,11 @@
     const { task, command } = given;
     for (let attempt = 1;; attempt++) {
       const sentAt = nowMs();
-      const reply = await sendTimed(held, command, getTaskLeftMs(task));
+      const reply = await sendTimed(held, command, getTimeLeftMs(task));
       noteReply(ctx, held, { reply, ms: nowMs() - sentAt });
       const isRefused = reply.kind === "error" && reply.code === "busy" &&
         reply.state === "open";
-      if (!isRefused || attempt >= MAX_BUSY || getTaskLeftMs(task) <= 0) {
+      if (!isRefused || attempt >= MAX_BUSY || getTimeLeftMs(task) <= 0) {
         return { reply, sentAt };
       }
       await sleep(BUSY_PAUSE_MS * attempt);
@@ -262,10 +256,6 @@
   };
 }
 
-function getTaskLeftMs(task: Task): number {
-  return getLeftMs(task.startedAt + task.route.statementTimeoutMs);
-}
-
 /** What a client is told whose commit was not answered as done. */
 function toCommitFailure(
   reply: Exclude<TimedReply, { readonly kind: "done" }>,
--- a/src/pooling/work.ts
+++ b/src/pooling/work.ts
@@ -1,5 +1,7 @@
 /** Runs one statement on a connection that was handed out. */
 
+import type { Result } from "ts-results-es";
+import { nowMs } from "../core/clock.ts";
 import type { ReqId, ServiceId, WorkspaceId } from "../core/ids.ts";
 import type { CatalogHolder } from "./catalog.ts";
 import type { ClockGuard } from "./clock_guard.ts";
@@ -70,6 +72,47 @@
   }
   | ({ readonly kind: "failed" } & PoolFailure);
 
+/** Share of the latency objective that may be spent waiting for a connection. */
+const ADMISSION_SHARE = 0.5;
+
+/** Takes a connection to one of the ranked targets while it is of use. */
+export function acquireFor(
+  ctx: WorkContext,
+  task: Task,
+  rank: () => readonly TargetRecord[],
+): Promise<Result<Hold, PoolFailure>> {
+  const { route, workspace, context, startedAt } = task;
+  return ctx.dispatcher.acquire({
+    service: route.service,
+    workspace,
+    context,
+    priority: route.priority,
+    until: Math.max(
+      startedAt + route.objectiveMs * ADMISSION_SHARE,
+      nowMs() + 1,
+    ),
+    rank,
+  });
+}
+
+/** Time that the statement may still take, in milliseconds. */
+export function getTimeLeftMs(task: Task): number {
+  const until = task.startedAt + task.route.statementTimeoutMs;
+  return Math.max(0, until - nowMs());
+}
+
+/** Takes the position of a target that proved to be primary. */
+export function notePrimary(
+  ctx: WorkContext,
+  hold: Hold,
+  given: { readonly position: Position; readonly askedAt: number },
+): void {
+  const { service, id } = hold.target;
+  const { position, askedAt } = given;
+  ctx.leaders.note(service, id, { kind: "answered", term: position.term });
+  ctx.getFloors(service).note(position, askedAt);
+}
+
 /** A reply, or none within the time given. */
 export type TimedReply = TargetReply | { readonly kind: "silent" };
 
@@ -187,3 +230,17 @@
   return (reply.kind === "done" || reply.kind === "error") &&
     reply.state === "idle";
 }
+
+/** Says for logs and clients what a target answered. */
+export function describe(reply: TimedReply): string {
+  switch (reply.kind) {
+    case "done":
+      return "done";
+    case "error":
+      return `the target answered ${reply.code}`;
+    case "lost":
+      return `the connection to the target was lost: ${reply.detail}`;
+    case "silent":
+      return "the target did not answer in time";
+  }
+}
--- a/src/pooling/writes.ts
+++ b/src/pooling/writes.ts
@@ -2,11 +2,13 @@
 
 import { nowMs, sleep } from "../core/clock.ts";
 import type { Hold } from "./dispatch.ts";
-import { getLeftMs } from "./ranking.ts";
-import { describe, getAdmitUntil, notePrimary } from "./reads.ts";
 import {
+  acquireFor,
+  describe,
+  getTimeLeftMs,
   isClean,
   listPrimary,
+  notePrimary,
   noteReply,
   type Outcome,
   prepareLink,
@@ -24,17 +26,14 @@
 
 /** Runs a single write for a session. */
 export async function write(ctx: WorkContext, task: Task): Promise<Outcome> {
-  const { route, workspace, context } = task;
+  const { service } = task.route;
   let reason = "not sent";
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-    const acquired = await ctx.dispatcher.acquire({
-      service: route.service,
-      workspace,
-      context,
-      priority: route.priority,
-      until: Math.max(getAdmitUntil(task), nowMs() + 1),
-      rank: () => listPrimary(ctx, route.service),
-    });
+    const acquired = await acquireFor(
+      ctx,
+      task,
+      () => listPrimary(ctx, service),
+    );
     if (acquired.isErr()) {
       return { kind: "failed", ...acquired.error };
     }
@@ -59,10 +58,9 @@
   task: Task,
   hold: Hold,
 ): Promise<Sent> {
-  const until = task.startedAt + task.route.statementTimeoutMs;
   const fault = await prepareLink(hold, {
     context: task.context,
-    timeoutMs: getLeftMs(until),
+    timeoutMs: getTimeLeftMs(task),
   });
   if (fault || !hold.pooled.link.isOpen()) {
     hold.release(false);
@@ -72,7 +70,7 @@
   const reply = await sendTimed(
     hold,
     toCommand(task.work, { hold }),
-    getLeftMs(until),
+    getTimeLeftMs(task),
   );
   noteReply(ctx, hold, { reply, ms: nowMs() - sentAt });
   hold.release(isClean(reply));
