--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -32,7 +32,7 @@
 import { vi } from "vitest";
 
 const SERVICE = asId<TargetRecord["service"]>("ledger");
-const CATALOG_KEY = asId<ObjectKey>("config/main");
+const CATALOG_KEY = asId<ObjectKey>("catalog/main");
 
 /** What a test may choose. */
 export interface PoolFleetOptions {
@@ -121,7 +121,7 @@
 
   function register(id: string, change: Partial<TargetRecord> = {}): void {
     const { record } = group.targets.find((t) => t.record.id === id)!;
-    put(asId<ObjectKey>(`servers/${id}`), { ...record, ...change });
+    put(asId<ObjectKey>(`targets/${id}`), { ...record, ...change });
   }
 
   function createStore(host: string): PlatformStore {
@@ -193,9 +193,9 @@
       regions: new Map(),
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
       decoding: {
-        catalogPrefix: "config/",
+        catalogPrefix: "catalog/",
         catalogKey: CATALOG_KEY,
-        targetPrefix: "servers/",
+        targetPrefix: "targets/",
         tryDecodeCatalog: (value) => value as Catalog,
         tryDecodeTarget: (object: StoredObject) =>
           object.value as TargetRecord | undefined,
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -259,7 +259,7 @@
     role === "primary" && record.id !== "t1"
   )!;
   fleet.register(leader.record.id, { role: "primary" });
-  fleet.store.remove("servers/t1" as never);
+  fleet.store.remove("targets/t1" as never);
   await vi.advanceTimersByTimeAsync(4_000);
   // It is back and has not yet heard that it was replaced.
   fleet.getTarget("t1").faults.isDark = false;
@@ -395,7 +395,7 @@
   fleet.cutFromStore.add("all");
   await vi.advanceTimersByTimeAsync(4_000);
   for (const id of ["t1", "t2", "t3"]) {
-    fleet.store.remove(`servers/${id}` as never);
+    fleet.store.remove(`targets/${id}` as never);
   }
   fleet.cutFromStore.clear();
   await vi.advanceTimersByTimeAsync(1_000);
