Finish an order that got no answer before giving any other

Change: the target of an unanswered order is written to the duty. Until it leads, it is the successor whoever holds the duty, under a new token each time; nobody else is promoted if it is complete, and replicas stay paused. No order is given for a primary that is to stay. Not proved: if the target of the open order is not complete or not reachable, another one is promoted, and the old order may still take effect before that one's does.

--- a/src/pooling/duty.ts
+++ b/src/pooling/duty.ts
@@ -1,6 +1,6 @@
 /** The duty to replace the primary of a service, as it lies in the store. */
 
-import type { HostId } from "../core/ids.ts";
+import type { HostId, TargetId } from "../core/ids.ts";
 
 /** Why a primary is replaced. */
 export type FailoverCause =
@@ -17,8 +17,11 @@
   /** Rises with every claim; the platform refuses older ones. */
   readonly fencingToken: number;
   readonly isDone: boolean;
-  /** An order of this or an older claim may still take effect. */
-  readonly isOrderOpen: boolean;
+  /**
+   * Target of an order that got no answer and may take effect at any time.
+   * Until it leads nobody else is promoted and nothing is resumed.
+   */
+  readonly openTarget?: TargetId;
 }
 
 /** Decodes what the store holds; undefined if it is not a duty. */
@@ -29,7 +32,7 @@
       holder: duty.holder,
       fencingToken: duty.fencingToken,
       isDone: duty.isDone === true,
-      isOrderOpen: duty.isOrderOpen === true,
+      ...(duty.openTarget === undefined ? {} : { openTarget: duty.openTarget }),
     }
     : undefined;
 }
--- a/src/pooling/failover.ts
+++ b/src/pooling/failover.ts
@@ -17,6 +17,8 @@
 const TAKEOVER_MS = 7_000;
 /** Time after a change of primary in which no further one is made. */
 const COOLDOWN_MS = 3_000;
+/** Pause before an order that got no answer is given again. */
+const REORDER_MS = 300;
 /** A replica paused for longer was left behind; no takeover lasts as long. */
 const LEFT_PAUSED_MS = 8_000;
 /** The same while no takeover is under way. */
@@ -97,8 +99,11 @@
   function isDutyFree(service: ServiceId): boolean {
     const key = getDutyKey(service);
     const duty = tryDecodeDuty(fleet.tryGet(key)?.value);
-    return !duty || fleet.getAgeMs(key) >
-        (duty.isDone ? COOLDOWN_MS : TAKEOVER_MS);
+    if (!duty) {
+      return true;
+    }
+    const restMs = duty.openTarget === undefined ? COOLDOWN_MS : REORDER_MS;
+    return fleet.getAgeMs(key) > (duty.isDone ? restMs : TAKEOVER_MS);
   }
 
   async function claim(
@@ -112,7 +117,9 @@
       holder: self,
       fencingToken: (previous?.fencingToken ?? 0) + 1,
       isDone: false,
-      isOrderOpen: previous?.isOrderOpen ?? false,
+      ...(previous?.openTarget === undefined
+        ? {}
+        : { openTarget: previous.openTarget }),
     };
     const isClaimed = await put(service, duty, known?.version ?? 0);
     if (!isClaimed) {
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -19,6 +19,8 @@
   readonly oldPrimary: TargetId | undefined;
   /** The old primary may lead again if nothing else is safe. */
   readonly mayKeep: boolean;
+  /** Chosen before all others if it is safe. */
+  readonly preferred?: TargetId | undefined;
 }
 
 /**
@@ -53,7 +55,8 @@
     isAtLeast(report.position, end)
   );
   const isOld = ({ target }: Fenced) => target.id === options.oldPrimary;
-  return complete.find((one) => !isOld(one) && !one.target.isDraining) ??
+  return complete.find(({ target }) => target.id === options.preferred) ??
+    complete.find((one) => !isOld(one) && !one.target.isDraining) ??
     (options.mayKeep ? complete.find(isOld) : undefined) ??
     complete.find((one) => !isOld(one));
 }
--- a/src/pooling/takeover.ts
+++ b/src/pooling/takeover.ts
@@ -171,15 +171,15 @@
   async function promote(
     service: ServiceId,
     given: { readonly target: TargetRecord; readonly duty: Duty },
-  ): Promise<TakeoverResult> {
+  ): Promise<"promoted" | "not_promoted" | "refused"> {
     const { target, duty } = given;
     const res = await order(service, { target: target.id, duty });
+    if (res === "refused") {
+      return "refused";
+    }
     const until = nowMs() + LEAD_MS;
-    while (res !== "refused" && nowMs() < until) {
+    while (nowMs() < until) {
       await sleep(POLL_MS);
-      if (ctx.leaders.tryPrimary(service) === target.id) {
-        return "promoted";
-      }
       const report = await control(ctx, target, { kind: "status" });
       if (report?.role === "primary") {
         return "promoted";
@@ -209,31 +209,13 @@
     return res.kind;
   }
 
-  /**
-   * Lets replicas receive again. Orders that may still be on their way were
-   * given by hosts that have read logs which are about to grow, so the
-   * platform is made to refuse them first: an order for the present primary
-   * changes nothing but the newest token seen.
-   */
-  async function resumeAll(service: ServiceId, duty: Duty): Promise<Duty> {
+  /** Lets replicas receive again that a takeover has paused. */
+  async function resumeAll(service: ServiceId): Promise<void> {
     const reports = await askAll(ctx.directory.list(service));
-    let settled = duty;
-    if (duty.isOrderOpen) {
-      const leading = reports.find(({ report }) => report.role === "primary");
-      const isSettled = leading !== undefined &&
-        await order(service, { target: leading.target.id, duty }) ===
-          "accepted";
-      if (!isSettled) {
-        ctx.io.log.info("replicas_stay_paused", { service });
-        return duty;
-      }
-      settled = { ...duty, isOrderOpen: false };
-    }
     await Promise.all(
       reports.filter(({ report }) => report.pausedTerm > 0)
         .map(({ target }) => control(ctx, target, { kind: "resume" })),
     );
-    return settled;
   }
 
   async function replace(
@@ -247,14 +229,19 @@
     if (!fenced) {
       return { result: "too_few", duty };
     }
-    const ordering: Duty = { ...duty, isOrderOpen: true };
+    const succession = {
+      ...getSuccession(service, { cause, oldPrimary }),
+      // An older order may make this one lead at any time, so it shall.
+      preferred: duty.openTarget,
+    };
+    const chosen = trySuccessor(fenced, succession);
+    const ordering: Duty = { ...duty, ...toOpen(chosen) };
     if (!await options.update(service, ordering)) {
       return { result: "overtaken", duty };
     }
     const confirmed = await confirm(fenced, term);
-    const succession = getSuccession(service, { cause, oldPrimary });
     const successor = trySuccessor(confirmed, succession);
-    if (!successor) {
+    if (!successor || successor.target.id !== chosen?.target.id) {
       ctx.io.log.info("failover_overtaken", {
         service,
         confirmed: confirmed.length,
@@ -265,26 +252,71 @@
     }
     const { target } = successor;
     const result = await promote(service, { target, duty: ordering });
-    const isOrderOpen = result !== "promoted";
-    return { result, duty: { ...ordering, isOrderOpen } };
+    switch (result) {
+      case "promoted":
+        return { result, duty: toClosed(ordering) };
+      case "refused":
+        // An answered order does not take effect later.
+        return { result: "not_promoted", duty };
+      case "not_promoted":
+        return { result, duty: ordering };
+    }
+  }
+
+  /** Whether the target of an open order leads by now. */
+  async function isSettled(service: ServiceId, duty: Duty): Promise<boolean> {
+    const target = ctx.directory.list(service)
+      .find(({ id }) => id === duty.openTarget);
+    const report = target &&
+      await control(ctx, target, { kind: "status" });
+    return report?.role === "primary";
+  }
+
+  /** What there is to do for a claim. */
+  async function settle(
+    service: ServiceId,
+    given: { readonly cause: FailoverCause; readonly duty: Duty },
+  ): Promise<{ readonly result: TakeoverResult; readonly duty: Duty }> {
+    const { cause, duty } = given;
+    if (duty.openTarget !== undefined) {
+      return await isSettled(service, duty)
+        ? { result: "promoted", duty: toClosed(duty) }
+        : await replace(service, given);
+    }
+    return await tryLiving(service, cause) === undefined
+      ? await replace(service, given)
+      : { result: "not_needed", duty };
   }
 
   return {
     async run(service, given) {
-      const living = await tryLiving(service, given.cause);
-      const { result, duty } = living === undefined
-        ? await replace(service, given)
-        : { result: "not_needed" as const, duty: given.duty };
+      const { result, duty } = await settle(service, given);
       // Whoever holds the duty by now resumes what it does not need.
       if (await options.update(service, duty)) {
-        const settled = await resumeAll(service, duty);
-        await options.update(service, { ...settled, isDone: true });
+        if (duty.openTarget === undefined) {
+          await resumeAll(service);
+        } else {
+          ctx.io.log.info("replicas_stay_paused", {
+            service,
+            openTarget: duty.openTarget,
+          });
+        }
+        await options.update(service, { ...duty, isDone: true });
       }
       return result;
     },
   };
 }
 
+function toOpen(chosen: Fenced | undefined): { openTarget?: TargetId } {
+  return chosen ? { openTarget: chosen.target.id } : {};
+}
+
+/** The duty once the target of its order leads. */
+function toClosed({ openTarget: _, ...duty }: Duty): Duty {
+  return duty;
+}
+
 function isFenced(report: TargetReport, term: number): boolean {
   return report.role === "replica" && report.pausedTerm >= term;
 }
--- a/test/pool_chaos.test.ts
+++ b/test/pool_chaos.test.ts
@@ -94,7 +94,7 @@
       const { id } = target.record;
       const ms = 300 + draw(3_000);
       const others = fleet.group.targets.filter(({ faults }) => faults.isDark);
-      switch (draw(7)) {
+      switch (draw(9)) {
         case 0:
           // Two dark targets of three may hold the only copies.
           if (others.length === 0) {
@@ -117,6 +117,11 @@
             setTimeout(() => fleet.cutTargets.delete(cut), ms);
           }
           return;
+        case 7:
+        case 8:
+          fleet.lateOrders.minMs = 500 + draw(2_500);
+          setTimeout(() => fleet.lateOrders.minMs = 0, 4_000);
+          return;
         case 4: {
           const host = `h${draw(3)}`;
           fleet.cutFromStore.add(host);
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -61,6 +61,8 @@
    * host, a slash and id; targets reach each other.
    */
   readonly cutTargets: Set<string>;
+  /** Orders get no answer and take effect this much later, if not 0. */
+  readonly lateOrders: { minMs: number };
   readonly lines: Line[];
   open(database: string, host?: number): Session;
   getTarget(id: string): StatementTarget;
@@ -82,6 +84,7 @@
   });
   const cutFromStore = new Set<string>();
   const cutTargets = new Set<string>();
+  const lateOrders = { minMs: 0 };
   const isSilent = (host: string, id: string) =>
     cutTargets.has(id) || cutTargets.has(`${host}/${id}`) ||
     group.targets.find((t) => t.record.id === id)?.faults.isDark === true;
@@ -174,8 +177,14 @@
         },
       },
       promoter: {
-        promote: ({ target, fencingToken }) =>
-          group.promote(target, fencingToken),
+        promote({ target, fencingToken }) {
+          if (lateOrders.minMs === 0) {
+            return group.promote(target, fencingToken);
+          }
+          const ms = lateOrders.minMs * (1 + 2 * random());
+          setTimeout(() => void group.promote(target, fencingToken), ms);
+          return Promise.resolve({ kind: "unknown", detail: "no answer" });
+        },
       },
       peers: {
         setAddresses() {},
@@ -220,6 +229,7 @@
     store,
     cutFromStore,
     cutTargets,
+    lateOrders,
     lines,
     setCatalog,
     register,
