Begin plain transactions in one place

Cause: reads.ts and transaction.ts each took a connection to the primary, sent the session's state and began, with the same steps. Change: begin.ts does it for both; behaviour as before. Shown by: session_pool, pool_chaos and platform_adapter tests, 50 passed.

--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -1,7 +1,9 @@
 /** Single reads: any target above the floor, or the primary proved as such. */
 
 import { nowMs, sleep } from "../core/clock.ts";
+import { assertNever } from "../core/errors.ts";
 import type { TargetId } from "../core/ids.ts";
+import { beginAtPrimary } from "./begin.ts";
 import type { Hold } from "./dispatch.ts";
 import type { Floor } from "./floor_log.ts";
 import type { PoolFailure } from "./errors.ts";
@@ -12,7 +14,6 @@
   describe,
   getTimeLeftMs,
   isClean,
-  listPrimary,
   listUsable,
   notePrimary,
   noteReply,
@@ -166,31 +167,26 @@
   return attempt;
 }
 
-/**
- * Reads inside a plain transaction of this host's own, in which a target that
- * lost the lead refuses every statement.
- */
+/** Reads inside a plain transaction of this host's own. */
 async function readAtPrimary(ctx: WorkContext, task: Task): Promise<Attempt> {
-  const { route, context } = task;
-  const acquired = await acquireFor(
-    ctx,
-    task,
-    () => listPrimary(ctx, route.service),
-  );
-  if (acquired.isErr()) {
-    return toRefused(acquired.error);
-  }
-  const hold = acquired.value;
-  const fault = await prepareLink(hold, {
-    context,
-    then: { kind: "begin", isReadOnly: false },
-    timeoutMs: getTimeLeftMs(task),
-  });
-  if (fault) {
-    noteReply(ctx, hold, { reply: fault, ms: 0 });
-    hold.release(false);
-    return { kind: "retry", reason: describe(fault) };
+  const begun = await beginAtPrimary(ctx, task);
+  switch (begun.kind) {
+    case "refused":
+      return toRefused(begun.failure);
+    case "fault":
+      return { kind: "retry", reason: begun.reason };
+    case "begun":
+      return await readIn(ctx, task, begun.hold);
+    default:
+      return assertNever(begun);
   }
+}
+
+async function readIn(
+  ctx: WorkContext,
+  task: Task,
+  hold: Hold,
+): Promise<Attempt> {
   const sentAt = nowMs();
   const sent = sendTimed(
     hold,
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -1,15 +1,14 @@
 /** Transactions: pinned to one connection from their first statement on. */
 
 import { nowMs, sleep } from "../core/clock.ts";
+import { beginAtPrimary, beginOn } from "./begin.ts";
 import type { Hold } from "./dispatch.ts";
 import type { ContextNeed } from "./link_context.ts";
 import { rankFor, tryFloor } from "./reads.ts";
 import type { Position, TargetCommand } from "./types.ts";
 import {
-  acquireFor,
   describe,
   getTimeLeftMs,
-  listPrimary,
   notePrimary,
   noteReply,
   type Outcome,
@@ -82,37 +81,23 @@
     const tried = new Set<Hold["target"]["id"]>();
     let reason = "not begun";
     for (let attempt = 0; attempt < MAX_BEGINS; attempt++) {
-      // A read-only transaction at a primary is begun as a plain one, in
-      // which a target that lost the lead refuses every statement.
+      // A read-only transaction at a primary is begun as a plain one.
       const floor = isReadOnly ? tryFloor(ctx, task) : undefined;
-      const acquired = await acquireFor(
-        ctx,
-        task,
-        () =>
-          floor
-            ? rankFor(ctx, { task, floor, tried })
-            : listPrimary(ctx, task.route.service),
-      );
-      if (acquired.isErr()) {
-        return { kind: "failed", ...acquired.error };
+      const begun = floor
+        ? await beginOn(ctx, task, {
+          list: () => rankFor(ctx, { task, floor, tried }),
+          command: { kind: "begin", isReadOnly: true, after: floor.position },
+        })
+        : await beginAtPrimary(ctx, task);
+      if (begun.kind === "refused") {
+        return { kind: "failed", ...begun.failure };
       }
-      const taken = acquired.value;
-      isPlain = !floor;
-      const then: TargetCommand = floor
-        ? { kind: "begin", isReadOnly: true, after: floor.position }
-        : { kind: "begin", isReadOnly: false };
-      const fault = await prepareLink(taken, {
-        context: task.context,
-        then,
-        timeoutMs: getTimeLeftMs(task),
-      });
-      if (!fault) {
-        return taken;
+      if (begun.kind === "begun") {
+        isPlain = !floor;
+        return begun.hold;
       }
-      tried.add(taken.target.id);
-      noteReply(ctx, taken, { reply: fault, ms: 0 });
-      taken.release(false);
-      reason = describe(fault);
+      tried.add(begun.target);
+      reason = begun.reason;
     }
     return { kind: "failed", error: "overloaded", detail: reason };
   }
