--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -184,10 +184,20 @@
   /** Answers when an object under `prefix` changes, or after `waitMs`. */
   watch(
     prefix: string,
-    options: { readonly after: number; readonly waitMs: number },
+    options: WatchOptions,
   ): Promise<Result<WatchRes, PlatformErr>>;
 }
 
+/** What a watch is asked with. */
+export interface WatchOptions {
+  /** Revision after which changes are told. */
+  readonly after: number;
+  /** Longest wait for a change, in milliseconds. */
+  readonly waitMs: number;
+  /** Whether changes may be told seconds late; the store then charges less. */
+  readonly mayBeLate?: boolean;
+}
+
 /** A change of state, written as one line of the log. */
 export interface StateChange {
   /** Name of the component, as in the `debug` namespace. */
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -28,6 +28,12 @@
 const RETRY_MS = 400;
 /** Longest wait of one watch; nothing here is urgent. */
 const WATCH_WAIT_MS = 10_000;
+/**
+ * Least time between two watches for each registered host, in milliseconds.
+ * Every change wakes every host, so their sum grows with the square of the
+ * fleet unless changes are told together.
+ */
+const SPACING_PER_HOST_MS = 25;
 
 /** Key of the record of who replaces the primary of a service. */
 export function getDutyKey(service: string): ObjectKey {
@@ -101,6 +107,9 @@
   const feed: StoreFeed = createStoreFeed(io, {
     prefix: `${KIND}/`,
     waitMs: WATCH_WAIT_MS,
+    // Updates here are conditional, so a late view costs a conflict at most.
+    mayBeLate: true,
+    getSpacingMs: () => SPACING_PER_HOST_MS * listHosts().length,
     handlers: {
       onList(listed) {
         const keys = new Set(listed.map(({ key }) => key));
@@ -136,7 +145,7 @@
     }
     if (key.startsWith(HOST_PREFIX) && !known !== (version === 0)) {
       const event = version === 0 ? "host_left" : "host_seen";
-      io.log.info(event, { host: key.slice(HOST_PREFIX.length) });
+      io.log.info(event, { peer: key.slice(HOST_PREFIX.length) });
     }
     if (key.startsWith(HOST_PREFIX)) {
       io.peers.setAddresses(listAddresses());
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -162,7 +162,7 @@
         .some((share) => share > getFloorShare(hostCount))
     );
     if (silent) {
-      io.log.info("shares_reclaimed", { host: silent });
+      io.log.info("shares_reclaimed", { peer: silent });
       await update(reclaim(ledger, { host: silent, hostCount }));
       return;
     }
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -36,6 +36,13 @@
     readonly prefix: string;
     /** Longest wait of one watch, in milliseconds. */
     readonly waitMs?: number;
+    /** Whether changes may be told seconds late; the store charges less. */
+    readonly mayBeLate?: boolean;
+    /**
+     * Least time between two watches, in milliseconds: changes in between are
+     * told together.
+     */
+    getSpacingMs?(): number;
     readonly handlers: FeedHandlers;
   },
 ): StoreFeed {
@@ -78,6 +85,7 @@
     const changes = await io.store.watch(prefix, {
       after: revision,
       waitMs: options.waitMs ?? WATCH_WAIT_MS,
+      mayBeLate: options.mayBeLate ?? false,
     });
     if (changes.isErr()) {
       if (changes.error.kind === "history_gone") {
@@ -97,8 +105,13 @@
   async function run(): Promise<void> {
     let pauseMs = MIN_RETRY_MS;
     while (!isStopped) {
+      const startedAt = nowMs();
       if (await step()) {
         pauseMs = MIN_RETRY_MS;
+        const restMs = startedAt + (options.getSpacingMs?.() ?? 0) - nowMs();
+        if (restMs > 0) {
+          await sleep(restMs);
+        }
         continue;
       }
       await sleep(pauseMs * (0.5 + io.random()));
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -254,6 +254,25 @@
   return createObjectStore(`http://127.0.0.1:${port}`, { caller: "test" });
 }
 
+test("a watch that may be late is asked for as such", async () => {
+  const urls: string[] = [];
+  const server = createServer((req, res) => {
+    urls.push(req.url ?? "");
+    res.end(JSON.stringify({ events: [], currentRev: 3 }));
+  });
+  closing.push(server);
+  const port = await listen(server, 0);
+  const store = createObjectStore(`http://127.0.0.1:${port}`, {
+    caller: "test",
+  });
+  await store.watch("things/", { after: 3, waitMs: 10 });
+  await store.watch("things/", { after: 3, waitMs: 10, mayBeLate: true });
+  expect(urls).toEqual([
+    "/objects/things?watch=3&waitMs=10",
+    "/objects/things?watch=3&waitMs=10&staleOk=1",
+  ]);
+});
+
 test("answers of the store are told apart", async () => {
   const cases: readonly [number, string][] = [
     [200, "not json"],
