--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -84,7 +84,8 @@
     }
     const changes = await io.store.watch(prefix, {
       after: revision,
-      waitMs: options.waitMs ?? WATCH_WAIT_MS,
+      // After a failure a short answer tells sooner that the store is back.
+      waitMs: isLost ? 0 : options.waitMs ?? WATCH_WAIT_MS,
       mayBeLate: options.mayBeLate ?? false,
     });
     if (changes.isErr()) {
--- a/test/store_feed.test.ts
+++ b/test/store_feed.test.ts
@@ -1,3 +1,4 @@
+import { Err, Ok } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
 import type { PlatformStore } from "../src/core/types.ts";
@@ -19,7 +20,7 @@
     async watch(prefix, options) {
       watches++;
       const changes = await waitForChange(core, { prefix, ...options });
-      return { isOk: () => true, isErr: () => false, value: changes } as never;
+      return Ok(changes);
     },
   };
   const feed = createStoreFeed(
@@ -49,3 +50,47 @@
   expect(spaced.seen).toBe(400);
   expect(spaced.watches).toBeLessThanOrEqual(13);
 });
+
+test("a store that is back is heard soon, though nothing changes", async () => {
+  const core = createPlatformCore();
+  const state = { isDown: false };
+  const silence = (ms: number) =>
+    new Promise<never>((resolve) =>
+      setTimeout(
+        () => resolve(Err({ kind: "unreachable" }) as never),
+        ms,
+      )
+    );
+  const store: PlatformStore = {
+    ...createMemoryStore(core),
+    // A call that meets a silent store ends 1.5 s after its own wait.
+    async watch(prefix, options) {
+      return state.isDown
+        ? await silence(options.waitMs + 1_500)
+        : Ok(await waitForChange(core, { prefix, ...options }));
+    },
+  };
+  let regainedAt: number | undefined;
+  const feed = createStoreFeed(
+    { store, log: { info() {}, request() {} }, random: () => 0.5 },
+    {
+      prefix: "hosts/",
+      handlers: {
+        onList() {},
+        onChange() {},
+        onRegained: () => void (regainedAt = performance.now()),
+      },
+    },
+  );
+  feed.start();
+  await vi.advanceTimersByTimeAsync(1_000);
+  state.isDown = true;
+  await vi.advanceTimersByTimeAsync(9_000);
+  expect(feed.isLost()).toBe(true);
+  const backAt = performance.now();
+  state.isDown = false;
+  await vi.advanceTimersByTimeAsync(10_000);
+  // One call that the silence had swallowed, and the pause before the next.
+  expect(regainedAt! - backAt).toBeLessThan(1_500 + 1_200);
+  feed.stop();
+});
