Leave replicas alone that cannot have caught up yet

A lag learnt from a refusal grew by half with every refusal in flight, and the age of a floor that a session's own commit set was that of another position. Change: the reported lag runs out with time; a replica whose least lag is longer than the floor's age is left out while another target that does not fail is left; a refused read makes it the age times 1.5; the age of an own floor is that of the sample that covers it.

--- a/src/pooling/begin.ts
+++ b/src/pooling/begin.ts
@@ -2,6 +2,7 @@
 
 import type { TargetId } from "../core/ids.ts";
 import type { Hold } from "./dispatch.ts";
+import type { Floor } from "./floor_log.ts";
 import type { PoolFailure } from "./errors.ts";
 import type { TargetCommand, TargetRecord } from "./types.ts";
 import {
@@ -34,6 +35,8 @@
   options: {
     list(): readonly TargetRecord[];
     readonly command: TargetCommand;
+    /** The floor that the command carries. */
+    readonly floor?: Floor;
   },
 ): Promise<Begun> {
   const acquired = await acquireFor(ctx, task, () => options.list());
@@ -49,7 +52,7 @@
   if (!fault) {
     return { kind: "begun", hold };
   }
-  noteReply(ctx, hold, { reply: fault, ms: 0 });
+  noteReply(ctx, hold, { reply: fault, ms: 0, floor: options.floor });
   hold.release(false);
   return { kind: "fault", target: hold.target.id, reason: describe(fault) };
 }
--- a/src/pooling/floor_log.ts
+++ b/src/pooling/floor_log.ts
@@ -22,6 +22,7 @@
 /** A floor with its age. */
 export interface Floor {
   readonly position: Position;
+  /** Time for which the position is known to have been reached. */
   readonly ageMs: number;
 }
 
@@ -100,9 +101,14 @@
       if (!own || own.term < term) {
         return { position: usable.position, ageMs };
       }
-      return isAtLeast(usable.position, own)
-        ? { position: usable.position, ageMs }
-        : { position: maxPosition(usable.position, own), ageMs };
+      if (isAtLeast(usable.position, own)) {
+        return { position: usable.position, ageMs };
+      }
+      const covering = samples.find(({ position }) => isAtLeast(position, own));
+      return {
+        position: maxPosition(usable.position, own),
+        ageMs: covering ? now - covering.askedAt : 0,
+      };
     },
     tryNewest() {
       dropVoid();
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -15,6 +15,11 @@
 const SILENT_FACTOR = 6;
 /** Weight of a new observation in the moving average of latency. */
 const EWMA_WEIGHT = 0.15;
+/**
+ * Multiple of the age of what a replica lacked that its lag is taken for: it
+ * is tried again after half of that age.
+ */
+const LAGGING_FACTOR = 1.5;
 /** Lag that is assumed until a replica showed another one, in milliseconds. */
 const DEFAULT_LAG_MS = 60;
 
@@ -27,6 +32,7 @@
   ejectedUntil: number;
   position: Position | undefined;
   lagMs: number;
+  lagAt: number;
   /** Commands that are not answered yet. */
   pending: number;
   /** Since when something is unanswered and nothing was heard. */
@@ -53,8 +59,8 @@
    * longer than usual. What is sent to it now may be in doubt.
    */
   isDoubtful(target: TargetId): boolean;
-  /** A replica lacked a position that a read needed. */
-  noteLagging(target: TargetId): void;
+  /** A replica lacked a position that was reached `ageMs` ago or earlier. */
+  noteLagging(target: TargetId, ageMs: number): void;
   /** Takes what a target reported of itself. */
   noteReport(
     target: TargetId,
@@ -65,7 +71,10 @@
   isEjected(target: TargetId): boolean;
   /** Moving average of the time to an answer; undefined without one. */
   tryLatencyMs(target: TargetId): number | undefined;
-  /** Lag of the replica as last known, in milliseconds. */
+  /**
+   * Least lag that the replica may have by now, in milliseconds: it catches up
+   * by a second each second at best while old entries hold it up.
+   */
   getLagMs(target: TargetId): number;
   /** Whether the target was seen at or past the position. */
   hasReached(target: TargetId, position: Position): boolean;
@@ -84,6 +93,7 @@
       ejectedUntil: -Infinity,
       position: undefined,
       lagMs: DEFAULT_LAG_MS,
+      lagAt: nowMs(),
       pending: 0,
       silentSince: undefined,
       pausedSince: undefined,
@@ -99,6 +109,11 @@
     record.ejectedUntil = -Infinity;
   }
 
+  function getLagMs(target: TargetId): number {
+    const { lagMs, lagAt } = get(target);
+    return Math.max(Math.min(lagMs, DEFAULT_LAG_MS), lagMs - (nowMs() - lagAt));
+  }
+
   return {
     noteServed(target, { ms, position }) {
       const record = get(target);
@@ -143,14 +158,15 @@
       const { failingSince } = get(target);
       return failingSince === undefined ? 0 : nowMs() - failingSince;
     },
-    noteLagging(target) {
+    noteLagging(target, ageMs) {
       const record = get(target);
-      // Half as much again until a status or a served read says otherwise.
-      record.lagMs = Math.min(10_000, record.lagMs * 1.5 + 20);
+      record.lagMs = Math.max(getLagMs(target), ageMs * LAGGING_FACTOR);
+      record.lagAt = nowMs();
     },
     noteReport(target, { lagMs, isPaused }) {
       const record = get(target);
       record.lagMs = lagMs;
+      record.lagAt = nowMs();
       record.pausedSince = isPaused ? record.pausedSince ?? nowMs() : undefined;
     },
     getPausedMs(target) {
@@ -159,7 +175,7 @@
     },
     isEjected: (target) => nowMs() < get(target).ejectedUntil,
     tryLatencyMs: (target) => get(target).latencyMs,
-    getLagMs: (target) => get(target).lagMs,
+    getLagMs,
     hasReached(target, position) {
       const seen = get(target).position;
       return seen !== undefined && isAtLeast(seen, position);
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -20,8 +20,6 @@
 const PRIMARY_BIAS_MS = 15;
 /** Put on targets that are used only when nothing else is left. */
 const EJECTED_MS = 5_000;
-/** Put on a replica that probably lacks the floor. */
-const LAGGING_MS = 400;
 /** Bytes between regions are dear, so near targets win a close call. */
 const FAR_BIAS_MS = 5;
 
@@ -43,12 +41,19 @@
   readonly context: ContextNeed;
 }
 
-/** Orders the targets that may serve a read above a floor, best first. */
+/**
+ * Orders the targets that may serve a read above a floor, best first. Replicas
+ * that probably lack the floor are left out while there is another target.
+ */
 export function rankReaders(
   targets: readonly TargetRecord[],
   options: RankOptions,
 ): TargetRecord[] {
-  return targets
+  const current = targets.filter((target) =>
+    target.id === options.primary || !isProbablyLagging(target, options)
+  );
+  const isEnough = current.some(({ id }) => !options.health.isEjected(id));
+  return (isEnough ? current : [...targets])
     .map((target) => ({ target, score: getScore(target, options) }))
     .sort((a, b) => a.score - b.score)
     .map(({ target }) => target);
@@ -62,11 +67,7 @@
   let score = latency * (1 + dispatcher.getLoad(target.id));
   score += rtt >= FAR_RTT_MS ? FAR_BIAS_MS : 0;
   score += health.isEjected(target.id) ? EJECTED_MS : 0;
-  if (target.id === options.primary) {
-    score += PRIMARY_BIAS_MS;
-  } else if (isProbablyLagging(target, options)) {
-    score += LAGGING_MS;
-  }
+  score += target.id === options.primary ? PRIMARY_BIAS_MS : 0;
   const option = dispatcher.tryOption(target, options);
   if (!option) {
     return score + latency;
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -157,7 +157,7 @@
     toCommand(task.work, { hold, after: floor.position }),
     getTimeLeftMs(task),
   );
-  noteReply(ctx, hold, { reply, ms: nowMs() - sentAt });
+  noteReply(ctx, hold, { reply, ms: nowMs() - sentAt, floor });
   hold.release(isClean(reply));
   const attempt = toAttempt(reply);
   logRead(ctx, task, { hold, attempt, floor });
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -87,6 +87,7 @@
         ? await beginOn(ctx, task, {
           list: () => rankFor(ctx, { task, floor, tried }),
           command: { kind: "begin", isReadOnly: true, after: floor.position },
+          floor,
         })
         : await beginAtPrimary(ctx, task);
       if (begun.kind === "refused") {
--- a/src/pooling/work.ts
+++ b/src/pooling/work.ts
@@ -8,7 +8,7 @@
 import type { Directory } from "./directory.ts";
 import type { Dispatcher, Hold } from "./dispatch.ts";
 import type { PoolFailure } from "./errors.ts";
-import type { FloorLog } from "./floor_log.ts";
+import type { Floor, FloorLog } from "./floor_log.ts";
 import type { Health } from "./health.ts";
 import type { Leaders } from "./leaders.ts";
 import {
@@ -203,9 +203,14 @@
 export function noteReply(
   ctx: WorkContext,
   hold: Hold,
-  given: { readonly reply: TimedReply; readonly ms: number },
+  given: {
+    readonly reply: TimedReply;
+    readonly ms: number;
+    /** The floor that the command carried. */
+    readonly floor?: Floor | undefined;
+  },
 ): void {
-  const { reply, ms } = given;
+  const { reply, ms, floor } = given;
   const { id } = hold.target;
   switch (reply.kind) {
     case "done":
@@ -213,7 +218,7 @@
       return;
     case "error":
       if (reply.code === "lagging") {
-        ctx.health.noteLagging(id);
+        ctx.health.noteLagging(id, floor?.ageMs ?? 0);
       } else if (reply.code === "read_only") {
         ctx.leaders.note(hold.target.service, id, { kind: "denied" });
       }
--- /dev/null
+++ b/test/ranking.test.ts
@@ -0,0 +1,86 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId, type TargetId } from "../src/core/ids.ts";
+import type { Dispatcher } from "../src/pooling/dispatch.ts";
+import { createClockGuard } from "../src/pooling/clock_guard.ts";
+import { createFloorLog, type Floor } from "../src/pooling/floor_log.ts";
+import { createHealth, type Health } from "../src/pooling/health.ts";
+import { rankReaders } from "../src/pooling/ranking.ts";
+import type { TargetRecord } from "../src/pooling/types.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const at = (term: number, pos: number) => ({ term, pos });
+const PRIMARY = asId<TargetId>("t1");
+const REPLICA = asId<TargetId>("t2");
+const TARGETS = ["t1", "t2"].map((id) => ({
+  id,
+  domain: "d1",
+})) as unknown as readonly TargetRecord[];
+const FLOOR: Floor = { position: at(1, 50), ageMs: 1_400 };
+
+/** Every target has an idle connection; the primary is the busier one. */
+const dispatcher = {
+  getLoad: (id: TargetId) => id === PRIMARY ? 0.9 : 0,
+  tryOption: () => ({ kind: "idle" }),
+} as unknown as Dispatcher;
+
+function rank(health: Health, floor = FLOOR): readonly TargetId[] {
+  return rankReaders(
+    TARGETS,
+    {
+      place: { domain: asId("d1"), regions: new Map() },
+      health,
+      dispatcher,
+      primary: PRIMARY,
+      floor,
+      workspace: asId("w"),
+      context: { values: new Map() },
+    } as Parameters<typeof rankReaders>[1],
+  ).map(({ id }) => id);
+}
+
+const report = { isPaused: false };
+
+test("a replica that reports a long lag is left alone until it can be over", () => {
+  const health = createHealth();
+  health.noteReport(REPLICA, { ...report, lagMs: 15_000 });
+  expect(rank(health)).toEqual([PRIMARY]);
+  vi.advanceTimersByTime(13_000);
+  expect(rank(health)).toEqual([PRIMARY]);
+  vi.advanceTimersByTime(1_000);
+  expect(rank(health)).toEqual([REPLICA, PRIMARY]);
+});
+
+test("a replica that lacked a floor is tried again after half its age", () => {
+  const health = createHealth();
+  health.noteLagging(REPLICA, 1_400);
+  health.noteLagging(REPLICA, 1_400);
+  expect(rank(health)).toEqual([PRIMARY]);
+  vi.advanceTimersByTime(650);
+  expect(rank(health)).toEqual([PRIMARY]);
+  vi.advanceTimersByTime(100);
+  expect(rank(health)).toEqual([REPLICA, PRIMARY]);
+});
+
+test("a replica that lags is still better than a primary that fails", () => {
+  const health = createHealth();
+  health.noteReport(REPLICA, { ...report, lagMs: 15_000 });
+  health.noteFailure(PRIMARY);
+  expect(rank(health)).toEqual([REPLICA, PRIMARY]);
+});
+
+test("the age of a floor that a session set itself is that of its commit", () => {
+  const floors = createFloorLog(createClockGuard());
+  const ask = (pos: number) => floors.note(at(1, pos), performance.now());
+  ask(10);
+  vi.advanceTimersByTime(1_000);
+  ask(20);
+  vi.advanceTimersByTime(500);
+  const tryFloor = (pos: number) =>
+    floors.tryFloor({ maxStaleMs: 2_500, own: at(1, pos) });
+  expect(tryFloor(5)).toEqual({ position: at(1, 10), ageMs: 1_500 });
+  expect(tryFloor(15)).toEqual({ position: at(1, 15), ageMs: 500 });
+  // Newer than every sample: nothing is known of how long it is reached.
+  expect(tryFloor(25)).toEqual({ position: at(1, 25), ageMs: 0 });
+});
