Ask replicas less often in a larger fleet

Cause: every host asked every replica for its status each 3 s, 260 a second of the grown site's 65 hosts; each takes a slot, and often a connection that another workspace then replaces. Change: the interval grows with the fleet beyond 8 hosts, so that a replica gets as many questions from any fleet. Lag shows in reads, and a replica left paused is still seen within a second or two by some host. Shown by: test/probes.test.ts.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -152,7 +152,10 @@
         return assertNever(msg);
     }
   });
-  const probes = createProbes(ctx, sharing);
+  const probes = createProbes(ctx, {
+    sharing,
+    countHosts: fleet.countHosts,
+  });
   const failover = createFailover(ctx, { self: options.host, fleet });
   const catalogFeed = createStoreFeed(io, {
     prefix: decoding.catalogPrefix,
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -20,6 +20,16 @@
 const SUSPECT_INTERVAL_MS = 250;
 /** Time between two questions to a replica, in milliseconds. */
 const REPLICA_INTERVAL_MS = 3_000;
+/**
+ * Hosts up to which the interval holds; more ask less often, as a question
+ * takes a slot of the target, and lag shows in the answers to reads too.
+ */
+const REPLICA_HOSTS = 8;
+
+/** Time between two questions of one host to a replica, in milliseconds. */
+export function getReplicaIntervalMs(hostCount: number): number {
+  return REPLICA_INTERVAL_MS * Math.max(1, hostCount / REPLICA_HOSTS);
+}
 
 /** Running probes. */
 export interface Probes extends Stoppable {
@@ -29,8 +39,13 @@
 /** Creates the probes of all services in the catalog. */
 export function createProbes(
   ctx: WorkContext,
-  sharing: FloorSharing,
+  options: {
+    readonly sharing: FloorSharing;
+    /** Hosts that run, this one included. */
+    countHosts(): number;
+  },
 ): Probes {
+  const { sharing } = options;
   const askedAt = new Map<TargetId, number>();
   const peerAskedAt = new Map<ServiceId, number>();
   let timer: NodeJS.Timeout | undefined;
@@ -44,7 +59,7 @@
       return SUSPECT_INTERVAL_MS;
     }
     if (primary !== id) {
-      return REPLICA_INTERVAL_MS;
+      return getReplicaIntervalMs(options.countHosts());
     }
     const ageMs = ctx.getFloors(service).getAgeMs();
     const dueMs = getFloorDueMs(service);
--- /dev/null
+++ b/test/probes.test.ts
@@ -0,0 +1,14 @@
+import { expect, test } from "vitest";
+import { getReplicaIntervalMs } from "../src/pooling/probes.ts";
+
+test("a replica gets no more questions from a larger fleet", () => {
+  const perS = (hosts: number) => (1_000 * hosts) / getReplicaIntervalMs(hosts);
+  expect([1, 4, 8].map((hosts) => perS(hosts) <= 8 / 3)).toEqual([
+    true,
+    true,
+    true,
+  ]);
+  for (const hosts of [24, 65, 3_200]) {
+    expect(perS(hosts)).toBeCloseTo(perS(8));
+  }
+});
