Keep the list of peers instead of finding it for every request

Each look at the peers (each request that borrows a token, each probe tick and each round of housekeeping) looked at 65 hosts, and for each of them counted all again. Change: the set of hosts is kept as it changes, the list of peers for 100 ms, and the keepers of a floor until that list changes.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -26,6 +26,11 @@
  */
 const SELF_SILENT_INTERVALS = 3;
 const RETRY_MS = 400;
+/**
+ * Time for which a list of peers is kept, in milliseconds: each request may
+ * ask for it, and a host falls silent over tens of seconds.
+ */
+const PEERS_KEPT_MS = 100;
 /** Longest wait of one watch; nothing here is urgent. */
 const WATCH_WAIT_MS = 10_000;
 /**
@@ -96,6 +101,11 @@
   const incarnation = Date.now();
   const objects = new Map<ObjectKey, StoredObject>();
   const seen = new Map<ObjectKey, Seen>();
+  const hosts = new Set<ObjectKey>();
+  let peers: { readonly at: number; readonly list: readonly HostId[] } = {
+    at: -Infinity,
+    list: [],
+  };
   const listeners = new Set<(key: ObjectKey) => void>();
   let isListed = false;
   let previousStart = -Infinity;
@@ -109,7 +119,7 @@
     waitMs: WATCH_WAIT_MS,
     // Updates here are conditional, so a late view costs a conflict at most.
     mayBeLate: true,
-    getSpacingMs: () => SPACING_PER_HOST_MS * listHosts().length,
+    getSpacingMs: () => SPACING_PER_HOST_MS * hosts.size,
     handlers: {
       onList(listed) {
         const keys = new Set(listed.map(({ key }) => key));
@@ -148,6 +158,12 @@
       io.log.info(event, { peer: key.slice(HOST_PREFIX.length) });
     }
     if (key.startsWith(HOST_PREFIX)) {
+      if (version === 0) {
+        hosts.delete(key);
+      } else {
+        hosts.add(key);
+      }
+      peers = { at: -Infinity, list: [] };
       io.peers.setAddresses(listAddresses());
     }
     listeners.forEach((listener) => listener(key));
@@ -155,7 +171,7 @@
 
   function listAddresses(): Map<HostId, string> {
     const found = new Map<HostId, string>();
-    for (const key of listHosts()) {
+    for (const key of hosts) {
       const { peers } = (objects.get(key)?.value ?? {}) as Partial<HostRecord>;
       if (key !== ownKey && typeof peers === "string") {
         found.set(asId<HostId>(key.slice(HOST_PREFIX.length)), peers);
@@ -199,23 +215,27 @@
 
   /** By the registered hosts, whose number every host sees alike. */
   function getIntervalMs(): number {
-    return HEARTBEAT_MS * Math.max(1, listHosts().length / HEARTBEAT_HOSTS);
-  }
-
-  function listHosts(): ObjectKey[] {
-    return [...objects.keys()].filter((key) => key.startsWith(HOST_PREFIX));
+    return HEARTBEAT_MS * Math.max(1, hosts.size / HEARTBEAT_HOSTS);
   }
 
   function isLeavingHost(key: ObjectKey): boolean {
     return (objects.get(key)?.value as Partial<HostRecord>)?.beat === -1;
   }
 
-  function listPeers(): HostId[] {
-    return listHosts().filter((key) =>
+  function findPeers(): HostId[] {
+    return [...hosts].filter((key) =>
       key !== ownKey && !isSilent(key) && !isLeavingHost(key)
     ).map((key) => asId<HostId>(key.slice(HOST_PREFIX.length)));
   }
 
+  /** The same list until it is looked up anew. */
+  function listPeers(): readonly HostId[] {
+    if (nowMs() - peers.at > PEERS_KEPT_MS) {
+      peers = { at: nowMs(), list: findPeers() };
+    }
+    return peers.list;
+  }
+
   return {
     start: feed.start,
     tryGet: (key) => objects.get(key),
@@ -224,7 +244,7 @@
     countHosts: () => listPeers().length + 1,
     listPeers,
     listSilent: () =>
-      listHosts().filter((key) => key !== ownKey && isSilent(key))
+      [...hosts].filter((key) => key !== ownKey && isSilent(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
     isSelfSilent: () =>
       nowMs() - acceptedAt > SELF_SILENT_INTERVALS * getIntervalMs(),
--- a/src/pooling/floor_sharing.ts
+++ b/src/pooling/floor_sharing.ts
@@ -40,9 +40,20 @@
     { readonly service: ServiceId; readonly askedAt: number }
   >();
   let nextId = 0;
+  let ranked: {
+    readonly peers: readonly HostId[];
+    readonly keepers: Map<ServiceId, readonly HostId[]>;
+  } = { peers: [], keepers: new Map() };
 
   function listKeepers(service: ServiceId): readonly HostId[] {
-    return rankNodes(service, [self, ...options.listPeers()]).slice(0, KEEPERS);
+    const peers = options.listPeers();
+    if (peers !== ranked.peers) {
+      ranked = { peers, keepers: new Map() };
+    }
+    const found = ranked.keepers.get(service) ??
+      rankNodes(service, [self, ...peers]).slice(0, KEEPERS);
+    ranked.keepers.set(service, found);
+    return found;
   }
 
   return {
--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,102 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
+import { createFleet } from "../src/pooling/fleet.ts";
+import { createFloorSharing } from "../src/pooling/floor_sharing.ts";
+import type { PoolIo } from "../src/pooling/types.ts";
+import { createPlatformCore } from "../standins/platform_core.ts";
+import { createMemoryStore } from "./memory_store.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const HOSTS = 65;
+
+/** A fleet whose records count how often they are looked at. */
+function createCounted() {
+  const state = { looks: 0 };
+  const fleet = createFleet({
+    store: createMemoryStore(createPlatformCore()),
+    log: { info() {} },
+    peers: { setAddresses() {} },
+    random: () => 0.5,
+  } as unknown as PoolIo, {
+    self: asId<HostId>("h0"),
+    peerAddress: "127.0.0.1:1",
+  });
+  const learn = (n: number, version: number) =>
+    fleet.learn({
+      key: asId(`turmericchute-fleet/host.h${n}`),
+      version,
+      value: {
+        get beat() {
+          state.looks++;
+          return version;
+        },
+      },
+    });
+  for (let n = 0; n < HOSTS; n++) {
+    learn(n, n + 1);
+  }
+  return { state, fleet, learn };
+}
+
+test("a request does not look at every host again", () => {
+  const { state, fleet } = createCounted();
+  state.looks = 0;
+  for (let look = 0; look < 1_000; look++) {
+    expect(fleet.countHosts()).toBe(HOSTS);
+    expect(fleet.listPeers().length).toBe(HOSTS - 1);
+  }
+  expect(state.looks).toBeLessThanOrEqual(HOSTS);
+});
+
+test("hosts that come or leave count at once", () => {
+  const { fleet, learn } = createCounted();
+  expect(fleet.countHosts()).toBe(HOSTS);
+  learn(HOSTS, 100);
+  expect(fleet.countHosts()).toBe(HOSTS + 1);
+  learn(HOSTS, 0);
+  expect(fleet.countHosts()).toBe(HOSTS);
+});
+
+test("a host that fell silent stops to count soon after", async () => {
+  const core = createPlatformCore();
+  const key = asId<ObjectKey>("turmericchute-fleet/host.h1");
+  core.put(key, { incarnation: 1, beat: 1, peers: "" }, { ifVersion: 0 })
+    .unwrap();
+  const fleet = createFleet({
+    store: createMemoryStore(core),
+    log: { info() {} },
+    peers: { setAddresses() {} },
+    random: () => 0.5,
+  } as unknown as PoolIo, {
+    self: asId<HostId>("h0"),
+    peerAddress: "127.0.0.1:1",
+  });
+  fleet.start();
+  await vi.advanceTimersByTimeAsync(44_000);
+  expect(fleet.countHosts()).toBe(2);
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(fleet.countHosts()).toBe(1);
+  fleet.stop();
+});
+
+test("the keepers of a floor are found anew only when the peers changed", () => {
+  let peers = ["h1", "h2", "h3"].map((id) => asId<HostId>(id));
+  const sent: string[] = [];
+  const sharing = createFloorSharing({
+    peers: { send: (to: string) => void sent.push(to) },
+    random: () => 0,
+  } as unknown as PoolIo, {
+    self: asId<HostId>("h0"),
+    listPeers: () => peers,
+    getFloors: () => {
+      throw new Error("not asked");
+    },
+  });
+  const isKeeper = () => sharing.isKeeper(asId("ledger"));
+  const before = isKeeper();
+  expect(isKeeper()).toBe(before);
+  peers = [];
+  expect(isKeeper()).toBe(true);
+});
