Adjust the shares of a large fleet less often

Change: the interval grows with the square of the fleet beyond 8 hosts, so that what all hosts hear of the ledger grows with the fleet and no faster; tokens move by lending meanwhile. Shown by: test/share_sync.test.ts.

--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -20,7 +20,11 @@
 
 /** Time between two looks at the demand, in milliseconds. */
 const TICK_MS = 2_000;
-/** Hosts up to which the interval holds; more hosts look less often. */
+/**
+ * Hosts up to which the interval holds. The ledger grows with the fleet and
+ * every host hears every change of it, so that the interval grows with the
+ * square: then the bytes of all hosts together grow with the fleet.
+ */
 const TICK_HOSTS = 8;
 /** Time between two looks until this host has a row, in milliseconds. */
 const FIRST_TICK_MS = 250;
@@ -34,6 +38,11 @@
   readonly version: number;
 }
 
+/** Time between two adjustments of one host's shares, in milliseconds. */
+export function getTickMs(hostCount: number): number {
+  return TICK_MS * Math.max(1, hostCount / TICK_HOSTS) ** 2;
+}
+
 /** Keeps the shares. */
 export interface ShareSync extends Stoppable {
   start(): void;
@@ -191,8 +200,7 @@
         }
         timer = setTimeout(
           () => void tick().finally(schedule),
-          TICK_MS * Math.max(1, fleet.countHosts() / TICK_HOSTS) *
-            (0.75 + io.random() / 2),
+          getTickMs(fleet.countHosts()) * (0.75 + io.random() / 2),
         );
       };
       schedule();
--- a/test/share_sync.test.ts
+++ b/test/share_sync.test.ts
@@ -5,7 +5,7 @@
 import { createClockGuard } from "../src/pooling/clock_guard.ts";
 import { createFleet, type Fleet, LEDGER_KEY } from "../src/pooling/fleet.ts";
 import type { Quotas } from "../src/pooling/quotas.ts";
-import { createShareSync } from "../src/pooling/share_sync.ts";
+import { createShareSync, getTickMs } from "../src/pooling/share_sync.ts";
 import type { PoolIo } from "../src/pooling/types.ts";
 import { createPlatformCore } from "../standins/platform_core.ts";
 import { createMemoryStore } from "./memory_store.ts";
@@ -135,3 +135,10 @@
   expect(fleet.isSelfSilent()).toBe(true);
   fleet.stop();
 });
+
+test("what all hosts hear of the ledger grows with the fleet, no faster", () => {
+  // Changes a second, times the size of the ledger, times those who hear it.
+  const getLoad = (hosts: number) => (hosts / getTickMs(hosts)) * hosts * hosts;
+  expect(getLoad(65) / getLoad(8)).toBeLessThan(1.01 * 65 / 8);
+  expect(getLoad(3_200) / getLoad(8)).toBeLessThan(1.01 * 3_200 / 8);
+});
