Call what is there: one timeout, one stretch of intervals, one check of the size

Cause: read again, the change had written three things twice. work.ts had withLimit beside withTimeout of core/clock.ts; heartbeats, questions to replicas and looks at the demand each had their own 8 hosts and their own Math.max; housekeeping asked whether the number of hosts had changed, while every change of a shared object set all caps anew without asking. Two test files built the same fleet three times. Change: withLimit is gone; fleet_size.ts holds the size and the factor; both places call followHostCount; test/quiet_fleet.ts builds the fleet. Intervals, bounds and assertions are as they were.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -3,6 +3,7 @@
 import { nowMs } from "../core/clock.ts";
 import { asId, type HostId, type ObjectKey } from "../core/ids.ts";
 import type { Stoppable, StoredObject } from "../core/types.ts";
+import { getStretch } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import type { PoolIo } from "./types.ts";
 
@@ -11,13 +12,11 @@
 /** Key of the ledger of quota shares. */
 export const LEDGER_KEY = asId<ObjectKey>(`${KIND}/shares`);
 
-/** Time between the heartbeats of a host in the store, in milliseconds. */
-const HEARTBEAT_MS = 10_000;
 /**
- * Hosts up to which the interval holds. Every host hears every heartbeat, so
- * a larger fleet sends them less often.
+ * Time between the heartbeats of a host of a small fleet in the store, in
+ * milliseconds; every host hears every heartbeat.
  */
-const HEARTBEAT_HOSTS = 8;
+const HEARTBEAT_MS = 10_000;
 /** Intervals of silence after which a host no longer counts. */
 const SILENT_INTERVALS = 4.5;
 /**
@@ -215,7 +214,7 @@
 
   /** By the registered hosts, whose number every host sees alike. */
   function getIntervalMs(): number {
-    return HEARTBEAT_MS * Math.max(1, hosts.size / HEARTBEAT_HOSTS);
+    return HEARTBEAT_MS * getStretch(hosts.size);
   }
 
   function isLeavingHost(key: ObjectKey): boolean {
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -184,7 +184,7 @@
     quotas.setQuotas(next.quotas);
     updateCaps();
   });
-  fleet.onChange(updateCaps);
+  fleet.onChange(followHostCount);
   leaders.onChange(() => dispatcher.pump());
   directory.onChange(takeTarget);
 
@@ -200,6 +200,12 @@
     });
   }
 
+  function followHostCount(): void {
+    if (fleet.countHosts() !== hostCount) {
+      updateCaps();
+    }
+  }
+
   function takeTarget(event: DirectoryEvent): void {
     const { kind, target } = event;
     const { service, id } = target;
@@ -238,9 +244,7 @@
     if (idleMs !== undefined) {
       sessions.forEach((session) => session.abortIdle(idleMs));
     }
-    if (fleet.countHosts() !== hostCount) {
-      updateCaps();
-    }
+    followHostCount();
     io.metrics.set("sessions", sessions.size, {});
   }
 
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -4,6 +4,7 @@
 import type { ServiceId, TargetId } from "../core/ids.ts";
 import type { Stoppable } from "../core/types.ts";
 import { control } from "./control.ts";
+import { getStretch } from "./fleet_size.ts";
 import type { FloorSharing } from "./floor_sharing.ts";
 import type { TargetRecord } from "./types.ts";
 import type { WorkContext } from "./work.ts";
@@ -18,17 +19,14 @@
 const UNUSED_FLOOR_AGE_MS = 3_000;
 /** Time between two questions to a primary that fails or is not known. */
 const SUSPECT_INTERVAL_MS = 250;
-/** Time between two questions to a replica, in milliseconds. */
-const REPLICA_INTERVAL_MS = 3_000;
 /**
- * Hosts up to which the interval holds; more ask less often, as a question
- * takes a slot of the target, and lag shows in the answers to reads too.
+ * Time between two questions of a host of a small fleet to a replica, in
+ * milliseconds; each takes a slot, and lag shows in the answers to reads too.
  */
-const REPLICA_HOSTS = 8;
-
+const REPLICA_INTERVAL_MS = 3_000;
 /** Time between two questions of one host to a replica, in milliseconds. */
 export function getReplicaIntervalMs(hostCount: number): number {
-  return REPLICA_INTERVAL_MS * Math.max(1, hostCount / REPLICA_HOSTS);
+  return REPLICA_INTERVAL_MS * getStretch(hostCount);
 }
 
 /** Running probes. */
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -5,6 +5,7 @@
 import type { Stoppable, StoredObject } from "../core/types.ts";
 import type { ClockGuard } from "./clock_guard.ts";
 import { type Fleet, LEDGER_KEY } from "./fleet.ts";
+import { getStretch } from "./fleet_size.ts";
 import type { Quotas } from "./quotas.ts";
 import {
   createLedger,
@@ -18,14 +19,13 @@
 } from "./share_ledger.ts";
 import type { PoolIo } from "./types.ts";
 
-/** Time between two looks at the demand, in milliseconds. */
-const TICK_MS = 2_000;
 /**
- * Hosts up to which the interval holds. The ledger grows with the fleet and
- * every host hears every change of it, so that the interval grows with the
- * square: then the bytes of all hosts together grow with the fleet.
+ * Time between two looks of a small fleet's host at the demand, in
+ * milliseconds. The ledger grows with the fleet and every host hears every
+ * change of it, so that the interval grows with the square: then the bytes of
+ * all hosts together grow with the fleet.
  */
-const TICK_HOSTS = 8;
+const TICK_MS = 2_000;
 /** Time between two looks until this host has a row, in milliseconds. */
 const FIRST_TICK_MS = 250;
 /** Time after the first sight of the fleet in which hosts register. */
@@ -40,7 +40,7 @@
 
 /** Time between two adjustments of one host's shares, in milliseconds. */
 export function getTickMs(hostCount: number): number {
-  return TICK_MS * Math.max(1, hostCount / TICK_HOSTS) ** 2;
+  return TICK_MS * getStretch(hostCount) ** 2;
 }
 
 /** Keeps the shares. */
--- a/src/pooling/work.ts
+++ b/src/pooling/work.ts
@@ -1,7 +1,7 @@
 /** Runs one statement on a connection that was handed out. */
 
 import type { Result } from "ts-results-es";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, withTimeout } from "../core/clock.ts";
 import type { ReqId, ServiceId, WorkspaceId } from "../core/ids.ts";
 import type { CatalogHolder } from "./catalog.ts";
 import type { ClockGuard } from "./clock_guard.ts";
@@ -122,23 +122,9 @@
   command: TargetCommand,
   timeoutMs: number,
 ): Promise<TimedReply> {
-  return withLimit(hold.pooled.link.send(command), timeoutMs);
-}
-
-/** Resolves with `reply`, or as silent after `timeoutMs`. */
-export function withLimit(
-  reply: Promise<TargetReply>,
-  timeoutMs: number,
-): Promise<TimedReply> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(
-      () => resolve({ kind: "silent" }),
-      Math.max(0, timeoutMs),
-    );
-    void reply.then((value) => {
-      clearTimeout(timer);
-      resolve(value);
-    });
+  return withTimeout<TimedReply>(hold.pooled.link.send(command), {
+    ms: Math.max(0, timeoutMs),
+    fallback: { kind: "silent" },
   });
 }
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,10 +1,9 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
-import { createFleet } from "../src/pooling/fleet.ts";
 import { createFloorSharing } from "../src/pooling/floor_sharing.ts";
 import type { PoolIo } from "../src/pooling/types.ts";
 import { createPlatformCore } from "../standins/platform_core.ts";
-import { createMemoryStore } from "./memory_store.ts";
+import { createQuietFleet } from "./quiet_fleet.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -14,15 +13,7 @@
 /** A fleet whose records count how often they are looked at. */
 function createCounted() {
   const state = { looks: 0 };
-  const fleet = createFleet({
-    store: createMemoryStore(createPlatformCore()),
-    log: { info() {} },
-    peers: { setAddresses() {} },
-    random: () => 0.5,
-  } as unknown as PoolIo, {
-    self: asId<HostId>("h0"),
-    peerAddress: "127.0.0.1:1",
-  });
+  const fleet = createQuietFleet();
   const learn = (n: number, version: number) =>
     fleet.learn({
       key: asId(`turmericchute-fleet/host.h${n}`),
@@ -64,15 +55,7 @@
   const key = asId<ObjectKey>("turmericchute-fleet/host.h1");
   core.put(key, { incarnation: 1, beat: 1, peers: "" }, { ifVersion: 0 })
     .unwrap();
-  const fleet = createFleet({
-    store: createMemoryStore(core),
-    log: { info() {} },
-    peers: { setAddresses() {} },
-    random: () => 0.5,
-  } as unknown as PoolIo, {
-    self: asId<HostId>("h0"),
-    peerAddress: "127.0.0.1:1",
-  });
+  const fleet = createQuietFleet(core);
   fleet.start();
   await vi.advanceTimersByTimeAsync(44_000);
   expect(fleet.countHosts()).toBe(2);
--- /dev/null
+++ b/test/quiet_fleet.ts
@@ -0,0 +1,25 @@
+/** The fleet as one host sees it, on a stand-in of the store, without a log. */
+
+import { asId, type HostId } from "../src/core/ids.ts";
+import { createFleet, type Fleet } from "../src/pooling/fleet.ts";
+import type { PoolIo } from "../src/pooling/types.ts";
+import {
+  createPlatformCore,
+  type PlatformCore,
+} from "../standins/platform_core.ts";
+import { createMemoryStore } from "./memory_store.ts";
+
+/** Creates the view of host `h0`. */
+export function createQuietFleet(
+  core: PlatformCore = createPlatformCore(),
+): Fleet {
+  return createFleet({
+    store: createMemoryStore(core),
+    log: { info() {} },
+    peers: { setAddresses() {} },
+    random: () => 0.5,
+  } as unknown as PoolIo, {
+    self: asId<HostId>("h0"),
+    peerAddress: "127.0.0.1:1",
+  });
+}
--- a/test/share_sync.test.ts
+++ b/test/share_sync.test.ts
@@ -3,12 +3,11 @@
 import { asId, type HostId, type WorkspaceId } from "../src/core/ids.ts";
 import type { PlatformStore, StoredObject } from "../src/core/types.ts";
 import { createClockGuard } from "../src/pooling/clock_guard.ts";
-import { createFleet, type Fleet, LEDGER_KEY } from "../src/pooling/fleet.ts";
+import { type Fleet, LEDGER_KEY } from "../src/pooling/fleet.ts";
 import type { Quotas } from "../src/pooling/quotas.ts";
 import { createShareSync, getTickMs } from "../src/pooling/share_sync.ts";
 import type { PoolIo } from "../src/pooling/types.ts";
-import { createPlatformCore } from "../standins/platform_core.ts";
-import { createMemoryStore } from "./memory_store.ts";
+import { createQuietFleet } from "./quiet_fleet.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -114,13 +113,7 @@
 });
 
 test("a suspension counts as time without a heartbeat", async () => {
-  const core = createPlatformCore();
-  const fleet = createFleet({
-    store: createMemoryStore(core),
-    log: { info() {} },
-    peers: { setAddresses() {} },
-    random: () => 0.5,
-  } as unknown as PoolIo, { self: SELF, peerAddress: "127.0.0.1:1" });
+  const fleet = createQuietFleet();
   expect(fleet.isSelfSilent()).toBe(true);
   fleet.learn({
     key: asId("turmericchute-fleet/host.h1"),
