--- a/src/host/line_log.ts
+++ b/src/host/line_log.ts
@@ -11,6 +11,7 @@
 const INFO_LINES_PER_S = 300;
 /** Buffered bytes beyond which lines are dropped rather than kept. */
 const MAX_BUFFER_BYTES = 1_048_576;
+/** Time in which lines are counted, in milliseconds, as the limits say. */
 const WINDOW_MS = 1_000;
 
 /** A log that can be flushed before the process ends. */
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -24,6 +24,7 @@
 const EWMA_WEIGHT = 0.1;
 /** Hold time that is assumed before the first one was seen. */
 const DEFAULT_HOLD_MS = 40;
+/** Least time to come back, in milliseconds: about the work of a statement. */
 const MIN_RETRY_AFTER_MS = 25;
 /** A refused dial is tried again after this, in milliseconds. */
 const DIAL_RETRY_MS = 25;
--- a/src/pooling/failover.ts
+++ b/src/pooling/failover.ts
@@ -8,6 +8,7 @@
 import { createTakeover } from "./takeover.ts";
 import type { WorkContext } from "./work.ts";
 
+/** Time between two looks, in milliseconds: a small part of the silence. */
 const TICK_MS = 100;
 /** Silence of a primary after which it is replaced, in milliseconds. */
 const SILENT_MS = 900;
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -24,6 +24,7 @@
  * less than the others wait, so that it stops before they reclaim them.
  */
 const SELF_SILENT_INTERVALS = 3;
+/** Pause after a heartbeat that failed, in milliseconds; chosen, not measured. */
 const RETRY_MS = 400;
 /**
  * Time for which a list of peers is kept, in milliseconds: each request may
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -18,6 +18,10 @@
 const DRY_ROUNDS = 2;
 /** Then peers are not asked for this long, in milliseconds. */
 const DRY_MS = 200;
+/**
+ * Least and most time to come back, in milliseconds: a round of asking peers,
+ * and the window in which quotas are counted.
+ */
 const MIN_RETRY_AFTER_MS = 30;
 const MAX_RETRY_AFTER_MS = 5_000;
 
--- a/src/pooling/takeover.ts
+++ b/src/pooling/takeover.ts
@@ -12,6 +12,7 @@
 const FENCE_MS = 1_500;
 /** Time for a promoted target to lead, in milliseconds. */
 const LEAD_MS = 2_500;
+/** Pause between two looks at them, in milliseconds: one far round trip. */
 const POLL_MS = 50;
 /** Time for targets to answer, in milliseconds. */
 const ANSWER_MS = 1_000;
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -26,6 +26,7 @@
 const MAX_BEGINS = 4;
 /** Most sendings of a statement that the target refused as busy. */
 const MAX_BUSY = 6;
+/** Pause after the first of them, in milliseconds: part of a statement's work. */
 const BUSY_PAUSE_MS = 15;
 
 /** An open transaction of a session. */
