Log answers that clients do not get, and the phases of a stop

The record of the incident names two requests, and no line of the host names them: nothing was written for a statement whose connection ended before its answer, a stop counted connections only, and an exception that ends the process left no line on standard output.

The process ends once its last lines are written, or after 100 ms, instead of 20 ms after handing them over.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -230,6 +230,7 @@
   | "promotions_total"
   | "state_changes_total"
   | "log_lines_dropped_total"
+  | "answers_undelivered_total"
   | "datagrams_ignored_total"
   | "quota_borrowed_total";
 
--- a/src/host/line_log.ts
+++ b/src/host/line_log.ts
@@ -1,7 +1,7 @@
 /** Writes rate-limited, structured log lines to stdout without blocking. */
 
 import { pino } from "pino";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, withTimeout } from "../core/clock.ts";
 import type { MetricsSink } from "../core/types.ts";
 import type { LogFields, PoolLog } from "../pooling/types.ts";
 
@@ -16,7 +16,10 @@
 
 /** Log that can be flushed before the process exits. */
 export interface LineLog extends PoolLog {
-  flush(): void;
+  /** Resolves once the buffered lines are written, or after `timeoutMs`. */
+  flush(timeoutMs: number): Promise<void>;
+  /** Writes the buffered lines while the process ends on an exception. */
+  flushSync(): void;
 }
 
 /** Creates the log of this host; every line contains `bindings`. */
@@ -54,7 +57,12 @@
       infoLimiter.tryTake() ? write(event, fields) : drop("info"),
     request: (event, fields) =>
       requestLimiter.tryTake() ? write(event, fields) : drop("request"),
-    flush: () => destination.flush(),
+    flush: (timeoutMs) =>
+      withTimeout(
+        new Promise<void>((resolve) => destination.flush(() => resolve())),
+        { ms: timeoutMs, fallback: undefined },
+      ),
+    flushSync: () => destination.flushSync(),
   };
 }
 
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -39,6 +39,8 @@
   platform_calls_total: "Calls to the object API of the platform",
   control_messages_total: "Control frames, by channel and direction",
   control_bytes_total: "Bytes of control frames, by channel and direction",
+  answers_undelivered_total:
+    "Answers that their client did not get, by outcome of the statement",
   promotions_total: "Promotions that this host carried out",
   state_changes_total: "Changes of state, by component and event",
   request_ms: "Time from a request to its answer in milliseconds",
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -20,6 +20,7 @@
 } from "../platform/line_reader.ts";
 import { createObjectStore } from "../platform/object_store.ts";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
+import { createMetrics } from "../src/host/metrics.ts";
 import { validatePoolHostSettings } from "../src/generated/pool_host_validate.ts";
 import { POOL_ERRORS, type PoolErrKind } from "../src/pooling/errors.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
@@ -325,6 +326,7 @@
   const listener = createClientListener(fleet.poolers[0]!, {
     address: "127.0.0.1:0",
     log: { info() {}, request() {} },
+    metrics: createMetrics(),
   });
   const port = await listener.listen();
   closables.push(listener);
