--- a/standins/statement_group.ts
+++ b/standins/statement_group.ts
@@ -73,6 +73,8 @@
 export interface StatementGroup {
   readonly targets: readonly StatementTarget[];
   readonly runs: readonly StatementRun[];
+  /** Ids of the statements whose execution has begun. */
+  readonly begun: ReadonlySet<string>;
   /** Ids of the statements whose commit was acknowledged. */
   readonly acknowledged: ReadonlySet<string>;
   connect(id: TargetId, workspace: string): Result<TargetLink, DialErr>;
@@ -109,6 +111,7 @@
   const { lagMs = 20, workMs = 5, promoteMs = 300 } = options;
   const maxConnections = options.maxConnections ?? 20;
   const runs: StatementRun[] = [];
+  const begun = new Set<string>();
   const acknowledged = new Set<string>();
   let highestFencingToken = 0;
   let openedConnections = 0;
@@ -308,6 +311,7 @@
       if (requiresPrimary && target.role !== "primary") {
         return fail("read_only");
       }
+      begun.add(command.id);
       await sleep(workMs);
       recordRun(command.id, text);
       if (isWrite && state === "open") {
@@ -447,6 +451,7 @@
   return {
     targets,
     runs,
+    begun,
     acknowledged,
     connect,
     async promote(id, fencingToken) {
--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -1,6 +1,10 @@
 import { afterEach, expect, test } from "vitest";
 import { sleep } from "../src/core/clock.ts";
-import { type PoolProcess, startPoolProcess } from "./pool_process.ts";
+import {
+  type LineAnswer,
+  type PoolProcess,
+  startPoolProcess,
+} from "./pool_process.ts";
 
 const POLL_INTERVAL_MS = 10;
 
@@ -33,7 +37,7 @@
   const client = host.connect();
   await client.start("reports");
   void client.query("gone-1", "READ a");
-  while (!/in_flight_requests 1$/m.test(await host.getMetrics())) {
+  while (!host.group.begun.has("gone-1")) {
     await sleep(POLL_INTERVAL_MS);
   }
   client.socket.resetAndDestroy();
@@ -60,3 +64,93 @@
     accepted,
   }))).toMatchSnapshot();
 });
+
+interface SentStatement {
+  readonly id: string;
+  readonly answer: LineAnswer;
+}
+
+/**
+ * Opens one session after another for a single statement each, as clients do
+ * that keep the host's address, until the host refuses connections.
+ */
+async function sendUntilRefused(
+  host: PoolProcess,
+  name: string,
+): Promise<SentStatement[]> {
+  const sent: SentStatement[] = [];
+  for (let i = 0;; i++) {
+    const client = host.connect();
+    const opened = await client.start("reports");
+    if (opened.lines.length === 0) {
+      return sent;
+    }
+    if (opened.lines[0]!.startsWith("READY")) {
+      const id = `${name}-${i}`;
+      sent.push({ id, answer: await client.query(id, "READ a") });
+    }
+    client.socket.destroy();
+  }
+}
+
+/** Lists statements that reached a target and that have no whole answer. */
+function listLost(
+  host: PoolProcess,
+  sent: readonly SentStatement[],
+): readonly string[] {
+  return sent
+    .filter(({ id, answer }) => !answer.isComplete && host.group.begun.has(id))
+    .map(({ id }) => id);
+}
+
+// Guards against a stop that admits statements until its time is over and then
+// closes their connections: executed statements had no answer.
+test("clients that connect until the end of a stop get all their answers", async () => {
+  const host = await start({ graceS: 3, group: { workMs: 400 } });
+  const transaction = host.connect();
+  await transaction.start("orders");
+  await transaction.query("t-1", "BEGIN");
+  await transaction.query("t-2", "READ a");
+  const clients = Array.from(
+    { length: 20 },
+    (_, i) => sendUntilRefused(host, `c${i}`),
+  );
+  while (host.group.runs.length < 20) {
+    await sleep(POLL_INTERVAL_MS);
+  }
+  host.kill("SIGTERM");
+  const sent = (await Promise.all(clients)).flat();
+  expect(await host.exited).toBe(0);
+  expect(listLost(host, sent)).toEqual([]);
+});
+
+// Guards against the end of the client's side closing the other side as well:
+// the answer to a statement in flight was dropped.
+test("a client that ends its sending side gets the answer to its statement", async () => {
+  const host = await start({ group: { workMs: 100 } });
+  const client = host.connect({ allowHalfOpen: true });
+  await client.start("reports");
+  const answer = client.query("half-1", "READ a");
+  client.socket.end();
+  expect(await answer).toEqual({
+    lines: ["ROW row of READ a", "DONE signed-half-1", "READY I 1.0"],
+    isComplete: true,
+  });
+});
+
+// Guards against a stop that breaks off a commit at work because it ends idle
+// transactions: the client was told that the outcome is unknown.
+test("a commit at work when a stop aborts idle transactions is answered", async () => {
+  const host = await start({ graceS: 4 });
+  const client = host.connect();
+  await client.start("orders");
+  await client.query("t-1", "BEGIN");
+  await client.query("t-2", "WRITE a b");
+  const replicas = host.group.targets.slice(1);
+  replicas.forEach(({ faults }) => faults.isReplicationStopped = true);
+  const answer = client.query("t-3", "COMMIT");
+  host.kill("SIGTERM");
+  await waitForLine(host, "stop_aborts_transactions");
+  replicas.forEach(({ faults }) => faults.isReplicationStopped = false);
+  expect((await answer).lines[0]).toBe("DONE signed-t-3");
+});
