Leave transactions alone while one of their statements is at work

Callers saw: ERR INDOUBT for a commit that was at work when a stop ended idle transactions (at 0.55 of the grace), though the target was about to acknowledge it.

Cause: a transaction at work counted as idle for 0 ms, and the stop aborts all that are idle for 0 ms or more. The rollback of a transaction at work closes its connection to the target.

Fix: a transaction at work has no idle time.

--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -416,11 +416,12 @@
       transaction = undefined;
     },
     abortIdleTransaction(idleMs) {
-      if (transaction && transaction.getIdleMs() >= idleMs) {
+      const currentIdleMs = transaction?.tryIdleMs();
+      if (currentIdleMs !== undefined && currentIdleMs >= idleMs) {
         ctx.io.log.info("transaction_idle", {
           workspace,
           database: sessionOptions.database,
-          idleMs: Math.round(transaction.getIdleMs()),
+          idleMs: Math.round(currentIdleMs),
         });
         abortTransaction();
       }
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -42,8 +42,8 @@
   commit(task: Task): Promise<Outcome>;
   /** Rolls back; the connection is released in the background. */
   rollback(): void;
-  /** Returns the time since the last answer; 0 while a statement is running. */
-  getIdleMs(): number;
+  /** Returns the time since the last answer; undefined at work. */
+  tryIdleMs(): number | undefined;
 }
 
 /** Creates a transaction; its first statement acquires the connection. */
@@ -266,7 +266,7 @@
     run: (task) => track(run(task)),
     commit: (task) => track(commit(task)),
     rollback,
-    getIdleMs: () => isRunning ? 0 : nowMs() - answeredAt,
+    tryIdleMs: () => isRunning ? undefined : nowMs() - answeredAt,
   };
 }
 
