Tell clients that their idle transaction was aborted

Callers saw: ERR MALFORMED for the next statement of a transaction that the host had rolled back for its idle time or in a stop. That code promises nothing, so a client couldn't repeat the operation though nothing was kept.

Cause: an abort between two statements left the session in the state of a failed transaction whose failure the client knows.

Evidence: 'the next statement after an idle transaction was rolled back is aborted' failed before (malformed instead of aborted).

Fix: the session keeps the reason until the answer to the next statement, which is ABORTED; further statements are malformed as before.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -242,6 +242,13 @@
     dispatcher.serveQueue();
   }
 
+  function abortIdleTransactions(idleMs: number): void {
+    const reason = `no statement for ${idleMs} ms`;
+    sessions.forEach((session) =>
+      session.abortIdleTransaction({ idleMs, reason })
+    );
+  }
+
   function runMaintenance(): void {
     clockJumps.getEpoch();
     directory.removeExpired();
@@ -249,7 +256,7 @@
     dispatcher.serveQueue();
     const idleMs = catalog.tryGet()?.transactionIdleMs;
     if (idleMs !== undefined) {
-      sessions.forEach((session) => session.abortIdleTransaction(idleMs));
+      abortIdleTransactions(idleMs);
     }
     updateCapsOnHostCount();
     io.metrics.set("sessions", sessions.size, {});
@@ -280,8 +287,7 @@
     },
     countSessions: () => sessions.size,
     onCatalogChange: (listener) => catalog.onChange(listener),
-    abortIdleTransactions: (idleMs) =>
-      sessions.forEach((session) => session.abortIdleTransaction(idleMs)),
+    abortIdleTransactions,
     leave: fleet.leave,
     stop() {
       clearInterval(timer);
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -52,8 +52,13 @@
   isAdmitted(): boolean;
   /** Rolls back the open transaction; no statement may follow. */
   close(): void;
-  /** Aborts the open transaction if it has been idle for at least `idleMs`. */
-  abortIdleTransaction(idleMs: number): void;
+  /**
+   * Aborts the open transaction if it has been idle for at least `idleMs`; the
+   * client is told the reason with its next statement.
+   */
+  abortIdleTransaction(
+    options: { readonly idleMs: number; readonly reason: string },
+  ): void;
 }
 
 /** Dependencies of sessions. */
@@ -110,6 +115,8 @@
   let transaction: Transaction | undefined;
   let state: TransactionState = "idle";
   let lastCommitPosition: Position | undefined;
+  /** Why this host aborted the transaction; until the client is told. */
+  let untoldAbort: string | undefined;
 
   function toDoneAnswer(
     outcome?: Extract<Outcome, { kind: "done" }>,
@@ -270,6 +277,12 @@
     state = "failed";
   }
 
+  /** Aborts between two statements; the answer to the next one tells why. */
+  function abortUntold(reason: string): void {
+    abortTransaction();
+    untoldAbort = reason;
+  }
+
   async function begin(
     id: ReqId,
     isReadOnly: boolean,
@@ -355,18 +368,27 @@
     });
   }
 
-  /** Ends a failed transaction; any other statement is refused as malformed. */
+  /**
+   * Ends a failed transaction. Any other statement is refused: as aborted if
+   * the client does not know of the failure yet, else as malformed.
+   */
   function executeFailed(statement: Statement): StatementAnswer {
+    const detail = untoldAbort;
+    untoldAbort = undefined;
     if (statement.kind !== "commit" && statement.kind !== "rollback") {
+      if (detail !== undefined) {
+        return toFailedAnswer({ error: "aborted", detail });
+      }
       return toFailedAnswer({
         error: "malformed",
         detail: "the transaction failed and must be ended",
       });
     }
     state = "idle";
-    return statement.kind === "rollback"
-      ? toDoneAnswer()
-      : toFailedAnswer({ error: "aborted" });
+    return statement.kind === "rollback" ? toDoneAnswer() : toFailedAnswer({
+      error: "aborted",
+      ...(detail !== undefined ? { detail } : {}),
+    });
   }
 
   async function execute(
@@ -415,7 +437,7 @@
       transaction?.rollback();
       transaction = undefined;
     },
-    abortIdleTransaction(idleMs) {
+    abortIdleTransaction({ idleMs, reason }) {
       const currentIdleMs = transaction?.tryIdleMs();
       if (currentIdleMs !== undefined && currentIdleMs >= idleMs) {
         ctx.io.log.info("transaction_idle", {
@@ -423,7 +445,7 @@
           database: sessionOptions.database,
           idleMs: Math.round(currentIdleMs),
         });
-        abortTransaction();
+        abortUntold(reason);
       }
     },
   };
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -162,6 +162,23 @@
   expect(fleet.group.acknowledged.has("w")).toBe(false);
 });
 
+// Guards against a client that learns of the abort as a malformed statement,
+// which does not tell that nothing of its transaction is kept.
+test("the next statement after an idle transaction was rolled back is aborted", async () => {
+  fleet = await startPoolFleet();
+  const session = fleet.openSession("orders");
+  await run(session, "BEGIN");
+  await vi.advanceTimersByTimeAsync(3_500);
+  expect(await run(session, "READ k")).toMatchObject({
+    error: "aborted",
+    detail: "no statement for 3000 ms",
+    state: "failed",
+  });
+  expect(getOutcome(await run(session, "READ k"))).toBe("malformed");
+  expect(getOutcome(await run(session, "ROLLBACK"))).toBe("done");
+  expect(session.state).toBe("idle");
+});
+
 test("a transaction is rolled back when its client disconnects", async () => {
   fleet = await startPoolFleet();
   const session = fleet.openSession("orders");
