Close admission before a stop waits, and end execution before connections

Callers saw: no answer to statements at work when a stopping host's time was over, several in one instant. Their targets had begun or finished them, and saw their connection broken off.

Cause: a stop waited until no connection was open, but went on admitting sessions and statements, which come while the balancer falls back on hosts that are not ready. One connection that stays (a resting transaction, a client that doesn't close its side) then leads to the time limit, where all client connections were destroyed with the work on them, and execution only after them. Class: a resource is closed on a clock or on a momentary count, not after the work that it carries, while that work is still admitted.

Fix: src/pooling/shutdown.ts stops in phases. At half of the grace new sessions and operations are refused at once as BUSY, which is true and lets the client go elsewhere; open transactions end between statements from 0.55 on; at 0.85 execution ends, which gives each statement at work its final answer, INDOUBT only where it may have run; connections end after their answers, and are read until the client ends its side, since closing with unread input resets them. Idle sessions are told before they are ended, so that a statement that crosses the end is known not to have run. A client that does not close its side no longer holds the stop up.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -9,7 +9,7 @@
 import { createClockJumpDetector } from "./clock_jumps.ts";
 import { createDirectory, type DirectoryEvent } from "./directory.ts";
 import { createDispatcher } from "./dispatch.ts";
-import type { PoolFailure } from "./errors.ts";
+import { POOL_ERRORS, type PoolFailure } from "./errors.ts";
 import { createFailoverMonitor } from "./failover_monitor.ts";
 import { createFleet } from "./fleet.ts";
 import { createPositionSharing } from "./position_sharing.ts";
@@ -70,8 +70,12 @@
   countSessions(): number;
   /** Registers a callback for changes that may withdraw keys or routes. */
   onCatalogChange(listener: () => void): void;
-  /** Aborts transactions that were idle for `idleMs` or longer. */
-  abortIdleTransactions(idleMs: number): void;
+  /**
+   * Refuses new sessions and operations as `stopping`. Open transactions go on.
+   */
+  closeAdmission(): void;
+  /** Aborts open transactions as soon as none of their statements is at work. */
+  abortTransactionsWhenIdle(): void;
   /** Announces that this host is leaving, so that its shares are released. */
   leave(): Promise<void>;
 }
@@ -108,6 +112,8 @@
   });
   const positionsByService = new Map<ServiceId, PositionHistory>();
   const sessions = new Set<Session>();
+  let isAdmissionOpen = true;
+  let abortsIdleTransactions = false;
 
   function getPositions(service: ServiceId): PositionHistory {
     const positions = positionsByService.get(service) ??
@@ -127,6 +133,7 @@
     clockJumps,
     quotas,
     getPositions,
+    isAdmissionOpen: () => isAdmissionOpen,
   };
   const shares = createShareSync(io, {
     self: options.host,
@@ -242,11 +249,17 @@
     dispatcher.serveQueue();
   }
 
-  function abortIdleTransactions(idleMs: number): void {
-    const reason = `no statement for ${idleMs} ms`;
-    sessions.forEach((session) =>
-      session.abortIdleTransaction({ idleMs, reason })
-    );
+  function abortIdleTransactions(): void {
+    const limitMs = catalog.tryGet()?.transactionIdleMs;
+    const options = abortsIdleTransactions
+      ? { idleMs: 0, reason: POOL_ERRORS.stopping.message }
+      : limitMs !== undefined && {
+        idleMs: limitMs,
+        reason: `no statement for ${limitMs} ms`,
+      };
+    if (options) {
+      sessions.forEach((session) => session.abortIdleTransaction(options));
+    }
   }
 
   function runMaintenance(): void {
@@ -254,10 +267,7 @@
     directory.removeExpired();
     // A target that is no longer suspect may serve waiting requests.
     dispatcher.serveQueue();
-    const idleMs = catalog.tryGet()?.transactionIdleMs;
-    if (idleMs !== undefined) {
-      abortIdleTransactions(idleMs);
-    }
+    abortIdleTransactions();
     updateCapsOnHostCount();
     io.metrics.set("sessions", sessions.size, {});
   }
@@ -287,9 +297,16 @@
     },
     countSessions: () => sessions.size,
     onCatalogChange: (listener) => catalog.onChange(listener),
-    abortIdleTransactions,
+    closeAdmission() {
+      isAdmissionOpen = false;
+    },
+    abortTransactionsWhenIdle() {
+      abortsIdleTransactions = true;
+      abortIdleTransactions();
+    },
     leave: fleet.leave,
     stop() {
+      isAdmissionOpen = false;
       clearInterval(timer);
       failover.stop();
       probes.stop();
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -64,6 +64,8 @@
 /** Dependencies of sessions. */
 export interface SessionContext extends ExecutionContext {
   readonly quotas: Quotas;
+  /** False once the host refuses new sessions and operations. */
+  isAdmissionOpen(): boolean;
 }
 
 /** Opens a session, or returns the reason for the refusal. */
@@ -71,6 +73,9 @@
   ctx: SessionContext,
   options: SessionOptions,
 ): Result<Session, PoolFailure> {
+  if (!ctx.isAdmissionOpen()) {
+    return Err({ error: "stopping" });
+  }
   const admitted = tryAdmit(ctx, options);
   return admitted.isErr()
     ? Err(admitted.error)
@@ -166,6 +171,11 @@
    * answer if it is refused.
    */
   async function admit(id: ReqId): Promise<StatementAnswer | undefined> {
+    if (!ctx.isAdmissionOpen()) {
+      const failure: PoolFailure = { error: "stopping" };
+      logRefusal(id, failure);
+      return toFailedAnswer(failure, true);
+    }
     const admitted = tryAdmit(ctx, sessionOptions);
     if (admitted.isErr()) {
       logRefusal(id, admitted.error);
--- /dev/null
+++ b/src/pooling/shutdown.ts
@@ -0,0 +1,131 @@
+/**
+ * Graceful stop of a pool host. Admission closes before the work that it lets
+ * in is waited for, and execution ends before the connections that carry its
+ * answers.
+ */
+
+import { nowMs, sleep } from "../core/clock.ts";
+import { type Pooler, waitUntil } from "./pooler.ts";
+import type { LogFields, PoolLog } from "./types.ts";
+
+/**
+ * Time from the signal until no new sessions are routed to the host, in
+ * milliseconds: two failed health checks and a margin.
+ */
+const ROTATION_DELAY_MS = 2_300;
+
+/** Connections of clients, as a stop ends them. */
+export interface ClientConnections {
+  countConnections(): number;
+  /** Returns the number of statements that have no answer yet. */
+  countStatements(): number;
+  /** Returns the number of connections accepted since the start. */
+  countAccepted(): number;
+  /**
+   * Ends idle sessions. A session that executes a statement or has an open
+   * transaction ends once it is idle after an answer.
+   */
+  drain(): void;
+  /**
+   * Ends all sessions; those that execute a statement end after its answer,
+   * also within a transaction.
+   */
+  endAll(): void;
+  /** Stops to listen and destroys the remaining connections. */
+  close(): void;
+}
+
+/** Parts of a host that take part in its stop. */
+export interface StoppingHost {
+  readonly connections: ClientConnections;
+  readonly pooler: Pick<
+    Pooler,
+    "leave" | "closeAdmission" | "abortTransactionsWhenIdle" | "stop"
+  >;
+  readonly log: PoolLog;
+}
+
+interface Phase {
+  readonly event: string;
+  /** Fraction of the grace period at which the phase begins. */
+  readonly startsAt: number;
+  enter(host: StoppingHost): void;
+}
+
+/** Phases after new sessions are no longer routed to the host. */
+const PHASES: readonly Phase[] = [
+  {
+    // The rest of the grace period is for the operations admitted until now.
+    event: "stop_closes_admission",
+    startsAt: 0.5,
+    enter({ pooler, connections }) {
+      pooler.closeAdmission();
+      connections.drain();
+    },
+  },
+  {
+    event: "stop_aborts_transactions",
+    startsAt: 0.55,
+    enter({ pooler, connections }) {
+      pooler.abortTransactionsWhenIdle();
+      connections.drain();
+    },
+  },
+  {
+    // Every statement still at work gets its final answer.
+    event: "stop_ends_execution",
+    startsAt: 0.85,
+    enter({ pooler, connections }) {
+      pooler.stop();
+      connections.endAll();
+    },
+  },
+];
+/** Fraction of the grace period after which remaining connections are cut. */
+const CUT_FRACTION = 0.95;
+
+/**
+ * Stops the host within the grace period, in milliseconds; resolves once
+ * nothing is open. The health check must fail from the call on.
+ */
+export async function shutDown(
+  host: StoppingHost,
+  { graceMs }: { readonly graceMs: number },
+): Promise<void> {
+  const { connections, pooler, log } = host;
+  const startedAt = nowMs();
+  const acceptedBefore = connections.countAccepted();
+
+  function logPhase(event: string, fields: LogFields = {}): void {
+    log.info(event, {
+      elapsedMs: Math.round(nowMs() - startedAt),
+      sessions: connections.countConnections(),
+      statements: connections.countStatements(),
+      accepted: connections.countAccepted() - acceptedBefore,
+      ...fields,
+    });
+  }
+
+  function waitUntilEmpty(fraction: number): Promise<boolean> {
+    return waitUntil(
+      () => connections.countConnections() === 0,
+      Math.max(0, startedAt + fraction * graceMs - nowMs()),
+    );
+  }
+
+  logPhase("stopping", { graceMs });
+  void pooler.leave();
+  await sleep(Math.min(ROTATION_DELAY_MS, PHASES[0]!.startsAt * graceMs));
+  connections.drain();
+  for (const phase of PHASES) {
+    if (await waitUntilEmpty(phase.startsAt)) {
+      break;
+    }
+    logPhase(phase.event);
+    phase.enter(host);
+  }
+  const isDrained = await waitUntilEmpty(CUT_FRACTION);
+  logPhase("stopped", { isDrained });
+  connections.close();
+  pooler.stop();
+}
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -361,7 +361,7 @@
     "",
   ]);
   const closed = new Promise((resolve) => client.on("close", resolve));
-  listener.drainIdle();
+  listener.drain();
   await closed;
   await vi.waitFor(() => expect(listener.countConnections()).toBe(0));
 });
--- a/test/pool_process.ts
+++ b/test/pool_process.ts
@@ -83,7 +83,7 @@
     socket.on("error", () => socket.destroy())
   );
   servers.push(orders);
-  const ordersPort = await listen(orders as never, 0);
+  const ordersPort = await listen(orders, 0);
   const put = (kind: string, name: string, spec: unknown) =>
     fetch(`http://127.0.0.1:${storePort}/objects/${kind}`, {
       method: "POST",
@@ -93,7 +93,7 @@
   for (const { record } of group.targets) {
     const server = createStatementServer(group, record.id as TargetId);
     servers.push(server);
-    const port = await listen(server as never, 0);
+    const port = await listen(server, 0);
     await put("servers", record.id, {
       service: record.service,
       addr: `127.0.0.1:${port}`,
@@ -212,7 +212,7 @@
 async function listFreePorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports = await Promise.all(
-    servers.map((server) => listen(server as never, 0)),
+    servers.map((server) => listen(server, 0)),
   );
   await Promise.all(
     servers.map((server) => new Promise((resolve) => server.close(resolve))),
@@ -244,6 +244,8 @@
   start(database: string): Promise<LineAnswer>;
   /** Sends QUERY; a complete answer ends with READY. */
   query(id: string, text: string): Promise<LineAnswer>;
+  /** Lines that answer none of the client's messages. */
+  readonly unsolicited: readonly string[];
   /** Resolves when the host has ended the connection or reset it. */
   readonly ended: Promise<void>;
 }
@@ -255,6 +257,7 @@
   const socket = connect({ host: "127.0.0.1", port, ...options });
   const reader = createLineReader();
   const waiting: { lines: string[]; resolve(answer: LineAnswer): void }[] = [];
+  const unsolicited: string[] = [];
   let isEnded = false;
   let resolveEnded: () => void;
   const ended = new Promise<void>((resolve) => resolveEnded = resolve);
@@ -276,10 +279,10 @@
     reader.push(chunk);
     for (let line; (line = reader.tryNext()) !== undefined;) {
       const current = waiting[0];
-      current?.lines.push(line);
-      if (line.startsWith("READY")) {
+      (current?.lines ?? unsolicited).push(line);
+      if (current && line.startsWith("READY")) {
         waiting.shift();
-        current?.resolve({ lines: current.lines, isComplete: true });
+        current.resolve({ lines: current.lines, isComplete: true });
       }
     }
   });
@@ -303,6 +306,7 @@
       return { ...answer, isComplete: answer.isComplete || isRefused };
     },
     query: (id, text) => send(`QUERY ${id} ${text}`),
+    unsolicited,
     ended,
   };
 }
--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import { sleep } from "../src/core/clock.ts";
 import {
   type LineAnswer,
@@ -8,6 +8,8 @@
 
 const POLL_INTERVAL_MS = 10;
 
+vi.setConfig({ testTimeout: 60_000 });
+
 const started: PoolProcess[] = [];
 afterEach(async () => {
   await Promise.all(started.splice(0).map((host) => host.stop()));
@@ -122,6 +124,47 @@
   const sent = (await Promise.all(clients)).flat();
   expect(await host.exited).toBe(0);
   expect(listLost(host, sent)).toEqual([]);
+  // Not executed either, but the client was told so before the end.
+  expect(sent.filter(({ answer }) => answer.lines.length === 0)).toEqual([]);
+});
+
+// Guards against a statement that crosses the end of its session: without a
+// message before the end its client can't tell that it was not executed.
+test("a stop tells idle clients before it ends their sessions", async () => {
+  const host = await start({ graceS: 1 });
+  const client = host.connect();
+  await client.start("orders");
+  host.kill("SIGTERM");
+  await client.ended;
+  expect(client.unsolicited).toEqual([
+    "ERR BUSY the host is stopping; connect again",
+  ]);
+});
+
+// Guards against statements that a target does not answer until the process
+// ends: their clients were told nothing.
+test("statements at work at the end of a stop get a final answer", async () => {
+  const host = await start({ graceS: 1, group: { workMs: 10_000 } });
+  const reader = host.connect();
+  const writer = host.connect();
+  await Promise.all([reader, writer].map((client) => client.start("orders")));
+  const answers = [
+    reader.query("last-1", "READ a"),
+    writer.query("last-2", "WRITE a b"),
+  ];
+  while (host.group.begun.size < answers.length) {
+    await sleep(POLL_INTERVAL_MS);
+  }
+  host.kill("SIGTERM");
+  const codes = (await Promise.all(answers)).map(({ lines, isComplete }) => ({
+    code: lines[0]?.split(" ")[1],
+    isComplete,
+  }));
+  expect(codes).toEqual([
+    { code: "BUSY", isComplete: true },
+    { code: "INDOUBT", isComplete: true },
+  ]);
+  expect(await host.exited).toBe(0);
 });
 
 // Guards against the end of the client's side closing the other side as well:
