Settle every request for a connection when the dispatcher closes

Callers saw: a statement whose connection was being opened, or that was to be sent again, got no answer from a host that stopped, or an answer only after the host had opened one more connection.

Cause: close() settled the queue only. A request in a dial or in the pause before the next dial is in no queue, so it stayed open; the dial after the pause and every later request opened connections that nobody closes.

Fix: the dispatcher keeps the set of all requests without a result. close() settles them all with `stopping`, later requests get it at once, and a request that has its result is not dialed for again. A connection that a dial brings after the close is closed as before.

--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -71,6 +71,7 @@
   setConnectionCaps(getCap: (target: TargetRecord) => number): void;
   /** Closes all connections to a target that is gone or was replaced. */
   removeTarget(target: TargetId): void;
+  /** Closes all connections; all requests fail with `stopping` from then on. */
   close(): void;
 }
 
@@ -95,9 +96,12 @@
   const { health, plan = planRound } = options;
   const pools = new Map<TargetId, TargetPool>();
   const queue: Waiter[] = [];
+  /** Requests without a result: queued, dialing, or about to dial again. */
+  const waiters = new Set<Waiter>();
   const averageCheckoutMs = new Map<ServiceId, number>();
   let getCap: (target: TargetRecord) => number = () => 1;
   let isServing = false;
+  let isClosed = false;
 
   function getPool(target: TargetRecord): TargetPool {
     const existing = pools.get(target.id);
@@ -197,6 +201,9 @@
       waiter.settle(Ok(createCheckout(pool, { pooled: dialed.value, since })));
       return;
     }
+    if (isClosed) {
+      return;
+    }
     if (dialed.error.code !== "too_many_connections") {
       health.recordFailure(pool.target.id);
     }
@@ -205,7 +212,7 @@
       return;
     }
     setTimeout(() => {
-      if (!tryServe(waiter)) {
+      if (waiters.has(waiter) && !tryServe(waiter)) {
         enqueue(waiter);
       }
     }, DIAL_RETRY_MS);
@@ -279,22 +286,24 @@
   function acquire(
     request: ConnectionRequest,
   ): Promise<Result<Checkout, PoolFailure>> {
+    if (isClosed) {
+      return Promise.resolve(Err({ error: "stopping" }));
+    }
     const since = nowMs();
     return new Promise((resolve) => {
-      let isSettled = false;
       const waiter: Waiter = {
         request,
         since,
         deadline: request.deadline,
         settle(result) {
-          if (isSettled) {
-            // The request timed out while its connection was being opened.
+          if (!waiters.delete(waiter)) {
+            // The request timed out while its connection was being opened, or
+            // the dispatcher was closed.
             if (result.isOk()) {
               result.value.release(true);
             }
             return;
           }
-          isSettled = true;
           clearTimeout(timer);
           const index = queue.indexOf(waiter);
           if (index >= 0) {
@@ -306,6 +315,7 @@
           resolve(result);
         },
       };
+      waiters.add(waiter);
       const remainingMs = request.deadline - since;
       const timer = setTimeout(
         () => waiter.settle(Err(createRefusal(request))),
@@ -352,7 +362,8 @@
       health.removeTarget(target);
     },
     close() {
-      for (const waiter of [...queue]) {
+      isClosed = true;
+      for (const waiter of [...waiters]) {
         waiter.settle(Err({ error: "stopping" }));
       }
       pools.forEach((pool) => pool.close());
