--- a/standins/serve.ts
+++ b/standins/serve.ts
@@ -1,6 +1,7 @@
 /** JSON over HTTP for the stand-in servers. */
 
 import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { Server as SocketServer } from "node:net";
 
 /** Parses the body of a request as JSON; undefined if it is empty. */
 export async function readJson(req: IncomingMessage): Promise<unknown> {
@@ -39,7 +40,7 @@
 }
 
 /** Listens on loopback and resolves with the port; 0 picks a free one. */
-export function listen(server: Server, port: number): Promise<number> {
+export function listen(server: SocketServer, port: number): Promise<number> {
   return new Promise((resolve) =>
     server.listen(port, "127.0.0.1", () => {
       const address = server.address();
--- /dev/null
+++ b/test/target_link.test.ts
@@ -0,0 +1,93 @@
+import { createServer, type Socket } from "node:net";
+import { once } from "node:events";
+import { afterEach, expect, test } from "vitest";
+import { createTargetDialer } from "../platform/target_link.ts";
+import { asId, type WorkspaceId } from "../src/core/ids.ts";
+import type { TargetRecord } from "../src/pooling/types.ts";
+import { listen } from "../standins/serve.ts";
+
+const READY = "READY I 1.4\r\n";
+const WORKSPACE = asId<WorkspaceId>("w1");
+/** Beyond the memory that the kernel keeps for one connection on loopback. */
+const UNREAD_COMMAND_COUNT = 64;
+const UNREAD_COMMAND_BYTES = 524_288;
+
+const closables: { close(): unknown }[] = [];
+afterEach(() => closables.splice(0).forEach((closable) => closable.close()));
+
+/**
+ * Starts a target that leaves its own side open when the host ends the
+ * connection, and dials it. The socket is the target's end of the connection.
+ */
+async function dialTarget(onStart: (socket: Socket) => void) {
+  const sockets: Socket[] = [];
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => onStart(socket));
+  });
+  closables.push({
+    close() {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    },
+  });
+  const port = await listen(server, 0);
+  const target = {
+    id: "t1",
+    service: "ledger",
+    address: `127.0.0.1:${port}`,
+  } as unknown as TargetRecord;
+  const dialed = await createTargetDialer().dial(target, {
+    workspace: WORKSPACE,
+    timeoutMs: 60_000,
+  });
+  if (dialed.isOk()) {
+    closables.push(dialed.value);
+  }
+  return { dialed, socket: sockets[0]! };
+}
+
+function createWrite(id: string, text = "WRITE a 1") {
+  return { kind: "run", id: asId<never>(id), text } as const;
+}
+
+// The FIN was noticed only once all that had been written before was sent,
+// which never happens with a target that does not read.
+test("a target that ends the connection without reading loses all pending commands", async () => {
+  const { dialed, socket } = await dialTarget((socket) => {
+    socket.pause();
+    socket.write(READY);
+  });
+  const link = dialed.unwrap();
+  const text = `WRITE a ${"x".repeat(UNREAD_COMMAND_BYTES)}`;
+  const replies = Array.from(
+    { length: UNREAD_COMMAND_COUNT },
+    (_, index) => link.send(createWrite(`r${index}`, text)),
+  );
+  socket.end();
+  const kinds = new Set((await Promise.all(replies)).map(({ kind }) => kind));
+  expect([...kinds]).toEqual(["lost"]);
+  expect(link.isOpen()).toBe(false);
+});
+
+test("replies before the end of the connection count, later commands are lost", async () => {
+  const { dialed, socket } = await dialTarget((socket) => socket.write(READY));
+  const link = dialed.unwrap();
+  const replies = [link.send(createWrite("r1")), link.send(createWrite("r2"))];
+  await once(socket, "data");
+  socket.end(`DONE sig\r\n${READY}`);
+  expect((await Promise.all(replies)).map(({ kind }) => kind)).toEqual([
+    "done",
+    "lost",
+  ]);
+  expect(link.isOpen()).toBe(false);
+});
+
+test("the end of an idle connection closes it on the host too", async () => {
+  const { dialed, socket } = await dialTarget((socket) =>
+    socket.end(READY).resume()
+  );
+  await once(socket, "close");
+  expect(dialed.unwrap().isOpen()).toBe(false);
+});
