Let statements at work finish when a registration lapses

Callers saw: a write or a commit at work was answered as in doubt, and an open transaction ended, when the target's registration was gone from the store, although the target went on and acknowledged it.

Cause: removeTarget() closed all connections to the target, also busy ones.

Evidence: on the unchanged code the write and the commit were answered `in_doubt` instead of `done` (test/target_gone.test.ts), as was the later commit of an open transaction; a target that registered again with the same process got connections beyond its cap (2 dials for a cap of 1, test/dispatch.test.ts).

Fix: the pool of a target whose record is gone is retired. Idle connections are closed, busy ones at their release, and none is given out. A record of the same process takes the pool back, with its connections counted; one of another process (incarnation, address or service) closes what is left.

Why it is safe: a commit is acknowledged by its target once a replica has it, and a fenced replica takes nothing of the older term; the failover counts the most copies seen, not the records of now. The record has no part in either. Reads move on by their hedge, as the last test shows. A statement at a target that is gone for good without a reset waits for its timeout, where it was given up with the record before.

--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -16,6 +16,7 @@
 import type { RequiredContext } from "./link_context.ts";
 import {
   createTargetPool,
+  isSameProcess,
   type LinkSource,
   type PooledLink,
   type TargetPool,
@@ -69,7 +70,11 @@
   serveQueue(): void;
   /** Sets the maximum number of this host's connections to each target. */
   setConnectionCaps(getCap: (target: TargetRecord) => number): void;
-  /** Closes all connections to a target that is gone or was replaced. */
+  /**
+   * Stops the use of a target whose record is gone or names another process.
+   * Connections at work stay until they are released, or until a request names
+   * another process of the target.
+   */
   removeTarget(target: TargetId): void;
   /** Closes all connections; all requests fail with `stopping` from then on. */
   close(): void;
@@ -105,7 +110,8 @@
 
   function getPool(target: TargetRecord): TargetPool {
     const existing = pools.get(target.id);
-    if (existing && existing.target.incarnation === target.incarnation) {
+    if (existing && isSameProcess(existing.target, target)) {
+      existing.restore();
       return existing;
     }
     existing?.close();
@@ -115,6 +121,12 @@
     return pool;
   }
 
+  function dropIfAbandoned(pool: TargetPool): void {
+    if (pool.isAbandoned() && pools.get(pool.target.id) === pool) {
+      pools.delete(pool.target.id);
+    }
+  }
+
   /** Creates a checkout; `since` is when the connection was taken or dialed. */
   function createCheckout(
     pool: TargetPool,
@@ -137,6 +149,7 @@
           previous + EWMA_WEIGHT * (nowMs() - since - previous),
         );
         pool.release(pooled, isClean);
+        dropIfAbandoned(pool);
         serveQueue();
         pool.closeIfSurplus(pooled);
       },
@@ -201,6 +214,7 @@
       waiter.settle(Ok(createCheckout(pool, { pooled: dialed.value, since })));
       return;
     }
+    dropIfAbandoned(pool);
     if (isClosed) {
       return;
     }
@@ -357,8 +371,11 @@
       serveQueue();
     },
     removeTarget(target) {
-      pools.get(target)?.close();
-      pools.delete(target);
+      const pool = pools.get(target);
+      if (pool) {
+        pool.retire();
+        dropIfAbandoned(pool);
+      }
       health.removeTarget(target);
     },
     close() {
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -59,6 +59,16 @@
   setCap(cap: number): void;
   /** Closes an idle connection in excess of those kept open while idle. */
   closeIfSurplus(pooled: PooledLink): void;
+  /**
+   * Closes idle connections now and busy ones when they are released; none can
+   * be obtained until the pool is restored.
+   */
+  retire(): void;
+  /** Allows connections again. */
+  restore(): void;
+  /** Whether the pool is retired and has no connection left. */
+  isAbandoned(): boolean;
+  /** Closes all connections, also busy ones. */
   close(): void;
 }
 
@@ -79,6 +89,7 @@
   let dialingCount = 0;
   let cap = 1;
   let dialBlockedUntil = -Infinity;
+  let isRetired = false;
   let isClosed = false;
 
   /**
@@ -116,6 +127,9 @@
   function tryFindSource(
     { workspace, context }: LinkRequirement,
   ): LinkSource | undefined {
+    if (isRetired || isClosed) {
+      return undefined;
+    }
     const idle = listIdle();
     const matching = workspace
       ? idle.filter(({ link }) => link.workspace === workspace)
@@ -170,7 +184,7 @@
           usedAt: nowMs(),
           isBusy: true,
         };
-        if (isClosed) {
+        if (isRetired || isClosed) {
           link.close();
         } else {
           links.add(pooled);
@@ -181,7 +195,9 @@
     release(pooled, isClean) {
       pooled.isBusy = false;
       pooled.usedAt = nowMs();
-      if (!isClean || isClosed || links.size > cap || !pooled.link.isOpen()) {
+      const mayStay = isClean && !isRetired && !isClosed &&
+        links.size <= cap && pooled.link.isOpen();
+      if (!mayStay) {
         discard(pooled);
       }
     },
@@ -200,6 +216,12 @@
         discard(pooled);
       }
     },
+    retire() {
+      isRetired = true;
+      listIdle().forEach(discard);
+    },
+    restore: () => void (isRetired = false),
+    isAbandoned: () => isRetired && links.size + dialingCount === 0,
     close() {
       isClosed = true;
       [...links].forEach(discard);
@@ -207,6 +229,12 @@
   };
 }
 
+/** Whether both records belong to one process of the target. */
+export function isSameProcess(a: TargetRecord, b: TargetRecord): boolean {
+  return a.incarnation === b.incarnation && a.address === b.address &&
+    a.service === b.service;
+}
+
 /** Returns the connection that needs the fewest commands for the context. */
 function pickCheapest(
   links: readonly PooledLink[],
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type WorkspaceId } from "../src/core/ids.ts";
-import { createDispatcher } from "../src/pooling/dispatch.ts";
+import { type Checkout, createDispatcher } from "../src/pooling/dispatch.ts";
 import { createHealth } from "../src/pooling/health.ts";
 import type {
   DialErr,
@@ -44,8 +44,8 @@
     getDefaultWorkspace: () => WORKSPACE,
   });
 
-  /** Requests a connection; the returned list gets the result. */
-  function acquire(target = TARGET): string[] {
+  /** Requests a connection; the returned list gets the kind of the result. */
+  function acquire(target = TARGET, checkouts: Checkout[] = []): string[] {
     const results: string[] = [];
     void dispatcher.acquire({
       service: target.service,
@@ -53,9 +53,10 @@
       priority: 1,
       deadline: performance.now() + MAX_WAIT_MS,
       listCandidates: () => [target],
-    }).then((acquired) =>
-      results.push(acquired.isOk() ? "connection" : acquired.error.error)
-    );
+    }).then((acquired) => {
+      results.push(acquired.isOk() ? "connection" : acquired.error.error);
+      acquired.map((checkout) => checkouts.push(checkout));
+    });
     return results;
   }
   return { dispatcher, dials, acquire };
@@ -121,3 +122,33 @@
   expect(results).toEqual(["stopping"]);
   expect(dials).toHaveLength(0);
 });
+
+// The connections of a target that registered again came on top of those at
+// work from before.
+test("a target that registers again has no more connections than its cap", async () => {
+  const { dispatcher, dials, acquire } = createTestDispatcher();
+  const checkouts: Checkout[] = [];
+  acquire(TARGET, checkouts);
+  dials[0]!.settle(Ok(createTestLink()));
+  await runDueTasks();
+  dispatcher.removeTarget(TARGET.id);
+  const results = acquire({ ...TARGET });
+  await runDueTasks();
+  expect(dials).toHaveLength(1);
+  checkouts[0]!.release(true);
+  await runDueTasks();
+  expect(results).toEqual(["connection"]);
+  expect(dials).toHaveLength(1);
+});
+
+test("a closed dispatcher closes the connections of a removed target too", async () => {
+  const { dispatcher, dials, acquire } = createTestDispatcher();
+  acquire();
+  const link = createTestLink();
+  dials[0]!.settle(Ok(link));
+  await runDueTasks();
+  dispatcher.removeTarget(TARGET.id);
+  expect(link.isOpen()).toBe(true);
+  dispatcher.close();
+  expect(link.isOpen()).toBe(false);
+});
--- /dev/null
+++ b/test/target_gone.test.ts
@@ -0,0 +1,120 @@
+import { afterEach, expect, test, vi } from "vitest";
+import { asId, type ObjectKey } from "../src/core/ids.ts";
+import type { Session } from "../src/pooling/session.ts";
+import type { Statement } from "../src/pooling/types.ts";
+import { tryDecodeStatement } from "../platform/line_codec.ts";
+import {
+  getOutcome,
+  type PoolFleet,
+  type PoolFleetOptions,
+  run,
+  startPoolFleet,
+} from "./pool_fleet.ts";
+
+let fleet: PoolFleet;
+afterEach(() => fleet.stop());
+
+async function start(group: PoolFleetOptions["group"] = {}): Promise<void> {
+  fleet = await startPoolFleet({ group });
+}
+
+/** Executes a statement without waiting; the list gets its outcome. */
+function begin(session: Session, text: string): string[] {
+  const outcomes: string[] = [];
+  const statement = tryDecodeStatement(text) as Statement;
+  void session.execute(asId("r1"), statement).then((answer) =>
+    outcomes.push(getOutcome(answer))
+  );
+  return outcomes;
+}
+
+function deregister(id: string): void {
+  fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
+}
+
+/** Stops or resumes the replication that writes and commits wait for. */
+function setReplication(isStopped: boolean): void {
+  for (const id of ["t2", "t3"]) {
+    fleet.getTarget(id).faults.isReplicationStopped = isStopped;
+  }
+}
+
+const STATEMENT_MS = 100;
+
+// The lapse of the registration broke the connection off, and the write was
+// answered as in doubt although the target ran it and answered.
+test("a write at work is acknowledged although the registration of its target lapses", async () => {
+  await start({ workMs: STATEMENT_MS });
+  const outcomes = begin(fleet.openSession("orders"), "WRITE a 1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
+  deregister("t1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  expect(outcomes).toEqual(["done"]);
+  expect(fleet.group.acknowledged).toContain("r1");
+});
+
+test("a commit at work is acknowledged although the registration of its target lapses", async () => {
+  await start();
+  const session = fleet.openSession("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE a 1");
+  setReplication(true);
+  const outcomes = begin(session, "COMMIT");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  deregister("t1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  expect(outcomes).toEqual([]);
+  setReplication(false);
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  expect(outcomes).toEqual(["done"]);
+});
+
+test("an open transaction commits although the registration of its target lapses", async () => {
+  await start();
+  const session = fleet.openSession("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE a 1");
+  deregister("t1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  expect(getOutcome(await run(session, "COMMIT"))).toBe("done");
+});
+
+test("a target whose registration lapsed gets no new statement and keeps no connection", async () => {
+  await start({ workMs: STATEMENT_MS });
+  const outcomes = begin(fleet.openSession("orders"), "WRITE a 1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
+  deregister("t1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
+  const other = fleet.openSession("orders");
+  expect(getOutcome(await run(other, "WRITE a 2"))).not.toBe("done");
+  expect(outcomes).toHaveLength(1);
+  expect(fleet.getTarget("t1").connections).toBe(0);
+  expect(
+    fleet.group.runs.filter(({ text }) => text === "WRITE a 2"),
+  ).toEqual([]);
+});
+
+test("a connection to an earlier process of a target is closed when the new one is used", async () => {
+  await start();
+  setReplication(true);
+  const outcomes = begin(fleet.openSession("orders"), "WRITE a 1");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  expect(outcomes).toEqual([]);
+  fleet.register("t1", { incarnation: 2 });
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  await run(fleet.openSession("accounts"), "READ a");
+  expect(outcomes).toEqual(["in_doubt"]);
+});
+
+test("a read moves on from a silent target whose registration lapses", async () => {
+  await start();
+  const session = fleet.openSession("reports");
+  await run(session, "READ a");
+  const { target } = fleet.group.runs.at(-1)!;
+  fleet.getTarget(target).faults.isUnresponsive = true;
+  const outcomes = begin(session, "READ b");
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  deregister(target);
+  await vi.advanceTimersByTimeAsync(400);
+  expect(outcomes).toEqual(["done"]);
+});
