End a target's channel, not the process, on a malformed frame

Callers saw: all requests of a host broken off when one target sent bytes that are not MessagePack, or a null frame: the exception in the handler of the message ended the process. A frame with an error or a result of the wrong form went on as an answer, and one without a request id left its call to the timeout.

Cause: the driver unpacked and used frames without a check. The constructor of the WebSocket throws as well, on a registered URL that is not one of a WebSocket; connect() then was rejected instead of answered.

Evidence: on the unchanged code 9 of the 10 tests of test/target_driver.test.ts fail: 3 without an answer in the 2,000 ms of that run, with 2 unhandled errors ("Unexpected end of MessagePack data", "Cannot read properties of null (reading 'rid')"), 3 with an answer that is no `no_answer`, and 3 with a SyntaxError. The continuation of a test that timed out changed the answer of one of those; alone, that one fails on the error `undefined`.

Fix: a frame that is neither `ready` nor a return with a request id and a result or an error ends its channel. Its calls get `no_answer`, with the reason; the next connection works. A URL that cannot be opened is `unreachable`.

--- a/src/host/peer_frames.ts
+++ b/src/host/peer_frames.ts
@@ -17,7 +17,8 @@
     : undefined;
 }
 
-function tryUnpack(data: Buffer): unknown {
+/** Unpacks MessagePack; undefined if the data is malformed. */
+export function tryUnpack(data: Buffer): unknown {
   try {
     return unpack(data);
   } catch {
--- a/src/host/target_driver.ts
+++ b/src/host/target_driver.ts
@@ -1,7 +1,7 @@
 /** Connects to targets over WebSocket, for data and for control. */
 
 import { Buffer } from "node:buffer";
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
 import { Err, Ok, type Result } from "ts-results-es";
 import { WebSocket } from "ws";
 import type { DomainId, HostId, TargetId } from "../core/ids.ts";
@@ -16,6 +16,8 @@
   TargetInfo,
   TargetStatus,
 } from "../core/types.ts";
+import { tryUnpack } from "./peer_frames.ts";
+import { tryOpenWebSocket } from "./web_socket.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 const CONNECT_TIMEOUT_MS = 2_000;
@@ -33,6 +35,9 @@
   | { readonly rid: number; readonly ok: RunRes | TargetStatus }
   | { readonly rid: number; readonly err: TargetErr };
 
+/** Frame of a target: `ready` once it has accepted the channel, or a return. */
+type TargetFrame = "ready" | TargetReturn;
+
 /** Counts a frame of a channel. */
 type CountFrame = (bytes: number, direction: "in" | "out") => void;
 
@@ -53,19 +58,25 @@
   countFrame: CountFrame = () => {},
 ): Promise<Result<Channel, TargetErr>> {
   return new Promise((resolve) => {
-    const ws = new WebSocket(url, {
+    const ws = tryOpenWebSocket(url, {
       perMessageDeflate: false,
       handshakeTimeout: CONNECT_TIMEOUT_MS,
     });
+    if (!ws) {
+      const detail = "the URL is not valid";
+      resolve(Err({ kind: "unreachable", sent: false, detail }));
+      return;
+    }
     const pendingCalls = new Map<number, Settle>();
     let nextRid = 1;
     let isReady = false;
     let corkSocket: WriteBatch = () => {};
 
-    function fail(kind: TargetErr["kind"]): void {
-      resolve(Err({ kind, sent: false }));
+    function fail(kind: TargetErr["kind"], detail?: string): void {
+      const details = detail === undefined ? {} : { detail };
+      resolve(Err({ kind, sent: false, ...details }));
       for (const settle of [...pendingCalls.values()]) {
-        settle(Err({ kind: "no_answer", sent: true }));
+        settle(Err({ kind: "no_answer", sent: true, ...details }));
       }
       pendingCalls.clear();
     }
@@ -99,14 +110,20 @@
     ws.on("upgrade", (res) => corkSocket = createWriteBatch(res.socket));
     ws.on("message", (data: Buffer) => {
       countFrame(data.length, "in");
-      const frame: unknown = unpack(data);
+      const frame = tryDecodeFrame(data);
+      if (frame === undefined) {
+        ws.terminate();
+        fail("unreachable", "the target sent a malformed frame");
+        return;
+      }
       if (frame === "ready") {
         isReady = true;
         resolve(Ok(channel));
         return;
       }
-      const res = frame as TargetReturn;
-      pendingCalls.get(res.rid)?.("ok" in res ? Ok(res.ok) : Err(res.err));
+      pendingCalls.get(frame.rid)?.(
+        "ok" in frame ? Ok(frame.ok) : Err(frame.err),
+      );
     });
     ws.on("error", () => fail("unreachable"));
     ws.on("close", (code) => {
@@ -122,6 +139,28 @@
   });
 }
 
+/** Decodes a frame; undefined if it is neither `ready` nor a return. */
+function tryDecodeFrame(data: Buffer): TargetFrame | undefined {
+  const frame = tryUnpack(data);
+  if (frame === "ready") {
+    return frame;
+  }
+  if (!isRecord(frame) || typeof frame.rid !== "number") {
+    return undefined;
+  }
+  const isValid = "ok" in frame ? isRecord(frame.ok) : isTargetErr(frame.err);
+  return isValid ? frame as unknown as TargetReturn : undefined;
+}
+
+function isTargetErr(value: unknown): boolean {
+  return isRecord(value) && typeof value.kind === "string" &&
+    typeof value.sent === "boolean";
+}
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === "object" && value !== null;
+}
+
 /** Creates the driver that connects a host to targets. */
 export function createTargetDriver(
   self: { readonly host: HostId; readonly domain: DomainId },
