Leave out registered addresses that cannot be connected to

Callers saw: requests of a host broken off when another host or a target had registered an address with an impossible port, or a URL that is not one of a WebSocket. To send to it threw, out of a timer or the handler of a message.

Cause: the addresses come from the store and were checked by their form only. socket.send() and connect() throw on ports above 65535, as do new URL() and the constructor of the WebSocket on malformed URLs.

--- a/src/host/datagram_peers.ts
+++ b/src/host/datagram_peers.ts
@@ -6,6 +6,7 @@
 import type { MetricsSink } from "../core/types.ts";
 import type { PoolPeerMessage } from "../generated/pool_peer.ts";
 import { validatePoolPeerMessage } from "../generated/pool_peer_validate.ts";
+import { isPort } from "./ports.ts";
 import type { PeerReceiver, PoolLog, PoolPeers } from "../pooling/types.ts";
 
 /** Peer messages over a UDP socket. */
@@ -23,6 +24,8 @@
   const [host = "", port = "0"] = address.split(":");
   const socket = createSocket("udp4");
   const addressesByHost = new Map<HostId, string>();
+  /** Hosts whose address is not valid, each of which is logged once. */
+  const invalidAddresses = new Map<HostId, string>();
   const hostsByAddress = new Map<string, HostId>();
   let receive: PeerReceiver = () => {};
 
@@ -39,12 +42,23 @@
     }
   });
 
+  function recordInvalid(id: HostId, hostAddress: string): void {
+    if (invalidAddresses.get(id) !== hostAddress) {
+      invalidAddresses.set(id, hostAddress);
+      log.info("peer_address_invalid", { peer: id, address: hostAddress });
+    }
+  }
+
   return {
     listen: () => void socket.bind(Number(port), host),
     setAddresses(hostAddresses) {
       addressesByHost.clear();
       hostsByAddress.clear();
       for (const [id, hostAddress] of hostAddresses) {
+        if (!isPort(Number(hostAddress.split(":")[1]))) {
+          recordInvalid(id, hostAddress);
+          continue;
+        }
         addressesByHost.set(id, hostAddress);
         hostsByAddress.set(hostAddress, id);
       }
--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -17,6 +17,7 @@
   isCertificateFor,
   isLoopback,
 } from "./tls.ts";
+import { tryOpenWebSocket } from "./web_socket.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 const MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024;
@@ -67,6 +68,9 @@
 
   /** Without TLS, only loopback URLs are allowed. */
   function isUrlAllowed(url: string): boolean {
+    if (!URL.canParse(url)) {
+      return false;
+    }
     const { protocol, hostname } = new URL(url);
     return tls ? protocol === "wss:" : isLoopback(hostname);
   }
@@ -85,11 +89,14 @@
       return undefined;
     }
     lastAttempts.set(to, now);
-    const newLink = new WebSocket(`${url}/?from=${settings.host}`, {
+    const newLink = tryOpenWebSocket(`${url}/?from=${settings.host}`, {
       perMessageDeflate: false,
       handshakeTimeout: CONNECT_TIMEOUT_MS,
       ...(tls ? { ...tls.content, ...getIdentityOptions(to) } : {}),
     });
+    if (!newLink) {
+      return undefined;
+    }
     // Each queued message adds a listener for the `open` event.
     newLink.setMaxListeners(MAX_PENDING_MESSAGES);
     newLink.on("error", () => newLink.terminate());
--- a/src/host/web_socket.ts
+++ b/src/host/web_socket.ts
@@ -6,7 +6,7 @@
 /** Opens a connection; undefined if the URL is not one of a WebSocket. */
 export function tryOpenWebSocket(
   url: string,
-  options: WebSocket.ClientOptions & ClientRequestArgs,
+  options: WebSocket.ClientOptions | ClientRequestArgs,
 ): WebSocket | undefined {
   try {
     return new WebSocket(url, options);
--- a/test/peer_links.test.ts
+++ b/test/peer_links.test.ts
@@ -80,3 +80,16 @@
   await expect.poll(() => received).toEqual([HEARTBEAT]);
   good.terminate();
 });
+
+// The exception came out of the timer of the heartbeats and ended the process.
+test("a host that registered a malformed URL does not keep others from messages", async () => {
+  const urls = ["no url", "ftp://127.0.0.1", "ws://127.0.0.1/#part"];
+  const hosts = urls.map((url, n) => ({ host: asId<HostId>(`bad${n}`), url }));
+  const good = asId<HostId>("good");
+  links.updateUrls([...hosts, { host: good, url: `ws://127.0.0.1:${port}` }]);
+  for (const { host } of hosts) {
+    links.send(host, HEARTBEAT);
+  }
+  links.send(good, { ...HEARTBEAT, host: asId<HostId>("h1") });
+  await expect.poll(() => received, { timeout: 200_000 }).toHaveLength(1);
+});
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -155,6 +155,9 @@
     { ...ENTRY, state: "resting" },
     { ...ENTRY, dbRole: "leader" },
     { ...ENTRY, addr: "nowhere" },
+    // To connect to such a port throws.
+    { ...ENTRY, addr: "10.0.0.1:65536" },
+    { ...ENTRY, addr: "10.0.0.1:0" },
     { ...ENTRY, born: 1.5 },
     { ...ENTRY, born: "5" },
   );
