--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -65,6 +65,33 @@
   expect(reader.push("x")).toBe(false);
 });
 
+// A line end before it let a line without an end grow without a bound.
+test("a line without an end is refused beyond the limit after complete lines", () => {
+  const reader = createLineReader();
+  expect(reader.push(`a\r\n${"x".repeat(MAX_LINE_BYTES)}`)).toBe(true);
+  expect(reader.push("x")).toBe(false);
+});
+
+test("a complete line is refused beyond the limit", () => {
+  const reader = createLineReader();
+  expect(reader.push(`${"x".repeat(MAX_LINE_BYTES + 1)}\r\n`)).toBe(false);
+  const later = createLineReader();
+  expect(later.push(`a\r\n${"x".repeat(MAX_LINE_BYTES + 1)}\r\nb`)).toBe(
+    false,
+  );
+});
+
+test("a line of the longest length is read however its end is split", () => {
+  const line = "x".repeat(MAX_LINE_BYTES);
+  const chunkings = [[`${line}\r\n`], [`${line}\r`, "\n"], [line, "\r\n"]];
+  for (const chunks of chunkings) {
+    const reader = createLineReader();
+    expect(chunks.map(reader.push)).toEqual(chunks.map(() => true));
+    expect(reader.tryNext()?.length).toBe(MAX_LINE_BYTES);
+    expect(reader.push(line)).toBe(true);
+  }
+});
+
 test("only valid statements are decoded", () => {
   const texts = [
     "BEGIN",
