--- a/test/target_link.test.ts
+++ b/test/target_link.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Socket } from "node:net";
 import { once } from "node:events";
 import { afterEach, expect, test } from "vitest";
+import { MAX_LINE_BYTES } from "../platform/line_reader.ts";
 import { createTargetDialer } from "../platform/target_link.ts";
 import { asId, type WorkspaceId } from "../src/core/ids.ts";
 import type { TargetRecord } from "../src/pooling/types.ts";
@@ -48,6 +49,9 @@
   return { dialed, socket: sockets[0]! };
 }
 
+/** Longer than a line may be. */
+const OVERLONG_TEXT = "x".repeat(MAX_LINE_BYTES + 1);
+
 function createWrite(id: string, text = "WRITE a 1") {
   return { kind: "run", id: asId<never>(id), text } as const;
 }
@@ -91,3 +95,49 @@
   await once(socket, "close");
   expect(dialed.unwrap().isOpen()).toBe(false);
 });
+
+// What came in one chunk with the ready message was dropped.
+test("a message that nobody asked for ends the connection, also right after the start", async () => {
+  const { dialed, socket } = await dialTarget((socket) =>
+    socket.write(`${READY}ERR FAILED shutting down\r\n`)
+  );
+  await once(socket, "end");
+  expect(dialed.unwrap().isOpen()).toBe(false);
+});
+
+test("a line begun right after the start is completed by the next chunk", async () => {
+  const { dialed, socket } = await dialTarget((socket) =>
+    socket.write(`${READY}DONE si`)
+  );
+  const reply = dialed.unwrap().send(createWrite("r1"));
+  await once(socket, "data");
+  socket.write(`g\r\n${READY}`);
+  expect(await reply).toMatchObject({ kind: "done", signature: "sig" });
+});
+
+// The text was kept until the time for the dial was over.
+test("a target that answers the start with an overlong line is refused", async () => {
+  const { dialed, socket } = await dialTarget((socket) =>
+    socket.write(OVERLONG_TEXT)
+  );
+  expect(dialed.unwrapErr()).toEqual({
+    code: "other",
+    detail: "a message of the target is too long",
+  });
+  socket.destroy();
+});
+
+test("an overlong line ends the connection with its pending commands", async () => {
+  const { dialed, socket } = await dialTarget((socket) => socket.write(READY));
+  const link = dialed.unwrap();
+  const replies = [link.send(createWrite("r1")), link.send(createWrite("r2"))];
+  await once(socket, "data");
+  socket.write(`DONE sig\r\n${READY}ROW ${OVERLONG_TEXT}`);
+  const [first, second] = await Promise.all(replies);
+  expect(second).toEqual({
+    kind: "lost",
+    detail: "a message of the target is too long",
+  });
+  expect(["done", "lost"]).toContain(first!.kind);
+  expect(link.isOpen()).toBe(false);
+});
