Abort a commit whose connection was lost before it

Callers saw: a commit answered as in doubt that was never sent, when the connection of the transaction had ended since the last statement.

Cause: a command on a closed connection is answered `lost`, like one without an answer. A write looks whether the connection is open before it is sent; a commit did not, unless variables had to be set first.

Evidence: on the unchanged code "a commit is aborted if the connection was lost before it" (test/target_gone.test.ts) gets `in_doubt` instead of `aborted`.

Fix: a statement or commit on a connection known to be closed aborts the transaction. Without a commit the target keeps nothing of it.

--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -130,13 +130,21 @@
       pinned = begun;
       return pinned;
     }
-    const fault = await prepareConnection(pinned, {
+    const checkout = pinned;
+    const fault = await prepareConnection(checkout, {
       context: task.context,
       timeoutMs: getTimeLeftMs(task),
     });
-    return fault
-      ? { kind: "failed", error: "aborted", detail: describeReply(fault) }
-      : pinned;
+    if (fault) {
+      return { kind: "failed", error: "aborted", detail: describeReply(fault) };
+    }
+    // What is sent on a closed connection is lost with an unknown outcome;
+    // without a commit, nothing of the transaction persists.
+    return checkout.pooled.link.isOpen() ? checkout : {
+      kind: "failed",
+      error: "aborted",
+      detail: "the connection to the target was lost before the statement",
+    };
   }
 
   /**
--- a/test/target_gone.test.ts
+++ b/test/target_gone.test.ts
@@ -106,6 +106,19 @@
   expect(outcomes).toEqual(["in_doubt"]);
 });
 
+// The commit was answered as in doubt, although it was never sent.
+test("a commit is aborted if the connection was lost before it", async () => {
+  await start();
+  const session = fleet.openSession("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE a 1");
+  fleet.register("t1", { incarnation: 2 });
+  await vi.advanceTimersByTimeAsync(STATEMENT_MS);
+  await run(fleet.openSession("accounts"), "READ a");
+  expect(getOutcome(await run(session, "COMMIT"))).toBe("aborted");
+  expect(fleet.getTarget("t1").log).toEqual([]);
+});
+
 test("a read moves on from a silent target whose registration lapses", async () => {
   await start();
   const session = fleet.openSession("reports");
