--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -16,6 +16,7 @@
 import type { RequiredContext } from "./link_context.ts";
 import {
   createTargetPool,
+  isSameProcess,
   type LinkSource,
   type PooledLink,
   type TargetPool,
@@ -69,8 +70,13 @@
   serveQueue(): void;
   /** Sets the maximum number of this host's connections to each target. */
   setConnectionCaps(getCap: (target: TargetRecord) => number): void;
-  /** Closes all connections to a target that is gone or was replaced. */
+  /**
+   * Stops the use of a target whose record is gone or names another process.
+   * Connections at work stay until they are released, or until a request names
+   * another process of the target.
+   */
   removeTarget(target: TargetId): void;
+  /** Closes all connections; all requests fail with `stopping` from then on. */
   close(): void;
 }
 
@@ -95,13 +101,17 @@
   const { health, plan = planRound } = options;
   const pools = new Map<TargetId, TargetPool>();
   const queue: Waiter[] = [];
+  /** Requests without a result: queued, dialing, or about to dial again. */
+  const waiters = new Set<Waiter>();
   const averageCheckoutMs = new Map<ServiceId, number>();
   let getCap: (target: TargetRecord) => number = () => 1;
   let isServing = false;
+  let isClosed = false;
 
   function getPool(target: TargetRecord): TargetPool {
     const existing = pools.get(target.id);
-    if (existing && existing.target.incarnation === target.incarnation) {
+    if (existing && isSameProcess(existing.target, target)) {
+      existing.restore();
       return existing;
     }
     existing?.close();
@@ -111,6 +121,12 @@
     return pool;
   }
 
+  function dropIfAbandoned(pool: TargetPool): void {
+    if (pool.isAbandoned() && pools.get(pool.target.id) === pool) {
+      pools.delete(pool.target.id);
+    }
+  }
+
   /** Creates a checkout; `since` is when the connection was taken or dialed. */
   function createCheckout(
     pool: TargetPool,
@@ -133,6 +149,7 @@
           previous + EWMA_WEIGHT * (nowMs() - since - previous),
         );
         pool.release(pooled, isClean);
+        dropIfAbandoned(pool);
         serveQueue();
         pool.closeIfSurplus(pooled);
       },
@@ -197,6 +214,10 @@
       waiter.settle(Ok(createCheckout(pool, { pooled: dialed.value, since })));
       return;
     }
+    dropIfAbandoned(pool);
+    if (isClosed) {
+      return;
+    }
     if (dialed.error.code !== "too_many_connections") {
       health.recordFailure(pool.target.id);
     }
@@ -205,7 +226,7 @@
       return;
     }
     setTimeout(() => {
-      if (!tryServe(waiter)) {
+      if (waiters.has(waiter) && !tryServe(waiter)) {
         enqueue(waiter);
       }
     }, DIAL_RETRY_MS);
@@ -279,22 +300,24 @@
   function acquire(
     request: ConnectionRequest,
   ): Promise<Result<Checkout, PoolFailure>> {
+    if (isClosed) {
+      return Promise.resolve(Err({ error: "stopping" }));
+    }
     const since = nowMs();
     return new Promise((resolve) => {
-      let isSettled = false;
       const waiter: Waiter = {
         request,
         since,
         deadline: request.deadline,
         settle(result) {
-          if (isSettled) {
-            // The request timed out while its connection was being opened.
+          if (!waiters.delete(waiter)) {
+            // The request timed out while its connection was being opened, or
+            // the dispatcher was closed.
             if (result.isOk()) {
               result.value.release(true);
             }
             return;
           }
-          isSettled = true;
           clearTimeout(timer);
           const index = queue.indexOf(waiter);
           if (index >= 0) {
@@ -306,6 +329,7 @@
           resolve(result);
         },
       };
+      waiters.add(waiter);
       const remainingMs = request.deadline - since;
       const timer = setTimeout(
         () => waiter.settle(Err(createRefusal(request))),
@@ -347,12 +371,16 @@
       serveQueue();
     },
     removeTarget(target) {
-      pools.get(target)?.close();
-      pools.delete(target);
+      const pool = pools.get(target);
+      if (pool) {
+        pool.retire();
+        dropIfAbandoned(pool);
+      }
       health.removeTarget(target);
     },
     close() {
-      for (const waiter of [...queue]) {
+      isClosed = true;
+      for (const waiter of [...waiters]) {
         waiter.settle(Err({ error: "stopping" }));
       }
       pools.forEach((pool) => pool.close());
