Tell clients why a withdrawn key or route ends their idle session

Callers saw: no answer to a statement that crossed the end of a session whose key or route was withdrawn; it had not run, but nothing said so.

Cause: the session ended without a message, as it did in a stop.

Evidence: 'a client whose key is withdrawn is told before its session ends' failed before (the connection ends with no line).

Fix: the end of an idle session carries the error that a new session would get.

--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -48,8 +48,11 @@
   /** Executes a statement; calls must not overlap. */
   execute(id: ReqId, statement: Statement): Promise<StatementAnswer>;
   readonly state: TransactionState;
-  /** Whether the current configuration still contains the key and the route. */
-  isAdmitted(): boolean;
+  /**
+   * Returns why the current configuration would refuse this session; undefined
+   * if it still contains the key and the route.
+   */
+  tryRefusal(): PoolFailure | undefined;
   /** Rolls back the open transaction; no statement may follow. */
   close(): void;
   /**
@@ -250,7 +253,7 @@
         detail: "a write in a read-only transaction",
       });
     }
-    if (!isAdmitted()) {
+    if (tryRefusal()) {
       abortTransaction();
       return toFailedAnswer({
         error: "aborted",
@@ -321,7 +324,7 @@
       });
     }
     const startedAt = nowMs();
-    if (!isAdmitted()) {
+    if (tryRefusal()) {
       openTransaction.rollback();
       transaction = undefined;
       state = "idle";
@@ -356,8 +359,9 @@
     return toDoneAnswer();
   }
 
-  function isAdmitted(): boolean {
-    return tryAdmit(ctx, sessionOptions).isOk();
+  function tryRefusal(): PoolFailure | undefined {
+    const admitted = tryAdmit(ctx, sessionOptions);
+    return admitted.isErr() ? admitted.error : undefined;
   }
 
   async function executePrepared(
@@ -442,7 +446,7 @@
     get state() {
       return state;
     },
-    isAdmitted,
+    tryRefusal,
     close() {
       transaction?.rollback();
       transaction = undefined;
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -349,6 +349,28 @@
   });
 }
 
+// Guards against a statement that crosses the end of its session: without a
+// message before the end its client can't tell that it was not executed.
+test("a client whose key is withdrawn is told before its session ends", async () => {
+  const fleet = await startPoolFleet();
+  vi.useRealTimers();
+  closables.push({ close: () => fleet.stop() });
+  const listener = createClientListener(fleet.poolers[0]!, {
+    address: "127.0.0.1:0",
+    log: { info() {}, request() {} },
+    metrics: createMetrics(),
+  });
+  const port = await listener.listen();
+  closables.push(listener);
+  const client = connect({ host: "127.0.0.1", port });
+  client.write("START orders key1\r\n");
+  expect(await readAnswers(client, 1)).toBe("READY I -\r\n");
+  fleet.setCatalog({ workspaceByKey: new Map() });
+  expect(await readAnswers(client, 1)).toBe(
+    "ERR NOAUTH the key is unknown or withdrawn\r\n",
+  );
+});
+
 test("sessions over sockets: pipelined statements, split lines, malformed input, refusals", async () => {
   const fleet = await startPoolFleet();
   vi.useRealTimers();
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -416,7 +416,7 @@
   await run(session, "WRITE k 1");
   fleet.setCatalog({ workspaceByKey: new Map() });
   await vi.advanceTimersByTimeAsync(100);
-  expect(session.isAdmitted()).toBe(false);
+  expect(session.tryRefusal()).toEqual({ error: "unauthenticated" });
   expect(getOutcome(await run(session, "WRITE k 2", { id: "w" })))
     .toBe("unauthenticated");
   fleet.setCatalog({ routes: new Map() });
