Send whole answers before a stopping host closes its callers

What callers saw: a caller that read its answer slowly while its host stopped lost the tail of the answer. Over WebSocket the connection ended with 1006, over HTTP in the middle of the body.

Cause: a request counted as answered once its answer was handed to the socket. 500 ms after the start of the drain the connections were terminated with the answers still in the buffers of the process. There were two more ways: server.close() at the start of the drain destroys HTTP connections as idle as soon as res.end() was called, flushed or not; and the notice of the drain was sent through the limit on buffered answers, which closes a connection with more than 4 MB to read.

Evidence: the two tests 'a stop waits for a ... caller that reads its answer slowly' failed on the unchanged code: the WebSocket caller received none of its 2 frames, the HTTP caller 3,919,872 bytes of an answer of 67,108,864.

Change: a drain waits, within its time limit, until nothing is buffered (ws.bufferedAmount, 'finish' of the HTTP answer). Then it sends the close frames, stops listening, and gives callers 2 s to end their connections before they are destroyed. The listener stays open in the drain, so new connections are told that the host stops.

--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -1,7 +1,9 @@
 /** Serves callers over WebSocket sessions and one-shot HTTP requests. */
 
+import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { WebSocketServer } from "ws";
-import { nowMs, sleep } from "../core/clock.ts";
+import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { Host } from "../core/host.ts";
 import type { Settings } from "../generated/settings.ts";
 import { toFailedFrame } from "./caller_frames.ts";
@@ -18,6 +20,11 @@
 /** Time between announcing a drain to callers and closing connections. */
 const DRAIN_NOTICE_MS = 500;
 const IDLE_POLL_INTERVAL_MS = 20;
+/**
+ * Time after the end of a drain for callers to receive what the system still
+ * buffers and to end their connections.
+ */
+const CLOSE_TIMEOUT_MS = 2_000;
 
 /** Server that callers connect to. */
 export interface CallerServer {
@@ -25,11 +32,15 @@
   listen(): Promise<number>;
   /** Returns the number of open WebSocket connections. */
   countConnections(): number;
-  /** Returns the number of unanswered requests. */
+  /**
+   * Returns the number of requests that are not answered; a request over HTTP
+   * counts until its whole answer has left the buffers of this process.
+   */
   countInFlight(): number;
   /**
    * Waits up to `timeoutMs` for running requests and open transactions to
-   * finish, then closes all connections.
+   * finish and for their answers to be sent, then closes all connections and
+   * waits a limited time for callers to end them.
    */
   drain(timeoutMs: number): Promise<void>;
   close(): void;
@@ -42,21 +53,19 @@
 ): CallerServer {
   const maxBytes = settings.maxFrameBytes ?? DEFAULT_MAX_FRAME_BYTES;
   const sockets = new Set<CallerSocket>();
-  let httpInFlight = 0;
+  const httpRequests = new Map<Socket, number>();
   let isDraining = false;
 
   const tls = settings.tls && createReloadingTls(settings.tls);
   const server = createTlsServer(settings.address, { tls });
-  server.on("request", async (req, res) => {
+  server.on("request", (req, res) => {
     if (isDraining) {
       res.writeHead(503, { connection: "close" });
       res.end(JSON.stringify(toFailedFrame("", { error: "shutting_down" })));
       return;
     }
-    httpInFlight++;
-    const { entry } = host;
-    await serveCallerHttp({ req, res }, { entry, maxBytes });
-    httpInFlight--;
+    trackHttpRequest(req.socket, res);
+    void serveCallerHttp({ req, res }, { entry: host.entry, maxBytes });
   });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = REQUEST_TIMEOUT_MS;
@@ -79,8 +88,24 @@
     }
   });
 
+  /** Counts a request until its answer is sent or its connection is closed. */
+  function trackHttpRequest(socket: Socket, res: ServerResponse): void {
+    const count = httpRequests.get(socket);
+    if (count === undefined) {
+      socket.once("close", () => httpRequests.delete(socket));
+    }
+    httpRequests.set(socket, (count ?? 0) + 1);
+    res.once("finish", () => {
+      httpRequests.set(socket, httpRequests.get(socket)! - 1);
+    });
+  }
+
+  function countHttpRequests(): number {
+    return [...httpRequests.values()].reduce((sum, count) => sum + count, 0);
+  }
+
   function isIdle(): boolean {
-    return httpInFlight === 0 && [...sockets].every((s) => s.isIdle());
+    return countHttpRequests() === 0 && [...sockets].every((s) => s.isIdle());
   }
 
   function close(): void {
@@ -94,17 +119,25 @@
     listen: () => listenAt(server, settings),
     countConnections: () => sockets.size,
     countInFlight: () =>
-      [...sockets].reduce((sum, s) => sum + s.countInFlight(), httpInFlight),
+      [...sockets].reduce(
+        (sum, socket) => sum + socket.countInFlight(),
+        countHttpRequests(),
+      ),
     async drain(timeoutMs) {
       const deadline = nowMs() + timeoutMs;
       isDraining = true;
-      server.close();
       sockets.forEach((socket) => socket.drain());
       await sleep(Math.min(DRAIN_NOTICE_MS, timeoutMs));
       while (!isIdle() && nowMs() < deadline) {
         await sleep(IDLE_POLL_INTERVAL_MS);
       }
       sockets.forEach((socket) => socket.close());
+      // Not earlier: the server destroys a connection as idle once its answer
+      // is complete, even if the answer is still buffered.
+      const ended = new Promise<void>((resolve) => {
+        server.close(() => resolve());
+      });
+      await withTimeout(ended, { ms: CLOSE_TIMEOUT_MS, fallback: undefined });
     },
     close,
   };
--- a/src/host/caller_socket.ts
+++ b/src/host/caller_socket.ts
@@ -38,7 +38,10 @@
 /** Connection of a caller, as used by the server. */
 export interface CallerSocket {
   countInFlight(): number;
-  /** Whether no request is unanswered and no transaction is open. */
+  /**
+   * Whether every answer has left the buffers of this process and no
+   * transaction is open.
+   */
   isIdle(): boolean;
   /** Refuses new requests, except those of open transactions. */
   drain(): void;
@@ -83,6 +86,10 @@
       ws.terminate();
       return;
     }
+    write(frame);
+  }
+
+  function write(frame: AnswerFrame): void {
     options.corkSocket();
     ws.send(encodeAnswer(frame));
   }
@@ -176,10 +183,15 @@
 
   return {
     countInFlight: () => inFlight,
-    isIdle: () => inFlight === 0 && openTransactions.size === 0,
+    isIdle: () =>
+      inFlight === 0 && openTransactions.size === 0 && ws.bufferedAmount === 0,
     drain() {
       isDraining = true;
-      send(toFailedFrame("", { error: "shutting_down" }));
+      // The limit on buffered answers does not apply: the notice must not cost
+      // a caller the answer that it is still reading.
+      if (ws.readyState === ws.OPEN) {
+        write(toFailedFrame("", { error: "shutting_down" }));
+      }
     },
     close() {
       if (inFlight === 0) {
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { request } from "node:http";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { Err, Ok } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { WebSocket } from "ws";
@@ -24,10 +24,15 @@
 
 const MAX_FRAME_BYTES = 4_096;
 const DRAIN_MS = 10_000;
+/** Size of an answer beyond what the buffers of the system hold. */
+const LARGE_ANSWER_BYTES = 64 * 1024 * 1024;
+/** End of an HTTP answer. */
+const LAST_CHUNK = "\r\n0\r\n\r\n";
 
 let server: CallerServer;
 let port: number;
 let sockets: WebSocket[];
+let rawSockets: Socket[];
 let handleRequest: (frame: RequestFrame) => Promise<Answer>;
 
 const entry: Entry = {
@@ -64,12 +69,14 @@
 beforeEach(async () => {
   vi.useFakeTimers();
   sockets = [];
+  rawSockets = [];
   handleRequest = (frame) => Promise.resolve(createDoneAnswer(frame));
   await startServer();
 });
 
 afterEach(() => {
   sockets.forEach((ws) => ws.terminate());
+  rawSockets.forEach((socket) => socket.destroy());
   server.close();
   vi.useRealTimers();
 });
@@ -254,6 +261,50 @@
   expect(await closed).toBe(GOING_AWAY_CODE);
 });
 
+/** Resolves when the server has handed a large answer to the connection. */
+function answerLarge(): Promise<void> {
+  return new Promise((resolve) => {
+    handleRequest = (frame) => {
+      setImmediate(resolve);
+      const result = "x".repeat(LARGE_ANSWER_BYTES);
+      return Promise.resolve(createDoneAnswer(frame, result));
+    };
+  });
+}
+
+/** Drains and closes the server, as a host does when it stops. */
+async function stopServer(): Promise<void> {
+  await server.drain(DRAIN_MS);
+  server.close();
+}
+
+// Guards against connections terminated while an answer is still buffered.
+test("a stop waits for a WebSocket caller that reads its answer slowly", async () => {
+  const answered = answerLarge();
+  const ws = await openSession();
+  const closed = waitForCloseCode(ws);
+  ws.pause();
+  ws.send(JSON.stringify(createRead("r1")));
+  await answered;
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 2);
+  const received: string[] = [];
+  const receivedAll = new Promise<void>((resolve) => {
+    ws.on("message", (data) => {
+      received.push((JSON.parse(`${data}`) as AnswerFrame).id);
+      if (received.length === 2) {
+        resolve();
+      }
+    });
+  });
+  ws.resume();
+  await Promise.race([receivedAll, closed]);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 4);
+  expect(received).toEqual(["r1", ""]);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+});
+
 async function post(body: string, headers: Record<string, string> = {}) {
   const res = await fetch(`http://127.0.0.1:${port}/`, {
     method: "POST",
@@ -273,6 +324,61 @@
   expect(unknown.status).toBe(401);
 });
 
+/** Writes the text of requests to a connection of its own. */
+async function sendRaw(
+  text: string,
+  options: { allowHalfOpen?: boolean } = {},
+) {
+  const socket = connect({ port, host: "127.0.0.1", ...options });
+  rawSockets.push(socket);
+  await once(socket, "connect");
+  socket.write(text);
+  return socket;
+}
+
+function createRawPost(
+  body: string,
+  headers: Record<string, string | number> = {},
+): string {
+  const lines = Object.entries({
+    host: "127.0.0.1",
+    authorization: "Bearer good",
+    "content-length": body.length,
+    ...headers,
+  }).map(([name, value]) => `${name}: ${value}`);
+  return ["POST / HTTP/1.1", ...lines, "", body].join("\r\n");
+}
+
+/** Resolves with a whole answer, or with its part if the connection ends. */
+function readAnswer(socket: Socket): Promise<string> {
+  socket.setEncoding("utf8");
+  socket.on("error", () => {});
+  return new Promise((resolve) => {
+    let text = "";
+    socket.on("data", (chunk: string) => {
+      text += chunk;
+      if (chunk.endsWith(LAST_CHUNK)) {
+        resolve(text);
+      }
+    });
+    socket.on("close", () => resolve(text));
+  });
+}
+
+// Guards against connections destroyed while an answer is still buffered.
+test("a stop waits for an HTTP caller that reads its answer slowly", async () => {
+  const answered = answerLarge();
+  const socket = await sendRaw(createRawPost(JSON.stringify(createRead("r1"))));
+  await answered;
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 2);
+  const text = await readAnswer(socket);
+  expect(text.length).toBeGreaterThan(LARGE_ANSWER_BYTES);
+  expect(text.endsWith(LAST_CHUNK)).toBe(true);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 4);
+  await stopped;
+});
+
 test("a body that is too large is refused", async () => {
   const answer = await post("x".repeat(MAX_FRAME_BYTES + 1));
   expect(answer).toMatchObject({ status: 413, frame: { error: "too_large" } });
