Answer the requests that outlast a drain before closing

What callers saw: at the time limit of a drain a WebSocket with requests in flight ended with 1006, an HTTP connection with a reset. Nothing told the caller which of its requests had run.

Cause: close() terminated a connection with requests in flight, since their outcome was unknown; HTTP connections were all destroyed.

Evidence: the two tests '... that outlasts a drain is told what became of it' failed on the unchanged code: close code 1006 instead of 1001, and both HTTP requests ended without an answer.

Change: at the time limit each request gets a last answer that is true whatever its host still does with it. A read or a begin has no effect (shutting_down, not_run); a statement of a transaction is rolled back with its session, unless its commit is in flight too (transaction_lost); a write, a commit and an outcome are unknown. A request over HTTP whose body has not arrived is answered with not_run and isn't run when the rest arrives. Then comes the close code 1001, which now says the truth for every request.

--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -2,7 +2,7 @@
 
 import { type Failure, getErrorAnswer } from "./errors.ts";
 import { type SendErr, toFailure } from "./send.ts";
-import type { Outcome, Position, RunRes } from "./types.ts";
+import type { Outcome, Position, RequestFrame, RunRes } from "./types.ts";
 
 /** Retry delay that callers get while a group has no primary. */
 export const RETRY_AFTER_MS = 500;
@@ -44,6 +44,26 @@
     : { error: "outcome_unknown", retryAfterMs: RETRY_AFTER_MS };
 }
 
+/**
+ * Returns the failure of a request that its stopping host no longer waits for.
+ * `inFlight` are the unanswered requests of its session, whose transactions are
+ * rolled back unless a commit of them is among these.
+ */
+export function toAbandonedFailure(
+  frame: RequestFrame,
+  inFlight: Iterable<RequestFrame>,
+): Failure {
+  const tx = "tx" in frame ? frame.tx : undefined;
+  if (tx !== undefined) {
+    const isCommitting = [...inFlight].some((other) =>
+      other.kind === "end" && other.end === "commit" && other.tx === tx
+    );
+    return { error: isCommitting ? "outcome_unknown" : "transaction_lost" };
+  }
+  const hasNoEffect = frame.kind === "read" || frame.kind === "begin";
+  return { error: hasNoEffect ? "shutting_down" : "outcome_unknown" };
+}
+
 /** Returns true if neither a retry nor another target can change the error. */
 export function isFinal(err: SendErr): boolean {
   if (err.kind === "refused") {
--- a/src/host/caller_http.ts
+++ b/src/host/caller_http.ts
@@ -4,12 +4,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
 import { type AnswerFrame, toFrame } from "../core/answer.ts";
-import type { Entry } from "../core/entry.ts";
+import type { Entry, RequestFrame } from "../core/entry.ts";
 import {
   type ErrorKind,
   type Failure,
   getErrorAnswer,
 } from "../core/errors.ts";
+import { toAbandonedFailure } from "../core/outcome.ts";
 import type { HelloFrame } from "../generated/caller.ts";
 import {
   decodeCallerFrame,
@@ -31,38 +32,81 @@
   "unauthenticated",
 ]);
 
+/** Request over HTTP, as used by the server. */
+export interface CallerHttpRequest {
+  /** Answers with what became of the request, if it is not answered. */
+  abandon(): void;
+}
+
+interface ServeOptions {
+  readonly entry: Entry;
+  readonly maxBytes: number;
+}
+
 /** Reads, runs and answers one request. */
-export async function serveCallerHttp(
+export function serveCallerHttp(
   exchange: { readonly req: IncomingMessage; readonly res: ServerResponse },
-  options: { readonly entry: Entry; readonly maxBytes: number },
-): Promise<void> {
+  options: ServeOptions,
+): CallerHttpRequest {
   const { req, res } = exchange;
-  try {
-    writeAnswer(res, await runRequest(req, options));
-  } catch {
-    writeAnswer(res, toFailedFrame("", { error: "internal" }));
+  let frame: RequestFrame | undefined;
+
+  function answer(answerFrame: AnswerFrame): void {
+    if (!res.writableEnded) {
+      writeAnswer(res, answerFrame);
+    }
+  }
+
+  async function serve(): Promise<void> {
+    const decoded = await readFrame(req, options.maxBytes);
+    if (decoded.isErr()) {
+      answer(toFailedFrame(decoded.error.id, decoded.error.failure));
+    } else if (!res.writableEnded) {
+      frame = decoded.value;
+      answer(await runRequest(req, { frame, entry: options.entry }));
+    }
   }
+
+  serve().catch(() => answer(toFailedFrame("", { error: "internal" })));
+  return {
+    abandon() {
+      answer(
+        frame
+          ? toFailedFrame(frame.id, toAbandonedFailure(frame, [frame]))
+          : toFailedFrame("", { error: "shutting_down" }),
+      );
+    },
+  };
+}
+
+/** Reads the frame of a request. */
+async function readFrame(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<RequestFrame, FrameErr>> {
+  const text = await readText(req, maxBytes);
+  return text.andThen(decodeCallerFrame).andThen(
+    (frame): Result<RequestFrame, FrameErr> => {
+      if (frame.kind !== "hello") {
+        return Ok(frame);
+      }
+      const detail = "a session needs a WebSocket";
+      return Err({ id: "", failure: { error: "bad_request", detail } });
+    },
+  );
 }
 
 async function runRequest(
   req: IncomingMessage,
-  options: { readonly entry: Entry; readonly maxBytes: number },
+  options: { readonly frame: RequestFrame; readonly entry: Entry },
 ): Promise<AnswerFrame> {
-  const text = await readText(req, options.maxBytes);
-  const frame = text.andThen(decodeCallerFrame);
-  if (frame.isErr()) {
-    return toFailedFrame(frame.error.id, frame.error.failure);
-  }
-  if (frame.value.kind === "hello") {
-    const detail = "a session needs a WebSocket";
-    return toFailedFrame("", { error: "bad_request", detail });
-  }
+  const { frame } = options;
   const session = options.entry.open(readHello(req));
   if (session.isErr()) {
-    return toFailedFrame(frame.value.id, session.error);
+    return toFailedFrame(frame.id, session.error);
   }
   try {
-    return toFrame(await session.value.request(frame.value));
+    return toFrame(await session.value.request(frame));
   } finally {
     session.value.end();
   }
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -1,13 +1,12 @@
 /** Serves callers over WebSocket sessions and one-shot HTTP requests. */
 
-import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { WebSocketServer } from "ws";
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { Host } from "../core/host.ts";
 import type { Settings } from "../generated/settings.ts";
 import { toFailedFrame } from "./caller_frames.ts";
-import { serveCallerHttp } from "./caller_http.ts";
+import { type CallerHttpRequest, serveCallerHttp } from "./caller_http.ts";
 import { type CallerSocket, serveCallerSocket } from "./caller_socket.ts";
 import { createReloadingTls, createTlsServer } from "./tls.ts";
 import { createWriteBatch } from "./write_batch.ts";
@@ -39,8 +38,9 @@
   countInFlight(): number;
   /**
    * Waits up to `timeoutMs` for running requests and open transactions to
-   * finish and for their answers to be sent, then closes all connections and
-   * waits a limited time for callers to end them.
+   * finish and for their answers to be sent. Then answers the rest with what
+   * became of it, closes all connections and waits a limited time for callers
+   * to end them.
    */
   drain(timeoutMs: number): Promise<void>;
   close(): void;
@@ -53,7 +53,7 @@
 ): CallerServer {
   const maxBytes = settings.maxFrameBytes ?? DEFAULT_MAX_FRAME_BYTES;
   const sockets = new Set<CallerSocket>();
-  const httpRequests = new Map<Socket, number>();
+  const httpRequests = new Map<Socket, Set<CallerHttpRequest>>();
   let isDraining = false;
 
   const tls = settings.tls && createReloadingTls(settings.tls);
@@ -64,8 +64,10 @@
       res.end(JSON.stringify(toFailedFrame("", { error: "shutting_down" })));
       return;
     }
-    trackHttpRequest(req.socket, res);
-    void serveCallerHttp({ req, res }, { entry: host.entry, maxBytes });
+    const { entry } = host;
+    const request = serveCallerHttp({ req, res }, { entry, maxBytes });
+    const requests = getHttpRequests(req.socket).add(request);
+    res.once("finish", () => requests.delete(request));
   });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = REQUEST_TIMEOUT_MS;
@@ -88,24 +90,33 @@
     }
   });
 
-  /** Counts a request until its answer is sent or its connection is closed. */
-  function trackHttpRequest(socket: Socket, res: ServerResponse): void {
-    const count = httpRequests.get(socket);
-    if (count === undefined) {
+  /** Returns the requests of a connection whose answers are not sent. */
+  function getHttpRequests(socket: Socket): Set<CallerHttpRequest> {
+    const requests = httpRequests.get(socket) ?? new Set();
+    if (!httpRequests.has(socket)) {
+      httpRequests.set(socket, requests);
       socket.once("close", () => httpRequests.delete(socket));
     }
-    httpRequests.set(socket, (count ?? 0) + 1);
-    res.once("finish", () => {
-      httpRequests.set(socket, httpRequests.get(socket)! - 1);
-    });
+    return requests;
   }
 
-  function countHttpRequests(): number {
-    return [...httpRequests.values()].reduce((sum, count) => sum + count, 0);
+  function listHttpRequests(): readonly CallerHttpRequest[] {
+    return [...httpRequests.values()].flatMap((requests) => [...requests]);
   }
 
   function isIdle(): boolean {
-    return countHttpRequests() === 0 && [...sockets].every((s) => s.isIdle());
+    return listHttpRequests().length === 0 &&
+      [...sockets].every((s) => s.isIdle());
+  }
+
+  /** Waits until `condition` holds or the deadline has passed. */
+  async function waitUntil(
+    condition: () => boolean,
+    deadline: number,
+  ): Promise<void> {
+    while (!condition() && nowMs() < deadline) {
+      await sleep(IDLE_POLL_INTERVAL_MS);
+    }
   }
 
   function close(): void {
@@ -121,23 +132,27 @@
     countInFlight: () =>
       [...sockets].reduce(
         (sum, socket) => sum + socket.countInFlight(),
-        countHttpRequests(),
+        listHttpRequests().length,
       ),
     async drain(timeoutMs) {
       const deadline = nowMs() + timeoutMs;
       isDraining = true;
       sockets.forEach((socket) => socket.drain());
       await sleep(Math.min(DRAIN_NOTICE_MS, timeoutMs));
-      while (!isIdle() && nowMs() < deadline) {
-        await sleep(IDLE_POLL_INTERVAL_MS);
-      }
+      await waitUntil(isIdle, deadline);
       sockets.forEach((socket) => socket.close());
+      listHttpRequests().forEach((request) => request.abandon());
+      const closeDeadline = nowMs() + CLOSE_TIMEOUT_MS;
+      await waitUntil(() => listHttpRequests().length === 0, closeDeadline);
       // Not earlier: the server destroys a connection as idle once its answer
       // is complete, even if the answer is still buffered.
       const ended = new Promise<void>((resolve) => {
         server.close(() => resolve());
       });
-      await withTimeout(ended, { ms: CLOSE_TIMEOUT_MS, fallback: undefined });
+      await withTimeout(ended, {
+        ms: closeDeadline - nowMs(),
+        fallback: undefined,
+      });
     },
     close,
   };
--- a/src/host/caller_socket.ts
+++ b/src/host/caller_socket.ts
@@ -4,6 +4,7 @@
 import type { WebSocket } from "ws";
 import { type AnswerFrame, toFrame } from "../core/answer.ts";
 import type { CallerSession, Entry, RequestFrame } from "../core/entry.ts";
+import { toAbandonedFailure } from "../core/outcome.ts";
 import type { HelloFrame } from "../generated/caller.ts";
 import {
   decodeCallerFrame,
@@ -46,8 +47,8 @@
   /** Refuses new requests, except those of open transactions. */
   drain(): void;
   /**
-   * Closes the connection: with GOING_AWAY_CODE if no request is unanswered,
-   * otherwise abruptly, as the outcome of the unanswered requests is unknown.
+   * Answers the requests in flight with what became of them, and closes the
+   * connection with GOING_AWAY_CODE.
    */
   close(): void;
 }
@@ -58,7 +59,7 @@
   options: { readonly entry: Entry; readonly corkSocket: WriteBatch },
 ): CallerSocket {
   let session: CallerSession | undefined;
-  let inFlight = 0;
+  const inFlight = new Set<RequestFrame>();
   let malformedCount = 0;
   let isDraining = false;
   let isResponsive = true;
@@ -116,7 +117,7 @@
     if (isDraining && (tx === undefined || !openTransactions.has(tx))) {
       return toFailedFrame(frame.id, { error: "shutting_down" });
     }
-    return inFlight < MAX_IN_FLIGHT_REQUESTS
+    return inFlight.size < MAX_IN_FLIGHT_REQUESTS
       ? undefined
       : toFailedFrame(frame.id, {
         error: "overloaded",
@@ -132,9 +133,9 @@
       send(refusal);
       return;
     }
-    inFlight++;
+    inFlight.add(frame);
     const answerFrame = await runRequest(session!, frame);
-    inFlight--;
+    inFlight.delete(frame);
     trackTransaction(frame, answerFrame);
     send(answerFrame);
   }
@@ -182,9 +183,10 @@
   });
 
   return {
-    countInFlight: () => inFlight,
+    countInFlight: () => inFlight.size,
     isIdle: () =>
-      inFlight === 0 && openTransactions.size === 0 && ws.bufferedAmount === 0,
+      inFlight.size === 0 && openTransactions.size === 0 &&
+      ws.bufferedAmount === 0,
     drain() {
       isDraining = true;
       // The limit on buffered answers does not apply: the notice must not cost
@@ -194,11 +196,14 @@
       }
     },
     close() {
-      if (inFlight === 0) {
-        ws.close(GOING_AWAY_CODE, "the host is stopping");
-      } else {
-        ws.terminate();
+      if (ws.readyState !== ws.OPEN) {
+        return;
       }
+      for (const frame of inFlight) {
+        const failure = toAbandonedFailure(frame, inFlight);
+        write(toFailedFrame(frame.id, failure));
+      }
+      ws.close(GOING_AWAY_CODE, "the host is stopping");
     },
   };
 }
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -305,6 +305,45 @@
   await stopped;
 });
 
+// Guards against connections terminated with requests in flight unanswered.
+test("a request that outlasts a drain is told what became of it", async () => {
+  const started: string[] = [];
+  handleRequest = (frame) => (started.push(frame.id), new Promise(() => {}));
+  const ws = await openSession();
+  const received: AnswerFrame[] = [];
+  ws.on("message", (data) => received.push(JSON.parse(`${data}`)));
+  const closed = waitForCloseCode(ws);
+  const [write, end] = [{ kind: "write" }, { kind: "end", service: "s" }];
+  const frames = [
+    createRead("read"),
+    createRead("write", write),
+    { kind: "begin", id: "begin", service: "s" },
+    { kind: "outcome", id: "outcome", service: "s", of: "o1" },
+    createRead("tx-write", { ...write, tx: "tx1" }),
+    { ...end, id: "rollback", tx: "tx2", end: "rollback" },
+    createRead("committed-write", { ...write, tx: "tx3" }),
+    { ...end, id: "commit", tx: "tx3", end: "commit" },
+  ];
+  frames.forEach((frame) => ws.send(JSON.stringify(frame)));
+  await vi.waitFor(() => expect(started).toHaveLength(frames.length));
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+  expect(received.map((a) => a.ok || `${a.id}: ${a.error}, ${a.run}`))
+    .toEqual([
+      ": shutting_down, not_run",
+      "read: shutting_down, not_run",
+      "write: outcome_unknown, unknown",
+      "begin: shutting_down, not_run",
+      "outcome: outcome_unknown, unknown",
+      "tx-write: transaction_lost, rolled_back",
+      "rollback: transaction_lost, rolled_back",
+      "committed-write: outcome_unknown, unknown",
+      "commit: outcome_unknown, unknown",
+    ]);
+});
+
 async function post(body: string, headers: Record<string, string> = {}) {
   const res = await fetch(`http://127.0.0.1:${port}/`, {
     method: "POST",
@@ -379,6 +418,29 @@
   await stopped;
 });
 
+// Guards against connections destroyed with requests in flight unanswered.
+test("an HTTP request that outlasts a drain is told what became of it", async () => {
+  const started: string[] = [];
+  handleRequest = (frame) => (started.push(frame.id), new Promise(() => {}));
+  const [read, write] = ["read", "write"].map((kind) =>
+    post(JSON.stringify(createRead(kind, { kind }))).catch(() => "no answer")
+  );
+  const partial = await sendRaw(createRawPost("{", { "content-length": 9 }));
+  await vi.waitFor(() => {
+    expect(started).toHaveLength(2);
+    expect(server.countInFlight()).toBe(3);
+  });
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(2 * DRAIN_MS);
+  expect(await Promise.all([read, write])).toMatchObject([
+    { status: 503, frame: { id: "read", run: "not_run" } },
+    { status: 504, frame: { id: "write", run: "unknown" } },
+  ]);
+  expect(await readAnswer(partial)).toContain('"error":"shutting_down"');
+  await stopped;
+  expect(started).toEqual(["read", "write"]);
+});
+
 test("a body that is too large is refused", async () => {
   const answer = await post("x".repeat(MAX_FRAME_BYTES + 1));
   expect(answer).toMatchObject({ status: 413, frame: { error: "too_large" } });
