Answer HTTP callers that end their side of the connection

What callers saw: a caller that sent its request and ended its side of the connection got no answer, although the request ran.

Cause: an HTTP server of Node.js ends a connection as soon as the client has, unless httpAllowHalfOpen is set. The answer then had nowhere to go.

Evidence: the test 'an HTTP caller that ends its side of the connection gets its answer' received nothing on the unchanged code. Not tested over TLS.

Change: httpAllowHalfOpen is set; the connection ends after the answer. Types for Node.js don't declare the property, hence the assignment.

--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -69,6 +69,8 @@
     const requests = getHttpRequests(req.socket).add(request);
     res.once("finish", () => requests.delete(request));
   });
+  // A caller may end its side of the connection once it has sent its request.
+  Object.assign(server, { httpAllowHalfOpen: true });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = REQUEST_TIMEOUT_MS;
   server.maxConnections = settings.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -441,6 +441,22 @@
   expect(started).toEqual(["read", "write"]);
 });
 
+// Guards against ending the connection when the caller has sent its request.
+test("an HTTP caller that ends its side of the connection gets its answer", async () => {
+  const pending: (() => void)[] = [];
+  handleRequest = (frame) =>
+    new Promise((resolve) =>
+      pending.push(() => resolve(createDoneAnswer(frame)))
+    );
+  const socket = await sendRaw("", { allowHalfOpen: true });
+  socket.end(createRawPost(JSON.stringify(createRead("r1"))));
+  const answer = readAnswer(socket);
+  await vi.waitFor(() => expect(pending).toHaveLength(1));
+  await vi.advanceTimersByTimeAsync(100);
+  pending[0]!();
+  expect(await answer).toContain('"id":"r1","ok":true');
+});
+
 test("a body that is too large is refused", async () => {
   const answer = await post("x".repeat(MAX_FRAME_BYTES + 1));
   expect(answer).toMatchObject({ status: 413, frame: { error: "too_large" } });
