Refuse HTTP requests in a drain without resetting connections

What callers saw: at the start of a drain idle keep-alive connections were destroyed, and a request on its way was lost. New callers were refused the connection. A request that arrived later got 503 before its body was read, without its id, on a connection that was then closed with unread data, which resets it.

Change: a request in a drain is read to its end and then refused. The last answer of a connection in a drain has 'connection: close', but only if its body was read and no other request waits on the connection.

--- a/src/host/caller_http.ts
+++ b/src/host/caller_http.ts
@@ -41,9 +41,13 @@
 interface ServeOptions {
   readonly entry: Entry;
   readonly maxBytes: number;
+  /** Whether a request that arrives now is refused. */
+  readonly isDraining: boolean;
+  /** Whether the connection ends with the answer that is written now. */
+  endsConnection(): boolean;
 }
 
-/** Reads, runs and answers one request. */
+/** Reads, runs and answers one request; a refused one is read to its end. */
 export function serveCallerHttp(
   exchange: { readonly req: IncomingMessage; readonly res: ServerResponse },
   options: ServeOptions,
@@ -53,7 +57,10 @@
 
   function answer(answerFrame: AnswerFrame): void {
     if (!res.writableEnded) {
-      writeAnswer(res, answerFrame);
+      // A connection that is closed before the body is read is reset, which
+      // can cost the caller the answer.
+      const closes = req.complete && options.endsConnection();
+      writeAnswer(res, { frame: answerFrame, closes });
     }
   }
 
@@ -63,6 +70,10 @@
       answer(toFailedFrame(decoded.error.id, decoded.error.failure));
     } else if (!res.writableEnded) {
       frame = decoded.value;
+      if (options.isDraining) {
+        answer(toFailedFrame(frame.id, { error: "shutting_down" }));
+        return;
+      }
       answer(await runRequest(req, { frame, entry: options.entry }));
     }
   }
@@ -122,17 +133,18 @@
   };
 }
 
-function writeAnswer(res: ServerResponse, frame: AnswerFrame): void {
-  if (frame.ok) {
-    res.writeHead(200, { "content-type": "application/json" });
-    res.end(encodeAnswer(frame));
-    return;
-  }
-  const error = frame.error as Failure["error"];
-  const { retryAfterMs } = frame;
-  res.writeHead(getErrorAnswer(error).httpStatus, {
+function writeAnswer(
+  res: ServerResponse,
+  answer: { readonly frame: AnswerFrame; readonly closes: boolean },
+): void {
+  const { frame, closes } = answer;
+  const error = frame.ok ? undefined : frame.error as Failure["error"];
+  const retryAfterMs = frame.ok ? undefined : frame.retryAfterMs;
+  const isClosing = closes ||
+    (error !== undefined && CONNECTION_CLOSING_ERRORS.has(error));
+  res.writeHead(error ? getErrorAnswer(error).httpStatus : 200, {
     "content-type": "application/json",
-    ...(CONNECTION_CLOSING_ERRORS.has(error) ? { connection: "close" } : {}),
+    ...(isClosing ? { connection: "close" } : {}),
     ...(retryAfterMs === undefined
       ? {}
       : { "retry-after": `${Math.ceil(retryAfterMs / MS_PER_SECOND)}` }),
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -5,7 +5,6 @@
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { Host } from "../core/host.ts";
 import type { Settings } from "../generated/settings.ts";
-import { toFailedFrame } from "./caller_frames.ts";
 import { type CallerHttpRequest, serveCallerHttp } from "./caller_http.ts";
 import { type CallerSocket, serveCallerSocket } from "./caller_socket.ts";
 import { createReloadingTls, createTlsServer } from "./tls.ts";
@@ -59,14 +58,14 @@
   const tls = settings.tls && createReloadingTls(settings.tls);
   const server = createTlsServer(settings.address, { tls });
   server.on("request", (req, res) => {
-    if (isDraining) {
-      res.writeHead(503, { connection: "close" });
-      res.end(JSON.stringify(toFailedFrame("", { error: "shutting_down" })));
-      return;
-    }
-    const { entry } = host;
-    const request = serveCallerHttp({ req, res }, { entry, maxBytes });
-    const requests = getHttpRequests(req.socket).add(request);
+    const requests = getHttpRequests(req.socket);
+    const request = serveCallerHttp({ req, res }, {
+      entry: host.entry,
+      maxBytes,
+      isDraining,
+      endsConnection: () => isDraining && requests.size === 1,
+    });
+    requests.add(request);
     res.once("finish", () => requests.delete(request));
   });
   // A caller may end its side of the connection once it has sent its request.
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -441,6 +441,63 @@
   expect(started).toEqual(["read", "write"]);
 });
 
+// Guards against answering before the body is read, without the request's id.
+test("a draining host refuses requests on open HTTP connections by their id", async () => {
+  const body = (id: string) => JSON.stringify(createRead(id));
+  const socket = await sendRaw(createRawPost(body("r1")));
+  expect(await readAnswer(socket)).toContain('"id":"r1","ok":true');
+  const stopped = stopServer();
+  const [head, rest] = createRawPost(body("r2")).split("{", 2);
+  socket.write(head!);
+  await vi.advanceTimersByTimeAsync(1);
+  socket.write(`{${rest}`);
+  const answer = await readAnswer(socket);
+  expect(answer).toContain('"id":"r2","ok":false,"error":"shutting_down"');
+  expect(answer).toMatch(/connection: close/i);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
+test("a drain waits for a request whose body is still being received", async () => {
+  const [head, rest] = createRawPost(JSON.stringify(createRead("r1")))
+    .split("{", 2);
+  const socket = await sendRaw(head!);
+  await vi.waitFor(() => expect(server.countInFlight()).toBe(1));
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 2);
+  socket.write(`{${rest}`);
+  const answer = await readAnswer(socket);
+  expect(answer).toContain('"id":"r1","ok":true');
+  expect(answer).toMatch(/connection: close/i);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
+// Guards against a listener that is closed before callers know of the drain.
+test("a draining host tells new callers that it is stopping", async () => {
+  const stopped = stopServer();
+  const frame = JSON.stringify(createRead("r1"));
+  expect(await post(frame)).toMatchObject({
+    status: 503,
+    frame: { id: "r1", error: "shutting_down", run: "not_run" },
+  });
+  const ws = new WebSocket(`ws://127.0.0.1:${port}`);
+  sockets.push(ws);
+  expect(await receiveFrame(ws)).toMatchObject({ error: "shutting_down" });
+  expect(await sendRequest(ws, { kind: "hello", key: "good" })).toMatchObject({
+    ok: true,
+  });
+  expect(await sendRequest(ws, createRead("r2"))).toMatchObject({
+    id: "r2",
+    error: "shutting_down",
+    run: "not_run",
+  });
+  const closed = waitForCloseCode(ws);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+});
+
 // Guards against ending the connection when the caller has sent its request.
 test("an HTTP caller that ends its side of the connection gets its answer", async () => {
   const pending: (() => void)[] = [];
@@ -457,6 +514,27 @@
   expect(await answer).toContain('"id":"r1","ok":true');
 });
 
+// Guards against closing the connection after the first of several answers.
+test("a drain answers all requests that wait on one HTTP connection", async () => {
+  const pending: (() => void)[] = [];
+  handleRequest = (frame) =>
+    new Promise((resolve) =>
+      pending.push(() => resolve(createDoneAnswer(frame)))
+    );
+  const requests = ["r1", "r2"].map((id) =>
+    createRawPost(JSON.stringify(createRead(id)))
+  );
+  const socket = await sendRaw(requests.join(""));
+  await vi.waitFor(() => expect(pending).toHaveLength(2));
+  const stopped = stopServer();
+  pending[0]!();
+  expect(await readAnswer(socket)).toContain('"id":"r1","ok":true');
+  pending[1]!();
+  expect(await readAnswer(socket)).toContain('"id":"r2","ok":true');
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
 test("a body that is too large is refused", async () => {
   const answer = await post("x".repeat(MAX_FRAME_BYTES + 1));
   expect(answer).toMatchObject({ status: 413, frame: { error: "too_large" } });
