Close callers that connect while a drain closes the others

What callers saw: a connection that was upgraded to a WebSocket after the drain had closed the others got the notice, but no close frame; 2 s later it ended with 1006.

Change: such a connection gets the notice and the close code 1001.

--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -54,6 +54,7 @@
   const sockets = new Set<CallerSocket>();
   const httpRequests = new Map<Socket, Set<CallerHttpRequest>>();
   let isDraining = false;
+  let isClosing = false;
 
   const tls = settings.tls && createReloadingTls(settings.tls);
   const server = createTlsServer(settings.address, { tls });
@@ -89,6 +90,9 @@
     if (isDraining) {
       socket.drain();
     }
+    if (isClosing) {
+      socket.close();
+    }
   });
 
   /** Returns the requests of a connection whose answers are not sent. */
@@ -141,6 +145,7 @@
       sockets.forEach((socket) => socket.drain());
       await sleep(Math.min(DRAIN_NOTICE_MS, timeoutMs));
       await waitUntil(isIdle, deadline);
+      isClosing = true;
       sockets.forEach((socket) => socket.close());
       listHttpRequests().forEach((request) => request.abandon());
       const closeDeadline = nowMs() + CLOSE_TIMEOUT_MS;
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -344,6 +344,41 @@
     ]);
 });
 
+// Guards against a connection that is opened while the others are closed.
+test("a caller that connects when a drain has ended is told so and closed", async () => {
+  const socket = connect(port, "127.0.0.1");
+  rawSockets.push(socket);
+  await once(socket, "connect");
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(1_000);
+  const ws = new WebSocket(`ws://127.0.0.1:${port}`, {
+    createConnection: () => socket,
+  });
+  sockets.push(ws);
+  const closed = waitForCloseCode(ws);
+  expect(await receiveFrame(ws)).toMatchObject({ error: "shutting_down" });
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+});
+
+test("a request that crosses the close of a drain is not run", async () => {
+  const started: string[] = [];
+  handleRequest = (frame) => {
+    started.push(frame.id);
+    return Promise.resolve(createDoneAnswer(frame));
+  };
+  const ws = await openSession();
+  const closed = waitForCloseCode(ws);
+  ws.pause();
+  const stopped = server.drain(DRAIN_MS);
+  await vi.advanceTimersByTimeAsync(1_000);
+  ws.send(JSON.stringify(createRead("r1")));
+  ws.resume();
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+  expect(started).toEqual([]);
+});
+
 async function post(body: string, headers: Record<string, string> = {}) {
   const res = await fetch(`http://127.0.0.1:${port}/`, {
     method: "POST",
