Answer requests in flight when a second signal ends a drain

What callers saw: a second SIGTERM or SIGINT in a drain ended WebSocket connections with 1006 and HTTP connections with a reset; requests in flight got no answer.

Cause: the second signal called stop(), which terminates all connections.

Evidence: the test 'a second signal ends a drain with an answer to each request' failed on the unchanged code: the client got no answer to its write.

Change: the second signal aborts the wait of the drain, in the caller server, in the host and in between. The requests in flight are answered as at the time limit of a drain, and callers have the same limited time to end their connections. findPort moves from tls.test.ts to ports.ts.

--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -23,10 +23,10 @@
       }
       warnUnencrypted(terminal, settings.value);
       const running = await runHost(settings.value);
-      // The first signal drains the host, the second one stops it at once.
+      // The first signal drains the host, the second one ends the drain.
       let signalCount = 0;
       const onSignal = () =>
-        ++signalCount === 1 ? void running.drain() : running.stop();
+        ++signalCount === 1 ? void running.drain() : running.abortDrain();
       process.on("SIGTERM", onSignal);
       process.on("SIGINT", onSignal);
       const { host } = settings.value;
--- a/src/core/drain.ts
+++ b/src/core/drain.ts
@@ -20,9 +20,9 @@
   run(req: ExecReq): Promise<Outcome>;
   /**
    * Announces that the host is leaving, waits until it is idle or `timeoutMs`
-   * has passed, and releases its shares.
+   * has passed or `signal` is aborted, and releases its shares.
    */
-  drain(timeoutMs: number): Promise<void>;
+  drain(timeoutMs: number, signal?: AbortSignal): Promise<void>;
 }
 
 /** Operations of the host that the shutdown uses. */
@@ -45,9 +45,15 @@
     return op.kind === "begin" || !("tx" in op) || op.tx === undefined;
   }
 
-  async function waitUntilIdle(deadline: number): Promise<void> {
+  async function waitUntilIdle(
+    deadline: number,
+    signal: AbortSignal | undefined,
+  ): Promise<void> {
     let idleSince = nowMs();
-    while (nowMs() < deadline && nowMs() - idleSince < IDLE_BEFORE_STOP_MS) {
+    while (
+      !signal?.aborted && nowMs() < deadline &&
+      nowMs() - idleSince < IDLE_BEFORE_STOP_MS
+    ) {
       await sleep(POLL_INTERVAL_MS);
       if (inFlight > 0 || options.countTransactions() > 0) {
         idleSince = nowMs();
@@ -67,12 +73,12 @@
         inFlight--;
       }
     },
-    async drain(timeoutMs) {
+    async drain(timeoutMs, signal) {
       const deadline = nowMs() + timeoutMs;
       options.leave();
       await sleep(Math.min(LEAVE_NOTICE_MS, timeoutMs));
       rejectsNewWork = true;
-      await waitUntilIdle(deadline);
+      await waitUntilIdle(deadline, signal);
       await withTimeout(options.release(), {
         ms: RELEASE_TIMEOUT_MS,
         fallback: undefined,
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -45,10 +45,10 @@
   /** Handles a message from a peer. */
   receivePeer(from: HostId, msg: PeerMessage): void;
   /**
-   * Leaves the fleet and resolves when the host is idle, or after `timeoutMs`.
-   * Call `stop` afterwards.
+   * Leaves the fleet and resolves when the host is idle, after `timeoutMs`, or
+   * once `signal` is aborted. Call `stop` afterwards.
    */
-  drain(timeoutMs: number): Promise<void>;
+  drain(timeoutMs: number, signal?: AbortSignal): Promise<void>;
   /** Resolves when the host can serve callers. */
   ready(): Promise<void>;
   readonly entry: Entry;
--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -26,6 +26,11 @@
   readonly host: Host;
   /** Stops the host after running requests and transactions have finished. */
   drain(): Promise<void>;
+  /**
+   * Waits for no more requests in a drain: they are answered with what became
+   * of them.
+   */
+  abortDrain(): void;
   /** Resolves when the host has stopped. */
   readonly stopped: Promise<void>;
 }
@@ -54,6 +59,10 @@
   const callers = createCallerServer(host, settings.callers);
   let state: HostState = "starting";
   let draining: Promise<void> | undefined;
+  const drainAbort = new AbortController();
+  const aborted = new Promise<void>((resolve) => {
+    drainAbort.signal.addEventListener("abort", () => resolve());
+  });
   let resolveStopped: () => void;
   const stopped = new Promise<void>((resolve) => resolveStopped = resolve);
 
@@ -96,10 +105,11 @@
 
   async function drainOnce(): Promise<void> {
     setState("draining");
-    const hostDrained = host.drain(DRAIN_TIMEOUT_MS);
-    await sleep(LEAVE_NOTICE_MS);
-    await callers.drain(DRAIN_TIMEOUT_MS);
-    await hostDrained;
+    const { signal } = drainAbort;
+    const hostDrained = host.drain(DRAIN_TIMEOUT_MS, signal);
+    await Promise.race([sleep(LEAVE_NOTICE_MS), aborted]);
+    await callers.drain(DRAIN_TIMEOUT_MS, signal);
+    await Promise.race([hostDrained, aborted]);
     stop();
   }
 
@@ -120,7 +130,7 @@
   await host.ready();
   await callers.listen();
   setState("serving");
-  return { host, drain, stop, stopped };
+  return { host, drain, abortDrain: () => drainAbort.abort(), stop, stopped };
 }
 
 /** Logs each server that accepts unencrypted connections. */
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -39,9 +39,9 @@
    * Waits up to `timeoutMs` for running requests and open transactions to
    * finish and for their answers to be sent. Then answers the rest with what
    * became of it, closes all connections and waits a limited time for callers
-   * to end them.
+   * to end them. Waits for no more requests once `signal` is aborted.
    */
-  drain(timeoutMs: number): Promise<void>;
+  drain(timeoutMs: number, signal?: AbortSignal): Promise<void>;
   close(): void;
 }
 
@@ -139,12 +139,14 @@
         (sum, socket) => sum + socket.countInFlight(),
         listHttpRequests().length,
       ),
-    async drain(timeoutMs) {
+    async drain(timeoutMs, signal) {
       const deadline = nowMs() + timeoutMs;
+      const noticeMs = Math.min(DRAIN_NOTICE_MS, timeoutMs);
+      const isAborted = () => signal?.aborted === true;
       isDraining = true;
       sockets.forEach((socket) => socket.drain());
-      await sleep(Math.min(DRAIN_NOTICE_MS, timeoutMs));
-      await waitUntil(isIdle, deadline);
+      await waitUntil(isAborted, nowMs() + noticeMs);
+      await waitUntil(() => isAborted() || isIdle(), deadline);
       isClosing = true;
       sockets.forEach((socket) => socket.close());
       listHttpRequests().forEach((request) => request.abandon());
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -3,17 +3,24 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import process from "node:process";
 import { stringify } from "yaml";
 import { runCli } from "../src/cli/cli.ts";
 import { DIAGNOSTICS } from "../src/core/diagnostics.ts";
+import { asId, type ServiceId } from "../src/core/ids.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
+import { type Client, tryConnect } from "../tools/client.ts";
 import {
   buildGroups,
   buildPlans,
   buildServices,
   LAKAZ,
 } from "../tools/workloads.ts";
+import { createGetFrame, createPutFrame } from "./fleet.ts";
+import { findPort } from "./ports.ts";
+
+const ANSWER_TIMEOUT_MS = 60_000;
 
 let platform: Server;
 let platformUrl: string;
@@ -286,6 +293,53 @@
   expect(outcome).toMatchObject({ code: 1, out: "" });
 });
 
+/** Connects to a host that is starting. */
+async function connectWhenReady(port: number, key: string): Promise<Client> {
+  const client = await tryConnect(`ws://127.0.0.1:${port}`, { key });
+  return client ?? await connectWhenReady(port, key);
+}
+
+// Guards against a second signal that leaves requests without an answer.
+test("a second signal ends a drain with an answer to each request", async () => {
+  await applyAll();
+  const { workspace } = LAKAZ.workspaces[0]!;
+  const { out: key } = await runWithPlatform("keys", "issue", workspace);
+  const [callers, peers] = [await findPort(), await findPort()];
+  const file = writeTempFile(
+    "host.yaml",
+    stringify({
+      host: "h1",
+      domain: "d1",
+      region: "r1",
+      callers: { address: "127.0.0.1", port: callers },
+      peers: { address: "127.0.0.1", port: peers },
+      platform: { url: platformUrl },
+    }),
+  );
+  const onProcess = vi.spyOn(process, "on");
+  const stopped = run("run", file);
+  const client = await connectWhenReady(callers, key);
+  const sendSignal = onProcess.mock.calls
+    .find(([event]) => event === "SIGTERM")![1] as () => void;
+  // No target of the group is reachable.
+  const written = client.request(
+    createPutFrame("row", 1, { timeoutMs: ANSWER_TIMEOUT_MS }),
+    ANSWER_TIMEOUT_MS,
+  );
+  const service = asId<ServiceId>("none");
+  await client.request(createGetFrame("row", { service }), ANSWER_TIMEOUT_MS);
+  sendSignal();
+  sendSignal();
+  expect(await written).toMatchObject({
+    error: "outcome_unknown",
+    run: "unknown",
+  });
+  expect(await stopped).toMatchObject({ code: 0 });
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.off(signal, sendSignal);
+  }
+});
+
 test("diagnostic codes are unique", () => {
   const codes = Object.values(DIAGNOSTICS).map((diagnostic) => diagnostic.code);
   expect(new Set(codes).size).toBe(codes.length);
--- a/test/tls.test.ts
+++ b/test/tls.test.ts
@@ -1,6 +1,5 @@
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { connect } from "node:tls";
@@ -21,6 +20,7 @@
   isLoopback,
   RELOAD_INTERVAL_MS,
 } from "../src/host/tls.ts";
+import { findPort } from "./ports.ts";
 
 const LOOPBACK = "127.0.0.1";
 const NO_METRICS: MetricsSink = {
@@ -65,14 +65,6 @@
   };
 }
 
-async function findPort(): Promise<number> {
-  const server = createServer().listen(0, LOOPBACK);
-  await once(server, "listening");
-  const address = server.address();
-  server.close();
-  return typeof address === "object" && address ? address.port : 0;
-}
-
 beforeAll(async () => {
   dir = mkdtempSync(join(tmpdir(), "turmericchute-"));
   authority = await issueCertificate("authority");
