Stop a host that cannot listen, with a message

What was seen: a host whose callers' port was in use ended with an uncaught exception of the WebSocket server and a stack trace. With a message alone it would have stayed, since its peers' server and timers were running.

Cause: a WebSocketServer on top of a server emits the errors of that server once more, and nothing listened to it. runHost left what it had started when a later step failed.

Evidence: the test 'a host whose port is in use says so and stops' ended in the uncaught exception EADDRINUSE on the unchanged code.

Change: the caller server handles upgrades itself, so that listen() rejects with its error; runHost stops what it has started before it throws.

--- a/src/daemon/run_host.ts
+++ b/src/daemon/run_host.ts
@@ -122,13 +122,22 @@
     resolveStopped();
   }
 
+  async function start(): Promise<void> {
+    await operators?.listen();
+    await links.listen(host.receivePeer);
+    host.start();
+    await host.ready();
+    await callers.listen();
+  }
+
   warnUnencrypted(settings, io);
   host.cfg.onChange(() => links.updateUrls(host.cfg.hosts));
-  await operators?.listen();
-  await links.listen(host.receivePeer);
-  host.start();
-  await host.ready();
-  await callers.listen();
+  try {
+    await start();
+  } catch (err) {
+    stop();
+    throw err;
+  }
   setState("serving");
   return { host, drain, abortDrain: () => drainAbort.abort(), stop, stopped };
 }
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -1,7 +1,8 @@
 /** Serves callers over WebSocket sessions and one-shot HTTP requests. */
 
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { WebSocketServer } from "ws";
+import { type WebSocket, WebSocketServer } from "ws";
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { Host } from "../core/host.ts";
 import type { Settings } from "../generated/settings.ts";
@@ -76,11 +77,15 @@
   server.maxConnections = settings.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
 
   const wss = new WebSocketServer({
-    server,
+    noServer: true,
     maxPayload: maxBytes,
     perMessageDeflate: false,
   });
-  wss.on("connection", (ws, req) => {
+  server.on("upgrade", (req, stream, head) => {
+    wss.handleUpgrade(req, stream, head, serveWebSocket);
+  });
+
+  function serveWebSocket(ws: WebSocket, req: IncomingMessage): void {
     const socket = serveCallerSocket(ws, {
       entry: host.entry,
       corkSocket: createWriteBatch(req.socket),
@@ -93,7 +98,7 @@
     if (isClosing) {
       socket.close();
     }
-  });
+  }
 
   /** Returns the requests of a connection whose answers are not sent. */
   function getHttpRequests(socket: Socket): Set<CallerHttpRequest> {
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,5 +1,7 @@
+import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import type { Server } from "node:http";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
@@ -293,6 +295,42 @@
   expect(outcome).toMatchObject({ code: 1, out: "" });
 });
 
+function writeHostSettings(ports: {
+  readonly callers: number;
+  readonly peers: number;
+}): string {
+  const address = "127.0.0.1";
+  return writeTempFile(
+    "host.yaml",
+    stringify({
+      host: "h1",
+      domain: "d1",
+      region: "r1",
+      callers: { address, port: ports.callers },
+      peers: { address, port: ports.peers },
+      platform: { url: platformUrl },
+    }),
+  );
+}
+
+// Guards against an exception of the server, and against a host that neither
+// serves callers nor ends.
+test("a host whose port is in use says so and stops", async () => {
+  await applyAll();
+  const other = createServer().listen(0, "127.0.0.1");
+  await once(other, "listening");
+  const { port: callers } = other.address() as AddressInfo;
+  const peers = await findPort();
+  const outcome = await run("run", writeHostSettings({ callers, peers }));
+  other.close();
+  expect(outcome).toMatchObject({
+    code: 1,
+    err: expect.stringContaining("EADDRINUSE"),
+  });
+  const [err] = await once(connect(peers, "127.0.0.1"), "error");
+  expect(err).toMatchObject({ code: "ECONNREFUSED" });
+});
+
 /** Connects to a host that is starting. */
 async function connectWhenReady(port: number, key: string): Promise<Client> {
   const client = await tryConnect(`ws://127.0.0.1:${port}`, { key });
@@ -304,18 +342,8 @@
   await applyAll();
   const { workspace } = LAKAZ.workspaces[0]!;
   const { out: key } = await runWithPlatform("keys", "issue", workspace);
-  const [callers, peers] = [await findPort(), await findPort()];
-  const file = writeTempFile(
-    "host.yaml",
-    stringify({
-      host: "h1",
-      domain: "d1",
-      region: "r1",
-      callers: { address: "127.0.0.1", port: callers },
-      peers: { address: "127.0.0.1", port: peers },
-      platform: { url: platformUrl },
-    }),
-  );
+  const callers = await findPort();
+  const file = writeHostSettings({ callers, peers: await findPort() });
   const onProcess = vi.spyOn(process, "on");
   const stopped = run("run", file);
   const client = await connectWhenReady(callers, key);
