Check that a draining host refuses new work

No test checked it. The new test sends a read, a write, a begin and an outcome as a peer does, after the notice of the drain; they are refused, and a statement of an open transaction runs.

--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -1,8 +1,17 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { CallerSession } from "../src/core/entry.ts";
-import { asId, type ReqId, type TargetId, type TxId } from "../src/core/ids.ts";
+import { LEAVE_NOTICE_MS } from "../src/core/drain.ts";
+import type { Host } from "../src/core/host.ts";
+import {
+  asId,
+  type HostId,
+  type ReqId,
+  type TargetId,
+  type TxId,
+} from "../src/core/ids.ts";
 import { markLeaving } from "../src/core/lists.ts";
-import type { Answer } from "../src/core/types.ts";
+import { buildSessionId } from "../src/core/session.ts";
+import type { Answer, ExecOp, ExecReq, Outcome } from "../src/core/types.ts";
 import { LAKAZ } from "../tools/workloads.ts";
 import {
   createGetFrame,
@@ -18,9 +27,12 @@
 const DRAIN_TIMEOUT_MS = 30_000;
 const RESTART_MS = 2_500;
 const PAUSE_MS = 150;
+/** Time limit of an operation that a peer sends. */
+const EXEC_BUDGET_MS = 500;
 
 let fleet: TestFleet;
 let failures: string[];
+let nextRid = 1;
 
 beforeEach(async () => {
   vi.useFakeTimers();
@@ -171,6 +183,69 @@
   expect(failures).toEqual([]);
 });
 
+/** Sends an operation to a host, as its peer h2 does; returns the outcome. */
+async function execAt(host: Host, op: ExecOp): Promise<Outcome | undefined> {
+  const [from, rid] = [asId<HostId>("h2"), nextRid++];
+  const receive = vi.spyOn(fleet.getHost(from).host, "receivePeer");
+  const { workspace } = fleet.deployment.workspaces[0]!;
+  const { group } = fleet.groups[0]!;
+  const req: ExecReq = {
+    kind: "exec",
+    workspace,
+    group,
+    op,
+    session: buildSessionId(from, "s1"),
+    budgetMs: EXEC_BUDGET_MS,
+  };
+  host.receivePeer(from, { kind: "call", rid, req });
+  await vi.advanceTimersByTimeAsync(EXEC_BUDGET_MS);
+  const answers = receive.mock.calls.map(([_from, msg]) => msg)
+    .filter((msg) => msg.kind === "return" && msg.rid === rid);
+  receive.mockRestore();
+  const [answer] = answers;
+  return answer?.kind === "return" && answer.res.kind === "exec"
+    ? answer.res.outcome
+    : undefined;
+}
+
+test("a draining host refuses new work of its peers", async () => {
+  const { host } = fleet.getHost("h1");
+  // The open transaction keeps the host from ending its drain.
+  const begin = (n: number): ExecOp => ({
+    kind: "begin",
+    id: asId<ReqId>(`b${n}`),
+    tx: asId<TxId>(`h1/tx${n}`),
+  });
+  expect(await execAt(host, begin(1))).toMatchObject({ kind: "done" });
+  void host.drain(DRAIN_TIMEOUT_MS);
+  await vi.advanceTimersByTimeAsync(LEAVE_NOTICE_MS);
+  const statement = { class: "order_place", body: { op: "get", key: "row" } };
+  const outcomes = [
+    await execAt(host, { kind: "read", id: asId<ReqId>("r1"), ...statement }),
+    await execAt(host, {
+      kind: "write",
+      id: asId<ReqId>("w1"),
+      repeatable: false,
+      ...statement,
+    }),
+    await execAt(host, begin(2)),
+    await execAt(host, {
+      kind: "outcome",
+      id: asId<ReqId>("o1"),
+      of: asId<ReqId>("w1"),
+    }),
+  ];
+  const refusal = { kind: "failed", error: "shutting_down" };
+  expect(outcomes).toEqual([refusal, refusal, refusal, refusal]);
+  const inTransaction = await execAt(host, {
+    kind: "read",
+    id: asId<ReqId>("r2"),
+    ...statement,
+    tx: asId<TxId>("h1/tx1"),
+  });
+  expect(inTransaction).toMatchObject({ kind: "done" });
+});
+
 test("a draining host serves its connected callers", async () => {
   const session = fleet.openSession("h1");
   const { host } = fleet.getHost("h1");
