Do not let refused HTTP requests prolong a drain

Cause: since the listener stays open in a drain, requests that arrive then are read and refused, and the drain waited for them as for the accepted ones. A caller that sends its body slowly, or a steady stream of callers, could hold the drain until its time limit.

Change: the wait counts accepted requests only. What was refused but not answered by then is answered when the connections are closed.

--- a/src/host/caller_http.ts
+++ b/src/host/caller_http.ts
@@ -34,6 +34,8 @@
 
 /** Request over HTTP, as used by the server. */
 export interface CallerHttpRequest {
+  /** Whether the request was accepted, rather than refused by a drain. */
+  readonly isAccepted: boolean;
   /** Answers with what became of the request, if it is not answered. */
   abandon(): void;
 }
@@ -80,6 +82,7 @@
 
   serve().catch(() => answer(toFailedFrame("", { error: "internal" })));
   return {
+    isAccepted: !options.isDraining,
     abandon() {
       answer(
         frame
--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -115,7 +115,7 @@
   }
 
   function isIdle(): boolean {
-    return listHttpRequests().length === 0 &&
+    return !listHttpRequests().some((request) => request.isAccepted) &&
       [...sockets].every((s) => s.isIdle());
   }
 
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -299,7 +299,7 @@
   });
   ws.resume();
   await Promise.race([receivedAll, closed]);
-  await vi.advanceTimersByTimeAsync(DRAIN_MS / 4);
+  await vi.advanceTimersByTimeAsync(1_000);
   expect(received).toEqual(["r1", ""]);
   expect(await closed).toBe(GOING_AWAY_CODE);
   await stopped;
@@ -508,6 +508,21 @@
   await stopped;
 });
 
+// Guards against a drain that new callers can prolong.
+test("a drain does not wait for requests that it refuses", async () => {
+  const ws = await openSession();
+  const closed = waitForCloseCode(ws);
+  const stopped = stopServer();
+  const partial = await sendRaw(createRawPost("{", { "content-length": 9 }));
+  const answer = readAnswer(partial);
+  await vi.waitFor(() => expect(server.countInFlight()).toBe(1));
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  expect(await answer).toContain('"error":"shutting_down"');
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
 // Guards against a listener that is closed before callers know of the drain.
 test("a draining host tells new callers that it is stopping", async () => {
   const stopped = stopServer();
@@ -528,8 +543,9 @@
     run: "not_run",
   });
   const closed = waitForCloseCode(ws);
-  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await vi.advanceTimersByTimeAsync(1_000);
   expect(await closed).toBe(GOING_AWAY_CODE);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
   await stopped;
 });
 
