--- a/src/host/caller_http.ts
+++ b/src/host/caller_http.ts
@@ -4,12 +4,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
 import { type AnswerFrame, toFrame } from "../core/answer.ts";
-import type { Entry } from "../core/entry.ts";
+import type { Entry, RequestFrame } from "../core/entry.ts";
 import {
   type ErrorKind,
   type Failure,
   getErrorAnswer,
 } from "../core/errors.ts";
+import { toAbandonedFailure } from "../core/outcome.ts";
 import type { HelloFrame } from "../generated/caller.ts";
 import {
   decodeCallerFrame,
@@ -31,38 +32,95 @@
   "unauthenticated",
 ]);
 
-/** Reads, runs and answers one request. */
-export async function serveCallerHttp(
+/** Request over HTTP, as used by the server. */
+export interface CallerHttpRequest {
+  /** Whether the request was accepted, rather than refused by a drain. */
+  readonly isAccepted: boolean;
+  /** Answers with what became of the request, if it is not answered. */
+  abandon(): void;
+}
+
+interface ServeOptions {
+  readonly entry: Entry;
+  readonly maxBytes: number;
+  /** Whether a request that arrives now is refused. */
+  readonly isDraining: boolean;
+  /** Whether the connection ends with the answer that is written now. */
+  endsConnection(): boolean;
+}
+
+/** Reads, runs and answers one request; a refused one is read to its end. */
+export function serveCallerHttp(
   exchange: { readonly req: IncomingMessage; readonly res: ServerResponse },
-  options: { readonly entry: Entry; readonly maxBytes: number },
-): Promise<void> {
+  options: ServeOptions,
+): CallerHttpRequest {
   const { req, res } = exchange;
-  try {
-    writeAnswer(res, await runRequest(req, options));
-  } catch {
-    writeAnswer(res, toFailedFrame("", { error: "internal" }));
+  let frame: RequestFrame | undefined;
+
+  function answer(answerFrame: AnswerFrame): void {
+    if (!res.writableEnded) {
+      // A connection that is closed before the body is read is reset, which
+      // can cost the caller the answer.
+      const closes = req.complete && options.endsConnection();
+      writeAnswer(res, { frame: answerFrame, closes });
+    }
+  }
+
+  async function serve(): Promise<void> {
+    const decoded = await readFrame(req, options.maxBytes);
+    if (decoded.isErr()) {
+      answer(toFailedFrame(decoded.error.id, decoded.error.failure));
+    } else if (!res.writableEnded) {
+      frame = decoded.value;
+      if (options.isDraining) {
+        answer(toFailedFrame(frame.id, { error: "shutting_down" }));
+        return;
+      }
+      answer(await runRequest(req, { frame, entry: options.entry }));
+    }
   }
+
+  serve().catch(() => answer(toFailedFrame("", { error: "internal" })));
+  return {
+    isAccepted: !options.isDraining,
+    abandon() {
+      answer(
+        frame
+          ? toFailedFrame(frame.id, toAbandonedFailure(frame, [frame]))
+          : toFailedFrame("", { error: "shutting_down" }),
+      );
+    },
+  };
+}
+
+/** Reads the frame of a request. */
+async function readFrame(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<RequestFrame, FrameErr>> {
+  const text = await readText(req, maxBytes);
+  return text.andThen(decodeCallerFrame).andThen(
+    (frame): Result<RequestFrame, FrameErr> => {
+      if (frame.kind !== "hello") {
+        return Ok(frame);
+      }
+      const detail = "a session needs a WebSocket";
+      return Err({ id: "", failure: { error: "bad_request", detail } });
+    },
+  );
 }
 
 async function runRequest(
   req: IncomingMessage,
-  options: { readonly entry: Entry; readonly maxBytes: number },
+  options: { readonly frame: RequestFrame; readonly entry: Entry },
 ): Promise<AnswerFrame> {
-  const text = await readText(req, options.maxBytes);
-  const frame = text.andThen(decodeCallerFrame);
-  if (frame.isErr()) {
-    return toFailedFrame(frame.error.id, frame.error.failure);
-  }
-  if (frame.value.kind === "hello") {
-    const detail = "a session needs a WebSocket";
-    return toFailedFrame("", { error: "bad_request", detail });
-  }
+  const { frame } = options;
   const session = options.entry.open(readHello(req));
   if (session.isErr()) {
-    return toFailedFrame(frame.value.id, session.error);
+    return toFailedFrame(frame.id, session.error);
   }
   try {
-    return toFrame(await session.value.request(frame.value));
+    return toFrame(await session.value.request(frame));
   } finally {
     session.value.end();
   }
@@ -78,17 +136,18 @@
   };
 }
 
-function writeAnswer(res: ServerResponse, frame: AnswerFrame): void {
-  if (frame.ok) {
-    res.writeHead(200, { "content-type": "application/json" });
-    res.end(encodeAnswer(frame));
-    return;
-  }
-  const error = frame.error as Failure["error"];
-  const { retryAfterMs } = frame;
-  res.writeHead(getErrorAnswer(error).httpStatus, {
+function writeAnswer(
+  res: ServerResponse,
+  answer: { readonly frame: AnswerFrame; readonly closes: boolean },
+): void {
+  const { frame, closes } = answer;
+  const error = frame.ok ? undefined : frame.error as Failure["error"];
+  const retryAfterMs = frame.ok ? undefined : frame.retryAfterMs;
+  const isClosing = closes ||
+    (error !== undefined && CONNECTION_CLOSING_ERRORS.has(error));
+  res.writeHead(error ? getErrorAnswer(error).httpStatus : 200, {
     "content-type": "application/json",
-    ...(CONNECTION_CLOSING_ERRORS.has(error) ? { connection: "close" } : {}),
+    ...(isClosing ? { connection: "close" } : {}),
     ...(retryAfterMs === undefined
       ? {}
       : { "retry-after": `${Math.ceil(retryAfterMs / MS_PER_SECOND)}` }),
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { request } from "node:http";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { Err, Ok } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { WebSocket } from "ws";
@@ -24,10 +24,15 @@
 
 const MAX_FRAME_BYTES = 4_096;
 const DRAIN_MS = 10_000;
+/** Size of an answer beyond what the buffers of the system hold. */
+const LARGE_ANSWER_BYTES = 64 * 1024 * 1024;
+/** End of an HTTP answer. */
+const LAST_CHUNK = "\r\n0\r\n\r\n";
 
 let server: CallerServer;
 let port: number;
 let sockets: WebSocket[];
+let rawSockets: Socket[];
 let handleRequest: (frame: RequestFrame) => Promise<Answer>;
 
 const entry: Entry = {
@@ -64,12 +69,14 @@
 beforeEach(async () => {
   vi.useFakeTimers();
   sockets = [];
+  rawSockets = [];
   handleRequest = (frame) => Promise.resolve(createDoneAnswer(frame));
   await startServer();
 });
 
 afterEach(() => {
   sockets.forEach((ws) => ws.terminate());
+  rawSockets.forEach((socket) => socket.destroy());
   server.close();
   vi.useRealTimers();
 });
@@ -254,6 +261,124 @@
   expect(await closed).toBe(GOING_AWAY_CODE);
 });
 
+/** Resolves when the server has handed a large answer to the connection. */
+function answerLarge(): Promise<void> {
+  return new Promise((resolve) => {
+    handleRequest = (frame) => {
+      setImmediate(resolve);
+      const result = "x".repeat(LARGE_ANSWER_BYTES);
+      return Promise.resolve(createDoneAnswer(frame, result));
+    };
+  });
+}
+
+/** Drains and closes the server, as a host does when it stops. */
+async function stopServer(): Promise<void> {
+  await server.drain(DRAIN_MS);
+  server.close();
+}
+
+// Guards against connections terminated while an answer is still buffered.
+test("a stop waits for a WebSocket caller that reads its answer slowly", async () => {
+  const answered = answerLarge();
+  const ws = await openSession();
+  const closed = waitForCloseCode(ws);
+  ws.pause();
+  ws.send(JSON.stringify(createRead("r1")));
+  await answered;
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 2);
+  const received: string[] = [];
+  const receivedAll = new Promise<void>((resolve) => {
+    ws.on("message", (data) => {
+      received.push((JSON.parse(`${data}`) as AnswerFrame).id);
+      if (received.length === 2) {
+        resolve();
+      }
+    });
+  });
+  ws.resume();
+  await Promise.race([receivedAll, closed]);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(received).toEqual(["r1", ""]);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+});
+
+// Guards against connections terminated with requests in flight unanswered.
+test("a request that outlasts a drain is told what became of it", async () => {
+  const started: string[] = [];
+  handleRequest = (frame) => (started.push(frame.id), new Promise(() => {}));
+  const ws = await openSession();
+  const received: AnswerFrame[] = [];
+  ws.on("message", (data) => received.push(JSON.parse(`${data}`)));
+  const closed = waitForCloseCode(ws);
+  const [write, end] = [{ kind: "write" }, { kind: "end", service: "s" }];
+  const frames = [
+    createRead("read"),
+    createRead("write", write),
+    { kind: "begin", id: "begin", service: "s" },
+    { kind: "outcome", id: "outcome", service: "s", of: "o1" },
+    createRead("tx-write", { ...write, tx: "tx1" }),
+    { ...end, id: "rollback", tx: "tx2", end: "rollback" },
+    createRead("committed-write", { ...write, tx: "tx3" }),
+    { ...end, id: "commit", tx: "tx3", end: "commit" },
+  ];
+  frames.forEach((frame) => ws.send(JSON.stringify(frame)));
+  await vi.waitFor(() => expect(started).toHaveLength(frames.length));
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+  expect(received.map((a) => a.ok || `${a.id}: ${a.error}, ${a.run}`))
+    .toEqual([
+      ": shutting_down, not_run",
+      "read: shutting_down, not_run",
+      "write: outcome_unknown, unknown",
+      "begin: shutting_down, not_run",
+      "outcome: outcome_unknown, unknown",
+      "tx-write: transaction_lost, rolled_back",
+      "rollback: transaction_lost, rolled_back",
+      "committed-write: outcome_unknown, unknown",
+      "commit: outcome_unknown, unknown",
+    ]);
+});
+
+// Guards against a connection that is opened while the others are closed.
+test("a caller that connects when a drain has ended is told so and closed", async () => {
+  const socket = connect(port, "127.0.0.1");
+  rawSockets.push(socket);
+  await once(socket, "connect");
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(1_000);
+  const ws = new WebSocket(`ws://127.0.0.1:${port}`, {
+    createConnection: () => socket,
+  });
+  sockets.push(ws);
+  const closed = waitForCloseCode(ws);
+  expect(await receiveFrame(ws)).toMatchObject({ error: "shutting_down" });
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+});
+
+test("a request that crosses the close of a drain is not run", async () => {
+  const started: string[] = [];
+  handleRequest = (frame) => {
+    started.push(frame.id);
+    return Promise.resolve(createDoneAnswer(frame));
+  };
+  const ws = await openSession();
+  const closed = waitForCloseCode(ws);
+  ws.pause();
+  const stopped = server.drain(DRAIN_MS);
+  await vi.advanceTimersByTimeAsync(1_000);
+  ws.send(JSON.stringify(createRead("r1")));
+  ws.resume();
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await stopped;
+  expect(started).toEqual([]);
+});
+
 async function post(body: string, headers: Record<string, string> = {}) {
   const res = await fetch(`http://127.0.0.1:${port}/`, {
     method: "POST",
@@ -273,6 +398,194 @@
   expect(unknown.status).toBe(401);
 });
 
+/** Writes the text of requests to a connection of its own. */
+async function sendRaw(
+  text: string,
+  options: { allowHalfOpen?: boolean } = {},
+) {
+  const socket = connect({ port, host: "127.0.0.1", ...options });
+  rawSockets.push(socket);
+  await once(socket, "connect");
+  socket.write(text);
+  return socket;
+}
+
+function createRawPost(
+  body: string,
+  headers: Record<string, string | number> = {},
+): string {
+  const lines = Object.entries({
+    host: "127.0.0.1",
+    authorization: "Bearer good",
+    "content-length": body.length,
+    ...headers,
+  }).map(([name, value]) => `${name}: ${value}`);
+  return ["POST / HTTP/1.1", ...lines, "", body].join("\r\n");
+}
+
+/** Resolves with a whole answer, or with its part if the connection ends. */
+function readAnswer(socket: Socket): Promise<string> {
+  socket.setEncoding("utf8");
+  socket.on("error", () => {});
+  return new Promise((resolve) => {
+    let text = "";
+    socket.on("data", (chunk: string) => {
+      text += chunk;
+      if (chunk.endsWith(LAST_CHUNK)) {
+        resolve(text);
+      }
+    });
+    socket.on("close", () => resolve(text));
+  });
+}
+
+// Guards against connections destroyed while an answer is still buffered.
+test("a stop waits for an HTTP caller that reads its answer slowly", async () => {
+  const answered = answerLarge();
+  const socket = await sendRaw(createRawPost(JSON.stringify(createRead("r1"))));
+  await answered;
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 2);
+  const text = await readAnswer(socket);
+  expect(text.length).toBeGreaterThan(LARGE_ANSWER_BYTES);
+  expect(text.endsWith(LAST_CHUNK)).toBe(true);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 4);
+  await stopped;
+});
+
+// Guards against connections destroyed with requests in flight unanswered.
+test("an HTTP request that outlasts a drain is told what became of it", async () => {
+  const started: string[] = [];
+  handleRequest = (frame) => (started.push(frame.id), new Promise(() => {}));
+  const [read, write] = ["read", "write"].map((kind) =>
+    post(JSON.stringify(createRead(kind, { kind }))).catch(() => "no answer")
+  );
+  const partial = await sendRaw(createRawPost("{", { "content-length": 9 }));
+  await vi.waitFor(() => {
+    expect(started).toHaveLength(2);
+    expect(server.countInFlight()).toBe(3);
+  });
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(2 * DRAIN_MS);
+  expect(await Promise.all([read, write])).toMatchObject([
+    { status: 503, frame: { id: "read", run: "not_run" } },
+    { status: 504, frame: { id: "write", run: "unknown" } },
+  ]);
+  expect(await readAnswer(partial)).toContain('"error":"shutting_down"');
+  await stopped;
+  expect(started).toEqual(["read", "write"]);
+});
+
+// Guards against answering before the body is read, without the request's id.
+test("a draining host refuses requests on open HTTP connections by their id", async () => {
+  const body = (id: string) => JSON.stringify(createRead(id));
+  const socket = await sendRaw(createRawPost(body("r1")));
+  expect(await readAnswer(socket)).toContain('"id":"r1","ok":true');
+  const stopped = stopServer();
+  const [head, rest] = createRawPost(body("r2")).split("{", 2);
+  socket.write(head!);
+  await vi.advanceTimersByTimeAsync(1);
+  socket.write(`{${rest}`);
+  const answer = await readAnswer(socket);
+  expect(answer).toContain('"id":"r2","ok":false,"error":"shutting_down"');
+  expect(answer).toMatch(/connection: close/i);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
+test("a drain waits for a request whose body is still being received", async () => {
+  const [head, rest] = createRawPost(JSON.stringify(createRead("r1")))
+    .split("{", 2);
+  const socket = await sendRaw(head!);
+  await vi.waitFor(() => expect(server.countInFlight()).toBe(1));
+  const stopped = stopServer();
+  await vi.advanceTimersByTimeAsync(DRAIN_MS / 2);
+  socket.write(`{${rest}`);
+  const answer = await readAnswer(socket);
+  expect(answer).toContain('"id":"r1","ok":true');
+  expect(answer).toMatch(/connection: close/i);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
+// Guards against a drain that new callers can prolong.
+test("a drain does not wait for requests that it refuses", async () => {
+  const ws = await openSession();
+  const closed = waitForCloseCode(ws);
+  const stopped = stopServer();
+  const partial = await sendRaw(createRawPost("{", { "content-length": 9 }));
+  const answer = readAnswer(partial);
+  await vi.waitFor(() => expect(server.countInFlight()).toBe(1));
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  expect(await answer).toContain('"error":"shutting_down"');
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
+// Guards against a listener that is closed before callers know of the drain.
+test("a draining host tells new callers that it is stopping", async () => {
+  const stopped = stopServer();
+  const frame = JSON.stringify(createRead("r1"));
+  expect(await post(frame)).toMatchObject({
+    status: 503,
+    frame: { id: "r1", error: "shutting_down", run: "not_run" },
+  });
+  const ws = new WebSocket(`ws://127.0.0.1:${port}`);
+  sockets.push(ws);
+  expect(await receiveFrame(ws)).toMatchObject({ error: "shutting_down" });
+  expect(await sendRequest(ws, { kind: "hello", key: "good" })).toMatchObject({
+    ok: true,
+  });
+  expect(await sendRequest(ws, createRead("r2"))).toMatchObject({
+    id: "r2",
+    error: "shutting_down",
+    run: "not_run",
+  });
+  const closed = waitForCloseCode(ws);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await closed).toBe(GOING_AWAY_CODE);
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
+// Guards against ending the connection when the caller has sent its request.
+test("an HTTP caller that ends its side of the connection gets its answer", async () => {
+  const pending: (() => void)[] = [];
+  handleRequest = (frame) =>
+    new Promise((resolve) =>
+      pending.push(() => resolve(createDoneAnswer(frame)))
+    );
+  const socket = await sendRaw("", { allowHalfOpen: true });
+  socket.end(createRawPost(JSON.stringify(createRead("r1"))));
+  const answer = readAnswer(socket);
+  await vi.waitFor(() => expect(pending).toHaveLength(1));
+  await vi.advanceTimersByTimeAsync(100);
+  pending[0]!();
+  expect(await answer).toContain('"id":"r1","ok":true');
+});
+
+// Guards against closing the connection after the first of several answers.
+test("a drain answers all requests that wait on one HTTP connection", async () => {
+  const pending: (() => void)[] = [];
+  handleRequest = (frame) =>
+    new Promise((resolve) =>
+      pending.push(() => resolve(createDoneAnswer(frame)))
+    );
+  const requests = ["r1", "r2"].map((id) =>
+    createRawPost(JSON.stringify(createRead(id)))
+  );
+  const socket = await sendRaw(requests.join(""));
+  await vi.waitFor(() => expect(pending).toHaveLength(2));
+  const stopped = stopServer();
+  pending[0]!();
+  expect(await readAnswer(socket)).toContain('"id":"r1","ok":true');
+  pending[1]!();
+  expect(await readAnswer(socket)).toContain('"id":"r2","ok":true');
+  await vi.advanceTimersByTimeAsync(DRAIN_MS);
+  await stopped;
+});
+
 test("a body that is too large is refused", async () => {
   const answer = await post("x".repeat(MAX_FRAME_BYTES + 1));
   expect(answer).toMatchObject({ status: 413, frame: { error: "too_large" } });
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,19 +1,28 @@
+import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import type { Server } from "node:http";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import process from "node:process";
 import { stringify } from "yaml";
 import { runCli } from "../src/cli/cli.ts";
 import { DIAGNOSTICS } from "../src/core/diagnostics.ts";
+import { asId, type ServiceId } from "../src/core/ids.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
+import { type Client, tryConnect } from "../tools/client.ts";
 import {
   buildGroups,
   buildPlans,
   buildServices,
   LAKAZ,
 } from "../tools/workloads.ts";
+import { createGetFrame, createPutFrame } from "./fleet.ts";
+import { findPort } from "./ports.ts";
+
+const ANSWER_TIMEOUT_MS = 60_000;
 
 let platform: Server;
 let platformUrl: string;
@@ -286,6 +295,79 @@
   expect(outcome).toMatchObject({ code: 1, out: "" });
 });
 
+function writeHostSettings(ports: {
+  readonly callers: number;
+  readonly peers: number;
+}): string {
+  const address = "127.0.0.1";
+  return writeTempFile(
+    "host.yaml",
+    stringify({
+      host: "h1",
+      domain: "d1",
+      region: "r1",
+      callers: { address, port: ports.callers },
+      peers: { address, port: ports.peers },
+      platform: { url: platformUrl },
+    }),
+  );
+}
+
+// Guards against an exception of the server, and against a host that neither
+// serves callers nor ends.
+test("a host whose port is in use says so and stops", async () => {
+  await applyAll();
+  const other = createServer().listen(0, "127.0.0.1");
+  await once(other, "listening");
+  const { port: callers } = other.address() as AddressInfo;
+  const peers = await findPort();
+  const outcome = await run("run", writeHostSettings({ callers, peers }));
+  other.close();
+  expect(outcome).toMatchObject({
+    code: 1,
+    err: expect.stringContaining("EADDRINUSE"),
+  });
+  const [err] = await once(connect(peers, "127.0.0.1"), "error");
+  expect(err).toMatchObject({ code: "ECONNREFUSED" });
+});
+
+/** Connects to a host that is starting. */
+async function connectWhenReady(port: number, key: string): Promise<Client> {
+  const client = await tryConnect(`ws://127.0.0.1:${port}`, { key });
+  return client ?? await connectWhenReady(port, key);
+}
+
+// Guards against a second signal that leaves requests without an answer.
+test("a second signal ends a drain with an answer to each request", async () => {
+  await applyAll();
+  const { workspace } = LAKAZ.workspaces[0]!;
+  const { out: key } = await runWithPlatform("keys", "issue", workspace);
+  const callers = await findPort();
+  const file = writeHostSettings({ callers, peers: await findPort() });
+  const onProcess = vi.spyOn(process, "on");
+  const stopped = run("run", file);
+  const client = await connectWhenReady(callers, key);
+  const sendSignal = onProcess.mock.calls
+    .find(([event]) => event === "SIGTERM")![1] as () => void;
+  // No target of the group is reachable.
+  const written = client.request(
+    createPutFrame("row", 1, { timeoutMs: ANSWER_TIMEOUT_MS }),
+    ANSWER_TIMEOUT_MS,
+  );
+  const service = asId<ServiceId>("none");
+  await client.request(createGetFrame("row", { service }), ANSWER_TIMEOUT_MS);
+  sendSignal();
+  sendSignal();
+  expect(await written).toMatchObject({
+    error: "outcome_unknown",
+    run: "unknown",
+  });
+  expect(await stopped).toMatchObject({ code: 0 });
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.off(signal, sendSignal);
+  }
+});
+
 test("diagnostic codes are unique", () => {
   const codes = Object.values(DIAGNOSTICS).map((diagnostic) => diagnostic.code);
   expect(new Set(codes).size).toBe(codes.length);
