Give answers time also if the end of a stop is late

Callers saw: no answer, if the host lacked processor time in its stop.

Cause: the wait between the end of execution and the cut of the connections ended at a point of the grace. A process that reaches it late ends execution and cuts the connections in one turn of the event loop.

Fix: that wait lasts at least 100 ms.

--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -83,6 +83,11 @@
 ];
 /** Fraction of the grace period after which remaining connections are cut. */
 const CUT_FRACTION = 0.95;
+/**
+ * Least time for answers to be written after execution has ended, in
+ * milliseconds, also in a process that reaches its phases late.
+ */
+const MIN_ANSWER_MS = 100;
 
 /**
  * Stops the host within the grace period, in milliseconds; resolves once
@@ -106,10 +111,10 @@
     });
   }
 
-  function waitUntilEmpty(fraction: number): Promise<boolean> {
+  function waitUntilEmpty(fraction: number, minMs = 0): Promise<boolean> {
     return waitUntil(
       () => connections.countConnections() === 0,
-      Math.max(0, startedAt + fraction * graceMs - nowMs()),
+      Math.max(minMs, startedAt + fraction * graceMs - nowMs()),
     );
   }
 
@@ -124,7 +129,7 @@
     logPhase(phase.event);
     phase.enter(host);
   }
-  const isDrained = await waitUntilEmpty(CUT_FRACTION);
+  const isDrained = await waitUntilEmpty(CUT_FRACTION, MIN_ANSWER_MS);
   logPhase("stopped", { isDrained });
   connections.close();
   pooler.stop();
--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -197,3 +197,23 @@
   replicas.forEach(({ faults }) => faults.isReplicationStopped = false);
   expect((await answer).lines[0]).toBe("DONE signed-t-3");
 });
+
+// Guards against a host that reaches the end of its stop late, for lack of
+// processor time: it closed the connections in the turn of the event loop in
+// which it ended execution, before the answers were written.
+test("statements at work get a final answer also if the end of a stop is late", async () => {
+  const graceS = 1;
+  const host = await start({ graceS, group: { workMs: 60_000 } });
+  const client = host.connect();
+  await client.start("orders");
+  const answer = client.query("late-1", "READ a");
+  while (!host.group.begun.has("late-1")) {
+    await sleep(POLL_INTERVAL_MS);
+  }
+  host.kill("SIGTERM");
+  await waitForLine(host, "stopping");
+  host.kill("SIGSTOP");
+  await sleep(graceS * 1_000);
+  host.kill("SIGCONT");
+  expect((await answer).isComplete).toBe(true);
+});
