--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -217,3 +217,19 @@
   host.kill("SIGCONT");
   expect((await answer).isComplete).toBe(true);
 });
+
+// Guards against statements that the host has read, behind the one with which
+// it ends the session: they were dropped, and their client was told nothing.
+test("statements sent ahead of the end of a session are refused, not dropped", async () => {
+  const host = await start({ graceS: 2, group: { workMs: 600 } });
+  const client = host.connect();
+  await client.start("reports");
+  host.kill("SIGTERM");
+  const ids = Array.from({ length: 12 }, (_, i) => `p-${i}`);
+  const answers = ids.map((id) => client.query(id, "READ a"));
+  const outcomes = (await Promise.all(answers)).map(({ lines }, i) => ({
+    isBegun: host.group.begun.has(ids[i]!),
+    isAnswered: lines.length > 0,
+  }));
+  expect(outcomes.filter(({ isAnswered }) => !isAnswered)).toEqual([]);
+});
