Refuse statements that wait for quota when execution ends

Callers saw: no answer to a statement that waited for a token of its workspace's quota when the process ended.

Cause: the end of execution settles requests for connections, but not those for tokens.

Fix: the quotas are closed with the dispatcher; who waits is refused as stopping.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -315,6 +315,7 @@
       catalogFeed.stop();
       targetFeed.stop();
       sessions.forEach((session) => session.close());
+      quotas.close();
       dispatcher.close();
     },
   };
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -44,6 +44,8 @@
   setQuotas(quotas: ReadonlyMap<WorkspaceId, Quota>): void;
   /** Returns the share that recent operations need, by workspace. */
   listDemand(): ReadonlyMap<WorkspaceId, Demand>;
+  /** Refuses all that wait for a token, and later ones, as `stopping`. */
+  close(): void;
 }
 
 /** Tolerated excess over a quota within a window, across the whole fleet. */
@@ -92,6 +94,7 @@
  */
 export function createQuotas(options: QuotaOptions): Quotas {
   const entries = new Map<WorkspaceId, QuotaState>();
+  let isClosed = false;
 
   function decayDemand(entry: QuotaState): number {
     const elapsed = nowMs() - entry.demandAt;
@@ -222,6 +225,9 @@
 
   return {
     takeToken(workspace, { maxWaitMs }) {
+      if (isClosed) {
+        return Promise.resolve(Err({ error: "stopping" }));
+      }
       const entry = entries.get(workspace);
       if (!entry) {
         return Promise.resolve(Ok(undefined));
@@ -285,5 +291,14 @@
       }
       return demand;
     },
+    close() {
+      isClosed = true;
+      for (const entry of entries.values()) {
+        clearTimeout(entry.timer);
+        entry.waiters.splice(0).forEach(({ settle }) =>
+          settle(Err({ error: "stopping" }))
+        );
+      }
+    },
   };
 }
