Finish a failover before a stop ends the process

Callers saw: writes refused for longer than a failover takes, until other hosts gave up on the lease of a host that had stopped in the middle of it; its replicas stayed paused meanwhile.

Cause: the stop waited for the connections of clients only.

Fix: the stop also waits, within its grace, until the host replaces no primary; a host that leaves starts no further failover.

--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -46,6 +46,10 @@
 /** Monitor that replaces failed or leaving primaries. */
 export interface FailoverMonitor extends Stoppable {
   start(): void;
+  /** Starts no failover from now on; the current ones go on. */
+  drain(): void;
+  /** Whether this host performs a failover. */
+  isActive(): boolean;
 }
 
 /** Creates the monitor of all services in the catalog. */
@@ -230,6 +234,8 @@
       lastCheckAt = nowMs();
       timer = setInterval(checkServices, CHECK_INTERVAL_MS);
     },
+    drain: () => clearInterval(timer),
+    isActive: () => activeServices.size > 0,
     stop: () => clearInterval(timer),
   };
 }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -76,8 +76,13 @@
   closeAdmission(): void;
   /** Aborts open transactions as soon as none of their statements is at work. */
   abortTransactionsWhenIdle(): void;
-  /** Announces that this host is leaving, so that its shares are released. */
+  /**
+   * Announces that this host is leaving, so that its shares are released, and
+   * leaves later failovers to other hosts.
+   */
   leave(): Promise<void>;
+  /** Whether this host is replacing a primary. */
+  isReplacingPrimary(): boolean;
 }
 
 /** Creates a session pool whose I/O all goes through `io`. */
@@ -304,7 +309,11 @@
       abortsIdleTransactions = true;
       abortIdleTransactions();
     },
-    leave: fleet.leave,
+    leave() {
+      failover.drain();
+      return fleet.leave();
+    },
+    isReplacingPrimary: failover.isActive,
     stop() {
       isAdmissionOpen = false;
       clearInterval(timer);
--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -40,7 +40,11 @@
   readonly connections: ClientConnections;
   readonly pooler: Pick<
     Pooler,
-    "leave" | "closeAdmission" | "abortTransactionsWhenIdle" | "stop"
+    | "leave"
+    | "isReplacingPrimary"
+    | "closeAdmission"
+    | "abortTransactionsWhenIdle"
+    | "stop"
   >;
   readonly log: PoolLog;
 }
@@ -111,9 +115,10 @@
     });
   }
 
-  function waitUntilEmpty(fraction: number, minMs = 0): Promise<boolean> {
+  function waitUntilDone(fraction: number, minMs = 0): Promise<boolean> {
     return waitUntil(
-      () => connections.countConnections() === 0,
+      () =>
+        connections.countConnections() === 0 && !pooler.isReplacingPrimary(),
       Math.max(minMs, startedAt + fraction * graceMs - nowMs()),
     );
   }
@@ -123,13 +128,13 @@
   await sleep(Math.min(ROTATION_DELAY_MS, PHASES[0]!.startsAt * graceMs));
   connections.drain();
   for (const phase of PHASES) {
-    if (await waitUntilEmpty(phase.startsAt)) {
+    if (await waitUntilDone(phase.startsAt)) {
       break;
     }
     logPhase(phase.event);
     phase.enter(host);
   }
-  const isDrained = await waitUntilEmpty(CUT_FRACTION, MIN_ANSWER_MS);
+  const isDrained = await waitUntilDone(CUT_FRACTION, MIN_ANSWER_MS);
   logPhase("stopped", { isDrained });
   connections.close();
   pooler.stop();
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -41,6 +41,7 @@
     },
     pooler: {
       leave: () => Promise.resolve(record("leave")()),
+      isReplacingPrimary: () => false,
       closeAdmission: record("closeAdmission"),
       abortTransactionsWhenIdle: record("abortTransactionsWhenIdle"),
       stop: record("stop"),
--- a/test/shutdown_gaps.test.ts
+++ b/test/shutdown_gaps.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { asId } from "../src/core/ids.ts";
+import { asId, type ObjectKey } from "../src/core/ids.ts";
 import { type ClientConnections, shutDown } from "../src/pooling/shutdown.ts";
 import type { Statement } from "../src/pooling/types.ts";
 import type { Session } from "../src/pooling/session.ts";
@@ -90,3 +90,23 @@
     "stopping",
   ]);
 });
+
+// Guards against a stop that counts connections of clients only: the process
+// ended in the middle of a failover, whose replicas stayed paused until other
+// hosts gave up on its lease.
+test("a stop with time left ends after the failover that its host performs", async () => {
+  await start();
+  fleet.delayedPromotions.minDelayMs = 2_000;
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  while (!fleet.logLines.some(({ event }) => event === "failover_started")) {
+    await vi.advanceTimersByTimeAsync(10);
+  }
+  const ends = beginStop(0, () => 0);
+  while (ends.length === 0) {
+    await vi.advanceTimersByTimeAsync(10);
+  }
+  const lease = fleet.store.get(
+    asId<ObjectKey>("turmericchute-fleet/duty.ledger"),
+  );
+  expect(lease.value).toMatchObject({ holder: "h0", isDone: true });
+});
