Abort a commit whose refusal stands when its connection closes

Callers saw: INDOUBT for a commit that the target had refused as busy, if the connection was closed in the pause before it was sent again.

Cause: the retry sent the commit into a closed connection and took that for a commit whose answer was lost.

Fix: nothing is sent again on a closed connection; the refusal is the answer.

--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -149,7 +149,7 @@
 
   /**
    * Sends a command and retries while the target refuses it as busy and the
-   * transaction stays open.
+   * transaction and its connection stay open.
    */
   async function sendWithBusyRetry(
     checkout: Checkout,
@@ -172,6 +172,10 @@
         return { reply, sentAt };
       }
       await sleep(BUSY_RETRY_DELAY_MS * attempt);
+      if (!checkout.pooled.link.isOpen()) {
+        // Nothing more can be sent, so the refusal stands.
+        return { reply, sentAt };
+      }
     }
   }
 
--- a/test/shutdown_gaps.test.ts
+++ b/test/shutdown_gaps.test.ts
@@ -1,13 +1,18 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
 import { type ClientConnections, shutDown } from "../src/pooling/shutdown.ts";
-import type { Statement } from "../src/pooling/types.ts";
+import type {
+  Statement,
+  TargetCommand,
+  TargetReply,
+} from "../src/pooling/types.ts";
 import type { Session } from "../src/pooling/session.ts";
 import { tryDecodeStatement } from "../platform/line_codec.ts";
 import {
   getOutcome,
   type PoolFleet,
   type PoolFleetOptions,
+  run,
   startPoolFleet,
 } from "./pool_fleet.ts";
 
@@ -110,3 +115,42 @@
   );
   expect(lease.value).toMatchObject({ holder: "h0", isDone: true });
 });
+
+// Guards against a commit in the pause before it is sent again when execution
+// ends: the target had refused it, but the client was told that it may have run.
+test("a commit that the target refused before the end of execution is aborted", async () => {
+  await start();
+  const { connect } = fleet.group;
+  const commits: TargetCommand[] = [];
+  vi.spyOn(fleet.group, "connect").mockImplementation((id, workspace) =>
+    connect(id, workspace).map((link) => ({
+      ...link,
+      send(command: TargetCommand) {
+        if (command.kind !== "commit" || !link.isOpen()) {
+          return link.send(command);
+        }
+        commits.push(command);
+        return Promise.resolve<TargetReply>({
+          kind: "error",
+          code: "busy",
+          detail: "busy",
+          state: "open",
+          position: undefined,
+        });
+      },
+    }))
+  );
+  // Connections that were opened before answer without the refusal.
+  fleet.register("t1", { incarnation: 2 });
+  await vi.advanceTimersByTimeAsync(100);
+  const session = fleet.openSession("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE a 1");
+  const outcomes = begin(session, "COMMIT");
+  await vi.advanceTimersByTimeAsync(1);
+  expect(commits).toHaveLength(1);
+  fleet.poolers[0]!.stop();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(commits).toHaveLength(1);
+  expect(outcomes).toEqual(["aborted"]);
+});
