Tell a client whose transaction ends with the host that it was aborted

Callers saw: MALFORMED, which promises nothing, for a COMMIT that came after the end of execution, behind an answer that was slow to read.

Cause: the end of execution closed sessions as if their clients had gone, which leaves nothing to tell them.

Fix: the end of execution aborts transactions with the reason, as the end of idle ones does.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -323,7 +323,9 @@
       fleet.stop();
       catalogFeed.stop();
       targetFeed.stop();
-      sessions.forEach((session) => session.close());
+      sessions.forEach((session) =>
+        session.abort(POOL_ERRORS.stopping.message)
+      );
       quotas.close();
       dispatcher.close();
     },
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -55,6 +55,11 @@
   tryRefusal(): PoolFailure | undefined;
   /** Rolls back the open transaction; no statement may follow. */
   close(): void;
+  /**
+   * Aborts the open transaction, also while one of its statements is at work;
+   * the client is told the reason with its next statement.
+   */
+  abort(reason: string): void;
   /**
    * Aborts the open transaction if it has been idle for at least `idleMs`; the
    * client is told the reason with its next statement.
@@ -311,6 +316,7 @@
       return refused;
     }
     transaction = createTransaction(ctx, { isReadOnly });
+    untoldAbort = undefined;
     state = "open";
     return toDoneAnswer();
   }
@@ -451,6 +457,11 @@
       transaction?.rollback();
       transaction = undefined;
     },
+    abort(reason) {
+      if (transaction) {
+        abortUntold(reason);
+      }
+    },
     abortIdleTransaction({ idleMs, reason }) {
       const currentIdleMs = transaction?.tryIdleMs();
       if (currentIdleMs !== undefined && currentIdleMs >= idleMs) {
--- a/test/shutdown_gaps.test.ts
+++ b/test/shutdown_gaps.test.ts
@@ -154,3 +154,15 @@
   expect(commits).toHaveLength(1);
   expect(outcomes).toEqual(["aborted"]);
 });
+
+// Guards against a session that is closed between two statements while its
+// client still reads an answer: the commit that followed was malformed, which
+// promises nothing, although the transaction was rolled back.
+test("a commit after the end of execution is aborted", async () => {
+  await start();
+  const session = fleet.openSession("orders");
+  await run(session, "BEGIN");
+  await run(session, "WRITE a 1");
+  fleet.poolers[0]!.stop();
+  expect(getOutcome(await run(session, "COMMIT"))).toBe("aborted");
+});
