Check that an overlong message leaves the answers before it whole

No fault: reading pauses behind a statement at work before a message can grow beyond the limit. The test passes on the unchanged code and guards this.

--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -349,6 +349,32 @@
   });
 }
 
+test("an overlong message is refused after the answers to those before it", async () => {
+  const fleet = await startPoolFleet({ group: { workMs: 300 } });
+  vi.useRealTimers();
+  closables.push({ close: () => fleet.stop() });
+  const listener = createClientListener(fleet.poolers[0]!, {
+    address: "127.0.0.1:0",
+    log: { info() {}, request() {} },
+    metrics: createMetrics(),
+  });
+  const port = await listener.listen();
+  closables.push(listener);
+  const client = connect({ host: "127.0.0.1", port });
+  client.write("START orders key1\r\n");
+  expect(await readAnswers(client, 1)).toBe("READY I -\r\n");
+  client.write("QUERY 1 WRITE a 1\r\nQUERY 2 SET a ");
+  client.write("x".repeat(MAX_LINE_BYTES + 1));
+  const answers = await readAnswers(client, 9);
+  expect(answers.split("\r\n").map((line) => line.split(" ")[0])).toEqual([
+    "ROW",
+    "DONE",
+    "READY",
+    "ERR",
+    "",
+  ]);
+});
+
 // Guards against a statement that crosses the end of its session: without a
 // message before the end its client can't tell that it was not executed.
 test("a client whose key is withdrawn is told before its session ends", async () => {
