Answer every request that waits for a connection which cannot be opened

Callers saw: when a target could not be reached, only as many requests as attempts were answered at once; the others waited until their deadline and were then told of a refused connection, although nothing was being opened for them.

Cause: after a failed attempt, openForWaiters settled the first waiter and did not look at the others. A failed attempt to open a warm connection, and a refused one, left the requests that had come to wait for it alone as well.

Evidence: on the unchanged code, with two connections at most and six requests, 2 got their answer (1 beside warm connections), not 6, in "every waiting request learns of failed ..." of test/connections.test.ts; "a request that waits for a refused warm connection is retried" took 560 ms, the next maintenance.

Fix: one function for every failed attempt. A refusal is tried again after its delay; any other failure goes to the first waiter, and the next waiter gets an attempt of its own, so that each answer stems from an attempt.

--- a/src/core/connections.ts
+++ b/src/core/connections.ts
@@ -11,7 +11,8 @@
   TargetInfo,
 } from "./types.ts";
 
-const MAINTENANCE_INTERVAL_MS = 500;
+/** Interval at which warm connections are opened again, in milliseconds. */
+export const MAINTENANCE_INTERVAL_MS = 500;
 /** Idle connections are closed after this time without a request. */
 export const IDLE_TIMEOUT_MS = 10_000;
 const REFUSED_RETRY_DELAY_MS = 20;
@@ -143,13 +144,24 @@
     const res = await openConnection(target);
     if (res.isOk()) {
       makeAvailable(target, res.value);
-    } else if (res.error.kind === "connection_refused") {
-      setTimeout(() => serveWaiters(target), REFUSED_RETRY_DELAY_MS);
     } else {
-      target.waiting[0]?.settle(res);
+      handleFailedOpen(target, res);
     }
   }
 
+  /** Passes a failed attempt to the first waiter; the next gets a new one. */
+  function handleFailedOpen(
+    target: TargetConnections,
+    res: Err<TargetErr>,
+  ): void {
+    if (res.error.kind === "connection_refused") {
+      setTimeout(() => serveWaiters(target), REFUSED_RETRY_DELAY_MS);
+      return;
+    }
+    target.waiting[0]?.settle(res);
+    serveWaiters(target);
+  }
+
   function makeAvailable(target: TargetConnections, conn: TargetConn): void {
     if (stopped) {
       return;
@@ -189,6 +201,9 @@
       if (res.isOk()) {
         makeAvailable(target, res.value);
         await warmUp(target);
+      } else {
+        // Requests may have come to wait for this connection meanwhile.
+        handleFailedOpen(target, res);
       }
     }
   }
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -1,7 +1,10 @@
 import { Err, Ok } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { nowMs, sleep } from "../src/core/clock.ts";
-import { createConnections } from "../src/core/connections.ts";
+import {
+  createConnections,
+  MAINTENANCE_INTERVAL_MS,
+} from "../src/core/connections.ts";
 import { asId, type DomainId, type TargetId } from "../src/core/ids.ts";
 import type { HostIo, TargetConn, TargetInfo } from "../src/core/types.ts";
 
@@ -138,3 +141,68 @@
   expect(state.openCount).toBe(0);
   connections.stop();
 });
+
+/** Creates a target to which every connection attempt fails after a time. */
+function createLostTarget(): HostIo {
+  return {
+    targets: {
+      async connect() {
+        await sleep(CONNECT_MS);
+        return Err({ kind: "unreachable", sent: false });
+      },
+    },
+  } as unknown as HostIo;
+}
+
+// Only as many requests as attempts were answered; the others waited until
+// their deadline although nothing was being opened for them.
+test.each([
+  ["attempts for waiting requests", 0],
+  ["attempts to open warm connections", 2],
+])(
+  "every waiting request learns of failed %s",
+  async (_name, warmPerTarget) => {
+    const connections = createConnections(createLostTarget(), {
+      maxPerTarget: 2,
+      warmPerTarget,
+    });
+    connections.keepWarm([INFO]);
+    const deadline = nowMs() + 10_000;
+    const errors: string[] = [];
+    for (let n = 0; n < 6; n++) {
+      void connections.acquire(INFO, { deadline })
+        .then((res) => res.isErr() && errors.push(res.error.kind));
+    }
+    await vi.advanceTimersByTimeAsync(6 * CONNECT_MS);
+    expect(errors).toEqual(Array.from({ length: 6 }, () => "unreachable"));
+    connections.stop();
+  },
+);
+
+// The refusal of a warm connection started no retry for the request that
+// waited for that connection.
+test("a request that waits for a refused warm connection is retried", async () => {
+  const { state, io } = createTarget();
+  state.openCount = INFO.maxConnections;
+  const lateRefusal = {
+    targets: {
+      async connect(info: TargetInfo) {
+        await sleep(CONNECT_MS);
+        return await io.targets.connect(info);
+      },
+    },
+  } as unknown as HostIo;
+  const connections = createConnections(lateRefusal, {
+    maxPerTarget: 1,
+    warmPerTarget: 1,
+  });
+  connections.keepWarm([INFO]);
+  const pending = acquire(connections);
+  await vi.advanceTimersByTimeAsync(CONNECT_MS);
+  state.openCount = 0;
+  await vi.advanceTimersByTimeAsync(1_000);
+  const { conn, tookMs } = await pending;
+  expect(conn).toBeDefined();
+  expect(tookMs).toBeLessThan(MAINTENANCE_INTERVAL_MS);
+  connections.stop();
+});
