Log and report an invalid object of the platform as rejected

Callers saw: nothing directly. Operators saw a list that failed validation as accepted in the log and, in the versions that hosts report, as in force everywhere, while all hosts went on with the version before it.

Cause: the cache logged each newer object as accepted and skipped an invalid one only afterwards, when its content was indexed.

Evidence: on the unchanged code "an invalid object is passed on but not reported as in force" got `accepted` for the invalid version, and "a host does not report the version of an invalid list as its own" got version 3 from each of 3 hosts instead of 2 (test/dissemination.test.ts).

Fix: an object is put in force and logged as accepted only if it is valid, otherwise logged as rejected, with the place of the first error but no value, since keys are among them. It is still cached and passed on, so that versions never go back and a host of a newer release gets what an older one can't read. Heartbeats and the status report the versions in force.

--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -6,6 +6,7 @@
   HostRecord,
   KeyRecord,
   PlanAllowance,
+  PlatformObject,
 } from "../generated/objects.ts";
 import { validatePlatformObject } from "../generated/objects_validate.ts";
 import type {
@@ -32,7 +33,10 @@
   readonly groups: readonly GroupInfo[];
   /** Registered hosts, including those that are leaving. */
   readonly hosts: readonly HostRecord[];
+  /** Cached objects, including those that failed validation. */
   readonly objects: readonly StoredObject[];
+  /** Version in force of each object: the latest that passed validation. */
+  readonly acceptedVersions: readonly ObjectVersion[];
   /** Platform revision up to which every change is cached. */
   readonly revision: number;
   /** Platform revision of the batch that brought the latest cached change. */
@@ -46,6 +50,9 @@
   ready(): Promise<void>;
 }
 
+/** Version of one object. */
+export type ObjectVersion = Pick<StoredObject, "key" | "version">;
+
 interface CachedObject {
   readonly object: StoredObject;
   /** Platform revision of the batch; at or above that of the change itself. */
@@ -63,16 +70,14 @@
   const groupByRoute = new Map<string, GroupInfo | undefined>();
   const statuses = new Map<GroupId, GroupStatus>();
   const hosts = new Map<HostId, HostRecord>();
+  const acceptedVersions = new Map<ObjectKey, number>();
   const listeners = new Set<() => void>();
   let revision = 0;
   let lastChangeRevision = 0;
   let resolveReady: () => void;
   const readyPromise = new Promise<void>((resolve) => resolveReady = resolve);
 
-  function indexValue(value: unknown): void {
-    if (!validatePlatformObject(value)) {
-      return;
-    }
+  function indexValue(value: PlatformObject): void {
     switch (value.kind) {
       case "plans":
         plans.clear();
@@ -100,7 +105,34 @@
     }
   }
 
-  /** Caches an object if its version is newer; returns whether it was. */
+  /**
+   * Puts an object in force if it is valid; otherwise the last valid version
+   * stays in force.
+   */
+  function acceptIfValid({ key, version, value }: StoredObject): void {
+    if (validatePlatformObject(value)) {
+      indexValue(value);
+      acceptedVersions.set(key, version);
+      io.log({
+        component: "configuration",
+        event: "accepted",
+        fields: { key, version },
+      });
+      return;
+    }
+    const [err] = validatePlatformObject.errors ?? [];
+    io.log({
+      component: "configuration",
+      event: "rejected",
+      // Without the values found, which may be secret.
+      fields: { key, version, detail: `${err?.instancePath} ${err?.message}` },
+    });
+  }
+
+  /**
+   * Caches an object if its version is newer; returns whether it was. An
+   * invalid object is cached too: peers get the latest version of each.
+   */
   function storeIfNewer(
     object: StoredObject,
     receivedRevision: number,
@@ -111,12 +143,7 @@
     }
     objects.set(object.key, { object, receivedRevision });
     lastChangeRevision = Math.max(lastChangeRevision, receivedRevision);
-    indexValue(object.value);
-    io.log({
-      component: "configuration",
-      event: "accepted",
-      fields: { key: object.key, version: object.version },
-    });
+    acceptIfValid(object);
     return true;
   }
 
@@ -144,6 +171,9 @@
     get objects() {
       return [...objects.values()].map((cached) => cached.object);
     },
+    get acceptedVersions() {
+      return [...acceptedVersions].map(([key, version]) => ({ key, version }));
+    },
     get revision() {
       return revision;
     },
--- a/src/core/host.ts
+++ b/src/core/host.ts
@@ -82,9 +82,9 @@
     listRegistered: () => cfg.hosts,
     getOwnVersions: () => ({
       revision: cfg.lastChangeRevision,
-      versions: cfg.objects
-        .filter((object) => LIST_KEYS.includes(object.key))
-        .map(({ key, version }) => ({ key, version })),
+      versions: cfg.acceptedVersions.filter(({ key }) =>
+        LIST_KEYS.includes(key)
+      ),
     }),
   });
   const freshness = createFreshness({
--- a/src/host/status.ts
+++ b/src/host/status.ts
@@ -117,8 +117,7 @@
     state: source.state,
     uptimeMs: Math.round(nowMs() - source.startedAt),
     connections: source.connections,
-    configuration: host.cfg.objects
-      .map(({ key, version }) => ({ key, version }))
+    configuration: [...host.cfg.acceptedVersions]
       .sort((a, b) => a.key.localeCompare(b.key)),
     groups: host.cfg.groups.map((group) => reportGroup(host, group)),
     hosts: reportHosts(host, settings),
--- a/test/dissemination.test.ts
+++ b/test/dissemination.test.ts
@@ -2,9 +2,14 @@
 import { createConfiguration } from "../src/core/configuration.ts";
 import { createFreshness } from "../src/core/freshness.ts";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
-import { CONFIG_PREFIX, SERVICES_KEY } from "../src/core/object_keys.ts";
-import type { HostIo } from "../src/core/types.ts";
+import {
+  CONFIG_PREFIX,
+  PLANS_KEY,
+  SERVICES_KEY,
+} from "../src/core/object_keys.ts";
+import type { HostIo, StateChange } from "../src/core/types.ts";
 import type { PlatformCall } from "../standins/local_fleet.ts";
+import { buildPlans, buildServices, LAKAZ } from "../tools/workloads.ts";
 import {
   createGetFrame,
   createPutFrame,
@@ -94,6 +99,61 @@
   expect(cfg.listChangedAfter(8)).toEqual([createObject(4)]);
 });
 
+// An invalid list was logged and reported as in force on every host.
+test("an invalid object is passed on but not reported as in force", () => {
+  const changes: StateChange[] = [];
+  const cfg = createConfiguration(
+    { log: (change: StateChange) => changes.push(change) } as unknown as HostIo,
+  );
+  const listAt = (version: number, rate: number) => {
+    const services = buildServices(LAKAZ);
+    const plans = services.plans.map((plan) => ({
+      ...plan,
+      ratePerSecond: rate,
+    }));
+    return { key: SERVICES_KEY, version, value: { ...services, plans } };
+  };
+  const plans = { key: PLANS_KEY, version: 1, value: buildPlans(LAKAZ) };
+  const invalid = listAt(4, -1);
+  cfg.applyChanges({ revision: 3, objects: [plans, listAt(3, 70)] });
+  cfg.applyChanges({ revision: 4, objects: [invalid] });
+  cfg.applyChanges({ revision: 5, objects: [listAt(2, 50)] });
+  const { workspace } = LAKAZ.workspaces[0]!;
+  expect(cfg.tryAllowance(workspace)?.ratePerSecond).toBe(70);
+  expect(cfg.listChangedAfter(3)).toEqual([invalid]);
+  expect(
+    changes.map(({ event, fields }) => [event, fields.key, fields.version]),
+  ).toEqual([
+    ["accepted", PLANS_KEY, 1],
+    ["accepted", SERVICES_KEY, 3],
+    ["rejected", SERVICES_KEY, 4],
+  ]);
+  expect(changes.at(-1)!.fields.detail).toBe(
+    "/plans/0/ratePerSecond must be > 0",
+  );
+  expect(cfg.acceptedVersions).toEqual([
+    { key: PLANS_KEY, version: 1 },
+    { key: SERVICES_KEY, version: 3 },
+  ]);
+  cfg.applyChanges({ revision: 6, objects: [listAt(6, 60)] });
+  expect(cfg.tryAllowance(workspace)?.ratePerSecond).toBe(60);
+  expect(cfg.acceptedVersions.at(-1)!.version).toBe(6);
+});
+
+test("a host does not report the version of an invalid list as its own", async () => {
+  fleet = await startTestFleet({ groups: [] });
+  const version = changeServices(77);
+  await vi.advanceTimersByTimeAsync(MAX_PROPAGATION_MS);
+  changeServices(-1);
+  await vi.advanceTimersByTimeAsync(MAX_PROPAGATION_MS);
+  const reported = fleet.hosts[0]!.host.membership.listHostVersions()
+    .flatMap(({ versions }) => versions)
+    .filter(({ key }) => key === SERVICES_KEY);
+  expect(reported.map((entry) => entry.version)).toEqual(
+    fleet.hosts.map(() => version),
+  );
+});
+
 test("no host reverts to an older version while hosts restart and the platform is slow", async () => {
   fleet = await startTestFleet({ hosts: 6, groups: [] });
   const lowestVersions = new Map<string, number>();
