Roll back a transaction that begins after the end of its session

Callers saw: "unavailable" for up to the time limit of a transaction (10 s) while connections to the primary were held by transactions of callers who had gone away during their begin.

Cause: the end of a session is told to the hosts of its transactions at once. While a begin is in flight, the host finds no transaction to roll back, and opens it afterwards for a session that no longer exists.

Evidence: on the unchanged code "when its session ends N ms after the begin was sent" (test/transactions.test.ts) failed for all of 0, 1, 2, 4 and 6 ms: not all connections were free (request failed: unavailable).

Fix: an entry whose session ended during a begin tells the hosts again once the begin is answered.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -146,11 +146,12 @@
       }
       const session = { id: createId(), workspace, floors: floors.value };
       const txHosts = new Set<HostId>();
+      const rollBack = () => options.endSession(session.id, [...txHosts]);
       const openSession: OpenSession = {
         caller: caller.value,
         end() {
           sessions.delete(openSession);
-          options.endSession(session.id, [...txHosts]);
+          rollBack();
         },
       };
       sessions.add(openSession);
@@ -161,6 +162,10 @@
             frame,
             txHosts,
           });
+          if (frame.kind === "begin" && !sessions.has(openSession)) {
+            // The transaction may have been opened after the session's end.
+            rollBack();
+          }
           recordMetrics(io, {
             frame,
             outcome,
--- a/test/transactions.test.ts
+++ b/test/transactions.test.ts
@@ -137,6 +137,21 @@
     await expectConnectionsFree();
   });
 
+  // The end of the session reached the pool host before the transaction was
+  // open there, which then held its connection until its timeout.
+  test.each([0, 1, 2, 4, 6])(
+    "when its session ends %i ms after the begin was sent",
+    async (ms) => {
+      const session = fleet.openSession(entryHost);
+      const begun = session.request(createFrame({ kind: "begin" }));
+      await vi.advanceTimersByTimeAsync(ms);
+      session.end();
+      await settle(begun);
+      await vi.advanceTimersByTimeAsync(100);
+      await expectConnectionsFree();
+    },
+  );
+
   test("when its entry host dies", async () => {
     await beginWrite(fleet.openSession(entryHost), "order");
     fleet.kill(entryHost);
