Fail the start of a host whose peer port is taken

Callers saw: nothing. Operators saw an uncaught exception with a stack instead of the failed start that the other ports give.

Cause: the WebSocket server was attached to the HTTP server, whose errors it emits again; without a listener of its own that throws. `listen` of the links itself listened to no error.

Evidence: on the unchanged code "listening on a taken port fails" (test/peer_links.test.ts) had not settled after 300 s, and the run ended with the unhandled error EADDRINUSE.

Fix: the links accept upgrades themselves and listen by listenAt like the operators' port. listenAt takes its error listener off once the port is bound, which would swallow the first later error of the server.

--- a/src/host/listen.ts
+++ b/src/host/listen.ts
@@ -13,6 +13,7 @@
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(endpoint.port, endpoint.address, () => {
+      server.off("error", reject);
       const address = server.address();
       resolve(
         typeof address === "object" && address ? address.port : endpoint.port,
--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -9,6 +9,7 @@
 import { asId, type HostId } from "../core/ids.ts";
 import type { MetricsSink, PeerMessage } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
+import { listenAt } from "./listen.ts";
 import { tryDecodePeerMessage } from "./peer_frames.ts";
 import {
   createReloadingTls,
@@ -33,6 +34,7 @@
 /** Links of one host to its peers. */
 export interface PeerLinks {
   send(to: HostId, msg: PeerMessage): void;
+  /** Starts to listen; rejects if the port cannot be bound. */
   listen(
     receive: (from: HostId, msg: PeerMessage) => void,
   ): Promise<void>;
@@ -58,14 +60,24 @@
   const { tls: tlsFiles, address, port } = settings.peers;
   const tls = tlsFiles && createReloadingTls(tlsFiles);
   const server = createTlsServer(address, { tls, requestCert: true });
+  // Attached to the server, it would throw the server's errors on.
   const wss = new WebSocketServer({
-    server,
+    noServer: true,
     verifyClient: ({ req }: { req: IncomingMessage }) =>
       tls === undefined || isSenderAuthenticated(req),
     perMessageDeflate: false,
     maxPayload: MAX_PEER_FRAME_BYTES,
   });
 
+  server.on("upgrade", (req, socket, head) => {
+    wss.handleUpgrade(
+      req,
+      socket,
+      head,
+      (ws) => wss.emit("connection", ws, req),
+    );
+  });
+
   /** Without TLS, only loopback URLs are allowed. */
   function isUrlAllowed(url: string): boolean {
     if (!URL.canParse(url)) {
@@ -139,7 +151,7 @@
         link.send(data);
       }
     },
-    listen(receive) {
+    async listen(receive) {
       wss.on("connection", (ws, req) => {
         const from = tryGetSender(req.url);
         ws.on("error", () => ws.terminate());
@@ -157,7 +169,7 @@
           }
         });
       });
-      return new Promise((resolve) => server.listen(port, address, resolve));
+      await listenAt(server, { address, port });
     },
     updateUrls(hosts) {
       hosts.filter(({ host }) => !configuredUrls.has(host))
--- a/test/peer_links.test.ts
+++ b/test/peer_links.test.ts
@@ -33,10 +33,8 @@
   return port;
 }
 
-beforeEach(async () => {
-  received = [];
-  port = await findPort();
-  links = createPeerLinks({
+function createLinks(): PeerLinks {
+  return createPeerLinks({
     host: asId<HostId>("h1"),
     domain: asId<DomainId>("port-louis"),
     region: "mauritius",
@@ -44,6 +42,12 @@
     peers: { address: "127.0.0.1", port },
     platform: { url: "http://127.0.0.1:1" },
   }, createMetrics());
+}
+
+beforeEach(async () => {
+  received = [];
+  port = await findPort();
+  links = createLinks();
   await links.listen((_from, msg) => received.push(msg));
 });
 
@@ -93,3 +97,12 @@
   links.send(good, { ...HEARTBEAT, host: asId<HostId>("h1") });
   await expect.poll(() => received, { timeout: 200_000 }).toHaveLength(1);
 });
+
+// The error left the process as an uncaught exception, past `listen`.
+test("listening on a taken port fails", async () => {
+  const second = createLinks();
+  await expect(second.listen(() => {})).rejects.toMatchObject({
+    code: "EADDRINUSE",
+  });
+  second.close();
+});
