Log and count every failed statement of a session

Callers saw: errors that the log doesn't know. `explain` and refusals_total missed statements refused for a key that moved to another workspace, was withdrawn inside a transaction or before its commit, and all that are refused for the state of the session.

Cause: logging a refusal and answering it were two calls; three of the refusals in admission and transactions, and all for the session's state, had only one.

Evidence: on the unchanged code "every failed statement has one line of the log" (test/session_pool.test.ts) found no line for any of 11 failed statements.

Fix: one function logs, counts and answers a failed statement.

--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -135,10 +135,13 @@
     };
   }
 
-  function toFailedAnswer(
+  /** Logs and counts a failed statement; returns its answer. */
+  function refuse(
+    id: ReqId,
     failure: PoolFailure,
-    isLast = false,
+    { isLast = false } = {},
   ): StatementAnswer {
+    logRefusal(id, failure);
     return {
       kind: "failed",
       error: failure.error,
@@ -172,17 +175,14 @@
    */
   async function admit(id: ReqId): Promise<StatementAnswer | undefined> {
     if (!ctx.isAdmissionOpen()) {
-      const failure: PoolFailure = { error: "stopping" };
-      logRefusal(id, failure);
-      return toFailedAnswer(failure, true);
+      return refuse(id, { error: "stopping" }, { isLast: true });
     }
     const admitted = tryAdmit(ctx, sessionOptions);
     if (admitted.isErr()) {
-      logRefusal(id, admitted.error);
-      return toFailedAnswer(admitted.error, true);
+      return refuse(id, admitted.error, { isLast: true });
     }
     if (admitted.value.workspace !== workspace) {
-      return toFailedAnswer({ error: "unauthenticated" }, true);
+      return refuse(id, { error: "unauthenticated" }, { isLast: true });
     }
     if (admitted.value.route.service !== route.service) {
       lastCommitPosition = undefined;
@@ -192,8 +192,7 @@
       maxWaitMs: route.objectiveMs * QUOTA_WAIT_FRACTION,
     });
     if (quotaResult.isErr()) {
-      logRefusal(id, quotaResult.error);
-      return toFailedAnswer(quotaResult.error);
+      return refuse(id, quotaResult.error);
     }
     return undefined;
   }
@@ -245,14 +244,14 @@
   ): Promise<StatementAnswer> {
     if (operation.access === "write" && openTransaction.isReadOnly) {
       abortTransaction();
-      return toFailedAnswer({
+      return refuse(operation.id, {
         error: "malformed",
         detail: "a write in a read-only transaction",
       });
     }
     if (!isAdmitted()) {
       abortTransaction();
-      return toFailedAnswer({
+      return refuse(operation.id, {
         error: "aborted",
         detail: "the key was withdrawn",
       });
@@ -276,8 +275,7 @@
     if (outcome.kind === "done") {
       return toDoneAnswer(outcome);
     }
-    logRefusal(operation.id, outcome);
-    return toFailedAnswer(outcome);
+    return refuse(operation.id, outcome);
   }
 
   /** Rolls back the transaction; the client must still end it itself. */
@@ -298,7 +296,7 @@
     isReadOnly: boolean,
   ): Promise<StatementAnswer> {
     if (state !== "idle") {
-      return toFailedAnswer({
+      return refuse(id, {
         error: "malformed",
         detail: "a transaction is open",
       });
@@ -315,7 +313,7 @@
   async function commit(id: ReqId, text: string): Promise<StatementAnswer> {
     const openTransaction = transaction;
     if (!openTransaction) {
-      return toFailedAnswer({
+      return refuse(id, {
         error: "malformed",
         detail: "no transaction is open",
       });
@@ -325,7 +323,7 @@
       openTransaction.rollback();
       transaction = undefined;
       state = "idle";
-      return toFailedAnswer({
+      return refuse(id, {
         error: "aborted",
         detail: "the key was withdrawn",
       });
@@ -343,9 +341,9 @@
     return toAnswer(operation, { outcome, startedAt });
   }
 
-  function rollback(): StatementAnswer {
+  function rollback(id: ReqId): StatementAnswer {
     if (state === "idle") {
-      return toFailedAnswer({
+      return refuse(id, {
         error: "malformed",
         detail: "no transaction is open",
       });
@@ -366,7 +364,7 @@
   ): Promise<StatementAnswer> {
     const preparedStatement = preparedStatements.get(statement.name);
     if (!preparedStatement) {
-      return toFailedAnswer({ error: "unknown_statement" });
+      return refuse(id, { error: "unknown_statement" });
     }
     const { args } = statement;
     const { access } = preparedStatement;
@@ -382,20 +380,20 @@
    * Ends a failed transaction. Any other statement is refused: as aborted if
    * the client does not know of the failure yet, else as malformed.
    */
-  function executeFailed(statement: Statement): StatementAnswer {
+  function executeFailed(id: ReqId, statement: Statement): StatementAnswer {
     const detail = untoldAbort;
     untoldAbort = undefined;
     if (statement.kind !== "commit" && statement.kind !== "rollback") {
       if (detail !== undefined) {
-        return toFailedAnswer({ error: "aborted", detail });
+        return refuse(id, { error: "aborted", detail });
       }
-      return toFailedAnswer({
+      return refuse(id, {
         error: "malformed",
         detail: "the transaction failed and must be ended",
       });
     }
     state = "idle";
-    return statement.kind === "rollback" ? toDoneAnswer() : toFailedAnswer({
+    return statement.kind === "rollback" ? toDoneAnswer() : refuse(id, {
       error: "aborted",
       ...(detail !== undefined ? { detail } : {}),
     });
@@ -406,7 +404,7 @@
     statement: Statement,
   ): Promise<StatementAnswer> {
     if (state === "failed") {
-      return executeFailed(statement);
+      return executeFailed(id, statement);
     }
     switch (statement.kind) {
       case "begin":
@@ -414,7 +412,7 @@
       case "commit":
         return await commit(id, statement.text);
       case "rollback":
-        return rollback();
+        return rollback(id);
       case "run": {
         const access: Access = statement.access;
         return await run({ id, access, text: statement.text });
@@ -430,7 +428,7 @@
       case "deallocate":
         return preparedStatements.delete(statement.name)
           ? toDoneAnswer()
-          : toFailedAnswer({ error: "unknown_statement" });
+          : refuse(id, { error: "unknown_statement" });
       default:
         return assertNever(statement);
     }
--- a/test/session_pool.test.ts
+++ b/test/session_pool.test.ts
@@ -493,3 +493,54 @@
   }
   expect(refused).toBe(0);
 });
+
+// Refusals without a line of the log can't be explained to their callers.
+test("every failed statement has one line of the log", async () => {
+  fleet = await startPoolFleet();
+  const session = fleet.openSession("orders");
+  const failedIds: string[] = [];
+  let count = 0;
+  const runAll = async (...texts: string[]) => {
+    for (const text of texts) {
+      const id = `s${count++}`;
+      const answer = await run(session, text, { id });
+      if (answer.kind === "failed") {
+        failedIds.push(id);
+      }
+    }
+  };
+  const countFailures = async (...texts: string[]) => {
+    const before = failedIds.length;
+    await runAll(...texts);
+    return failedIds.length - before;
+  };
+  const withdraw = () => fleet.setCatalog({ workspaceByKey: new Map() });
+  const restore = async () => {
+    fleet.setCatalog();
+    await vi.advanceTimersByTimeAsync(1_500);
+  };
+  expect(await countFailures("COMMIT", "ROLLBACK", "EXEC s k 1", "DEALLOC s"))
+    .toBe(4);
+  expect(await countFailures("BEGIN", "BEGIN", "ROLLBACK")).toBe(1);
+  const readOnly = ["BEGIN READ", "WRITE k 1", "READ k", "COMMIT"];
+  expect(await countFailures(...readOnly)).toBe(3);
+
+  await runAll("BEGIN");
+  withdraw();
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(await countFailures("READ k", "ROLLBACK")).toBe(1);
+  await restore();
+  await runAll("BEGIN");
+  withdraw();
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(await countFailures("COMMIT")).toBe(1);
+  await restore();
+  fleet.setCatalog({ workspaceByKey: new Map([["key1", "w2"]]) as never });
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(await countFailures("READ k")).toBe(1);
+
+  const loggedIds = fleet.logLines
+    .filter(({ event }) => event === "statement_refused")
+    .map(({ fields }) => fields.id);
+  expect(loggedIds).toEqual(failedIds);
+});
