Require all copies before a promotion without synchronous replicas

Callers could lose acknowledged commits: with syncReplicas 0 a commit may be on the primary alone, and a successor was chosen among two other targets of three.

Cause: getRequiredFencedCount took syncReplicas 0 for 1. A service that the catalog lacks, or that names no number, counts as 0 too.

Fix: the count is copies - syncReplicas, as its comment says. Without synchronous replicas a lost primary is therefore not replaced until it can be fenced; the log says failover_waits.

--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -34,7 +34,7 @@
 export function getRequiredFencedCount(
   options: Pick<SuccessionOptions, "copies" | "syncReplicas">,
 ): number {
-  return Math.max(1, options.copies - Math.max(1, options.syncReplicas));
+  return Math.max(1, options.copies - options.syncReplicas);
 }
 
 /**
