Say why the quota tolerance waits for two windows between starts

The comment promised the tolerance to a process if none had started in the preceding window; the code asks for two. The code is on the safe side: the tokens come with the first share, some time after the start, and are used later still, so the use of two processes whose starts lie just over one window apart can fall into one window.

No behaviour changes, so there is no test that failed before; the tests of pooling_parts and session_pool pass. The factor is a named constant.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -36,6 +36,13 @@
  * Interval of checks for lapsed targets and idle transactions, in milliseconds.
  */
 const MAINTENANCE_INTERVAL_MS = 100;
+const MS_PER_SECOND = 1_000;
+/**
+ * Windows that must lie between two starts of a host before the second may use
+ * the quota tolerance. Its tokens are granted and used up to some time after a
+ * start, so that one window between the starts would not keep them apart.
+ */
+const TOLERANCE_START_WINDOWS = 2;
 /** Connections to a target of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 10;
 
@@ -99,7 +106,8 @@
     tolerance: options.quotaTolerance,
     isToleranceUnused: () =>
       fleet.getTimeSincePreviousStartMs() >
-        2_000 * options.quotaTolerance.windowS,
+        TOLERANCE_START_WINDOWS * options.quotaTolerance.windowS *
+          MS_PER_SECOND,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
   const dispatcher = createDispatcher(io, {
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -58,7 +58,7 @@
 /** Dependencies of the quotas. */
 export interface QuotaOptions {
   readonly tolerance: QuotaTolerance;
-  /** Whether no other process of this host started in the preceding window. */
+  /** Whether no earlier process of this host can have used it within a window. */
   isToleranceUnused(): boolean;
   random(): number;
   /** Requests tokens from peers; resolves with the number received. */
