Tie the interval of token requests to the tick of the demand estimate

The stock divides its demand per tick by TICK_MS, and the limits called tick at an interval of their own of the same 100 ms; a change of one would have scaled every estimate wrongly without a failing test. There is now one constant, so that they can't differ; no behaviour changes, and the tests of limits pass.

--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -19,13 +19,13 @@
 import { createSeats } from "./seats.ts";
 import {
   createTokenStock,
+  TICK_MS,
   type Token,
   type TokenStock,
 } from "./token_stock.ts";
 import { getShareSize, type ShareSize } from "./token_pool.ts";
 import type { HostIo, PeerReq, PeerRes, Stoppable } from "./types.ts";
 
-const REQUEST_INTERVAL_MS = 100;
 const REQUEST_TIMEOUT_MS = 250;
 /** Time for which an owner that did not answer is skipped. */
 const OWNER_SUSPECT_MS = 1_000;
@@ -265,7 +265,7 @@
     start() {
       seats.start();
       grants.start();
-      timer = setInterval(requestAllTokens, REQUEST_INTERVAL_MS);
+      timer = setInterval(requestAllTokens, TICK_MS);
     },
     tryTake(workspace) {
       return cfg.tryAllowance(workspace) && getStock(workspace).tryTake();
--- a/src/core/token_stock.ts
+++ b/src/core/token_stock.ts
@@ -6,7 +6,8 @@
 
 /** Time of expected demand for which tokens are prefetched. */
 const PREFETCH_MS = 250;
-const TICK_MS = 100;
+/** Interval at which `tick` is called and demand is estimated. */
+export const TICK_MS = 100;
 const DEMAND_SMOOTHING = 0.4;
 /** Minimum fraction of the rate assumed for this host in wait estimates. */
 const MIN_RATE_SHARE = 0.25;
