Remove an option, a count and a kind of evidence that nothing uses

TokenStock.receive ignored `incarnation` (restarts are handled by resetTotals), no caller asks a target pool for countOpen, and nothing applies the evidence "promoted". Types and the tests of limits and session pools pass.

--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -197,7 +197,6 @@
     for (const grant of res.grants) {
       getStock(grant.workspace).receive(grant, {
         owner,
-        incarnation: res.owner,
         sentAt,
       });
     }
--- a/src/core/token_stock.ts
+++ b/src/core/token_stock.ts
@@ -45,7 +45,6 @@
     grant: GrantRes["grants"][number],
     options: {
       readonly owner: HostId;
-      readonly incarnation: string;
       readonly sentAt: number;
     },
   ): void;
--- a/src/pooling/primary_tracker.ts
+++ b/src/pooling/primary_tracker.ts
@@ -22,9 +22,7 @@
   /** Answered a command that only a primary answers. */
   | { readonly kind: "answered"; readonly term: number }
   /** Refused a write as a replica, or is no longer registered as primary. */
-  | { readonly kind: "denied" }
-  /** The platform accepted an order to promote it. */
-  | { readonly kind: "promoted"; readonly term: number };
+  | { readonly kind: "denied" };
 
 /** Primaries by service. */
 export interface PrimaryTracker {
@@ -92,9 +90,6 @@
         case "turned_primary":
           setPrimary(service, { ...asPrimary, term: 0 });
           return;
-        case "promoted":
-          setPrimary(service, { ...asPrimary, term: evidence.term });
-          return;
         case "answered":
           if (evidence.term >= state.term) {
             setPrimary(service, { ...asPrimary, term: evidence.term });
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -55,7 +55,6 @@
    */
   release(pooled: PooledLink, isClean: boolean): void;
   countBusy(): number;
-  countOpen(): number;
   setCap(cap: number): void;
   /** Closes an idle connection in excess of those kept open while idle. */
   closeIfSurplus(pooled: PooledLink): void;
@@ -203,7 +202,6 @@
     },
     countBusy: () =>
       [...links].filter(({ isBusy }) => isBusy).length + dialingCount,
-    countOpen: () => links.size + dialingCount,
     setCap(newCap) {
       cap = newCap;
       const excess = links.size + dialingCount - cap;
