Count the rankings in the test that says how often hosts are ranked

"polling hosts are ranked again only after the peers changed" compared results, which are equal however often they are computed. It keeps those checks and now counts the calls of rankNodes as well: one for two requests, one more after the peers changed. With the cache switched off in a trial the test fails (2 calls instead of 1); before it passed.

--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,10 +1,13 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { rankNodes } from "../src/core/hash.ts";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
 import { createPositionSharing } from "../src/pooling/position_sharing.ts";
 import type { PoolIo } from "../src/pooling/types.ts";
 import { createPlatformCore } from "../standins/platform_core.ts";
 import { createSingleHostFleet } from "./single_host_fleet.ts";
 
+vi.mock(import("../src/core/hash.ts"), { spy: true });
+
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
@@ -78,8 +81,13 @@
     },
   });
   const isPollingHost = () => sharing.isPollingHost(asId("ledger"));
+  const ranked = vi.mocked(rankNodes);
+  ranked.mockClear();
   const wasPollingHost = isPollingHost();
   expect(isPollingHost()).toBe(wasPollingHost);
+  expect(ranked).toHaveBeenCalledTimes(1);
   peers = [];
   expect(isPollingHost()).toBe(true);
+  expect(isPollingHost()).toBe(true);
+  expect(ranked).toHaveBeenCalledTimes(2);
 });
