--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -23,6 +23,7 @@
 import { createMetrics } from "../src/host/metrics.ts";
 import { validatePoolHostSettings } from "../src/generated/pool_host_validate.ts";
 import { POOL_ERRORS, type PoolErrKind } from "../src/pooling/errors.ts";
+import type { LogFields } from "../src/pooling/types.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
 import { startPoolFleet } from "./pool_fleet.ts";
@@ -395,3 +396,67 @@
   await closed;
   await vi.waitFor(() => expect(listener.countConnections()).toBe(0));
 });
+
+// The rejection ended the process, and with it the sessions of all clients.
+test("an exception in a statement fails it and ends only its session", async () => {
+  const fleet = await startPoolFleet();
+  vi.useRealTimers();
+  closables.push({ close: () => fleet.stop() });
+  const pooler = fleet.poolers[0]!;
+  const openSession = pooler.openSession;
+  vi.spyOn(pooler, "openSession").mockImplementation((options) =>
+    openSession(options).map((session) => {
+      const execute = session.execute;
+      vi.spyOn(session, "execute").mockImplementation((id, statement) =>
+        id === "broken"
+          ? Promise.reject(new Error("no such link"))
+          : execute(id, statement)
+      );
+      return session;
+    })
+  );
+  const logLines: [string, LogFields][] = [];
+  const metrics = createMetrics();
+  const counted = vi.spyOn(metrics, "count");
+  const listener = createClientListener(pooler, {
+    address: "127.0.0.1:0",
+    log: {
+      info: (event, fields) => void logLines.push([event, fields]),
+      request() {},
+    },
+    metrics,
+  });
+  const port = await listener.listen();
+  closables.push(listener);
+  const openSocket = () => connect({ host: "127.0.0.1", port });
+
+  const other = openSocket();
+  other.write("START orders key1\r\n");
+  await readAnswers(other, 1);
+  const client = openSocket();
+  const closed = new Promise((resolve) => client.on("close", resolve));
+  client.write("START orders key1\r\nQUERY broken SET a b\r\n");
+  client.write("QUERY next SET a b\r\n");
+  expect((await readAnswers(client, 3)).split("\r\n")).toEqual([
+    "READY I -",
+    "ERR FAILED the statement failed on this host; it may have run",
+    "READY I -",
+    "",
+  ]);
+  client.end();
+  await closed;
+  await vi.waitFor(() => expect(listener.countConnections()).toBe(1));
+  expect(listener.countStatements()).toBe(0);
+  expect(logLines).toEqual([["statement_crashed", {
+    id: "broken",
+    workspace: "w1",
+    detail: expect.stringMatching(/^Error: no such link\n +at /),
+  }]]);
+  expect(counted).toHaveBeenCalledWith("refusals_total", {
+    workspace: "w1",
+    error: "failed",
+  });
+  other.write("QUERY 1 SET a b\r\n");
+  expect(await readAnswers(other, 1)).toBe("DONE -\r\nREADY I -\r\n");
+  other.destroy();
+});
