Refuse an unknown deployment instead of measuring another one

Evidence: on the unchanged code "an unknown deployment is refused" (test/measure.test.ts) saw no error, and `make_trace lakazz` wrote a trace and ended with 0.

Fix: getDeployment looks the name up and throws; both commands pass the name on as given.

--- a/test/measure.test.ts
+++ b/test/measure.test.ts
@@ -6,6 +6,7 @@
   type RunRecord,
 } from "../tools/measure/figures.ts";
 import { generateSchedule } from "../tools/measure/schedule.ts";
+import { getDeployment } from "../tools/workloads.ts";
 
 const OK = { ok: true, result: 1, servedBy: "primary" } as const;
 const RATE_LIMITED = {
@@ -121,3 +122,13 @@
   ];
   expect(computeFigures(run(calls)).worstWorkspaceServedShare).toBe(0.5);
 });
+
+// A misspelt name was measured as one of the known deployments.
+test("an unknown deployment is refused", () => {
+  expect(getDeployment("madhuvan").name).toBe("madhuvan");
+  for (const name of ["lakaz2", "Madhuvan", ""]) {
+    expect(() => getDeployment(name)).toThrow(
+      `unknown deployment "${name}"; expected one of lakaz, madhuvan`,
+    );
+  }
+});
--- a/tools/make_trace.ts
+++ b/tools/make_trace.ts
@@ -5,6 +5,8 @@
 import { cac } from "cac";
 import { generateTrace, getDeployment } from "./workloads.ts";
 
+const EXIT_INVALID = 2;
+
 const cli = cac("make_trace");
 
 cli.command(
@@ -25,4 +27,9 @@
   });
 
 cli.help();
-cli.parse(process.argv);
+try {
+  cli.parse(process.argv);
+} catch (err) {
+  console.error(err instanceof Error ? err.message : err);
+  process.exitCode = EXIT_INVALID;
+}
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -59,9 +59,7 @@
 
 async function measure(options: MeasureOptions): Promise<void> {
   const { seed, seconds } = options;
-  const deployment = getDeployment(
-    options.deployment === "madhuvan" ? "madhuvan" : "lakaz",
-  );
+  const deployment = getDeployment(options.deployment);
   const names = options.policy ? [options.policy] : COMPARED_POLICIES;
   // Throws on an unknown name before any fleet is started.
   names.forEach(getPolicy);
--- a/tools/workloads.ts
+++ b/tools/workloads.ts
@@ -196,9 +196,15 @@
   ],
 };
 
-/** Returns the deployment with the given name. */
-export function getDeployment(name: DeploymentName): Deployment {
-  return name === "lakaz" ? LAKAZ : MADHUVAN;
+/** Returns the deployment of that name; throws if there is none. */
+export function getDeployment(name: string): Deployment {
+  const deployments = [LAKAZ, MADHUVAN];
+  const found = deployments.find((deployment) => deployment.name === name);
+  if (!found) {
+    const names = deployments.map((deployment) => deployment.name).join(", ");
+    throw new Error(`unknown deployment "${name}"; expected one of ${names}`);
+  }
+  return found;
 }
 
 /** Returns the list that assigns a plan to each workspace. */
