Raise rates in all that a host of the broken policy reads

The policy broken-overRate exists to show that the checker counts hosts that exceed a plan.

That only services lists are changed is right: no other object has rates.

--- a/test/measure.test.ts
+++ b/test/measure.test.ts
@@ -1,4 +1,8 @@
 import { expect, test } from "vitest";
+import { Ok } from "ts-results-es";
+import { CONFIG_PREFIX, SERVICES_KEY } from "../src/core/object_keys.ts";
+import type { HostIo } from "../src/core/types.ts";
+import type { ServicesList } from "../src/generated/objects.ts";
 import type { Call } from "../tools/measure/callers.ts";
 import {
   computeFigures,
@@ -6,7 +10,8 @@
   type RunRecord,
 } from "../tools/measure/figures.ts";
 import { generateSchedule } from "../tools/measure/schedule.ts";
-import { getDeployment } from "../tools/workloads.ts";
+import { BROKEN_WRAPPERS } from "../tools/measure/broken.ts";
+import { buildServices, getDeployment, LAKAZ } from "../tools/workloads.ts";
 
 const OK = { ok: true, result: 1, servedBy: "primary" } as const;
 const RATE_LIMITED = {
@@ -132,3 +137,22 @@
     );
   }
 });
+
+// Only the first list was raised; after a change the hosts kept the real rates.
+test("a host of the broken policy raises rates in all that it reads", async () => {
+  const object = { key: SERVICES_KEY, version: 1, value: buildServices(LAKAZ) };
+  const read = () => Promise.resolve(Ok({ revision: 1, objects: [object] }));
+  const wrap = BROKEN_WRAPPERS.overRate();
+  const { platform } = wrap(
+    { platform: { list: read, watch: read } } as unknown as HostIo,
+  );
+  const results = [
+    await platform.list(CONFIG_PREFIX),
+    await platform.watch(CONFIG_PREFIX, { after: 0, waitMs: 0 }),
+  ];
+  const rate = buildServices(LAKAZ).plans[0]!.ratePerSecond;
+  for (const res of results) {
+    const { plans } = res.unwrap().objects[0]!.value as ServicesList;
+    expect(plans[0]!.ratePerSecond).toBeGreaterThan(rate);
+  }
+});
--- a/tools/measure/broken.ts
+++ b/tools/measure/broken.ts
@@ -8,6 +8,7 @@
 import type {
   ControlReq,
   HostIo,
+  PlatformStore,
   RunReq,
   RunRes,
   TargetConn,
@@ -15,6 +16,7 @@
   TargetErr,
   TargetInfo,
   TargetStatus,
+  WatchRes,
 } from "../../src/core/types.ts";
 import type { Settings } from "../../src/generated/settings.ts";
 
@@ -191,22 +193,23 @@
 }
 
 function raiseRates(io: HostIo): HostIo {
-  const platform = {
+  const raise = (res: WatchRes): WatchRes => ({
+    ...res,
+    objects: res.objects.map((object) => ({
+      ...object,
+      value: withRaisedRates(object.value),
+    })),
+  });
+  const platform: PlatformStore = {
     ...io.platform,
-    async list(prefix: string) {
-      const listed = await io.platform.list(prefix);
-      return listed.map((res) => ({
-        ...res,
-        objects: res.objects.map((object) => ({
-          ...object,
-          value: withRaisedRates(object.value),
-        })),
-      }));
-    },
+    list: async (prefix) => (await io.platform.list(prefix)).map(raise),
+    watch: async (prefix, options) =>
+      (await io.platform.watch(prefix, options)).map(raise),
   };
   return { ...io, platform };
 }
 
+/** Raises the rates of a services list; no other object has any. */
 function withRaisedRates(value: unknown): unknown {
   const list = value as {
     readonly kind?: string;
