--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -29,12 +29,15 @@
 /**
  * Returns the number of targets that must be fenced. Every acknowledged commit
  * is on the primary and on `syncReplicas` replicas, so any set of
- * `copies - syncReplicas` targets includes a holder of each commit.
+ * `copies - syncReplicas` targets includes a holder of each commit. Without
+ * synchronous replicas only the primary is sure to be a holder, and a primary
+ * that is gone for good could never be replaced. Such services are treated as
+ * with one synchronous replica: commits that no replica received may be lost.
  */
 export function getRequiredFencedCount(
   options: Pick<SuccessionOptions, "copies" | "syncReplicas">,
 ): number {
-  return Math.max(1, options.copies - options.syncReplicas);
+  return Math.max(1, options.copies - Math.max(1, options.syncReplicas));
 }
 
 /**
