Execute no statement behind the last one of a session

Cause: statements read before a session ends were handed to the session, which refuses them in a stop, but not after an exception.

--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -485,10 +485,12 @@
   const closed = new Promise((resolve) => client.on("close", resolve));
   client.write("START orders key1\r\nQUERY broken SET a b\r\n");
   client.write("QUERY next SET a b\r\n");
-  expect((await readAnswers(client, 3)).split("\r\n")).toEqual([
+  expect((await readAnswers(client, 4)).split("\r\n")).toEqual([
     "READY I -",
     "ERR FAILED the statement failed on this host; it may have run",
     "READY I -",
+    "ERR ABORTED the session ended before this statement",
+    "READY I -",
     "",
   ]);
   client.end();
