--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -376,6 +376,68 @@
   ]);
 });
 
+// Guards against a session that stays open in a stop, since its client sends one
+// statement after another.
+test("a draining listener ends a session after the answer to its statement", async () => {
+  const fleet = await startPoolFleet({ group: { workMs: 100 } });
+  vi.useRealTimers();
+  closables.push({ close: () => fleet.stop() });
+  const listener = createClientListener(fleet.poolers[0]!, {
+    address: "127.0.0.1:0",
+    log: { info() {}, request() {} },
+    metrics: createMetrics(),
+  });
+  const port = await listener.listen();
+  closables.push(listener);
+  const client = connect({ host: "127.0.0.1", port });
+  client.write("START orders key1\r\n");
+  await readAnswers(client, 1);
+  client.write("QUERY 1 READ a\r\n");
+  await vi.waitFor(() => expect(listener.countStatements()).toBe(1));
+  listener.drain();
+  expect((await readAnswers(client, 9)).split("\r\n")).toEqual([
+    "ROW row of READ a",
+    "DONE signed-1",
+    expect.stringMatching(/^READY I /),
+    "ERR BUSY the host is stopping; connect again",
+    "",
+  ]);
+});
+
+// Guards against connections that are closed with unread input, which resets
+// them: the client may lose the last message.
+test("an ended connection is read for a time before it is closed", async () => {
+  const fleet = await startPoolFleet();
+  closables.push({ close: () => fleet.stop() });
+  vi.useRealTimers();
+  vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout"] });
+  const listener = createClientListener(fleet.poolers[0]!, {
+    address: "127.0.0.1:0",
+    log: { info() {}, request() {} },
+    metrics: createMetrics(),
+  });
+  const port = await listener.listen();
+  closables.push(listener);
+  const client = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
+  client.write("START orders key1\r\n");
+  await readAnswers(client, 1);
+  const ended = new Promise((resolve) => client.on("end", resolve));
+  listener.drain();
+  client.resume();
+  await ended;
+  client.write("QUERY 1 READ a\r\n");
+  vi.advanceTimersByTime(400);
+  for (let turn = 0; turn < 20; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  expect(listener.countConnections()).toBe(1);
+  while (listener.countConnections() > 0) {
+    vi.advanceTimersByTime(100);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  client.destroy();
+});
+
 // Guards against a statement that crosses the end of its session: without a
 // message before the end its client can't tell that it was not executed.
 test("a client whose key is withdrawn is told before its session ends", async () => {
