Let the store stand-in return to an earlier copy

In a drill the users' store is away for a moment and comes back from a copy some seconds old. No test could play that: the stand-ins never lost what they had acknowledged, and no answer named an era.

The core takes a copy and returns to it: objects written since are gone, a watch from a revision that it does not have ends as history_gone, the revisions are given out again, and the objects of the operator and the targets are written again. Over HTTP each answer carries Store-Era, and /control/copy and /control/return play the fault. As on the users' platform, the version of an object may be the revision of its last change; the pool fleet uses that.

New tests: test/standins.test.ts, two. No behaviour of a host changes.

--- a/standins/local_fleet.ts
+++ b/standins/local_fleet.ts
@@ -238,11 +238,10 @@
           unreachable;
       },
       async watch(prefix, opts) {
-        const changes = await call(
+        return await call(
           prefix,
           () => waitForChange(platform, { prefix, ...opts }),
-        );
-        return changes ? Ok(changes) : unreachable;
+        ) ?? unreachable;
       },
     };
   }
--- a/standins/platform_server.ts
+++ b/standins/platform_server.ts
@@ -3,8 +3,14 @@
 import type { IncomingMessage, Server } from "node:http";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
 import { sleep } from "../src/core/clock.ts";
-import type { StoredObject, WatchRes } from "../src/core/types.ts";
-import { createPlatformCore, type PlatformCore } from "./platform_core.ts";
+import type { Result } from "ts-results-es";
+import type { PlatformErr, StoredObject, WatchRes } from "../src/core/types.ts";
+import {
+  createPlatformCore,
+  type PlatformCopy,
+  type PlatformCore,
+  type PlatformCoreOptions,
+} from "./platform_core.ts";
 import { createJsonServer, type JsonResponse, readJson } from "./serve.ts";
 
 /** Faults injected into the platform. */
@@ -17,6 +23,9 @@
   readonly loseAnswers?: boolean;
 }
 
+/** Kinds of the objects that the operator and the targets write. */
+const EXTERNAL_KINDS = ["config/", "servers/"];
+
 /** Object in the wire format. */
 interface WireObject {
   readonly meta: { readonly name: string; readonly rev?: number };
@@ -29,10 +38,13 @@
 }
 
 /** Creates the server of a platform without objects. */
-export function createPlatformServer(): Server {
-  const core = createPlatformCore();
+export function createPlatformServer(
+  options: PlatformCoreOptions = {},
+): Server {
+  const core = createPlatformCore(options);
   const callCounts = new Map<string, number>();
   let faults: PlatformFaults = {};
+  let copy: PlatformCopy = core.takeCopy();
 
   async function handleRequest(
     url: URL,
@@ -56,11 +68,15 @@
       const items = objects.map(toWire);
       return { body: { items, truncated: false, currentRev: revision } };
     }
-    const { revision, objects } = await waitForChange(core, {
+    const changes = await waitForChange(core, {
       prefix,
       after: Number(after),
       waitMs: Number(url.searchParams.get("waitMs")),
     });
+    if (changes.isErr()) {
+      return { status: 410, body: null };
+    }
+    const { revision, objects } = changes.value;
     const events = objects.map((object) => ({
       object: toWire(object),
       deleted: object.version === 0,
@@ -84,6 +100,20 @@
       : { status: 400, body: res.error };
   }
 
+  async function answerUnlessFaulty(
+    url: URL,
+    req: IncomingMessage,
+  ): Promise<JsonResponse> {
+    if (faults.down) {
+      return { status: 503, body: null };
+    }
+    await sleep(faults.slowMs ?? 0);
+    const answer = await handleRequest(url, req);
+    return faults.loseAnswers || faults.down
+      ? { status: 503, body: null }
+      : answer;
+  }
+
   return createJsonServer(async (url, req) => {
     if (url.pathname === "/control/faults") {
       faults = (await readJson(req) ?? {}) as PlatformFaults;
@@ -92,22 +122,27 @@
     if (url.pathname === "/control/calls") {
       return { body: Object.fromEntries(callCounts) };
     }
+    if (url.pathname === "/control/copy") {
+      copy = core.takeCopy();
+      return { body: null };
+    }
+    if (url.pathname === "/control/return") {
+      core.returnTo(copy, {
+        isExternal: (key) =>
+          EXTERNAL_KINDS.some((kind) => key.startsWith(kind)),
+      });
+      return { body: null };
+    }
     const caller = `${req.headers["x-caller"] ?? "unknown"}`;
     callCounts.set(caller, (callCounts.get(caller) ?? 0) + 1);
-    if (faults.down) {
-      return { status: 503, body: null };
-    }
-    await sleep(faults.slowMs ?? 0);
-    const answer = await handleRequest(url, req);
-    return faults.loseAnswers || faults.down
-      ? { status: 503, body: null }
-      : answer;
+    const answer = await answerUnlessFaulty(url, req);
+    return { ...answer, headers: { "store-era": `${core.getEra()}` } };
   });
 }
 
 /**
  * Resolves with the changes under `prefix` after revision `after`: once there
- * are any, or with none after `waitMs`.
+ * are any or their history is gone, or with none after `waitMs`.
  */
 export function waitForChange(
   core: PlatformCore,
@@ -116,21 +151,25 @@
     readonly after: number;
     readonly waitMs: number;
   },
-): Promise<WatchRes> {
+): Promise<Result<WatchRes, PlatformErr>> {
   const { prefix, after, waitMs } = options;
   return new Promise((resolve) => {
     const timer = setTimeout(() => finish(), waitMs);
     const unsubscribe = core.onChange(() => {
-      if (core.changesAfter(prefix, after).objects.length > 0) {
+      if (hasChanges()) {
         finish();
       }
     });
+    function hasChanges(): boolean {
+      const changes = core.changesAfter(prefix, after);
+      return changes.isErr() || changes.value.objects.length > 0;
+    }
     function finish(): void {
       clearTimeout(timer);
       unsubscribe();
       resolve(core.changesAfter(prefix, after));
     }
-    if (core.changesAfter(prefix, after).objects.length > 0) {
+    if (hasChanges()) {
       finish();
     }
   });
--- a/standins/serve.ts
+++ b/standins/serve.ts
@@ -22,6 +22,7 @@
 export interface JsonResponse {
   readonly status?: number;
   readonly body: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Creates an HTTP server that answers JSON; 400 if the handler throws. */
@@ -29,8 +30,8 @@
   return createServer(async (req, res) => {
     const url = new URL(req.url ?? "/", "http://standin");
     try {
-      const { status = 200, body } = await handler(url, req);
-      res.writeHead(status, { "content-type": "application/json" });
+      const { status = 200, body, headers } = await handler(url, req);
+      res.writeHead(status, { "content-type": "application/json", ...headers });
       res.end(JSON.stringify(body ?? null));
     } catch (err) {
       res.writeHead(400, { "content-type": "application/json" });
--- a/test/memory_store.ts
+++ b/test/memory_store.ts
@@ -39,7 +39,7 @@
       return fault === "lost_answer" ? unreachable : res;
     },
     watch: (prefix, { after }) =>
-      Promise.resolve(Ok(core.changesAfter(prefix, after))),
+      Promise.resolve(core.changesAfter(prefix, after)),
   };
   return store;
 }
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -1,8 +1,12 @@
 /** Pool hosts in one process, with stand-ins and fake timers, for tests. */
 
-import { Err, Ok } from "ts-results-es";
+import { Err, Ok, type Result } from "ts-results-es";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
-import type { PlatformStore, StoredObject } from "../src/core/types.ts";
+import type {
+  PlatformErr,
+  PlatformStore,
+  StoredObject,
+} from "../src/core/types.ts";
 import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
 import type { Session } from "../src/pooling/session.ts";
 import type {
@@ -79,7 +83,7 @@
   options: PoolFleetOptions = {},
 ): Promise<PoolFleet> {
   vi.useFakeTimers();
-  const store = createPlatformCore();
+  const store = createPlatformCore({ versionsAreRevisions: true });
   const group = createStatementGroup({
     service: SERVICE,
     ids: ["t1", "t2", "t3"],
@@ -135,13 +139,15 @@
   }
 
   function createStore(host: string): PlatformStore {
-    const callIfReachable = async <T>(call: () => T | Promise<T>) =>
+    const callIfReachable = async <T>(
+      call: () => Result<T, PlatformErr> | Promise<Result<T, PlatformErr>>,
+    ) =>
       hostsWithoutStore.has(host) || hostsWithoutStore.has("all")
         ? Err({ kind: "unreachable" } as const)
-        : Ok(await call());
+        : await call();
     return {
-      get: (key) => callIfReachable(() => store.get(key)),
-      list: (prefix) => callIfReachable(() => store.list(prefix)),
+      get: (key) => callIfReachable(() => Ok(store.get(key))),
+      list: (prefix) => callIfReachable(() => Ok(store.list(prefix))),
       watch: (prefix, { after, waitMs }) =>
         callIfReachable(() => waitForChange(store, { prefix, after, waitMs })),
       put(key, value, condition) {
--- a/test/standins.test.ts
+++ b/test/standins.test.ts
@@ -3,6 +3,9 @@
 import { issueKey } from "../src/core/keys.ts";
 import { createTargetNode } from "../standins/target_node.ts";
 import { pack } from "msgpackr";
+import { createPlatformCore } from "../standins/platform_core.ts";
+import { createPlatformServer } from "../standins/platform_server.ts";
+import { listen } from "../standins/serve.ts";
 
 test("a target counts only the frames that contain a caller's key", () => {
   const node = createTargetNode({
@@ -24,3 +27,56 @@
   expect(node.keyHits).toBe(1);
   node.stop();
 });
+
+test("a store that returns to a copy keeps only what others wrote since", () => {
+  const core = createPlatformCore({ versionsAreRevisions: true });
+  const put = (key: string, value: unknown) =>
+    core.put(asId(key), value, { ifVersion: core.get(asId(key)).version })
+      .unwrap().version;
+  put("config/main", "c1");
+  put("servers/t1", "ready");
+  put("fleet/duty", "claim 1");
+  const copy = core.takeCopy();
+  const lostRevision = put("fleet/duty", "claim 2");
+  put("fleet/host", "h0");
+  put("config/main", "c2");
+  core.remove(asId("servers/t1"));
+  const lastRevision = put("fleet/duty", "claim 3");
+  core.returnTo(copy, { isExternal: (key) => !key.startsWith("fleet/") });
+
+  expect(core.getEra()).toBe(2);
+  const values = core.list("").objects.map(({ key, value }) => [key, value]);
+  expect(Object.fromEntries(values)).toEqual({
+    "config/main": "c2",
+    "fleet/duty": "claim 1",
+  });
+  expect(core.changesAfter("", lastRevision).unwrapErr().kind)
+    .toBe("history_gone");
+  // Revisions are given out again, now for other changes.
+  expect(core.get(asId("config/main")).version).toBe(lostRevision);
+  expect(core.changesAfter("", copy.revision).unwrap().objects).toHaveLength(2);
+});
+
+test("every response of the store stand-in names the era", async () => {
+  const server = createPlatformServer();
+  const url = `http://127.0.0.1:${await listen(server, 0)}`;
+  const getEra = async (path: string) =>
+    (await fetch(url + path)).headers.get("store-era");
+  const post = (path: string, body?: unknown) =>
+    fetch(url + path, { method: "POST", body: JSON.stringify(body) });
+  try {
+    await post("/control/copy");
+    await post("/objects/fleet", { meta: { name: "a" }, spec: 1 });
+    expect(await getEra("/objects/fleet/a")).toBe("1");
+    await post("/control/return");
+    expect(await getEra("/objects/fleet/a")).toBe("2");
+    const watched = await fetch(`${url}/objects/fleet?watch=1&waitMs=0`);
+    expect(watched.status).toBe(410);
+    expect(watched.headers.get("store-era")).toBe("2");
+    await post("/control/faults", { down: true });
+    expect(await getEra("/objects/fleet")).toBe("2");
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+});
--- a/test/store_feed.test.ts
+++ b/test/store_feed.test.ts
@@ -1,4 +1,4 @@
-import { Err, Ok } from "ts-results-es";
+import { Err } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
 import type { PlatformStore } from "../src/core/types.ts";
@@ -19,8 +19,7 @@
     ...createMemoryStore(core),
     async watch(prefix, options) {
       watches++;
-      const changes = await waitForChange(core, { prefix, ...options });
-      return Ok(changes);
+      return await waitForChange(core, { prefix, ...options });
     },
   };
   const feed = createStoreFeed(
@@ -67,7 +66,7 @@
     async watch(prefix, options) {
       return state.isDown
         ? await failAfter(options.waitMs + 1_500)
-        : Ok(await waitForChange(core, { prefix, ...options }));
+        : await waitForChange(core, { prefix, ...options });
     },
   };
   let reconnectedAt: number | undefined;
