See the era of the store's responses in one place

After a return to an earlier copy, the store gives revisions out again. A watch from a revision of the era that ended missed every change below it, a write on such a revision could be accepted on another object than meant, and a response that arrived late carried the older state.

A rise is reported before the response that shows it is returned. A response of an older era is dropped, and so is the one to a watch or a write whose revision was read in another era: 'outdated', the outcome of a change is unknown. Pages of two eras do not form a list. A feed lists again at a rise and does not wait for its pending watch.

Seen failing before: 'a feed lists again at once when any response shows a new era', on the old feed with the new store: [a1, b1] in place of [a1, c1, d1]. The other tests of test/store_era.test.ts are of new code.

--- a/src/core/object_edit.ts
+++ b/src/core/object_edit.ts
@@ -53,7 +53,8 @@
     if (res.error.kind === "rejected") {
       return Err(res.error);
     }
-    mayHaveApplied ||= res.error.kind === "unreachable";
+    mayHaveApplied ||= res.error.kind === "unreachable" ||
+      res.error.kind === "outdated";
     const current = res.error.kind === "conflict"
       ? res.error.current
       : await tryReadBack(store, base);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -160,7 +160,12 @@
   | { readonly kind: "conflict"; readonly current: StoredObject }
   | { readonly kind: "rejected"; readonly detail: string }
   /** The history since the revision of a watch is gone; list again. */
-  | { readonly kind: "history_gone" };
+  | { readonly kind: "history_gone" }
+  /**
+   * The store has returned to an earlier copy since the request or its
+   * response; the outcome of a change is unknown.
+   */
+  | { readonly kind: "outdated" };
 
 /** Result of a list or a watch. */
 export interface WatchRes {
@@ -170,8 +175,28 @@
   readonly objects: readonly StoredObject[];
 }
 
+/** Rise of the store's era: the store has returned to an earlier copy. */
+export interface EraChange {
+  readonly era: number;
+  /** Era of the responses until now. */
+  readonly previous: number;
+}
+
+/** Eras that the responses of a store have named. */
+export interface StoreEras {
+  /** Highest era seen; undefined if no response has named one. */
+  tryGet(): number | undefined;
+  /**
+   * Registers a callback for rises. Revisions, leases and lists of the previous
+   * era must not be used after it.
+   */
+  onRise(listener: (change: EraChange) => void): void;
+}
+
 /** Object store of the platform. */
 export interface PlatformStore {
+  /** Undefined for a store that never returns to an earlier copy. */
+  readonly eras?: StoreEras;
   get(key: ObjectKey): Promise<Result<StoredObject, PlatformErr>>;
   /** Lists the objects whose key begins with `prefix`. */
   list(prefix: string): Promise<Result<WatchRes, PlatformErr>>;
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -19,7 +19,10 @@
   onList(objects: readonly StoredObject[]): void;
   /** Called with a changed object; version 0 if it was removed. */
   onChange(object: StoredObject): void;
-  /** Called when the store answers again after `outageMs` without an answer. */
+  /**
+   * Called when the store answers again after `outageMs` without an answer, and
+   * before the first list after it returned to an earlier copy.
+   */
   onReconnected?(outageMs: number): void;
 }
 
@@ -54,6 +57,14 @@
   let isUnreachable = false;
   let answeredAt = nowMs();
   let revision: number | undefined;
+  let hasReturned = false;
+  let interruptWatch = () => {};
+
+  io.store.eras?.onRise(() => {
+    revision = undefined;
+    hasReturned = true;
+    interruptWatch();
+  });
 
   function recordAnswer(): void {
     const outageMs = nowMs() - answeredAt;
@@ -81,16 +92,27 @@
         return false;
       }
       recordAnswer();
+      if (hasReturned) {
+        hasReturned = false;
+        handlers.onReconnected?.(0);
+      }
       revision = listed.value.revision;
       handlers.onList(listed.value.objects);
       return true;
     }
-    const changes = await io.store.watch(prefix, {
+    const interrupted = new Promise<undefined>((resolve) => {
+      interruptWatch = () => resolve(undefined);
+    });
+    const watched = io.store.watch(prefix, {
       after: revision,
       // After a failure, a call without wait detects recovery sooner.
       waitMs: isUnreachable ? 0 : options.waitMs ?? WATCH_WAIT_MS,
       mayBeLate: options.mayBeLate ?? false,
     });
+    const changes = await Promise.race([interrupted, watched]);
+    if (changes === undefined) {
+      return true;
+    }
     if (changes.isErr()) {
       if (changes.error.kind === "history_gone") {
         io.log.info("history_gone", { prefix, revision });
--- /dev/null
+++ b/test/era_calls.ts
@@ -0,0 +1,47 @@
+/** Calls to the in-memory store whose responses name its era, for tests. */
+
+import { Err, Ok, type Result } from "ts-results-es";
+import { sleep } from "../src/core/clock.ts";
+import type { ObjectKey } from "../src/core/ids.ts";
+import type { EraCalls, EraRes } from "../src/core/store_era.ts";
+import type { PlatformErr } from "../src/core/types.ts";
+import type { PlatformCore } from "../standins/platform_core.ts";
+import { waitForChange } from "../standins/platform_server.ts";
+
+/** Whether an object is written by the operator or a target. */
+export function isExternalKey(key: ObjectKey): boolean {
+  return !key.startsWith("turmericchute-fleet/");
+}
+
+/** Creates the calls of one host; a delayed response keeps its era. */
+export function createEraCalls(
+  core: PlatformCore,
+  options: {
+    isUnreachable(): boolean;
+    /** Delay of a response after its execution; 0 for none. */
+    getResponseDelayMs(): number;
+  },
+): EraCalls {
+  async function call<T>(
+    run: () => Result<T, PlatformErr> | Promise<Result<T, PlatformErr>>,
+  ): Promise<EraRes<T>> {
+    if (options.isUnreachable()) {
+      return { era: undefined, result: Err({ kind: "unreachable" }) };
+    }
+    const result = await run();
+    const era = core.getEra();
+    const delayMs = options.getResponseDelayMs();
+    if (delayMs > 0) {
+      await sleep(delayMs);
+    }
+    return { era, result };
+  }
+
+  return {
+    get: (key) => call(() => Ok(core.get(key))),
+    list: (prefix) => call(() => Ok(core.list(prefix))),
+    put: (key, value, condition) => call(() => core.put(key, value, condition)),
+    watch: (prefix, { after, waitMs }) =>
+      call(() => waitForChange(core, { prefix, after, waitMs })),
+  };
+}
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -1,12 +1,9 @@
 /** Pool hosts in one process, with stand-ins and fake timers, for tests. */
 
-import { Err, Ok, type Result } from "ts-results-es";
+import { Err } from "ts-results-es";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
-import type {
-  PlatformErr,
-  PlatformStore,
-  StoredObject,
-} from "../src/core/types.ts";
+import { createEraStore } from "../src/core/store_era.ts";
+import type { PlatformStore, StoredObject } from "../src/core/types.ts";
 import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
 import type { Session } from "../src/pooling/session.ts";
 import type {
@@ -24,9 +21,10 @@
 import { tryDecodeStatement } from "../platform/line_codec.ts";
 import {
   createPlatformCore,
+  type PlatformCopy,
   type PlatformCore,
 } from "../standins/platform_core.ts";
-import { waitForChange } from "../standins/platform_server.ts";
+import { createEraCalls, isExternalKey } from "./era_calls.ts";
 import {
   createStatementGroup,
   type GroupOptions,
@@ -60,6 +58,10 @@
   readonly store: PlatformCore;
   /** Hosts (`h0`, ...), or `all`, whose calls to the store fail. */
   readonly hostsWithoutStore: Set<string>;
+  /** Delay of the store's responses after their execution. */
+  readonly storeFaults: { getResponseDelayMs(): number };
+  /** Returns the store to a copy and writes the external objects again. */
+  returnStore(copy: PlatformCopy): void;
   /**
    * Unreachable targets: `<target>` for all hosts, `<host>/<target>` for one
    * host. Targets still reach each other.
@@ -91,6 +93,7 @@
   });
   const hostsWithoutStore = new Set<string>();
   const unreachableTargets = new Set<string>();
+  const storeFaults = { getResponseDelayMs: () => 0 };
   const delayedPromotions = { minDelayMs: 0 };
   const isUnreachable = (host: string, id: string) =>
     unreachableTargets.has(id) || unreachableTargets.has(`${host}/${id}`) ||
@@ -139,25 +142,11 @@
   }
 
   function createStore(host: string): PlatformStore {
-    const callIfReachable = async <T>(
-      call: () => Result<T, PlatformErr> | Promise<Result<T, PlatformErr>>,
-    ) =>
-      hostsWithoutStore.has(host) || hostsWithoutStore.has("all")
-        ? Err({ kind: "unreachable" } as const)
-        : await call();
-    return {
-      get: (key) => callIfReachable(() => Ok(store.get(key))),
-      list: (prefix) => callIfReachable(() => Ok(store.list(prefix))),
-      watch: (prefix, { after, waitMs }) =>
-        callIfReachable(() => waitForChange(store, { prefix, after, waitMs })),
-      put(key, value, condition) {
-        return Promise.resolve(
-          hostsWithoutStore.has(host) || hostsWithoutStore.has("all")
-            ? Err({ kind: "unreachable" })
-            : store.put(key, value, condition),
-        );
-      },
-    };
+    return createEraStore(createEraCalls(store, {
+      isUnreachable: () =>
+        hostsWithoutStore.has(host) || hostsWithoutStore.has("all"),
+      getResponseDelayMs: () => storeFaults.getResponseDelayMs(),
+    }));
   }
 
   function createHost(index: number): Pooler {
@@ -239,6 +228,8 @@
     poolers,
     store,
     hostsWithoutStore,
+    storeFaults,
+    returnStore: (copy) => store.returnTo(copy, { isExternal: isExternalKey }),
     unreachableTargets,
     delayedPromotions,
     logLines,
