Read shared objects anew after the store returned to a copy

The fleet's cache drops an object whose version is not newer. After a return the restored object has a lower version, and one written since may have the version of the lost one, so hosts went on with objects that the store no longer had. A host whose registration was lost was missing until its next heartbeat, and the others' parts of connection limits grew for that time.

At a rise of the era each host stops trusting the versions of all objects; none is returned until the list of the new era has been read. Registrations missing from that list are kept, and expire as usual if their host does not renew them; every host renews its own as soon as it has the list. A record with an older heartbeat takes its version from the store and its value from what the host has seen, so that a host that left stays left.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -65,6 +65,7 @@
 /** Local copy of the objects that hosts share in the store. */
 export interface Fleet extends Stoppable {
   start(): void;
+  /** Returns an object that was read in the current era of the store. */
   tryGet(key: ObjectKey): StoredObject | undefined;
   /** Applies an object that a conditional update returned. */
   applyObject(object: StoredObject): void;
@@ -85,6 +86,7 @@
   recordSuspension(ms: number): void;
   /** Sends a heartbeat and schedules the next one. */
   sendHeartbeat(): Promise<void>;
+  /** Whether the objects were listed in the current era of the store. */
   isLoaded(): boolean;
   /**
    * Time between the start of this process and the start of the previous one
@@ -107,12 +109,16 @@
   const objects = new Map<ObjectKey, StoredObject>();
   const observed = new Map<ObjectKey, ObservedVersion>();
   const hosts = new Set<ObjectKey>();
+  /** Keys of objects whose version is of an older era of the store. */
+  const outdated = new Set<ObjectKey>();
   let cachedPeers: {
     readonly computedAt: number;
     readonly hosts: readonly HostId[];
   } = { computedAt: -Infinity, hosts: [] };
   const listeners = new Set<(key: ObjectKey) => void>();
+  let hasStarted = false;
   let isLoaded = false;
+  let isSendingHeartbeat = false;
   let previousStartAt = -Infinity;
   let isLeaving = false;
   let beat = 0;
@@ -129,15 +135,21 @@
       onList(listed) {
         const keys = new Set(listed.map(({ key }) => key));
         for (const key of [...objects.keys()]) {
-          if (!keys.has(key)) {
+          // The registration of a live host may be lost with an older era. The
+          // host registers again, and if it does not, its heartbeat expires.
+          const mayBeLost = !isLoaded && key.startsWith(HOST_PREFIX);
+          if (!keys.has(key) && !mayBeLost) {
             applyObject({ key, version: 0, value: undefined });
           }
         }
         listed.forEach(applyObject);
-        if (!isLoaded) {
-          isLoaded = true;
+        if (!hasStarted) {
+          hasStarted = true;
           const record = objects.get(ownKey)?.value as Partial<HostRecord>;
           previousStartAt = record?.incarnation ?? -Infinity;
+        }
+        if (!isLoaded) {
+          isLoaded = true;
           void sendHeartbeat();
         }
       },
@@ -145,15 +157,25 @@
     },
   });
 
+  io.store.eras?.onRise(() => {
+    isLoaded = false;
+    objects.forEach((_, key) => outdated.add(key));
+    io.log.info("shared_objects_outdated", { objects: objects.size });
+  });
+
   function applyObject(object: StoredObject): void {
     const { key, version } = object;
     const known = objects.get(key);
-    if (known && version !== 0 && version <= known.version) {
+    const isOutdated = outdated.delete(key);
+    if (known && !isOutdated && version !== 0 && version <= known.version) {
       return;
     }
     if (version === 0) {
       objects.delete(key);
       observed.delete(key);
+    } else if (known && isOutdated && isOlderHeartbeat(object, known)) {
+      // What this host has seen of a peer is newer than the restored record.
+      objects.set(key, { ...object, value: known.value });
     } else {
       objects.set(key, object);
       observed.set(key, { version, observedAt: nowMs() });
@@ -174,6 +196,10 @@
     listeners.forEach((listener) => listener(key));
   }
 
+  function tryGet(key: ObjectKey): StoredObject | undefined {
+    return outdated.has(key) ? undefined : objects.get(key);
+  }
+
   function listAddresses(): Map<HostId, string> {
     const addresses = new Map<HostId, string>();
     for (const key of hosts) {
@@ -186,10 +212,11 @@
   }
 
   async function sendHeartbeat(): Promise<void> {
-    clearTimeout(timer);
-    if (isLeaving) {
+    if (isLeaving || isSendingHeartbeat) {
       return;
     }
+    clearTimeout(timer);
+    isSendingHeartbeat = true;
     const sentAt = nowMs();
     const record: HostRecord = {
       incarnation,
@@ -197,8 +224,9 @@
       peers: options.peerAddress,
     };
     const put = await io.store.put(ownKey, record, {
-      ifVersion: objects.get(ownKey)?.version ?? 0,
+      ifVersion: tryGet(ownKey)?.version ?? 0,
     });
+    isSendingHeartbeat = false;
     if (put.isOk()) {
       heartbeatAcceptedAt = sentAt;
       applyObject(put.value);
@@ -247,7 +275,7 @@
 
   return {
     start: feed.start,
-    tryGet: (key) => objects.get(key),
+    tryGet,
     applyObject,
     getAgeMs: (key) => nowMs() - (observed.get(key)?.observedAt ?? -Infinity),
     countHosts: () => listPeers().length + 1,
@@ -266,7 +294,7 @@
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
-      const version = objects.get(ownKey)?.version;
+      const version = tryGet(ownKey)?.version;
       if (version !== undefined) {
         const value = { incarnation, beat: -1, peers: options.peerAddress };
         const put = await io.store.put(ownKey, value, { ifVersion: version });
@@ -280,3 +308,14 @@
     },
   };
 }
+
+/** Whether a record has no later heartbeat than the one seen before. */
+function isOlderHeartbeat(stored: StoredObject, seen: StoredObject): boolean {
+  const storedRecord = (stored.value ?? {}) as Partial<HostRecord>;
+  const seenRecord = (seen.value ?? {}) as Partial<HostRecord>;
+  const { beat, incarnation } = storedRecord;
+  return stored.key.startsWith(HOST_PREFIX) &&
+    incarnation === seenRecord.incarnation && beat !== undefined &&
+    seenRecord.beat !== undefined && beat !== -1 &&
+    (seenRecord.beat === -1 || beat <= seenRecord.beat);
+}
