Keep fencing tokens unique when the store forgets a claim

The fencing token was the count of claims in the lease. After a return of the store to an earlier copy the count starts again: two holders ordered promotions with the same token. A holder whose claim was lost went on to order, another host claimed within 190 ms, and the target of an order without an answer was forgotten, so that replicas were resumed before the order took effect.

The token is now made of the era and the version at which the store accepted the claim. The store gives a version out once in an era, and eras and versions rise, so that no two claims share a token and every later one has a higher token, whatever the lease holds and whichever late write replaced it. A late order of the older era has a lower token; once a newer one was seen, the platform refuses it where it checks fences.

At a rise a host gives up its claims and sends no order under them. No host claims for the longest time of a failover after it has seen the rise. Each host keeps the newest lease it has seen, by token: the holder writes a lost open target back at once, the others after 2 s, and a claim carries it on.

--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -19,7 +19,8 @@
 export interface FailoverLease {
   readonly holder: HostId;
   /**
-   * Increases with every claim; the platform refuses orders with older tokens.
+   * Token of the last claim that was written after it was accepted, see
+   * `getFencingToken`; the platform refuses orders with older tokens.
    */
   readonly fencingToken: number;
   /** Whether the failover has ended, successfully or not. */
@@ -32,6 +33,21 @@
   readonly openTarget?: TargetId;
 }
 
+/** Revisions that fencing tokens distinguish within an era of the store. */
+const REVISIONS_PER_ERA = 2 ** 40;
+
+/**
+ * Returns the fencing token of a claim that the store accepted at a version.
+ * The store gives a version out once in an era, and versions and eras rise, so
+ * no other claim has this token, and every later one has a higher one.
+ */
+export function getFencingToken(
+  version: number,
+  era: number | undefined,
+): number {
+  return (era ?? 0) * REVISIONS_PER_ERA + version;
+}
+
 /** Decodes a stored lease; undefined if the value is not a lease. */
 export function tryDecodeFailoverLease(
   value: unknown,
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -6,10 +6,15 @@
 import {
   type FailoverCause,
   type FailoverLease,
+  getFencingToken,
   tryDecodeFailoverLease,
 } from "./failover_lease.ts";
 import { createFailoverProcedure } from "./failover_procedure.ts";
-import { type Fleet, getFailoverLeaseKey } from "./fleet.ts";
+import {
+  type Fleet,
+  getFailoverLeaseKey,
+  tryGetLeaseService,
+} from "./fleet.ts";
 import type { ExecutionContext } from "./execution.ts";
 
 /**
@@ -43,6 +48,19 @@
  */
 const MAX_JITTER_MS = 250;
 
+/**
+ * Time after a rise of the store's era for which a host leaves it to the holder
+ * of a lost lease to write it back, in milliseconds.
+ */
+const WRITE_BACK_DELAY_MS = 2_000;
+
+/** A claim of this host that the store has accepted in its current era. */
+interface Claim {
+  readonly fencingToken: number;
+  /** Version of the lease after the last write of this claim. */
+  readonly version: number;
+}
+
 /** Monitor that replaces failed or leaving primaries. */
 export interface FailoverMonitor extends Stoppable {
   start(): void;
@@ -58,14 +76,84 @@
   const promotedAt = new Map<ServiceId, number>();
   /** Largest number of ready targets seen: the number of copies of the log. */
   const copyCounts = new Map<ServiceId, number>();
+  const claims = new Map<ServiceId, Claim>();
+  /** Newest lease seen of each service, by fencing token, in any era. */
+  const newestLeases = new Map<ServiceId, FailoverLease>();
+  const writingBack = new Set<ServiceId>();
+  let eraRoseAt = -Infinity;
   const failoverProcedure = createFailoverProcedure(ctx, {
     self,
     getCopyCount: (service) => copyCounts.get(service) ?? 0,
     updateLease,
+    isClaimCurrent: (service, { fencingToken }) =>
+      claims.get(service)?.fencingToken === fencingToken,
   });
   let timer: NodeJS.Timeout | undefined;
   let lastCheckAt = nowMs();
 
+  fleet.onChange((key) => {
+    const service = tryGetLeaseService(key);
+    const lease = tryDecodeFailoverLease(fleet.tryGet(key)?.value);
+    if (service && lease) {
+      recordLease(service, lease);
+    }
+  });
+  ctx.io.store.eras?.onRise(() => {
+    eraRoseAt = nowMs();
+    for (const [service, { fencingToken }] of claims) {
+      ctx.io.log.info("lease_given_up", { service, fencingToken });
+    }
+    claims.clear();
+  });
+
+  /** Records a lease, unless it is older than one that this host has seen. */
+  function recordLease(service: ServiceId, lease: FailoverLease): void {
+    const newest = newestLeases.get(service);
+    // In the wait after a return, a lease with the same token may be a restored
+    // one that its holder has changed since.
+    const isNewer = !newest || lease.fencingToken > newest.fencingToken ||
+      (lease.fencingToken === newest.fencingToken && !isWaitingAfterReturn());
+    if (isNewer) {
+      newestLeases.set(service, lease);
+    }
+  }
+
+  /**
+   * Whether a holder of a claim that the store has lost may still act. A claim
+   * is over within `LEASE_TIMEOUT_MS`.
+   */
+  function isWaitingAfterReturn(): boolean {
+    return nowMs() - eraRoseAt < LEASE_TIMEOUT_MS;
+  }
+
+  /** Writes a lease that the store has lost back to it. */
+  function writeBackLease(service: ServiceId): void {
+    const newest = newestLeases.get(service);
+    if (!newest || !isWaitingAfterReturn() || !fleet.isLoaded()) {
+      return;
+    }
+    const known = fleet.tryGet(getFailoverLeaseKey(service));
+    const stored = tryDecodeFailoverLease(known?.value);
+    const isHolder = newest.holder === self;
+    const isLost = (stored?.fencingToken ?? 0) < newest.fencingToken
+      ? newest.openTarget !== undefined
+      : stored?.fencingToken === newest.fencingToken && isHolder &&
+        stored.openTarget !== newest.openTarget;
+    const delayMs = isHolder ? 0 : WRITE_BACK_DELAY_MS;
+    if (isLost && !writingBack.has(service) && nowMs() - eraRoseAt >= delayMs) {
+      writingBack.add(service);
+      void tryPutLease(service, newest, known?.version ?? 0)
+        .then((version) =>
+          ctx.io.log.info("lease_written_back", {
+            service,
+            openTarget: newest.openTarget,
+            fencingToken: newest.fencingToken,
+            isAccepted: version !== undefined,
+          })
+        ).finally(() => writingBack.delete(service));
+    }
+  }
+
   /** Returns the reason to replace the primary; undefined if there is none. */
   function tryGetCause(service: ServiceId): FailoverCause | undefined {
     const primary = ctx.primaries.tryPrimary(service);
@@ -103,6 +191,7 @@
       return;
     }
     for (const service of ctx.catalog.tryGet()?.services.keys() ?? []) {
+      writeBackLease(service);
       const readyCount = ctx.directory.list(service)
         .filter((target) => !target.isDraining).length;
       copyCounts.set(
@@ -125,9 +214,13 @@
 
   /**
    * Whether this host may claim the lease: there is none yet, or the last one
-   * has timed out, or its failover ended long enough ago.
+   * has timed out, or its failover ended long enough ago. After a return of the
+   * store the last one may be unknown.
    */
   function isLeaseFree(service: ServiceId): boolean {
+    if (isWaitingAfterReturn() || !fleet.isLoaded()) {
+      return false;
+    }
     const key = getFailoverLeaseKey(service);
     const lease = tryDecodeFailoverLease(fleet.tryGet(key)?.value);
     if (!lease) {
@@ -145,38 +238,45 @@
   ): Promise<FailoverLease | undefined> {
     const key = getFailoverLeaseKey(service);
     const known = fleet.tryGet(key);
-    const previous = tryDecodeFailoverLease(known?.value);
-    const lease: FailoverLease = {
+    const previous = newestLeases.get(service);
+    const claimed: FailoverLease = {
       holder: self,
-      fencingToken: (previous?.fencingToken ?? 0) + 1,
+      fencingToken: previous?.fencingToken ?? 0,
       isDone: false,
       ...(previous?.openTarget === undefined
         ? {}
         : { openTarget: previous.openTarget }),
     };
-    const isClaimed = await putLease(service, lease, known?.version ?? 0);
-    if (!isClaimed) {
+    const version = await tryPutLease(service, claimed, known?.version ?? 0);
+    if (version === undefined) {
       ctx.io.log.info("failover_not_claimed", { service, cause });
+      return undefined;
     }
-    return isClaimed ? lease : undefined;
+    const era = ctx.io.store.eras?.tryGet();
+    const fencingToken = getFencingToken(version, era);
+    claims.set(service, { fencingToken, version });
+    return { ...claimed, fencingToken };
   }
 
-  /** Writes the lease; false if another host changed it or the store failed. */
-  async function putLease(
+  /**
+   * Writes the lease and returns its version; undefined if another host changed
+   * it or the store failed.
+   */
+  async function tryPutLease(
     service: ServiceId,
     lease: FailoverLease,
     ifVersion: number,
-  ): Promise<boolean> {
+  ): Promise<number | undefined> {
     const key = getFailoverLeaseKey(service);
     const res = await ctx.io.store.put(key, lease, { ifVersion });
     if (res.isOk()) {
       fleet.applyObject(res.value);
-      return true;
+      return res.value.version;
     }
     if (res.error.kind === "conflict") {
       fleet.applyObject(res.error.current);
     }
-    return false;
+    return undefined;
   }
 
   /** Writes the lease if this claim still holds it; false otherwise. */
@@ -184,12 +284,30 @@
     service: ServiceId,
     lease: FailoverLease,
   ): Promise<boolean> {
+    const { fencingToken } = lease;
+    const claim = claims.get(service);
+    if (claim?.fencingToken !== fencingToken) {
+      // The outcome is known to this host alone if the store lost the claim.
+      if (newestLeases.get(service)?.fencingToken === fencingToken) {
+        newestLeases.set(service, { ...lease, isDone: true });
+      }
+      return false;
+    }
     const known = fleet.tryGet(getFailoverLeaseKey(service));
     const current = tryDecodeFailoverLease(known?.value);
-    const isOwnClaim = current?.fencingToken === lease.fencingToken &&
-      current.holder === self;
-    return known !== undefined && isOwnClaim &&
-      await putLease(service, lease, known.version);
+    // A write whose response was lost has changed the version as well.
+    const isOwnWrite = current?.holder === self &&
+      current.fencingToken === fencingToken;
+    const version = await tryPutLease(
+      service,
+      lease,
+      known && isOwnWrite ? known.version : claim.version,
+    );
+    if (version === undefined || claims.get(service) !== claim) {
+      return false;
+    }
+    claims.set(service, { fencingToken, version });
+    return true;
   }
 
   async function runFailover(
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -58,6 +58,8 @@
     getCopyCount(service: ServiceId): number;
     /** Writes the lease if this host still holds it; false otherwise. */
     updateLease(service: ServiceId, lease: FailoverLease): Promise<boolean>;
+    /** Whether the claim of the lease is of the store's current era. */
+    isClaimCurrent(service: ServiceId, lease: FailoverLease): boolean;
   },
 ): FailoverProcedure {
   /** Returns the primary that answers, unless it has to be replaced. */
@@ -301,6 +303,9 @@
       // This claim has sent no order, so it leaves no open target.
       return { result: "overtaken", lease };
     }
+    if (!options.isClaimCurrent(service, orderedLease)) {
+      return { result: "overtaken", lease };
+    }
     const { target } = successor;
     const result = await promote(service, { target, lease: orderedLease });
     switch (result) {
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -1,7 +1,12 @@
 /** Objects that hosts share in the store: hosts, quota shares, leases. */
 
 import { nowMs } from "../core/clock.ts";
-import { asId, type HostId, type ObjectKey } from "../core/ids.ts";
+import {
+  asId,
+  type HostId,
+  type ObjectKey,
+  type ServiceId,
+} from "../core/ids.ts";
 import type { Stoppable, StoredObject } from "../core/types.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
@@ -9,6 +14,7 @@
 
 const OBJECT_KIND = "turmericchute-fleet";
 const HOST_PREFIX = `${OBJECT_KIND}/host.`;
+const LEASE_PREFIX = `${OBJECT_KIND}/duty.`;
 /** Key of the quota share ledger. */
 export const LEDGER_KEY = asId<ObjectKey>(`${OBJECT_KIND}/shares`);
 
@@ -43,7 +49,14 @@
 
 /** Key of the failover lease of a service. */
 export function getFailoverLeaseKey(service: string): ObjectKey {
-  return asId<ObjectKey>(`${OBJECT_KIND}/duty.${service}`);
+  return asId<ObjectKey>(LEASE_PREFIX + service);
+}
+
+/** Service of a failover lease; undefined if the key is of another object. */
+export function tryGetLeaseService(key: ObjectKey): ServiceId | undefined {
+  return key.startsWith(LEASE_PREFIX)
+    ? asId<ServiceId>(key.slice(LEASE_PREFIX.length))
+    : undefined;
 }
 
 /** Registration of a host. */
--- a/standins/statement_group.ts
+++ b/standins/statement_group.ts
@@ -65,6 +65,8 @@
   readonly log: readonly LogEntry[];
   readonly role: "primary" | "replica";
   readonly term: number;
+  /** Term for which a replica has paused replication; 0 if it has not. */
+  readonly pausedTerm: number;
   /** Number of open connections. */
   readonly connections: number;
 }
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -2,6 +2,7 @@
 
 import { Err } from "ts-results-es";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
+import { sleep } from "../src/core/clock.ts";
 import { createEraStore } from "../src/core/store_era.ts";
 import type { PlatformStore, StoredObject } from "../src/core/types.ts";
 import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
@@ -72,6 +73,8 @@
    * after one to three times that delay.
    */
   readonly delayedPromotions: { minDelayMs: number };
+  /** Delay of all replies of targets; 0 for none. */
+  readonly targetReplies: { delayMs: number };
   readonly logLines: LogLine[];
   openSession(database: string, host?: number): Session;
   getTarget(id: string): StatementTarget;
@@ -93,6 +96,7 @@
   });
   const hostsWithoutStore = new Set<string>();
   const unreachableTargets = new Set<string>();
+  const targetReplies = { delayMs: 0 };
   const storeFaults = { getResponseDelayMs: () => 0 };
   const delayedPromotions = { minDelayMs: 0 };
   const isUnreachable = (host: string, id: string) =>
@@ -149,6 +153,15 @@
     }));
   }
 
+  async function delayReply(
+    reply: Promise<TargetReply>,
+  ): Promise<TargetReply> {
+    if (targetReplies.delayMs > 0) {
+      await sleep(targetReplies.delayMs);
+    }
+    return await reply;
+  }
+
   function createHost(index: number): Pooler {
     const host = asId<HostId>(`h${index}`);
     return createPooler({
@@ -171,7 +184,7 @@
               send: (command: TargetCommand) =>
                 isUnreachable(host, target.id)
                   ? new Promise<TargetReply>(() => {})
-                  : link.send(command),
+                  : delayReply(link.send(command)),
             })),
           );
         },
@@ -232,6 +245,7 @@
     returnStore: (copy) => store.returnTo(copy, { isExternal: isExternalKey }),
     unreachableTargets,
     delayedPromotions,
+    targetReplies,
     logLines,
     setCatalog,
     register,
