Use no quota share of two eras of the ledger

After a return of the store to an earlier copy, a share that had moved was granted by the restored ledger to the host that gave it, and still used by the host that got it: the shares in use added up to 16,247 of 10,000. A ledger that was lost altogether was replaced by a new one beside it.

The ledger carries the era in which shares were last granted. While that is not the store's current era, no host uses more than it used when it saw the rise, nor more than its restored row; a host without such a share uses the minimum share. A lost ledger is written back with its old era, and a host that starts meanwhile gets a row without shares, so that it is ready and borrows.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -92,6 +92,11 @@
   listPeers(): readonly HostId[];
   /** Whether the store has accepted no heartbeat of this host in time. */
   isOwnHeartbeatExpired(): boolean;
+  /**
+   * Time without an accepted heartbeat after which `isOwnHeartbeatExpired`, in
+   * milliseconds; the same on every host.
+   */
+  getOwnTimeoutMs(): number;
   /**
    * Records that the monotonic clock stood still for this time, as during a
    * suspension. Negative if the wall clock was set back.
@@ -146,11 +151,13 @@
     getMinWatchIntervalMs: () => WATCH_INTERVAL_PER_HOST_MS * hosts.size,
     handlers: {
       onList(listed) {
+        const isFirstOfEra = !isLoaded;
+        isLoaded = true;
         const keys = new Set(listed.map(({ key }) => key));
         for (const key of [...objects.keys()]) {
           // The registration of a live host may be lost with an older era. The
           // host registers again, and if it does not, its heartbeat expires.
-          const mayBeLost = !isLoaded && key.startsWith(HOST_PREFIX);
+          const mayBeLost = isFirstOfEra && key.startsWith(HOST_PREFIX);
           if (!keys.has(key) && !mayBeLost) {
             applyObject({ key, version: 0, value: undefined });
           }
@@ -161,8 +168,7 @@
           const record = objects.get(ownKey)?.value as Partial<HostRecord>;
           previousStartAt = record?.incarnation ?? -Infinity;
         }
-        if (!isLoaded) {
-          isLoaded = true;
+        if (isFirstOfEra) {
           void sendHeartbeat();
         }
       },
@@ -268,6 +274,10 @@
     return HEARTBEAT_INTERVAL_MS * getIntervalFactor(hosts.size);
   }
 
+  function getOwnTimeoutMs(): number {
+    return SELF_TIMEOUT_INTERVALS * getHeartbeatIntervalMs();
+  }
+
   function hasLeft(key: ObjectKey): boolean {
     return (objects.get(key)?.value as Partial<HostRecord>)?.beat === -1;
   }
@@ -297,8 +307,8 @@
       [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
     isOwnHeartbeatExpired: () =>
-      nowMs() - heartbeatAcceptedAt >
-        SELF_TIMEOUT_INTERVALS * getHeartbeatIntervalMs(),
+      nowMs() - heartbeatAcceptedAt > getOwnTimeoutMs(),
+    getOwnTimeoutMs,
     recordSuspension: (ms) => void (heartbeatAcceptedAt -= Math.abs(ms)),
     sendHeartbeat,
     isLoaded: () => isLoaded,
--- a/src/pooling/share_ledger.ts
+++ b/src/pooling/share_ledger.ts
@@ -31,16 +31,22 @@
 export interface Ledger {
   readonly shares: Readonly<Record<string, ShareRow>>;
   readonly wants: Readonly<Record<string, ShareRow>>;
+  /** Era of the store in which shares were last granted; 0 if it has none. */
+  readonly era: number;
 }
 
 /** A ledger without any shares. */
-export const EMPTY_LEDGER: Ledger = { shares: {}, wants: {} };
+export const EMPTY_LEDGER: Ledger = { shares: {}, wants: {}, era: 0 };
 
 /** Decodes a stored value; returns undefined if it is not a ledger. */
 export function tryDecodeLedger(value: unknown): Ledger | undefined {
   const ledger = value as Partial<Ledger> | undefined;
   return isShareTable(ledger?.shares) && isShareTable(ledger.wants)
-    ? { shares: ledger.shares, wants: ledger.wants }
+    ? {
+      shares: ledger.shares,
+      wants: ledger.wants,
+      era: typeof ledger.era === "number" ? ledger.era : 0,
+    }
     : undefined;
 }
 
@@ -101,7 +107,7 @@
       shares[host]![workspace] = Math.floor(FULL_SHARE / holders.length);
     }
   }
-  return { shares, wants: {} };
+  return { ...EMPTY_LEDGER, shares };
 }
 
 /** Returns the ledger with this host's row adjusted; undefined if unchanged. */
@@ -139,6 +145,7 @@
   }
   return isChanged
     ? {
+      ...ledger,
       shares: { ...ledger.shares, [host]: shares },
       wants: { ...ledger.wants, [host]: wants },
     }
@@ -213,6 +220,7 @@
     ) => [name, Math.min(share, minShare)]),
   );
   return {
+    ...ledger,
     shares: { ...ledger.shares, [options.host]: reducedRow },
     wants: { ...ledger.wants, [options.host]: {} },
   };
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -75,51 +75,111 @@
    * from the store again.
    */
   let isConfirmed = true;
-  let decodedLedger = { version: 0, ledger: EMPTY_LEDGER };
+  let lastLedger: {
+    readonly object: StoredObject | undefined;
+    readonly ledger: Ledger;
+  } = { object: undefined, ledger: EMPTY_LEDGER };
+  /** Shares that this host uses. */
+  const usedShares = new Map<WorkspaceId, number>();
+  /**
+   * Shares that were in use when the ledger of an older era was seen; undefined
+   * while the ledger is of the current era.
+   */
+  let shareLimits: ReadonlyMap<WorkspaceId, number> | undefined;
+  let limitedAt = -Infinity;
 
-  function getStoredLedger(): StoredObject {
-    return fleet.tryGet(LEDGER_KEY) ??
-      { key: LEDGER_KEY, version: 0, value: undefined };
+  function getStoredVersion(): number {
+    return fleet.tryGet(LEDGER_KEY)?.version ?? 0;
   }
 
+  /** Returns the last ledger read, also if the store has lost it since. */
   function getLedger(): Ledger {
-    const { version, value } = getStoredLedger();
-    if (version !== decodedLedger.version) {
-      const ledger = tryDecodeLedger(value);
+    const object = fleet.tryGet(LEDGER_KEY);
+    if (object && object !== lastLedger.object) {
+      const ledger = tryDecodeLedger(object.value);
       if (!ledger) {
-        io.log.info("ledger_not_readable", { version });
+        io.log.info("ledger_not_readable", { version: object.version });
       }
-      decodedLedger = { version, ledger: ledger ?? EMPTY_LEDGER };
+      lastLedger = { object, ledger: ledger ?? EMPTY_LEDGER };
+    }
+    return lastLedger.ledger;
+  }
+
+  function getEra(): number {
+    return io.store.eras?.tryGet() ?? 0;
+  }
+
+  /** Whether the store, as far as this host knows, once had a ledger. */
+  function isLedgerKnown(): boolean {
+    getLedger();
+    return lastLedger.object !== undefined;
+  }
+
+  /**
+   * Whether no host can use a share of an older era any more. A ledger of an
+   * older era was restored, and shares that moved since may be in use where
+   * they moved to.
+   */
+  function isLedgerCurrent(): boolean {
+    return !isLedgerKnown() || getLedger().era === getEra();
+  }
+
+  function limitShares(): void {
+    shareLimits = new Map(usedShares);
+    limitedAt = nowMs();
+    io.log.info("shares_limited", {
+      era: getEra(),
+      ledgerEra: getLedger().era,
+      sum: [...usedShares.values()].reduce((sum, share) => sum + share, 0),
+    });
+  }
+
+  /** Limits shares, or ends their limit, by the era of the ledger. */
+  function updateShareLimits(): void {
+    if (!isLedgerCurrent()) {
+      if (!shareLimits) {
+        limitShares();
+      }
+    } else if (shareLimits) {
+      shareLimits = undefined;
+      io.log.info("shares_unlimited", { era: getEra() });
     }
-    return decodedLedger.ledger;
   }
 
   /**
    * Applies the smallest of the stored share and those of pending updates, and
-   * at most the minimum share while the stored row is not confirmed.
+   * at most the minimum share while the stored row is not confirmed. While the
+   * ledger is of an older era, no share grows.
    */
   function applyShares(): void {
-    const { version } = getStoredLedger();
+    const version = getStoredVersion();
     pendingUpdates = pendingUpdates.filter((update) =>
       update.version >= version
     );
+    updateShareLimits();
     const row = getLedger().shares[self] ?? {};
     const isExpired = fleet.isOwnHeartbeatExpired();
     hasBeenInContact ||= !isExpired;
     isConfirmed &&= !(isExpired && hasBeenInContact);
     const isUsable = isConfirmed && !isExpired;
-    const maxShare = isUsable ? Infinity : getMinShare(fleet.countHosts());
+    const minShare = getMinShare(fleet.countHosts());
+    const maxShare = isUsable ? Infinity : minShare;
     for (const workspace of quotas.listDemand().keys()) {
       const shares = [
         row[workspace] ?? 0,
         ...pendingUpdates.map((update) => update.row[workspace] ?? 0),
       ];
-      quotas.setShare(workspace, Math.min(maxShare, ...shares));
+      const limit = shareLimits
+        ? shareLimits.get(workspace) ?? minShare
+        : Infinity;
+      const share = Math.min(maxShare, limit, ...shares);
+      usedShares.set(workspace, share);
+      quotas.setShare(workspace, share);
     }
   }
 
   async function putLedger(next: Ledger): Promise<void> {
-    const { version } = getStoredLedger();
+    const version = getStoredVersion();
     const row = next.shares[self] ?? {};
     pendingUpdates.push({ row, version });
     applyShares();
@@ -135,7 +195,7 @@
 
   function logRow(row: ShareRow): void {
     io.log.info("shares_changed", {
-      version: getStoredLedger().version,
+      version: getStoredVersion(),
       hosts: fleet.countHosts(),
       sum: Object.values(row).reduce((sum, share) => sum + share, 0),
     });
@@ -173,6 +233,23 @@
     if (!hasRow && nowMs() - listedAt < REGISTRATION_WAIT_MS) {
       return;
     }
+    if (isLedgerKnown() && getStoredVersion() === 0) {
+      // Its shares are in use, so a new one would grant them again.
+      io.log.info("ledger_written_back", { era: ledger.era });
+      await putLedger(ledger);
+      return;
+    }
+    const era = getEra();
+    if (
+      !isLedgerCurrent() && nowMs() - limitedAt <= fleet.getOwnTimeoutMs()
+    ) {
+      if (!hasRow) {
+        // A row without shares makes this host ready to borrow.
+        const shares = { ...ledger.shares, [self]: {} };
+        await putLedger({ ...ledger, shares });
+      }
+      return;
+    }
     const hosts = [self, ...fleet.listPeers()].sort();
     const hostCount = hosts.length;
     const expiredHost = fleet.listExpiredHosts().find((host) =>
@@ -181,24 +258,40 @@
     );
     if (expiredHost) {
       io.log.info("shares_reclaimed", { peer: expiredHost });
-      await putLedger(reclaimShares(ledger, { host: expiredHost, hostCount }));
+      const next = reclaimShares(ledger, { host: expiredHost, hostCount });
+      await putLedger({ ...next, era });
       return;
     }
     const demand = quotas.listDemand();
     if (demand.size === 0) {
       return;
     }
-    const next = getStoredLedger().version === 0
+    const next = getStoredVersion() === 0
       ? createInitialLedger(hosts, demand)
       : tryAdjustRow(ledger, { host: self, hosts, demand });
-    if (next) {
-      await putLedger(next);
+    if (next || ledger.era !== era) {
+      await putLedger({ ...(next ?? ledger), era });
     }
   }
 
   return {
     start() {
-      fleet.onChange((key) => key === LEDGER_KEY && applyShares());
+      fleet.onChange((key) => {
+        if (key === LEDGER_KEY) {
+          applyShares();
+          if (fleet.isLoaded() && getStoredVersion() === 0) {
+            void syncShares();
+          }
+        }
+      });
+      io.store.eras?.onRise(() => {
+        // Each return may restore a row that is larger than the share in use.
+        pendingUpdates = [];
+        if (isLedgerKnown()) {
+          limitShares();
+        }
+        applyShares();
+      });
       clockJumps.onJump((driftMs) => {
         fleet.recordSuspension(driftMs);
         applyShares();
--- a/test/era_calls.ts
+++ b/test/era_calls.ts
@@ -25,8 +25,9 @@
   async function call<T>(
     run: () => Result<T, PlatformErr> | Promise<Result<T, PlatformErr>>,
   ): Promise<EraRes<T>> {
+    const unreachable = Err({ kind: "unreachable" } as const);
     if (options.isUnreachable()) {
-      return { era: undefined, result: Err({ kind: "unreachable" }) };
+      return { era: undefined, result: unreachable };
     }
     const result = await run();
     const era = core.getEra();
@@ -34,7 +35,9 @@
     if (delayMs > 0) {
       await sleep(delayMs);
     }
-    return { era, result };
+    return options.isUnreachable()
+      ? { era: undefined, result: unreachable }
+      : { era, result };
   }
 
   return {
--- a/test/pooling_parts.test.ts
+++ b/test/pooling_parts.test.ts
@@ -72,6 +72,7 @@
   let ledger: Ledger = {
     shares: { [a]: { [WORKSPACE]: 8_000 }, [b]: { [WORKSPACE]: 2_000 } },
     wants: {},
+    era: 3,
   };
   ledger = tryAdjustRow(ledger, { host: b, hosts, demand: demand(5_000) })!;
   expect(ledger.wants[b]).toEqual({ [WORKSPACE]: 5_000 });
--- a/test/share_sync.test.ts
+++ b/test/share_sync.test.ts
@@ -44,6 +44,7 @@
     countHosts: () => 4,
     listExpiredHosts: () => [],
     listPeers: () => [],
+    getOwnTimeoutMs: () => 30_000,
     isOwnHeartbeatExpired: () => state.isHeartbeatExpired,
     isLoaded: () => true,
     onChange() {},
--- a/test/store_return.test.ts
+++ b/test/store_return.test.ts
@@ -13,12 +13,12 @@
 function startViews(count: number) {
   const core = createPlatformCore({ versionsAreRevisions: true });
   const views = Array.from({ length: count }, (_, index) => {
-    const state = { isUnreachable: false };
+    const state = { responseDelayMs: 0 };
     const events: string[] = [];
     const view = createFleet({
       store: createEraStore(createEraCalls(core, {
-        isUnreachable: () => state.isUnreachable,
-        getResponseDelayMs: () => 0,
+        isUnreachable: () => false,
+        getResponseDelayMs: () => state.responseDelayMs,
       })),
       log: { info: (event: string) => void events.push(event) },
       peers: { setAddresses() {} },
@@ -68,13 +68,15 @@
   view.start();
   await vi.advanceTimersByTimeAsync(2_000);
   expect(view.isLoaded()).toBe(true);
-  core.returnTo(core.takeCopy(), { isExternal: isExternalKey });
-  state.isUnreachable = true;
-  await vi.advanceTimersByTimeAsync(11_000);
+  const copy = core.takeCopy();
+  put(LEDGER_KEY, "lost");
+  await vi.advanceTimersByTimeAsync(2_000);
+  state.responseDelayMs = 1_000;
+  core.returnTo(copy, { isExternal: isExternalKey });
+  await vi.advanceTimersByTimeAsync(1_500);
   expect(view.isLoaded()).toBe(false);
   expect(view.tryGet(LEDGER_KEY)).toBeUndefined();
   expect(view.countHosts()).toBe(1);
-  state.isUnreachable = false;
   await vi.advanceTimersByTimeAsync(2_000);
   expect(view.isLoaded()).toBe(true);
   expect(view.tryGet(LEDGER_KEY)?.value).toBe("x");
