Let no restored registration undo a later one

After a return of the store to an earlier copy, the entry of a target may be missing or older until the target has written it again. A missing one took the target out of use: a write was refused with no_primary. An older one undid a reported drain, so that a draining target got new work.

--- a/src/pooling/directory.ts
+++ b/src/pooling/directory.ts
@@ -66,9 +66,25 @@
     listeners.forEach((listener) => listener(event));
   }
 
+  /**
+   * Whether a record was restored and the same process has written a later one.
+   * Ignored only for the time of re-registration, so that a record of another
+   * writer cannot hide the target's own for longer.
+   */
+  function isOutdated(target: TargetRecord, previous: TargetRecord): boolean {
+    return nowMs() < reconnectedAt + REREGISTRATION_GRACE_MS &&
+      target.incarnation === previous.incarnation &&
+      target.seq !== undefined && previous.seq !== undefined &&
+      target.seq < previous.seq;
+  }
+
   function put(target: TargetRecord): void {
     const previous = targets.get(target.id);
     graceEndById.delete(target.id);
+    if (previous && isOutdated(target, previous)) {
+      io.log.info("target_entry_outdated", { target: target.id });
+      return;
+    }
     targets.set(target.id, target);
     if (!previous) {
       emit({ kind: "found", target });
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -71,6 +71,8 @@
   readonly id: TargetId;
   /** Distinguishes successive processes that run under the same id. */
   readonly incarnation: number;
+  /** Rises with each record that the process has written, if it says so. */
+  readonly seq?: number;
   readonly service: ServiceId;
   readonly address: string;
   readonly domain: DomainId;
