--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -67,6 +67,8 @@
   readonly beat: number;
   /** Address at which the host receives datagrams of its peers. */
   readonly peers: string;
+  /** Era of the store in which the process started; 0 if it has none. */
+  readonly firstEra: number;
 }
 
 interface ObservedVersion {
@@ -106,6 +108,11 @@
   sendHeartbeat(): Promise<void>;
   /** Whether the objects were listed in the current era of the store. */
   isLoaded(): boolean;
+  /**
+   * Whether the store has returned to an earlier copy since this host or a
+   * registered one has started.
+   */
+  hasStoreReturned(): boolean;
   /**
    * Time between the start of this process and the start of the previous one
    * on this host, in milliseconds of wall-clock time; infinite if there was
@@ -135,6 +142,7 @@
   } = { computedAt: -Infinity, hosts: [] };
   const listeners = new Set<(key: ObjectKey) => void>();
   let hasStarted = false;
+  let firstEra = 0;
   let isLoaded = false;
   let isSendingHeartbeat = false;
   let previousStartAt = -Infinity;
@@ -165,6 +173,7 @@
         listed.forEach(applyObject);
         if (!hasStarted) {
           hasStarted = true;
+          firstEra = getEra();
           const record = objects.get(ownKey)?.value as Partial<HostRecord>;
           previousStartAt = record?.incarnation ?? -Infinity;
         }
@@ -215,6 +224,17 @@
     listeners.forEach((listener) => listener(key));
   }
 
+  function getEra(): number {
+    return io.store.eras?.tryGet() ?? 0;
+  }
+
+  function hasStoreReturned(): boolean {
+    return firstEra !== getEra() || [...hosts].some((key) => {
+      const record = objects.get(key)?.value as Partial<HostRecord>;
+      return record?.firstEra !== undefined && record.firstEra !== getEra();
+    });
+  }
+
   function tryGet(key: ObjectKey): StoredObject | undefined {
     return outdated.has(key) ? undefined : objects.get(key);
   }
@@ -241,6 +261,7 @@
       incarnation,
       beat: beat++,
       peers: options.peerAddress,
+      firstEra,
     };
     const put = await io.store.put(ownKey, record, {
       ifVersion: tryGet(ownKey)?.version ?? 0,
@@ -312,6 +333,7 @@
     recordSuspension: (ms) => void (heartbeatAcceptedAt -= Math.abs(ms)),
     sendHeartbeat,
     isLoaded: () => isLoaded,
+    hasStoreReturned,
     getTimeSincePreviousStartMs: () => Math.abs(incarnation - previousStartAt),
     onChange: (listener) => void listeners.add(listener),
     async leave() {
@@ -319,7 +341,12 @@
       clearTimeout(timer);
       const version = tryGet(ownKey)?.version;
       if (version !== undefined) {
-        const value = { incarnation, beat: -1, peers: options.peerAddress };
+        const value: HostRecord = {
+          incarnation,
+          beat: -1,
+          peers: options.peerAddress,
+          firstEra,
+        };
         const put = await io.store.put(ownKey, value, { ifVersion: version });
         io.log.info("host_leaving", { isTold: put.isOk() });
       }
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -266,9 +266,15 @@
     if (demand.size === 0) {
       return;
     }
-    const next = getStoredVersion() === 0
-      ? createInitialLedger(hosts, demand)
-      : tryAdjustRow(ledger, { host: self, hosts, demand });
+    if (getStoredVersion() === 0) {
+      // Another host may use shares of a ledger that the store has lost.
+      const initial = createInitialLedger(hosts, demand);
+      await putLedger(
+        fleet.hasStoreReturned() ? initial : { ...initial, era },
+      );
+      return;
+    }
+    const next = tryAdjustRow(ledger, { host: self, hosts, demand });
     if (next || ledger.era !== era) {
       await putLedger({ ...(next ?? ledger), era });
     }
--- a/test/era_calls.ts
+++ b/test/era_calls.ts
@@ -20,6 +20,8 @@
     isUnreachable(): boolean;
     /** Delay of a response after its execution; 0 for none. */
     getResponseDelayMs(): number;
+    /** Delay of a request before its execution; 0 or undefined for none. */
+    getRequestDelayMs?(): number;
   },
 ): EraCalls {
   async function call<T>(
@@ -29,6 +31,10 @@
     if (options.isUnreachable()) {
       return { era: undefined, result: unreachable };
     }
+    const requestDelayMs = options.getRequestDelayMs?.() ?? 0;
+    if (requestDelayMs > 0) {
+      await sleep(requestDelayMs);
+    }
     const result = await run();
     const era = core.getEra();
     const delayMs = options.getResponseDelayMs();
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -52,6 +52,14 @@
   readonly time: number;
 }
 
+/** A promotion order that a host has sent. */
+export interface SentOrder {
+  readonly target: TargetRecord["id"];
+  readonly holder: HostId;
+  readonly fencingToken: number;
+  readonly time: number;
+}
+
 /** Pool hosts with their targets and the store that they share. */
 export interface PoolFleet {
   readonly group: StatementGroup;
@@ -73,6 +81,7 @@
    * after one to three times that delay.
    */
   readonly delayedPromotions: { minDelayMs: number };
+  readonly orders: readonly SentOrder[];
   /** Delay of all replies of targets; 0 for none. */
   readonly targetReplies: { delayMs: number };
   readonly logLines: LogLine[];
@@ -103,6 +112,7 @@
     unreachableTargets.has(id) || unreachableTargets.has(`${host}/${id}`) ||
     group.targets.find((t) => t.record.id === id)?.faults.isUnresponsive ===
       true;
+  const orders: SentOrder[] = [];
   const logLines: LogLine[] = [];
   const recordLine = (event: string, fields: LogFields) =>
     logLines.push({ event, fields, time: Date.now() });
@@ -190,7 +200,8 @@
         },
       },
       promoter: {
-        promote({ target, fencingToken }) {
+        promote({ target, holder, fencingToken }) {
+          orders.push({ target, holder, fencingToken, time: Date.now() });
           if (delayedPromotions.minDelayMs === 0) {
             return group.promote(target, fencingToken);
           }
@@ -246,6 +257,7 @@
     unreachableTargets,
     delayedPromotions,
     targetReplies,
+    orders,
     logLines,
     setCatalog,
     register,
--- a/test/share_hosts.ts
+++ b/test/share_hosts.ts
@@ -21,6 +21,7 @@
     const state = {
       isUnreachable: false,
       responseDelayMs: 0,
+      requestDelayMs: 0,
       /** Share that the host needs. */
       demand: 0,
       /** Share that the host uses. */
@@ -31,6 +32,7 @@
       store: createEraStore(createEraCalls(core, {
         isUnreachable: () => state.isUnreachable,
         getResponseDelayMs: () => state.responseDelayMs,
+        getRequestDelayMs: () => state.requestDelayMs,
       })),
       log: { info: (event: string) => void events.push(event) },
       peers: { setAddresses() {} },
