Log and count changes of the store's era

Each host logs store_era_changed at a return that it sees, and what it gave up for it: watch_given_up by feed, lease_given_up with the fencing token, shared_objects_outdated, shares_limited; shares_unlimited, lease_written_back and ledger_written_back tell what restored it. store_era_changes_total counts the returns, store_era_losses_total the claims, cached objects and pending updates of shares given up.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -257,6 +257,8 @@
   | "log_lines_dropped_total"
   | "answers_undelivered_total"
   | "datagrams_ignored_total"
+  | "store_era_changes_total"
+  | "store_era_losses_total"
   | "quota_borrowed_total";
 
 /** Names of the histograms; values are in milliseconds. */
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -43,6 +43,9 @@
     "Answers that their client did not get, by outcome of the statement",
   promotions_total: "Promotions that this host carried out",
   state_changes_total: "Changes of state, by component and event",
+  store_era_changes_total: "Returns of the store to an earlier copy",
+  store_era_losses_total:
+    "What was given up when the store returned to an earlier copy, by kind",
   request_ms: "Time from a request to its answer in milliseconds",
   queue_ms: "Time in the queue of a database group in milliseconds",
   confirm_ms: "Time until a majority held a write in milliseconds",
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -102,6 +102,7 @@
     eraRoseAt = nowMs();
     for (const [service, { fencingToken }] of claims) {
       ctx.io.log.info("lease_given_up", { service, fencingToken });
+      ctx.io.metrics.count("store_era_losses_total", { kind: "lease" });
     }
     claims.clear();
   });
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -189,6 +189,7 @@
     isLoaded = false;
     objects.forEach((_, key) => outdated.add(key));
     io.log.info("shared_objects_outdated", { objects: objects.size });
+    io.metrics.add("store_era_losses_total", objects.size, { kind: "object" });
   });
 
   function applyObject(object: StoredObject): void {
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -85,6 +85,10 @@
   const { decoding } = options;
   const clockJumps = createClockJumpDetector();
   clockJumps.onJump((driftMs) => io.log.info("clock_jumped", { driftMs }));
+  io.store.eras?.onRise(({ era, previous }) => {
+    io.log.info("store_era_changed", { era, previous });
+    io.metrics.count("store_era_changes_total", {});
+  });
   const catalog = createCatalogHolder(io, {
     tryDecode: decoding.tryDecodeCatalog,
   });
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -292,6 +292,9 @@
       });
       io.store.eras?.onRise(() => {
         // Each return may restore a row that is larger than the share in use.
+        io.metrics.add("store_era_losses_total", pendingUpdates.length, {
+          kind: "share_update",
+        });
         pendingUpdates = [];
         if (isLedgerKnown()) {
           limitShares();
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -61,6 +61,7 @@
   let interruptWatch = () => {};
 
   io.store.eras?.onRise(() => {
+    io.log.info("watch_given_up", { prefix, revision });
     revision = undefined;
     hasReturned = true;
     interruptWatch();
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -82,6 +82,8 @@
    */
   readonly delayedPromotions: { minDelayMs: number };
   readonly orders: readonly SentOrder[];
+  /** Counters of all hosts, by name and label values with blanks between. */
+  readonly counters: ReadonlyMap<string, number>;
   /** Delay of all replies of targets; 0 for none. */
   readonly targetReplies: { delayMs: number };
   readonly logLines: LogLine[];
@@ -112,6 +114,15 @@
     unreachableTargets.has(id) || unreachableTargets.has(`${host}/${id}`) ||
     group.targets.find((t) => t.record.id === id)?.faults.isUnresponsive ===
       true;
+  const counters = new Map<string, number>();
+  const addToCounter = (
+    name: string,
+    amount: number,
+    labels: Readonly<Record<string, string>>,
+  ) => {
+    const key = [name, ...Object.values(labels)].join(" ");
+    counters.set(key, (counters.get(key) ?? 0) + amount);
+  };
   const orders: SentOrder[] = [];
   const logLines: LogLine[] = [];
   const recordLine = (event: string, fields: LogFields) =>
@@ -220,7 +231,12 @@
         info: recordLine,
         request: recordLine,
       },
-      metrics: { count() {}, add() {}, observe() {}, set() {} },
+      metrics: {
+        count: (name, labels) => addToCounter(name, 1, labels),
+        add: addToCounter,
+        observe() {},
+        set() {},
+      },
       random,
     }, {
       host,
@@ -258,6 +274,7 @@
     delayedPromotions,
     targetReplies,
     orders,
+    counters,
     logLines,
     setCatalog,
     register,
--- a/test/store_return_failover.test.ts
+++ b/test/store_return_failover.test.ts
@@ -160,3 +160,24 @@
   }
   expect(resumed).toEqual([]);
 });
+
+test("each host logs and counts a change of era and what it gave up", async () => {
+  fleet = await startPoolFleet({ hosts: 3 });
+  const copy = fleet.store.takeCopy();
+  setUnresponsive(getPrimary(), true);
+  await advanceUntil(() => listLines("failover_started").length > 0, 10_000);
+  fleet.returnStore(copy);
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(listLines("store_era_changed").map(({ fields }) => fields))
+    .toEqual([1, 2, 3].map(() => ({ era: 2, previous: 1 })));
+  expect(listLines("lease_given_up").map(({ fields }) => fields.fencingToken))
+    .toEqual(
+      listLines("failover_started").map(({ fields }) => fields.fencingToken),
+    );
+  // Three feeds on each of three hosts.
+  expect(listLines("watch_given_up")).toHaveLength(9);
+  expect(fleet.counters.get("store_era_changes_total")).toBe(3);
+  expect(fleet.counters.get("store_era_losses_total lease")).toBe(1);
+  // The records of three hosts, the ledger and the lease on each host.
+  expect(fleet.counters.get("store_era_losses_total object")).toBe(15);
+});
