--- a/test/store_return_failover.test.ts
+++ b/test/store_return_failover.test.ts
@@ -127,6 +127,27 @@
   expect(new Set(targets).size).toBe(1);
 });
 
+// Guards against an open order that is known to hosts other than its holder
+// only, since the holder is out of touch.
+test("the other hosts write an open order back if its holder does not", async () => {
+  fleet = await startPoolFleet({ hosts: 3 });
+  const copy = fleet.store.takeCopy();
+  fleet.delayedPromotions.minDelayMs = 9_000;
+  setUnresponsive(getPrimary(), true);
+  await advanceUntil(() => listOrderedTokens().length > 0, 10_000);
+  const [order] = fleet.orders;
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.hostsWithoutStore.add(order!.holder);
+  fleet.returnStore(copy);
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(fleet.store.get(LEASE_KEY).value).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(fleet.store.get(LEASE_KEY).value).toMatchObject({
+    openTarget: order!.target,
+    fencingToken: order!.fencingToken,
+  });
+});
+
 test("a finished order leaves no open target after the loss of its lease", async () => {
   fleet = await startPoolFleet({ hosts: 3 });
   const copy = fleet.store.takeCopy();
