Let a host that starts after a return wait with failovers as well

A host that starts after the store returned to an earlier copy has not seen the era rise. It claimed the failover 2,250 ms after its start, while the holder of the lost claim could still act.

Seen failing before: 'a host that starts after a return claims no lease that may be lost', 2250 in place of 7000 ms or more. Two more tests of what stood already: pages of different eras, a role undone by a restored entry; each fails with its check taken out ('ok' in place of 'outdated'; 2 changes in place of 0).

--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -80,6 +80,7 @@
   /** Newest lease seen of each service, by fencing token, in any era. */
   const newestLeases = new Map<ServiceId, FailoverLease>();
   const writingBack = new Set<ServiceId>();
+  const createdAt = nowMs();
   let eraRoseAt = -Infinity;
   const failoverProcedure = createFailoverProcedure(ctx, {
     self,
@@ -124,7 +125,10 @@
    * is over within `LEASE_TIMEOUT_MS`.
    */
   function isWaitingAfterReturn(): boolean {
-    return nowMs() - eraRoseAt < LEASE_TIMEOUT_MS;
+    const isRecentlyCreated = nowMs() - createdAt < LEASE_TIMEOUT_MS;
+    return nowMs() - eraRoseAt < LEASE_TIMEOUT_MS ||
+      // A host that started after the return has not seen the rise.
+      (isRecentlyCreated && fleet.hasStoreReturned());
   }
 
   /** Writes a lease that the store has lost back to it. */
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -91,6 +91,8 @@
   getTarget(id: string): StatementTarget;
   setCatalog(overrides?: Partial<Catalog>): void;
   register(id: string, overrides?: Partial<TargetRecord>): void;
+  /** Starts one more host; its index is the next one. */
+  startHost(): void;
   stop(): void;
 }
 
@@ -282,6 +284,11 @@
       poolers[host]!.openSession({ database: asId(database), key: "key1" })
         .unwrap(),
     getTarget: (id) => group.targets.find((t) => t.record.id === id)!,
+    startHost() {
+      const pooler = createHost(poolers.length);
+      poolers.push(pooler);
+      pooler.start();
+    },
     stop() {
       poolers.forEach((pooler) => pooler.stop());
       vi.useRealTimers();
--- a/test/store_era.test.ts
+++ b/test/store_era.test.ts
@@ -1,3 +1,4 @@
+import { createServer } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
 import { afterEach, expect, test, vi } from "vitest";
 import { createObjectStore } from "../platform/object_store.ts";
@@ -131,6 +132,26 @@
   }
 });
 
+// Guards against a list whose pages come from both sides of a return.
+test("pages of different eras do not form a list", async () => {
+  const pages = [{ era: "1", truncated: true }, { era: "2", truncated: false }];
+  const server = createServer((_, res) => {
+    const { era, truncated } = pages.shift()!;
+    const items = [{ meta: { name: `n${era}`, rev: 5 }, spec: 1 }];
+    res.setHeader("store-era", era);
+    res.end(JSON.stringify({ items, truncated, currentRev: 9 }));
+  });
+  const url = `http://127.0.0.1:${await listen(server, 0)}`;
+  const store = createObjectStore(url, { caller: "h0" });
+  try {
+    expect(getKind(await store.list("fleet/"))).toBe("outdated");
+    expect(store.eras!.tryGet()).toBe(2);
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+});
+
 // Guards against a revision that was given out again: the watch went on from it
 // and missed every change below it.
 test("a feed lists again at once when any response shows a new era", async () => {
--- a/test/store_return_failover.test.ts
+++ b/test/store_return_failover.test.ts
@@ -106,6 +106,21 @@
   expect(Date.now() - returnedAt).toBeGreaterThanOrEqual(LEASE_TIMEOUT_MS);
 });
 
+// Guards against a claim by a host that started after the return and so has not
+// seen the era rise.
+test("a host that starts after a return claims no lease that may be lost", async () => {
+  fleet = await startPoolFleet({ hosts: 3 });
+  const copy = fleet.store.takeCopy();
+  setUnresponsive(getPrimary(), true);
+  await advanceUntil(() => listLines("failover_started").length > 0, 10_000);
+  ["h0", "h1", "h2"].forEach((host) => fleet.hostsWithoutStore.add(host));
+  fleet.returnStore(copy);
+  const startedAt = Date.now();
+  fleet.startHost();
+  await advanceUntil(() => listLines("failover_started").length > 1, 20_000);
+  expect(Date.now() - startedAt).toBeGreaterThanOrEqual(LEASE_TIMEOUT_MS);
+});
+
 // Guards against a second target that is promoted while the order for the first
 // one, which the store has forgotten, may still take effect.
 test("the target of an open order outlives the loss of its lease", async () => {
--- a/test/store_return_targets.test.ts
+++ b/test/store_return_targets.test.ts
@@ -86,6 +86,23 @@
   expect(listDraining()).toEqual([true, false]);
 });
 
+// Guards against a deposed primary that is taken for primary again.
+test("a restored entry does not undo a change of role", async () => {
+  fleet = await startPoolFleet();
+  fleet.register("t1", { incarnation: 7, seq: 1, role: "primary" });
+  fleet.register("t2", { incarnation: 7, seq: 1, role: "replica" });
+  await vi.advanceTimersByTimeAsync(1_000);
+  const copy = fleet.store.takeCopy();
+  fleet.register("t1", { incarnation: 7, seq: 2, role: "replica" });
+  fleet.register("t2", { incarnation: 7, seq: 2, role: "primary" });
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.logLines.length = 0;
+  returnWithout(copy, (key) => key.startsWith("targets/"));
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(countLines("target_changed")).toBe(0);
+  expect(countLines("primary_believed")).toBe(0);
+});
+
 test("an older configuration from a return brings no key back", async () => {
   fleet = await startPoolFleet({ hosts: 2 });
   const copy = fleet.store.takeCopy();
