Let the holder's outcome win over a restored open order

After a return of the store, a host that knew an order as open kept it so, although its holder had seen it take effect: the outcome that the holder wrote was replaced by its own open order, or was taken for a restored state by the others. A later claim by one of them carried the open target on, and with that target lost a failover waits for more copies than it needs.

A lease names the era in which it was written. With the same token, one of the current era replaces what a host knows, a restored one does not. The holder keeps the outcome of a claim that the store has lost, also when the write of it was answered in the new era, and writes it back while the others wait; in that time no other host's word replaces it.

Seen failing before (test/store_return_failover.test.ts): 'an order that its holder writes back as over is open on no host', the claim had openTarget.

--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -23,6 +23,8 @@
    * `getFencingToken`; the platform refuses orders with older tokens.
    */
   readonly fencingToken: number;
+  /** Era of the store in which the lease was written; 0 if it has none. */
+  readonly era: number;
   /** Whether the failover has ended, successfully or not. */
   readonly isDone: boolean;
   /**
@@ -43,9 +45,9 @@
  */
 export function getFencingToken(
   version: number,
-  era: number | undefined,
+  era: number,
 ): number {
-  return (era ?? 0) * REVISIONS_PER_ERA + version;
+  return era * REVISIONS_PER_ERA + version;
 }
 
 /** Decodes a stored lease; undefined if the value is not a lease. */
@@ -57,6 +59,7 @@
     ? {
       holder: lease.holder,
       fencingToken: lease.fencingToken,
+      era: lease.era ?? 0,
       isDone: lease.isDone === true,
       ...(lease.openTarget === undefined
         ? {}
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -108,13 +108,19 @@
     claims.clear();
   });
 
+  function getEra(): number {
+    return ctx.io.store.eras?.tryGet() ?? 0;
+  }
+
   /** Records a lease, unless it is older than one that this host has seen. */
   function recordLease(service: ServiceId, lease: FailoverLease): void {
     const newest = newestLeases.get(service);
-    // In the wait after a return, a lease with the same token may be a restored
-    // one that its holder has changed since.
+    // With the same token, a restored lease may lack later changes, and one that
+    // another host has written back lacks what only the holder knows.
     const isNewer = !newest || lease.fencingToken > newest.fencingToken ||
-      (lease.fencingToken === newest.fencingToken && !isWaitingAfterReturn());
+      (lease.fencingToken === newest.fencingToken &&
+        lease.era === getEra() &&
+        (newest.holder !== self || !isWaitingAfterReturn()));
     if (isNewer) {
       newestLeases.set(service, lease);
     }
@@ -141,9 +147,9 @@
     const stored = tryDecodeFailoverLease(known?.value);
     const isHolder = newest.holder === self;
     const isLost = (stored?.fencingToken ?? 0) < newest.fencingToken
-      ? newest.openTarget !== undefined
+      ? isHolder || newest.openTarget !== undefined
       : stored?.fencingToken === newest.fencingToken && isHolder &&
-        stored.openTarget !== newest.openTarget;
+        (stored.openTarget !== newest.openTarget || stored.era !== getEra());
     const delayMs = isHolder ? 0 : WRITE_BACK_DELAY_MS;
     if (isLost && !writingBack.has(service) && nowMs() - eraRoseAt >= delayMs) {
       writingBack.add(service);
@@ -247,6 +253,7 @@
     const claimed: FailoverLease = {
       holder: self,
       fencingToken: previous?.fencingToken ?? 0,
+      era: getEra(),
       isDone: false,
       ...(previous?.openTarget === undefined
         ? {}
@@ -257,8 +264,7 @@
       ctx.io.log.info("failover_not_claimed", { service, cause });
       return undefined;
     }
-    const era = ctx.io.store.eras?.tryGet();
-    const fencingToken = getFencingToken(version, era);
+    const fencingToken = getFencingToken(version, getEra());
     claims.set(service, { fencingToken, version });
     return { ...claimed, fencingToken };
   }
@@ -273,7 +279,8 @@
     ifVersion: number,
   ): Promise<number | undefined> {
     const key = getFailoverLeaseKey(service);
-    const res = await ctx.io.store.put(key, lease, { ifVersion });
+    const value: FailoverLease = { ...lease, era: getEra() };
+    const res = await ctx.io.store.put(key, value, { ifVersion });
     if (res.isOk()) {
       fleet.applyObject(res.value);
       return res.value.version;
@@ -284,6 +291,16 @@
     return undefined;
   }
 
+  /**
+   * Keeps what only this host knows of a claim that the store has lost, to be
+   * written back.
+   */
+  function keepOutcome(service: ServiceId, lease: FailoverLease): void {
+    if (newestLeases.get(service)?.fencingToken === lease.fencingToken) {
+      newestLeases.set(service, { ...lease, isDone: true });
+    }
+  }
+
   /** Writes the lease if this claim still holds it; false otherwise. */
   async function updateLease(
     service: ServiceId,
@@ -292,10 +309,7 @@
     const { fencingToken } = lease;
     const claim = claims.get(service);
     if (claim?.fencingToken !== fencingToken) {
-      // The outcome is known to this host alone if the store lost the claim.
-      if (newestLeases.get(service)?.fencingToken === fencingToken) {
-        newestLeases.set(service, { ...lease, isDone: true });
-      }
+      keepOutcome(service, lease);
       return false;
     }
     const known = fleet.tryGet(getFailoverLeaseKey(service));
@@ -308,10 +322,15 @@
       lease,
       known && isOwnWrite ? known.version : claim.version,
     );
-    if (version === undefined || claims.get(service) !== claim) {
+    if (claims.get(service) !== claim) {
+      keepOutcome(service, lease);
+      return false;
+    }
+    if (version === undefined) {
       return false;
     }
     claims.set(service, { fencingToken, version });
+    newestLeases.set(service, lease);
     return true;
   }
 
--- a/test/store_return_failover.test.ts
+++ b/test/store_return_failover.test.ts
@@ -176,6 +176,33 @@
     .not.toHaveProperty("openTarget");
 });
 
+// Guards against an open order that other hosts take from a restored lease and
+// keep, although its holder has written back that it is over.
+test("an order that its holder writes back as over is open on no host", async () => {
+  fleet = await startPoolFleet({ hosts: 3 });
+  const old = getPrimary();
+  setUnresponsive(old, true);
+  await advanceUntil(() => fleet.orders.length > 0, 10_000);
+  const copy = fleet.store.takeCopy();
+  await advanceUntil(() => getPrimary() !== old, 10_000);
+  fleet.returnStore(copy);
+  setUnresponsive(old, false);
+  await vi.advanceTimersByTimeAsync(12_000);
+  fleet.hostsWithoutStore.add(fleet.orders[0]!.holder);
+  const claims: unknown[] = [];
+  fleet.store.onChange(() => {
+    const { value } = fleet.store.get(LEASE_KEY);
+    if (value !== claims.at(-1)) {
+      claims.push(value);
+    }
+  });
+  const next = getPrimary();
+  setUnresponsive(next, true);
+  await advanceUntil(() => claims.length > 0, 10_000);
+  expect(claims[0]).toMatchObject({ isDone: false });
+  expect(claims[0]).not.toHaveProperty("openTarget");
+});
+
 // Guards against replicas that receive again before the order takes effect: a
 // commit acknowledged then may be missing at the target of the order.
 test("replicas stay paused for an open order whose lease is lost", async () => {
