--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -1,7 +1,12 @@
 /** Objects that hosts share in the store: hosts, quota shares, leases. */
 
 import { nowMs } from "../core/clock.ts";
-import { asId, type HostId, type ObjectKey } from "../core/ids.ts";
+import {
+  asId,
+  type HostId,
+  type ObjectKey,
+  type ServiceId,
+} from "../core/ids.ts";
 import type { Stoppable, StoredObject } from "../core/types.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
@@ -9,6 +14,7 @@
 
 const OBJECT_KIND = "turmericchute-fleet";
 const HOST_PREFIX = `${OBJECT_KIND}/host.`;
+const LEASE_PREFIX = `${OBJECT_KIND}/duty.`;
 /** Key of the quota share ledger. */
 export const LEDGER_KEY = asId<ObjectKey>(`${OBJECT_KIND}/shares`);
 
@@ -43,7 +49,14 @@
 
 /** Key of the failover lease of a service. */
 export function getFailoverLeaseKey(service: string): ObjectKey {
-  return asId<ObjectKey>(`${OBJECT_KIND}/duty.${service}`);
+  return asId<ObjectKey>(LEASE_PREFIX + service);
+}
+
+/** Service of a failover lease; undefined if the key is of another object. */
+export function tryGetLeaseService(key: ObjectKey): ServiceId | undefined {
+  return key.startsWith(LEASE_PREFIX)
+    ? asId<ServiceId>(key.slice(LEASE_PREFIX.length))
+    : undefined;
 }
 
 /** Registration of a host. */
@@ -54,6 +67,8 @@
   readonly beat: number;
   /** Address at which the host receives datagrams of its peers. */
   readonly peers: string;
+  /** Era of the store in which the process started; 0 if it has none. */
+  readonly firstEra: number;
 }
 
 interface ObservedVersion {
@@ -65,6 +80,7 @@
 /** Local copy of the objects that hosts share in the store. */
 export interface Fleet extends Stoppable {
   start(): void;
+  /** Returns an object that was read in the current era of the store. */
   tryGet(key: ObjectKey): StoredObject | undefined;
   /** Applies an object that a conditional update returned. */
   applyObject(object: StoredObject): void;
@@ -78,6 +94,11 @@
   listPeers(): readonly HostId[];
   /** Whether the store has accepted no heartbeat of this host in time. */
   isOwnHeartbeatExpired(): boolean;
+  /**
+   * Time without an accepted heartbeat after which `isOwnHeartbeatExpired`, in
+   * milliseconds; the same on every host.
+   */
+  getOwnTimeoutMs(): number;
   /**
    * Records that the monotonic clock stood still for this time, as during a
    * suspension. Negative if the wall clock was set back.
@@ -85,7 +106,13 @@
   recordSuspension(ms: number): void;
   /** Sends a heartbeat and schedules the next one. */
   sendHeartbeat(): Promise<void>;
+  /** Whether the objects were listed in the current era of the store. */
   isLoaded(): boolean;
+  /**
+   * Whether the store has returned to an earlier copy since this host or a
+   * registered one has started.
+   */
+  hasStoreReturned(): boolean;
   /**
    * Time between the start of this process and the start of the previous one
    * on this host, in milliseconds of wall-clock time; infinite if there was
@@ -107,12 +134,17 @@
   const objects = new Map<ObjectKey, StoredObject>();
   const observed = new Map<ObjectKey, ObservedVersion>();
   const hosts = new Set<ObjectKey>();
+  /** Keys of objects whose version is of an older era of the store. */
+  const outdated = new Set<ObjectKey>();
   let cachedPeers: {
     readonly computedAt: number;
     readonly hosts: readonly HostId[];
   } = { computedAt: -Infinity, hosts: [] };
   const listeners = new Set<(key: ObjectKey) => void>();
+  let hasStarted = false;
+  let firstEra = 0;
   let isLoaded = false;
+  let isSendingHeartbeat = false;
   let previousStartAt = -Infinity;
   let isLeaving = false;
   let beat = 0;
@@ -127,17 +159,25 @@
     getMinWatchIntervalMs: () => WATCH_INTERVAL_PER_HOST_MS * hosts.size,
     handlers: {
       onList(listed) {
+        const isFirstOfEra = !isLoaded;
+        isLoaded = true;
         const keys = new Set(listed.map(({ key }) => key));
         for (const key of [...objects.keys()]) {
-          if (!keys.has(key)) {
+          // The registration of a live host may be lost with an older era. The
+          // host registers again, and if it does not, its heartbeat expires.
+          const mayBeLost = isFirstOfEra && key.startsWith(HOST_PREFIX);
+          if (!keys.has(key) && !mayBeLost) {
             applyObject({ key, version: 0, value: undefined });
           }
         }
         listed.forEach(applyObject);
-        if (!isLoaded) {
-          isLoaded = true;
+        if (!hasStarted) {
+          hasStarted = true;
+          firstEra = getEra();
           const record = objects.get(ownKey)?.value as Partial<HostRecord>;
           previousStartAt = record?.incarnation ?? -Infinity;
+        }
+        if (isFirstOfEra) {
           void sendHeartbeat();
         }
       },
@@ -145,15 +185,26 @@
     },
   });
 
+  io.store.eras?.onRise(() => {
+    isLoaded = false;
+    objects.forEach((_, key) => outdated.add(key));
+    io.log.info("shared_objects_outdated", { objects: objects.size });
+    io.metrics.add("store_era_losses_total", objects.size, { kind: "object" });
+  });
+
   function applyObject(object: StoredObject): void {
     const { key, version } = object;
     const known = objects.get(key);
-    if (known && version !== 0 && version <= known.version) {
+    const isOutdated = outdated.delete(key);
+    if (known && !isOutdated && version !== 0 && version <= known.version) {
       return;
     }
     if (version === 0) {
       objects.delete(key);
       observed.delete(key);
+    } else if (known && isOutdated && isOlderHeartbeat(object, known)) {
+      // What this host has seen of a peer is newer than the restored record.
+      objects.set(key, { ...object, value: known.value });
     } else {
       objects.set(key, object);
       observed.set(key, { version, observedAt: nowMs() });
@@ -174,6 +225,21 @@
     listeners.forEach((listener) => listener(key));
   }
 
+  function getEra(): number {
+    return io.store.eras?.tryGet() ?? 0;
+  }
+
+  function hasStoreReturned(): boolean {
+    return firstEra !== getEra() || [...hosts].some((key) => {
+      const record = objects.get(key)?.value as Partial<HostRecord>;
+      return record?.firstEra !== undefined && record.firstEra !== getEra();
+    });
+  }
+
+  function tryGet(key: ObjectKey): StoredObject | undefined {
+    return outdated.has(key) ? undefined : objects.get(key);
+  }
+
   function listAddresses(): Map<HostId, string> {
     const addresses = new Map<HostId, string>();
     for (const key of hosts) {
@@ -186,19 +252,22 @@
   }
 
   async function sendHeartbeat(): Promise<void> {
-    clearTimeout(timer);
-    if (isLeaving) {
+    if (isLeaving || isSendingHeartbeat) {
       return;
     }
+    clearTimeout(timer);
+    isSendingHeartbeat = true;
     const sentAt = nowMs();
     const record: HostRecord = {
       incarnation,
       beat: beat++,
       peers: options.peerAddress,
+      firstEra,
     };
     const put = await io.store.put(ownKey, record, {
-      ifVersion: objects.get(ownKey)?.version ?? 0,
+      ifVersion: tryGet(ownKey)?.version ?? 0,
     });
+    isSendingHeartbeat = false;
     if (put.isOk()) {
       heartbeatAcceptedAt = sentAt;
       applyObject(put.value);
@@ -227,6 +296,10 @@
     return HEARTBEAT_INTERVAL_MS * getIntervalFactor(hosts.size);
   }
 
+  function getOwnTimeoutMs(): number {
+    return SELF_TIMEOUT_INTERVALS * getHeartbeatIntervalMs();
+  }
+
   function hasLeft(key: ObjectKey): boolean {
     return (objects.get(key)?.value as Partial<HostRecord>)?.beat === -1;
   }
@@ -247,7 +320,7 @@
 
   return {
     start: feed.start,
-    tryGet: (key) => objects.get(key),
+    tryGet,
     applyObject,
     getAgeMs: (key) => nowMs() - (observed.get(key)?.observedAt ?? -Infinity),
     countHosts: () => listPeers().length + 1,
@@ -256,19 +329,25 @@
       [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
     isOwnHeartbeatExpired: () =>
-      nowMs() - heartbeatAcceptedAt >
-        SELF_TIMEOUT_INTERVALS * getHeartbeatIntervalMs(),
+      nowMs() - heartbeatAcceptedAt > getOwnTimeoutMs(),
+    getOwnTimeoutMs,
     recordSuspension: (ms) => void (heartbeatAcceptedAt -= Math.abs(ms)),
     sendHeartbeat,
     isLoaded: () => isLoaded,
+    hasStoreReturned,
     getTimeSincePreviousStartMs: () => Math.abs(incarnation - previousStartAt),
     onChange: (listener) => void listeners.add(listener),
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
-      const version = objects.get(ownKey)?.version;
+      const version = tryGet(ownKey)?.version;
       if (version !== undefined) {
-        const value = { incarnation, beat: -1, peers: options.peerAddress };
+        const value: HostRecord = {
+          incarnation,
+          beat: -1,
+          peers: options.peerAddress,
+          firstEra,
+        };
         const put = await io.store.put(ownKey, value, { ifVersion: version });
         io.log.info("host_leaving", { isTold: put.isOk() });
       }
@@ -280,3 +359,14 @@
     },
   };
 }
+
+/** Whether a record has no later heartbeat than the one seen before. */
+function isOlderHeartbeat(stored: StoredObject, seen: StoredObject): boolean {
+  const storedRecord = (stored.value ?? {}) as Partial<HostRecord>;
+  const seenRecord = (seen.value ?? {}) as Partial<HostRecord>;
+  const { beat, incarnation } = storedRecord;
+  return stored.key.startsWith(HOST_PREFIX) &&
+    incarnation === seenRecord.incarnation && beat !== undefined &&
+    seenRecord.beat !== undefined && beat !== -1 &&
+    (seenRecord.beat === -1 || beat <= seenRecord.beat);
+}
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -1,7 +1,9 @@
 /** Pool hosts in one process, with stand-ins and fake timers, for tests. */
 
-import { Err, Ok } from "ts-results-es";
+import { Err } from "ts-results-es";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
+import { sleep } from "../src/core/clock.ts";
+import { createEraStore } from "../src/core/store_era.ts";
 import type { PlatformStore, StoredObject } from "../src/core/types.ts";
 import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
 import type { Session } from "../src/pooling/session.ts";
@@ -20,9 +22,10 @@
 import { tryDecodeStatement } from "../platform/line_codec.ts";
 import {
   createPlatformCore,
+  type PlatformCopy,
   type PlatformCore,
 } from "../standins/platform_core.ts";
-import { waitForChange } from "../standins/platform_server.ts";
+import { createEraCalls, isExternalKey } from "./era_calls.ts";
 import {
   createStatementGroup,
   type GroupOptions,
@@ -49,6 +52,14 @@
   readonly time: number;
 }
 
+/** A promotion order that a host has sent. */
+export interface SentOrder {
+  readonly target: TargetRecord["id"];
+  readonly holder: HostId;
+  readonly fencingToken: number;
+  readonly time: number;
+}
+
 /** Pool hosts with their targets and the store that they share. */
 export interface PoolFleet {
   readonly group: StatementGroup;
@@ -56,6 +67,10 @@
   readonly store: PlatformCore;
   /** Hosts (`h0`, ...), or `all`, whose calls to the store fail. */
   readonly hostsWithoutStore: Set<string>;
+  /** Delay of the store's responses after their execution. */
+  readonly storeFaults: { getResponseDelayMs(): number };
+  /** Returns the store to a copy and writes the external objects again. */
+  returnStore(copy: PlatformCopy): void;
   /**
    * Unreachable targets: `<target>` for all hosts, `<host>/<target>` for one
    * host. Targets still reach each other.
@@ -66,11 +81,18 @@
    * after one to three times that delay.
    */
   readonly delayedPromotions: { minDelayMs: number };
+  readonly orders: readonly SentOrder[];
+  /** Counters of all hosts, by name and label values with blanks between. */
+  readonly counters: ReadonlyMap<string, number>;
+  /** Delay of all replies of targets; 0 for none. */
+  readonly targetReplies: { delayMs: number };
   readonly logLines: LogLine[];
   openSession(database: string, host?: number): Session;
   getTarget(id: string): StatementTarget;
   setCatalog(overrides?: Partial<Catalog>): void;
   register(id: string, overrides?: Partial<TargetRecord>): void;
+  /** Starts one more host; its index is the next one. */
+  startHost(): void;
   stop(): void;
 }
 
@@ -79,7 +101,7 @@
   options: PoolFleetOptions = {},
 ): Promise<PoolFleet> {
   vi.useFakeTimers();
-  const store = createPlatformCore();
+  const store = createPlatformCore({ versionsAreRevisions: true });
   const group = createStatementGroup({
     service: SERVICE,
     ids: ["t1", "t2", "t3"],
@@ -87,11 +109,23 @@
   });
   const hostsWithoutStore = new Set<string>();
   const unreachableTargets = new Set<string>();
+  const targetReplies = { delayMs: 0 };
+  const storeFaults = { getResponseDelayMs: () => 0 };
   const delayedPromotions = { minDelayMs: 0 };
   const isUnreachable = (host: string, id: string) =>
     unreachableTargets.has(id) || unreachableTargets.has(`${host}/${id}`) ||
     group.targets.find((t) => t.record.id === id)?.faults.isUnresponsive ===
       true;
+  const counters = new Map<string, number>();
+  const addToCounter = (
+    name: string,
+    amount: number,
+    labels: Readonly<Record<string, string>>,
+  ) => {
+    const key = [name, ...Object.values(labels)].join(" ");
+    counters.set(key, (counters.get(key) ?? 0) + amount);
+  };
+  const orders: SentOrder[] = [];
   const logLines: LogLine[] = [];
   const recordLine = (event: string, fields: LogFields) =>
     logLines.push({ event, fields, time: Date.now() });
@@ -135,23 +169,20 @@
   }
 
   function createStore(host: string): PlatformStore {
-    const callIfReachable = async <T>(call: () => T | Promise<T>) =>
-      hostsWithoutStore.has(host) || hostsWithoutStore.has("all")
-        ? Err({ kind: "unreachable" } as const)
-        : Ok(await call());
-    return {
-      get: (key) => callIfReachable(() => store.get(key)),
-      list: (prefix) => callIfReachable(() => store.list(prefix)),
-      watch: (prefix, { after, waitMs }) =>
-        callIfReachable(() => waitForChange(store, { prefix, after, waitMs })),
-      put(key, value, condition) {
-        return Promise.resolve(
-          hostsWithoutStore.has(host) || hostsWithoutStore.has("all")
-            ? Err({ kind: "unreachable" })
-            : store.put(key, value, condition),
-        );
-      },
-    };
+    return createEraStore(createEraCalls(store, {
+      isUnreachable: () =>
+        hostsWithoutStore.has(host) || hostsWithoutStore.has("all"),
+      getResponseDelayMs: () => storeFaults.getResponseDelayMs(),
+    }));
+  }
+
+  async function delayReply(
+    reply: Promise<TargetReply>,
+  ): Promise<TargetReply> {
+    if (targetReplies.delayMs > 0) {
+      await sleep(targetReplies.delayMs);
+    }
+    return await reply;
   }
 
   function createHost(index: number): Pooler {
@@ -176,13 +207,14 @@
               send: (command: TargetCommand) =>
                 isUnreachable(host, target.id)
                   ? new Promise<TargetReply>(() => {})
-                  : link.send(command),
+                  : delayReply(link.send(command)),
             })),
           );
         },
       },
       promoter: {
-        promote({ target, fencingToken }) {
+        promote({ target, holder, fencingToken }) {
+          orders.push({ target, holder, fencingToken, time: Date.now() });
           if (delayedPromotions.minDelayMs === 0) {
             return group.promote(target, fencingToken);
           }
@@ -201,7 +233,12 @@
         info: recordLine,
         request: recordLine,
       },
-      metrics: { count() {}, add() {}, observe() {}, set() {} },
+      metrics: {
+        count: (name, labels) => addToCounter(name, 1, labels),
+        add: addToCounter,
+        observe() {},
+        set() {},
+      },
       random,
     }, {
       host,
@@ -233,8 +270,13 @@
     poolers,
     store,
     hostsWithoutStore,
+    storeFaults,
+    returnStore: (copy) => store.returnTo(copy, { isExternal: isExternalKey }),
     unreachableTargets,
     delayedPromotions,
+    targetReplies,
+    orders,
+    counters,
     logLines,
     setCatalog,
     register,
@@ -242,6 +284,11 @@
       poolers[host]!.openSession({ database: asId(database), key: "key1" })
         .unwrap(),
     getTarget: (id) => group.targets.find((t) => t.record.id === id)!,
+    startHost() {
+      const pooler = createHost(poolers.length);
+      poolers.push(pooler);
+      pooler.start();
+    },
     stop() {
       poolers.forEach((pooler) => pooler.stop());
       vi.useRealTimers();
