Move the host process and the line client of the tests to tools/soak

The soak and the tests start the deployed program in the same way and speak to it with the same client, so there is one copy of each.

--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -1,10 +1,7 @@
 import { afterEach, expect, test, vi } from "vitest";
 import { sleep } from "../src/core/clock.ts";
-import {
-  type LineAnswer,
-  type PoolProcess,
-  startPoolProcess,
-} from "./pool_process.ts";
+import type { LineAnswer } from "../tools/soak/line_client.ts";
+import { type PoolProcess, startPoolProcess } from "./pool_process.ts";
 
 const POLL_INTERVAL_MS = 10;
 
--- /dev/null
+++ b/tools/soak/host_process.ts
@@ -0,0 +1,163 @@
+/** Pool hosts as real processes, built as for deployment. */
+
+import { type ChildProcess, execFileSync, spawn } from "node:child_process";
+import { createSocket } from "node:dgram";
+import { readFileSync, writeFileSync } from "node:fs";
+import { request } from "node:http";
+import { type AddressInfo, createServer } from "node:net";
+import process from "node:process";
+import { stringify } from "yaml";
+import { sleep } from "../../src/core/clock.ts";
+import { listen } from "../../standins/serve.ts";
+
+const POLL_INTERVAL_MS = 10;
+const LOOPBACK = "127.0.0.1";
+
+/** Ports on which a host listens. */
+export interface HostPorts {
+  readonly clients: number;
+  readonly health: number;
+  readonly metrics: number;
+  readonly peers: number;
+}
+
+/** What a host is started with. */
+export interface HostPlan {
+  readonly host: string;
+  readonly domain: string;
+  readonly ports: HostPorts;
+  readonly storePort: number;
+  readonly ordersPort: number;
+  readonly graceS: number;
+  readonly quotaTolerance: {
+    readonly windowS: number;
+    readonly part: number;
+    readonly operations: number;
+  };
+}
+
+/** Process of a pool host. */
+export interface HostProcess {
+  readonly child: ChildProcess;
+  /** Resolves with the exit code, or the signal that ended the process. */
+  readonly exited: Promise<number | NodeJS.Signals>;
+  hasExited(): boolean;
+  /** Answers the health check with this status; undefined if unreachable. */
+  getHealth(timeoutMs?: number): Promise<number | undefined>;
+}
+
+/** Builds the program as the deploy file does; returns the file. */
+export function buildHost(directory: string): string {
+  const deployFile = readFileSync("deploy/system.toml", "utf8");
+  const buildLine = /^build = (".*")$/m.exec(deployFile)![1]!;
+  const file = `target/${directory}/host-${process.pid}.mjs`;
+  const command = (JSON.parse(buildLine) as string)
+    .replace(/^.*(?=npx esbuild)/, "")
+    .replace("target/turmericchute.mjs", file);
+  execFileSync("sh", ["-c", command]);
+  return file;
+}
+
+/** Writes the settings file of a host. */
+export function writeSettings(file: string, plan: HostPlan): void {
+  const { ports } = plan;
+  const at = (port: number) => `${LOOPBACK}:${port}`;
+  writeFileSync(
+    file,
+    stringify({
+      host: plan.host,
+      domain: plan.domain,
+      regions: { d0: "r", d1: "r", d2: "r" },
+      clients: at(ports.clients),
+      health: at(ports.health),
+      metrics: at(ports.metrics),
+      peers: at(ports.peers),
+      store: at(plan.storePort),
+      orders: at(plan.ordersPort),
+      stopGraceS: plan.graceS,
+      quotaTolerance: plan.quotaTolerance,
+    }),
+  );
+}
+
+/** Starts a host; `onLog` gets what it writes to its standard output. */
+export function startHost(options: {
+  readonly program: string;
+  readonly settingsFile: string;
+  readonly ports: HostPorts;
+  readonly onLog: (chunk: string) => void;
+}): HostProcess {
+  const child = spawn(process.execPath, [options.program], {
+    env: {
+      ...process.env,
+      TURMERICCHUTE_SETTINGS: options.settingsFile,
+    },
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  child.stdout!.setEncoding("utf8");
+  child.stdout!.on("data", options.onLog);
+  return {
+    child,
+    exited: new Promise((resolve) =>
+      child.on("exit", (code, signal) => resolve(code ?? signal!))
+    ),
+    hasExited: () => child.exitCode !== null || child.signalCode !== null,
+    getHealth: (timeoutMs) => getStatus(options.ports.health, timeoutMs),
+  };
+}
+
+/** Resolves once the host reports itself ready; throws if it exits before. */
+export async function waitUntilReady(host: HostProcess): Promise<void> {
+  while (await host.getHealth() !== 200) {
+    if (host.hasExited()) {
+      throw new Error(`the host exited with code ${host.child.exitCode}`);
+    }
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
+
+function getStatus(
+  port: number,
+  timeoutMs?: number,
+): Promise<number | undefined> {
+  return new Promise((resolve) => {
+    const req = request(
+      { host: LOOPBACK, port, path: "/readyz", agent: false },
+      (res) => {
+        res.resume();
+        resolve(res.statusCode);
+      },
+    );
+    if (timeoutMs !== undefined) {
+      req.setTimeout(timeoutMs, () => req.destroy());
+    }
+    req.on("error", () => resolve(undefined));
+    req.end();
+  });
+}
+
+/** Picks the ports of `count` hosts; none of them is in use. */
+export async function pickHostPorts(count: number): Promise<HostPorts[]> {
+  const servers = Array.from({ length: 3 * count }, () => createServer());
+  const ports = await Promise.all(servers.map((server) => listen(server, 0)));
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  const peers = await listFreeDatagramPorts(count);
+  return peers.map((peer, i) => ({
+    clients: ports[3 * i]!,
+    health: ports[3 * i + 1]!,
+    metrics: ports[3 * i + 2]!,
+    peers: peer,
+  }));
+}
+
+async function listFreeDatagramPorts(count: number): Promise<number[]> {
+  const sockets = Array.from({ length: count }, () => createSocket("udp4"));
+  return await Promise.all(sockets.map(async (socket) => {
+    await new Promise<void>((resolve) => socket.bind(0, LOOPBACK, resolve));
+    const { port } = socket.address() as AddressInfo;
+    await new Promise<void>((resolve) => socket.close(() => resolve()));
+    return port;
+  }));
+}
