--- a/standins/platform_server.ts
+++ b/standins/platform_server.ts
@@ -28,9 +28,10 @@
   return { meta: { name, rev: version }, spec: value };
 }
 
-/** Creates the server of a platform without objects. */
-export function createPlatformServer(): Server {
-  const core = createPlatformCore();
+/** Creates the server of a platform; it has no objects unless `core` has. */
+export function createPlatformServer(
+  core: PlatformCore = createPlatformCore(),
+): Server {
   const callCounts = new Map<string, number>();
   let faults: PlatformFaults = {};
 
--- a/standins/statement_group.ts
+++ b/standins/statement_group.ts
@@ -6,7 +6,7 @@
 
 import { Err, Ok, type Result } from "ts-results-es";
 import { assertNever } from "../src/core/errors.ts";
-import { sleep } from "../src/core/clock.ts";
+import { nowMs, sleep } from "../src/core/clock.ts";
 import { asId, type ServiceId, type TargetId } from "../src/core/ids.ts";
 import { isAtLeast } from "../src/core/position.ts";
 import type {
@@ -41,6 +41,8 @@
   /** Number of the connection, counted in the order of opening. */
   readonly connection: number;
   readonly isInTransaction: boolean;
+  /** Time of the execution, on the clock of the process. */
+  readonly at: number;
 }
 
 /** Faults injected into a target. */
@@ -73,8 +75,8 @@
 export interface StatementGroup {
   readonly targets: readonly StatementTarget[];
   readonly runs: readonly StatementRun[];
-  /** Ids of the statements whose execution has begun. */
-  readonly begun: ReadonlySet<string>;
+  /** Times at which the execution of each statement began last, by its id. */
+  readonly begun: ReadonlyMap<string, number>;
   /** Ids of the statements whose commit was acknowledged. */
   readonly acknowledged: ReadonlySet<string>;
   connect(id: TargetId, workspace: string): Result<TargetLink, DialErr>;
@@ -86,7 +88,8 @@
   readonly service: ServiceId;
   readonly ids: readonly string[];
   readonly lagMs?: number;
-  readonly workMs?: number;
+  /** Time to execute a statement, or a function of its text. */
+  readonly workMs?: number | ((text: string) => number);
   readonly maxConnections?: number;
   readonly promoteMs?: number;
 }
@@ -109,9 +112,10 @@
 /** Creates a group whose first target is the primary, in term 1. */
 export function createStatementGroup(options: GroupOptions): StatementGroup {
   const { lagMs = 20, workMs = 5, promoteMs = 300 } = options;
+  const getWorkMs = typeof workMs === "function" ? workMs : () => workMs;
   const maxConnections = options.maxConnections ?? 20;
   const runs: StatementRun[] = [];
-  const begun = new Set<string>();
+  const begun = new Map<string, number>();
   const acknowledged = new Set<string>();
   let highestFencingToken = 0;
   let openedConnections = 0;
@@ -281,6 +285,7 @@
         position: getAppliedPosition(target),
         connection,
         isInTransaction: state === "open",
+        at: nowMs(),
       });
     }
 
@@ -311,8 +316,8 @@
       if (requiresPrimary && target.role !== "primary") {
         return fail("read_only");
       }
-      begun.add(command.id);
-      await sleep(workMs);
+      begun.set(command.id, nowMs());
+      await sleep(getWorkMs(text));
       recordRun(command.id, text);
       if (isWrite && state === "open") {
         uncommittedIds.push(command.id);
--- /dev/null
+++ b/tools/soak/history.ts
@@ -0,0 +1,113 @@
+/** What clients, targets and the platform saw in a run. */
+
+import type { LogEntry, StatementRun } from "../../standins/statement_group.ts";
+
+/** Consistency of the reads on a route. */
+export type RouteType = "primary" | "bounded_staleness" | "read_your_writes";
+
+/** What a statement asks for. */
+export type StatementKind =
+  | "begin"
+  | "read"
+  | "write"
+  | "commit"
+  | "rollback"
+  | "set"
+  | "prepare";
+
+/** Statement as its client saw it; times on the clock of the runner. */
+export interface ClientStatement {
+  readonly id: string;
+  /** Attempt of an operation: a statement, or a whole transaction. */
+  readonly operation: string;
+  readonly session: string;
+  readonly host: string;
+  readonly workspace: string;
+  readonly service: string;
+  readonly route: RouteType;
+  readonly kind: StatementKind;
+  /** Text that a target must run; differs from what was sent for EXEC. */
+  readonly text: string;
+  /** Whether it is part of a transaction. */
+  readonly isInTransaction: boolean;
+  /** Session variables acknowledged before it was sent. */
+  readonly variables: Readonly<Record<string, string>>;
+  readonly sentAt: number;
+  /** When the answer was complete, or the connection's end was seen. */
+  readonly endedAt: number;
+  readonly lines: readonly string[];
+  readonly isComplete: boolean;
+  /** Whether the client itself gave the connection up. */
+  readonly isAbandoned: boolean;
+  /** Whether the client delays its reading, so that `endedAt` is late. */
+  readonly readsSlowly: boolean;
+}
+
+/** Database group at the end of a run. */
+export interface GroupHistory {
+  readonly service: string;
+  readonly runs: readonly StatementRun[];
+  readonly begun: ReadonlyMap<string, number>;
+  /** Log of the primary with the highest term. */
+  readonly log: readonly LogEntry[];
+}
+
+/** Stop of a host by SIGTERM. */
+export interface Stop {
+  readonly host: string;
+  readonly at: number;
+  /** When the process had ended; undefined if it had to be killed. */
+  readonly endedAt: number | undefined;
+  /** Whether another fault hit the process during the stop. */
+  readonly isDisturbed: boolean;
+}
+
+/** Order to promote a target, as the platform received it. */
+export interface Promotion {
+  readonly service: string;
+  readonly target: string;
+  readonly holder: string;
+  readonly fencingToken: number;
+  readonly isAccepted: boolean;
+}
+
+/** Span of time. */
+export interface Span {
+  readonly from: number;
+  readonly to: number;
+}
+
+/** Quota of a workspace. */
+export interface WorkspaceQuota {
+  readonly workspace: string;
+  readonly ratePerS: number;
+  readonly burst: number;
+}
+
+/** Everything that the checkers judge. */
+export interface SoakHistory {
+  readonly statements: readonly ClientStatement[];
+  readonly groups: readonly GroupHistory[];
+  readonly stops: readonly Stop[];
+  readonly reloads: readonly { readonly host: string; readonly at: number }[];
+  readonly promotions: readonly Promotion[];
+  /** Times of unplanned disturbances anywhere. */
+  readonly disturbances: readonly Span[];
+  /** Times in which the machine did not run the runner. */
+  readonly stalls: readonly Span[];
+  readonly quotas: readonly WorkspaceQuota[];
+}
+
+/** Returns the error code of an answer; undefined if it has none. */
+export function tryGetErrorCode(
+  { lines }: Pick<ClientStatement, "lines">,
+): string | undefined {
+  return lines.map((line) => /^ERR (\S+)/.exec(line)?.[1]).find((code) => code);
+}
+
+/** Whether the answer is complete and reports success. */
+export function isSuccess(
+  { lines, isComplete }: Pick<ClientStatement, "lines" | "isComplete">,
+): boolean {
+  return isComplete && lines.some((line) => line.startsWith("DONE "));
+}
