Run pool hosts as processes under faults of a seed

Faults come from outside, from a seeded schedule: signals, targets that are silent, refuse, lose answers or close connections, dark primaries, changes of configuration, a store that is away or slow.

Ports lie below the range of outgoing connections and are reserved by run: two runs at once had picked the same ones (EADDRINUSE at the second start), and a host could have lost its port to a connection while it restarted.

--- a/standins/statement_group.ts
+++ b/standins/statement_group.ts
@@ -90,6 +90,8 @@
   readonly lagMs?: number;
   /** Time to execute a statement, or a function of its text. */
   readonly workMs?: number | ((text: string) => number);
+  /** Text added to the rows of a statement; none by default. */
+  readonly getPadding?: (text: string) => string;
   readonly maxConnections?: number;
   readonly promoteMs?: number;
 }
@@ -111,7 +113,8 @@
 
 /** Creates a group whose first target is the primary, in term 1. */
 export function createStatementGroup(options: GroupOptions): StatementGroup {
-  const { lagMs = 20, workMs = 5, promoteMs = 300 } = options;
+  const { lagMs = 20, workMs = 5, promoteMs = 300, getPadding = () => "" } =
+    options;
   const getWorkMs = typeof workMs === "function" ? workMs : () => workMs;
   const maxConnections = options.maxConnections ?? 20;
   const runs: StatementRun[] = [];
@@ -324,7 +327,10 @@
       } else if (isWrite && !await append(target, [command.id])) {
         return closeWithUnknownOutcome();
       }
-      return done([`row of ${text}`], `signed-${command.id}`);
+      return done(
+        [`row of ${text}${getPadding(text)}`],
+        `signed-${command.id}`,
+      );
     }
 
     async function commit(
--- a/tools/soak/checkers.ts
+++ b/tools/soak/checkers.ts
@@ -376,9 +376,9 @@
       } else if (!hasVariables(run, entry.variables)) {
         detail = `ran with ${JSON.stringify(run.variables)} instead of ` +
           JSON.stringify(entry.variables);
-      } else if (entry.isInTransaction !== run.isInTransaction) {
-        detail = `ran ${run.isInTransaction ? "in a" : "outside its"} ` +
-          "transaction";
+      } else if (entry.isInTransaction && !run.isInTransaction) {
+        // A single read may run in a transaction of the host's own.
+        detail = "ran outside its transaction";
       } else if (entry.isInTransaction && pinned && pinned !== connection) {
         detail = `ran on connection ${connection}, its transaction on ` +
           pinned;
--- a/tools/soak/host_process.ts
+++ b/tools/soak/host_process.ts
@@ -1,17 +1,21 @@
 /** Pool hosts as real processes, built as for deployment. */
 
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
-import { createSocket } from "node:dgram";
 import { readFileSync, writeFileSync } from "node:fs";
 import { request } from "node:http";
-import { type AddressInfo, createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 import process from "node:process";
 import { stringify } from "yaml";
 import { sleep } from "../../src/core/clock.ts";
-import { listen } from "../../standins/serve.ts";
 
 const POLL_INTERVAL_MS = 10;
 const LOOPBACK = "127.0.0.1";
+const FIRST_PORT = 11_000;
+const PORT_BLOCKS = 40;
+const PORTS_PER_BLOCK = 500;
+const PORTS_PER_HOST = 4;
+/** Largest number of hosts whose ports fit into one block. */
+const MAX_HOSTS = Math.floor((PORTS_PER_BLOCK - 1) / PORTS_PER_HOST);
 
 /** Ports on which a host listens. */
 export interface HostPorts {
@@ -136,28 +140,49 @@
   });
 }
 
-/** Picks the ports of `count` hosts; none of them is in use. */
-export async function pickHostPorts(count: number): Promise<HostPorts[]> {
-  const servers = Array.from({ length: 3 * count }, () => createServer());
-  const ports = await Promise.all(servers.map((server) => listen(server, 0)));
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  const peers = await listFreeDatagramPorts(count);
-  return peers.map((peer, i) => ({
-    clients: ports[3 * i]!,
-    health: ports[3 * i + 1]!,
-    metrics: ports[3 * i + 2]!,
-    peers: peer,
-  }));
+/** Ports of hosts, kept for the caller until it releases them. */
+export interface PortBlock {
+  readonly hosts: readonly HostPorts[];
+  release(): void;
+}
+
+/**
+ * Reserves ports for up to `MAX_HOSTS` hosts. They lie below the range from
+ * which the kernel picks ports for outgoing connections, so that a host finds
+ * them free again after a restart.
+ */
+export async function reservePorts(count: number): Promise<PortBlock> {
+  if (count > MAX_HOSTS) {
+    throw new Error(`at most ${MAX_HOSTS} hosts, not ${count}`);
+  }
+  for (let i = 0; i < PORT_BLOCKS; i++) {
+    const index = (process.pid + i) % PORT_BLOCKS;
+    const first = FIRST_PORT + index * PORTS_PER_BLOCK;
+    // Whoever listens on the first port of a block owns all of it.
+    const lock = await tryListen(first);
+    if (lock) {
+      return {
+        hosts: Array.from({ length: count }, (_, host) => ({
+          clients: first + 1 + PORTS_PER_HOST * host,
+          health: first + 2 + PORTS_PER_HOST * host,
+          metrics: first + 3 + PORTS_PER_HOST * host,
+          peers: first + 4 + PORTS_PER_HOST * host,
+        })),
+        release: () => lock.close(),
+      };
+    }
+  }
+  throw new Error(`all ${PORT_BLOCKS} blocks of ports are in use`);
 }
 
-async function listFreeDatagramPorts(count: number): Promise<number[]> {
-  const sockets = Array.from({ length: count }, () => createSocket("udp4"));
-  return await Promise.all(sockets.map(async (socket) => {
-    await new Promise<void>((resolve) => socket.bind(0, LOOPBACK, resolve));
-    const { port } = socket.address() as AddressInfo;
-    await new Promise<void>((resolve) => socket.close(() => resolve()));
-    return port;
-  }));
+function tryListen(port: number): Promise<Server | undefined> {
+  const server = createServer();
+  return new Promise((resolve, reject) => {
+    server.once(
+      "error",
+      (err: NodeJS.ErrnoException) =>
+        err.code === "EADDRINUSE" ? resolve(undefined) : reject(err),
+    );
+    server.listen(port, LOOPBACK, () => resolve(server));
+  });
 }
--- /dev/null
+++ b/tools/soak/run.ts
@@ -0,0 +1,470 @@
+/** Runs hosts, platform and clients under the faults of a seed. */
+
+import { createWriteStream, mkdirSync, type WriteStream } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { nowMs, sleep } from "../../src/core/clock.ts";
+import { assertNever } from "../../src/core/errors.ts";
+import { createBalancer } from "./balancer.ts";
+import {
+  GRACE_S,
+  MAX_STALE_MS,
+  QUOTA,
+  STATEMENT_TIMEOUT_MS,
+} from "./bounds.ts";
+import { type ClientRoute, type Habit, runClient } from "./clients.ts";
+import type { ClientStatement, SoakHistory, Span, Stop } from "./history.ts";
+import {
+  buildHost,
+  type HostPorts,
+  type HostProcess,
+  reservePorts,
+  startHost,
+  waitUntilReady,
+  writeSettings,
+} from "./host_process.ts";
+import {
+  type Fault,
+  planFaults,
+  type ScheduledFault,
+  type SoakPlan,
+} from "./schedule.ts";
+import { type SoakPlatform, startPlatform } from "./stand_in_platform.ts";
+
+const MS_PER_SECOND = 1_000;
+const HOSTS_PER_DOMAIN = 3;
+const DOMAINS = ["d0", "d1", "d2"];
+/** Delay until the platform starts a process again that has ended. */
+const RESTART_DELAY_MS = 300;
+/** Connections to a target for each host. */
+const CONNECTIONS_PER_HOST = 20;
+/** Delay of each call to a slow store. */
+const STORE_DELAY_MS = 700;
+const TRANSACTION_IDLE_MS = 3_000;
+/** Interval of the check whether this process runs, and its tolerance. */
+const STALL_CHECK_MS = 50;
+const MIN_STALL_MS = 50;
+/** Clients of each habit for each host. */
+const HABITS: readonly Habit[] = [
+  "single",
+  "loyal",
+  "loyal",
+  "long",
+  "long",
+  "pipelined",
+  "half_closing",
+  "slow_reader",
+  "transactions",
+  "transactions",
+];
+/** Clients of the workspace with the low quota, for all hosts together. */
+const GREEDY_CLIENTS = 12;
+const QUOTAS = [
+  { workspace: "w1", ratePerS: 100_000, burst: 100_000, key: "key-1" },
+  { workspace: "w2", ratePerS: 30, burst: 30, key: "key-2" },
+];
+
+/** Event of a run, for its report. */
+export interface SoakEvent {
+  readonly at: number;
+  readonly text: string;
+}
+
+/** Finished run. */
+export interface SoakRun {
+  readonly schedule: readonly ScheduledFault[];
+  readonly history: SoakHistory;
+  readonly events: readonly SoakEvent[];
+}
+
+interface SoakHost {
+  readonly host: string;
+  readonly domain: string;
+  readonly clientPort: number;
+  readonly ports: HostPorts;
+  readonly settingsFile: string;
+  readonly log: WriteStream;
+  process: HostProcess;
+  /** Stop that has not ended; undefined if there is none. */
+  stop: { isDisturbed: boolean } | undefined;
+}
+
+/** Runs a plan; logs and settings of the hosts are written to `directory`. */
+export async function runSoak(
+  plan: SoakPlan,
+  { directory, onEvent }: {
+    readonly directory: string;
+    readonly onEvent: (event: SoakEvent) => void;
+  },
+): Promise<SoakRun> {
+  mkdirSync(directory, { recursive: true });
+  const program = buildHost("soak");
+  const schedule = planFaults(plan);
+  const domains = DOMAINS.slice(0, Math.ceil(plan.hosts / HOSTS_PER_DOMAIN));
+  const services = Array.from({ length: plan.groups }, (_, i) => `service${i}`);
+  const routes = services.flatMap(listRoutes);
+  const platform = await startPlatform({
+    services,
+    targetsPerGroup: plan.targetsPerGroup,
+    domains: DOMAINS,
+    maxConnections: CONNECTIONS_PER_HOST * plan.hosts,
+  });
+  let version = 1;
+  platform.setConfig(createConfig({ version, routes, plan }));
+
+  const statements: ClientStatement[] = [];
+  const disturbances: Span[] = [];
+  const stalls: Span[] = [];
+  const stops: Stop[] = [];
+  const reloads: { host: string; at: number }[] = [];
+  const events: SoakEvent[] = [];
+  let isOver = false;
+  let isClosed = false;
+  const children = new Set<HostProcess>();
+  const killChildren = () =>
+    children.forEach(({ child }) => child.kill("SIGKILL"));
+  process.on("exit", killChildren);
+
+  function note(text: string): void {
+    const event = { at: nowMs(), text };
+    events.push(event);
+    onEvent(event);
+  }
+
+  function start(host: Omit<SoakHost, "process" | "stop">): HostProcess {
+    const started = startHost({
+      program,
+      settingsFile: host.settingsFile,
+      ports: host.ports,
+      onLog: (chunk) => host.log.write(chunk),
+    });
+    children.add(started);
+    void started.exited.then(async (status) => {
+      children.delete(started);
+      if (!isClosed) {
+        note(`${host.host} ended: ${status}`);
+        await sleep(RESTART_DELAY_MS);
+        restart(host.host);
+      }
+    });
+    return started;
+  }
+
+  function restart(name: string): void {
+    const host = hosts.find((entry) => entry.host === name)!;
+    if (!isClosed) {
+      host.process = start(host);
+      host.stop = undefined;
+    }
+  }
+
+  const ports = await reservePorts(plan.hosts);
+  const hosts: SoakHost[] = ports.hosts.map((hostPorts, i) => {
+    const name = `h${i}`;
+    const host = {
+      host: name,
+      domain: domains[i % domains.length]!,
+      clientPort: hostPorts.clients,
+      ports: hostPorts,
+      settingsFile: join(directory, `${name}.yaml`),
+      log: createWriteStream(join(directory, `${name}.log`)),
+    };
+    writeSettings(host.settingsFile, {
+      host: name,
+      domain: host.domain,
+      ports: hostPorts,
+      storePort: platform.storePort,
+      ordersPort: platform.ordersPort,
+      graceS: GRACE_S,
+      quotaTolerance: QUOTA,
+    });
+    return { ...host, process: start(host), stop: undefined };
+  });
+
+  /** Records a disturbance that lasts until `work` is done. */
+  async function disturb(work: () => Promise<unknown>): Promise<void> {
+    // Mutable until the end is known: an open disturbance lasts for ever.
+    const span = { from: nowMs(), to: Infinity };
+    disturbances.push(span);
+    await work();
+    span.to = nowMs();
+  }
+
+  async function stopHost(
+    host: SoakHost,
+    repeatMs: number | undefined,
+  ): Promise<void> {
+    const { process: stopping } = host;
+    if (host.stop || stopping.hasExited()) {
+      stopping.child.kill("SIGTERM");
+      return;
+    }
+    const stop = { host: host.host, at: nowMs(), isDisturbed: false };
+    host.stop = stop;
+    stopping.child.kill("SIGTERM");
+    if (repeatMs !== undefined) {
+      setTimeout(() => {
+        if (!stopping.hasExited()) {
+          note(`SIGTERM to ${host.host} again`);
+          stopping.child.kill("SIGTERM");
+        }
+      }, repeatMs);
+    }
+    const hasEnded = await Promise.race([
+      stopping.exited.then(() => true),
+      sleep(GRACE_S * MS_PER_SECOND).then(() => false),
+    ]);
+    if (hasEnded) {
+      stops.push({ ...stop, endedAt: nowMs() });
+      return;
+    }
+    stops.push({ ...stop, endedAt: undefined });
+    note(`${host.host} outlives its grace: SIGKILL`);
+    await disturb(() => killHost(host));
+  }
+
+  async function killHost(host: SoakHost): Promise<void> {
+    const killed = host.process;
+    if (host.stop) {
+      host.stop.isDisturbed = true;
+    }
+    killed.child.kill("SIGKILL");
+    await killed.exited;
+    while (host.process === killed && !isClosed) {
+      await sleep(STALL_CHECK_MS);
+    }
+    await untilReady(host);
+  }
+
+  /** Waits until a host is ready, also if it is killed meanwhile. */
+  async function untilReady(host: SoakHost): Promise<void> {
+    while (!isClosed && await host.process.getHealth() !== 200) {
+      await sleep(STALL_CHECK_MS);
+    }
+  }
+
+  async function inject(fault: Fault): Promise<void> {
+    note(describeFault(fault));
+    switch (fault.kind) {
+      case "stop":
+        return await stopHost(hosts[fault.host]!, fault.repeatMs);
+      case "reload": {
+        const { host, process: { child } } = hosts[fault.host]!;
+        reloads.push({ host, at: nowMs() });
+        child.kill("SIGHUP");
+        return;
+      }
+      case "configure":
+        version += 1 + version % 3;
+        platform.setConfig(createConfig({ version, routes, plan }));
+        return;
+      case "kill":
+        return await disturb(() => killHost(hosts[fault.host]!));
+      case "freeze": {
+        const host = hosts[fault.host]!;
+        const { child } = host.process;
+        if (host.stop) {
+          host.stop.isDisturbed = true;
+        }
+        return await disturb(async () => {
+          child.kill("SIGSTOP");
+          await sleep(fault.ms);
+          child.kill("SIGCONT");
+        });
+      }
+      case "target":
+        return await disturb(() => disturbTarget(platform, fault));
+      case "primary_dark":
+        return await disturb(() => darkenPrimary(platform, fault));
+      case "store_down":
+      case "store_slow":
+        return await disturb(async () => {
+          await platform.setStoreFaults(
+            fault.kind === "store_down"
+              ? { down: true }
+              : { slowMs: STORE_DELAY_MS },
+          );
+          await sleep(fault.ms);
+          await platform.setStoreFaults({});
+        });
+      default:
+        assertNever(fault);
+    }
+  }
+
+  await Promise.all(hosts.map((host) => waitUntilReady(host.process)));
+  const startedAt = nowMs();
+  let checkedAt = startedAt;
+  const stallTimer = setInterval(() => {
+    const at = nowMs();
+    if (at - checkedAt > STALL_CHECK_MS + MIN_STALL_MS) {
+      stalls.push({ from: checkedAt, to: at });
+    }
+    checkedAt = at;
+  }, STALL_CHECK_MS);
+  const balancer = createBalancer(hosts);
+  const habits = [
+    ...hosts.flatMap(() => HABITS),
+    ...Array.from({ length: GREEDY_CLIENTS }, (): Habit => "greedy"),
+  ];
+  const clients = habits.map((habit, i) => {
+    const { workspace, key } = QUOTAS[habit === "greedy" ? 1 : 0]!;
+    return runClient({
+      name: `c${i}`,
+      seed: plan.seed * habits.length + i,
+      habit,
+      domain: domains[i % domains.length]!,
+      workspace,
+      key,
+      // A transaction that reads and writes needs the primary.
+      routes: routes.filter(({ type }) =>
+        habit !== "transactions" || type === "primary"
+      ),
+      balancer,
+      record: (entry) => statements.push(entry),
+      isOver: () => isOver,
+    });
+  });
+  const faults = schedule.map(async ({ atMs, fault }) => {
+    await sleep(atMs);
+    await inject(fault);
+  });
+  await sleep(plan.durationMs);
+  await Promise.all(faults);
+  isOver = true;
+  await Promise.all(clients);
+  isClosed = true;
+  clearInterval(stallTimer);
+  balancer.close();
+  const exits = [...children].map(({ exited }) => exited);
+  killChildren();
+  await Promise.all(exits);
+  process.off("exit", killChildren);
+  hosts.forEach(({ log }) => log.end());
+  platform.close();
+  ports.release();
+  return {
+    schedule,
+    events,
+    history: {
+      statements,
+      groups: platform.groups.map(({ service, group }) => ({
+        service,
+        runs: group.runs,
+        begun: group.begun,
+        log: group.targets.filter(({ role }) => role === "primary")
+          .sort((a, b) => b.term - a.term)[0]!.log,
+      })),
+      stops,
+      reloads,
+      promotions: platform.promotions,
+      disturbances,
+      stalls,
+      quotas: QUOTAS,
+    },
+  };
+}
+
+function listRoutes(service: string): ClientRoute[] {
+  return [
+    { database: `${service}-p`, service, type: "primary" },
+    { database: `${service}-b`, service, type: "bounded_staleness" },
+    { database: `${service}-r`, service, type: "read_your_writes" },
+  ];
+}
+
+function createConfig(options: {
+  readonly version: number;
+  readonly routes: readonly ClientRoute[];
+  readonly plan: SoakPlan;
+}): unknown {
+  const { version, routes, plan } = options;
+  const extra = {
+    database: `extra-${version}`,
+    service: routes[0]!.service,
+    type: "primary",
+  };
+  return {
+    version,
+    routes: [...routes, extra].map(({ database, service, type }, i) => ({
+      host: database,
+      service,
+      type,
+      maxStaleMs: MAX_STALE_MS,
+      timeoutMs: STATEMENT_TIMEOUT_MS,
+      // Differs between versions.
+      sloMs: MS_PER_SECOND + version,
+      prio: i % 3,
+    })),
+    services: [...new Set(routes.map(({ service }) => service))].map((
+      name,
+    ) => ({
+      name,
+      maxConns: CONNECTIONS_PER_HOST * plan.hosts,
+      syncReplicas: 1,
+    })),
+    limits: { txIdleMs: TRANSACTION_IDLE_MS },
+    tenants: QUOTAS.map(({ workspace, key, ratePerS, burst }) => ({
+      name: workspace,
+      apiKeys: [key],
+      ratePerS,
+      burst,
+    })),
+  };
+}
+
+async function disturbTarget(
+  platform: SoakPlatform,
+  fault: Extract<Fault, { kind: "target" }>,
+): Promise<void> {
+  const { group, cutConnections } = platform.groups[fault.group]!;
+  const { faults } = group.targets[fault.target]!;
+  switch (fault.effect) {
+    case "closes":
+      cutConnections(fault.target);
+      return;
+    case "loses_replies":
+      faults.losesReplies = true;
+      await sleep(fault.ms);
+      faults.losesReplies = false;
+      return;
+    case "refuses":
+      faults.isBusy = true;
+      await sleep(fault.ms);
+      faults.isBusy = false;
+      return;
+    case "is_silent":
+      await darken(faults, fault.ms);
+      return;
+    default:
+      assertNever(fault.effect);
+  }
+}
+
+/** Silences the primary of a group, unless another target is silent. */
+async function darkenPrimary(
+  platform: SoakPlatform,
+  fault: Extract<Fault, { kind: "primary_dark" }>,
+): Promise<void> {
+  const { targets } = platform.groups[fault.group]!.group;
+  const primary = targets.find(({ role }) => role === "primary");
+  if (primary && !targets.some(({ faults }) => faults.isUnresponsive)) {
+    await darken(primary.faults, fault.ms);
+  }
+}
+
+async function darken(
+  faults: { isUnresponsive?: boolean },
+  ms: number,
+): Promise<void> {
+  faults.isUnresponsive = true;
+  await sleep(ms);
+  faults.isUnresponsive = false;
+}
+
+function describeFault(fault: Fault): string {
+  return Object.entries(fault)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => name === "kind" ? `${value}` : `${name} ${value}`)
+    .join(", ");
+}
