Put proxies between clients, hosts, targets and the store of the soak

A proxy delays, resets, holds one way or both, silences connections of now, and splits writes at any byte; splits also happen beside planned work, as they are no disturbance. Hosts are probed, so that the time in which a host does not get to run is added to the slack of lost answers and to the grace: the verdict must not depend on the machine's load. Statements that a client would have written to a connection that had ended are not recorded.

--- a/test/soak_check.test.ts
+++ b/test/soak_check.test.ts
@@ -122,6 +122,16 @@
     .toEqual(["LOST a"]);
 });
 
+test("the time in which a host does not run is added to the slack", () => {
+  const cut = createStatement("a", { ...CUT, endedAt: 11_250 });
+  const stall = { host: "h1", from: 11_100, to: 11_150 };
+  const list = (stalls: SoakHistory["stalls"]) =>
+    listBroken({ statements: [cut], stops: [STOP], stalls });
+  expect(list([stall])).toEqual([]);
+  expect(list([{ ...stall, to: 11_149 }])).toEqual(["LOST a"]);
+  expect(list([{ ...stall, host: "h2" }])).toEqual(["LOST a"]);
+});
+
 test("a statement without its last line is lost in a stop", () => {
   const cut = createStatement("a", {
     lines: ["ROW row of READ a", "DONE signed-a"],
--- a/test/soak_schedule.test.ts
+++ b/test/soak_schedule.test.ts
@@ -2,7 +2,12 @@
 import { STABLE_MS } from "../tools/soak/bounds.ts";
 import { type Fault, planFaults } from "../tools/soak/schedule.ts";
 
-const PLANNED: readonly Fault["kind"][] = ["stop", "reload", "configure"];
+const PLANNED: readonly Fault["kind"][] = [
+  "stop",
+  "reload",
+  "configure",
+  "split",
+];
 
 function plan(seed: number) {
   return planFaults({
@@ -43,8 +48,10 @@
       "configure",
       "freeze",
       "kill",
+      "link",
       "primary_dark",
       "reload",
+      "split",
       "stop",
       "store_down",
       "store_slow",
--- a/tools/soak/checkers.ts
+++ b/tools/soak/checkers.ts
@@ -18,10 +18,10 @@
 } from "./bounds.ts";
 import {
   type ClientStatement,
+  getStalledMs,
   type GroupHistory,
   isSuccess,
   type SoakHistory,
-  type Span,
   type Stop,
   tryGetErrorCode,
 } from "./history.ts";
@@ -78,13 +78,6 @@
   return new Map(history.statements.map((entry) => [entry.id, entry]));
 }
 
-function getStalledMs(history: SoakHistory, { from, to }: Span): number {
-  return history.stalls
-    .map((stall) => Math.min(stall.to, to) - Math.max(stall.from, from))
-    .filter((ms) => ms > 0)
-    .reduce((sum, ms) => sum + ms, 0);
-}
-
 /** Statements that a stop or a reload of their host left without an answer. */
 export function checkLostAnswers(history: SoakHistory): Violation[] {
   const groups = new Map(history.groups.map((group) => [group.service, group]));
@@ -97,7 +90,11 @@
     const isForwarded = begun.has(entry.id);
     const elapsedMs = entry.endedAt - entry.sentAt;
     const slackMs = LOSS_SLACK_MS +
-      getStalledMs(history, { from: entry.sentAt, to: entry.endedAt });
+      getStalledMs(history.stalls, {
+        host: entry.host,
+        from: entry.sentAt,
+        to: entry.endedAt,
+      });
     const isLate = !entry.readsSlowly && elapsedMs > slackMs;
     if (
       !isForwarded && !isLate || elapsedMs >= STATEMENT_TIMEOUT_MS ||
@@ -506,7 +503,8 @@
     const isLate = !isDisturbed &&
       (endedAt === undefined ||
         endedAt - at >
-          GRACE_MS + getStalledMs(history, { from: at, to: endedAt }));
+          GRACE_MS +
+            getStalledMs(history.stalls, { host, from: at, to: endedAt }));
     return isLate
       ? [{
         rule: "GRACE" as const,
--- a/tools/soak/clients.ts
+++ b/tools/soak/clients.ts
@@ -287,6 +287,7 @@
       const { kind, text, runText = text, transaction } = request;
       const id = options.createId();
       const variablesBefore = variables;
+      const isSent = !hasEnded;
       const sentAt = nowMs();
       const answered = client.query(id, text);
       if (request.halfCloses) {
@@ -318,7 +319,9 @@
         isAbandoned: isAbandoned && !isComplete,
         readsSlowly: request.readDelayMs !== undefined,
       };
-      ctx.record(entry);
+      if (isSent) {
+        ctx.record(entry);
+      }
       if (kind === "set" && isSuccess(entry)) {
         const [, name, value] = text.split(" ");
         variables = { ...variables, [name!]: value! };
--- a/tools/soak/history.ts
+++ b/tools/soak/history.ts
@@ -77,6 +77,11 @@
   readonly to: number;
 }
 
+/** Span of time at a host. */
+export interface HostSpan extends Span {
+  readonly host: string;
+}
+
 /** Quota of a workspace. */
 export interface WorkspaceQuota {
   readonly workspace: string;
@@ -93,11 +98,23 @@
   readonly promotions: readonly Promotion[];
   /** Times of unplanned disturbances anywhere. */
   readonly disturbances: readonly Span[];
-  /** Times in which the machine did not run the runner. */
-  readonly stalls: readonly Span[];
+  /** Times in which hosts, or the runner, did not get to run. */
+  readonly stalls: readonly HostSpan[];
   readonly quotas: readonly WorkspaceQuota[];
 }
 
+/** Returns how long a host was stalled within a span, in milliseconds. */
+export function getStalledMs(
+  stalls: readonly HostSpan[],
+  { host, from, to }: HostSpan,
+): number {
+  return stalls
+    .filter((stall) => stall.host === host)
+    .map((stall) => Math.min(stall.to, to) - Math.max(stall.from, from))
+    .filter((ms) => ms > 0)
+    .reduce((sum, ms) => sum + ms, 0);
+}
+
 /** Returns the error code of an answer; undefined if it has none. */
 export function tryGetErrorCode(
   { lines }: Pick<ClientStatement, "lines">,
--- a/tools/soak/report.ts
+++ b/tools/soak/report.ts
@@ -56,7 +56,7 @@
     }`,
     `promotions: ${
       promotions.filter(({ isAccepted }) => isAccepted).length
-    }; this process stalled for ${Math.round(stalledMs)} ms`,
+    }; hosts stalled for ${Math.round(stalledMs)} ms`,
   ];
 }
 
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -3,6 +3,8 @@
 import { createWriteStream, mkdirSync, type WriteStream } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { mersenne } from "pure-rand/generator/mersenne";
 import { nowMs, sleep } from "../../src/core/clock.ts";
 import { assertNever } from "../../src/core/errors.ts";
 import { createBalancer } from "./balancer.ts";
@@ -13,7 +15,14 @@
   STATEMENT_TIMEOUT_MS,
 } from "./bounds.ts";
 import { type ClientRoute, type Habit, runClient } from "./clients.ts";
-import type { ClientStatement, SoakHistory, Span, Stop } from "./history.ts";
+import {
+  type ClientStatement,
+  getStalledMs,
+  type HostSpan,
+  type SoakHistory,
+  type Span,
+  type Stop,
+} from "./history.ts";
 import {
   buildHost,
   type HostPorts,
@@ -23,8 +32,11 @@
   waitUntilReady,
   writeSettings,
 } from "./host_process.ts";
+import { type LinkProxy, startProxy } from "./proxy.ts";
 import {
   type Fault,
+  type Link,
+  type LinkEffect,
   planFaults,
   type ScheduledFault,
   type SoakPlan,
@@ -40,10 +52,14 @@
 const CONNECTIONS_PER_HOST = 20;
 /** Delay of each call to a slow store. */
 const STORE_DELAY_MS = 700;
+/** Delay of each chunk on a slow link. */
+const LINK_DELAY_MS = 150;
 const TRANSACTION_IDLE_MS = 3_000;
-/** Interval of the check whether this process runs, and its tolerance. */
-const STALL_CHECK_MS = 50;
-const MIN_STALL_MS = 50;
+/** Interval of the probes that tell whether a host gets to run. */
+const PROBE_INTERVAL_MS = 50;
+const PROBE_TIMEOUT_MS = 1_000;
+/** Delay of a probe up to which a host counts as running. */
+const MAX_PROBE_DELAY_MS = 100;
 /** Clients of each habit for each host. */
 const HABITS: readonly Habit[] = [
   "single",
@@ -81,6 +97,8 @@
   readonly host: string;
   readonly domain: string;
   readonly clientPort: number;
+  readonly clientLink: LinkProxy;
+  readonly storeLink: LinkProxy;
   readonly ports: HostPorts;
   readonly settingsFile: string;
   readonly log: WriteStream;
@@ -99,6 +117,8 @@
 ): Promise<SoakRun> {
   mkdirSync(directory, { recursive: true });
   const program = buildHost("soak");
+  const generator = mersenne(plan.seed);
+  const draw = (below: number) => uniformInt(generator, 0, below - 1);
   const schedule = planFaults(plan);
   const domains = DOMAINS.slice(0, Math.ceil(plan.hosts / HOSTS_PER_DOMAIN));
   const services = Array.from({ length: plan.groups }, (_, i) => `service${i}`);
@@ -108,13 +128,14 @@
     targetsPerGroup: plan.targetsPerGroup,
     domains: DOMAINS,
     maxConnections: CONNECTIONS_PER_HOST * plan.hosts,
+    draw,
   });
   let version = 1;
   platform.setConfig(createConfig({ version, routes, plan }));
 
   const statements: ClientStatement[] = [];
   const disturbances: Span[] = [];
-  const stalls: Span[] = [];
+  const stalls: HostSpan[] = [];
   const stops: Stop[] = [];
   const reloads: { host: string; at: number }[] = [];
   const events: SoakEvent[] = [];
@@ -159,12 +180,16 @@
   }
 
   const ports = await reservePorts(plan.hosts);
-  const hosts: SoakHost[] = ports.hosts.map((hostPorts, i) => {
+  const hosts = await Promise.all(ports.hosts.map(async (hostPorts, i) => {
     const name = `h${i}`;
+    const clientLink = await startProxy(hostPorts.clients, draw);
+    const storeLink = await startProxy(platform.storePort, draw);
     const host = {
       host: name,
       domain: domains[i % domains.length]!,
-      clientPort: hostPorts.clients,
+      clientPort: clientLink.port,
+      clientLink,
+      storeLink,
       ports: hostPorts,
       settingsFile: join(directory, `${name}.yaml`),
       log: createWriteStream(join(directory, `${name}.log`)),
@@ -173,13 +198,18 @@
       host: name,
       domain: host.domain,
       ports: hostPorts,
-      storePort: platform.storePort,
+      storePort: storeLink.port,
       ordersPort: platform.ordersPort,
       graceS: GRACE_S,
       quotaTolerance: QUOTA,
     });
-    return { ...host, process: start(host), stop: undefined };
-  });
+    const started: SoakHost = {
+      ...host,
+      process: start(host),
+      stop: undefined,
+    };
+    return started;
+  }));
 
   /** Records a disturbance that lasts until `work` is done. */
   async function disturb(work: () => Promise<unknown>): Promise<void> {
@@ -210,15 +240,28 @@
         }
       }, repeatMs);
     }
-    const hasEnded = await Promise.race([
-      stopping.exited.then(() => true),
-      sleep(GRACE_S * MS_PER_SECOND).then(() => false),
-    ]);
-    if (hasEnded) {
-      stops.push({ ...stop, endedAt: nowMs() });
+    const exitedAt = stopping.exited.then(nowMs);
+    let endedAt: number | undefined;
+    for (let graceMs = GRACE_S * MS_PER_SECOND; endedAt === undefined;) {
+      const leftMs = stop.at + graceMs - nowMs();
+      if (leftMs <= 0) {
+        break;
+      }
+      endedAt = await Promise.race([
+        exitedAt,
+        sleep(leftMs).then(() => undefined),
+      ]);
+      // A process that does not get to run can't end.
+      graceMs = GRACE_S * MS_PER_SECOND + getStalledMs(stalls, {
+        host: host.host,
+        from: stop.at,
+        to: nowMs(),
+      });
+    }
+    stops.push({ ...stop, endedAt });
+    if (endedAt !== undefined) {
       return;
     }
-    stops.push({ ...stop, endedAt: undefined });
     note(`${host.host} outlives its grace: SIGKILL`);
     await disturb(() => killHost(host));
   }
@@ -231,15 +274,41 @@
     killed.child.kill("SIGKILL");
     await killed.exited;
     while (host.process === killed && !isClosed) {
-      await sleep(STALL_CHECK_MS);
+      await sleep(PROBE_INTERVAL_MS);
     }
     await untilReady(host);
   }
 
+  /** Records when a host, or this process, does not get to run. */
+  async function probeStalls(host: SoakHost): Promise<void> {
+    while (!isClosed) {
+      const from = nowMs();
+      await sleep(PROBE_INTERVAL_MS);
+      await host.process.getHealth(PROBE_TIMEOUT_MS);
+      const to = nowMs();
+      if (to - from > PROBE_INTERVAL_MS + MAX_PROBE_DELAY_MS) {
+        stalls.push({ host: host.host, from, to });
+      }
+    }
+  }
+
   /** Waits until a host is ready, also if it is killed meanwhile. */
   async function untilReady(host: SoakHost): Promise<void> {
     while (!isClosed && await host.process.getHealth() !== 200) {
-      await sleep(STALL_CHECK_MS);
+      await sleep(PROBE_INTERVAL_MS);
+    }
+  }
+
+  function getLink(link: Link): LinkProxy {
+    switch (link.kind) {
+      case "clients":
+        return hosts[link.host]!.clientLink;
+      case "store":
+        return hosts[link.host]!.storeLink;
+      case "target":
+        return platform.groups[link.group]!.links[link.target]!;
+      default:
+        return assertNever(link);
     }
   }
 
@@ -272,6 +341,16 @@
           child.kill("SIGCONT");
         });
       }
+      case "split": {
+        // Where writes are split says nothing about a link's health.
+        const { faults } = getLink(fault.link);
+        faults.splits = true;
+        await sleep(fault.ms);
+        faults.splits = false;
+        return;
+      }
+      case "link":
+        return await disturb(() => disturbLink(getLink(fault.link), fault));
       case "target":
         return await disturb(() => disturbTarget(platform, fault));
       case "primary_dark":
@@ -293,15 +372,7 @@
   }
 
   await Promise.all(hosts.map((host) => waitUntilReady(host.process)));
-  const startedAt = nowMs();
-  let checkedAt = startedAt;
-  const stallTimer = setInterval(() => {
-    const at = nowMs();
-    if (at - checkedAt > STALL_CHECK_MS + MIN_STALL_MS) {
-      stalls.push({ from: checkedAt, to: at });
-    }
-    checkedAt = at;
-  }, STALL_CHECK_MS);
+  hosts.forEach((host) => void probeStalls(host));
   const balancer = createBalancer(hosts);
   const habits = [
     ...hosts.flatMap(() => HABITS),
@@ -334,13 +405,16 @@
   isOver = true;
   await Promise.all(clients);
   isClosed = true;
-  clearInterval(stallTimer);
   balancer.close();
   const exits = [...children].map(({ exited }) => exited);
   killChildren();
   await Promise.all(exits);
   process.off("exit", killChildren);
-  hosts.forEach(({ log }) => log.end());
+  hosts.forEach(({ log, clientLink, storeLink }) => {
+    log.end();
+    clientLink.close();
+    storeLink.close();
+  });
   platform.close();
   ports.release();
   return {
@@ -413,15 +487,50 @@
   };
 }
 
+async function disturbLink(
+  link: LinkProxy,
+  { effect, ms }: { readonly effect: LinkEffect; readonly ms: number },
+): Promise<void> {
+  const { faults } = link;
+  switch (effect) {
+    case "resets":
+      link.reset();
+      return;
+    case "silences":
+      link.silence();
+      return;
+    case "delays":
+      faults.delayMs = LINK_DELAY_MS;
+      break;
+    case "holds_requests":
+      faults.holdsRequests = true;
+      break;
+    case "holds_replies":
+      faults.holdsReplies = true;
+      break;
+    case "holds_both":
+      faults.holdsRequests = true;
+      faults.holdsReplies = true;
+      break;
+    default:
+      assertNever(effect);
+  }
+  await sleep(ms);
+  faults.delayMs = 0;
+  faults.holdsRequests = false;
+  faults.holdsReplies = false;
+  link.refresh();
+}
+
 async function disturbTarget(
   platform: SoakPlatform,
   fault: Extract<Fault, { kind: "target" }>,
 ): Promise<void> {
-  const { group, cutConnections } = platform.groups[fault.group]!;
+  const { group, links } = platform.groups[fault.group]!;
   const { faults } = group.targets[fault.target]!;
   switch (fault.effect) {
     case "closes":
-      cutConnections(fault.target);
+      links[fault.target]!.reset();
       return;
     case "loses_replies":
       faults.losesReplies = true;
@@ -465,6 +574,8 @@
 function describeFault(fault: Fault): string {
   return Object.entries(fault)
     .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => name === "kind" ? `${value}` : `${name} ${value}`)
+    .map(([name, value]) =>
+      name === "kind" ? `${value}` : `${name} ${JSON.stringify(value)}`
+    )
     .join(", ");
 }
--- a/tools/soak/schedule.ts
+++ b/tools/soak/schedule.ts
@@ -28,6 +28,34 @@
   "closes",
 ];
 
+/** Link between processes, by the index of its far or near end. */
+export type Link =
+  | { readonly kind: "clients"; readonly host: number }
+  | { readonly kind: "store"; readonly host: number }
+  | {
+    readonly kind: "target";
+    readonly group: number;
+    readonly target: number;
+  };
+
+/** What happens to the connections of a link. */
+export type LinkEffect =
+  | "delays"
+  | "resets"
+  | "holds_requests"
+  | "holds_replies"
+  | "holds_both"
+  | "silences";
+
+const LINK_EFFECTS: readonly LinkEffect[] = [
+  "delays",
+  "resets",
+  "holds_requests",
+  "holds_replies",
+  "holds_both",
+  "silences",
+];
+
 /** Fault injected from outside; hosts, groups and targets by index. */
 export type Fault =
   | {
@@ -38,6 +66,13 @@
   }
   | { readonly kind: "reload"; readonly host: number }
   | { readonly kind: "configure" }
+  | { readonly kind: "split"; readonly link: Link; readonly ms: number }
+  | {
+    readonly kind: "link";
+    readonly link: Link;
+    readonly effect: LinkEffect;
+    readonly ms: number;
+  }
   | { readonly kind: "kill"; readonly host: number }
   | { readonly kind: "freeze"; readonly host: number; readonly ms: number }
   | {
@@ -77,6 +112,7 @@
   "stop",
   "reload",
   "configure",
+  "split",
 ];
 const ALL: readonly Fault["kind"][] = [
   "stop",
@@ -89,7 +125,10 @@
   "freeze",
   "target",
   "target",
-  "target",
+  "link",
+  "link",
+  "link",
+  "split",
   "primary_dark",
   "store_down",
   "store_slow",
@@ -148,6 +187,15 @@
       return { kind };
     case "freeze":
       return { kind, host, ms };
+    case "split":
+      return { kind, link: drawLink(plan, draw), ms };
+    case "link":
+      return {
+        kind,
+        link: drawLink(plan, draw),
+        effect: LINK_EFFECTS[draw(LINK_EFFECTS.length)]!,
+        ms,
+      };
     case "target":
       return {
         kind,
@@ -163,3 +211,18 @@
       return { kind, ms };
   }
 }
+
+function drawLink(plan: SoakPlan, draw: (below: number) => number): Link {
+  switch (draw(3)) {
+    case 0:
+      return { kind: "clients", host: draw(plan.hosts) };
+    case 1:
+      return { kind: "store", host: draw(plan.hosts) };
+    default:
+      return {
+        kind: "target",
+        group: draw(plan.groups),
+        target: draw(plan.targetsPerGroup),
+      };
+  }
+}
--- a/tools/soak/stand_in_platform.ts
+++ b/tools/soak/stand_in_platform.ts
@@ -1,7 +1,7 @@
 /** Store, targets and promotion endpoint that a soak's hosts run against. */
 
 import { createServer as createHttpServer, type Server } from "node:http";
-import type { Server as SocketServer, Socket } from "node:net";
+import type { Server as SocketServer } from "node:net";
 import { nowMs } from "../../src/core/clock.ts";
 import { asId, type ObjectKey, type TargetId } from "../../src/core/ids.ts";
 import {
@@ -20,6 +20,7 @@
 import { createStatementServer } from "../../standins/statement_server.ts";
 import { HEARTBEAT_MS, LAPSE_INTERVALS } from "./bounds.ts";
 import type { Promotion } from "./history.ts";
+import { type LinkProxy, startProxy } from "./proxy.ts";
 
 /** How often targets report a change of their role. */
 const REPORT_INTERVAL_MS = 100;
@@ -38,8 +39,8 @@
 export interface SoakGroup {
   readonly service: string;
   readonly group: StatementGroup;
-  /** Cuts all connections of a target. */
-  cutConnections(target: number): void;
+  /** Links of hosts to the targets. */
+  readonly links: readonly LinkProxy[];
 }
 
 /** Platform of a run. */
@@ -59,6 +60,7 @@
   readonly targetsPerGroup: number;
   readonly domains: readonly string[];
   readonly maxConnections: number;
+  readonly draw: (below: number) => number;
 }): Promise<SoakPlatform> {
   const core = createPlatformCore();
   const servers: SocketServer[] = [];
@@ -84,31 +86,19 @@
     })
   );
   const soakGroups = await Promise.all(groups.map(async (group, index) => {
-    const sockets = await Promise.all(
-      group.targets.map(async ({ record }, i) => {
-        const open = new Set<Socket>();
-        const server = createStatementServer(group, record.id);
-        server.on("connection", (socket) => {
-          open.add(socket);
-          socket.on("close", () => open.delete(socket));
-        });
-        const port = await serve(server);
-        reports.push(createReporter({
-          core,
-          group,
-          id: record.id,
-          address: `127.0.0.1:${port}`,
-          domain: options.domains[i % options.domains.length]!,
-        }));
-        return open;
-      }),
-    );
-    return {
-      service: options.services[index]!,
-      group,
-      cutConnections: (target: number) =>
-        sockets[target]!.forEach((socket) => socket.resetAndDestroy()),
-    };
+    const links = await Promise.all(group.targets.map(async ({ record }, i) => {
+      const port = await serve(createStatementServer(group, record.id));
+      const link = await startProxy(port, options.draw);
+      reports.push(createReporter({
+        core,
+        group,
+        id: record.id,
+        address: `127.0.0.1:${link.port}`,
+        domain: options.domains[i % options.domains.length]!,
+      }));
+      return link;
+    }));
+    return { service: options.services[index]!, group, links };
   }));
   const report = () => {
     if (!isStoreDown) {
@@ -136,6 +126,7 @@
     },
     close() {
       clearInterval(timer);
+      soakGroups.forEach(({ links }) => links.forEach((link) => link.close()));
       servers.forEach((server) => server.close());
     },
   };
