--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -15,6 +15,7 @@
 const MS_PER_MINUTE = 60 * MS_PER_SECOND;
 const MIN_GROUPS = 2;
 const TARGETS_PER_GROUP = 3;
+const EXIT_INVALID = 2;
 /** Exit code after a signal that ends the run. */
 const EXIT_INTERRUPTED = 130;
 
@@ -26,6 +27,10 @@
 }
 
 async function main({ seed, minutes, hosts, out }: Args): Promise<void> {
+  if (!Number.isInteger(seed) || !(minutes > 0) || !(hosts >= 1)) {
+    console.error("seed, minutes and hosts must be numbers, the last two > 0");
+    process.exit(EXIT_INVALID);
+  }
   const plan: SoakPlan = {
     seed,
     durationMs: minutes * MS_PER_MINUTE,
