--- a/standins/platform_server.ts
+++ b/standins/platform_server.ts
@@ -9,7 +9,6 @@
   createPlatformCore,
   type PlatformCopy,
   type PlatformCore,
-  type PlatformCoreOptions,
 } from "./platform_core.ts";
 import { createJsonServer, type JsonResponse, readJson } from "./serve.ts";
 
@@ -37,11 +36,10 @@
   return { meta: { name, rev: version }, spec: value };
 }
 
-/** Creates the server of a platform without objects. */
+/** Creates the server of a platform; it has no objects unless `core` has. */
 export function createPlatformServer(
-  options: PlatformCoreOptions = {},
+  core: PlatformCore = createPlatformCore(),
 ): Server {
-  const core = createPlatformCore(options);
   const callCounts = new Map<string, number>();
   let faults: PlatformFaults = {};
   let copy: PlatformCopy = core.takeCopy();
--- a/test/store_era.test.ts
+++ b/test/store_era.test.ts
@@ -94,7 +94,9 @@
 });
 
 test("the store client reads the era of every response", async () => {
-  const server = createPlatformServer({ versionsAreRevisions: true });
+  const server = createPlatformServer(
+    createPlatformCore({ versionsAreRevisions: true }),
+  );
   const url = `http://127.0.0.1:${await listen(server, 0)}`;
   const control = (path: string, body?: unknown) =>
     fetch(`${url}/control/${path}`, {
