Announce that a host leaves until the store accepts it

Callers saw: connections and shares of a host that had stopped left unused for up to 45 s, if the store was away for a moment at the signal, or a heartbeat was under way.

Cause: the announcement was tried once.

Evidence: 'a host announces that it is leaving until the store accepts it' (by the review of the incident) failed before (beat 0 instead of -1).

Fix: it is repeated until it is accepted or the host has stopped.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -1,6 +1,6 @@
 /** Objects that hosts share in the store: hosts, quota shares, leases. */
 
-import { nowMs } from "../core/clock.ts";
+import { nowMs, sleep } from "../core/clock.ts";
 import {
   asId,
   type HostId,
@@ -147,6 +147,7 @@
   let isSendingHeartbeat = false;
   let previousStartAt = -Infinity;
   let isLeaving = false;
+  let isStopped = false;
   let beat = 0;
   let heartbeatAcceptedAt = -Infinity;
   let timer: NodeJS.Timeout | undefined;
@@ -340,20 +341,31 @@
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
-      const version = tryGet(ownKey)?.version;
-      if (version !== undefined) {
-        const value: HostRecord = {
-          incarnation,
-          beat: -1,
-          peers: options.peerAddress,
-          firstEra,
-        };
-        const put = await io.store.put(ownKey, value, { ifVersion: version });
-        io.log.info("host_leaving", { isTold: put.isOk() });
+      const value: HostRecord = {
+        incarnation,
+        beat: -1,
+        peers: options.peerAddress,
+        firstEra,
+      };
+      let isTold = !objects.has(ownKey);
+      while (!isTold && !isStopped) {
+        const put = await io.store.put(ownKey, value, {
+          ifVersion: tryGet(ownKey)?.version ?? 0,
+        });
+        isTold = put.isOk();
+        if (put.isErr() && put.error.kind === "conflict") {
+          // A heartbeat that was under way came first.
+          applyObject(put.error.current);
+        }
+        io.log.info("host_leaving", { isTold });
+        if (!isTold) {
+          await sleep(HEARTBEAT_RETRY_MS);
+        }
       }
     },
     stop() {
       isLeaving = true;
+      isStopped = true;
       clearTimeout(timer);
       feed.stop();
     },
--- a/test/shutdown_gaps.test.ts
+++ b/test/shutdown_gaps.test.ts
@@ -116,6 +116,22 @@
   expect(lease.value).toMatchObject({ holder: "h0", isDone: true });
 });
 
+// Guards against a host that announces once that it is leaving: peers counted it
+// for 45 s after its end when that call met a heartbeat or a failing store.
+test("a host announces that it is leaving until the store accepts it", async () => {
+  await start({ hosts: 2 });
+  fleet.hostsWithoutStore.add("h0");
+  const ends = beginStop(0, () => 1);
+  await vi.advanceTimersByTimeAsync(200);
+  fleet.hostsWithoutStore.delete("h0");
+  while (ends.length === 0) {
+    await vi.advanceTimersByTimeAsync(10);
+  }
+  expect(
+    fleet.store.get(asId<ObjectKey>("turmericchute-fleet/host.h0")).value,
+  ).toMatchObject({ beat: -1 });
+});
+
 // Guards against a commit in the pause before it is sent again when execution
 // ends: the target had refused it, but the client was told that it may have run.
 test("a commit that the target refused before the end of execution is aborted", async () => {
