Leave the connections of a leaving host to it until it has stopped

Callers saw: slower answers in a stop, as other hosts were refused connections by targets (too_many_connections at a dial, then a pause).

Cause: the limit of connections is divided by the hosts that have not left, and a host counts as having left at its signal, seconds before it ends.

Fix: connections are divided by the hosts that may have some: a host that leaves counts for 10 s more.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -31,6 +31,11 @@
  * stops before its peers reclaim the shares.
  */
 const SELF_TIMEOUT_INTERVALS = 3;
+/**
+ * Time for which a host that leaves may still have connections to targets, in
+ * milliseconds; longer than the grace period of a stop.
+ */
+const LEAVING_TIMEOUT_MS = 10_000;
 /** Delay before a failed heartbeat is retried, in milliseconds. */
 const HEARTBEAT_RETRY_MS = 400;
 /**
@@ -88,6 +93,8 @@
   getAgeMs(key: ObjectKey): number;
   /** Number of hosts with an unexpired heartbeat, including this host. */
   countHosts(): number;
+  /** As `countHosts`, with hosts that may still be finishing their stop. */
+  countConnectedHosts(): number;
   /** Other registered hosts whose heartbeat has expired. */
   listExpiredHosts(): readonly HostId[];
   /** Other hosts with an unexpired heartbeat that have not left. */
@@ -305,6 +312,12 @@
     return (objects.get(key)?.value as Partial<HostRecord>)?.beat === -1;
   }
 
+  function isStillStopping(key: ObjectKey): boolean {
+    const observedAt = observed.get(key)?.observedAt ?? -Infinity;
+    return key !== ownKey && hasLeft(key) &&
+      nowMs() - observedAt < LEAVING_TIMEOUT_MS;
+  }
+
   function computePeers(): HostId[] {
     return [...hosts].filter((key) =>
       key !== ownKey && !isHeartbeatExpired(key) && !hasLeft(key)
@@ -325,6 +338,8 @@
     applyObject,
     getAgeMs: (key) => nowMs() - (observed.get(key)?.observedAt ?? -Infinity),
     countHosts: () => listPeers().length + 1,
+    countConnectedHosts: () =>
+      listPeers().length + 1 + [...hosts].filter(isStillStopping).length,
     listPeers,
     listExpiredHosts: () =>
       [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -223,7 +223,7 @@
 
   /** Divides the connection limit of each target by the number of hosts. */
   function updateConnectionCaps(): void {
-    hostCount = fleet.countHosts();
+    hostCount = fleet.countConnectedHosts();
     dispatcher.setConnectionCaps((target) => {
       const maxConnections = catalog.tryGet()?.services.get(target.service)
         ?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
@@ -232,7 +232,7 @@
   }
 
   function updateCapsOnHostCount(): void {
-    if (fleet.countHosts() !== hostCount) {
+    if (fleet.countConnectedHosts() !== hostCount) {
       updateConnectionCaps();
     }
   }
--- a/test/shutdown_gaps.test.ts
+++ b/test/shutdown_gaps.test.ts
@@ -116,6 +116,30 @@
   expect(lease.value).toMatchObject({ holder: "h0", isDone: true });
 });
 
+// Guards against hosts that divide the connections of a leaving host among
+// themselves while it still uses them: targets refused connections.
+test("hosts do not use the connections of a leaving host before it has stopped", async () => {
+  await start({ hosts: 2, maxConnections: 8, group: { maxConnections: 8 } });
+  async function openTransactions(host: number): Promise<void> {
+    for (let i = 0; i < 4; i++) {
+      const session = fleet.openSession("orders", host);
+      await run(session, "BEGIN");
+      await run(session, "READ a");
+    }
+  }
+  await openTransactions(0);
+  await openTransactions(1);
+  const listRefusals = () =>
+    fleet.logLines.filter(({ event, fields }) =>
+      event === "target_dial_failed" && fields.code === "too_many_connections"
+    );
+  expect(listRefusals()).toEqual([]);
+  await fleet.poolers[1]!.leave();
+  await vi.advanceTimersByTimeAsync(500);
+  await run(fleet.openSession("orders", 0), "READ a");
+  expect(listRefusals()).toEqual([]);
+});
+
 // Guards against a host that announces once that it is leaving: peers counted it
 // for 45 s after its end when that call met a heartbeat or a failing store.
 test("a host announces that it is leaving until the store accepts it", async () => {
