--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -584,3 +584,28 @@
   expect(await readAnswers(other, 1)).toBe("DONE -\r\nREADY I -\r\n");
   other.destroy();
 });
+
+// The client asked for the same page again without end.
+test.each([
+  ["no item can be decoded", [{ spec: 1 }]],
+  ["the items are those of the page before", [{ meta: { name: "a", rev: 1 } }]],
+])(
+  "a list ends if a truncated page brings nothing new: %s",
+  async (_name, items) => {
+    let requests = 0;
+    const server = createServer((_req, res) => {
+      requests++;
+      const truncated = requests < 10;
+      res.end(JSON.stringify({ items, truncated, currentRev: 1 }));
+    });
+    const port = await listen(server, 0);
+    closables.push(server);
+    const store = createObjectStore(`http://127.0.0.1:${port}`, {
+      caller: "h",
+    });
+    expect(await store.list("kind/")).toMatchObject({
+      error: { kind: "rejected" },
+    });
+    expect(requests).toBeLessThanOrEqual(2);
+  },
+);
