--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -350,10 +350,19 @@
   });
 }
 
-/** Starts a listener on a real socket; all other time is the paused clock. */
-async function startListener() {
-  const fleet = await startPoolFleet({ group: { workMs: 300 } });
+/** Starts a listener on a real socket, in front of a pool fleet. */
+async function startListener(
+  { clock = "real", workMs = 5 }: {
+    /** Clock after the start; the fleet itself starts on the paused one. */
+    readonly clock?: "real" | "paused";
+    readonly workMs?: number;
+  } = {},
+) {
+  const fleet = await startPoolFleet({ group: { workMs } });
   closables.push({ close: () => fleet.stop() });
+  if (clock === "real") {
+    vi.useRealTimers();
+  }
   const listener = createClientListener(fleet.poolers[0]!, {
     address: "127.0.0.1:0",
     log: { info() {}, request() {} },
@@ -361,7 +370,9 @@
   });
   const port = await listener.listen();
   closables.push(listener);
-  return { listener, openSocket: () => connect({ host: "127.0.0.1", port }) };
+  const openSocket = (allowHalfOpen = false) =>
+    connect({ host: "127.0.0.1", port, allowHalfOpen });
+  return { fleet, listener, openSocket };
 }
 
 /** Collects the lines that a socket receives. */
@@ -381,7 +392,10 @@
 }
 
 test("an overlong message is refused after the answers to those before it", async () => {
-  const { openSocket } = await startListener();
+  const { openSocket } = await startListener({
+    clock: "paused",
+    workMs: 300,
+  });
   const client = openSocket();
   const lines = collectLines(client);
   client.write("START orders key1\r\nQUERY 1 WRITE a 1\r\nQUERY 2 SET a ");
@@ -399,7 +413,10 @@
 // Guards against a session that stays open in a stop, since its client sends one
 // statement after another.
 test("a draining listener ends a session after the answer to its statement", async () => {
-  const { listener, openSocket } = await startListener();
+  const { listener, openSocket } = await startListener({
+    clock: "paused",
+    workMs: 300,
+  });
   const client = openSocket();
   const lines = collectLines(client);
   client.write("START orders key1\r\nQUERY 1 SET a b\r\n");
@@ -419,18 +436,9 @@
 // Guards against connections that are closed with unread input, which resets
 // them: the client may lose the last message.
 test("an ended connection is read for a time before it is closed", async () => {
-  const fleet = await startPoolFleet();
-  closables.push({ close: () => fleet.stop() });
-  vi.useRealTimers();
+  const { listener, openSocket } = await startListener();
   vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout"] });
-  const listener = createClientListener(fleet.poolers[0]!, {
-    address: "127.0.0.1:0",
-    log: { info() {}, request() {} },
-    metrics: createMetrics(),
-  });
-  const port = await listener.listen();
-  closables.push(listener);
-  const client = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
+  const client = openSocket(true);
   client.write("START orders key1\r\n");
   await readAnswers(client, 1);
   const ended = new Promise((resolve) => client.on("end", resolve));
@@ -453,17 +461,8 @@
 // Guards against a statement that crosses the end of its session: without a
 // message before the end its client can't tell that it was not executed.
 test("a client whose key is withdrawn is told before its session ends", async () => {
-  const fleet = await startPoolFleet();
-  vi.useRealTimers();
-  closables.push({ close: () => fleet.stop() });
-  const listener = createClientListener(fleet.poolers[0]!, {
-    address: "127.0.0.1:0",
-    log: { info() {}, request() {} },
-    metrics: createMetrics(),
-  });
-  const port = await listener.listen();
-  closables.push(listener);
-  const client = connect({ host: "127.0.0.1", port });
+  const { fleet, openSocket } = await startListener();
+  const client = openSocket();
   client.write("START orders key1\r\n");
   expect(await readAnswers(client, 1)).toBe("READY I -\r\n");
   fleet.setCatalog({ workspaceByKey: new Map() });
@@ -473,17 +472,7 @@
 });
 
 test("sessions over sockets: pipelined statements, split lines, malformed input, refusals", async () => {
-  const fleet = await startPoolFleet();
-  vi.useRealTimers();
-  closables.push({ close: () => fleet.stop() });
-  const listener = createClientListener(fleet.poolers[0]!, {
-    address: "127.0.0.1:0",
-    log: { info() {}, request() {} },
-    metrics: createMetrics(),
-  });
-  const port = await listener.listen();
-  closables.push(listener);
-  const openSocket = () => connect({ host: "127.0.0.1", port });
+  const { listener, openSocket } = await startListener();
 
   const unknown = openSocket();
   unknown.write("START nothing key1\r\n");
