--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -30,6 +30,7 @@
 } from "./session.ts";
 import { createShareSync } from "./share_sync.ts";
 import { createStoreFeed } from "./store_feed.ts";
+import { isSameProcess } from "./target_pool.ts";
 import type { Catalog, PoolIo, TargetRecord } from "./types.ts";
 
 /**
@@ -84,8 +85,8 @@
   /** Aborts open transactions as soon as none of their statements is at work. */
   abortTransactionsWhenIdle(): void;
   /**
-   * Announces that this host is leaving, so that its shares are released, and
-   * leaves later failovers to other hosts.
+   * Announces that this host is leaving, and leaves later failovers to other
+   * hosts. It keeps its shares of quotas until its heartbeat expires.
    */
   leave(): Promise<void>;
   /** Whether this host is replacing a primary. */
@@ -245,7 +246,7 @@
         dispatcher.removeTarget(id);
         return;
       case "changed":
-        if (isDifferentProcess(target, event.previous)) {
+        if (!isSameProcess(target, event.previous)) {
           dispatcher.removeTarget(id);
         }
         if (target.role !== event.previous.role) {
@@ -344,16 +345,6 @@
   };
 }
 
-/** Whether the records of one id belong to different processes. */
-function isDifferentProcess(
-  target: TargetRecord,
-  previous: TargetRecord,
-): boolean {
-  return target.incarnation !== previous.incarnation ||
-    target.address !== previous.address ||
-    target.service !== previous.service;
-}
-
 /**
  * Polls until `isDone` returns true or `timeoutMs` is over; returns the last
  * result.
