--- a/test/share_returns.test.ts
+++ b/test/share_returns.test.ts
@@ -88,7 +88,7 @@
     }
     expect(exceeded.slice(0, 3)).toEqual([]);
     expect(returns).toBeGreaterThan(3);
-    // The quota is granted again once nothing is disturbed any more.
+    // The quota is granted again once nothing is disrupted any more.
     hosts.forEach(({ state }) => state.demand = 0);
     hosts[0]!.state.demand = FULL_SHARE;
     await vi.advanceTimersByTimeAsync(120_000);
--- a/test/soak_check.test.ts
+++ b/test/soak_check.test.ts
@@ -9,8 +9,8 @@
 } from "../tools/soak/history.ts";
 
 const SERVICE = "ledger";
-const OLD_STOP = { host: "h1", at: 4_000, endedAt: 9_000, isDisturbed: false };
-const STOP = { host: "h1", at: 10_000, endedAt: 15_000, isDisturbed: false };
+const OLD_STOP = { host: "h1", at: 4_000, endedAt: 9_000, isDisrupted: false };
+const STOP = { host: "h1", at: 10_000, endedAt: 15_000, isDisrupted: false };
 
 function createStatement(
   id: string,
@@ -87,7 +87,7 @@
     stops: [],
     reloads: [],
     promotions: [],
-    disturbances: [],
+    disruptions: [],
     stalls: [],
     quotas: [],
     ...parts,
@@ -159,9 +159,9 @@
     .toEqual([]);
   expect(listBroken({ statements, groups, stops: [OLD_STOP] }))
     .toEqual([]);
-  // An unplanned disturbance within the time before the statement.
-  const disturbances = [{ from: 5_000, to: 6_000 }];
-  expect(listBroken({ statements, groups, stops: [STOP], disturbances }))
+  // An unplanned disruption within the time before the statement.
+  const disruptions = [{ from: 5_000, to: 6_000 }];
+  expect(listBroken({ statements, groups, stops: [STOP], disruptions }))
     .toEqual([]);
   // The client gave up, or the statement timeout was reached.
   const abandoned = createStatement("a", { ...CUT, isAbandoned: true });
@@ -365,6 +365,6 @@
   expect(listBroken({ stops: [{ ...STOP, endedAt: 16_000 }] })).toEqual([]);
   // A frozen process can't end.
   expect(
-    listBroken({ stops: [{ ...STOP, endedAt: undefined, isDisturbed: true }] }),
+    listBroken({ stops: [{ ...STOP, endedAt: undefined, isDisrupted: true }] }),
   ).toEqual([]);
 });
--- a/test/soak_schedule.test.ts
+++ b/test/soak_schedule.test.ts
@@ -24,15 +24,15 @@
   expect(plan(1)).not.toEqual(plan(2));
 });
 
-test("stops happen with no disturbance for as long as lost answers need", () => {
+test("stops happen with no disruption for as long as lost answers need", () => {
   for (let seed = 1; seed <= 50; seed++) {
     const faults = plan(seed);
-    const disturbedAt = faults
+    const disruptedAt = faults
       .filter(({ fault }) => !PLANNED.includes(fault.kind))
       .map(({ atMs, fault }) => atMs + ("ms" in fault ? fault.ms : 0));
     const calmStops = faults.filter(({ atMs, fault }) =>
       fault.kind === "stop" &&
-      !disturbedAt.some((at) => at > atMs - STABLE_MS && at < atMs + STABLE_MS)
+      !disruptedAt.some((at) => at > atMs - STABLE_MS && at < atMs + STABLE_MS)
     );
     expect(calmStops.length).toBeGreaterThanOrEqual(2);
   }
--- a/tools/soak/bounds.ts
+++ b/tools/soak/bounds.ts
@@ -4,7 +4,7 @@
 export const GRACE_S = 6;
 /** Time after the last byte of a statement in which its connection may end. */
 export const LOSS_SLACK_MS = 200;
-/** Time without disturbance after which a loss counts. */
+/** Time without disruption after which a loss counts. */
 export const STABLE_MS = 5_000;
 /** Time after the grace until which losses are put down to a stop. */
 export const STOP_TAIL_MS = 1_000;
--- a/tools/soak/checkers.ts
+++ b/tools/soak/checkers.ts
@@ -82,7 +82,7 @@
 export function checkLostAnswers(history: SoakHistory): Violation[] {
   const groups = new Map(history.groups.map((group) => [group.service, group]));
   return history.statements.flatMap((entry) => {
-    if (entry.isComplete || entry.isAbandoned || isDisturbed(history, entry)) {
+    if (entry.isComplete || entry.isAbandoned || isDisrupted(history, entry)) {
       return [];
     }
     const { begun = new Map<string, number>(), runs = [] } =
@@ -122,8 +122,8 @@
   });
 }
 
-function isDisturbed(history: SoakHistory, entry: ClientStatement): boolean {
-  return history.disturbances.some(({ from, to }) =>
+function isDisrupted(history: SoakHistory, entry: ClientStatement): boolean {
+  return history.disruptions.some(({ from, to }) =>
     from <= entry.endedAt && to >= entry.sentAt - STABLE_MS
   );
 }
@@ -499,8 +499,8 @@
 
 /** Hosts that did not end within their grace. */
 export function checkGrace(history: SoakHistory): Violation[] {
-  return history.stops.flatMap(({ host, at, endedAt, isDisturbed }) => {
-    const isLate = !isDisturbed &&
+  return history.stops.flatMap(({ host, at, endedAt, isDisrupted }) => {
+    const isLate = !isDisrupted &&
       (endedAt === undefined ||
         endedAt - at >
           GRACE_MS +
--- a/tools/soak/history.ts
+++ b/tools/soak/history.ts
@@ -59,7 +59,7 @@
   /** When the process had ended; undefined if it had to be killed. */
   readonly endedAt: number | undefined;
   /** Whether another fault hit the process during the stop. */
-  readonly isDisturbed: boolean;
+  readonly isDisrupted: boolean;
 }
 
 /** Order to promote a target, as the platform received it. */
@@ -96,8 +96,8 @@
   readonly stops: readonly Stop[];
   readonly reloads: readonly { readonly host: string; readonly at: number }[];
   readonly promotions: readonly Promotion[];
-  /** Times of unplanned disturbances anywhere. */
-  readonly disturbances: readonly Span[];
+  /** Times of unplanned disruptions anywhere. */
+  readonly disruptions: readonly Span[];
   /** Times in which hosts, or the runner, did not get to run. */
   readonly stalls: readonly HostSpan[];
   readonly quotas: readonly WorkspaceQuota[];
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -104,7 +104,7 @@
   readonly log: WriteStream;
   process: HostProcess;
   /** Stop that has not ended; undefined if there is none. */
-  stop: { isDisturbed: boolean } | undefined;
+  stop: { isDisrupted: boolean } | undefined;
 }
 
 /** Runs a plan; logs and settings of the hosts are written to `directory`. */
@@ -134,7 +134,7 @@
   platform.setConfig(createConfig({ version, routes, plan }));
 
   const statements: ClientStatement[] = [];
-  const disturbances: Span[] = [];
+  const disruptions: Span[] = [];
   const stalls: HostSpan[] = [];
   const stops: Stop[] = [];
   const reloads: { host: string; at: number }[] = [];
@@ -211,11 +211,11 @@
     return started;
   }));
 
-  /** Records a disturbance that lasts until `work` is done. */
+  /** Records a disruption that lasts until `work` is done. */
   async function disturb(work: () => Promise<unknown>): Promise<void> {
-    // Mutable until the end is known: an open disturbance lasts for ever.
+    // Mutable until the end is known: an open disruption lasts for ever.
     const span = { from: nowMs(), to: Infinity };
-    disturbances.push(span);
+    disruptions.push(span);
     await work();
     span.to = nowMs();
   }
@@ -229,7 +229,7 @@
       stopping.child.kill("SIGTERM");
       return;
     }
-    const stop = { host: host.host, at: nowMs(), isDisturbed: false };
+    const stop = { host: host.host, at: nowMs(), isDisrupted: false };
     host.stop = stop;
     stopping.child.kill("SIGTERM");
     if (repeatMs !== undefined) {
@@ -269,7 +269,7 @@
   async function killHost(host: SoakHost): Promise<void> {
     const killed = host.process;
     if (host.stop) {
-      host.stop.isDisturbed = true;
+      host.stop.isDisrupted = true;
     }
     killed.child.kill("SIGKILL");
     await killed.exited;
@@ -333,7 +333,7 @@
         const host = hosts[fault.host]!;
         const { child } = host.process;
         if (host.stop) {
-          host.stop.isDisturbed = true;
+          host.stop.isDisrupted = true;
         }
         return await disturb(async () => {
           child.kill("SIGSTOP");
@@ -432,7 +432,7 @@
       stops,
       reloads,
       promotions: platform.promotions,
-      disturbances,
+      disruptions,
       stalls,
       quotas: QUOTAS,
     },
--- a/tools/soak/schedule.ts
+++ b/tools/soak/schedule.ts
@@ -144,7 +144,7 @@
   const faults: ScheduledFault[] = [];
   let startMs = WARM_UP_MS;
   for (let isPlanned = true;; isPlanned = !isPlanned) {
-    // A disturbance may last for its own time and the start of a host.
+    // A disruption may last for its own time and the start of a host.
     const settleMs = isPlanned ? GRACE_MS : DARK_MS + STABLE_MS;
     if (startMs + EPISODE_MS + GRACE_MS > plan.durationMs) {
       return faults;
