--- a/test/share_returns.test.ts
+++ b/test/share_returns.test.ts
@@ -37,7 +37,7 @@
       returns++;
     }
 
-    function disturb(): void {
+    function disrupt(): void {
       const { state } = hosts[drawBelow(hosts.length)]!;
       const ms = 500 + drawBelow(8_000);
       switch (drawBelow(7)) {
@@ -76,7 +76,7 @@
         copies.splice(0, copies.length - MAX_COPIES);
       }
       if (drawBelow(3) === 0) {
-        disturb();
+        disrupt();
       }
       for (let ms = 0; ms < STEP_MS; ms += 10) {
         await vi.advanceTimersByTimeAsync(10);
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -212,7 +212,7 @@
   }));
 
   /** Records a disruption that lasts until `work` is done. */
-  async function disturb(work: () => Promise<unknown>): Promise<void> {
+  async function disrupt(work: () => Promise<unknown>): Promise<void> {
     // Mutable until the end is known: an open disruption lasts for ever.
     const span = { from: nowMs(), to: Infinity };
     disruptions.push(span);
@@ -263,7 +263,7 @@
       return;
     }
     note(`${host.host} outlives its grace: SIGKILL`);
-    await disturb(() => killHost(host));
+    await disrupt(() => killHost(host));
   }
 
   async function killHost(host: SoakHost): Promise<void> {
@@ -328,14 +328,14 @@
         platform.setConfig(createConfig({ version, routes, plan }));
         return;
       case "kill":
-        return await disturb(() => killHost(hosts[fault.host]!));
+        return await disrupt(() => killHost(hosts[fault.host]!));
       case "freeze": {
         const host = hosts[fault.host]!;
         const { child } = host.process;
         if (host.stop) {
           host.stop.isDisrupted = true;
         }
-        return await disturb(async () => {
+        return await disrupt(async () => {
           child.kill("SIGSTOP");
           await sleep(fault.ms);
           child.kill("SIGCONT");
@@ -350,14 +350,14 @@
         return;
       }
       case "link":
-        return await disturb(() => disturbLink(getLink(fault.link), fault));
+        return await disrupt(() => disruptLink(getLink(fault.link), fault));
       case "target":
-        return await disturb(() => disturbTarget(platform, fault));
+        return await disrupt(() => disruptTarget(platform, fault));
       case "primary_dark":
-        return await disturb(() => darkenPrimary(platform, fault));
+        return await disrupt(() => darkenPrimary(platform, fault));
       case "store_down":
       case "store_slow":
-        return await disturb(async () => {
+        return await disrupt(async () => {
           await platform.setStoreFaults(
             fault.kind === "store_down"
               ? { down: true }
@@ -487,7 +487,7 @@
   };
 }
 
-async function disturbLink(
+async function disruptLink(
   link: LinkProxy,
   { effect, ms }: { readonly effect: LinkEffect; readonly ms: number },
 ): Promise<void> {
@@ -522,7 +522,7 @@
   link.refresh();
 }
 
-async function disturbTarget(
+async function disruptTarget(
   platform: SoakPlatform,
   fault: Extract<Fault, { kind: "target" }>,
 ): Promise<void> {
