--- a/src/host/caller_server.ts
+++ b/src/host/caller_server.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
-import { nowMs, sleep, withTimeout } from "../core/clock.ts";
+import { nowMs, waitUntil, withTimeout } from "../core/clock.ts";
 import type { Host } from "../core/host.ts";
 import type { Settings } from "../generated/settings.ts";
 import { type CallerHttpRequest, serveCallerHttp } from "./caller_http.ts";
@@ -18,7 +18,6 @@
 const REQUEST_TIMEOUT_MS = 10_000;
 /** Time between announcing a drain to callers and closing connections. */
 const DRAIN_NOTICE_MS = 500;
-const IDLE_POLL_INTERVAL_MS = 20;
 /**
  * Time after the end of a drain for callers to receive what the system still
  * buffers and to end their connections.
@@ -119,16 +118,6 @@
       [...sockets].every((s) => s.isIdle());
   }
 
-  /** Waits until `condition` holds or the deadline has passed. */
-  async function waitUntil(
-    condition: () => boolean,
-    deadline: number,
-  ): Promise<void> {
-    while (!condition() && nowMs() < deadline) {
-      await sleep(IDLE_POLL_INTERVAL_MS);
-    }
-  }
-
   function close(): void {
     tls?.stop();
     wss.clients.forEach((client) => client.terminate());
@@ -150,13 +139,13 @@
       const isAborted = () => signal?.aborted === true;
       isDraining = true;
       sockets.forEach((socket) => socket.drain());
-      await waitUntil(isAborted, nowMs() + noticeMs);
-      await waitUntil(() => isAborted() || isIdle(), deadline);
+      await waitUntil(isAborted, noticeMs);
+      await waitUntil(() => isAborted() || isIdle(), deadline - nowMs());
       isClosing = true;
       sockets.forEach((socket) => socket.close());
       listHttpRequests().forEach((request) => request.abandon());
       const closeDeadline = nowMs() + CLOSE_TIMEOUT_MS;
-      await waitUntil(() => listHttpRequests().length === 0, closeDeadline);
+      await waitUntil(() => listHttpRequests().length === 0, CLOSE_TIMEOUT_MS);
       // Not earlier: the server destroys a connection as idle once its answer
       // is complete, even if the answer is still buffered.
       const ended = new Promise<void>((resolve) => {
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -1,6 +1,5 @@
 /** Assembles a session pool from its components. */
 
-import { nowMs, sleep } from "../core/clock.ts";
 import { assertNever } from "../core/errors.ts";
 import type { DomainId, HostId, ServiceId } from "../core/ids.ts";
 import type { Result } from "ts-results-es";
@@ -344,18 +343,3 @@
     },
   };
 }
-
-/**
- * Polls until `isDone` returns true or `timeoutMs` is over; returns the last
- * result.
- */
-export async function waitUntil(
-  isDone: () => boolean,
-  timeoutMs: number,
-): Promise<boolean> {
-  const deadline = nowMs() + timeoutMs;
-  while (!isDone() && nowMs() < deadline) {
-    await sleep(20);
-  }
-  return isDone();
-}
--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -4,8 +4,8 @@
  * answers.
  */
 
-import { nowMs, sleep } from "../core/clock.ts";
-import { type Pooler, waitUntil } from "./pooler.ts";
+import { nowMs, sleep, waitUntil } from "../core/clock.ts";
+import type { Pooler } from "./pooler.ts";
 import type { LogFields, PoolLog } from "./types.ts";
 
 /**
