--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -41,11 +41,23 @@
   /** The order was refused, or the target did not become primary in time. */
   | "not_promoted";
 
+/** A claim of the failover lease, and why it was made. */
+export interface FailoverClaim {
+  readonly cause: FailoverCause;
+  readonly lease: FailoverLease;
+}
+
+/** Result of a claim with the lease to be stored for it. */
+interface ResolvedClaim {
+  readonly result: FailoverResult;
+  readonly lease: FailoverLease;
+}
+
 /** Procedure that replaces the primary of a service. */
 export interface FailoverProcedure {
   run(
     service: ServiceId,
-    claim: { readonly cause: FailoverCause; readonly lease: FailoverLease },
+    claim: FailoverClaim,
   ): Promise<FailoverResult>;
 }
 
@@ -265,10 +277,8 @@
 
   async function replacePrimary(
     service: ServiceId,
-    claim: { readonly cause: FailoverCause; readonly lease: FailoverLease },
-  ): Promise<
-    { readonly result: FailoverResult; readonly lease: FailoverLease }
-  > {
+    claim: FailoverClaim,
+  ): Promise<ResolvedClaim> {
     const { cause, lease } = claim;
     const oldPrimary = ctx.primaries.tryPrimary(service);
     const term = ctx.primaries.getTerm(service) + 1;
@@ -334,10 +344,8 @@
   /** Replaces the primary, unless a usable primary answers. */
   async function resolveClaim(
     service: ServiceId,
-    claim: { readonly cause: FailoverCause; readonly lease: FailoverLease },
-  ): Promise<
-    { readonly result: FailoverResult; readonly lease: FailoverLease }
-  > {
+    claim: FailoverClaim,
+  ): Promise<ResolvedClaim> {
     const { cause, lease } = claim;
     if (lease.openTarget !== undefined) {
       return await hasOpenTargetTakenOver(service, lease)
