Encode the platform's objects for the stand-ins in one place

The soak and the tests with processes each wrote configurations and registrations in the platform's own names. They now hold the project's types, and standins/wire_objects.ts is the inverse of the decoders in platform/.

--- a/test/pool_process.ts
+++ b/test/pool_process.ts
@@ -7,7 +7,14 @@
 import { createServer, type Server } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { asId, type TargetId } from "../src/core/ids.ts";
+import {
+  asId,
+  type DatabaseName,
+  type ServiceId,
+  type TargetId,
+  type WorkspaceId,
+} from "../src/core/ids.ts";
+import type { Catalog, Consistency, Route } from "../src/pooling/types.ts";
 import { createPlatformCore } from "../standins/platform_core.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
@@ -17,6 +24,7 @@
   type StatementGroup,
 } from "../standins/statement_group.ts";
 import { createStatementServer } from "../standins/statement_server.ts";
+import { encodeCatalog, encodeTarget } from "../standins/wire_objects.ts";
 import {
   buildHost,
   reservePorts,
@@ -29,7 +37,8 @@
   type LineClient,
 } from "../tools/soak/line_client.ts";
 
-const SERVICE = "ledger";
+const SERVICE = asId<ServiceId>("ledger");
+const WORKSPACE = asId<WorkspaceId>("w1");
 const KEY = "key-1";
 
 /** Process of a pool host with its stand-ins. */
@@ -56,7 +65,7 @@
   } = {},
 ): Promise<PoolProcess> {
   const group = createStatementGroup({
-    service: asId(SERVICE),
+    service: SERVICE,
     ids: ["t1", "t2", "t3"],
     maxConnections: 60,
     ...options.group,
@@ -77,20 +86,13 @@
       method: "POST",
       body: JSON.stringify({ meta: { name }, spec }),
     });
-  await put("config", "main", CATALOG);
+  await put("config", "main", encodeCatalog(CATALOG));
   for (const { record } of group.targets) {
     const server = createStatementServer(group, record.id as TargetId);
     servers.push(server);
     const port = await listen(server, 0);
-    await put("servers", record.id, {
-      service: record.service,
-      addr: `127.0.0.1:${port}`,
-      zone: record.domain,
-      slots: record.slots,
-      state: "ready",
-      dbRole: record.role,
-      born: record.incarnation,
-    });
+    const address = `127.0.0.1:${port}`;
+    await put("servers", record.id, encodeTarget({ ...record, address }));
   }
   const reserved = await reservePorts(1);
   const ports = reserved.hosts[0]!;
@@ -133,32 +135,38 @@
   };
 }
 
-const CATALOG = {
+const CATALOG: Catalog = {
   version: 1,
-  routes: [
-    {
-      host: "orders",
-      service: SERVICE,
-      type: "primary",
-      timeoutMs: 3_000,
-      sloMs: 2_000,
-      prio: 0,
-    },
-    {
-      host: "reports",
-      service: SERVICE,
-      type: "bounded_staleness",
-      maxStaleMs: 1_500,
-      timeoutMs: 3_000,
-      sloMs: 2_000,
-      prio: 1,
-    },
-  ],
-  services: [{ name: SERVICE, maxConns: 60, syncReplicas: 1 }],
-  limits: { txIdleMs: 30_000 },
-  tenants: [{ name: "w1", apiKeys: [KEY], ratePerS: 10_000, burst: 10_000 }],
+  routes: new Map([
+    createRoute("orders", { kind: "primary" }),
+    createRoute("reports", { kind: "bounded", maxStaleMs: 1_500 }),
+  ]),
+  services: new Map([[SERVICE, {
+    service: SERVICE,
+    maxConnections: 60,
+    syncReplicas: 1,
+  }]]),
+  quotas: new Map([[WORKSPACE, { ratePerS: 10_000, burst: 10_000 }]]),
+  workspaceByKey: new Map([[KEY, WORKSPACE]]),
+  transactionIdleMs: 30_000,
 };
 
+function createRoute(
+  name: string,
+  consistency: Consistency,
+): [DatabaseName, Route] {
+  const database = asId<DatabaseName>(name);
+  return [database, {
+    database,
+    service: SERVICE,
+    consistency,
+    statementTimeoutMs: 3_000,
+    objectiveMs: 2_000,
+    priority: consistency.kind === "primary" ? 0 : 1,
+    isPublic: false,
+  }];
+}
+
 /** Passes each complete line of a stream of chunks to `onLine`. */
 function createLineSplitter(
   onLine: (line: string) => void,
--- a/test/soak_check.test.ts
+++ b/test/soak_check.test.ts
@@ -245,12 +245,12 @@
     const groups = [createGroup([createRun(write), old], log)];
     return listBroken({ statements: [write, read], groups });
   };
-  const route = "bounded_staleness";
+  const route = "bounded";
   expect(list({ sentAt: 11_011, endedAt: 11_020 })).toEqual(["STALE r"]);
   expect(list({ sentAt: 11_009, endedAt: 11_020 })).toEqual([]);
   expect(list({ route, sentAt: 12_511, endedAt: 12_520 })).toEqual(["STALE r"]);
   expect(list({ route, sentAt: 12_509, endedAt: 12_520 })).toEqual([]);
-  const own = "read_your_writes";
+  const own = "session";
   expect(list({ route: own, sentAt: 11_011, endedAt: 11_020 }))
     .toEqual(["STALE r"]);
   expect(list({ route: own, session: "s2", sentAt: 11_011, endedAt: 11_020 }))
--- a/test/standins.test.ts
+++ b/test/standins.test.ts
@@ -6,6 +6,10 @@
 import { createPlatformCore } from "../standins/platform_core.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
+import { encodeCatalog, encodeTarget } from "../standins/wire_objects.ts";
+import { tryDecodeCatalog } from "../platform/decode_catalog.ts";
+import { tryDecodeTarget } from "../platform/decode_target.ts";
+import type { Catalog, TargetRecord } from "../src/pooling/types.ts";
 
 test("a target counts only the frames that contain a caller's key", () => {
   const node = createTargetNode({
@@ -80,3 +84,50 @@
     server.close();
   }
 });
+
+test("what the stand-ins write to the store is decoded to the same", () => {
+  const target: TargetRecord = {
+    id: asId("t1"),
+    incarnation: 7,
+    service: asId("s"),
+    address: "127.0.0.1:80",
+    domain: asId("d"),
+    slots: 3,
+    isDraining: true,
+    role: "replica",
+  };
+  expect(tryDecodeTarget({
+    key: asId("servers/t1"),
+    version: 1,
+    value: encodeTarget(target),
+  })).toEqual(target);
+  const consistencies = [
+    { kind: "primary" },
+    { kind: "bounded", maxStaleMs: 1_500 },
+    { kind: "session", maxStaleMs: 2_500 },
+  ] as const;
+  const catalog: Catalog = {
+    version: 4,
+    routes: new Map(consistencies.map((consistency, priority) => {
+      const route = {
+        database: asId<never>(`db-${consistency.kind}`),
+        service: asId<never>("s"),
+        consistency,
+        statementTimeoutMs: 900,
+        objectiveMs: 800,
+        priority,
+        isPublic: priority === 1,
+      };
+      return [route.database, route];
+    })),
+    services: new Map([[asId("s"), {
+      service: asId("s"),
+      maxConnections: 6,
+      syncReplicas: 1,
+    }]]),
+    quotas: new Map([[asId("w"), { ratePerS: 5, burst: 8 }]]),
+    workspaceByKey: new Map([["k1", asId("w")], ["k2", asId("w")]]),
+    transactionIdleMs: 1_200,
+  };
+  expect(tryDecodeCatalog(encodeCatalog(catalog))).toEqual(catalog);
+});
--- a/tools/soak/checkers.ts
+++ b/tools/soak/checkers.ts
@@ -259,7 +259,7 @@
       const startedAt = beginTimes.get(read.operation) ?? read.sentAt;
       const staleMs = read.route === "primary" ? 0 : MAX_STALE_MS;
       const general = getFloor(startedAt - staleMs);
-      const own = read.route === "read_your_writes"
+      const own = read.route === "session"
         ? floorBySession.get(read.session)?.(startedAt) ?? ORIGIN
         : ORIGIN;
       const floor = maxPosition(general, own);
--- a/tools/soak/history.ts
+++ b/tools/soak/history.ts
@@ -1,9 +1,10 @@
 /** What clients, targets and the platform saw in a run. */
 
+import type { Consistency } from "../../src/pooling/types.ts";
 import type { LogEntry, StatementRun } from "../../standins/statement_group.ts";
 
 /** Consistency of the reads on a route. */
-export type RouteType = "primary" | "bounded_staleness" | "read_your_writes";
+export type RouteType = Consistency["kind"];
 
 /** What a statement asks for. */
 export type StatementKind =
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -7,6 +7,13 @@
 import { mersenne } from "pure-rand/generator/mersenne";
 import { nowMs, sleep } from "../../src/core/clock.ts";
 import { assertNever } from "../../src/core/errors.ts";
+import {
+  asId,
+  type DatabaseName,
+  type ServiceId,
+  type WorkspaceId,
+} from "../../src/core/ids.ts";
+import type { Catalog, Route } from "../../src/pooling/types.ts";
 import { createBalancer } from "./balancer.ts";
 import {
   GRACE_S,
@@ -131,7 +138,7 @@
     draw,
   });
   let version = 1;
-  platform.setConfig(createConfig({ version, routes, plan }));
+  platform.setCatalog(createCatalog({ version, routes, plan }));
 
   const statements: ClientStatement[] = [];
   const disruptions: Span[] = [];
@@ -325,7 +332,7 @@
       }
       case "configure":
         version += 1 + version % 3;
-        platform.setConfig(createConfig({ version, routes, plan }));
+        platform.setCatalog(createCatalog({ version, routes, plan }));
         return;
       case "kill":
         return await disrupt(() => killHost(hosts[fault.host]!));
@@ -442,48 +449,56 @@
 function listRoutes(service: string): ClientRoute[] {
   return [
     { database: `${service}-p`, service, type: "primary" },
-    { database: `${service}-b`, service, type: "bounded_staleness" },
-    { database: `${service}-r`, service, type: "read_your_writes" },
+    { database: `${service}-b`, service, type: "bounded" },
+    { database: `${service}-r`, service, type: "session" },
   ];
 }
 
-function createConfig(options: {
+/** Creates a configuration; each version has another latency objective. */
+function createCatalog(options: {
   readonly version: number;
   readonly routes: readonly ClientRoute[];
   readonly plan: SoakPlan;
-}): unknown {
+}): Catalog {
   const { version, routes, plan } = options;
-  const extra = {
+  const extra: ClientRoute = {
     database: `extra-${version}`,
     service: routes[0]!.service,
     type: "primary",
   };
   return {
     version,
-    routes: [...routes, extra].map(({ database, service, type }, i) => ({
-      host: database,
-      service,
-      type,
-      maxStaleMs: MAX_STALE_MS,
-      timeoutMs: STATEMENT_TIMEOUT_MS,
-      // Differs between versions.
-      sloMs: MS_PER_SECOND + version,
-      prio: i % 3,
-    })),
-    services: [...new Set(routes.map(({ service }) => service))].map((
-      name,
-    ) => ({
-      name,
-      maxConns: CONNECTIONS_PER_HOST * plan.hosts,
-      syncReplicas: 1,
-    })),
-    limits: { txIdleMs: TRANSACTION_IDLE_MS },
-    tenants: QUOTAS.map(({ workspace, key, ratePerS, burst }) => ({
-      name: workspace,
-      apiKeys: [key],
-      ratePerS,
-      burst,
-    })),
+    routes: new Map(
+      [...routes, extra].map(({ database, service, type }, i) => {
+        const route: Route = {
+          database: asId<DatabaseName>(database),
+          service: asId<ServiceId>(service),
+          consistency: { kind: type, maxStaleMs: MAX_STALE_MS },
+          statementTimeoutMs: STATEMENT_TIMEOUT_MS,
+          objectiveMs: MS_PER_SECOND + version,
+          priority: i % 3,
+          isPublic: false,
+        };
+        return [route.database, route];
+      }),
+    ),
+    services: new Map(
+      routes.map(({ service }) => [asId<ServiceId>(service), {
+        service: asId<ServiceId>(service),
+        maxConnections: CONNECTIONS_PER_HOST * plan.hosts,
+        syncReplicas: 1,
+      }]),
+    ),
+    quotas: new Map(
+      QUOTAS.map(({ workspace, ratePerS, burst }) => [
+        asId<WorkspaceId>(workspace),
+        { ratePerS, burst },
+      ]),
+    ),
+    workspaceByKey: new Map(
+      QUOTAS.map(({ workspace, key }) => [key, asId<WorkspaceId>(workspace)]),
+    ),
+    transactionIdleMs: TRANSACTION_IDLE_MS,
   };
 }
 
--- a/tools/soak/stand_in_platform.ts
+++ b/tools/soak/stand_in_platform.ts
@@ -2,8 +2,16 @@
 
 import { createServer as createHttpServer, type Server } from "node:http";
 import type { Server as SocketServer } from "node:net";
+import { CATALOG_KEY } from "../../platform/decode_catalog.ts";
+import { TARGET_KIND } from "../../platform/decode_target.ts";
 import { nowMs } from "../../src/core/clock.ts";
-import { asId, type ObjectKey, type TargetId } from "../../src/core/ids.ts";
+import {
+  asId,
+  type DomainId,
+  type ObjectKey,
+  type TargetId,
+} from "../../src/core/ids.ts";
+import type { Catalog } from "../../src/pooling/types.ts";
 import {
   createPlatformCore,
   type PlatformCore,
@@ -18,6 +26,7 @@
   type StatementGroup,
 } from "../../standins/statement_group.ts";
 import { createStatementServer } from "../../standins/statement_server.ts";
+import { encodeCatalog, encodeTarget } from "../../standins/wire_objects.ts";
 import { HEARTBEAT_MS, LAPSE_INTERVALS } from "./bounds.ts";
 import type { Promotion } from "./history.ts";
 import { type LinkProxy, startProxy } from "./proxy.ts";
@@ -26,7 +35,6 @@
 const REPORT_INTERVAL_MS = 100;
 const WORK_MS = 5;
 const SLOW_WORK_MS = 400;
-const CONFIG_KEY = asId<ObjectKey>("config/main");
 
 /** Items with this prefix take a target long to read or write. */
 export const SLOW_ITEM = "slow";
@@ -49,7 +57,7 @@
   readonly storePort: number;
   readonly ordersPort: number;
   readonly promotions: readonly Promotion[];
-  setConfig(config: unknown): void;
+  setCatalog(catalog: Catalog): void;
   setStoreFaults(faults: PlatformFaults): Promise<void>;
   close(): void;
 }
@@ -114,8 +122,8 @@
     storePort,
     ordersPort,
     promotions,
-    setConfig(config) {
-      put(core, { key: CONFIG_KEY, value: config });
+    setCatalog(catalog) {
+      put(core, { key: asId(CATALOG_KEY), value: encodeCatalog(catalog) });
     },
     async setStoreFaults(faults) {
       isStoreDown = faults.down === true;
@@ -148,7 +156,7 @@
   readonly domain: string;
 }): () => void {
   const { core, group, id, address, domain } = options;
-  const key = asId<ObjectKey>(`servers/${id}`);
+  const key = asId<ObjectKey>(TARGET_KIND + id);
   const target = group.targets.find(({ record }) => record.id === id)!;
   let reportedAt = nowMs();
   return () => {
@@ -161,15 +169,12 @@
       return;
     }
     reportedAt = nowMs();
-    const entry = {
-      service: target.record.service,
-      addr: address,
-      zone: domain,
-      slots: target.record.slots,
-      state: "ready",
-      dbRole: target.role,
-      born: target.record.incarnation,
-    };
+    const entry = encodeTarget({
+      ...target.record,
+      address,
+      domain: asId<DomainId>(domain),
+      role: target.role,
+    });
     if (JSON.stringify(current.value) !== JSON.stringify(entry)) {
       put(core, { key, value: entry });
     }
