--- a/src/core/store_era.ts
+++ b/src/core/store_era.ts
@@ -75,3 +75,8 @@
     },
   };
 }
+
+/** Returns the era of the last response; 0 if the store has no eras. */
+export function getEra(store: Pick<PlatformStore, "eras">): number {
+  return store.eras?.tryGet() ?? 0;
+}
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -2,7 +2,7 @@
 
 import { nowMs, sleep } from "../core/clock.ts";
 import type { HostId, ServiceId } from "../core/ids.ts";
-import type { Stoppable } from "../core/types.ts";
+import { getEra } from "../core/store_era.ts";
 import {
   type FailoverCause,
   type FailoverLease,
@@ -62,10 +62,10 @@
 }
 
 /** Monitor that replaces failed or leaving primaries. */
-export interface FailoverMonitor extends Stoppable {
+export interface FailoverMonitor {
   start(): void;
   /** Starts no failover from now on; the current ones go on. */
-  drain(): void;
+  stop(): void;
   /** Whether this host performs a failover. */
   isActive(): boolean;
 }
@@ -76,6 +76,7 @@
   options: { readonly self: HostId; readonly fleet: Fleet },
 ): FailoverMonitor {
   const { self, fleet } = options;
+  const { store } = ctx.io;
   const activeServices = new Set<ServiceId>();
   const promotedAt = new Map<ServiceId, number>();
   /** Largest number of ready targets seen: the number of copies of the log. */
@@ -103,7 +104,7 @@
       recordLease(service, lease);
     }
   });
-  ctx.io.store.eras?.onRise(() => {
+  store.eras?.onRise(() => {
     eraRoseAt = nowMs();
     for (const [service, { fencingToken }] of claims) {
       ctx.io.log.info("lease_given_up", { service, fencingToken });
@@ -112,10 +113,6 @@
     claims.clear();
   });
 
-  function getEra(): number {
-    return ctx.io.store.eras?.tryGet() ?? 0;
-  }
-
   /** Records a lease, unless it is older than one that this host has seen. */
   function recordLease(service: ServiceId, lease: FailoverLease): void {
     const newest = newestLeases.get(service);
@@ -123,7 +120,7 @@
     // another host has written back lacks what only the holder knows.
     const isNewer = !newest || lease.fencingToken > newest.fencingToken ||
       (lease.fencingToken === newest.fencingToken &&
-        lease.era === getEra() &&
+        lease.era === getEra(store) &&
         (newest.holder !== self || !isWaitingAfterReturn()));
     if (isNewer) {
       newestLeases.set(service, lease);
@@ -153,7 +150,8 @@
     const isLost = (stored?.fencingToken ?? 0) < newest.fencingToken
       ? isHolder || newest.openTarget !== undefined
       : stored?.fencingToken === newest.fencingToken && isHolder &&
-        (stored.openTarget !== newest.openTarget || stored.era !== getEra());
+        (stored.openTarget !== newest.openTarget ||
+          stored.era !== getEra(store));
     const delayMs = isHolder ? 0 : WRITE_BACK_DELAY_MS;
     if (isLost && !writingBack.has(service) && nowMs() - eraRoseAt >= delayMs) {
       writingBack.add(service);
@@ -257,7 +255,7 @@
     const claimed: FailoverLease = {
       holder: self,
       fencingToken: previous?.fencingToken ?? 0,
-      era: getEra(),
+      era: getEra(store),
       isDone: false,
       ...(previous?.openTarget === undefined
         ? {}
@@ -268,7 +266,7 @@
       ctx.io.log.info("failover_not_claimed", { service, cause });
       return undefined;
     }
-    const fencingToken = getFencingToken(version, getEra());
+    const fencingToken = getFencingToken(version, getEra(store));
     claims.set(service, { fencingToken, version });
     return { ...claimed, fencingToken };
   }
@@ -283,8 +281,8 @@
     ifVersion: number,
   ): Promise<number | undefined> {
     const key = getFailoverLeaseKey(service);
-    const value: FailoverLease = { ...lease, era: getEra() };
-    const res = await ctx.io.store.put(key, value, { ifVersion });
+    const value: FailoverLease = { ...lease, era: getEra(store) };
+    const res = await store.put(key, value, { ifVersion });
     if (res.isOk()) {
       fleet.applyObject(res.value);
       return res.value.version;
@@ -376,7 +374,6 @@
       lastCheckAt = nowMs();
       timer = setInterval(checkServices, CHECK_INTERVAL_MS);
     },
-    drain: () => clearInterval(timer),
     isActive: () => activeServices.size > 0,
     stop: () => clearInterval(timer),
   };
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -7,6 +7,7 @@
   type ObjectKey,
   type ServiceId,
 } from "../core/ids.ts";
+import { getEra } from "../core/store_era.ts";
 import type { Stoppable, StoredObject } from "../core/types.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
@@ -181,7 +182,7 @@
         listed.forEach(applyObject);
         if (!hasStarted) {
           hasStarted = true;
-          firstEra = getEra();
+          firstEra = getEra(io.store);
           const record = objects.get(ownKey)?.value as Partial<HostRecord>;
           previousStartAt = record?.incarnation ?? -Infinity;
         }
@@ -233,14 +234,11 @@
     listeners.forEach((listener) => listener(key));
   }
 
-  function getEra(): number {
-    return io.store.eras?.tryGet() ?? 0;
-  }
-
   function hasStoreReturned(): boolean {
-    return firstEra !== getEra() || [...hosts].some((key) => {
+    return firstEra !== getEra(io.store) || [...hosts].some((key) => {
       const record = objects.get(key)?.value as Partial<HostRecord>;
-      return record?.firstEra !== undefined && record.firstEra !== getEra();
+      return record?.firstEra !== undefined &&
+        record.firstEra !== getEra(io.store);
     });
   }
 
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -322,7 +322,7 @@
       abortIdleTransactions();
     },
     leave() {
-      failover.drain();
+      failover.stop();
       return fleet.leave();
     },
     isReplacingPrimary: failover.isActive,
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -2,6 +2,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { HostId, WorkspaceId } from "../core/ids.ts";
+import { getEra } from "../core/store_era.ts";
 import type { Stoppable, StoredObject } from "../core/types.ts";
 import type { ClockJumpDetector } from "./clock_jumps.ts";
 import { type Fleet, LEDGER_KEY } from "./fleet.ts";
@@ -105,10 +106,6 @@
     return lastLedger.ledger;
   }
 
-  function getEra(): number {
-    return io.store.eras?.tryGet() ?? 0;
-  }
-
   /** Whether the store, as far as this host knows, once had a ledger. */
   function isLedgerKnown(): boolean {
     getLedger();
@@ -121,14 +118,14 @@
    * they moved to.
    */
   function isLedgerCurrent(): boolean {
-    return !isLedgerKnown() || getLedger().era === getEra();
+    return !isLedgerKnown() || getLedger().era === getEra(io.store);
   }
 
   function limitShares(): void {
     shareLimits = new Map(usedShares);
     limitedAt = nowMs();
     io.log.info("shares_limited", {
-      era: getEra(),
+      era: getEra(io.store),
       ledgerEra: getLedger().era,
       sum: [...usedShares.values()].reduce((sum, share) => sum + share, 0),
     });
@@ -142,7 +139,7 @@
       }
     } else if (shareLimits) {
       shareLimits = undefined;
-      io.log.info("shares_unlimited", { era: getEra() });
+      io.log.info("shares_unlimited", { era: getEra(io.store) });
     }
   }
 
@@ -239,7 +236,7 @@
       await putLedger(ledger);
       return;
     }
-    const era = getEra();
+    const era = getEra(io.store);
     if (
       !isLedgerCurrent() && nowMs() - limitedAt <= fleet.getOwnTimeoutMs()
     ) {
