--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -83,6 +83,21 @@
   readonly observedAt: number;
 }
 
+/** Other hosts, as computed from the heartbeats. */
+interface Peers {
+  readonly computedAt: number;
+  /** Hosts with an unexpired heartbeat that have not left. */
+  readonly hosts: readonly HostId[];
+  /** Number of hosts that have left and may still be finishing their stop. */
+  readonly stoppingCount: number;
+}
+
+const NO_PEERS: Peers = {
+  computedAt: -Infinity,
+  hosts: [],
+  stoppingCount: 0,
+};
+
 /** Local copy of the objects that hosts share in the store. */
 export interface Fleet extends Stoppable {
   start(): void;
@@ -144,10 +159,7 @@
   const hosts = new Set<ObjectKey>();
   /** Keys of objects whose version is of an older era of the store. */
   const outdated = new Set<ObjectKey>();
-  let cachedPeers: {
-    readonly computedAt: number;
-    readonly hosts: readonly HostId[];
-  } = { computedAt: -Infinity, hosts: [] };
+  let cachedPeers = NO_PEERS;
   const listeners = new Set<(key: ObjectKey) => void>();
   let hasStarted = false;
   let firstEra = 0;
@@ -228,7 +240,7 @@
       } else {
         hosts.add(key);
       }
-      cachedPeers = { computedAt: -Infinity, hosts: [] };
+      cachedPeers = NO_PEERS;
       io.peers.setAddresses(listAddresses());
     }
     listeners.forEach((listener) => listener(key));
@@ -316,18 +328,23 @@
       nowMs() - observedAt < LEAVING_TIMEOUT_MS;
   }
 
-  function computePeers(): HostId[] {
-    return [...hosts].filter((key) =>
+  function computePeers(): Peers {
+    const running = [...hosts].filter((key) =>
       key !== ownKey && !isHeartbeatExpired(key) && !hasLeft(key)
-    ).map((key) => asId<HostId>(key.slice(HOST_PREFIX.length)));
+    );
+    return {
+      computedAt: nowMs(),
+      hosts: running.map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
+      stoppingCount: [...hosts].filter(isStillStopping).length,
+    };
   }
 
-  /** Returns the same array until the cached list expires. */
-  function listPeers(): readonly HostId[] {
+  /** Returns the same object until the cached one expires. */
+  function getPeers(): Peers {
     if (nowMs() - cachedPeers.computedAt > PEER_LIST_TTL_MS) {
-      cachedPeers = { computedAt: nowMs(), hosts: computePeers() };
+      cachedPeers = computePeers();
     }
-    return cachedPeers.hosts;
+    return cachedPeers;
   }
 
   return {
@@ -335,10 +352,10 @@
     tryGet,
     applyObject,
     getAgeMs: (key) => nowMs() - (observed.get(key)?.observedAt ?? -Infinity),
-    countHosts: () => listPeers().length + 1,
+    countHosts: () => getPeers().hosts.length + 1,
     countConnectedHosts: () =>
-      listPeers().length + 1 + [...hosts].filter(isStillStopping).length,
-    listPeers,
+      getPeers().hosts.length + 1 + getPeers().stoppingCount,
+    listPeers: () => getPeers().hosts,
     listExpiredHosts: () =>
       [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
