--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -324,19 +324,23 @@
 
   function isStillStopping(key: ObjectKey): boolean {
     const observedAt = observed.get(key)?.observedAt ?? -Infinity;
-    return key !== ownKey && hasLeft(key) &&
-      nowMs() - observedAt < LEAVING_TIMEOUT_MS;
+    return nowMs() - observedAt < LEAVING_TIMEOUT_MS;
   }
 
   function computePeers(): Peers {
-    const running = [...hosts].filter((key) =>
-      key !== ownKey && !isHeartbeatExpired(key) && !hasLeft(key)
-    );
-    return {
-      computedAt: nowMs(),
-      hosts: running.map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
-      stoppingCount: [...hosts].filter(isStillStopping).length,
-    };
+    const running: HostId[] = [];
+    let stoppingCount = 0;
+    for (const key of hosts) {
+      if (key === ownKey) {
+        continue;
+      }
+      if (hasLeft(key)) {
+        stoppingCount += isStillStopping(key) ? 1 : 0;
+      } else if (!isHeartbeatExpired(key)) {
+        running.push(asId<HostId>(key.slice(HOST_PREFIX.length)));
+      }
+    }
+    return { computedAt: nowMs(), hosts: running, stoppingCount };
   }
 
   /** Returns the same object until the cached one expires. */
