--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -333,6 +333,16 @@
   throw new Error(`statement not answered: ${text}`);
 }
 
+/** Executes a statement without waiting; the list gets its outcome. */
+export function begin(session: Session, text: string): string[] {
+  const outcomes: string[] = [];
+  const statement = tryDecodeStatement(text) as Statement;
+  void session.execute(asId("r1"), statement).then((answer) =>
+    outcomes.push(getOutcome(answer))
+  );
+  return outcomes;
+}
+
 /** Returns `done` or the error kind of an answer. */
 export function getOutcome(answer: StatementAnswer): string {
   return answer.kind === "done" ? "done" : answer.error;
--- a/test/shutdown_gaps.test.ts
+++ b/test/shutdown_gaps.test.ts
@@ -1,14 +1,9 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
 import { type ClientConnections, shutDown } from "../src/pooling/shutdown.ts";
-import type {
-  Statement,
-  TargetCommand,
-  TargetReply,
-} from "../src/pooling/types.ts";
-import type { Session } from "../src/pooling/session.ts";
-import { tryDecodeStatement } from "../platform/line_codec.ts";
+import type { TargetCommand, TargetReply } from "../src/pooling/types.ts";
 import {
+  begin,
   getOutcome,
   type PoolFleet,
   type PoolFleetOptions,
@@ -26,16 +21,6 @@
   fleet = await startPoolFleet(options);
 }
 
-/** Executes a statement without waiting; the list gets its outcome. */
-function begin(session: Session, text: string): string[] {
-  const outcomes: string[] = [];
-  const statement = tryDecodeStatement(text) as Statement;
-  void session.execute(asId("r1"), statement).then((answer) =>
-    outcomes.push(getOutcome(answer))
-  );
-  return outcomes;
-}
-
 /** Starts the stop of a host; the list gets an entry once it is over. */
 function beginStop(
   host: number,
--- a/test/target_gone.test.ts
+++ b/test/target_gone.test.ts
@@ -1,9 +1,7 @@
 import { afterEach, expect, test, vi } from "vitest";
 import { asId, type ObjectKey } from "../src/core/ids.ts";
-import type { Session } from "../src/pooling/session.ts";
-import type { Statement } from "../src/pooling/types.ts";
-import { tryDecodeStatement } from "../platform/line_codec.ts";
 import {
+  begin,
   getOutcome,
   type PoolFleet,
   type PoolFleetOptions,
@@ -18,16 +16,6 @@
   fleet = await startPoolFleet({ group });
 }
 
-/** Executes a statement without waiting; the list gets its outcome. */
-function begin(session: Session, text: string): string[] {
-  const outcomes: string[] = [];
-  const statement = tryDecodeStatement(text) as Statement;
-  void session.execute(asId("r1"), statement).then((answer) =>
-    outcomes.push(getOutcome(answer))
-  );
-  return outcomes;
-}
-
 function deregister(id: string): void {
   fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
 }
