--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -257,6 +257,8 @@
   | "log_lines_dropped_total"
   | "answers_undelivered_total"
   | "datagrams_ignored_total"
+  | "forwarded_commands_total"
+  | "host_stream_errors_total"
   | "store_era_changes_total"
   | "store_era_losses_total"
   | "quota_borrowed_total";
--- /dev/null
+++ b/src/pooling/connection_holder.ts
@@ -0,0 +1,288 @@
+/**
+ * Runs commands that other hosts forward on this host's connections. A channel
+ * is bound to one connection while a transaction is open on it; between
+ * transactions the connection serves others.
+ */
+
+import { nowMs } from "../core/clock.ts";
+import type { HostId } from "../core/ids.ts";
+import type { Stoppable } from "../core/types.ts";
+import type { ForwardedReply, ForwardRun } from "../generated/pool_forward.ts";
+import type { Checkout } from "./dispatch.ts";
+import {
+  describeReply,
+  type ExecutionContext,
+  isClean,
+  prepareConnection,
+  recordReply,
+} from "./execution.ts";
+import { getPreparedName, type RequiredContext } from "./link_context.ts";
+import type {
+  ForwardRequest,
+  ForwardResponse,
+  HostStream,
+  HostStreamHandlers,
+  TargetCommand,
+  TargetErrCode,
+  TargetReply,
+} from "./types.ts";
+
+/** Maximum number of channels of one stream, beyond which none is opened. */
+const MAX_CHANNELS_PER_STREAM = 1_000;
+/** Time for session state to be applied to a connection, in milliseconds. */
+const PREPARE_TIMEOUT_MS = 1_000;
+
+/** Serves the commands that other hosts forward to this one. */
+export interface ConnectionHolder extends Stoppable {
+  accept(
+    from: HostId,
+    stream: HostStream<ForwardResponse>,
+  ): HostStreamHandlers<ForwardRequest>;
+  /** Number of channels with a command at work or an open transaction. */
+  countChannels(): number;
+  /** Tells the other hosts to use other holders for new channels. */
+  announceLeaving(): void;
+  /** Refuses new channels as not sent. */
+  closeAdmission(): void;
+  /** Ends open transactions as soon as no command of theirs is at work. */
+  abortTransactionsWhenIdle(): void;
+}
+
+interface Channel {
+  /** Connection of the open transaction, if there is one. */
+  checkout: Checkout | undefined;
+  /** Resolves when the last command received has been answered. */
+  tail: Promise<void>;
+  pendingCount: number;
+  /** Whether the other host has given up the channel. */
+  isClosed: boolean;
+}
+
+/** Creates a holder without channels. */
+export function createConnectionHolder(
+  ctx: ExecutionContext,
+): ConnectionHolder {
+  const streams = new Map<
+    HostStream<ForwardResponse>,
+    Map<number, Channel>
+  >();
+  let isAdmissionOpen = true;
+  let abortsIdleTransactions = false;
+  let isStopped = false;
+
+  function unbind(channel: Channel, isReusable: boolean): void {
+    channel.checkout?.release(isReusable);
+    channel.checkout = undefined;
+  }
+
+  async function acquire(
+    channel: Channel,
+    msg: ForwardRun,
+  ): Promise<Checkout | ForwardedReply> {
+    const { workspace, priority, waitMs } = msg;
+    const target = ctx.directory.tryGet(msg.target);
+    if (target?.incarnation !== msg.incarnation) {
+      return createRefusal("wrong_target", "unknown to the holder");
+    }
+    if (!isAdmissionOpen) {
+      return createRefusal("not_sent", "the holder is stopping");
+    }
+    if (ctx.forwarder.isOwnPathDown(target.id)) {
+      return createRefusal("target_down", "no answer to the holder");
+    }
+    const acquired = await ctx.dispatcher.acquire({
+      service: target.service,
+      workspace,
+      context: getContext(msg),
+      priority,
+      deadline: nowMs() + Math.max(1, waitMs),
+      isLocalOnly: true,
+      // A connection is of no use to a host that has given up.
+      listCandidates: () => channel.isClosed ? [] : [target],
+    });
+    if (acquired.isOk()) {
+      return acquired.value;
+    }
+    return ctx.forwarder.isOwnPathDown(target.id)
+      ? createRefusal("target_down", "the holder cannot reach it")
+      : createRefusal("not_sent", acquired.error.detail ?? "no connection");
+  }
+
+  async function execute(
+    channel: Channel,
+    msg: ForwardRun,
+  ): Promise<ForwardedReply> {
+    if (!channel.checkout) {
+      if (!msg.isFirst) {
+        return createRefusal("not_sent", "the connection has ended before");
+      }
+      const acquired = await acquire(channel, msg);
+      if ("kind" in acquired) {
+        return acquired;
+      }
+      channel.checkout = acquired;
+    }
+    const { checkout } = channel;
+    if (channel.isClosed) {
+      unbind(channel, true);
+      return createRefusal("not_sent", "given up by its host");
+    }
+    const fault = await prepareConnection(checkout, {
+      context: getContext(msg),
+      timeoutMs: PREPARE_TIMEOUT_MS,
+    });
+    if (fault || !checkout.pooled.link.isOpen()) {
+      unbind(channel, false);
+      return createRefusal(
+        "not_sent",
+        fault ? describeReply(fault) : "the connection is closed",
+      );
+    }
+    const sentAt = nowMs();
+    const reply = await checkout.pooled.link.send(toCommand(checkout, msg));
+    recordReply(ctx, checkout, { reply, latencyMs: nowMs() - sentAt });
+    if (reply.kind === "lost" || reply.state === "idle") {
+      unbind(channel, isClean(reply));
+    }
+    return toForwardedReply(reply);
+  }
+
+  async function run(
+    stream: HostStream<ForwardResponse>,
+    channel: Channel,
+    msg: ForwardRun,
+  ): Promise<void> {
+    const reply = await execute(channel, msg);
+    channel.pendingCount--;
+    stream.send({ kind: "reply", id: msg.id, reply });
+    if (channel.isClosed || abortsIdleTransactions) {
+      endIfIdle(channel);
+    }
+    const channels = streams.get(stream);
+    if (
+      !channel.checkout && channel.pendingCount === 0 &&
+      channels?.get(msg.channel) === channel
+    ) {
+      channels.delete(msg.channel);
+    }
+  }
+
+  function endIfIdle(channel: Channel): void {
+    if (channel.pendingCount === 0) {
+      unbind(channel, false);
+    }
+  }
+
+  /** Ends a channel; a command at work loses its connection. */
+  function closeChannel(channel: Channel): void {
+    channel.isClosed = true;
+    unbind(channel, false);
+  }
+
+  function listChannels(): Channel[] {
+    return [...streams.values()].flatMap((channels) => [...channels.values()]);
+  }
+
+  return {
+    accept(from, stream) {
+      const channels = new Map<number, Channel>();
+      streams.set(stream, channels);
+      ctx.io.log.info("forwarding_host_connected", { peer: from });
+      if (!isAdmissionOpen) {
+        stream.send({ kind: "leaving" });
+      }
+      return {
+        onMessage(msg) {
+          if (msg.kind === "close") {
+            const channel = channels.get(msg.channel);
+            if (channel) {
+              closeChannel(channel);
+              if (channel.pendingCount === 0) {
+                channels.delete(msg.channel);
+              }
+            }
+            return;
+          }
+          const known = channels.get(msg.channel);
+          if (!known && channels.size >= MAX_CHANNELS_PER_STREAM) {
+            const reply = createRefusal("not_sent", "too many channels");
+            stream.send({ kind: "reply", id: msg.id, reply });
+            return;
+          }
+          const channel = known ?? {
+            checkout: undefined,
+            tail: Promise.resolve(),
+            pendingCount: 0,
+            isClosed: false,
+          };
+          channels.set(msg.channel, channel);
+          channel.pendingCount++;
+          channel.tail = channel.tail.then(() => run(stream, channel, msg));
+        },
+        onClose(detail) {
+          ctx.io.log.info("forwarding_host_lost", {
+            peer: from,
+            detail,
+            channels: channels.size,
+          });
+          streams.delete(stream);
+          channels.forEach(closeChannel);
+        },
+      };
+    },
+    countChannels: () => listChannels().length,
+    announceLeaving() {
+      streams.forEach((_, stream) => stream.send({ kind: "leaving" }));
+    },
+    closeAdmission() {
+      isAdmissionOpen = false;
+    },
+    abortTransactionsWhenIdle() {
+      abortsIdleTransactions = true;
+      listChannels().forEach(endIfIdle);
+    },
+    stop() {
+      if (isStopped) {
+        return;
+      }
+      isStopped = true;
+      isAdmissionOpen = false;
+      streams.forEach((_, stream) => stream.close());
+    },
+  };
+}
+
+function getContext({ variables, prepared }: ForwardRun): RequiredContext {
+  return {
+    variables: new Map(variables?.map(({ name, value }) => [name, value])),
+    prepared,
+  };
+}
+
+function toCommand(
+  checkout: Checkout,
+  { command, prepared }: ForwardRun,
+): TargetCommand {
+  if (command.kind !== "execute") {
+    return command;
+  }
+  const name = prepared
+    ? getPreparedName(checkout.pooled.context, prepared)
+    : "";
+  return { ...command, name };
+}
+
+function toForwardedReply(reply: TargetReply): ForwardedReply {
+  if (reply.kind === "lost") {
+    return { kind: "lost", detail: reply.detail };
+  }
+  const { position: optionalPosition, ...rest } = reply;
+  const position = optionalPosition ? { position: optionalPosition } : {};
+  return rest.kind === "done"
+    ? { ...rest, ...position, rows: [...rest.rows] }
+    : { ...rest, ...position };
+}
+
+function createRefusal(code: TargetErrCode, detail: string): ForwardedReply {
+  return { kind: "error", code, detail, state: "idle" };
+}
--- a/src/pooling/control.ts
+++ b/src/pooling/control.ts
@@ -5,6 +5,7 @@
 import {
   type ExecutionContext,
   isClean,
+  recordReply,
   sendWithTimeout,
 } from "./execution.ts";
 
@@ -29,6 +30,10 @@
   ctx: ExecutionContext,
   target: TargetRecord,
   command: ControlCommand,
+  options: {
+    /** Whether another host may send the command for this one. */
+    readonly mayForward?: boolean;
+  } = {},
 ): Promise<TargetReport | undefined> {
   const { service, id } = target;
   const acquired = await ctx.dispatcher.acquire({
@@ -36,6 +41,7 @@
     workspace: undefined,
     priority: CONTROL_PRIORITY,
     deadline: nowMs() + ACQUIRE_TIMEOUT_MS,
+    isLocalOnly: !options.mayForward,
     listCandidates: () => [target],
   });
   if (acquired.isErr()) {
@@ -45,10 +51,15 @@
   const sentAt = nowMs();
   const reply = await sendWithTimeout(checkout, command, REPLY_TIMEOUT_MS);
   checkout.release(isClean(reply));
-  if (reply.kind === "lost" || reply.kind === "silent") {
-    ctx.health.recordFailure(id);
+  const { holder } = checkout.pooled.link;
+  const isAnswered = reply.kind === "done" ||
+    (reply.kind === "error" && reply.code !== "not_sent" &&
+      reply.code !== "target_down");
+  if (!isAnswered) {
+    recordReply(ctx, checkout, { reply, latencyMs: 0 });
     return undefined;
   }
+  ctx.forwarder.recordPathSuccess(id, holder);
   ctx.health.recordAlive(id);
   const report = ctx.io.dialer.tryParseReport(reply);
   if (!report) {
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -13,7 +13,9 @@
   type RoundPlanner,
 } from "./batching.ts";
 import type { Health } from "./health.ts";
-import type { RequiredContext } from "./link_context.ts";
+import type { Forwarder } from "./forwarder.ts";
+import type { ConnectionAllowance } from "./holders.ts";
+import { createLinkContext, type RequiredContext } from "./link_context.ts";
 import {
   createTargetPool,
   isSameProcess,
@@ -21,7 +23,7 @@
   type PooledLink,
   type TargetPool,
 } from "./target_pool.ts";
-import type { PoolIo, TargetRecord } from "./types.ts";
+import type { PoolIo, TargetLink, TargetRecord } from "./types.ts";
 
 /** Maximum number of statements on this host that wait for a connection. */
 const MAX_QUEUE_LENGTH = 400;
@@ -36,6 +38,9 @@
 /** Delay before a failed dial is retried. */
 const DIAL_RETRY_MS = 25;
 
+/** Allowance until one is set. */
+const DEFAULT_ALLOWANCE: ConnectionAllowance = { cap: 1, idleCap: 1 };
+
 /** A request for a connection. */
 export interface ConnectionRequest {
   readonly service: ServiceId;
@@ -44,6 +49,8 @@
   readonly priority: number;
   /** Time after which the connection is useless, on the monotonic clock. */
   readonly deadline: number;
+  /** Whether only connections of this host may be used. */
+  readonly isLocalOnly?: boolean;
   /** Lists eligible targets, best first; evaluated again while waiting. */
   listCandidates(): readonly TargetRecord[];
 }
@@ -59,17 +66,22 @@
 /** Assigns connections to requests. */
 export interface Dispatcher {
   acquire(request: ConnectionRequest): Promise<Result<Checkout, PoolFailure>>;
-  /** Returns the connections in use at a target as a fraction of its cap. */
-  getLoad(target: TargetId): number;
+  /**
+   * Returns this host's connections in use at a target, as a fraction of its
+   * cap, plus the forwarded ones as a fraction of the target's slots.
+   */
+  getLoad(target: TargetRecord): number;
   /** Returns how a connection could be obtained now; used for ranking. */
   tryFindSource(
     target: TargetRecord,
     request: Pick<ConnectionRequest, "workspace" | "context">,
-  ): LinkSource | undefined;
+  ): LinkSource | { readonly kind: "forward" } | undefined;
   /** Serves the queued requests that can get a connection now. */
   serveQueue(): void;
-  /** Sets the maximum number of this host's connections to each target. */
-  setConnectionCaps(getCap: (target: TargetRecord) => number): void;
+  /** Sets how many connections this host may have to each target. */
+  setAllowances(
+    getAllowance: (target: TargetRecord) => ConnectionAllowance,
+  ): void;
   /**
    * Stops the use of a target whose record is gone or names another process.
    * Connections at work stay until they are released, or until a request names
@@ -94,17 +106,25 @@
      * Workspace under which connections are opened for requests without one.
      */
     getDefaultWorkspace(): WorkspaceId | undefined;
+    /** Provides connections that other hosts hold; none by default. */
+    readonly forwarder?: Pick<
+      Forwarder,
+      "isForwarded" | "tryOpenLink" | "recordPathFailure"
+    >;
     /** Order in which queued requests are served; batched by default. */
     readonly plan?: RoundPlanner;
   },
 ): Dispatcher {
-  const { health, plan = planRound } = options;
+  const { health, forwarder, plan = planRound } = options;
   const pools = new Map<TargetId, TargetPool>();
   const queue: Waiter[] = [];
   /** Requests without a result: queued, dialing, or about to dial again. */
   const waiters = new Set<Waiter>();
   const averageCheckoutMs = new Map<ServiceId, number>();
-  let getCap: (target: TargetRecord) => number = () => 1;
+  let getAllowance: (target: TargetRecord) => ConnectionAllowance = () =>
+    DEFAULT_ALLOWANCE;
+  /** Number of forwarded checkouts at each target. */
+  const forwardedCounts = new Map<TargetId, number>();
   let isServing = false;
   let isClosed = false;
 
@@ -116,7 +136,7 @@
     }
     existing?.close();
     const pool = createTargetPool(io, { target, health });
-    pool.setCap(getCap(target));
+    pool.setAllowance(getAllowance(target));
     pools.set(target.id, pool);
     return pool;
   }
@@ -156,6 +176,32 @@
     };
   }
 
+  /** Creates a checkout of a connection that another host holds. */
+  function createForwardedCheckout(
+    target: TargetRecord,
+    link: TargetLink,
+  ): Checkout {
+    const { id } = target;
+    forwardedCounts.set(id, (forwardedCounts.get(id) ?? 0) + 1);
+    let isReleased = false;
+    return {
+      pooled: {
+        link,
+        context: createLinkContext(),
+        usedAt: nowMs(),
+        isBusy: true,
+      },
+      target,
+      release() {
+        if (!isReleased) {
+          isReleased = true;
+          forwardedCounts.set(id, (forwardedCounts.get(id) ?? 1) - 1);
+          link.close();
+        }
+      },
+    };
+  }
+
   /**
    * Gives the waiter an idle connection or starts to dial one; returns false if
    * neither is possible.
@@ -168,6 +214,13 @@
   ): boolean {
     const { request } = waiter;
     for (const target of request.listCandidates()) {
+      const forwarded = request.isLocalOnly
+        ? undefined
+        : forwarder?.tryOpenLink(target, request);
+      if (forwarded) {
+        waiter.settle(Ok(createForwardedCheckout(target, forwarded)));
+        return true;
+      }
       const pool = getPool(target);
       const source = pool.tryFindSource({
         workspace: request.workspace,
@@ -219,6 +272,7 @@
       return;
     }
     if (dialed.error.code !== "too_many_connections") {
+      forwarder?.recordPathFailure(pool.target.id);
       health.recordFailure(pool.target.id);
     }
     if (nowMs() + DIAL_RETRY_MS >= waiter.request.deadline) {
@@ -255,7 +309,7 @@
         waiter.request.priority <= request.priority
       ).length;
     const connectionCount = request.listCandidates().reduce(
-      (sum, target) => sum + Math.max(1, getCap(target)),
+      (sum, target) => sum + getAllowance(target).cap,
       0,
     );
     const averageMs = averageCheckoutMs.get(request.service) ??
@@ -353,20 +407,22 @@
 
   return {
     acquire,
-    getLoad(target) {
-      const pool = pools.get(target);
-      return pool ? pool.countBusy() / Math.max(1, getCap(pool.target)) : 0;
+    getLoad({ id, slots }) {
+      const pool = pools.get(id);
+      const ownLoad = pool
+        ? pool.countBusy() / getAllowance(pool.target).cap
+        : 0;
+      return ownLoad + (forwardedCounts.get(id) ?? 0) / Math.max(1, slots);
     },
-    tryFindSource: (target, request) =>
-      getPool(target).tryFindSource({
-        workspace: request.workspace,
-        context: request.context,
-      }),
+    tryFindSource: (target, { workspace, context }) =>
+      forwarder?.isForwarded(target, workspace)
+        ? { kind: "forward" }
+        : getPool(target).tryFindSource({ workspace, context }),
     serveQueue,
-    setConnectionCaps(nextCap) {
-      getCap = nextCap;
+    setAllowances(nextAllowance) {
+      getAllowance = nextAllowance;
       for (const pool of pools.values()) {
-        pool.setCap(getCap(pool.target));
+        pool.setAllowance(getAllowance(pool.target));
       }
       serveQueue();
     },
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -9,6 +9,7 @@
 import type { Checkout, Dispatcher } from "./dispatch.ts";
 import type { PoolFailure } from "./errors.ts";
 import type { AgedPosition, PositionHistory } from "./position_history.ts";
+import type { Forwarder } from "./forwarder.ts";
 import type { Health } from "./health.ts";
 import type { PrimaryTracker } from "./primary_tracker.ts";
 import {
@@ -36,6 +37,7 @@
   readonly directory: Directory;
   readonly primaries: PrimaryTracker;
   readonly health: Health;
+  readonly forwarder: Forwarder;
   readonly dispatcher: Dispatcher;
   readonly clockJumps: ClockJumpDetector;
   getPositions(service: ServiceId): PositionHistory;
@@ -221,6 +223,7 @@
   const { id } = checkout.target;
   switch (reply.kind) {
     case "done":
+      ctx.forwarder.recordPathSuccess(id, checkout.pooled.link.holder);
       ctx.health.recordSuccess(id, {
         latencyMs,
         position: reply.position,
@@ -229,6 +232,8 @@
     case "error":
       if (reply.code === "lagging") {
         ctx.health.recordLagging(id, floor?.ageMs ?? 0);
+      } else if (reply.code === "target_down") {
+        ctx.health.recordDown(id);
       } else if (reply.code === "read_only") {
         ctx.primaries.applyEvidence(checkout.target.service, id, {
           kind: "denied",
@@ -237,11 +242,23 @@
       return;
     case "lost":
     case "silent":
-      ctx.health.recordFailure(id);
+      recordNoReply(ctx, checkout);
       return;
   }
 }
 
+/**
+ * Records that a command got no reply. A holder that cannot be reached says
+ * nothing about the target.
+ */
+export function recordNoReply(ctx: ExecutionContext, checkout: Checkout): void {
+  const { link } = checkout.pooled;
+  if (!link.isHolderSilent?.()) {
+    ctx.forwarder.recordPathFailure(checkout.target.id, link.holder);
+    ctx.health.recordFailure(checkout.target.id);
+  }
+}
+
 /** Whether the connection may be reused by another session after this reply. */
 export function isClean(reply: TimedReply): boolean {
   return (reply.kind === "done" || reply.kind === "error") &&
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -3,12 +3,13 @@
 import { nowMs, sleep } from "../core/clock.ts";
 import {
   asId,
+  type DomainId,
   type HostId,
   type ObjectKey,
   type ServiceId,
 } from "../core/ids.ts";
 import { getEra } from "../core/store_era.ts";
-import type { Stoppable, StoredObject } from "../core/types.ts";
+import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import type { PoolIo } from "./types.ts";
@@ -73,6 +74,8 @@
   readonly beat: number;
   /** Address at which the host receives datagrams of its peers. */
   readonly peers: string;
+  /** Failure domain of the host. */
+  readonly domain: DomainId;
   /** Era of the store in which the process started; 0 if it has none. */
   readonly firstEra: number;
 }
@@ -88,6 +91,8 @@
   readonly computedAt: number;
   /** Hosts with an unexpired heartbeat that have not left. */
   readonly hosts: readonly HostId[];
+  /** These hosts and this host itself, with their failure domains. */
+  readonly placed: readonly PeerInfo[];
   /** Number of hosts that have left and may still be finishing their stop. */
   readonly stoppingCount: number;
 }
@@ -95,6 +100,7 @@
 const NO_PEERS: Peers = {
   computedAt: -Infinity,
   hosts: [],
+  placed: [],
   stoppingCount: 0,
 };
 
@@ -115,6 +121,11 @@
   listExpiredHosts(): readonly HostId[];
   /** Other hosts with an unexpired heartbeat that have not left. */
   listPeers(): readonly HostId[];
+  /**
+   * These hosts and this host itself, with their failure domains; the same
+   * array until it changes.
+   */
+  listPlacedHosts(): readonly PeerInfo[];
   /** Whether the store has accepted no heartbeat of this host in time. */
   isOwnHeartbeatExpired(): boolean;
   /**
@@ -150,9 +161,14 @@
 /** Creates an empty copy; `start` begins to watch the store. */
 export function createFleet(
   io: PoolIo,
-  options: { readonly self: HostId; readonly peerAddress: string },
+  options: {
+    readonly self: HostId;
+    readonly peerAddress: string;
+    readonly domain: DomainId;
+  },
 ): Fleet {
-  const ownKey = asId<ObjectKey>(HOST_PREFIX + options.self);
+  const { self } = options;
+  const ownKey = asId<ObjectKey>(HOST_PREFIX + self);
   const incarnation = Date.now();
   const objects = new Map<ObjectKey, StoredObject>();
   const observed = new Map<ObjectKey, ObservedVersion>();
@@ -240,8 +256,9 @@
       } else {
         hosts.add(key);
       }
-      cachedPeers = NO_PEERS;
+      cachedPeers = { ...cachedPeers, computedAt: -Infinity };
       io.peers.setAddresses(listAddresses());
+      io.streams.setAddresses(listAddresses());
     }
     listeners.forEach((listener) => listener(key));
   }
@@ -280,6 +297,7 @@
       incarnation,
       beat: beat++,
       peers: options.peerAddress,
+      domain: options.domain,
       firstEra,
     };
     const put = await io.store.put(ownKey, record, {
@@ -329,6 +347,7 @@
 
   function computePeers(): Peers {
     const running: HostId[] = [];
+    const placed: PeerInfo[] = [{ host: self, domain: options.domain }];
     let stoppingCount = 0;
     for (const key of hosts) {
       if (key === ownKey) {
@@ -337,10 +356,24 @@
       if (hasLeft(key)) {
         stoppingCount += isStillStopping(key) ? 1 : 0;
       } else if (!isHeartbeatExpired(key)) {
-        running.push(asId<HostId>(key.slice(HOST_PREFIX.length)));
+        const host = asId<HostId>(key.slice(HOST_PREFIX.length));
+        running.push(host);
+        const { domain } = objects.get(key)?.value as Partial<HostRecord>;
+        if (domain !== undefined) {
+          placed.push({ host, domain });
+        }
       }
     }
-    return { computedAt: nowMs(), hosts: running, stoppingCount };
+    return {
+      computedAt: nowMs(),
+      hosts: isSameList(running, cachedPeers.hosts)
+        ? cachedPeers.hosts
+        : running,
+      placed: isSameList(placed.map(toText), cachedPeers.placed.map(toText))
+        ? cachedPeers.placed
+        : placed,
+      stoppingCount,
+    };
   }
 
   /** Returns the same object until the cached one expires. */
@@ -360,6 +393,7 @@
     countConnectedHosts: () =>
       getPeers().hosts.length + 1 + getPeers().stoppingCount,
     listPeers: () => getPeers().hosts,
+    listPlacedHosts: () => getPeers().placed,
     listExpiredHosts: () =>
       [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
         .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
@@ -379,6 +413,7 @@
         incarnation,
         beat: -1,
         peers: options.peerAddress,
+        domain: options.domain,
         firstEra,
       };
       let isTold = !objects.has(ownKey);
@@ -406,6 +441,14 @@
   };
 }
 
+function isSameList<T>(a: readonly T[], b: readonly T[]): boolean {
+  return a.length === b.length && a.every((item, index) => item === b[index]);
+}
+
+function toText({ host, domain }: PeerInfo): string {
+  return `${host} ${domain}`;
+}
+
 /** Whether a record has no later heartbeat than the one seen before. */
 function isOlderHeartbeat(stored: StoredObject, seen: StoredObject): boolean {
   const storedRecord = (stored.value ?? {}) as Partial<HostRecord>;
--- /dev/null
+++ b/src/pooling/forwarder.ts
@@ -0,0 +1,446 @@
+/**
+ * Uses connections that other hosts hold: a statement is sent to a holder near
+ * its target, which runs it on a connection of the workspace that it has open.
+ * Pattern: connection multiplexing over one stream for each pair of hosts.
+ */
+
+import { nowMs } from "../core/clock.ts";
+import type { HostId, TargetId, WorkspaceId } from "../core/ids.ts";
+import type { Stoppable } from "../core/types.ts";
+import type {
+  ForwardCommand,
+  ForwardedReply,
+  ForwardVariable,
+} from "../generated/pool_forward.ts";
+import type { Health } from "./health.ts";
+import type { Holders } from "./holders.ts";
+import { createPathHealth } from "./path_health.ts";
+import type {
+  ForwardRequest,
+  HostStream,
+  PoolIo,
+  PreparedStatement,
+  TargetCommand,
+  TargetLink,
+  TargetRecord,
+  TargetReply,
+  TransactionState,
+} from "./types.ts";
+
+/** Time to open a stream to another host, in milliseconds. */
+const OPEN_TIMEOUT_MS = 400;
+/** Bounds of the delay before a stream that failed is opened again. */
+const MIN_REOPEN_DELAY_MS = 200;
+const MAX_REOPEN_DELAY_MS = 3_000;
+/** Interval of checks for silent hosts while replies are pending. */
+const CHECK_INTERVAL_MS = 100;
+/** Time without a sign of life after which a host is asked for one. */
+const PING_AFTER_MS = 200;
+/** Time without a sign of life after which a host gets no new statements. */
+const SILENT_AFTER_MS = 600;
+/**
+ * Time without a sign of life after which a stream is given up; longer than the
+ * usual timeout of a statement, so that late replies still arrive.
+ */
+const GIVE_UP_AFTER_MS = 3_000;
+/** Maximum number of commands without a reply on one stream. */
+const MAX_PENDING_COMMANDS = 400;
+
+/** Requirements on a forwarded connection. */
+export interface ForwardOptions {
+  readonly workspace: WorkspaceId | undefined;
+  readonly priority: number;
+  /** Time until which the holder may wait, on the monotonic clock. */
+  readonly deadline: number;
+}
+
+/** Provides connections that other hosts hold. */
+export interface Forwarder extends Stoppable {
+  /**
+   * Records that a command got no reply from the target over the connections
+   * of `holder`, by default this host's own.
+   */
+  recordPathFailure(target: TargetId, holder?: HostId): void;
+  recordPathSuccess(target: TargetId, holder?: HostId): void;
+  /** Whether the target cannot be reached over this host's connections. */
+  isOwnPathDown(target: TargetId): boolean;
+  /** Whether a path that has failed should be probed. */
+  isProbeDue(target: TargetRecord): boolean;
+  removeTarget(target: TargetId): void;
+  /** Whether commands to the target would be forwarded now. */
+  isForwarded(
+    target: TargetRecord,
+    workspace: WorkspaceId | undefined,
+  ): boolean;
+  /** Undefined if this host should use its own connections. */
+  tryOpenLink(
+    target: TargetRecord,
+    options: ForwardOptions,
+  ): TargetLink | undefined;
+}
+
+interface PendingCommand {
+  /** Sends the command; called once the stream is open. */
+  send(): void;
+  resolve(reply: TargetReply): void;
+}
+
+/** Stream to a holder. */
+interface Route {
+  readonly host: HostId;
+  readonly stream: HostStream<ForwardRequest>;
+  readonly pending: Map<number, PendingCommand>;
+  openedAt: number | undefined;
+  readonly createdAt: number;
+  heardAt: number;
+  pingedAt: number;
+  isLeaving: boolean;
+  isClosed: boolean;
+  nextChannel: number;
+  nextId: number;
+}
+
+interface Backoff {
+  readonly delayMs: number;
+  readonly until: number;
+}
+
+/** Creates a forwarder without streams. */
+export function createForwarder(
+  io: Pick<PoolIo, "streams" | "log" | "metrics">,
+  options: {
+    readonly self: HostId;
+    readonly holders: Holders;
+    readonly health: Health;
+  },
+): Forwarder {
+  const { self, holders, health } = options;
+  const paths = createPathHealth();
+  const routes = new Map<HostId, Route>();
+  const backoffs = new Map<HostId, Backoff>();
+  let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  function isSilent(route: Route): boolean {
+    return route.pending.size > 0 &&
+      nowMs() - route.heardAt > SILENT_AFTER_MS;
+  }
+
+  function isUsable(host: HostId): boolean {
+    const route = routes.get(host);
+    if (!route) {
+      return nowMs() >= (backoffs.get(host)?.until ?? -Infinity);
+    }
+    return !route.isLeaving && !isSilent(route) &&
+      route.pending.size < MAX_PENDING_COMMANDS;
+  }
+
+  function isOwnPathDown(target: TargetId): boolean {
+    return paths.isDown({ target, holder: self }) || health.isSilent(target);
+  }
+
+  function isPathUsable(target: TargetId, holder: HostId): boolean {
+    return holder === self
+      ? !isOwnPathDown(target)
+      : isUsable(holder) && !paths.isDown({ target, holder });
+  }
+
+  /** Returns the holder to use; undefined if it is this host or none. */
+  function tryFindHolder(
+    target: TargetRecord,
+    workspace: WorkspaceId | undefined,
+  ): HostId | undefined {
+    if (isStopped) {
+      return undefined;
+    }
+    const ranked = holders.list(target, workspace);
+    const host = ranked.find((holder) =>
+      workspace === undefined &&
+      paths.isProbeDue({ target: target.id, holder })
+    ) ?? ranked.find((holder) => isPathUsable(target.id, holder)) ??
+      ranked.find((holder) => holder === self || isUsable(holder));
+    return host === self ? undefined : host;
+  }
+
+  function getRoute(host: HostId): Route {
+    return routes.get(host) ?? openRoute(host);
+  }
+
+  function openRoute(host: HostId): Route {
+    const now = nowMs();
+    const route: Route = {
+      host,
+      stream: io.streams.open(host, {
+        onOpen() {
+          route.openedAt = nowMs();
+          route.heardAt = nowMs();
+          backoffs.delete(host);
+          io.log.info("holder_connected", { holder: host });
+          [...route.pending.values()].forEach((command) => command.send());
+        },
+        onMessage(msg) {
+          route.heardAt = nowMs();
+          switch (msg.kind) {
+            case "reply": {
+              const command = route.pending.get(msg.id);
+              route.pending.delete(msg.id);
+              command?.resolve(toTargetReply(msg.reply));
+              return;
+            }
+            case "leaving":
+              route.isLeaving = true;
+              io.log.info("holder_leaving", { holder: host });
+              return;
+          }
+        },
+        onAlive: () => void (route.heardAt = nowMs()),
+        onClose: (detail) => closeRoute(route, detail),
+      }),
+      pending: new Map(),
+      openedAt: undefined,
+      createdAt: now,
+      heardAt: now,
+      pingedAt: now,
+      isLeaving: false,
+      isClosed: false,
+      nextChannel: 0,
+      nextId: 0,
+    };
+    routes.set(host, route);
+    timer ??= setInterval(checkRoutes, CHECK_INTERVAL_MS);
+    return route;
+  }
+
+  function closeRoute(route: Route, detail: string): void {
+    if (route.isClosed) {
+      return;
+    }
+    route.isClosed = true;
+    const { host, pending } = route;
+    const wasOpen = route.openedAt !== undefined;
+    if (routes.get(host) === route) {
+      routes.delete(host);
+    }
+    const delayMs = Math.min(
+      MAX_REOPEN_DELAY_MS,
+      (backoffs.get(host)?.delayMs ?? MIN_REOPEN_DELAY_MS / 2) * 2,
+    );
+    backoffs.set(host, { delayMs, until: nowMs() + delayMs });
+    io.log.info("holder_lost", {
+      holder: host,
+      detail,
+      wasOpen,
+      pending: pending.size,
+      retryInMs: delayMs,
+    });
+    const text = `the link to host ${host} was lost: ${detail}`;
+    const commands = [...pending.values()];
+    pending.clear();
+    for (const { resolve } of commands) {
+      resolve(
+        wasOpen ? { kind: "lost", detail: text } : createNotSent(text),
+      );
+    }
+    route.stream.close();
+    if (routes.size === 0) {
+      clearInterval(timer);
+      timer = undefined;
+    }
+  }
+
+  function checkRoutes(): void {
+    const now = nowMs();
+    for (const route of [...routes.values()]) {
+      if (route.openedAt === undefined) {
+        if (now - route.createdAt > OPEN_TIMEOUT_MS) {
+          closeRoute(route, `not open after ${OPEN_TIMEOUT_MS} ms`);
+        }
+        continue;
+      }
+      const silentMs = now - route.heardAt;
+      if (route.pending.size === 0) {
+        continue;
+      }
+      if (silentMs > GIVE_UP_AFTER_MS) {
+        closeRoute(route, `no sign of life for ${Math.round(silentMs)} ms`);
+      } else if (
+        silentMs > PING_AFTER_MS && now - route.pingedAt > PING_AFTER_MS
+      ) {
+        route.pingedAt = now;
+        route.stream.ping();
+      }
+    }
+  }
+
+  /** Sends a command over a route and resolves with the target's reply. */
+  function sendCommand(
+    route: Route,
+    createMessage: (id: number) => ForwardRequest,
+  ): Promise<TargetReply> {
+    if (route.isClosed) {
+      return Promise.resolve(createNotSent("the link to the holder is closed"));
+    }
+    return new Promise((resolve) => {
+      const id = route.nextId++;
+      if (route.pending.size === 0) {
+        route.heardAt = nowMs();
+      }
+      const send = () => route.stream.send(createMessage(id));
+      route.pending.set(id, { send, resolve });
+      if (route.openedAt !== undefined) {
+        send();
+      }
+    });
+  }
+
+  function createLink(
+    route: Route,
+    target: TargetRecord,
+    { workspace, priority, deadline }: ForwardOptions,
+  ): TargetLink {
+    const channel = route.nextChannel++;
+    const variables = new Map<string, string>();
+    const prepared = new Map<string, PreparedStatement>();
+    let state: TransactionState = "idle";
+    let pendingCount = 0;
+    let isClosed = false;
+
+    async function forward(
+      command: ForwardCommand,
+      statement?: PreparedStatement,
+    ): Promise<TargetReply> {
+      const isFirst = state === "idle" && pendingCount === 0;
+      pendingCount++;
+      io.metrics.count("forwarded_commands_total", { command: command.kind });
+      const reply = await sendCommand(route, (id) => ({
+        kind: "run",
+        id,
+        channel,
+        target: target.id,
+        incarnation: target.incarnation,
+        priority,
+        waitMs: Math.max(0, deadline - nowMs()),
+        isFirst,
+        command,
+        ...(workspace === undefined ? {} : { workspace }),
+        ...(variables.size > 0
+          ? { variables: [...variables].map(toVariable) }
+          : {}),
+        ...(statement ? { prepared: statement } : {}),
+      }));
+      pendingCount--;
+      if (reply.kind === "lost") {
+        isClosed = true;
+      } else {
+        state = reply.state;
+      }
+      if (reply.kind === "error" && reply.code === "target_down") {
+        paths.recordFailure({ target: target.id, holder: route.host });
+      }
+      return reply;
+    }
+
+    function answerLocally(): Promise<TargetReply> {
+      return Promise.resolve({
+        kind: "done",
+        rows: [],
+        signature: "-",
+        state,
+        position: undefined,
+      });
+    }
+
+    function send(command: TargetCommand): Promise<TargetReply> {
+      if (isClosed || route.isClosed) {
+        return Promise.resolve({ kind: "lost", detail: "closed before" });
+      }
+      // Variables and prepared statements go along with the next command, so
+      // that the holder can choose any of its connections.
+      switch (command.kind) {
+        case "set":
+          variables.set(command.name, command.value);
+          return answerLocally();
+        case "prepare":
+          prepared.set(command.name, command.prepared);
+          return answerLocally();
+        case "reset":
+          variables.clear();
+          prepared.clear();
+          return answerLocally();
+        case "execute": {
+          const { name, ...rest } = command;
+          return forward(rest, prepared.get(name));
+        }
+        case "pause":
+        case "resume":
+        case "step_down":
+          return Promise.resolve(
+            createNotSent(`${command.kind} is not forwarded`),
+          );
+        default:
+          return forward(command);
+      }
+    }
+
+    return {
+      target,
+      workspace,
+      holder: route.host,
+      isOpen: () => !isClosed && !route.isClosed,
+      isHolderSilent: () => route.isClosed || isSilent(route),
+      send,
+      close() {
+        const isUsed = pendingCount > 0 || state !== "idle";
+        if (!isClosed && isUsed && route.openedAt !== undefined) {
+          route.stream.send({ kind: "close", channel });
+        }
+        isClosed = true;
+      },
+    };
+  }
+
+  return {
+    recordPathFailure: (target, holder = self) =>
+      paths.recordFailure({ target, holder }),
+    recordPathSuccess: (target, holder = self) =>
+      paths.recordSuccess({ target, holder }),
+    isOwnPathDown,
+    isProbeDue: (target) =>
+      holders.list(target, undefined).some((holder) =>
+        paths.isProbeDue({ target: target.id, holder })
+      ),
+    removeTarget: paths.removeTarget,
+    isForwarded: (target, workspace) =>
+      tryFindHolder(target, workspace) !== undefined,
+    tryOpenLink(target, linkOptions) {
+      const host = tryFindHolder(target, linkOptions.workspace);
+      return host && createLink(getRoute(host), target, linkOptions);
+    },
+    stop() {
+      isStopped = true;
+      [...routes.values()].forEach((route) =>
+        closeRoute(route, "this host stops")
+      );
+    },
+  };
+}
+
+function toVariable(
+  [name, value]: readonly [string, string],
+): ForwardVariable {
+  return { name, value };
+}
+
+function toTargetReply(reply: ForwardedReply): TargetReply {
+  return reply.kind === "lost" ? reply : { position: undefined, ...reply };
+}
+
+function createNotSent(detail: string): TargetReply {
+  return {
+    kind: "error",
+    code: "not_sent",
+    detail,
+    state: "idle",
+    position: undefined,
+  };
+}
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -63,6 +63,8 @@
     },
   ): void;
   recordFailure(target: TargetId): void;
+  /** Records that another host has found the target to be suspect. */
+  recordDown(target: TargetId): void;
   /** Records an answer to a command that is not a client's statement. */
   recordAlive(target: TargetId): void;
   /** Returns for how long the target has been failing; 0 if it is not. */
@@ -78,6 +80,11 @@
    * unknown.
    */
   isSuspect(target: TargetId): boolean;
+  /**
+   * Whether the target has left commands on this host's own connections
+   * unanswered for much longer than usual.
+   */
+  isSilent(target: TargetId): boolean;
   /** Records that a replica lacked a position reached at least `ageMs` ago. */
   recordLagging(target: TargetId, ageMs: number): void;
   /** Records the status that a target reported about itself. */
@@ -129,6 +136,24 @@
     record.ejectedUntil = -Infinity;
   }
 
+  function isSilent(target: TargetId): boolean {
+    const { silentSince, latencyMs } = getRecord(target);
+    const usualMs = (latencyMs ?? 0) * SUSPECT_LATENCY_FACTOR;
+    return silentSince !== undefined &&
+      nowMs() - silentSince > Math.max(SUSPECT_SILENCE_MS, usualMs);
+  }
+
+  function recordFailure(target: TargetId, failingSince = nowMs()): void {
+    const record = getRecord(target);
+    const ejectionMs = Math.min(
+      MAX_EJECTION_MS,
+      MIN_EJECTION_MS * 2 ** record.failures,
+    );
+    record.failures++;
+    record.failingSince ??= record.silentSince ?? failingSince;
+    record.ejectedUntil = nowMs() + ejectionMs;
+  }
+
   function getLagMs(target: TargetId): number {
     const { lagMs, lagAt } = getRecord(target);
     return Math.max(Math.min(lagMs, DEFAULT_LAG_MS), lagMs - (nowMs() - lagAt));
@@ -142,16 +167,9 @@
       recordAlive(target);
       record.position = position ?? record.position;
     },
-    recordFailure(target) {
-      const record = getRecord(target);
-      const ejectionMs = Math.min(
-        MAX_EJECTION_MS,
-        MIN_EJECTION_MS * 2 ** record.failures,
-      );
-      record.failures++;
-      record.failingSince ??= record.silentSince ?? nowMs();
-      record.ejectedUntil = nowMs() + ejectionMs;
-    },
+    recordFailure: (target) => recordFailure(target),
+    recordDown: (target) =>
+      recordFailure(target, nowMs() - SUSPECT_FAILING_MS - 1),
     recordAlive,
     recordSent(target) {
       const record = getRecord(target);
@@ -169,14 +187,11 @@
       };
     },
     isSuspect(target) {
-      const { failingSince, silentSince, latencyMs } = getRecord(target);
-      const now = nowMs();
-      const usualMs = (latencyMs ?? 0) * SUSPECT_LATENCY_FACTOR;
+      const { failingSince } = getRecord(target);
       return (failingSince !== undefined &&
-        now - failingSince > SUSPECT_FAILING_MS) ||
-        (silentSince !== undefined &&
-          now - silentSince > Math.max(SUSPECT_SILENCE_MS, usualMs));
+        nowMs() - failingSince > SUSPECT_FAILING_MS) || isSilent(target);
     },
+    isSilent,
     getFailingMs(target) {
       const { failingSince } = getRecord(target);
       return failingSince === undefined ? 0 : nowMs() - failingSince;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -3,14 +3,18 @@
 import { assertNever } from "../core/errors.ts";
 import type { DomainId, HostId, ServiceId } from "../core/ids.ts";
 import type { Result } from "ts-results-es";
-import type { Stoppable, StoredObject } from "../core/types.ts";
+import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
 import { createCatalogHolder } from "./catalog.ts";
+import { nowMs } from "../core/clock.ts";
+import { createConnectionHolder } from "./connection_holder.ts";
 import { createClockJumpDetector } from "./clock_jumps.ts";
 import { createDirectory, type DirectoryEvent } from "./directory.ts";
 import { createDispatcher } from "./dispatch.ts";
 import { POOL_ERRORS, type PoolFailure } from "./errors.ts";
 import { createFailoverMonitor } from "./failover_monitor.ts";
 import { createFleet } from "./fleet.ts";
+import { createForwarder } from "./forwarder.ts";
+import { createHolders } from "./holders.ts";
 import { createPositionSharing } from "./position_sharing.ts";
 import {
   createPositionHistory,
@@ -88,6 +92,8 @@
    * hosts. It keeps its shares of quotas until its heartbeat expires.
    */
   leave(): Promise<void>;
+  /** Number of channels on which this host serves other hosts. */
+  countForwardedChannels(): number;
   /** Whether this host is replacing a primary. */
   isReplacingPrimary(): boolean;
 }
@@ -119,17 +125,36 @@
           MS_PER_SECOND,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
+  const topology = { domain: options.domain, regions: options.regions };
+  const holders = createHolders({
+    self: options.host,
+    topology,
+    listHosts: () => fleet.listPlacedHosts(),
+    countConnectedHosts: () => fleet.countConnectedHosts(),
+    countWorkspaces: () => catalog.tryGet()?.quotas.size ?? 0,
+    getMaxConnections: (service) =>
+      catalog.tryGet()?.services.get(service)?.maxConnections ??
+        DEFAULT_MAX_CONNECTIONS,
+  });
+  const forwarder = createForwarder(io, {
+    self: options.host,
+    holders,
+    health,
+  });
   const dispatcher = createDispatcher(io, {
     health,
+    forwarder,
     getDefaultWorkspace: () => catalog.tryGet()?.quotas.keys().next().value,
   });
   const fleet = createFleet(io, {
     self: options.host,
     peerAddress: options.peerAddress,
+    domain: options.domain,
   });
   const positionsByService = new Map<ServiceId, PositionHistory>();
   const sessions = new Set<Session>();
   let isAdmissionOpen = true;
+  let isLeaving = false;
   let abortsIdleTransactions = false;
 
   function getPositions(service: ServiceId): PositionHistory {
@@ -141,11 +166,12 @@
 
   const ctx: SessionContext = {
     io,
-    topology: { domain: options.domain, regions: options.regions },
+    topology,
     catalog,
     directory,
     primaries,
     health,
+    forwarder,
     dispatcher,
     clockJumps,
     quotas,
@@ -167,7 +193,15 @@
     self: options.host,
     listPeers: fleet.listPeers,
     getPositions,
+    onPrimaryAnswered(service, at) {
+      const primary = primaries.tryPrimary(service);
+      if (primary && nowMs() - at < health.getFailingMs(primary)) {
+        health.recordAlive(primary);
+      }
+    },
   });
+  const connectionHolder = createConnectionHolder(ctx);
+  io.streams.onAccept(connectionHolder.accept);
   io.peers.onMessage((from, msg) => {
     switch (msg.kind) {
       case "borrow":
@@ -185,6 +219,7 @@
   const probes = createProbes(ctx, {
     sharing: positionSharing,
     countHosts: fleet.countHosts,
+    holders,
   });
   const failover = createFailoverMonitor(ctx, { self: options.host, fleet });
   const catalogFeed = createStoreFeed(io, {
@@ -212,28 +247,32 @@
 
   catalog.onChange((next) => {
     quotas.setQuotas(next.quotas);
-    updateConnectionCaps();
+    updateAllowances();
   });
-  fleet.onChange(updateCapsOnHostCount);
+  fleet.onChange(updateAllowancesOnHostChange);
   primaries.onChange(() => dispatcher.serveQueue());
   directory.onChange(applyDirectoryEvent);
 
-  /** Number of hosts for which the connection caps were computed. */
-  let hostCount = 0;
+  /** Hosts for which the allowances were computed. */
+  let placedHosts: readonly PeerInfo[] = [];
+  let connectedHostCount = 0;
 
-  /** Divides the connection limit of each target by the number of hosts. */
-  function updateConnectionCaps(): void {
-    hostCount = fleet.countConnectedHosts();
-    dispatcher.setConnectionCaps((target) => {
-      const maxConnections = catalog.tryGet()?.services.get(target.service)
-        ?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-      return Math.max(1, Math.floor(maxConnections / hostCount));
+  function updateAllowances(): void {
+    placedHosts = fleet.listPlacedHosts();
+    connectedHostCount = fleet.countConnectedHosts();
+    dispatcher.setAllowances((target) => {
+      const allowance = holders.getAllowance(target);
+      // Other hosts take over what this host does not use any more.
+      return isLeaving ? { ...allowance, idleCap: 0 } : allowance;
     });
   }
 
-  function updateCapsOnHostCount(): void {
-    if (fleet.countConnectedHosts() !== hostCount) {
-      updateConnectionCaps();
+  function updateAllowancesOnHostChange(): void {
+    if (
+      fleet.listPlacedHosts() !== placedHosts ||
+      fleet.countConnectedHosts() !== connectedHostCount
+    ) {
+      updateAllowances();
     }
   }
 
@@ -243,6 +282,7 @@
     switch (kind) {
       case "gone":
         dispatcher.removeTarget(id);
+        forwarder.removeTarget(id);
         return;
       case "changed":
         if (!isSameProcess(target, event.previous)) {
@@ -285,7 +325,7 @@
     // A target that is no longer suspect may serve waiting requests.
     dispatcher.serveQueue();
     abortIdleTransactions();
-    updateCapsOnHostCount();
+    updateAllowancesOnHostChange();
     io.metrics.set("sessions", sessions.size, {});
   }
 
@@ -316,13 +356,19 @@
     onCatalogChange: (listener) => catalog.onChange(listener),
     closeAdmission() {
       isAdmissionOpen = false;
+      connectionHolder.closeAdmission();
     },
     abortTransactionsWhenIdle() {
       abortsIdleTransactions = true;
       abortIdleTransactions();
+      connectionHolder.abortTransactionsWhenIdle();
     },
+    countForwardedChannels: connectionHolder.countChannels,
     leave() {
       failover.stop();
+      connectionHolder.announceLeaving();
+      isLeaving = true;
+      updateAllowances();
       return fleet.leave();
     },
     isReplacingPrimary: failover.isActive,
@@ -340,6 +386,8 @@
       );
       quotas.close();
       dispatcher.close();
+      forwarder.stop();
+      connectionHolder.stop();
     },
   };
 }
--- a/src/pooling/position_sharing.ts
+++ b/src/pooling/position_sharing.ts
@@ -32,6 +32,8 @@
     readonly self: HostId;
     listPeers(): readonly HostId[];
     getPositions(service: ServiceId): PositionHistory;
+    /** Called when a peer tells that the primary answered at this time. */
+    onPrimaryAnswered(service: ServiceId, at: number): void;
   },
 ): PositionSharing {
   const { self } = options;
@@ -86,6 +88,7 @@
         const earliestQueryAt = request.sentAt - ageMs;
         options.getPositions(request.service)
           .record({ term, pos }, earliestQueryAt);
+        options.onPrimaryAnswered(request.service, earliestQueryAt);
       }
     },
   };
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -5,6 +5,7 @@
 import type { Stoppable } from "../core/types.ts";
 import { sendControlCommand } from "./control.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
+import type { Holders } from "./holders.ts";
 import type { PositionSharing } from "./position_sharing.ts";
 import type { TargetRecord } from "./types.ts";
 import type { ExecutionContext } from "./execution.ts";
@@ -50,6 +51,7 @@
     readonly sharing: PositionSharing;
     /** Number of running hosts, including this host. */
     countHosts(): number;
+    readonly holders: Holders;
   },
 ): Probes {
   const { sharing } = options;
@@ -63,6 +65,16 @@
     const isSuspect = ctx.health.getFailingMs(id) > 0 ||
       ctx.health.isSuspect(id) || ctx.health.getPausedMs(id) > 0;
     if (primary === undefined || isSuspect) {
+      if (primary === id) {
+        // A polling host learns first that its primary answers again.
+        requestFromPeer(service, SUSPECT_PROBE_INTERVAL_MS);
+      }
+      // Each host probing would take the slots of a target that recovers.
+      return sharing.isPollingHost(service) || options.holders.isHolder(target)
+        ? SUSPECT_PROBE_INTERVAL_MS
+        : SUSPECT_PROBE_INTERVAL_MS * getIntervalFactor(options.countHosts());
+    }
+    if (ctx.forwarder.isProbeDue(target)) {
       return SUSPECT_PROBE_INTERVAL_MS;
     }
     if (primary !== id) {
@@ -108,7 +120,9 @@
 
   function probe(target: TargetRecord): void {
     probedAt.set(target.id, nowMs());
-    void sendControlCommand(ctx, target, { kind: "status" });
+    void sendControlCommand(ctx, target, { kind: "status" }, {
+      mayForward: true,
+    });
   }
 
   function probeDueTargets(): void {
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -70,7 +70,7 @@
   const rttMs = getRttMs(topology, target.domain);
   const latencyMs = health.tryLatencyMs(target.id) ??
     rttMs + DEFAULT_PROCESSING_MS;
-  let scoreMs = latencyMs * (1 + dispatcher.getLoad(target.id));
+  let scoreMs = latencyMs * (1 + dispatcher.getLoad(target));
   scoreMs += rttMs >= CROSS_REGION_RTT_MS ? CROSS_REGION_PENALTY_MS : 0;
   scoreMs += health.isEjected(target.id) ? EJECTED_PENALTY_MS : 0;
   scoreMs += target.id === options.primary ? PRIMARY_PENALTY_MS : 0;
@@ -78,7 +78,7 @@
   if (!source) {
     return scoreMs + latencyMs;
   }
-  return source.kind === "idle"
+  return source.kind === "idle" || source.kind === "forward"
     ? scoreMs
     : scoreMs + HANDSHAKE_COST_MS + 2 * rttMs;
 }
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -21,6 +21,7 @@
   listAvailableTargets,
   type Outcome,
   prepareConnection,
+  recordNoReply,
   recordPrimary,
   recordReply,
   sendWithTimeout,
@@ -137,7 +138,7 @@
       onSent(checkout) {
         const usualMs = ctx.health.tryLatencyMs(checkout.target.id) ?? 0;
         hedgeTimer = setTimeout(() => {
-          ctx.health.recordFailure(checkout.target.id);
+          recordNoReply(ctx, checkout);
           ctx.io.log.info("read_hedged", {
             id: options.task.operation.id,
             silent: checkout.target.id,
--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -42,6 +42,7 @@
     Pooler,
     | "leave"
     | "isReplacingPrimary"
+    | "countForwardedChannels"
     | "closeAdmission"
     | "abortTransactionsWhenIdle"
     | "stop"
@@ -118,7 +119,8 @@
   function waitUntilDone(fraction: number, minMs = 0): Promise<boolean> {
     return waitUntil(
       () =>
-        connections.countConnections() === 0 && !pooler.isReplacingPrimary(),
+        connections.countConnections() === 0 &&
+        pooler.countForwardedChannels() === 0 && !pooler.isReplacingPrimary(),
       Math.max(minMs, startedAt + fraction * graceMs - nowMs()),
     );
   }
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -10,6 +10,7 @@
 } from "./link_context.ts";
 import type { DialErr, PoolIo, TargetLink, TargetRecord } from "./types.ts";
 import type { Health } from "./health.ts";
+import type { ConnectionAllowance } from "./holders.ts";
 import type { Result } from "ts-results-es";
 
 /** Time to open a connection, in milliseconds. */
@@ -18,12 +19,6 @@
  * Time without dialing after the target refused a connection, in milliseconds.
  */
 const DIAL_BACKOFF_MS = 150;
-/**
- * Fraction of this host's connection limit that stays open while idle. A target
- * holds the connections of a host that lost power for some seconds; until then
- * the restarted host can only open the remaining ones.
- */
-const IDLE_KEEP_FRACTION = 0.4;
 
 /** Pooled connection; bound to one workspace for its lifetime. */
 export interface PooledLink {
@@ -55,7 +50,7 @@
    */
   release(pooled: PooledLink, isClean: boolean): void;
   countBusy(): number;
-  setCap(cap: number): void;
+  setAllowance(allowance: ConnectionAllowance): void;
   /** Closes an idle connection in excess of those kept open while idle. */
   closeIfSurplus(pooled: PooledLink): void;
   /**
@@ -87,6 +82,7 @@
   const links = new Set<PooledLink>();
   let dialingCount = 0;
   let cap = 1;
+  let idleCap = 1;
   let dialBlockedUntil = -Infinity;
   let isRetired = false;
   let isClosed = false;
@@ -202,15 +198,16 @@
     },
     countBusy: () =>
       [...links].filter(({ isBusy }) => isBusy).length + dialingCount,
-    setCap(newCap) {
-      cap = newCap;
-      const excess = links.size + dialingCount - cap;
+    setAllowance(allowance) {
+      ({ cap, idleCap } = allowance);
+      const excess = idleCap === 0
+        ? links.size
+        : links.size + dialingCount - cap;
       listIdle().sort((a, b) => a.usedAt - b.usedAt)
         .slice(0, Math.max(0, excess)).forEach(discard);
     },
     closeIfSurplus(pooled) {
-      const keepCount = Math.max(1, Math.floor(cap * IDLE_KEEP_FRACTION));
-      if (!pooled.isBusy && links.size > keepCount && links.has(pooled)) {
+      if (!pooled.isBusy && links.size > idleCap && links.has(pooled)) {
         discard(pooled);
       }
     },
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -12,6 +12,12 @@
 } from "../core/ids.ts";
 import type { MetricsSink, PlatformStore, Position } from "../core/types.ts";
 import type { PoolPeerMessage } from "../generated/pool_peer.ts";
+import type {
+  ForwardClose,
+  ForwardLeaving,
+  ForwardReply,
+  ForwardRun,
+} from "../generated/pool_forward.ts";
 import type { PoolErrKind } from "./errors.ts";
 
 export type { Position } from "../core/types.ts";
@@ -158,6 +164,10 @@
   | "unknown_statement"
   | "wrong_target"
   | "too_many_connections"
+  /** The command never reached the target. */
+  | "not_sent"
+  /** The command was not sent, because the target does not answer. */
+  | "target_down"
   | "failed"
   | "timeout"
   | "malformed"
@@ -197,8 +207,13 @@
 /** A connection to a target on behalf of one workspace. */
 export interface TargetLink {
   readonly target: TargetRecord;
-  readonly workspace: WorkspaceId;
+  /** Undefined if the connection may be one of any workspace. */
+  readonly workspace: WorkspaceId | undefined;
+  /** Host whose connection is used; undefined if it is this host's own. */
+  readonly holder?: HostId;
   isOpen(): boolean;
+  /** Whether the holder is lost or gives no sign of life. */
+  isHolderSilent?(): boolean;
   /** Sends a command; replies arrive in the order of the commands. */
   send(command: TargetCommand): Promise<TargetReply>;
   close(): void;
@@ -251,6 +266,45 @@
   onMessage(receiver: PeerReceiver): void;
 }
 
+/** One end of an ordered, reliable stream of messages between two hosts. */
+export interface HostStream<Out> {
+  send(msg: Out): void;
+  /** Asks the other end for a sign of life. */
+  ping(): void;
+  close(): void;
+}
+
+/** Receives what happens on a stream. */
+export interface HostStreamHandlers<In> {
+  onMessage(msg: In): void;
+  /** A sign of life other than a message. */
+  onAlive?(): void;
+  onClose(detail: string): void;
+}
+
+/** Message from the host that uses a connection to the one that holds it. */
+export type ForwardRequest = ForwardRun | ForwardClose;
+/** Message from the host that holds a connection. */
+export type ForwardResponse = ForwardReply | ForwardLeaving;
+
+/** Opens and accepts streams of forwarded commands. */
+export interface HostStreams {
+  /** Opens a stream; only after `onOpen` may messages be sent. */
+  open(
+    to: HostId,
+    handlers: HostStreamHandlers<ForwardResponse> & { onOpen(): void },
+  ): HostStream<ForwardRequest>;
+  /** Sets the function that provides the handlers of accepted streams. */
+  onAccept(
+    accept: (
+      from: HostId,
+      stream: HostStream<ForwardResponse>,
+    ) => HostStreamHandlers<ForwardRequest>,
+  ): void;
+  /** Sets the other hosts' addresses; streams of unknown hosts are refused. */
+  setAddresses(known: ReadonlyMap<HostId, string>): void;
+}
+
 /** Fields of a log line. */
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
@@ -270,6 +324,7 @@
   readonly dialer: TargetDialer;
   readonly promoter: Promoter;
   readonly peers: PoolPeers;
+  readonly streams: HostStreams;
   readonly log: PoolLog;
   readonly metrics: MetricsSink;
   /** Returns a random number in [0, 1). */
--- a/src/pooling/writes.ts
+++ b/src/pooling/writes.ts
@@ -131,6 +131,8 @@
     case "unknown_statement":
     case "wrong_target":
     case "too_many_connections":
+    case "not_sent":
+    case "target_down":
       return true;
     case "failed":
     case "timeout":
--- a/standins/statement_server.ts
+++ b/standins/statement_server.ts
@@ -29,6 +29,9 @@
   failed: "FAILED",
   timeout: "TIMEOUT",
   malformed: "MALFORMED",
+  // Only hosts answer with these two.
+  not_sent: "OTHER",
+  target_down: "OTHER",
   other: "OTHER",
 };
 
--- a/test/batching.test.ts
+++ b/test/batching.test.ts
@@ -57,7 +57,10 @@
     getDefaultWorkspace: () => WORKSPACES[0],
     plan,
   });
-  dispatcher.setConnectionCaps(() => CONNECTION_COUNT);
+  dispatcher.setAllowances(() => ({
+    cap: CONNECTION_COUNT,
+    idleCap: CONNECTION_COUNT,
+  }));
   const running: Promise<void>[] = [];
 
   async function run(workspace: WorkspaceId): Promise<void> {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -79,6 +79,7 @@
     getPositions: () => {
       throw new Error("unexpected request for positions");
     },
+    onPrimaryAnswered() {},
   });
   const isPollingHost = () => sharing.isPollingHost(asId("ledger"));
   const ranked = vi.mocked(rankNodes);
--- /dev/null
+++ b/test/memory_streams.ts
@@ -0,0 +1,100 @@
+/** Streams between hosts of one process, with faults, for tests. */
+
+import type { HostId } from "../src/core/ids.ts";
+import type {
+  ForwardRequest,
+  ForwardResponse,
+  HostStream,
+  HostStreamHandlers,
+  HostStreams,
+} from "../src/pooling/types.ts";
+
+/** Time that a message takes to the other host, in milliseconds. */
+const DELAY_MS = 1;
+
+type Accept = Parameters<HostStreams["onAccept"]>[0];
+
+/** Connects the streams of all hosts of one test. */
+export interface MemoryNetwork {
+  /** Hosts that neither send nor receive; their streams stay open. */
+  readonly silentHosts: Set<HostId>;
+  /** Number of streams opened so far. */
+  readonly openedCount: number;
+  createStreams(host: HostId): HostStreams;
+  /** Resets all streams from and to a host. */
+  reset(host: HostId): void;
+}
+
+interface Connection {
+  readonly hosts: readonly HostId[];
+  reset(): void;
+}
+
+/** Creates a network without hosts. */
+export function createMemoryNetwork(): MemoryNetwork {
+  const accepts = new Map<HostId, Accept>();
+  const silentHosts = new Set<HostId>();
+  const connections = new Set<Connection>();
+  let openedCount = 0;
+
+  function open(
+    from: HostId,
+    to: HostId,
+    handlers: HostStreamHandlers<ForwardResponse> & { onOpen(): void },
+  ): HostStream<ForwardRequest> {
+    let isOpen = true;
+    let atHolder: HostStreamHandlers<ForwardRequest> | undefined;
+    const deliver = (action: () => void) =>
+      void setTimeout(() => {
+        const isSilent = silentHosts.has(from) || silentHosts.has(to);
+        if (isOpen && !isSilent) {
+          action();
+        }
+      }, DELAY_MS);
+    const connection: Connection = {
+      hosts: [from, to],
+      reset() {
+        if (isOpen) {
+          isOpen = false;
+          connections.delete(connection);
+          handlers.onClose("reset");
+          atHolder?.onClose("reset");
+        }
+      },
+    };
+    const accept = accepts.get(to);
+    if (!accept) {
+      setTimeout(connection.reset, DELAY_MS);
+    }
+    connections.add(connection);
+    openedCount++;
+    deliver(() => {
+      atHolder = accept?.(from, {
+        send: (msg) => deliver(() => handlers.onMessage(msg)),
+        ping: () => deliver(() => handlers.onAlive?.()),
+        close: () => setTimeout(connection.reset, DELAY_MS),
+      });
+      deliver(handlers.onOpen);
+    });
+    return {
+      send: (msg) => deliver(() => atHolder?.onMessage(msg)),
+      ping: () => deliver(() => deliver(() => handlers.onAlive?.())),
+      close: () => setTimeout(connection.reset, DELAY_MS),
+    };
+  }
+
+  return {
+    silentHosts,
+    get openedCount() {
+      return openedCount;
+    },
+    createStreams: (host) => ({
+      open: (to, handlers) => open(host, to, handlers),
+      onAccept: (accept) => void accepts.set(host, accept),
+      setAddresses() {},
+    }),
+    reset: (host) =>
+      [...connections].filter(({ hosts }) => hosts.includes(host))
+        .forEach((connection) => connection.reset()),
+  };
+}
--- a/test/pool_chaos.test.ts
+++ b/test/pool_chaos.test.ts
@@ -50,12 +50,27 @@
   (seed) => playFaults(seed, { hasReturns: true }),
 );
 
+test.each(SEEDS)(
+  "guarantees hold under random faults with forwarding, seed %i",
+  (seed) => playFaults(seed, { hasReturns: seed % 2 === 0, forwards: true }),
+);
+
 /** Plays the faults of a seed and checks what clients and targets have seen. */
 async function playFaults(
   seed: number,
-  { hasReturns }: { readonly hasReturns: boolean },
+  { hasReturns, forwards = false }: {
+    readonly hasReturns: boolean;
+    /** Whether the hosts forward, having too few connections of their own. */
+    readonly forwards?: boolean;
+  },
 ): Promise<void> {
-  fleet = await startPoolFleet({ hosts: 3, group: { lagMs: 40 } });
+  fleet = await startPoolFleet({
+    hosts: 3,
+    group: { lagMs: 40 },
+    ...(forwards
+      ? { workspaces: Array.from({ length: 8 }, (_, n) => `w${n + 1}`) }
+      : {}),
+  });
   const rng = xoroshiro128plus(seed);
   const drawBelow = (limit: number) => (rng.next() >>> 0) % limit;
   const writes: WriteOutcome[] = [];
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -14,7 +14,7 @@
   PeerReceiver,
   Statement,
   StatementAnswer,
-  TargetCommand,
+  TargetLink,
   TargetRecord,
   TargetReply,
 } from "../src/pooling/types.ts";
@@ -25,6 +25,7 @@
   type PlatformCopy,
   type PlatformCore,
 } from "../standins/platform_core.ts";
+import { createMemoryNetwork, type MemoryNetwork } from "./memory_streams.ts";
 import { createEraCalls, isExternalKey } from "./era_calls.ts";
 import {
   createStatementGroup,
@@ -43,6 +44,9 @@
   readonly group?: Partial<GroupOptions>;
   readonly ratePerS?: number;
   readonly maxConnections?: number;
+  /** Failure domain of each host; `d1` by default, where the targets are. */
+  readonly domains?: readonly string[];
+  readonly workspaces?: readonly string[];
 }
 
 /** Line in the log of a host. */
@@ -87,7 +91,10 @@
   /** Delay of all replies of targets; 0 for none. */
   readonly targetReplies: { delayMs: number };
   readonly logLines: LogLine[];
-  openSession(database: string, host?: number): Session;
+  /** Streams between the hosts. */
+  readonly network: MemoryNetwork;
+  /** Opens a session of a workspace; of the first one by default. */
+  openSession(database: string, host?: number, workspace?: string): Session;
   getTarget(id: string): StatementTarget;
   setCatalog(overrides?: Partial<Catalog>): void;
   register(id: string, overrides?: Partial<TargetRecord>): void;
@@ -130,6 +137,8 @@
   const recordLine = (event: string, fields: LogFields) =>
     logLines.push({ event, fields, time: Date.now() });
   const receivers = new Map<HostId, PeerReceiver>();
+  const network = createMemoryNetwork();
+  const workspaces = options.workspaces ?? ["w1"];
   let version = 0;
   let seed = 1;
   const random = () => {
@@ -156,8 +165,10 @@
         maxConnections: options.maxConnections ?? 20,
         syncReplicas: 1,
       }]]),
-      quotas: new Map([["w1", { ratePerS, burst: ratePerS }]]),
-      workspaceByKey: new Map([["key1", "w1"]]),
+      quotas: new Map(
+        workspaces.map((id) => [id, { ratePerS, burst: ratePerS }]),
+      ),
+      workspaceByKey: new Map(workspaces.map((id) => [toKey(id), id])),
       transactionIdleMs: 3_000,
       ...overrides,
     });
@@ -185,6 +196,27 @@
     return await reply;
   }
 
+  /** As the link, but commands get no reply while the target is unreachable. */
+  function createCuttableLink(
+    link: TargetLink,
+    isCut: () => boolean,
+  ): TargetLink {
+    const unanswered = new Set<(reply: TargetReply) => void>();
+    return {
+      ...link,
+      send: (command) =>
+        isCut()
+          ? new Promise((resolve) => unanswered.add(resolve))
+          : delayReply(link.send(command)),
+      close() {
+        link.close();
+        unanswered.forEach((resolve) =>
+          resolve({ kind: "lost", detail: "closed by this host" })
+        );
+      },
+    };
+  }
+
   function createHost(index: number): Pooler {
     const host = asId<HostId>(`h${index}`);
     return createPooler({
@@ -202,13 +234,9 @@
             );
           }
           return Promise.resolve(
-            group.connect(target.id, workspace).map((link) => ({
-              ...link,
-              send: (command: TargetCommand) =>
-                isUnreachable(host, target.id)
-                  ? new Promise<TargetReply>(() => {})
-                  : delayReply(link.send(command)),
-            })),
+            group.connect(target.id, workspace).map((link) =>
+              createCuttableLink(link, () => isUnreachable(host, target.id))
+            ),
           );
         },
       },
@@ -229,6 +257,7 @@
           void setTimeout(() => receivers.get(to)?.(host, msg), 1),
         onMessage: (receiver) => void receivers.set(host, receiver),
       },
+      streams: network.createStreams(host),
       log: {
         info: recordLine,
         request: recordLine,
@@ -242,7 +271,7 @@
       random,
     }, {
       host,
-      domain: asId("d1"),
+      domain: asId(options.domains?.[index] ?? "d1"),
       peerAddress: `127.0.0.1:${index}`,
       regions: new Map(),
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
@@ -278,11 +307,14 @@
     orders,
     counters,
     logLines,
+    network,
     setCatalog,
     register,
-    openSession: (database, host = 0) =>
-      poolers[host]!.openSession({ database: asId(database), key: "key1" })
-        .unwrap(),
+    openSession: (database, host = 0, workspace = workspaces[0]!) =>
+      poolers[host]!.openSession({
+        database: asId(database),
+        key: toKey(workspace),
+      }).unwrap(),
     getTarget: (id) => group.targets.find((t) => t.record.id === id)!,
     startHost() {
       const pooler = createHost(poolers.length);
@@ -308,6 +340,11 @@
   }] as const;
 }
 
+/** Key of a workspace: `key1` of `w1`. */
+function toKey(workspace: string): string {
+  return workspace.replace("w", "key");
+}
+
 let statementCount = 0;
 
 /**
--- a/test/share_hosts.ts
+++ b/test/share_hosts.ts
@@ -36,11 +36,16 @@
       })),
       log: { info: (event: string) => void events.push(event) },
       peers: { setAddresses() {} },
+      streams: { setAddresses() {} },
       metrics: { count() {}, add() {} },
       random,
     } as unknown as PoolIo;
     const self = asId<HostId>(`h${index}`);
-    const fleet = createFleet(io, { self, peerAddress: `127.0.0.1:${index}` });
+    const fleet = createFleet(io, {
+      self,
+      peerAddress: `127.0.0.1:${index}`,
+      domain: asId("d1"),
+    });
     const quotas = {
       setShare: (_: WorkspaceId, share: number) => void (state.share = share),
       listDemand: () =>
--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -55,6 +55,7 @@
     pooler: {
       leave: () => Promise.resolve(record("leave")()),
       isReplacingPrimary: () => false,
+      countForwardedChannels: () => 0,
       closeAdmission: record("closeAdmission"),
       abortTransactionsWhenIdle: record("abortTransactionsWhenIdle"),
       stop: record("stop"),
--- a/test/store_return.test.ts
+++ b/test/store_return.test.ts
@@ -22,11 +22,13 @@
       })),
       log: { info: (event: string) => void events.push(event) },
       peers: { setAddresses() {} },
+      streams: { setAddresses() {} },
       metrics: { count() {}, add() {} },
       random: () => 0.5,
     } as unknown as PoolIo, {
       self: asId<HostId>(`h${index}`),
       peerAddress: `127.0.0.1:${index}`,
+      domain: asId("d1"),
     });
     return { view, state, events };
   });
