--- a/src/pooling/directory.ts
+++ b/src/pooling/directory.ts
@@ -1,7 +1,7 @@
 /** Directory of registered targets. */
 
 import { nowMs } from "../core/clock.ts";
-import type { ServiceId, TargetId } from "../core/ids.ts";
+import type { ObjectKey, ServiceId, TargetId } from "../core/ids.ts";
 import type { StoredObject } from "../core/types.ts";
 import type { PoolIo, TargetRecord } from "./types.ts";
 
@@ -12,6 +12,13 @@
  */
 const REREGISTRATION_GRACE_MS = 2_200;
 
+/**
+ * Fraction of all targets whose registrations must lapse together to be taken
+ * for a failure of the store, as in the self-preservation mode of service
+ * registries. A watch can outlast an outage, so the call need not have failed.
+ */
+const MASS_LAPSE_FRACTION = 0.5;
+
 /** Change of the directory. */
 export type DirectoryEvent =
   | { readonly kind: "found"; readonly target: TargetRecord }
@@ -27,7 +34,8 @@
   tryGet(id: TargetId): TargetRecord | undefined;
   list(service: ServiceId): readonly TargetRecord[];
   replaceAll(objects: readonly StoredObject[]): void;
-  applyObject(object: StoredObject): void;
+  /** Applies objects that changed together. */
+  applyObjects(objects: readonly StoredObject[]): void;
   /**
    * Records that the store is reachable again. Targets whose registration
    * lapsed during the outage get time to register again.
@@ -120,18 +128,34 @@
       put(target);
       return;
     }
-    if (object.version > 0) {
-      // An invalid entry does not replace a valid one.
-      io.log.info("target_entry_invalid", { key: object.key });
-      io.metrics.count("state_changes_total", {
-        component: "directory",
-        event: "invalid_entry",
+    // An invalid entry does not replace a valid one.
+    io.log.info("target_entry_invalid", { key: object.key });
+    io.metrics.count("state_changes_total", {
+      component: "directory",
+      event: "invalid_entry",
+    });
+  }
+
+  function recordStoreReconnected(): void {
+    reconnectedAt = nowMs();
+    for (const id of graceEndById.keys()) {
+      graceEndById.set(id, reconnectedAt + REREGISTRATION_GRACE_MS);
+    }
+  }
+
+  /** Handles deregistrations that arrived together. */
+  function handleDeregistrations(ids: readonly TargetId[]): void {
+    const lapsed = ids.filter((id) => targets.get(id)?.isDraining === false);
+    const isMassLapse = lapsed.length > 1 &&
+      lapsed.length > targets.size * MASS_LAPSE_FRACTION;
+    if (isMassLapse) {
+      io.log.info("targets_lapsed_together", {
+        lapsed: lapsed.length,
+        targets: targets.size,
       });
-      return;
+      recordStoreReconnected();
     }
-    handleDeregistration(
-      object.key.slice(object.key.indexOf("/") + 1) as TargetId,
-    );
+    ids.forEach(handleDeregistration);
   }
 
   return {
@@ -140,20 +164,20 @@
       [...targets.values()].filter((target) => target.service === service),
     replaceAll(objects) {
       const listed = new Set(
-        objects.map(({ key }) => key.slice(key.indexOf("/") + 1)),
+        objects.map(({ key }) => toTargetId(key)),
       );
       objects.forEach(apply);
-      [...targets.keys()].filter((id) => !listed.has(id)).forEach(
-        handleDeregistration,
+      handleDeregistrations(
+        [...targets.keys()].filter((id) => !listed.has(id)),
       );
     },
-    applyObject: apply,
-    recordStoreReconnected() {
-      reconnectedAt = nowMs();
-      for (const id of graceEndById.keys()) {
-        graceEndById.set(id, reconnectedAt + REREGISTRATION_GRACE_MS);
-      }
+    applyObjects(objects) {
+      const latest = [...new Map(objects.map((o) => [o.key, o])).values()];
+      const removed = latest.filter(({ version }) => version === 0);
+      latest.filter(({ version }) => version > 0).forEach(apply);
+      handleDeregistrations(removed.map(({ key }) => toTargetId(key)));
     },
+    recordStoreReconnected,
     removeExpired() {
       if (options.isStoreUnreachable()) {
         return;
@@ -172,6 +196,10 @@
   };
 }
 
+function toTargetId(key: ObjectKey): TargetId {
+  return key.slice(key.indexOf("/") + 1) as TargetId;
+}
+
 function isSameRecord(a: TargetRecord, b: TargetRecord): boolean {
   return a.incarnation === b.incarnation && a.address === b.address &&
     a.isDraining === b.isDraining && a.role === b.role &&
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -218,7 +218,7 @@
           void sendHeartbeat();
         }
       },
-      onChange: applyObject,
+      onChanges: (changed) => changed.forEach(applyObject),
     },
   });
 
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -47,6 +47,19 @@
  * start, so that one window between the starts would not keep them apart.
  */
 const TOLERANCE_START_WINDOWS = 2;
+/**
+ * Fraction of the time to notice that a watch is dead which one watch may wait;
+ * the rest is for the call's own timeout and the next call.
+ */
+const WATCH_WAIT_FRACTION = 0.6;
+/** Longest wait of one watch that the store accepts, in milliseconds. */
+const MAX_WATCH_WAIT_MS = 30_000;
+/**
+ * Minimum interval between two watches of the targets, in milliseconds per
+ * host. A change of any target ends the watch of every host, and many targets
+ * change together.
+ */
+const TARGET_WATCH_INTERVAL_PER_HOST_MS = 2;
 /** Connections to a target of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 10;
 
@@ -59,6 +72,17 @@
   tryDecodeTarget(object: StoredObject): TargetRecord | undefined;
 }
 
+/** How soon changes in the store must be in force. */
+export interface Freshness {
+  /** Time within which an accepted change must be in force, in milliseconds. */
+  readonly changeInForceMs: number;
+  /**
+   * Time after a fault of a host from which that bound holds again, in
+   * milliseconds.
+   */
+  readonly settlingMs: number;
+}
+
 /** Settings of a session pool. */
 export interface PoolerOptions {
   readonly host: HostId;
@@ -67,6 +91,7 @@
   readonly peerAddress: string;
   readonly regions: ReadonlyMap<DomainId, string>;
   readonly quotaTolerance: QuotaTolerance;
+  readonly freshness: Freshness;
   readonly decoding: PoolerDecoding;
 }
 
@@ -222,18 +247,28 @@
     holders,
   });
   const failover = createFailoverMonitor(ctx, { self: options.host, fleet });
+  // A connection that fails silently counts as a fault of the host.
+  const watchWaitMs = Math.min(
+    MAX_WATCH_WAIT_MS,
+    WATCH_WAIT_FRACTION *
+      (options.freshness.changeInForceMs + options.freshness.settlingMs),
+  );
   const catalogFeed = createStoreFeed(io, {
     prefix: decoding.catalogPrefix,
+    waitMs: watchWaitMs,
     handlers: {
       onList: (objects) => objects.forEach(applyCatalogObject),
-      onChange: applyCatalogObject,
+      onChanges: (changed) => changed.forEach(applyCatalogObject),
     },
   });
   const targetFeed = createStoreFeed(io, {
     prefix: decoding.targetPrefix,
+    waitMs: watchWaitMs,
+    getMinWatchIntervalMs: () =>
+      TARGET_WATCH_INTERVAL_PER_HOST_MS * fleet.countHosts(),
     handlers: {
       onList: directory.replaceAll,
-      onChange: directory.applyObject,
+      onChanges: directory.applyObjects,
       onReconnected: directory.recordStoreReconnected,
     },
   });
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -4,10 +4,7 @@
 import type { PlatformStore, Stoppable, StoredObject } from "../core/types.ts";
 import type { PoolIo } from "./types.ts";
 
-/**
- * Longest wait of one watch, in milliseconds; also bounds detection of a dead
- * connection.
- */
+/** Longest wait of one watch unless the feed has another, in milliseconds. */
 const WATCH_WAIT_MS = 3_000;
 /** Initial and longest retry delay after a failed call, in milliseconds. */
 const MIN_RETRY_MS = 100;
@@ -17,8 +14,8 @@
 export interface FeedHandlers {
   /** Called with all objects, at the start and after history was lost. */
   onList(objects: readonly StoredObject[]): void;
-  /** Called with a changed object; version 0 if it was removed. */
-  onChange(object: StoredObject): void;
+  /** Called with changed objects, in order; version 0 if one was removed. */
+  onChanges(objects: readonly StoredObject[]): void;
   /**
    * Called when the store answers again after `outageMs` without an answer, and
    * before the first list after it returned to an earlier copy.
@@ -40,7 +37,10 @@
   io: Pick<PoolIo, "log" | "random"> & { readonly store: PlatformStore },
   options: {
     readonly prefix: string;
-    /** Longest wait of one watch, in milliseconds. */
+    /**
+     * Longest wait of one watch, in milliseconds; also bounds the detection of
+     * a dead connection.
+     */
     readonly waitMs?: number;
     /** Allows changes to arrive seconds late, which costs the store less. */
     readonly mayBeLate?: boolean;
@@ -125,7 +125,7 @@
     }
     recordAnswer();
     revision = changes.value.revision;
-    changes.value.objects.forEach(handlers.onChange);
+    handlers.onChanges(changes.value.objects);
     return true;
   }
 
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -235,6 +235,8 @@
     "portRange.1": "7001",
     "platform.addr|json": `"10.0.0.2:1"`,
     "cloud.addr|json": `"10.0.0.3:1"`,
+    "bounds.configMs|json": "4000",
+    "bounds.stableMs|json": "5000",
     "bounds.graceS|json": "6",
     "bounds.quotaWindowS|json": "5",
     "bounds.quotaOver|json": "0.1",
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -274,6 +274,7 @@
       domain: asId(options.domains?.[index] ?? "d1"),
       peerAddress: `127.0.0.1:${index}`,
       regions: new Map(),
+      freshness: { changeInForceMs: 3_000, settlingMs: 2_000 },
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
       decoding: {
         catalogPrefix: "catalog/",
--- a/test/store_era.test.ts
+++ b/test/store_era.test.ts
@@ -187,7 +187,7 @@
       handlers: {
         onList: (objects) =>
           void lists.push(objects.map(({ value }) => `${value}`)),
-        onChange() {},
+        onChanges() {},
         onReconnected: (outageMs) => void reconnected.push(outageMs),
       },
     },
@@ -229,7 +229,7 @@
   } as unknown as EraCalls);
   const feed = createStoreFeed(
     { store, log: { info() {}, request() {} }, random: () => 0.5 },
-    { prefix: "x/", handlers: { onList() {}, onChange() {} } },
+    { prefix: "x/", handlers: { onList() {}, onChanges() {} } },
   );
   feed.start();
   await vi.advanceTimersByTimeAsync(1_000);
--- a/test/store_feed.test.ts
+++ b/test/store_feed.test.ts
@@ -29,7 +29,7 @@
       getMinWatchIntervalMs: () => minIntervalMs,
       handlers: {
         onList: (objects) => objects.forEach(({ key }) => seen.add(key)),
-        onChange: ({ key }) => void seen.add(key),
+        onChanges: (objects) => objects.forEach(({ key }) => seen.add(key)),
       },
     },
   );
@@ -76,7 +76,7 @@
       prefix: "hosts/",
       handlers: {
         onList() {},
-        onChange() {},
+        onChanges() {},
         onReconnected: () => void (reconnectedAt = performance.now()),
       },
     },
--- a/tools/soak/host_process.ts
+++ b/tools/soak/host_process.ts
@@ -78,6 +78,8 @@
       peers: at(ports.peers),
       store: at(plan.storePort),
       orders: at(plan.ordersPort),
+      changeInForceMs: 3_000,
+      settlingMs: 2_000,
       stopGraceS: plan.graceS,
       quotaTolerance: plan.quotaTolerance,
     }),
