--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -4,6 +4,7 @@
 import { createServer, type IncomingMessage } from "node:http";
 import { Packr } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
+import { withTimeout } from "../core/clock.ts";
 import { asId, type HostId } from "../core/ids.ts";
 import type { MetricsSink } from "../core/types.ts";
 import type { ForwardMessage } from "../generated/pool_forward.ts";
@@ -24,6 +25,11 @@
 const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 /** Unsent bytes of a stream, beyond which the other host is given up. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+/**
+ * Time for which a stream waits for this host to know its peers, in
+ * milliseconds: when a whole fleet restarts, some learn them later.
+ */
+const ADDRESSES_TIMEOUT_MS = 500;
 /** Close code for a protocol violation. */
 const MALFORMED_CODE = 1_008;
 
@@ -44,13 +50,23 @@
 ): ListeningHostStreams {
   const { self, log, metrics } = options;
   const addresses = new Map<HostId, string>();
+  let resolveAddressesKnown = () => {};
+  const addressesKnown = new Promise<void>((resolve) => {
+    resolveAddressesKnown = resolve;
+  });
   const server = createServer();
   const wss = new WebSocketServer({
     server,
     perMessageDeflate: false,
     maxPayload: MAX_FRAME_BYTES,
-    verifyClient: ({ req }: { req: IncomingMessage }) =>
-      tryFindSender(req) !== undefined,
+    verifyClient: (
+      { req }: { req: IncomingMessage },
+      answer: (isAccepted: boolean) => void,
+    ) =>
+      void withTimeout(addressesKnown, {
+        ms: ADDRESSES_TIMEOUT_MS,
+        fallback: undefined,
+      }).then(() => answer(tryFindSender(req) !== undefined)),
   });
 
   /** Returns the registered host of a request; undefined if there is none. */
@@ -116,6 +132,7 @@
     setAddresses(known) {
       addresses.clear();
       known.forEach((hostAddress, host) => addresses.set(host, hostAddress));
+      resolveAddressesKnown();
     },
     open(to, handlers) {
       const ws = tryOpenWebSocket(
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -28,7 +28,7 @@
 } from "./types.ts";
 
 /** Time to open a stream to another host, in milliseconds. */
-const OPEN_TIMEOUT_MS = 400;
+const OPEN_TIMEOUT_MS = 700;
 /** Bounds of the delay before a stream that failed is opened again. */
 const MIN_REOPEN_DELAY_MS = 200;
 const MAX_REOPEN_DELAY_MS = 3_000;
--- a/test/host_streams.test.ts
+++ b/test/host_streams.test.ts
@@ -152,6 +152,23 @@
   expect(accepted).toEqual([]);
 });
 
+// Pattern: a whole fleet restarts, and some hosts know their peers later.
+test("a stream waits until its holder knows its peers", async () => {
+  const address = await findAddress();
+  const late = createHostStreams(address, {
+    self: HOLDER,
+    log: { info() {}, request() {} },
+    metrics: createMetrics(),
+  });
+  await late.listen();
+  const addresses = new Map([[ENTRY, "127.0.0.1:1"], [HOLDER, address]]);
+  entry.setAddresses(addresses);
+  const opened = open();
+  late.setAddresses(addresses);
+  await opened;
+  late.close();
+});
+
 test("malformed frames end their own stream and nothing else", async () => {
   const { stream } = await open();
   const valid = new Packr({ sequential: true }).pack(createRun(1));
