--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -62,6 +62,8 @@
   readonly tolerance: QuotaTolerance;
   /** Whether no earlier process of this host can have used it within a window. */
   isToleranceUnused(): boolean;
+  /** Time since this process started, in milliseconds. */
+  getUptimeMs(): number;
   random(): number;
   /** Requests tokens from peers; resolves with the number received. */
   borrow(workspace: WorkspaceId, count: number): Promise<number>;
@@ -113,18 +115,19 @@
   }
 
   /**
-   * Returns the tokens that come with the first share of this process. The
-   * usage of the host's previous process is unknown, so these tokens are
+   * Returns the tokens that come with the first share of this process. No one
+   * has used what its share has accrued since the process started. The usage
+   * of the host's previous process is unknown, so any further tokens are
    * charged to the tolerance, at most once per window.
    */
   function getInitialTokens(entry: QuotaState): number {
-    if (!options.isToleranceUnused()) {
-      return 0;
-    }
     const { windowS, part, operations } = options.tolerance;
     const { ratePerS, burst } = entry.quota;
-    const tolerated = part * (ratePerS * windowS + burst) + operations;
-    return tolerated * (entry.share / FULL_SHARE);
+    const accrued = Math.min(burst, (ratePerS * options.getUptimeMs()) / 1_000);
+    const tolerated = options.isToleranceUnused()
+      ? part * (ratePerS * windowS + burst) + operations
+      : 0;
+    return (accrued + tolerated) * (entry.share / FULL_SHARE);
   }
 
   function createRefusal(entry: QuotaState, waitMs: number): Err<PoolFailure> {
--- a/test/pooling_parts.test.ts
+++ b/test/pooling_parts.test.ts
@@ -135,6 +135,7 @@
   const quotas = createQuotas({
     tolerance: { windowS: 5, part: 0, operations: 0 },
     isToleranceUnused: () => false,
+    getUptimeMs: () => 0,
     random: () => 0,
     borrow: () => Promise.resolve(0),
   });
@@ -169,6 +170,7 @@
     const quotas = createQuotas({
       tolerance: { windowS: 5, part: 0.1, operations: 20 },
       isToleranceUnused: () => isToleranceUnused,
+      getUptimeMs: () => 0,
       random: () => 0,
       borrow: () => Promise.resolve(0),
     });
@@ -186,6 +188,28 @@
   expect(await take(false)).toBe(0);
 });
 
+// Pattern: a whole fleet restarts. Nobody has used its shares meanwhile, and
+// clients that waited were refused although they were within their plans.
+test.each([[0, 0], [600, 3], [60_000, 5]])(
+  "a process that gets its share after %i ms starts with %i tokens of it",
+  async (uptimeMs, expected) => {
+    const quotas = createQuotas({
+      tolerance: { windowS: 5, part: 0, operations: 0 },
+      isToleranceUnused: () => false,
+      getUptimeMs: () => uptimeMs,
+      random: () => 0,
+      borrow: () => Promise.resolve(0),
+    });
+    quotas.setQuotas(new Map([[WORKSPACE, { ratePerS: 10, burst: 10 }]]));
+    quotas.setShare(WORKSPACE, FULL_SHARE / 2);
+    let taken = 0;
+    while ((await quotas.takeToken(WORKSPACE, { maxWaitMs: 0 })).isOk()) {
+      taken++;
+    }
+    expect(taken).toBe(expected);
+  },
+);
+
 test("a read floor covers all commits acknowledged before the bound", () => {
   const history = createPositionHistory(createClockJumpDetector());
   expect(history.tryReadFloor({ maxStaleMs: 1_500 })).toBeUndefined();
