--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -55,10 +55,11 @@
 /** Longest wait of one watch that the store accepts, in milliseconds. */
 const MAX_WATCH_WAIT_MS = 30_000;
 /**
- * Minimum interval between two watches of the targets, in milliseconds per
- * host. A change of any target ends the watch of every host, and many targets
- * change together.
+ * Minimum interval between two watches of the targets, in milliseconds, and its
+ * growth with each host. A change of any target ends the watch of every host,
+ * and many targets change together.
  */
+const MIN_TARGET_WATCH_INTERVAL_MS = 250;
 const TARGET_WATCH_INTERVAL_PER_HOST_MS = 2;
 /** Connections to a target of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 10;
@@ -148,6 +149,8 @@
       fleet.getTimeSincePreviousStartMs() >
         TOLERANCE_START_WINDOWS * options.quotaTolerance.windowS *
           MS_PER_SECOND,
+    // The monotonic clock begins with the process.
+    getUptimeMs: nowMs,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
   const topology = { domain: options.domain, regions: options.regions };
@@ -265,7 +268,10 @@
     prefix: decoding.targetPrefix,
     waitMs: watchWaitMs,
     getMinWatchIntervalMs: () =>
-      TARGET_WATCH_INTERVAL_PER_HOST_MS * fleet.countHosts(),
+      Math.max(
+        MIN_TARGET_WATCH_INTERVAL_MS,
+        TARGET_WATCH_INTERVAL_PER_HOST_MS * fleet.countHosts(),
+      ),
     handlers: {
       onList: directory.replaceAll,
       onChanges: directory.applyObjects,
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -21,6 +21,12 @@
  * probes the primary itself.
  */
 const DIRECT_POLL_FACTOR = 1.6;
+/**
+ * Time after the first request for a position before a host that is not a
+ * polling host probes the primary itself, in milliseconds. When a whole fleet
+ * starts, the polling hosts need some time.
+ */
+const FIRST_POSITION_TIMEOUT_MS = 400;
 /** Refresh age of positions that no route needs, in milliseconds. */
 const UNUSED_REFRESH_AGE_MS = 3_000;
 /**
@@ -57,6 +63,8 @@
   const { sharing } = options;
   const probedAt = new Map<TargetId, number>();
   const peerRequestedAt = new Map<ServiceId, number>();
+  /** Time of the first request for a position to a peer. */
+  const firstRequestedAt = new Map<ServiceId, number>();
   let timer: NodeJS.Timeout | undefined;
 
   function getProbeIntervalMs(target: TargetRecord): number {
@@ -86,9 +94,11 @@
       return Infinity;
     }
     // If peers do not deliver a position in time, this host probes itself.
-    const pollsPrimary = sharing.isPollingHost(service) ||
-      ageMs > refreshAgeMs * DIRECT_POLL_FACTOR;
-    if (pollsPrimary) {
+    const firstAt = firstRequestedAt.get(service) ?? nowMs();
+    firstRequestedAt.set(service, firstAt);
+    const isLate = ageMs > refreshAgeMs * DIRECT_POLL_FACTOR &&
+      nowMs() - firstAt > FIRST_POSITION_TIMEOUT_MS;
+    if (sharing.isPollingHost(service) || isLate) {
       return refreshAgeMs / 2;
     }
     requestFromPeer(service, refreshAgeMs / 4);
@@ -118,6 +128,16 @@
     return ageMs;
   }
 
+  /**
+   * Spreads the first probes over the interval, so that the hosts of a fleet
+   * that starts do not probe all targets at once.
+   */
+  function drawFirstTime(intervalMs: number): number {
+    return Number.isFinite(intervalMs)
+      ? nowMs() - ctx.io.random() * intervalMs
+      : -Infinity;
+  }
+
   function probe(target: TargetRecord): void {
     probedAt.set(target.id, nowMs());
     void sendControlCommand(ctx, target, { kind: "status" }, {
@@ -129,8 +149,10 @@
     const services = ctx.catalog.tryGet()?.services.keys() ?? [];
     for (const service of services) {
       for (const target of ctx.directory.list(service)) {
-        const last = probedAt.get(target.id) ?? -Infinity;
-        if (nowMs() - last >= getProbeIntervalMs(target)) {
+        const intervalMs = getProbeIntervalMs(target);
+        const last = probedAt.get(target.id) ?? drawFirstTime(intervalMs);
+        probedAt.set(target.id, last);
+        if (nowMs() - last >= intervalMs) {
           probe(target);
         }
       }
--- a/test/target_gone.test.ts
+++ b/test/target_gone.test.ts
@@ -69,6 +69,8 @@
 
 test("a target whose registration lapsed gets no new statement and keeps no connection", async () => {
   await start({ workMs: STATEMENT_MS });
+  // Otherwise the statement may be served by the next primary.
+  fleet.delayedPromotions.minDelayMs = 10_000;
   const outcomes = begin(fleet.openSession("orders"), "WRITE a 1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
   deregister("t1");
