--- a/src/pooling/directory.ts
+++ b/src/pooling/directory.ts
@@ -57,12 +57,15 @@
   },
 ): Directory {
   const targets = new Map<TargetId, TargetRecord>();
+  /** Targets by service; emptied with each change. */
+  const byService = new Map<ServiceId, readonly TargetRecord[]>();
   /** Targets whose registration lapsed in an outage, with the end of grace. */
   const graceEndById = new Map<TargetId, number>();
   const listeners = new Set<(event: DirectoryEvent) => void>();
   let reconnectedAt = -Infinity;
 
   function emit(event: DirectoryEvent): void {
+    byService.clear();
     const { target } = event;
     io.log.info(`target_${event.kind}`, {
       target: target.id,
@@ -94,6 +97,7 @@
       return;
     }
     targets.set(target.id, target);
+    byService.clear();
     if (!previous) {
       emit({ kind: "found", target });
     } else if (!isSameRecord(previous, target)) {
@@ -160,8 +164,12 @@
 
   return {
     tryGet: (id) => targets.get(id),
-    list: (service) =>
-      [...targets.values()].filter((target) => target.service === service),
+    list(service) {
+      const listed = byService.get(service) ??
+        [...targets.values()].filter((target) => target.service === service);
+      byService.set(service, listed);
+      return listed;
+    },
     replaceAll(objects) {
       const listed = new Set(
         objects.map(({ key }) => toTargetId(key)),
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -41,6 +41,8 @@
   readonly dispatcher: Dispatcher;
   readonly clockJumps: ClockJumpDetector;
   getPositions(service: ServiceId): PositionHistory;
+  /** Asks a peer for the position of a primary and waits for the reply. */
+  refreshPosition(service: ServiceId): Promise<void>;
 }
 
 /** A session's statement to be executed by a target. */
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -45,6 +45,8 @@
  * may read the list, and a heartbeat takes tens of seconds to expire.
  */
 const PEER_LIST_TTL_MS = 100;
+/** Growth of that time with each registered host, in milliseconds. */
+const PEER_LIST_TTL_PER_HOST_MS = 5;
 /** Longest wait of one watch, in milliseconds; no object here is urgent. */
 const WATCH_WAIT_MS = 10_000;
 /**
@@ -369,7 +371,7 @@
       hosts: isSameList(running, cachedPeers.hosts)
         ? cachedPeers.hosts
         : running,
-      placed: isSameList(placed.map(toText), cachedPeers.placed.map(toText))
+      placed: isSamePlacement(placed, cachedPeers.placed)
         ? cachedPeers.placed
         : placed,
       stoppingCount,
@@ -378,7 +380,11 @@
 
   /** Returns the same object until the cached one expires. */
   function getPeers(): Peers {
-    if (nowMs() - cachedPeers.computedAt > PEER_LIST_TTL_MS) {
+    const ttlMs = Math.max(
+      PEER_LIST_TTL_MS,
+      PEER_LIST_TTL_PER_HOST_MS * hosts.size,
+    );
+    if (nowMs() - cachedPeers.computedAt > ttlMs) {
       cachedPeers = computePeers();
     }
     return cachedPeers;
@@ -445,8 +451,14 @@
   return a.length === b.length && a.every((item, index) => item === b[index]);
 }
 
-function toText({ host, domain }: PeerInfo): string {
-  return `${host} ${domain}`;
+function isSamePlacement(
+  a: readonly PeerInfo[],
+  b: readonly PeerInfo[],
+): boolean {
+  return a.length === b.length &&
+    a.every(({ host, domain }, index) =>
+      host === b[index]!.host && domain === b[index]!.domain
+    );
 }
 
 /** Whether a record has no later heartbeat than the one seen before. */
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -406,6 +406,7 @@
       paths.recordSuccess({ target, holder }),
     isOwnPathDown,
     isProbeDue: (target) =>
+      paths.hasDownPath(target.id) &&
       holders.list(target, undefined).some((holder) =>
         paths.isProbeDue({ target: target.id, holder })
       ),
--- a/src/pooling/path_health.ts
+++ b/src/pooling/path_health.ts
@@ -27,6 +27,8 @@
   isDown(path: Path): boolean;
   /** Whether the path is down and a probe is due. */
   isProbeDue(path: Path): boolean;
+  /** Whether any path to the target is down. */
+  hasDownPath(target: TargetId): boolean;
   removeTarget(target: TargetId): void;
 }
 
@@ -63,6 +65,7 @@
     isDown: ({ target, holder }) => breakers.get(target)?.has(holder) === true,
     isProbeDue: ({ target, holder }) =>
       nowMs() >= (breakers.get(target)?.get(holder)?.probeAt ?? Infinity),
+    hasDownPath: (target) => breakers.has(target),
     removeTarget: (target) => void breakers.delete(target),
   };
 }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -204,6 +204,7 @@
     clockJumps,
     quotas,
     getPositions,
+    refreshPosition: (service) => positionSharing.refreshPosition(service),
     isAdmissionOpen: () => isAdmissionOpen,
   };
   const shares = createShareSync(io, {
--- a/src/pooling/position_history.ts
+++ b/src/pooling/position_history.ts
@@ -57,6 +57,8 @@
   tryLatest(): AgedPosition | undefined;
   /** Age of the newest sample in milliseconds; infinite without one. */
   getAgeMs(): number;
+  /** Time since a read floor was last asked for, in milliseconds. */
+  getTimeSinceUseMs(): number;
 }
 
 /** Creates an empty history. */
@@ -65,6 +67,7 @@
 ): PositionHistory {
   let samples: Sample[] = [];
   let epoch = clockJumps.getEpoch();
+  let usedAt = -Infinity;
 
   function dropInvalid(): void {
     const current = clockJumps.getEpoch();
@@ -103,6 +106,7 @@
     tryReadFloor({ maxStaleMs, sessionPosition }) {
       dropInvalid();
       const now = nowMs();
+      usedAt = now;
       const recent = samples.find(({ sentAt }) =>
         now - sentAt <= maxStaleMs - SAFETY_MARGIN_MS
       );
@@ -137,5 +141,6 @@
       const last = samples.at(-1);
       return last ? nowMs() - last.sentAt : Infinity;
     },
+    getTimeSinceUseMs: () => nowMs() - usedAt,
   };
 }
--- a/src/pooling/position_sharing.ts
+++ b/src/pooling/position_sharing.ts
@@ -12,6 +12,8 @@
 
 /** Number of hosts that query the primary of a service directly. */
 const POLLING_HOST_COUNT = 2;
+/** Time to wait for a requested position: one round trip between regions. */
+const REPLY_TIMEOUT_MS = 60;
 /** Maximum number of pending requests; older requests are dropped. */
 const MAX_PENDING_REQUESTS = 256;
 
@@ -21,6 +23,8 @@
   isPollingHost(service: ServiceId): boolean;
   /** Requests the position from a random polling host of the service. */
   requestPosition(service: ServiceId): void;
+  /** Requests the position; resolves with the reply, or without one in time. */
+  refreshPosition(service: ServiceId): Promise<void>;
   handleRequest(from: HostId, msg: AskFloor): void;
   handleReply(msg: TellFloor): void;
 }
@@ -41,6 +45,7 @@
     number,
     { readonly service: ServiceId; readonly sentAt: number }
   >();
+  const waiting = new Map<ServiceId, Set<() => void>>();
   let nextId = 0;
   let pollingHostCache: {
     readonly peers: readonly HostId[];
@@ -58,19 +63,38 @@
     return pollingHosts;
   }
 
+  function requestPosition(service: ServiceId): boolean {
+    const pollingHosts = listPollingHosts(service);
+    const pollingHost =
+      pollingHosts[Math.floor(io.random() * pollingHosts.length)];
+    if (pollingHost === undefined || pollingHost === self) {
+      return false;
+    }
+    const id = nextId++;
+    pending.set(id, { service, sentAt: nowMs() });
+    pending.delete(id - MAX_PENDING_REQUESTS);
+    io.peers.send(pollingHost, { kind: "ask_floor", id, service });
+    return true;
+  }
+
   return {
     isPollingHost: (service) => listPollingHosts(service).includes(self),
-    requestPosition(service) {
-      const pollingHosts = listPollingHosts(service);
-      const pollingHost =
-        pollingHosts[Math.floor(io.random() * pollingHosts.length)];
-      if (pollingHost === undefined || pollingHost === self) {
-        return;
+    requestPosition: (service) => void requestPosition(service),
+    refreshPosition(service) {
+      const resolvers = waiting.get(service) ?? new Set();
+      if (resolvers.size === 0 && !requestPosition(service)) {
+        return Promise.resolve();
       }
-      const id = nextId++;
-      pending.set(id, { service, sentAt: nowMs() });
-      pending.delete(id - MAX_PENDING_REQUESTS);
-      io.peers.send(pollingHost, { kind: "ask_floor", id, service });
+      return new Promise((resolve) => {
+        const finish = () => {
+          clearTimeout(timer);
+          resolvers.delete(finish);
+          resolve();
+        };
+        const timer = setTimeout(finish, REPLY_TIMEOUT_MS);
+        resolvers.add(finish);
+        waiting.set(service, resolvers);
+      });
     },
     handleRequest(from, { id, service }) {
       const newest = options.getPositions(service).tryLatest();
@@ -89,6 +113,7 @@
         options.getPositions(request.service)
           .record({ term, pos }, earliestQueryAt);
         options.onPrimaryAnswered(request.service, earliestQueryAt);
+        waiting.get(request.service)?.forEach((finish) => finish());
       }
     },
   };
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -7,7 +7,7 @@
 import { getIntervalFactor } from "./fleet_size.ts";
 import type { Holders } from "./holders.ts";
 import type { PositionSharing } from "./position_sharing.ts";
-import type { TargetRecord } from "./types.ts";
+import type { Catalog, TargetRecord } from "./types.ts";
 import type { ExecutionContext } from "./execution.ts";
 
 /** Interval between checks for due probes, in milliseconds. */
@@ -27,6 +27,11 @@
  * starts, the polling hosts need some time.
  */
 const FIRST_POSITION_TIMEOUT_MS = 400;
+/**
+ * Time after the last read of a service for which a host that is not a polling
+ * host keeps its position fresh, in milliseconds. Later reads ask for it.
+ */
+const POSITION_USE_TIMEOUT_MS = 5_000;
 /** Refresh age of positions that no route needs, in milliseconds. */
 const UNUSED_REFRESH_AGE_MS = 3_000;
 /**
@@ -65,6 +70,10 @@
   const peerRequestedAt = new Map<ServiceId, number>();
   /** Time of the first request for a position to a peer. */
   const firstRequestedAt = new Map<ServiceId, number>();
+  let refreshAges: {
+    readonly catalog: Catalog | undefined;
+    readonly ages: ReadonlyMap<ServiceId, number>;
+  } = { catalog: undefined, ages: new Map() };
   let timer: NodeJS.Timeout | undefined;
 
   function getProbeIntervalMs(target: TargetRecord): number {
@@ -93,6 +102,12 @@
     if (ageMs <= refreshAgeMs) {
       return Infinity;
     }
+    const isUsed = ctx.getPositions(service).getTimeSinceUseMs() <
+      POSITION_USE_TIMEOUT_MS;
+    if (!isUsed && !sharing.isPollingHost(service)) {
+      firstRequestedAt.delete(service);
+      return Infinity;
+    }
     // If peers do not deliver a position in time, this host probes itself.
     const firstAt = firstRequestedAt.get(service) ?? nowMs();
     firstRequestedAt.set(service, firstAt);
@@ -118,14 +133,11 @@
    * milliseconds.
    */
   function getRefreshAgeMs(service: ServiceId): number {
-    let ageMs = UNUSED_REFRESH_AGE_MS;
-    for (const route of ctx.catalog.tryGet()?.routes.values() ?? []) {
-      const { consistency } = route;
-      if (route.service === service && consistency.kind !== "primary") {
-        ageMs = Math.min(ageMs, consistency.maxStaleMs * REFRESH_AGE_FRACTION);
-      }
+    const catalog = ctx.catalog.tryGet();
+    if (catalog !== refreshAges.catalog) {
+      refreshAges = { catalog, ages: computeRefreshAges(catalog) };
     }
-    return ageMs;
+    return refreshAges.ages.get(service) ?? UNUSED_REFRESH_AGE_MS;
   }
 
   /**
@@ -166,3 +178,20 @@
     stop: () => clearInterval(timer),
   };
 }
+
+/** Returns the shortest refresh age that the routes of each service require. */
+function computeRefreshAges(
+  catalog: Catalog | undefined,
+): ReadonlyMap<ServiceId, number> {
+  const ages = new Map<ServiceId, number>();
+  for (const { service, consistency } of catalog?.routes.values() ?? []) {
+    if (consistency.kind !== "primary") {
+      const ageMs = Math.min(
+        ages.get(service) ?? UNUSED_REFRESH_AGE_MS,
+        consistency.maxStaleMs * REFRESH_AGE_FRACTION,
+      );
+      ages.set(service, ageMs);
+    }
+  }
+  return ages;
+}
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -56,7 +56,7 @@
     if (getTimeLeftMs(task) <= 0) {
       break;
     }
-    const floor = tryReadFloor(ctx, task);
+    const floor = await tryFreshReadFloor(ctx, task);
     const result = floor
       ? await readHedged(ctx, { task, floor, triedTargets })
       : await readAtPrimary(ctx, task);
@@ -72,7 +72,7 @@
 /**
  * Returns the read floor for the task; undefined if only the primary may serve.
  */
-export function tryReadFloor(
+function tryReadFloor(
   ctx: ExecutionContext,
   task: Task,
 ): AgedPosition | undefined {
@@ -87,6 +87,19 @@
     });
 }
 
+/** As `tryReadFloor`, but asks a peer if no position is recent enough. */
+export async function tryFreshReadFloor(
+  ctx: ExecutionContext,
+  task: Task,
+): Promise<AgedPosition | undefined> {
+  const floor = tryReadFloor(ctx, task);
+  if (floor || task.route.consistency.kind === "primary") {
+    return floor;
+  }
+  await ctx.refreshPosition(task.route.service);
+  return tryReadFloor(ctx, task);
+}
+
 /** Ranks the targets not yet tried for a read with a read floor. */
 export function rankCandidates(
   ctx: ExecutionContext,
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -4,7 +4,7 @@
 import { beginAtCandidate, beginAtPrimary } from "./begin.ts";
 import type { Checkout } from "./dispatch.ts";
 import type { RequiredContext } from "./link_context.ts";
-import { rankCandidates, tryReadFloor } from "./reads.ts";
+import { rankCandidates, tryFreshReadFloor } from "./reads.ts";
 import type { Position, TargetCommand } from "./types.ts";
 import {
   describeReply,
@@ -94,7 +94,7 @@
     for (let attempt = 0; attempt < MAX_BEGIN_ATTEMPTS; attempt++) {
       // At the primary, a read-only transaction is begun as a read-write one:
       // a target that is no longer the primary refuses every statement in it.
-      const floor = isReadOnly ? tryReadFloor(ctx, task) : undefined;
+      const floor = isReadOnly ? await tryFreshReadFloor(ctx, task) : undefined;
       const begun = floor
         ? await beginAtCandidate(ctx, task, {
           listCandidates: () =>
