--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -43,6 +43,8 @@
     "Answers that their client did not get, by outcome of the statement",
   promotions_total: "Promotions that this host carried out",
   state_changes_total: "Changes of state, by component and event",
+  forwarded_commands_total: "Commands sent to other hosts, by kind",
+  host_stream_errors_total: "Streams of other hosts ended as malformed",
   store_era_changes_total: "Returns of the store to an earlier copy",
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -66,6 +66,7 @@
     HostStream<ForwardResponse>,
     Map<number, Channel>
   >();
+  let isLeaving = false;
   let isAdmissionOpen = true;
   let abortsIdleTransactions = false;
   let isStopped = false;
@@ -188,7 +189,7 @@
       const channels = new Map<number, Channel>();
       streams.set(stream, channels);
       ctx.io.log.info("forwarding_host_connected", { peer: from });
-      if (!isAdmissionOpen) {
+      if (isLeaving) {
         stream.send({ kind: "leaving" });
       }
       return {
@@ -232,6 +233,7 @@
     },
     countChannels: () => listChannels().length,
     announceLeaving() {
+      isLeaving = true;
       streams.forEach((_, stream) => stream.send({ kind: "leaving" }));
     },
     closeAdmission() {
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -85,8 +85,8 @@
   resolve(reply: TargetReply): void;
 }
 
-/** Stream to a holder. */
-interface Route {
+/** Stream to a holder, with the commands that have no reply yet. */
+interface HolderStream {
   readonly host: HostId;
   readonly stream: HostStream<ForwardRequest>;
   readonly pending: Map<number, PendingCommand>;
@@ -116,23 +116,23 @@
 ): Forwarder {
   const { self, holders, health } = options;
   const paths = createPathHealth();
-  const routes = new Map<HostId, Route>();
+  const holderStreams = new Map<HostId, HolderStream>();
   const backoffs = new Map<HostId, Backoff>();
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
 
-  function isSilent(route: Route): boolean {
-    return route.pending.size > 0 &&
-      nowMs() - route.heardAt > SILENT_AFTER_MS;
+  function isSilent(holderStream: HolderStream): boolean {
+    return holderStream.pending.size > 0 &&
+      nowMs() - holderStream.heardAt > SILENT_AFTER_MS;
   }
 
   function isUsable(host: HostId): boolean {
-    const route = routes.get(host);
-    if (!route) {
+    const holderStream = holderStreams.get(host);
+    if (!holderStream) {
       return nowMs() >= (backoffs.get(host)?.until ?? -Infinity);
     }
-    return !route.isLeaving && !isSilent(route) &&
-      route.pending.size < MAX_PENDING_COMMANDS;
+    return !holderStream.isLeaving && !isSilent(holderStream) &&
+      holderStream.pending.size < MAX_PENDING_COMMANDS;
   }
 
   function isOwnPathDown(target: TargetId): boolean {
@@ -162,39 +162,41 @@
     return host === self ? undefined : host;
   }
 
-  function getRoute(host: HostId): Route {
-    return routes.get(host) ?? openRoute(host);
+  function getStream(host: HostId): HolderStream {
+    return holderStreams.get(host) ?? openStream(host);
   }
 
-  function openRoute(host: HostId): Route {
+  function openStream(host: HostId): HolderStream {
     const now = nowMs();
-    const route: Route = {
+    const holderStream: HolderStream = {
       host,
       stream: io.streams.open(host, {
         onOpen() {
-          route.openedAt = nowMs();
-          route.heardAt = nowMs();
+          holderStream.openedAt = nowMs();
+          holderStream.heardAt = nowMs();
           backoffs.delete(host);
           io.log.info("holder_connected", { holder: host });
-          [...route.pending.values()].forEach((command) => command.send());
+          [...holderStream.pending.values()].forEach((command) =>
+            command.send()
+          );
         },
         onMessage(msg) {
-          route.heardAt = nowMs();
+          holderStream.heardAt = nowMs();
           switch (msg.kind) {
             case "reply": {
-              const command = route.pending.get(msg.id);
-              route.pending.delete(msg.id);
+              const command = holderStream.pending.get(msg.id);
+              holderStream.pending.delete(msg.id);
               command?.resolve(toTargetReply(msg.reply));
               return;
             }
             case "leaving":
-              route.isLeaving = true;
+              holderStream.isLeaving = true;
               io.log.info("holder_leaving", { holder: host });
               return;
           }
         },
-        onAlive: () => void (route.heardAt = nowMs()),
-        onClose: (detail) => closeRoute(route, detail),
+        onAlive: () => void (holderStream.heardAt = nowMs()),
+        onClose: (detail) => closeStream(holderStream, detail),
       }),
       pending: new Map(),
       openedAt: undefined,
@@ -206,20 +208,20 @@
       nextChannel: 0,
       nextId: 0,
     };
-    routes.set(host, route);
-    timer ??= setInterval(checkRoutes, CHECK_INTERVAL_MS);
-    return route;
+    holderStreams.set(host, holderStream);
+    timer ??= setInterval(checkStreams, CHECK_INTERVAL_MS);
+    return holderStream;
   }
 
-  function closeRoute(route: Route, detail: string): void {
-    if (route.isClosed) {
+  function closeStream(holderStream: HolderStream, detail: string): void {
+    if (holderStream.isClosed) {
       return;
     }
-    route.isClosed = true;
-    const { host, pending } = route;
-    const wasOpen = route.openedAt !== undefined;
-    if (routes.get(host) === route) {
-      routes.delete(host);
+    holderStream.isClosed = true;
+    const { host, pending } = holderStream;
+    const wasOpen = holderStream.openedAt !== undefined;
+    if (holderStreams.get(host) === holderStream) {
+      holderStreams.delete(host);
     }
     const delayMs = Math.min(
       MAX_REOPEN_DELAY_MS,
@@ -241,64 +243,67 @@
         wasOpen ? { kind: "lost", detail: text } : createNotSent(text),
       );
     }
-    route.stream.close();
-    if (routes.size === 0) {
+    holderStream.stream.close();
+    if (holderStreams.size === 0) {
       clearInterval(timer);
       timer = undefined;
     }
   }
 
-  function checkRoutes(): void {
+  function checkStreams(): void {
     const now = nowMs();
-    for (const route of [...routes.values()]) {
-      if (route.openedAt === undefined) {
-        if (now - route.createdAt > OPEN_TIMEOUT_MS) {
-          closeRoute(route, `not open after ${OPEN_TIMEOUT_MS} ms`);
+    for (const holderStream of [...holderStreams.values()]) {
+      if (holderStream.openedAt === undefined) {
+        if (now - holderStream.createdAt > OPEN_TIMEOUT_MS) {
+          closeStream(holderStream, `not open after ${OPEN_TIMEOUT_MS} ms`);
         }
         continue;
       }
-      const silentMs = now - route.heardAt;
-      if (route.pending.size === 0) {
+      const silentMs = now - holderStream.heardAt;
+      if (holderStream.pending.size === 0) {
         continue;
       }
       if (silentMs > GIVE_UP_AFTER_MS) {
-        closeRoute(route, `no sign of life for ${Math.round(silentMs)} ms`);
+        closeStream(
+          holderStream,
+          `no sign of life for ${Math.round(silentMs)} ms`,
+        );
       } else if (
-        silentMs > PING_AFTER_MS && now - route.pingedAt > PING_AFTER_MS
+        silentMs > PING_AFTER_MS && now - holderStream.pingedAt > PING_AFTER_MS
       ) {
-        route.pingedAt = now;
-        route.stream.ping();
+        holderStream.pingedAt = now;
+        holderStream.stream.ping();
       }
     }
   }
 
-  /** Sends a command over a route and resolves with the target's reply. */
+  /** Sends a command over a holderStream and resolves with the target's reply. */
   function sendCommand(
-    route: Route,
+    holderStream: HolderStream,
     createMessage: (id: number) => ForwardRequest,
   ): Promise<TargetReply> {
-    if (route.isClosed) {
+    if (holderStream.isClosed) {
       return Promise.resolve(createNotSent("the link to the holder is closed"));
     }
     return new Promise((resolve) => {
-      const id = route.nextId++;
-      if (route.pending.size === 0) {
-        route.heardAt = nowMs();
+      const id = holderStream.nextId++;
+      if (holderStream.pending.size === 0) {
+        holderStream.heardAt = nowMs();
       }
-      const send = () => route.stream.send(createMessage(id));
-      route.pending.set(id, { send, resolve });
-      if (route.openedAt !== undefined) {
+      const send = () => holderStream.stream.send(createMessage(id));
+      holderStream.pending.set(id, { send, resolve });
+      if (holderStream.openedAt !== undefined) {
         send();
       }
     });
   }
 
   function createLink(
-    route: Route,
+    holderStream: HolderStream,
     target: TargetRecord,
     { workspace, priority, deadline }: ForwardOptions,
   ): TargetLink {
-    const channel = route.nextChannel++;
+    const channel = holderStream.nextChannel++;
     const variables = new Map<string, string>();
     const prepared = new Map<string, PreparedStatement>();
     let state: TransactionState = "idle";
@@ -312,7 +317,7 @@
       const isFirst = state === "idle" && pendingCount === 0;
       pendingCount++;
       io.metrics.count("forwarded_commands_total", { command: command.kind });
-      const reply = await sendCommand(route, (id) => ({
+      const reply = await sendCommand(holderStream, (id) => ({
         kind: "run",
         id,
         channel,
@@ -335,7 +340,7 @@
         state = reply.state;
       }
       if (reply.kind === "error" && reply.code === "target_down") {
-        paths.recordFailure({ target: target.id, holder: route.host });
+        paths.recordFailure({ target: target.id, holder: holderStream.host });
       }
       return reply;
     }
@@ -351,7 +356,7 @@
     }
 
     function send(command: TargetCommand): Promise<TargetReply> {
-      if (isClosed || route.isClosed) {
+      if (isClosed || holderStream.isClosed) {
         return Promise.resolve({ kind: "lost", detail: "closed before" });
       }
       // Variables and prepared statements go along with the next command, so
@@ -385,14 +390,14 @@
     return {
       target,
       workspace,
-      holder: route.host,
-      isOpen: () => !isClosed && !route.isClosed,
-      isHolderSilent: () => route.isClosed || isSilent(route),
+      holder: holderStream.host,
+      isOpen: () => !isClosed && !holderStream.isClosed,
+      isHolderSilent: () => holderStream.isClosed || isSilent(holderStream),
       send,
       close() {
         const isUsed = pendingCount > 0 || state !== "idle";
-        if (!isClosed && isUsed && route.openedAt !== undefined) {
-          route.stream.send({ kind: "close", channel });
+        if (!isClosed && isUsed && holderStream.openedAt !== undefined) {
+          holderStream.stream.send({ kind: "close", channel });
         }
         isClosed = true;
       },
@@ -415,12 +420,12 @@
       tryFindHolder(target, workspace) !== undefined,
     tryOpenLink(target, linkOptions) {
       const host = tryFindHolder(target, linkOptions.workspace);
-      return host && createLink(getRoute(host), target, linkOptions);
+      return host && createLink(getStream(host), target, linkOptions);
     },
     stop() {
       isStopped = true;
-      [...routes.values()].forEach((route) =>
-        closeRoute(route, "this host stops")
+      [...holderStreams.values()].forEach((holderStream) =>
+        closeStream(holderStream, "this host stops")
       );
     },
   };
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -253,8 +253,10 @@
       },
       peers: {
         setAddresses() {},
-        send: (to, msg) =>
-          void setTimeout(() => receivers.get(to)?.(host, msg), 1),
+        send(to, msg) {
+          addToCounter("peer_messages", 1, { kind: msg.kind });
+          setTimeout(() => receivers.get(to)?.(host, msg), 1);
+        },
         onMessage: (receiver) => void receivers.set(host, receiver),
       },
       streams: network.createStreams(host),
