--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -23,10 +23,12 @@
   readonly seed: number;
   readonly minutes: number;
   readonly hosts: number;
+  readonly idleWorkspaces: number;
   readonly out?: string;
 }
 
-async function main({ seed, minutes, hosts, out }: Args): Promise<void> {
+async function main(args: Args): Promise<void> {
+  const { seed, minutes, hosts, idleWorkspaces, out } = args;
   if (!Number.isInteger(seed) || !(minutes > 0) || !(hosts >= 1)) {
     console.error("seed, minutes and hosts must be numbers, the last two > 0");
     process.exit(EXIT_INVALID);
@@ -37,6 +39,7 @@
     hosts,
     groups: MIN_GROUPS + seed % 2,
     targetsPerGroup: TARGETS_PER_GROUP,
+    idleWorkspaces,
   };
   const directory = out ?? mkdtempSync(join(tmpdir(), "soak-"));
   console.log(
@@ -64,6 +67,11 @@
   .option("--seed <number>", "Seed of the faults and clients", { default: 1 })
   .option("--minutes <number>", "Length of the run", { default: 1 })
   .option("--hosts <number>", "Number of pool hosts", { default: 3 })
+  .option(
+    "--idle-workspaces <number>",
+    "Workspaces without clients; from 20 on, hosts forward to each other",
+    { default: 0 },
+  )
   .option("--out <directory>", "Directory for logs; a new one by default")
   .example("npm run soak -- --seed 7 --minutes 2 --hosts 5 --out target/soak/7")
   .action(main);
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -29,6 +29,7 @@
   type SoakHistory,
   type Span,
   type Stop,
+  type WorkspaceQuota,
 } from "./history.ts";
 import {
   buildHost,
@@ -52,6 +53,8 @@
 
 const MS_PER_SECOND = 1_000;
 const HOSTS_PER_DOMAIN = 3;
+/** Rate and burst of a workspace without clients. */
+const IDLE_QUOTA = 10;
 const DOMAINS = ["d0", "d1", "d2"];
 /** Delay until the platform starts a process again that has ended. */
 const RESTART_DELAY_MS = 300;
@@ -490,7 +493,9 @@
       }]),
     ),
     quotas: new Map(
-      QUOTAS.map(({ workspace, ratePerS, burst }) => [
+      [...QUOTAS, ...listIdleQuotas(plan)].map((
+        { workspace, ratePerS, burst },
+      ) => [
         asId<WorkspaceId>(workspace),
         { ratePerS, burst },
       ]),
@@ -594,3 +599,12 @@
     )
     .join(", ");
 }
+
+/** Lists the quotas of workspaces that no client uses. */
+function listIdleQuotas(plan: SoakPlan): readonly WorkspaceQuota[] {
+  return Array.from({ length: plan.idleWorkspaces ?? 0 }, (_, index) => ({
+    workspace: `idle${index}`,
+    ratePerS: IDLE_QUOTA,
+    burst: IDLE_QUOTA,
+  }));
+}
--- a/tools/soak/schedule.ts
+++ b/tools/soak/schedule.ts
@@ -103,6 +103,11 @@
   readonly hosts: number;
   readonly groups: number;
   readonly targetsPerGroup: number;
+  /**
+   * Workspaces without clients. With more workspaces than connections a host,
+   * hosts forward to each other.
+   */
+  readonly idleWorkspaces?: number;
 }
 
 /** Kinds of planned work, by how often they are drawn. */
