--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -170,11 +170,14 @@
     },
     async listen() {
       const [host = "", port = "0"] = address.split(":");
-      await listenAt(server, { address: host, port: Number(port) });
-      server.on(
+      // It passes the errors of its server on.
+      wss.on(
         "error",
         (err) => log.info("host_streams_failed", { detail: err.message }),
       );
+      // Without its port, this host holds connections only for itself.
+      await listenAt(server, { address: host, port: Number(port) })
+        .catch(() => undefined);
     },
     close() {
       wss.clients.forEach((client) => client.terminate());
--- a/test/host_streams.test.ts
+++ b/test/host_streams.test.ts
@@ -169,6 +169,17 @@
   late.close();
 });
 
+test("a host whose port is in use goes on without accepting streams", async () => {
+  const events: string[] = [];
+  const second = createHostStreams(holderAddress, {
+    self: HOLDER,
+    log: { info: (event) => void events.push(event), request() {} },
+    metrics: createMetrics(),
+  });
+  await second.listen();
+  expect(events).toEqual(["host_streams_failed"]);
+});
+
 test("malformed frames end their own stream and nothing else", async () => {
   const { stream } = await open();
   const valid = new Packr({ sequential: true }).pack(createRun(1));
