--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -30,6 +30,8 @@
  * milliseconds: when a whole fleet restarts, some learn them later.
  */
 const ADDRESSES_TIMEOUT_MS = 500;
+/** Before an IPv4 address on a socket that takes both versions. */
+const IPV4_MAPPED_PREFIX = "::ffff:";
 /** Close code for a protocol violation. */
 const MALFORMED_CODE = 1_008;
 
@@ -73,9 +75,8 @@
   function tryFindSender(req: IncomingMessage): HostId | undefined {
     const from = tryDecodeSender(req.url);
     const ip = from && addresses.get(from)?.split(":")[0];
-    return ip !== undefined && req.socket.remoteAddress?.endsWith(ip)
-      ? from
-      : undefined;
+    const remote = req.socket.remoteAddress?.replace(IPV4_MAPPED_PREFIX, "");
+    return ip !== undefined && remote === ip ? from : undefined;
   }
 
   /** Encodes and decodes the frames of one WebSocket. */
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -5,6 +5,7 @@
  */
 
 import { nowMs } from "../core/clock.ts";
+import { assertNever } from "../core/errors.ts";
 import type { HostId, TargetId, WorkspaceId } from "../core/ids.ts";
 import type { Stoppable } from "../core/types.ts";
 import type {
@@ -193,6 +194,8 @@
               holderStream.isLeaving = true;
               io.log.info("holder_leaving", { holder: host });
               return;
+            default:
+              assertNever(msg);
           }
         },
         onAlive: () => void (holderStream.heardAt = nowMs()),
@@ -277,7 +280,7 @@
     }
   }
 
-  /** Sends a command over a holderStream and resolves with the target's reply. */
+  /** Sends a command over a stream and resolves with the target's reply. */
   function sendCommand(
     holderStream: HolderStream,
     createMessage: (id: number) => ForwardRequest,
--- a/test/host_streams.test.ts
+++ b/test/host_streams.test.ts
@@ -169,6 +169,13 @@
   late.close();
 });
 
+test("a registered host is refused from another address", async () => {
+  holder.setAddresses(new Map([[ENTRY, "7.0.0.1:1"]]));
+  const ws = new WebSocket(`ws://${holderAddress}/?from=h1`);
+  const [err] = await once(ws, "error") as [Error];
+  expect(err.message).toContain("401");
+});
+
 test("a host whose port is in use goes on without accepting streams", async () => {
   const events: string[] = [];
   const second = createHostStreams(holderAddress, {
