--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -5,7 +5,7 @@
 import { Packr } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
 import { withTimeout } from "../core/clock.ts";
-import { asId, type HostId } from "../core/ids.ts";
+import type { HostId } from "../core/ids.ts";
 import type { MetricsSink } from "../core/types.ts";
 import type { ForwardMessage } from "../generated/pool_forward.ts";
 import { validateForwardMessage } from "../generated/pool_forward_validate.ts";
@@ -18,7 +18,7 @@
   PoolLog,
 } from "../pooling/types.ts";
 import { listenAt } from "./listen.ts";
-import { tryOpenWebSocket } from "./web_socket.ts";
+import { tryGetSender, tryOpenWebSocket } from "./web_socket.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 /** Longest frame; a statement and a row are at most a mebibyte each. */
@@ -73,7 +73,7 @@
 
   /** Returns the registered host of a request; undefined if there is none. */
   function tryFindSender(req: IncomingMessage): HostId | undefined {
-    const from = tryDecodeSender(req.url);
+    const from = tryGetSender(req.url);
     const ip = from && addresses.get(from)?.split(":")[0];
     const remote = req.socket.remoteAddress?.replace(IPV4_MAPPED_PREFIX, "");
     return ip !== undefined && remote === ip ? from : undefined;
@@ -196,14 +196,6 @@
   return kind === "reply" || kind === "leaving";
 }
 
-function tryDecodeSender(url: string | undefined): HostId | undefined {
-  if (!URL.canParse(url ?? "", "ws://host")) {
-    return undefined;
-  }
-  const from = new URL(url ?? "", "ws://host").searchParams.get("from");
-  return from ? asId<HostId>(from) : undefined;
-}
-
 function tryDecode(packr: Packr, data: Buffer): ForwardMessage | undefined {
   try {
     const msg: unknown = packr.unpack(data);
--- a/src/host/peer_links.ts
+++ b/src/host/peer_links.ts
@@ -6,7 +6,7 @@
 import { pack } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
 import { assertNever } from "../core/errors.ts";
-import { asId, type HostId } from "../core/ids.ts";
+import type { HostId } from "../core/ids.ts";
 import type { MetricsSink, PeerMessage } from "../core/types.ts";
 import type { Settings } from "../generated/settings.ts";
 import { listenAt } from "./listen.ts";
@@ -18,7 +18,7 @@
   isCertificateFor,
   isLoopback,
 } from "./tls.ts";
-import { tryOpenWebSocket } from "./web_socket.ts";
+import { tryGetSender, tryOpenWebSocket } from "./web_socket.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 const MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024;
@@ -206,16 +206,6 @@
   };
 }
 
-/** Returns the host that a peer claims to be; undefined on a malformed URL. */
-function tryGetSender(url: string | undefined): HostId | undefined {
-  try {
-    const from = new URL(url ?? "", "ws://peer").searchParams.get("from");
-    return from ? asId<HostId>(from) : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Whether a message contains a statement of a caller or its answer. */
 function isStatement(msg: PeerMessage): boolean {
   switch (msg.kind) {
--- a/src/host/web_socket.ts
+++ b/src/host/web_socket.ts
@@ -2,6 +2,7 @@
 
 import type { ClientRequestArgs } from "node:http";
 import { WebSocket } from "ws";
+import { asId, type HostId } from "../core/ids.ts";
 
 /** Opens a connection; undefined if the URL is not one of a WebSocket. */
 export function tryOpenWebSocket(
@@ -15,3 +16,13 @@
     return undefined;
   }
 }
+
+/** Returns the host that a peer claims to be; undefined on a malformed URL. */
+export function tryGetSender(url: string | undefined): HostId | undefined {
+  try {
+    const from = new URL(url ?? "", "ws://peer").searchParams.get("from");
+    return from ? asId<HostId>(from) : undefined;
+  } catch {
+    return undefined;
+  }
+}
