Log what a failover has fenced, and show five ways in which its count is wrong

The tests play the moments at which the number of copies that one host believes in is behind: a copy that nobody has registered, a host that cannot reach the primary, a replica that is resumed after the last look, a host that has just started while a registration has lapsed, a lapsed replica that alone holds all commits, and a copy that has left.

failover_fenced names the targets that were fenced with roles and log ends, the number of copies, and how many were required: the hypotheses of the incident differ in these.

--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -298,6 +298,15 @@
       preferred: openTarget,
     };
     const chosen = tryChooseSuccessor(fenced, succession);
+    ctx.io.log.info("failover_fenced", {
+      service,
+      term,
+      fenced: formatReports(fenced),
+      copies: succession.copies,
+      required: getRequiredFencedCount(succession),
+      oldPrimary,
+      chosen: chosen?.target.id,
+    });
     const orderedLease: FailoverLease = { ...lease, ...toOpenTarget(chosen) };
     if (!await options.updateLease(service, orderedLease)) {
       return { result: "overtaken", lease };
@@ -390,6 +399,13 @@
   return lease;
 }
 
+/** Formats targets with their roles and log ends, for the log. */
+function formatReports(reports: readonly ReportedTarget[]): string {
+  return reports.map(({ target, report: { role, position } }) =>
+    `${target.id}:${role}@${position.term}.${position.pos}`
+  ).join(" ");
+}
+
 function isFenced(report: TargetReport, term: number): boolean {
   return report.role === "replica" && report.pausedTerm >= term;
 }
--- /dev/null
+++ b/test/failover_copies.test.ts
@@ -0,0 +1,187 @@
+import { afterEach, expect, test, vi } from "vitest";
+import { tryDecodeStatement } from "../platform/line_codec.ts";
+import { asId, type ObjectKey } from "../src/core/ids.ts";
+import {
+  type PoolFleet,
+  type PoolFleetOptions,
+  startPoolFleet,
+} from "./pool_fleet.ts";
+
+const WRITE_INTERVAL_MS = 15;
+const PROMOTE_MS = 600;
+/** Time for a failover, with the waits between two attempts. */
+const FAILOVER_MS = 10_000;
+
+let fleet: PoolFleet;
+let writers: NodeJS.Timeout;
+afterEach(() => {
+  clearInterval(writers);
+  fleet.stop();
+});
+
+/** Starts three hosts and four copies of the log. */
+async function startFourCopies(
+  options: Pick<PoolFleetOptions, "unregistered"> = {},
+): Promise<void> {
+  fleet = await startPoolFleet({
+    hosts: 3,
+    group: { ids: ["t1", "t2", "t3", "t4"], promoteMs: PROMOTE_MS },
+    ...options,
+  });
+}
+
+/** Writes on two hosts all the time; returns the acknowledged writes. */
+function startWriters(): Set<string> {
+  const acknowledged = new Set<string>();
+  let count = 0;
+  writers = setInterval(() => {
+    for (const host of [1, 2]) {
+      const id = `w${count++}`;
+      void fleet.openSession("orders", host)
+        .execute(asId(id), tryDecodeStatement("WRITE k 1")!)
+        .then(({ kind }) => kind === "done" && acknowledged.add(id));
+    }
+  }, WRITE_INTERVAL_MS);
+  return acknowledged;
+}
+
+function getPrimary() {
+  return fleet.group.targets.filter(({ role }) => role === "primary")
+    .toSorted((a, b) => b.term - a.term)[0]!;
+}
+
+/** Returns the acknowledged writes that the primary's log lacks. */
+function listLost(acknowledged: ReadonlySet<string>): string[] {
+  const kept = new Set(getPrimary().log.flatMap(({ ids }) => ids));
+  return [...acknowledged].filter((id) => !kept.has(id));
+}
+
+function deregister(id: string): void {
+  fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
+}
+
+/** Leaves the current hosts without the store and starts another one. */
+async function startLoneHost(): Promise<void> {
+  ["h0", "h1", "h2"].forEach((host) => fleet.hostsWithoutStore.add(host));
+  fleet.startHost();
+  await vi.advanceTimersByTimeAsync(2_000);
+}
+
+const UNKNOWN_COPY_CASES = [
+  { title: "replies at once", repliesMs: 0 },
+  { title: "replies after 60 ms", repliesMs: 60 },
+  { title: "replies after 140 ms", repliesMs: 140 },
+  { title: "registered late, 60 ms", repliesMs: 60, registeredAfterMs: 300 },
+  { title: "registered late, 140 ms", repliesMs: 140, registeredAfterMs: 300 },
+  { title: "one host cut off", repliesMs: 0, cutHost: "h0" },
+  { title: "one host cut off, 60 ms", repliesMs: 60, cutHost: "h0" },
+  {
+    title: "one host cut off, registered late",
+    repliesMs: 60,
+    registeredAfterMs: 300,
+    cutHost: "h0",
+  },
+];
+
+// Guards against a promotion while the old primary goes on acknowledging with a
+// copy that the acting host has not heard of.
+test.each(UNKNOWN_COPY_CASES)(
+  "a leaving primary and a copy that nobody knows lose no write: $title",
+  async ({ repliesMs, registeredAfterMs, cutHost }) => {
+    await startFourCopies({ unregistered: ["t4"] });
+    const acknowledged = startWriters();
+    fleet.targetReplies.delayMs = repliesMs;
+    await vi.advanceTimersByTimeAsync(1_000);
+    if (cutHost !== undefined) {
+      fleet.unreachableTargets.add(`${cutHost}/t1`);
+      await vi.advanceTimersByTimeAsync(500);
+    }
+    fleet.register("t1", { isDraining: true });
+    if (registeredAfterMs !== undefined) {
+      setTimeout(() => fleet.register("t4"), registeredAfterMs);
+    }
+    await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+    expect(getPrimary().record.id).not.toBe("t1");
+    expect(acknowledged.size).toBeGreaterThan(50);
+    expect(listLost(acknowledged)).toHaveLength(0);
+  },
+);
+
+// Guards against an order whose fence ends before it takes effect: a replica is
+// resumed and makes the old primary's commits acknowledged again.
+test("a replica that is resumed after the last look at the logs loses no write", async () => {
+  await startFourCopies();
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.unreachableTargets.add("h0/t1");
+  fleet.hostsWithoutStore.add("h1").add("h2");
+  await vi.advanceTimersByTimeAsync(500);
+  fleet.register("t1", { isDraining: true });
+  for (let ms = 0; ms < FAILOVER_MS && fleet.orders.length === 0; ms += 5) {
+    await vi.advanceTimersByTimeAsync(5);
+  }
+  const resumed = fleet.group.targets.find(({ record: { id } }) =>
+    id !== "t1" && id !== fleet.orders[0]!.target
+  )!;
+  const link = fleet.group.connect(resumed.record.id, "w1").unwrap();
+  await link.send({ kind: "resume" });
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  expect(getPrimary().record.id).not.toBe("t1");
+  expect(listLost(acknowledged)).toHaveLength(0);
+});
+
+// Guards against a count of copies that starts anew with the process: the
+// registration of the only replica with all commits has lapsed before.
+test("a host that has just started counts the copies that its peers know", async () => {
+  await startFourCopies({ unregistered: ["t4"] });
+  fleet.getTarget("t2").faults.isReplicationStopped = true;
+  fleet.getTarget("t4").faults.isReplicationStopped = true;
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  deregister("t3");
+  await vi.advanceTimersByTimeAsync(3_000);
+  await startLoneHost();
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  expect(acknowledged.size).toBeGreaterThan(50);
+  expect(listLost(acknowledged)).toHaveLength(0);
+});
+
+// Guards against a failover that leaves out a replica which is cut off from the
+// store but not from the primary and the hosts.
+test("a replica whose registration has lapsed can still be the successor", async () => {
+  await startFourCopies({ unregistered: ["t4"] });
+  fleet.getTarget("t2").faults.isReplicationStopped = true;
+  fleet.getTarget("t4").faults.isReplicationStopped = true;
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  deregister("t3");
+  await vi.advanceTimersByTimeAsync(3_000);
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  expect(getPrimary().record.id).toBe("t3");
+  expect(listLost(acknowledged)).toHaveLength(0);
+});
+
+// Guards against a count of copies that only grows: after a planned replacement
+// there are as many copies as before it, and the next failure must not wait for
+// one that has left.
+test("a primary that crashes after a planned replacement is replaced", async () => {
+  await startFourCopies({ unregistered: ["t4"] });
+  const acknowledged = startWriters();
+  fleet.register("t4");
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.register("t1", { isDraining: true });
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  const successor = getPrimary();
+  expect(successor.record.id).not.toBe("t1");
+  fleet.register("t1", { isDraining: true, role: "replica" });
+  fleet.register(successor.record.id, { role: "primary" });
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  deregister("t1");
+  await vi.advanceTimersByTimeAsync(5_000);
+  fleet.getTarget(successor.record.id).faults.isUnresponsive = true;
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  expect(["t1", successor.record.id]).not.toContain(getPrimary().record.id);
+  expect(listLost(acknowledged)).toHaveLength(0);
+});
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -47,6 +47,8 @@
   /** Failure domain of each host; `d1` by default, where the targets are. */
   readonly domains?: readonly string[];
   readonly workspaces?: readonly string[];
+  /** Targets that are not registered at the start. */
+  readonly unregistered?: readonly string[];
 }
 
 /** Line in the log of a host. */
@@ -290,7 +292,9 @@
   }
 
   setCatalog();
-  group.targets.forEach(({ record }) => register(record.id));
+  group.targets.filter(({ record }) =>
+    options.unregistered?.includes(record.id) !== true
+  ).forEach(({ record }) => register(record.id));
   const poolers = Array.from(
     { length: options.hosts ?? 1 },
     (_, index) => createHost(index),
