Make the old primary step down before a successor is chosen

Cause: the choice of a successor rested on the number of copies of the log that one host believed in, and the replicas were fenced before the primary, which nobody waited for. A copy that the host had not heard of, that was resumed, or whose registration had lapsed made the old primary's commits acknowledged while the order took effect. In the record the replica that acknowledged is the database that had started a second earlier: the acknowledgements took 2 ms more than the way to the client, and no other replica was in that region. The other direction of the same belief: the count only grew, so after a planned replacement the next crash waited for a copy that had left.

Change: the old primary steps down first, through another host if this one does not reach it, and the end of its log bounds what the successor must have. Only if no host reaches it does the count decide; it now rests on what all hosts have heard of and on the list that is read from the store after the fence, and copies come and go by id. What is not fenced goes on being fenced until the order has taken effect.

Why it works: a primary that has stepped down acknowledges nothing, whatever copies there are.

--- a/src/pooling/control.ts
+++ b/src/pooling/control.ts
@@ -50,7 +50,9 @@
   const checkout = acquired.value;
   const sentAt = nowMs();
   const reply = await sendWithTimeout(checkout, command, REPLY_TIMEOUT_MS);
-  checkout.release(isClean(reply));
+  // No connection to a target is kept while its registration is lapsed.
+  const isRegistered = ctx.directory.tryGet(id) !== undefined;
+  checkout.release(isRegistered && isClean(reply));
   const { holder } = checkout.pooled.link;
   const isAnswered = reply.kind === "done" ||
     (reply.kind === "error" && reply.code !== "not_sent" &&
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -10,12 +10,14 @@
   tryDecodeFailoverLease,
 } from "./failover_lease.ts";
 import { createFailoverProcedure } from "./failover_procedure.ts";
+import type { Fencing } from "./fencing.ts";
 import {
   type Fleet,
   getFailoverLeaseKey,
   tryGetLeaseService,
 } from "./fleet.ts";
 import type { ExecutionContext } from "./execution.ts";
+import type { LogCopies } from "./log_copies.ts";
 
 /**
  * Interval between checks, in milliseconds; a fraction of `PRIMARY_TIMEOUT_MS`.
@@ -73,14 +75,17 @@
 /** Creates the monitor of all services in the catalog. */
 export function createFailoverMonitor(
   ctx: ExecutionContext,
-  options: { readonly self: HostId; readonly fleet: Fleet },
+  options: {
+    readonly self: HostId;
+    readonly fleet: Fleet;
+    readonly copies: LogCopies;
+    readonly fencing: Fencing;
+  },
 ): FailoverMonitor {
-  const { self, fleet } = options;
+  const { self, fleet, copies, fencing } = options;
   const { store } = ctx.io;
   const activeServices = new Set<ServiceId>();
   const promotedAt = new Map<ServiceId, number>();
-  /** Largest number of ready targets seen: the number of copies of the log. */
-  const copyCounts = new Map<ServiceId, number>();
   const claims = new Map<ServiceId, Claim>();
   /** Newest lease seen of each service, by fencing token, in any era. */
   const newestLeases = new Map<ServiceId, FailoverLease>();
@@ -89,7 +94,8 @@
   let eraRoseAt = -Infinity;
   const failoverProcedure = createFailoverProcedure(ctx, {
     self,
-    getCopyCount: (service) => copyCounts.get(service) ?? 0,
+    copies,
+    fencing,
     updateLease,
     isClaimCurrent: (service, { fencingToken }) =>
       claims.get(service)?.fencingToken === fencingToken,
@@ -205,12 +211,6 @@
     }
     for (const service of ctx.catalog.tryGet()?.services.keys() ?? []) {
       writeBackLease(service);
-      const readyCount = ctx.directory.list(service)
-        .filter((target) => !target.isDraining).length;
-      copyCounts.set(
-        service,
-        Math.max(copyCounts.get(service) ?? 0, readyCount),
-      );
       const isCoolingDown = nowMs() - (promotedAt.get(service) ?? -Infinity) <
         FAILOVER_COOLDOWN_MS;
       const cause = activeServices.has(service) || isCoolingDown
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -2,23 +2,29 @@
 
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
+import { comparePositions } from "../core/position.ts";
 import { sendControlCommand } from "./control.ts";
 import type { FailoverCause, FailoverLease } from "./failover_lease.ts";
+import {
+  type Deposition,
+  type FenceAttempt,
+  type Fencing,
+  isFenced,
+} from "./fencing.ts";
 import {
   getRequiredFencedCount,
   type ReportedTarget,
   tryChooseSuccessor,
 } from "./succession.ts";
-import type { PromoteRes, TargetRecord, TargetReport } from "./types.ts";
+import type { Position, PromoteRes, TargetRecord } from "./types.ts";
 import type { ExecutionContext } from "./execution.ts";
+import type { LogCopies } from "./log_copies.ts";
 
-/** Time to fence enough targets, in milliseconds. */
-const FENCE_TIMEOUT_MS = 1_500;
 /** Time for a promoted target to report as primary, in milliseconds. */
 const PROMOTION_TIMEOUT_MS = 2_500;
 /**
- * Interval at which fencing and promotion are checked, in milliseconds: one
- * round trip between regions.
+ * Interval at which a promotion is checked, in milliseconds: one round trip
+ * between regions.
  */
 const POLL_INTERVAL_MS = 50;
 /** Time for targets to answer a status query, in milliseconds. */
@@ -34,6 +40,8 @@
   | "promoted"
   /** A primary answers and is kept. */
   | "not_needed"
+  /** The old primary answers, but has not stepped down. */
+  | "not_fenced"
   /** Too few targets could be fenced to cover every acknowledged commit. */
   | "too_few"
   /** Another host took the lease, or a fenced target was resumed. */
@@ -66,14 +74,16 @@
   ctx: ExecutionContext,
   options: {
     readonly self: HostId;
-    /** Number of copies of the service's log. */
-    getCopyCount(service: ServiceId): number;
+    readonly copies: LogCopies;
+    readonly fencing: Fencing;
     /** Writes the lease if this host still holds it; false otherwise. */
     updateLease(service: ServiceId, lease: FailoverLease): Promise<boolean>;
     /** Whether the claim of the lease is of the store's current era. */
     isClaimCurrent(service: ServiceId, lease: FailoverLease): boolean;
   },
 ): FailoverProcedure {
+  const { fencing } = options;
+
   /** Returns the primary that answers, unless it has to be replaced. */
   async function tryFindLivePrimary(
     service: ServiceId,
@@ -103,107 +113,6 @@
     return answered.flat();
   }
 
-  /**
-   * Stops a target from acknowledging commits and receiving entries: pauses the
-   * target and, if it is primary, makes it step down and pauses it again.
-   */
-  async function fenceTarget(
-    target: TargetRecord,
-    term: number,
-  ): Promise<TargetReport | undefined> {
-    const paused = await sendControlCommand(ctx, target, {
-      kind: "pause",
-      term,
-    });
-    if (paused?.role !== "primary") {
-      return paused;
-    }
-    const steppedDown = await sendControlCommand(ctx, target, {
-      kind: "step_down",
-      term,
-    });
-    return steppedDown?.role === "replica"
-      ? await sendControlCommand(ctx, target, { kind: "pause", term })
-      : steppedDown;
-  }
-
-  /**
-   * Fences targets until one is known to hold every acknowledged commit;
-   * undefined if none is found within `FENCE_TIMEOUT_MS`.
-   */
-  async function fenceTargets(
-    service: ServiceId,
-    attempt: {
-      readonly cause: FailoverCause;
-      readonly oldPrimary: TargetId | undefined;
-      readonly term: number;
-      /** Preferred successor, see `FailoverLease`. */
-      readonly openTarget: TargetId | undefined;
-    },
-  ): Promise<readonly ReportedTarget[] | undefined> {
-    const { term, openTarget } = attempt;
-    const fenced = new Map<TargetId, ReportedTarget>();
-    const inProgress = new Set<TargetId>();
-    const deadline = nowMs() + FENCE_TIMEOUT_MS;
-
-    async function addIfFenced(target: TargetRecord): Promise<void> {
-      inProgress.add(target.id);
-      const report = await fenceTarget(target, term);
-      inProgress.delete(target.id);
-      if (report && isFenced(report, term)) {
-        fenced.set(target.id, { target, report });
-      }
-    }
-
-    while (nowMs() < deadline) {
-      ctx.directory.list(service)
-        .filter(({ id }) => !fenced.has(id) && !inProgress.has(id))
-        .forEach((target) => void addIfFenced(target));
-      await sleep(POLL_INTERVAL_MS);
-      const all = [...fenced.values()];
-      const succession = getSuccessionOptions(service, attempt);
-      const successor = tryChooseSuccessor(all, {
-        ...succession,
-        preferred: openTarget,
-      });
-      // The open target may still become primary. Unless it has left the
-      // directory, wait for the missing copies, which may show that it holds
-      // every commit.
-      const mayBePromoted = openTarget !== undefined &&
-        ctx.directory.tryGet(openTarget) !== undefined &&
-        successor?.target.id !== openTarget && all.length < succession.copies;
-      if (successor && !mayBePromoted) {
-        return all;
-      }
-    }
-    ctx.io.log.info("failover_waits", {
-      service,
-      fenced: [...fenced.keys()].join(" "),
-      copies: options.getCopyCount(service),
-      reason: "too few targets reachable to cover every acknowledged commit",
-    });
-    return undefined;
-  }
-
-  function getSuccessionOptions(
-    service: ServiceId,
-    attempt: {
-      readonly cause: FailoverCause;
-      readonly oldPrimary: TargetId | undefined;
-    },
-  ) {
-    return {
-      copies: Math.max(
-        options.getCopyCount(service),
-        ctx.directory.list(service).length,
-      ),
-      syncReplicas: ctx.catalog.tryGet()?.services.get(service)
-        ?.syncReplicas ?? 0,
-      oldPrimary: attempt.oldPrimary,
-      mayKeepOldPrimary: attempt.cause !== "leaving",
-    };
-  }
-
   /**
    * Queries the fenced targets again and returns those that are unchanged. A
    * target that was resumed meanwhile may hold commits that the others lack.
@@ -266,7 +175,7 @@
 
   /** Resumes replicas that a failover has paused. */
   async function resumeReplicas(service: ServiceId): Promise<void> {
-    const reports = await queryStatus(ctx.directory.list(service));
+    const reports = await queryStatus(options.copies.list(service));
     await Promise.all(
       reports.filter(({ report }) => report.pausedTerm > 0)
         .map(({ target }) =>
@@ -275,33 +184,59 @@
     );
   }
 
+  /** Whether the old primary's log end is as it was when it stepped down. */
+  async function isStillDeposed(
+    before: Deposition,
+    depose: () => Promise<Deposition>,
+  ): Promise<boolean> {
+    if (before.kind !== "stepped_down") {
+      return true;
+    }
+    const now = await depose();
+    return now.kind === "unreachable" ||
+      (now.kind === "stepped_down" &&
+        comparePositions(now.position, before.position) === 0);
+  }
+
   async function replacePrimary(
     service: ServiceId,
     claim: FailoverClaim,
   ): Promise<ResolvedClaim> {
     const { cause, lease } = claim;
     const oldPrimary = ctx.primaries.tryPrimary(service);
-    const term = ctx.primaries.getTerm(service) + 1;
     const { openTarget } = lease;
-    const fenced = await fenceTargets(service, {
-      cause,
+    const attempt: FenceAttempt = {
+      service,
+      term: ctx.primaries.getTerm(service) + 1,
       oldPrimary,
-      term,
+      mayKeepOldPrimary: cause !== "leaving",
       openTarget,
+    };
+    // Opens the connections that the replicas are fenced over.
+    void queryStatus(options.copies.list(service));
+    const depose = fencing.createDeposition(attempt);
+    const deposition = await depose();
+    ctx.io.log.info("old_primary_deposed", {
+      service,
+      oldPrimary,
+      result: deposition.kind,
+      position: deposition.kind === "stepped_down"
+        ? formatPosition(deposition.position)
+        : undefined,
     });
+    if (deposition.kind === "answers") {
+      return { result: "not_fenced", lease };
+    }
+    const fenced = await fencing.fenceReplicas(attempt, deposition);
     if (!fenced) {
       return { result: "too_few", lease };
     }
-    const succession = {
-      ...getSuccessionOptions(service, { cause, oldPrimary }),
-      // An earlier order may still promote this target, so prefer it.
-      preferred: openTarget,
-    };
-    const chosen = tryChooseSuccessor(fenced, succession);
+    const { targets, succession } = fenced;
+    const chosen = tryChooseSuccessor(targets, succession);
     ctx.io.log.info("failover_fenced", {
       service,
-      term,
-      fenced: formatReports(fenced),
+      term: attempt.term,
+      fenced: formatReports(targets),
       copies: succession.copies,
       required: getRequiredFencedCount(succession),
       oldPrimary,
@@ -311,22 +246,31 @@
     if (!await options.updateLease(service, orderedLease)) {
       return { result: "overtaken", lease };
     }
-    const confirmed = await recheckFenced(fenced, term);
+    const [confirmed, isDeposed] = await Promise.all([
+      recheckFenced(targets, attempt.term),
+      isStillDeposed(deposition, depose),
+    ]);
     const successor = tryChooseSuccessor(confirmed, succession);
-    if (!successor || successor.target.id !== chosen?.target.id) {
+    if (!isDeposed || successor?.target.id !== chosen?.target.id) {
       ctx.io.log.info("failover_overtaken", {
         service,
         confirmed: confirmed.length,
         required: getRequiredFencedCount(succession),
+        isDeposed,
       });
       // This claim has sent no order, so it leaves no open target.
       return { result: "overtaken", lease };
     }
-    if (!options.isClaimCurrent(service, orderedLease)) {
+    if (!successor || !options.isClaimCurrent(service, orderedLease)) {
       return { result: "overtaken", lease };
     }
     const { target } = successor;
+    const stopFencing = fencing.fenceRemaining(attempt, {
+      fenced: targets,
+      depose,
+    });
     const result = await promote(service, { target, lease: orderedLease });
+    stopFencing();
     switch (result) {
       case "promoted":
         return { result, lease: withoutOpenTarget(orderedLease) };
@@ -402,10 +346,10 @@
 /** Formats targets with their roles and log ends, for the log. */
 function formatReports(reports: readonly ReportedTarget[]): string {
   return reports.map(({ target, report: { role, position } }) =>
-    `${target.id}:${role}@${position.term}.${position.pos}`
+    `${target.id}:${role}@${formatPosition(position)}`
   ).join(" ");
 }
 
-function isFenced(report: TargetReport, term: number): boolean {
-  return report.role === "replica" && report.pausedTerm >= term;
+function formatPosition({ term, pos }: Position): string {
+  return `${term}.${pos}`;
 }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -12,6 +12,9 @@
 import { createDispatcher } from "./dispatch.ts";
 import { POOL_ERRORS, type PoolFailure } from "./errors.ts";
 import { createFailoverMonitor } from "./failover_monitor.ts";
+import { createFencing } from "./fencing.ts";
+import { createLogCopies } from "./log_copies.ts";
+import { createStepDownRequests } from "./step_down_requests.ts";
 import { createFleet } from "./fleet.ts";
 import { createForwarder } from "./forwarder.ts";
 import { createHolders } from "./holders.ts";
@@ -229,6 +232,24 @@
       }
     },
   });
+  const copies = createLogCopies(io.log, { directory, primaries });
+  const stepDownRequests = createStepDownRequests(ctx, {
+    copies,
+    listPeers: fleet.listPeers,
+  });
+  const fencing = createFencing(ctx, {
+    copies,
+    requests: stepDownRequests,
+    async listRegistered(service) {
+      const listed = await io.store.list(decoding.targetPrefix);
+      return listed.isErr()
+        ? undefined
+        : listed.value.objects.flatMap((object) => {
+          const target = decoding.tryDecodeTarget(object);
+          return target?.service === service ? [target] : [];
+        });
+    },
+  });
   const connectionHolder = createConnectionHolder(ctx);
   io.streams.onAccept(connectionHolder.accept);
   io.peers.onMessage((from, msg) => {
@@ -241,6 +262,10 @@
         return positionSharing.handleRequest(from, msg);
       case "tell_floor":
         return positionSharing.handleReply(msg);
+      case "ask_step_down":
+        return void stepDownRequests.handleRequest(from, msg);
+      case "tell_step_down":
+        return stepDownRequests.handleReply(from, msg);
       default:
         return assertNever(msg);
     }
@@ -250,7 +275,12 @@
     countHosts: fleet.countHosts,
     holders,
   });
-  const failover = createFailoverMonitor(ctx, { self: options.host, fleet });
+  const failover = createFailoverMonitor(ctx, {
+    self: options.host,
+    fleet,
+    copies,
+    fencing,
+  });
   // A connection that fails silently counts as a fault of the host.
   const watchWaitMs = Math.min(
     MAX_WATCH_WAIT_MS,
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -2,7 +2,7 @@
 
 import type { TargetId } from "../core/ids.ts";
 import { isAtLeast, maxPosition, ORIGIN } from "../core/position.ts";
-import type { TargetRecord, TargetReport } from "./types.ts";
+import type { Position, TargetRecord, TargetReport } from "./types.ts";
 
 /** Target with its status report. */
 export interface ReportedTarget {
@@ -14,6 +14,11 @@
 export interface SuccessionOptions {
   /** Number of copies of the log, including targets that did not answer. */
   readonly copies: number;
+  /**
+   * Log end of the old primary, if it has stepped down. Every acknowledged
+   * commit is at or before it, however many copies there are.
+   */
+  readonly steppedDownAt?: Position | undefined;
   /** Number of replicas that hold a commit before it is acknowledged. */
   readonly syncReplicas: number;
   readonly oldPrimary: TargetId | undefined;
@@ -40,6 +45,15 @@
   return Math.max(1, options.copies - Math.max(1, options.syncReplicas));
 }
 
+/** Whether the target's log covers that of an old primary that stepped down. */
+export function coversOldPrimary(
+  { report }: ReportedTarget,
+  { steppedDownAt }: Pick<SuccessionOptions, "steppedDownAt">,
+): boolean {
+  return steppedDownAt !== undefined &&
+    isAtLeast(report.position, steppedDownAt);
+}
+
 /**
  * Returns a target that holds every acknowledged commit; undefined if none is
  * known to.
@@ -47,6 +61,20 @@
 export function tryChooseSuccessor(
   fenced: readonly ReportedTarget[],
   options: SuccessionOptions,
+): ReportedTarget | undefined {
+  const covering = fenced.filter((candidate) =>
+    candidate.target.id !== options.oldPrimary &&
+    coversOldPrimary(candidate, options)
+  );
+  return covering.length > 0
+    ? tryPick(covering, options)
+    : tryChooseByCount(fenced, options);
+}
+
+/** Returns a target that is sure to hold what any other copy may hold. */
+function tryChooseByCount(
+  fenced: readonly ReportedTarget[],
+  options: SuccessionOptions,
 ): ReportedTarget | undefined {
   const required = getRequiredFencedCount(options);
   const replicas = fenced.filter(({ target }) =>
@@ -65,6 +93,14 @@
   const upToDate = fenced.filter(({ report }) =>
     isAtLeast(report.position, lastPosition)
   );
+  return tryPick(upToDate, options);
+}
+
+/** Picks one of several targets with the same entries. */
+function tryPick(
+  upToDate: readonly ReportedTarget[],
+  options: SuccessionOptions,
+): ReportedTarget | undefined {
   const isOldPrimary = ({ target }: ReportedTarget) =>
     target.id === options.oldPrimary;
   return upToDate.find(({ target }) => target.id === options.preferred) ??
--- /dev/null
+++ b/test/log_copies.test.ts
@@ -0,0 +1,94 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId } from "../src/core/ids.ts";
+import type { DirectoryEvent } from "../src/pooling/directory.ts";
+import { createLogCopies, type LogCopies } from "../src/pooling/log_copies.ts";
+import type { TargetRecord } from "../src/pooling/types.ts";
+
+const SERVICE = asId<TargetRecord["service"]>("ledger");
+
+let emit: (event: DirectoryEvent) => void;
+let primary: string | undefined;
+let copies: LogCopies;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  primary = "t1";
+  copies = createLogCopies({ info() {}, request() {} }, {
+    directory: { onChange: (listener) => void (emit = listener) },
+    primaries: {
+      tryPrimary: () => primary === undefined ? undefined : asId(primary),
+    },
+  });
+  ["t1", "t2", "t3"].forEach((id) =>
+    emit({ kind: "found", target: createRecord(id) })
+  );
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function createRecord(id: string, isDraining = false): TargetRecord {
+  return {
+    id: asId(id),
+    incarnation: 1,
+    service: SERVICE,
+    address: "127.0.0.1:1",
+    domain: asId("d1"),
+    slots: 3,
+    isDraining,
+    role: id === "t1" ? "primary" : "replica",
+  };
+}
+
+function getCopies() {
+  return {
+    counted: copies.listIds(SERVICE),
+    reachable: copies.list(SERVICE).map(({ id }) => id),
+  };
+}
+
+// Guards against a replica that only the store does not hear: it still makes
+// commits acknowledged.
+test("a copy whose registration lapsed counts and can be fenced for a minute", () => {
+  emit({ kind: "gone", target: createRecord("t3") });
+  vi.advanceTimersByTime(59_000);
+  expect(getCopies()).toEqual({
+    counted: ["t1", "t2", "t3"],
+    reachable: ["t1", "t2", "t3"],
+  });
+  vi.advanceTimersByTime(2_000);
+  expect(getCopies()).toEqual({
+    counted: ["t1", "t2"],
+    reachable: ["t1", "t2"],
+  });
+  emit({ kind: "found", target: createRecord("t3") });
+  expect(getCopies().counted).toEqual(["t1", "t2", "t3"]);
+});
+
+// Guards against commits that only a replica which has just left had received.
+test("a replica that has left counts until the others have caught up", () => {
+  emit({ kind: "gone", target: createRecord("t3", true) });
+  vi.advanceTimersByTime(1_500);
+  expect(getCopies()).toEqual({
+    counted: ["t1", "t2", "t3"],
+    reachable: ["t1", "t2"],
+  });
+  vi.advanceTimersByTime(1_000);
+  expect(getCopies().counted).toEqual(["t1", "t2"]);
+});
+
+// Guards against two fenced replicas of three when the primary that has left
+// had its last commits on the third one.
+test("a primary that has left counts until another one is known", () => {
+  emit({ kind: "gone", target: createRecord("t1", true) });
+  vi.advanceTimersByTime(30_000);
+  expect(getCopies()).toEqual({
+    counted: ["t1", "t2", "t3"],
+    reachable: ["t2", "t3"],
+  });
+  primary = undefined;
+  expect(getCopies().counted).toEqual(["t1", "t2", "t3"]);
+  primary = "t2";
+  expect(getCopies().counted).toEqual(["t2", "t3"]);
+});
