Open the circle of types in the session pool

Cause: holders.ts took the shape of the topology from ranking.ts, which needs the dispatcher's, and the dispatcher leads back to the holders through forwarder.ts and target_pool.ts.

Change: Topology and ConnectionAllowance move to types.ts, with the shapes that the modules of the session pool share. The dispatcher and the target pool no longer import the placement for the shape of an allowance.

--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -14,7 +14,6 @@
 } from "./batching.ts";
 import type { Health } from "./health.ts";
 import type { Forwarder } from "./forwarder.ts";
-import type { ConnectionAllowance } from "./holders.ts";
 import { createLinkContext, type RequiredContext } from "./link_context.ts";
 import {
   createTargetPool,
@@ -23,7 +22,12 @@
   type PooledLink,
   type TargetPool,
 } from "./target_pool.ts";
-import type { PoolIo, TargetLink, TargetRecord } from "./types.ts";
+import type {
+  ConnectionAllowance,
+  PoolIo,
+  TargetLink,
+  TargetRecord,
+} from "./types.ts";
 
 /** Maximum number of statements on this host that wait for a connection. */
 const MAX_QUEUE_LENGTH = 400;
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -17,7 +17,6 @@
   getPreparedName,
   type RequiredContext,
 } from "./link_context.ts";
-import type { Topology } from "./ranking.ts";
 import type {
   Access,
   PoolIo,
@@ -27,6 +26,7 @@
   TargetCommand,
   TargetRecord,
   TargetReply,
+  Topology,
 } from "./types.ts";
 
 /** Dependencies of statement execution. */
--- a/src/pooling/holders.ts
+++ b/src/pooling/holders.ts
@@ -15,8 +15,7 @@
 } from "../core/ids.ts";
 import { type HashedDomain, hashPeers, rankAll } from "../core/route.ts";
 import type { PeerInfo } from "../core/types.ts";
-import type { Topology } from "./ranking.ts";
-import type { TargetRecord } from "./types.ts";
+import type { ConnectionAllowance, TargetRecord, Topology } from "./types.ts";
 
 /** Maximum number of hosts that hold connections to one target. */
 const HOLDERS_PER_TARGET = 3;
@@ -39,13 +38,6 @@
 const IDLE_KEEP_FRACTION = 0.75;
 const SOLE_HOLDER_IDLE_KEEP_FRACTION = 0.4;
 
-/** How many connections a host may have to a target. */
-export interface ConnectionAllowance {
-  readonly cap: number;
-  /** How many of them may stay open while they are idle. */
-  readonly idleCap: number;
-}
-
 /** Assignment of connections to hosts. */
 export interface Holders {
   /**
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -5,7 +5,7 @@
 import type { AgedPosition } from "./position_history.ts";
 import type { Health } from "./health.ts";
 import type { RequiredContext } from "./link_context.ts";
-import type { TargetRecord } from "./types.ts";
+import type { TargetRecord, Topology } from "./types.ts";
 import type { TargetId, WorkspaceId } from "../core/ids.ts";
 
 /** Round-trip times that are assumed until a latency has been measured. */
@@ -25,13 +25,6 @@
 /** Penalty on other regions, because traffic between regions is expensive. */
 const CROSS_REGION_PENALTY_MS = 5;
 
-/** Location of this host and of all failure domains. */
-export interface Topology {
-  readonly domain: DomainId;
-  /** Region of each failure domain. */
-  readonly regions: ReadonlyMap<DomainId, string>;
-}
-
 /** Inputs of a ranking. */
 export interface RankOptions {
   readonly topology: Topology;
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -8,9 +8,14 @@
   type LinkContext,
   type RequiredContext,
 } from "./link_context.ts";
-import type { DialErr, PoolIo, TargetLink, TargetRecord } from "./types.ts";
+import type {
+  ConnectionAllowance,
+  DialErr,
+  PoolIo,
+  TargetLink,
+  TargetRecord,
+} from "./types.ts";
 import type { Health } from "./health.ts";
-import type { ConnectionAllowance } from "./holders.ts";
 import type { Result } from "ts-results-es";
 
 /** Time to open a connection, in milliseconds. */
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -88,6 +88,13 @@
   readonly role: "primary" | "replica";
 }
 
+/** Location of this host and of all failure domains. */
+export interface Topology {
+  readonly domain: DomainId;
+  /** Region of each failure domain. */
+  readonly regions: ReadonlyMap<DomainId, string>;
+}
+
 /** State of a session or of a connection to a target. */
 export type TransactionState = "idle" | "open" | "failed";
 
@@ -219,6 +226,13 @@
   close(): void;
 }
 
+/** How many connections a host may have to a target. */
+export interface ConnectionAllowance {
+  readonly cap: number;
+  /** How many of them may stay open while they are idle. */
+  readonly idleCap: number;
+}
+
 /** Failure to open a connection to a target. */
 export interface DialErr {
   readonly code: TargetErrCode | "unreachable";
