Compute the delays that double with each failure in one place

Cause: the delay that doubles with each failure up to a bound was written in six places: dissemination and registration in src/core; the streams to holders, the probes of paths, the ejection of targets and the watch of the store in src/pooling. Three of them kept the last delay, three the count of failures.

Change: getBackoffMs of src/core/retry_delay.ts serves all six; all keep the count. Seats and the stall detector are left as they are: the one does not begin again at its least delay, the other has no bound on the delay.

Result: behaviour is the same.

--- a/src/core/dissemination.ts
+++ b/src/core/dissemination.ts
@@ -12,6 +12,7 @@
 import type { Membership } from "./membership.ts";
 import { CONFIG_PREFIX } from "./object_keys.ts";
 import type { Peers } from "./peers.ts";
+import { getBackoffMs } from "./retry_delay.ts";
 import type { HostIo, PeerInfo, PeerReq, PeerRes, Stoppable } from "./types.ts";
 
 /** Long-poll timeout of a watch on the platform, in milliseconds. */
@@ -118,10 +119,10 @@
     if (failures === 0) {
       return Math.max(0, calledAt + jitter(PLATFORM_MIN_INTERVAL_MS) - nowMs());
     }
-    const ceilingMs = Math.min(
-      PLATFORM_RETRY_MS * 2 ** failures,
-      PLATFORM_MAX_RETRY_MS,
-    );
+    const ceilingMs = getBackoffMs(failures, {
+      minMs: PLATFORM_RETRY_MS,
+      maxMs: PLATFORM_MAX_RETRY_MS,
+    });
     return PLATFORM_MIN_INTERVAL_MS + io.random() * ceilingMs;
   }
 
--- a/src/core/registration.ts
+++ b/src/core/registration.ts
@@ -4,6 +4,7 @@
 import { sleep } from "./clock.ts";
 import type { Configuration } from "./configuration.ts";
 import { getHostKey } from "./object_keys.ts";
+import { getBackoffMs } from "./retry_delay.ts";
 import type { HostIo, Stoppable } from "./types.ts";
 
 const BASE_RETRY_MS = 1_000;
@@ -46,7 +47,10 @@
   async function register(): Promise<void> {
     await cfg.ready();
     for (let attempt = 1; !stopped && !await tryPut(record); attempt++) {
-      const ceilingMs = Math.min(BASE_RETRY_MS * 2 ** attempt, MAX_RETRY_MS);
+      const ceilingMs = getBackoffMs(attempt, {
+        minMs: BASE_RETRY_MS,
+        maxMs: MAX_RETRY_MS,
+      });
       await sleep(BASE_RETRY_MS + io.random() * ceilingMs);
     }
   }
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -7,6 +7,7 @@
 import { nowMs } from "../core/clock.ts";
 import { assertNever } from "../core/errors.ts";
 import type { HostId, TargetId, WorkspaceId } from "../core/ids.ts";
+import { getBackoffMs } from "../core/retry_delay.ts";
 import type { Stoppable } from "../core/types.ts";
 import type {
   ForwardCommand,
@@ -102,7 +103,8 @@
 }
 
 interface Backoff {
-  readonly delayMs: number;
+  /** Number of consecutive failures. */
+  readonly failures: number;
   readonly until: number;
 }
 
@@ -226,11 +228,12 @@
     if (holderStreams.get(host) === holderStream) {
       holderStreams.delete(host);
     }
-    const delayMs = Math.min(
-      MAX_REOPEN_DELAY_MS,
-      (backoffs.get(host)?.delayMs ?? MIN_REOPEN_DELAY_MS / 2) * 2,
-    );
-    backoffs.set(host, { delayMs, until: nowMs() + delayMs });
+    const failures = backoffs.get(host)?.failures ?? 0;
+    const delayMs = getBackoffMs(failures, {
+      minMs: MIN_REOPEN_DELAY_MS,
+      maxMs: MAX_REOPEN_DELAY_MS,
+    });
+    backoffs.set(host, { failures: failures + 1, until: nowMs() + delayMs });
     io.log.info("holder_lost", {
       holder: host,
       detail,
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -6,6 +6,7 @@
 import { nowMs } from "../core/clock.ts";
 import type { TargetId } from "../core/ids.ts";
 import { isAtLeast } from "../core/position.ts";
+import { getBackoffMs } from "../core/retry_delay.ts";
 import type { Position } from "./types.ts";
 
 /**
@@ -145,10 +146,10 @@
 
   function recordFailure(target: TargetId, failingSince = nowMs()): void {
     const record = getRecord(target);
-    const ejectionMs = Math.min(
-      MAX_EJECTION_MS,
-      MIN_EJECTION_MS * 2 ** record.failures,
-    );
+    const ejectionMs = getBackoffMs(record.failures, {
+      minMs: MIN_EJECTION_MS,
+      maxMs: MAX_EJECTION_MS,
+    });
     record.failures++;
     record.failingSince ??= record.silentSince ?? failingSince;
     record.ejectedUntil = nowMs() + ejectionMs;
--- a/src/pooling/path_health.ts
+++ b/src/pooling/path_health.ts
@@ -5,6 +5,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { HostId, TargetId } from "../core/ids.ts";
+import { getBackoffMs } from "../core/retry_delay.ts";
 
 /**
  * Bounds of the time after which a path that has failed is probed; the time
@@ -33,7 +34,8 @@
 }
 
 interface Breaker {
-  readonly delayMs: number;
+  /** Number of consecutive failures. */
+  readonly failures: number;
   readonly probeAt: number;
 }
 
@@ -49,11 +51,15 @@
         // A late failure of a command that was sent before the path was left.
         return;
       }
-      const delayMs = Math.min(
-        MAX_PROBE_DELAY_MS,
-        previous ? previous.delayMs * 2 : MIN_PROBE_DELAY_MS,
-      );
-      byHolder.set(holder, { delayMs, probeAt: nowMs() + delayMs });
+      const failures = previous?.failures ?? 0;
+      const delayMs = getBackoffMs(failures, {
+        minMs: MIN_PROBE_DELAY_MS,
+        maxMs: MAX_PROBE_DELAY_MS,
+      });
+      byHolder.set(holder, {
+        failures: failures + 1,
+        probeAt: nowMs() + delayMs,
+      });
       breakers.set(target, byHolder);
     },
     recordSuccess({ target, holder }) {
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -1,6 +1,7 @@
 /** Watches the objects of one kind in the platform's store. */
 
 import { nowMs, sleep } from "../core/clock.ts";
+import { getBackoffMs } from "../core/retry_delay.ts";
 import type { PlatformStore, Stoppable, StoredObject } from "../core/types.ts";
 import type { PoolIo } from "./types.ts";
 
@@ -130,11 +131,11 @@
   }
 
   async function pollUntilStopped(): Promise<void> {
-    let retryDelayMs = MIN_RETRY_MS;
+    let failures = 0;
     while (!isStopped) {
       const startedAt = nowMs();
       if (await poll()) {
-        retryDelayMs = MIN_RETRY_MS;
+        failures = 0;
         const remainingMs = startedAt +
           (options.getMinWatchIntervalMs?.() ?? 0) - nowMs();
         if (remainingMs > 0) {
@@ -142,8 +143,12 @@
         }
         continue;
       }
+      const retryDelayMs = getBackoffMs(failures, {
+        minMs: MIN_RETRY_MS,
+        maxMs: MAX_RETRY_MS,
+      });
+      failures++;
       await sleep(retryDelayMs * (0.5 + io.random()));
-      retryDelayMs = Math.min(MAX_RETRY_MS, retryDelayMs * 2);
     }
   }
 
