Compute the delay that refused callers are told in one place

Cause: the queue of src/core and the quotas of src/pooling both took the expected wait within bounds, extended it at random by up to half, and rounded up. The dispatcher's refusal is left as it is: it has no upper bound, extends by up to the whole, and gives no delay where the wait is not known.

Change: getRetryAfterMs of src/core/retry_delay.ts serves both, each with its own bounds.

Result: behaviour is the same.

--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -13,6 +13,7 @@
 import { createFlows, type Flow, type Flows } from "./flows.ts";
 import type { TargetId, WorkspaceId } from "./ids.ts";
 import type { Limits } from "./limits.ts";
+import { getRetryAfterMs } from "./retry_delay.ts";
 import type { Token } from "./token_stock.ts";
 import type { Stoppable } from "./types.ts";
 
@@ -24,7 +25,6 @@
 const MIN_RETRY_AFTER_MS = 20;
 /** Upper bound on the retry delay before jitter, also for an unknown wait. */
 const MAX_RETRY_AFTER_MS = 60_000;
-const RETRY_JITTER = 0.5;
 
 /** Permission to run one statement at a target, with its rate-limit token. */
 export interface Slot {
@@ -123,11 +123,11 @@
   }
 
   function refuse(error: "rate_limited" | "overloaded", waitMs: number) {
-    const jitter = 1 + RETRY_JITTER * options.random();
-    const retryAfterMs = Math.ceil(
-      Math.min(Math.max(MIN_RETRY_AFTER_MS, waitMs), MAX_RETRY_AFTER_MS) *
-        jitter,
-    );
+    const retryAfterMs = getRetryAfterMs(waitMs, {
+      minMs: MIN_RETRY_AFTER_MS,
+      maxMs: MAX_RETRY_AFTER_MS,
+      random: options.random(),
+    });
     return Err({ error, retryAfterMs });
   }
 
--- a/src/pooling/quotas.ts
+++ b/src/pooling/quotas.ts
@@ -3,6 +3,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { nowMs, sleep } from "../core/clock.ts";
 import type { WorkspaceId } from "../core/ids.ts";
+import { getRetryAfterMs } from "../core/retry_delay.ts";
 import type { PoolFailure } from "./errors.ts";
 import { type Demand, FULL_SHARE } from "./share_ledger.ts";
 import { createTokenBucket, type TokenBucket } from "./token_bucket.ts";
@@ -131,11 +132,11 @@
   }
 
   function createRefusal(entry: QuotaState, waitMs: number): Err<PoolFailure> {
-    const boundedMs = Math.min(
-      MAX_RETRY_AFTER_MS,
-      Math.max(MIN_RETRY_AFTER_MS, waitMs),
-    );
-    const retryAfterMs = Math.ceil(boundedMs * (1 + options.random() / 2));
+    const retryAfterMs = getRetryAfterMs(waitMs, {
+      minMs: MIN_RETRY_AFTER_MS,
+      maxMs: MAX_RETRY_AFTER_MS,
+      random: options.random(),
+    });
     const peerStatus = nowMs() < entry.borrowPausedUntil
       ? "have none"
       : "were asked";
