Compute moving averages in one place

Cause: the exponentially weighted moving average was written in four places: the cost of a flow and the demand of a token stock in src/core, the latency of a target and the duration of checkouts in src/pooling. The demand of the quotas is left as it is: it decays with time and not with each sample.

Change: moveAverage of src/core/moving_average.ts serves all four, each with its own weight.

--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -5,6 +5,7 @@
  */
 
 import type { WorkspaceId } from "./ids.ts";
+import { moveAverage } from "./moving_average.ts";
 
 /** Weight of the latest statement in the moving average of the cost. */
 const COST_SMOOTHING_FACTOR = 0.2;
@@ -71,7 +72,10 @@
       // The target was not busy for the whole time of a statement that hung.
       const spentMs = Math.min(ms, MAX_COST_MS);
       flow.startTag += spentMs - chargedMs;
-      flow.costMs += COST_SMOOTHING_FACTOR * (spentMs - flow.costMs);
+      flow.costMs = moveAverage(flow.costMs, {
+        sample: spentMs,
+        weight: COST_SMOOTHING_FACTOR,
+      });
     },
     listBacklogged,
     getVirtualDelay: (flow) => Math.max(0, flow.startTag - virtualTime),
--- a/src/core/token_stock.ts
+++ b/src/core/token_stock.ts
@@ -3,6 +3,7 @@
 import type { GrantReq, GrantRes } from "../generated/peer.ts";
 import { nowMs } from "./clock.ts";
 import type { HostId } from "./ids.ts";
+import { moveAverage } from "./moving_average.ts";
 
 /** Time of expected demand for which tokens are prefetched. */
 const PREFETCH_MS = 250;
@@ -268,7 +269,10 @@
         );
     },
     tick() {
-      demandPerTick += DEMAND_SMOOTHING * (takenThisTick - demandPerTick);
+      demandPerTick = moveAverage(demandPerTick, {
+        sample: takenThisTick,
+        weight: DEMAND_SMOOTHING,
+      });
       takenThisTick = 0;
     },
   };
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { nowMs } from "../core/clock.ts";
 import type { ServiceId, TargetId, WorkspaceId } from "../core/ids.ts";
+import { moveAverage } from "../core/moving_average.ts";
 import type { PoolFailure } from "./errors.ts";
 import {
   planRound,
@@ -170,7 +171,10 @@
           DEFAULT_CHECKOUT_MS;
         averageCheckoutMs.set(
           target.service,
-          previous + EWMA_WEIGHT * (nowMs() - since - previous),
+          moveAverage(previous, {
+            sample: nowMs() - since,
+            weight: EWMA_WEIGHT,
+          }),
         );
         pool.release(pooled, isClean);
         dropIfAbandoned(pool);
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -5,6 +5,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { TargetId } from "../core/ids.ts";
+import { moveAverage } from "../core/moving_average.ts";
 import { isAtLeast } from "../core/position.ts";
 import { getBackoffMs } from "../core/retry_delay.ts";
 import type { Position } from "./types.ts";
@@ -163,8 +164,10 @@
   return {
     recordSuccess(target, { latencyMs, position }) {
       const record = getRecord(target);
-      const previous = record.latencyMs ?? latencyMs;
-      record.latencyMs = previous + EWMA_WEIGHT * (latencyMs - previous);
+      record.latencyMs = moveAverage(record.latencyMs ?? latencyMs, {
+        sample: latencyMs,
+        weight: EWMA_WEIGHT,
+      });
       recordAlive(target);
       record.position = position ?? record.position;
     },
