--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { nowMs } from "../core/clock.ts";
 import type { ServiceId, TargetId, WorkspaceId } from "../core/ids.ts";
+import { moveAverage } from "../core/moving_average.ts";
 import type { PoolFailure } from "./errors.ts";
 import {
   planRound,
@@ -14,7 +15,6 @@
 } from "./batching.ts";
 import type { Health } from "./health.ts";
 import type { Forwarder } from "./forwarder.ts";
-import type { ConnectionAllowance } from "./holders.ts";
 import { createLinkContext, type RequiredContext } from "./link_context.ts";
 import {
   createTargetPool,
@@ -23,7 +23,12 @@
   type PooledLink,
   type TargetPool,
 } from "./target_pool.ts";
-import type { PoolIo, TargetLink, TargetRecord } from "./types.ts";
+import type {
+  ConnectionAllowance,
+  PoolIo,
+  TargetLink,
+  TargetRecord,
+} from "./types.ts";
 
 /** Maximum number of statements on this host that wait for a connection. */
 const MAX_QUEUE_LENGTH = 400;
@@ -166,7 +171,10 @@
           DEFAULT_CHECKOUT_MS;
         averageCheckoutMs.set(
           target.service,
-          previous + EWMA_WEIGHT * (nowMs() - since - previous),
+          moveAverage(previous, {
+            sample: nowMs() - since,
+            weight: EWMA_WEIGHT,
+          }),
         );
         pool.release(pooled, isClean);
         dropIfAbandoned(pool);
