Model the failover on the platform in every order of its steps

Cause: the model check covers the promotion of the first face only.

Change: tools/failover_model/ explores one service with up to four copies and up to three holders of the lease, breadth first. The choice of the successor and the fencing token are the product's functions; the order of the procedure's steps and what it checks are parameters. The default is the order that is planned: the old primary steps down first and its log end decides; replicas are paused then; the count of copies decides only if no host reaches the old primary, with the list read again. Unlike the plan, copies that have left stay in the count, as their logs are gone (a variant shows the loss). Steps that only take other steps away (a pause whose reply isn't used, or after the order) are left out. `npm run model` prints the steps of each variant.

Not safe, and shown as variants: a copy that registers after the list was read, hosts that reach the old primary again while a pause was lost, a stepped-down primary that leads again after a restart.

--- a/tools/model_check.ts
+++ b/tools/model_check.ts
@@ -1,7 +1,17 @@
-/** Checks the model of a group, and that it detects every faulty variant. */
+/**
+ * Checks the model of a group and that of the failover, and that they detect
+ * every faulty variant.
+ */
 
 import process from "node:process";
 import { cac } from "cac";
+import { exploreFailover } from "./failover_model/explore.ts";
+import type { FailoverBounds } from "./failover_model/state.ts";
+import {
+  FAILOVER_VARIANTS,
+  SMALL_BOUNDS,
+  TWO_HOLDERS,
+} from "./failover_model/variants.ts";
 import { type Bounds, explore } from "./model.ts";
 import { VARIANTS } from "./model_variants.ts";
 
@@ -11,6 +21,15 @@
   { targets: 3, coordinators: 2, writes: 2, maxTerm: 3, maxStates: 1_000_000 },
 ];
 
+const FAILOVER_BOUNDS: readonly FailoverBounds[] = [
+  { ...SMALL_BOUNDS, restarts: 2 },
+  { ...SMALL_BOUNDS, commits: 2, restarts: 1 },
+  { ...SMALL_BOUNDS, fault: "departure" },
+  { ...SMALL_BOUNDS, holders: 2 },
+  { ...TWO_HOLDERS, restarts: 1 },
+  { ...TWO_HOLDERS, commits: 2 },
+];
+
 function checkModel(): boolean {
   let hasPassed = true;
   for (const bounds of BOUNDS) {
@@ -38,10 +57,53 @@
   return hasPassed;
 }
 
+function checkFailoverModel(): boolean {
+  let hasPassed = true;
+  for (const bounds of FAILOVER_BOUNDS) {
+    const { states, isComplete, violation, steps } = exploreFailover(bounds);
+    const { holders, commits, restarts, fault, fourthCopy } = bounds;
+    const scope = `failover, ${holders} holders, ${commits} commits, ` +
+      `${restarts} restarts, fault ${fault}, fourth copy ${fourthCopy}`;
+    const extent = isComplete ? "all" : "first";
+    console.log(
+      `${scope}: ${extent} ${states} states, ${violation ?? "no violation"}`,
+    );
+    printSteps(steps);
+    hasPassed &&= isComplete;
+  }
+  return hasPassed;
+}
+
+function checkFailoverVariants(): boolean {
+  let hasPassed = true;
+  for (const variant of FAILOVER_VARIANTS) {
+    const { states, violation, steps } = exploreFailover(
+      variant.bounds,
+      variant,
+    );
+    const result = violation ? `caught: ${violation}` : "NOT CAUGHT";
+    console.log(
+      `failover variant "${variant.name}": ${states} states, ${result}`,
+    );
+    printSteps(steps);
+    hasPassed &&= violation === variant.violation;
+  }
+  return hasPassed;
+}
+
+function printSteps(steps: readonly string[]): void {
+  steps.forEach((step, index) => console.log(`  ${index + 1}. ${step}`));
+}
+
 const cli = cac("model");
-cli.command("", "Explore the model and its faulty variants")
+cli.command("", "Explore the models and their faulty variants")
   .action(() => {
-    const results = [checkModel(), checkVariants()];
+    const results = [
+      checkModel(),
+      checkVariants(),
+      checkFailoverModel(),
+      checkFailoverVariants(),
+    ];
     process.exitCode = results.every((hasPassed) => hasPassed) ? 0 : 1;
   });
 cli.help();
