Show the failover model faulty choices of a successor

Cause: the variants changed the procedure only, so nothing showed that the model depends on the decisions that are passed in.

Change: two variants of tryChooseSuccessor, one fenced target less and the least advanced target.

--- a/tools/failover_model/variants.ts
+++ b/tools/failover_model/variants.ts
@@ -1,6 +1,8 @@
 /** Faulty procedures and decisions that the failover model must detect. */
 
+import { comparePositions } from "../../src/core/position.ts";
 import { getFencingToken } from "../../src/pooling/failover_lease.ts";
+import { tryChooseSuccessor } from "../../src/pooling/succession.ts";
 import {
   FAILOVER_DECISIONS,
   type FailoverBounds,
@@ -116,6 +118,33 @@
     violation: `${LOST}t2`,
     control: THREE_HOLDERS,
   },
+  {
+    name: "let one fenced target less be enough",
+    procedure: PROCEDURE,
+    bounds: KNOWN,
+    decisions: {
+      ...FAILOVER_DECISIONS,
+      tryChooseSuccessor: (fenced, options) =>
+        tryChooseSuccessor(fenced, { ...options, copies: options.copies - 1 }),
+    },
+    violation: `${LOST}t3`,
+    control: { procedure: PROCEDURE },
+  },
+  {
+    name: "promote the least advanced",
+    procedure: PROCEDURE,
+    bounds: KNOWN,
+    decisions: {
+      ...FAILOVER_DECISIONS,
+      tryChooseSuccessor: (fenced, options) =>
+        tryChooseSuccessor(fenced, options) &&
+        fenced.toSorted((a, b) =>
+          comparePositions(a.report.position, b.report.position)
+        )[0],
+    },
+    violation: `${LOST}t3`,
+    control: { procedure: PROCEDURE },
+  },
   {
     name: "use a token twice",
     procedure: PROCEDURE,
