Have unanswered orders refused before their target steps down

Cause: a holder that saw the target lead took its failover for done and cleared the open target, although its own order had no answer and may take effect seconds later: after the next holder has made that target step down, which then leads again, acknowledges, and is replaced by a target that was fenced before.

Change: the lease keeps that there is such an order. The next holder first orders the target that leads, seen to lead by its status, under its new token: that changes nothing, and the platform refuses older tokens from then on. Without an answer to that order it promotes nothing; the next claim has a new token.

Evidence: 'an order without an answer is refused once the next failover has begun' failed before (the late order was accepted) and passes; the tests of failover_copies, store_return_failover and session_pool pass.

--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -33,6 +33,11 @@
    * target has left the directory or is known to lack commits.
    */
   readonly openTarget?: TargetId;
+  /**
+   * Whether an order for the target that leads now got no answer. It may take
+   * effect once that target has stepped down.
+   */
+  readonly hasUnansweredOrder?: boolean;
 }
 
 /** Revisions that fencing tokens distinguish within an era of the store. */
@@ -64,6 +69,9 @@
       ...(lease.openTarget === undefined
         ? {}
         : { openTarget: lease.openTarget }),
+      ...(lease.hasUnansweredOrder === true
+        ? { hasUnansweredOrder: true }
+        : {}),
     }
     : undefined;
 }
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -260,6 +260,9 @@
       ...(previous?.openTarget === undefined
         ? {}
         : { openTarget: previous.openTarget }),
+      ...(previous?.hasUnansweredOrder === true
+        ? { hasUnansweredOrder: true }
+        : {}),
     };
     const version = await tryPutLease(service, claimed, known?.version ?? 0);
     if (version === undefined) {
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -132,24 +132,43 @@
     });
   }
 
+  /** Orders a promotion; undefined if the order was refused. */
   async function promote(
     service: ServiceId,
     order: { readonly target: TargetRecord; readonly lease: FailoverLease },
-  ): Promise<"promoted" | "not_promoted" | "refused"> {
+  ): Promise<ResolvedClaim | undefined> {
     const { target, lease } = order;
     const res = await orderPromotion(service, { target: target.id, lease });
     if (res === "refused") {
-      return "refused";
+      return undefined;
     }
     const deadline = nowMs() + PROMOTION_TIMEOUT_MS;
     while (nowMs() < deadline) {
       await sleep(POLL_INTERVAL_MS);
       const report = await sendControlCommand(ctx, target, { kind: "status" });
       if (report?.role === "primary") {
-        return "promoted";
+        return {
+          result: "promoted",
+          lease: toPromotedLease(lease, { isAnswered: res === "accepted" }),
+        };
       }
     }
-    return "not_promoted";
+    return { result: "not_promoted", lease };
+  }
+
+  /**
+   * Has older orders refused: orders the promotion of the target that leads,
+   * which changes nothing. False if this order has no answer either.
+   */
+  async function invalidateOlderOrders(
+    service: ServiceId,
+    order: { readonly target: TargetRecord; readonly lease: FailoverLease },
+  ): Promise<boolean> {
+    const { target, lease } = order;
+    const report = await sendControlCommand(ctx, target, { kind: "status" });
+    // Any other target would be promoted by the order.
+    return report?.role !== "primary" ||
+      await orderPromotion(service, { target: target.id, lease }) !== "unknown";
   }
 
   async function orderPromotion(
@@ -205,6 +224,13 @@
     const { cause, lease } = claim;
     const oldPrimary = ctx.primaries.tryPrimary(service);
     const { openTarget } = lease;
+    const leading = oldPrimary && ctx.directory.tryGet(oldPrimary);
+    if (
+      lease.hasUnansweredOrder && leading &&
+      !await invalidateOlderOrders(service, { target: leading, lease })
+    ) {
+      return { result: "not_fenced", lease };
+    }
     const attempt: FenceAttempt = {
       service,
       term: ctx.primaries.getTerm(service) + 1,
@@ -269,17 +295,10 @@
       fenced: targets,
       depose,
     });
-    const result = await promote(service, { target, lease: orderedLease });
+    const resolved = await promote(service, { target, lease: orderedLease });
     stopFencing();
-    switch (result) {
-      case "promoted":
-        return { result, lease: withoutOpenTarget(orderedLease) };
-      case "refused":
-        // A refused order does not take effect later.
-        return { result: "not_promoted", lease };
-      case "not_promoted":
-        return { result, lease: orderedLease };
-    }
+    // A refused order does not take effect later.
+    return resolved ?? { result: "not_promoted", lease };
   }
 
   /** Whether the target of an unanswered order has become primary. */
@@ -302,7 +321,10 @@
     const { cause, lease } = claim;
     if (lease.openTarget !== undefined) {
       return await hasOpenTargetTakenOver(service, lease)
-        ? { result: "promoted", lease: withoutOpenTarget(lease) }
+        ? {
+          result: "promoted",
+          lease: toPromotedLease(lease, { isAnswered: false }),
+        }
         : await replacePrimary(service, claim);
     }
     return await tryFindLivePrimary(service, cause) === undefined
@@ -343,6 +365,15 @@
   return lease;
 }
 
+/** Returns the lease after its target has become primary. */
+function toPromotedLease(
+  lease: FailoverLease,
+  { isAnswered }: { readonly isAnswered: boolean },
+): FailoverLease {
+  const { hasUnansweredOrder: _, ...promoted } = withoutOpenTarget(lease);
+  return isAnswered ? promoted : { ...promoted, hasUnansweredOrder: true };
+}
+
 /** Formats targets with their roles and log ends, for the log. */
 function formatReports(reports: readonly ReportedTarget[]): string {
   return reports.map(({ target, report: { role, position } }) =>
--- a/test/failover_copies.test.ts
+++ b/test/failover_copies.test.ts
@@ -186,3 +186,31 @@
   expect(["t1", successor.record.id]).not.toContain(getPrimary().record.id);
   expect(listLost(acknowledged)).toHaveLength(0);
 });
+
+// Guards against an order without an answer that takes effect after a later
+// failover has made its target step down: it leads again, and what it then
+// acknowledges is missing from the one that is promoted next.
+test("an order without an answer is refused once the next failover has begun", async () => {
+  fleet = await startPoolFleet({ hosts: 3, group: { promoteMs: PROMOTE_MS } });
+  fleet.delayedPromotions.minDelayMs = 500;
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  const first = getPrimary();
+  const { fencingToken } = fleet.orders.at(-1)!;
+  expect(first.record.id).not.toBe("t1");
+  fleet.delayedPromotions.minDelayMs = 0;
+  fleet.getTarget("t1").faults.isUnresponsive = false;
+  fleet.register(first.record.id, { role: "primary", isDraining: true });
+  const isDeposed = () =>
+    fleet.logLines.some(({ event, fields }) =>
+      event === "old_primary_deposed" && fields.oldPrimary === first.record.id
+    );
+  for (let ms = 0; ms < FAILOVER_MS && !isDeposed(); ms += 5) {
+    await vi.advanceTimersByTimeAsync(5);
+  }
+  const late = fleet.group.promote(first.record.id, fencingToken);
+  await vi.advanceTimersByTimeAsync(PROMOTE_MS);
+  expect((await late).kind).toBe("refused");
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  expect(getPrimary().record.id).not.toBe(first.record.id);
+});
