Read a host's record in the store as one that anyone may have written

Cause: fuzzing a pool host as a process. The records of hosts in the store were cast, not decoded. A record without a value threw in computePeers, within the handler of a list, and the rejection ended the process; it ended again after each restart, as long as the object was there.

Change: a record is decoded once, in one place. An invalid one is logged, names no host and does not replace a valid one. Its revision is kept, so that the host overwrites it with its next heartbeat.

Tests: malformed_process.test.ts starts the program as deployed and damages, from a fixed seed, the responses of the store (framing, headers, JSON, bodies), entries of other writers, the bytes on each port, datagrams, frames of streams, and the settings before SIGHUP. After each the host must serve and follow the store, and nothing may be logged as crashed. Generators of damage moved from fuzz.test.ts to mutations.ts.

Before the change 'a host starts and serves among any entries of other writers' failed: the host exited with code 1, 'Cannot destructure property domain'.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -82,6 +82,11 @@
   readonly firstEra: number;
 }
 
+/** Record as decoded; fields that the writer did not know are missing. */
+type StoredHostRecord =
+  & Pick<HostRecord, "incarnation" | "beat">
+  & Partial<HostRecord>;
+
 interface ObservedVersion {
   readonly version: number;
   /** Time of the observation, on the monotonic clock. */
@@ -213,8 +218,7 @@
         if (!hasStarted) {
           hasStarted = true;
           firstEra = getEra(io.store);
-          const record = objects.get(ownKey)?.value as Partial<HostRecord>;
-          previousStartAt = record?.incarnation ?? -Infinity;
+          previousStartAt = tryGetRecord(ownKey)?.incarnation ?? -Infinity;
         }
         if (isFirstOfEra) {
           void sendHeartbeat();
@@ -231,6 +235,11 @@
     io.metrics.add("store_era_losses_total", objects.size, { kind: "object" });
   });
 
+  /** Returns a host's record; undefined if there is no valid one. */
+  function tryGetRecord(key: ObjectKey): StoredHostRecord | undefined {
+    return tryDecodeHostRecord(objects.get(key)?.value);
+  }
+
   function applyObject(object: StoredObject): void {
     const { key, version } = object;
     const known = objects.get(key);
@@ -238,9 +247,20 @@
     if (known && !isOutdated && version !== 0 && version <= known.version) {
       return;
     }
+    const isInvalid = version !== 0 && key.startsWith(HOST_PREFIX) &&
+      (key === HOST_PREFIX || !tryDecodeHostRecord(object.value));
+    if (isInvalid) {
+      io.log.info("host_record_invalid", { key, version });
+    }
     if (version === 0) {
       objects.delete(key);
       observed.delete(key);
+    } else if (isInvalid) {
+      // An invalid record does not replace a valid one.
+      objects.set(key, { ...object, value: known?.value });
+      if (!hosts.has(key)) {
+        return;
+      }
     } else if (known && isOutdated && isOlderHeartbeat(object, known)) {
       // What this host has seen of a peer is newer than the restored record.
       objects.set(key, { ...object, value: known.value });
@@ -248,7 +268,7 @@
       objects.set(key, object);
       observed.set(key, { version, observedAt: nowMs() });
     }
-    if (key.startsWith(HOST_PREFIX) && !known !== (version === 0)) {
+    if (key.startsWith(HOST_PREFIX) && hosts.has(key) === (version === 0)) {
       const event = version === 0 ? "host_left" : "host_seen";
       io.log.info(event, { peer: key.slice(HOST_PREFIX.length) });
     }
@@ -267,9 +287,8 @@
 
   function hasStoreReturned(): boolean {
     return firstEra !== getEra(io.store) || [...hosts].some((key) => {
-      const record = objects.get(key)?.value as Partial<HostRecord>;
-      return record?.firstEra !== undefined &&
-        record.firstEra !== getEra(io.store);
+      const era = tryGetRecord(key)?.firstEra;
+      return era !== undefined && era !== getEra(io.store);
     });
   }
 
@@ -280,8 +299,8 @@
   function listAddresses(): Map<HostId, string> {
     const addresses = new Map<HostId, string>();
     for (const key of hosts) {
-      const { peers } = (objects.get(key)?.value ?? {}) as Partial<HostRecord>;
-      if (key !== ownKey && typeof peers === "string") {
+      const peers = tryGetRecord(key)?.peers;
+      if (key !== ownKey && peers !== undefined) {
         addresses.set(asId<HostId>(key.slice(HOST_PREFIX.length)), peers);
       }
     }
@@ -339,7 +358,7 @@
   }
 
   function hasLeft(key: ObjectKey): boolean {
-    return (objects.get(key)?.value as Partial<HostRecord>)?.beat === -1;
+    return tryGetRecord(key)?.beat === -1;
   }
 
   function isStillStopping(key: ObjectKey): boolean {
@@ -360,7 +379,7 @@
       } else if (!isHeartbeatExpired(key)) {
         const host = asId<HostId>(key.slice(HOST_PREFIX.length));
         running.push(host);
-        const { domain } = objects.get(key)?.value as Partial<HostRecord>;
+        const domain = tryGetRecord(key)?.domain;
         if (domain !== undefined) {
           placed.push({ host, domain });
         }
@@ -463,11 +482,25 @@
 
 /** Whether a record has no later heartbeat than the one seen before. */
 function isOlderHeartbeat(stored: StoredObject, seen: StoredObject): boolean {
-  const storedRecord = (stored.value ?? {}) as Partial<HostRecord>;
-  const seenRecord = (seen.value ?? {}) as Partial<HostRecord>;
-  const { beat, incarnation } = storedRecord;
-  return stored.key.startsWith(HOST_PREFIX) &&
-    incarnation === seenRecord.incarnation && beat !== undefined &&
-    seenRecord.beat !== undefined && beat !== -1 &&
-    (seenRecord.beat === -1 || beat <= seenRecord.beat);
+  const storedRecord = tryDecodeHostRecord(stored.value);
+  const seenRecord = tryDecodeHostRecord(seen.value);
+  return stored.key.startsWith(HOST_PREFIX) && storedRecord !== undefined &&
+    storedRecord.incarnation === seenRecord?.incarnation &&
+    storedRecord.beat !== -1 &&
+    (seenRecord.beat === -1 || storedRecord.beat <= seenRecord.beat);
+}
+
+/** Decodes a host's record, which may be of another writer. */
+function tryDecodeHostRecord(value: unknown): StoredHostRecord | undefined {
+  const record = (value ?? {}) as Readonly<Record<string, unknown>>;
+  const { incarnation, beat, peers, domain, firstEra } = record;
+  return typeof incarnation === "number" && typeof beat === "number"
+    ? {
+      incarnation,
+      beat,
+      ...(typeof peers === "string" ? { peers } : {}),
+      ...(typeof domain === "string" ? { domain: asId<DomainId>(domain) } : {}),
+      ...(typeof firstEra === "number" ? { firstEra } : {}),
+    }
+    : undefined;
 }
--- a/test/fuzz.test.ts
+++ b/test/fuzz.test.ts
@@ -20,6 +20,7 @@
   settle,
   startTestFleet,
 } from "./fleet.ts";
+import { mutatedBytes, mutatedJson, mutatedText } from "./mutations.ts";
 
 /** A fixed seed gives the same values in every run. */
 const RUN_OPTIONS = { seed: 20_260_101, numRuns: 1_000 };
@@ -93,65 +94,6 @@
 platform: { url: "http://127.0.0.1:7004" }
 `;
 
-/** Generates a JSON value with one field replaced, removed or added. */
-function mutatedJson(values: readonly unknown[]): fc.Arbitrary<unknown> {
-  return fc.tuple(
-    fc.constantFrom(...values),
-    fc.nat(30),
-    fc.oneof(fc.jsonValue({ maxDepth: 4 }), fc.constant(undefined)),
-  ).map(([value, index, replacement]) => {
-    const copy = structuredClone(value);
-    const containers = listContainers(copy);
-    const container = containers[index % containers.length]!;
-    const keys = [...Object.keys(container), "extra"];
-    const key = keys[index % keys.length]!;
-    if (replacement === undefined) {
-      delete container[key];
-    } else {
-      container[key] = replacement;
-    }
-    return copy;
-  });
-}
-
-type Container = Record<string, unknown>;
-
-function listContainers(value: unknown): Container[] {
-  if (typeof value !== "object" || value === null) {
-    return [];
-  }
-  return [value as Container, ...Object.values(value).flatMap(listContainers)];
-}
-
-/** Generates a truncated text, or one with a part replaced. */
-function mutatedText(texts: readonly string[]): fc.Arbitrary<string> {
-  return fc.tuple(fc.constantFrom(...texts), fc.nat(), fc.nat(20), fc.string())
-    .map(([text, offset, length, replacement]) => {
-      const start = offset % (text.length + 1);
-      return replacement === ""
-        ? text.slice(0, start)
-        : text.slice(0, start) + replacement + text.slice(start + length);
-    });
-}
-
-/** Generates truncated bytes, or ones with a part replaced. */
-function mutatedBytes(buffers: readonly Buffer[]): fc.Arbitrary<Buffer> {
-  return fc.tuple(
-    fc.constantFrom(...buffers),
-    fc.nat(),
-    fc.uint8Array({ maxLength: 8 }),
-  ).map(([bytes, offset, replacement]) => {
-    const start = offset % (bytes.length + 1);
-    return replacement.length === 0
-      ? Buffer.from(bytes.subarray(0, start))
-      : Buffer.concat([
-        bytes.subarray(0, start),
-        replacement,
-        bytes.subarray(start + replacement.length),
-      ]);
-  });
-}
-
 test("any caller frame is decoded or refused with a reason", () => {
   const texts = CALLER_FRAMES.map((frame) => JSON.stringify(frame));
   const frames = fc.oneof(
--- a/test/pool_process.ts
+++ b/test/pool_process.ts
@@ -10,6 +10,7 @@
 import {
   asId,
   type DatabaseName,
+  type ObjectKey,
   type ServiceId,
   type TargetId,
   type WorkspaceId,
@@ -27,6 +28,7 @@
 import { encodeCatalog, encodeTarget } from "../standins/wire_objects.ts";
 import {
   buildHost,
+  type HostPorts,
   reservePorts,
   startHost,
   waitUntilReady,
@@ -45,6 +47,15 @@
 export interface PoolProcess {
   readonly group: StatementGroup;
   readonly logLines: readonly Readonly<Record<string, unknown>>[];
+  readonly settingsFile: string;
+  /** Ports on which the host listens. */
+  readonly ports: HostPorts;
+  /** Writes an object to the store, whatever its revision is. */
+  put(kind: string, name: string, spec: unknown): void;
+  /** Writes the configuration with one more route, to this database. */
+  addRoute(database: string, version: number): void;
+  /** Registers all targets again with more slots than before. */
+  registerTargets(): void;
   /** Opens a connection to the host's client address. */
   connect(options?: { readonly allowHalfOpen?: boolean }): LineClient;
   /** Answers the health check with this status; undefined if unreachable. */
@@ -57,12 +68,28 @@
   stop(): Promise<void>;
 }
 
+/** Object as another writer put it into the store. */
+export interface ForeignObject {
+  readonly kind: string;
+  readonly name: string;
+  readonly spec: unknown;
+}
+
+/** Options of a process; a host without faults by default. */
+export interface PoolProcessOptions {
+  readonly graceS?: number;
+  readonly group?: Partial<GroupOptions>;
+  /** Objects in the store before the host starts. */
+  readonly objects?: readonly ForeignObject[];
+  /** Creates the server between the host and the store at this port. */
+  createStoreRelay?(port: number): Server;
+  /** Creates the server between the host and the target at this port. */
+  createTargetRelay?(target: TargetId, port: number): Server;
+}
+
 /** Starts a host in front of one group and waits until it is ready. */
 export async function startPoolProcess(
-  options: {
-    readonly graceS?: number;
-    readonly group?: Partial<GroupOptions>;
-  } = {},
+  options: PoolProcessOptions = {},
 ): Promise<PoolProcess> {
   const group = createStatementGroup({
     service: SERVICE,
@@ -71,28 +98,45 @@
     ...options.group,
   });
   const servers: Server[] = [];
-  const store = createPlatformServer(
-    createPlatformCore({ versionsAreRevisions: true }),
+  const core = createPlatformCore({ versionsAreRevisions: true });
+
+  /** Listens on a free port; with a relay, on the one of the relay. */
+  async function serve(
+    server: Server,
+    createRelay?: (port: number) => Server,
+  ): Promise<number> {
+    servers.push(server);
+    const port = await listen(server, 0);
+    return createRelay ? await serve(createRelay(port)) : port;
+  }
+
+  const storePort = await serve(
+    createPlatformServer(core),
+    options.createStoreRelay,
   );
-  servers.push(store);
-  const storePort = await listen(store, 0);
   const orders = createServer((socket) =>
     socket.on("error", () => socket.destroy())
   );
-  servers.push(orders);
-  const ordersPort = await listen(orders, 0);
-  const put = (kind: string, name: string, spec: unknown) =>
-    fetch(`http://127.0.0.1:${storePort}/objects/${kind}`, {
-      method: "POST",
-      body: JSON.stringify({ meta: { name }, spec }),
-    });
-  await put("config", "main", encodeCatalog(CATALOG));
+  const ordersPort = await serve(orders);
+
+  function put(kind: string, name: string, spec: unknown): void {
+    const key = asId<ObjectKey>(`${kind}/${name}`);
+    core.put(key, spec, { ifVersion: core.get(key).version }).unwrap();
+  }
+
+  options.objects?.forEach(({ kind, name, spec }) => put(kind, name, spec));
+  put("config", "main", encodeCatalog(CATALOG));
+  const addresses = new Map<TargetId, string>();
   for (const { record } of group.targets) {
-    const server = createStatementServer(group, record.id as TargetId);
-    servers.push(server);
-    const port = await listen(server, 0);
+    const id = record.id as TargetId;
+    const port = await serve(
+      createStatementServer(group, id),
+      options.createTargetRelay &&
+        ((port) => options.createTargetRelay!(id, port)),
+    );
     const address = `127.0.0.1:${port}`;
-    await put("servers", record.id, encodeTarget({ ...record, address }));
+    put("servers", id, encodeTarget({ ...record, address }));
+    addresses.set(id, address);
   }
   const reserved = await reservePorts(1);
   const ports = reserved.hosts[0]!;
@@ -118,6 +162,21 @@
   return {
     group,
     logLines,
+    settingsFile,
+    ports,
+    put,
+    registerTargets() {
+      for (const { record } of group.targets) {
+        const address = addresses.get(record.id)!;
+        const slots = record.slots + 1;
+        put("servers", record.id, encodeTarget({ ...record, address, slots }));
+      }
+    },
+    addRoute(database, version) {
+      const route = createRoute(database, { kind: "primary" });
+      const routes = new Map([...CATALOG.routes, route]);
+      put("config", "main", encodeCatalog({ ...CATALOG, version, routes }));
+    },
     connect: (clientOptions = {}) =>
       createLineClient(ports.clients, { key: KEY, ...clientOptions }),
     getHealth: () => host.getHealth(),
