Take only whole replies of a target with known words and exact numbers

Cause: fuzzing of target replies. Names that every object has passed for codes and states: 'READY constructor' and 'ERR __proto__' gave a function or an object as state or code, which goes on to sessions and to other hosts. A position beyond 2^53 was taken, and as no position of the same service reaches it, it would stay the floor of reads. A status row with words for numbers became a report of NaN. A second DONE or ERR replaced the first, and rows after it were added.

A report needs all of its numbers.

--- a/test/malformed_process.test.ts
+++ b/test/malformed_process.test.ts
@@ -7,13 +7,20 @@
   rmSync,
   writeFileSync,
 } from "node:fs";
-import { connect } from "node:net";
+import { connect, createServer, type Server } from "node:net";
 import fc from "fast-check";
 import { pack } from "msgpackr";
 import { afterEach, expect, test, vi } from "vitest";
 import { WebSocket } from "ws";
 import { sleep } from "../src/core/clock.ts";
-import { mutatedBytes, mutatedJson, mutatedText } from "./mutations.ts";
+import {
+  editText,
+  mutatedBytes,
+  mutatedJson,
+  mutatedText,
+  TEXT_EDITS,
+  type TextEdit,
+} from "./mutations.ts";
 import {
   type ForeignObject,
   type PoolProcess,
@@ -171,6 +178,119 @@
   expect(findCrash(host)).toBeUndefined();
 });
 
+/** Names that objects of JavaScript have, and numbers that are none. */
+const WORDS = [
+  "constructor",
+  "__proto__",
+  "toString",
+  "READY",
+  "DONE",
+  "ERR",
+  "ROW",
+  "READY constructor 1.0",
+  "READY I",
+  "READY I 1.x",
+  "READY I -1.0",
+  "READY I 99999999999999999999.1",
+  "READY I 1.99999999999999999999",
+  "ERR constructor x",
+  "ERR __proto__ x",
+  "ERR",
+  "ERR BUSY",
+  "DONE a\r\nDONE b",
+  "ROW replica x 1.0 y z NaN 1e999",
+  "ROW replica 1",
+  "READY I 1.0\r\nREADY I 1.0",
+  "\u0000\u00ff",
+  "",
+];
+
+interface ReplyDamage {
+  readonly line: string | undefined;
+  readonly edit: TextEdit;
+}
+
+const REPLY_DAMAGES: fc.Arbitrary<ReplyDamage> = fc.record({
+  line: fc.oneof(
+    fc.constantFrom(...WORDS),
+    fc.constant("x".repeat(1_100_000)),
+    fc.constant(undefined),
+  ),
+  edit: TEXT_EDITS,
+});
+
+/** Creates a relay that damages a part of what a target sends. */
+function createTargetRelay(
+  port: number,
+  tryNext: () => ReplyDamage | undefined,
+): Server {
+  return createServer((client) => {
+    const target = connect({ host: "127.0.0.1", port });
+    target.setEncoding("latin1");
+    client.pipe(target);
+    client.on("error", () => target.destroy());
+    client.on("close", () => target.destroy());
+    target.on("error", () => client.destroy());
+    target.on("close", () => client.destroy());
+    target.on("data", (chunk: string) => {
+      const damage = tryNext();
+      client.write(damage ? damageReply(chunk, damage) : chunk, "latin1");
+    });
+  });
+}
+
+/** Replaces a line of the chunk or edits the chunk as a text. */
+function damageReply(chunk: string, { line, edit }: ReplyDamage): string {
+  if (line === undefined) {
+    return editText(chunk, edit);
+  }
+  const lines = chunk.split("\r\n");
+  lines[edit.offset % lines.length] = line;
+  return lines.join("\r\n");
+}
+
+const ERR_LINE =
+  /^ERR (BUSY|ABORTED|INDOUBT|FAILED|NODB|NOAUTH|NOSTMT|MALFORMED) /;
+const READY_LINE = /^READY [ITE] (-|\d{1,16}\.\d{1,16})$/;
+
+test("a host outlives any replies of targets and answers every statement", async () => {
+  let left = sample(REPLY_DAMAGES, 200);
+  const hostile = new Set(["t2", "t3"]);
+  const host = await start({
+    createTargetRelay: (target, port) =>
+      createTargetRelay(
+        port,
+        () => hostile.has(target) ? left.shift() : undefined,
+      ),
+  });
+  const writer = host.connect();
+  await writer.start("orders");
+  const reader = host.connect();
+  await reader.start("reports");
+  let count = 0;
+  await waitFor(host, async () => {
+    count++;
+    const written = await writer.query(`w${count}`, `WRITE a ${count}`);
+    expect(written.lines).toContain(`DONE signed-w${count}`);
+    const read = await reader.query(`r${count}`, "READ a");
+    expect(read.isComplete).toBe(true);
+    expect(read.lines.at(-1)).toMatch(READY_LINE);
+    if (!read.lines.at(-2)!.startsWith("DONE")) {
+      expect(read.lines.at(-2)).toMatch(ERR_LINE);
+    }
+    return left.length === 0;
+  });
+  left = sample(REPLY_DAMAGES, 60);
+  hostile.add("t1");
+  await waitFor(host, async () => {
+    await Promise.all([tryRead(host, "orders"), tryRead(host, "reports")]);
+    return left.length === 0;
+  });
+  await waitUntilServed(host, "orders");
+  await waitUntilServed(host, "reports");
+  expect(findCrash(host)).toBeUndefined();
+});
+
 /** Sends bytes over a new connection and waits until it is closed. */
 function sendBytes(port: number, bytes: Buffer): Promise<void> {
   return new Promise((resolve) => {
--- a/test/target_link.test.ts
+++ b/test/target_link.test.ts
@@ -158,3 +158,78 @@
   expect(["done", "lost"]).toContain(first!.kind);
   expect(link.isOpen()).toBe(false);
 });
+
+// Guards against names that every object has, which passed for codes and states,
+// and numbers that cannot be compared, which stayed as positions for ever.
+test.each([
+  "DONE sig\r\nREADY constructor 1.4",
+  "DONE sig\r\nREADY __proto__ 1.4",
+  "DONE sig\r\nREADY i 1.4",
+  "DONE sig\r\nREADY",
+  "DONE sig\r\nREADY I 99999999999999999999.1",
+  "DONE sig\r\nREADY I 1.99999999999999999999",
+  "DONE sig\r\nREADY I 1",
+  "DONE sig\r\nDONE other\r\nREADY I 1.4",
+  "ERR BUSY t1\r\nDONE other\r\nREADY I 1.4",
+  "DONE sig\r\nROW late\r\nREADY I 1.4",
+  "READY I 1.4",
+])("a reply that does not follow the protocol is lost: %j", async (text) => {
+  const { dialed, socket } = await dialTarget((socket) => socket.write(READY));
+  const link = dialed.unwrap();
+  const reply = link.send(createWrite("r1"));
+  await once(socket, "data");
+  socket.write(`${text}\r\n`);
+  expect((await reply).kind).toBe("lost");
+  expect(link.isOpen()).toBe(false);
+});
+
+test.each(["constructor", "__proto__", "toString", "", "NOVEL"])(
+  "an unknown error code of a target is no other one: %j",
+  async (code) => {
+    const { dialed, socket } = await dialTarget((socket) =>
+      socket.write(READY)
+    );
+    const reply = dialed.unwrap().send(createWrite("r1"));
+    await once(socket, "data");
+    socket.write(`ERR ${code} text\r\n${READY}`);
+    expect(await reply).toMatchObject({ kind: "error", code: "other" });
+    const refused = await dialTarget((socket) =>
+      socket.write(`ERR ${code} text\r\n`)
+    );
+    expect(refused.dialed.unwrapErr().code).toBe("other");
+  },
+);
+
+test.each([
+  "replica 1 1.4 0 12 2 17 more",
+  "replica 1 1.4 0 12 2",
+  "replica x 1.4 0 12 2 17",
+  "replica 1 1.4 NaN 12 2 17",
+  "replica 1 1.4 0 Infinity 2 17",
+  "replica 1 1.4 0 12  17",
+  "replica 1 1.4 0 12 2 0x",
+  "replica 1 99999999999999999999.4 0 12 2 17",
+  "constructor 1 1.4 0 12 2 17",
+])("a status with fields that are no numbers is no report: %j", (row) => {
+  const { tryParseReport } = createTargetDialer();
+  const reply = (text: string) =>
+    ({
+      kind: "done",
+      rows: [text],
+      signature: "-",
+      state: "idle",
+      position: undefined,
+    }) as const;
+  expect(tryParseReport(reply("replica 1 1.4 0 12.5 2 17"))).toEqual({
+    role: "replica",
+    term: 1,
+    position: { term: 1, pos: 4 },
+    pausedTerm: 0,
+    lagMs: 12.5,
+    busy: 2,
+    connections: 17,
+  });
+  const report = tryParseReport(reply(row));
+  // More fields may come with a later protocol.
+  expect(report === undefined).toBe(!row.endsWith("more"));
+});
