Let no entry or response of the store hide others or last for ever

Cause: reading and fuzzing the store's client and decoders. A name with half of a surrogate pair at the end of a truncated page threw in the request for the next page, within the feed, and so ended the process. A page that ended in entries without a revision began again, or the whole list was refused. Revisions and versions of a configuration were any numbers: one of 1e300 is exceeded by no later one, 0 says that an object was removed. A response without an end was kept in memory until its timeout, and from half a gibibyte on cannot be made a text. Timeouts beyond 2^31 ms end at once; a fraction as priority is refused by the holder of a forwarded connection, which ends the stream of all sessions; blanks in names shift the fields of START.

--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import fc from "fast-check";
 import { createServer, type Server } from "node:http";
 import { connect, type Socket } from "node:net";
@@ -189,6 +190,11 @@
     { ...ENTRY, addr: "10.0.0.1:0" },
     { ...ENTRY, born: 1.5 },
     { ...ENTRY, born: "5" },
+    { ...ENTRY, born: 1e300 },
+    // Fields of a line have no blanks.
+    { ...ENTRY, service: "" },
+    { ...ENTRY, service: "a b" },
+    { ...ENTRY, service: "a\r\nQUERY - RESET" },
   );
   for (const value of invalid) {
     expect(decodeEntry(value)).toBeUndefined();
@@ -221,6 +227,39 @@
   for (const value of [undefined, null, 5, {}, { version: "7" }]) {
     expect(tryDecodeCatalog(value)).toBeUndefined();
   }
+  // No later version would exceed it.
+  expect(tryDecodeCatalog({ version: 1e300 })).toBeUndefined();
+});
+
+// Guards against values that harm other routes and sessions: a timer beyond its
+// range ends at once, a fraction as priority is refused by other hosts, which
+// end the stream of all sessions, and a blank in a name shifts the fields.
+test("a configuration keeps numbers that can be used, and names of the wire", () => {
+  const catalog = tryDecodeCatalog({
+    version: 7,
+    routes: [
+      { host: "db1", service: "s", timeoutMs: 1e300, sloMs: -5, prio: 1.4 },
+      { host: "db2", service: "a b" },
+      { host: "db3", service: "" },
+    ],
+    services: [{ name: "s" }, { name: "a\r\nb" }, { name: "" }],
+    limits: { txIdleMs: -1 },
+    tenants: [
+      { name: "", apiKeys: ["k1"] },
+      { name: "a b", apiKeys: ["k2"] },
+      { name: "t", apiKeys: ["k3"] },
+    ],
+  })!;
+  expect([...catalog.routes.keys()]).toEqual(["db1"]);
+  expect(catalog.routes.get(asId("db1"))).toMatchObject({
+    statementTimeoutMs: 2_147_483_647,
+    objectiveMs: 1_000,
+    priority: 1,
+  });
+  expect(catalog.transactionIdleMs).toBe(3_000);
+  expect([...catalog.services.keys()]).toEqual(["s"]);
+  expect([...catalog.quotas.keys()]).toEqual(["t"]);
+  expect([...catalog.workspaceByKey]).toEqual([["k3", "t"]]);
 });
 
 test("the deployment template gives valid settings", () => {
@@ -333,6 +372,76 @@
   expect(seen).toMatchSnapshot();
 });
 
+// Guards against an entry that hides the others: a name that cannot be encoded
+// threw, and a page that ended in one without a revision began again.
+test("a list goes on after items that cannot be read", async () => {
+  const good = (name: string) => ({ meta: { name, rev: 1 }, spec: name });
+  const pages: Readonly<Record<string, readonly unknown[]>> = {
+    "": [good("a"), { meta: { name: "b", rev: "x" } }],
+    b: [{ meta: { name: "c" } }, good("d"), {
+      meta: { name: "\ud800", rev: 1 },
+    }],
+    d: [good("e"), { meta: { name: "f", rev: 0 } }, null],
+    f: [good("g")],
+  };
+  const server = createServer((req, res) => {
+    const after = new URL(req.url!, "http://store").searchParams.get("after");
+    const items = pages[after ?? ""];
+    res.end(
+      JSON.stringify({ items, truncated: after !== "f", currentRev: 3 }),
+    );
+  });
+  closables.push(server);
+  const port = await listen(server, 0);
+  const store = createObjectStore(`http://127.0.0.1:${port}`, {
+    caller: "test",
+  });
+  const { objects } = (await store.list("things/")).unwrap();
+  expect(objects.map(({ value }) => value)).toEqual(["a", "d", "e", "g"]);
+});
+
+// Guards against a revision that no later one exceeds, and version 0, which
+// says that an object was removed.
+test.each(["1e300", "-1", "1.5", "1e999", '"7"', "null"])(
+  "a revision that is none is not taken: %s",
+  async (rev) => {
+    const items = `[{"meta":{"name":"a","rev":${rev}},"spec":1}]`;
+    const events = `[{"object":{"meta":{"name":"a","rev":${rev}}}}]`;
+    const listed = await startFixedResponse(
+      200,
+      `{"items":${items},"events":${events},"currentRev":4}`,
+    );
+    expect((await listed.list("things/")).unwrap().objects).toEqual([]);
+    const options = { after: 1, waitMs: 10 };
+    expect((await listed.watch("things/", options)).unwrap().objects)
+      .toEqual([]);
+    const current = await startFixedResponse(
+      200,
+      `{"items":[],"events":[],"currentRev":${rev}}`,
+    );
+    expect((await current.list("things/")).isErr()).toBe(true);
+    expect((await current.watch("things/", options)).isErr()).toBe(true);
+  },
+);
+
+test("a response that does not end is given up", async () => {
+  const server = createServer((_req, res) => {
+    const chunk = Buffer.alloc(1024 * 1024, " ");
+    const write = () => {
+      while (!res.destroyed && res.write(chunk));
+    };
+    res.on("drain", write);
+    write();
+  });
+  closables.push(server);
+  const port = await listen(server, 0);
+  const store = createObjectStore(`http://127.0.0.1:${port}`, {
+    caller: "test",
+    timeoutMs: 200_000,
+  });
+  expect((await store.list("things/")).unwrapErr().kind).toBe("unreachable");
+});
+
 /** Reads from a socket until `count` ready messages have arrived. */
 function readAnswers(socket: Socket, count: number): Promise<string> {
   return new Promise((resolve) => {
