--- a/src/host/line_log.ts
+++ b/src/host/line_log.ts
@@ -18,8 +18,6 @@
 export interface LineLog extends PoolLog {
   /** Resolves once the buffered lines are written, or after `timeoutMs`. */
   flush(timeoutMs: number): Promise<void>;
-  /** Writes the buffered lines while the process ends on an exception. */
-  flushSync(): void;
 }
 
 /** Creates the log of this host; every line contains `bindings`. */
@@ -62,7 +60,6 @@
         new Promise<void>((resolve) => destination.flush(() => resolve())),
         { ms: timeoutMs, fallback: undefined },
       ),
-    flushSync: () => destination.flushSync(),
   };
 }
 
--- a/test/pool_process.ts
+++ b/test/pool_process.ts
@@ -79,6 +79,8 @@
 export interface PoolProcessOptions {
   readonly graceS?: number;
   readonly group?: Partial<GroupOptions>;
+  /** Statements that the process runs before the program. */
+  readonly prologue?: string;
   /** Objects in the store before the host starts. */
   readonly objects?: readonly ForeignObject[];
   /** Creates the server between the host and the store at this port. */
@@ -156,6 +158,13 @@
     program: buildHost("test"),
     settingsFile,
     ports,
+    ...(options.prologue
+      ? {
+        nodeOptions: `--import=data:text/javascript,${
+          encodeURIComponent(options.prologue)
+        }`,
+      }
+      : {}),
     onLog: createLineSplitter((line) => logLines.push(JSON.parse(line))),
   });
   await waitUntilReady(host);
--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -240,3 +240,38 @@
   }));
   expect(outcomes.filter(({ isAnswered }) => !isAnswered)).toEqual([]);
 });
+
+// Guards against an exception that breaks off the statements of all sessions.
+test.each([
+  ["thrown", 'throw new Error("not expected")'],
+  ["rejected", 'void Promise.reject(new Error("not expected"))'],
+  ["no error", 'throw "not expected"'],
+])(
+  "an unexpected exception is logged and stops the host in order: %s",
+  async (_name, fault) => {
+    const host = await start({
+      graceS: 6,
+      group: { workMs: 300 },
+      prologue: `process.on("SIGUSR2", () => { ${fault} })`,
+    });
+    const client = host.connect();
+    await client.start("reports");
+    const answer = client.query("work-1", "READ a");
+    while (!host.group.begun.has("work-1")) {
+      await sleep(POLL_INTERVAL_MS);
+    }
+    host.kill("SIGUSR2");
+    expect((await answer).lines).toContain("DONE signed-work-1");
+    // More of the same while the host stops does not break off the rest.
+    host.kill("SIGUSR2");
+    expect(await client.query("work-2", "READ a")).toMatchObject({
+      isComplete: true,
+    });
+    expect(await host.getHealth()).toBe(503);
+    client.socket.end();
+    expect(await host.exited).toBe(1);
+    expect((await waitForLine(host, "crashed")).detail)
+      .toContain("not expected");
+    await waitForLine(host, "stopped");
+  },
+);
--- a/tools/soak/host_process.ts
+++ b/tools/soak/host_process.ts
@@ -92,11 +92,14 @@
   readonly settingsFile: string;
   readonly ports: HostPorts;
   readonly onLog: (chunk: string) => void;
+  /** Options of the runtime, as in `NODE_OPTIONS`. */
+  readonly nodeOptions?: string;
 }): HostProcess {
   const child = spawn(process.execPath, [options.program], {
     env: {
       ...process.env,
       TURMERICCHUTE_SETTINGS: options.settingsFile,
+      ...(options.nodeOptions ? { NODE_OPTIONS: options.nodeOptions } : {}),
     },
     stdio: ["ignore", "pipe", "inherit"],
   });
