Take at most as many lent tokens as were asked for

Cause: reading of what datagrams can do. A peer's answer with a count of 1e300 passes the schema, and the bucket of the workspace was unlimited for 0.3 s.

Change: the count is bounded by that of the request.

Test: pooling_parts.test.ts › 'a peer lends at most as many tokens as it was asked for' failed before (1e300) and passes now.

--- a/src/pooling/token_exchange.ts
+++ b/src/pooling/token_exchange.ts
@@ -55,7 +55,8 @@
       const finish = (count: number) => {
         clearTimeout(timer);
         pending.delete(id);
-        resolve(count);
+        // More would be tokens that no host has given up.
+        resolve(Math.min(count, request.count));
       };
       const timer = setTimeout(() => finish(0), LEND_REPLY_TIMEOUT_MS);
       pending.set(id, finish);
--- a/test/pooling_parts.test.ts
+++ b/test/pooling_parts.test.ts
@@ -1,6 +1,8 @@
 import fc from "fast-check";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId, type HostId, type WorkspaceId } from "../src/core/ids.ts";
+import type { PoolPeerMessage } from "../src/generated/pool_peer.ts";
+import { createMetrics } from "../src/host/metrics.ts";
 import { createClockJumpDetector } from "../src/pooling/clock_jumps.ts";
 import { createPositionHistory } from "../src/pooling/position_history.ts";
 import { createHealth } from "../src/pooling/health.ts";
@@ -27,6 +29,7 @@
   type ReportedTarget,
   tryChooseSuccessor,
 } from "../src/pooling/succession.ts";
+import { createTokenExchange } from "../src/pooling/token_exchange.ts";
 import { createTokenBucket } from "../src/pooling/token_bucket.ts";
 import type { TargetRecord } from "../src/pooling/types.ts";
 
@@ -379,3 +382,25 @@
   expect(health.getFailingMs(target)).toBe(0);
   expect(getEjectedMs()).toBe(300);
 });
+
+test("a peer lends at most as many tokens as it was asked for", async () => {
+  const sent: PoolPeerMessage[] = [];
+  const exchange = createTokenExchange({
+    peers: {
+      setAddresses() {},
+      send: (_to, msg) => void sent.push(msg),
+      onMessage() {},
+    },
+    metrics: createMetrics(),
+    random: () => 0.5,
+  }, {
+    listPeers: () => [asId("h1")],
+    getShare: () => 1,
+    lend: () => 0,
+  });
+  const workspace = asId<WorkspaceId>("w1");
+  const borrowed = exchange.borrow(workspace, 3);
+  exchange.handleLend({ kind: "lend", id: 0, workspace, count: 1e300 });
+  expect(await borrowed).toBe(3);
+  expect(sent.map(({ kind }) => kind)).toEqual(["borrow"]);
+});
