Let a starting host ask its peers for the version of the configuration

The other hosts keep the newer one, since versions only rise in a process.

Weighed: the version in each host's record in the store (the records return to the copy as well, and follow a change with the next heartbeat only), and passing on what others have told (a wrong answer would go round among starting hosts).

Change: two datagrams.

--- a/src/pooling/catalog.ts
+++ b/src/pooling/catalog.ts
@@ -7,6 +7,8 @@
 export interface CatalogHolder {
   /** Returns the catalog; undefined until a first configuration was applied. */
   tryGet(): Catalog | undefined;
+  /** As `tryGet`; undefined also while peers may have a newer one in force. */
+  tryGetConfirmed(): Catalog | undefined;
   /** Applies a stored configuration, unless it is invalid or not newer. */
   update(object: StoredObject): void;
   onChange(listener: (catalog: Catalog) => void): void;
@@ -17,12 +19,16 @@
   io: Pick<PoolIo, "log" | "metrics">,
   options: {
     tryDecode(value: unknown): Catalog | undefined;
+    /** Whether no peer is known to have a newer version in force. */
+    isConfirmed(version: number): boolean;
   },
 ): CatalogHolder {
   const listeners = new Set<(catalog: Catalog) => void>();
   let current: Catalog | undefined;
   return {
     tryGet: () => current,
+    tryGetConfirmed: () =>
+      current && options.isConfirmed(current.version) ? current : undefined,
     update(object) {
       const decoded = options.tryDecode(object.value);
       if (!decoded) {
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -23,6 +23,7 @@
 import { createHealth } from "./health.ts";
 import { createPrimaryTracker } from "./primary_tracker.ts";
 import { createProbes } from "./probes.ts";
+import { createVersionCheck } from "./version_check.ts";
 import { createTokenExchange } from "./token_exchange.ts";
 import { createQuotas, type Quotas, type QuotaTolerance } from "./quotas.ts";
 import {
@@ -135,6 +136,7 @@
   });
   const catalog = createCatalogHolder(io, {
     tryDecode: decoding.tryDecodeCatalog,
+    isConfirmed: (version) => versionCheck.isConfirmed(version),
   });
   const directory = createDirectory(io, {
     tryDecode: decoding.tryDecodeTarget,
@@ -179,6 +181,11 @@
     peerAddress: options.peerAddress,
     domain: options.domain,
   });
+  const versionCheck = createVersionCheck(io, {
+    isFleetLoaded: fleet.isLoaded,
+    listPeers: fleet.listPeers,
+    getVersion: () => catalog.tryGet()?.version,
+  });
   const positionsByService = new Map<ServiceId, PositionHistory>();
   const sessions = new Set<Session>();
   let isAdmissionOpen = true;
@@ -241,6 +248,10 @@
         return positionSharing.handleRequest(from, msg);
       case "tell_floor":
         return positionSharing.handleReply(msg);
+      case "ask_version":
+        return versionCheck.handleRequest(from, msg);
+      case "tell_version":
+        return versionCheck.handleReply(from, msg);
       default:
         return assertNever(msg);
     }
@@ -376,13 +387,15 @@
       catalogFeed.start();
       targetFeed.start();
       fleet.start();
+      versionCheck.start();
       shares.start();
       probes.start();
       failover.start();
       timer = setInterval(runMaintenance, MAINTENANCE_INTERVAL_MS);
     },
     isReady: () =>
-      catalog.tryGet() !== undefined && directory.size > 0 && shares.isReady(),
+      catalog.tryGetConfirmed() !== undefined && directory.size > 0 &&
+      shares.isReady(),
     openSession(sessionOptions) {
       const opened = openSession(ctx, sessionOptions);
       return opened.map((session) => {
@@ -420,6 +433,7 @@
       failover.stop();
       probes.stop();
       shares.stop();
+      versionCheck.stop();
       fleet.stop();
       catalogFeed.stop();
       targetFeed.stop();
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -100,7 +100,7 @@
   ctx: SessionContext,
   { database, key }: SessionOptions,
 ): Result<Admission, PoolFailure> {
-  const catalog = ctx.catalog.tryGet();
+  const catalog = ctx.catalog.tryGetConfirmed();
   if (!catalog) {
     return Err({ error: "not_ready" });
   }
--- a/test/malformed_process.test.ts
+++ b/test/malformed_process.test.ts
@@ -348,6 +348,8 @@
   { kind: "lend", id: 1, workspace: "w1", count: 1 },
   { kind: "ask_floor", id: 1, service: "ledger" },
   { kind: "tell_floor", id: 1, term: 1, pos: 2, ageMs: 1 },
+  { kind: "ask_version", id: 1 },
+  { kind: "tell_version", id: 1, version: 1 },
   { kind: "borrow", id: 1e300, workspace: "constructor", count: 1e300 },
   { kind: "ask_floor", id: 1e300, service: "__proto__" },
 ];
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -64,6 +64,13 @@
   readonly time: number;
 }
 
+/** Faults of datagrams between the hosts. */
+export interface PeerFaults {
+  isLost: boolean;
+  /** Version that all hosts tell instead of theirs. */
+  toldVersion: number | undefined;
+}
+
 /** Pool hosts with their targets and the store that they share. */
 export interface PoolFleet {
   readonly group: StatementGroup;
@@ -73,6 +80,8 @@
   readonly hostsWithoutStore: Set<string>;
   /** Delay of the store's responses after their execution. */
   readonly storeFaults: { getResponseDelayMs(): number };
+  /** Faults of datagrams between the hosts. */
+  readonly peerFaults: PeerFaults;
   /** Returns the store to a copy and writes the external objects again. */
   returnStore(copy: PlatformCopy): void;
   /**
@@ -118,6 +127,7 @@
   const unreachableTargets = new Set<string>();
   const targetReplies = { delayMs: 0 };
   const storeFaults = { getResponseDelayMs: () => 0 };
+  const peerFaults: PeerFaults = { isLost: false, toldVersion: undefined };
   const delayedPromotions = { minDelayMs: 0 };
   const isUnreachable = (host: string, id: string) =>
     unreachableTargets.has(id) || unreachableTargets.has(`${host}/${id}`) ||
@@ -255,7 +265,13 @@
         setAddresses() {},
         send(to, msg) {
           addToCounter("peer_messages", 1, { kind: msg.kind });
-          setTimeout(() => receivers.get(to)?.(host, msg), 1);
+          if (!peerFaults.isLost) {
+            const { toldVersion: version } = peerFaults;
+            const sent = msg.kind === "tell_version" && version !== undefined
+              ? { ...msg, version }
+              : msg;
+            setTimeout(() => receivers.get(to)?.(host, sent), 1);
+          }
         },
         onMessage: (receiver) => void receivers.set(host, receiver),
       },
@@ -303,6 +319,7 @@
     store,
     hostsWithoutStore,
     storeFaults,
+    peerFaults,
     returnStore: (copy) => store.returnTo(copy, { isExternal: isExternalKey }),
     unreachableTargets,
     delayedPromotions,
