Wait for late replies of a silent holder as long as the statement may run

Cause: the stream to a holder was given up after 3 s of silence, whatever the timeouts of the statements on it. A write or a commit with a longer timeout was in doubt, though the holder was only suspended and its reply came a second later.

Change: after 3 s, commands are given up one by one: those whose outcome would be in doubt (commits, and statements outside of transactions) wait until their statement times out; the rest is lost as before, so that reads go elsewhere and transactions are aborted, and their channels are closed. The stream ends when no command waits any more. A silent holder still gets nothing new from 0.6 s on.

Weighed: to wait for all commands (a read at the primary would find no other path before its timeout).

Tests: forwarding.test.ts › 'an answer that comes after a suspension of 4 s reaches the client' for a write and a commit failed before (in_doubt) and pass now; 'a holder suspended for longer than a statement may wait is given up' passes with both.

--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -40,8 +40,9 @@
 /** Time without a sign of life after which a host gets no new statements. */
 const SILENT_AFTER_MS = 600;
 /**
- * Time without a sign of life after which a stream is given up; longer than the
- * usual timeout of a statement, so that late replies still arrive.
+ * Time without a sign of life after which commands are given up, and with the
+ * last of them the stream. Those that would be in doubt wait for a late reply
+ * until their statement times out.
  */
 const GIVE_UP_AFTER_MS = 3_000;
 /** Maximum number of commands without a reply on one stream. */
@@ -81,6 +82,11 @@
 }
 
 interface PendingCommand {
+  readonly channel: number;
+  /** Whether it is not known without a reply what the command has done. */
+  readonly isInDoubtIfLost: boolean;
+  /** Whether the statement has not timed out yet. */
+  isAwaited(): boolean;
   /** Sends the command; called once the stream is open. */
   send(): void;
   resolve(reply: TargetReply): void;
@@ -253,6 +259,24 @@
     }
   }
 
+  /** Gives up commands, and the stream unless one of them may still wait. */
+  function giveUp(holderStream: HolderStream, detail: string): void {
+    const { pending, stream } = holderStream;
+    const mayWait = (command: PendingCommand) =>
+      command.isInDoubtIfLost && command.isAwaited();
+    if (![...pending.values()].some(mayWait)) {
+      closeStream(holderStream, detail);
+      return;
+    }
+    for (const [id, command] of [...pending]) {
+      if (!mayWait(command)) {
+        pending.delete(id);
+        stream.send({ kind: "close", channel: command.channel });
+        command.resolve({ kind: "lost", detail });
+      }
+    }
+  }
+
   function checkStreams(): void {
     const now = nowMs();
     for (const holderStream of [...holderStreams.values()]) {
@@ -267,12 +291,11 @@
         continue;
       }
       if (silentMs > GIVE_UP_AFTER_MS) {
-        closeStream(
-          holderStream,
-          `no sign of life for ${Math.round(silentMs)} ms`,
-        );
-      } else if (
-        silentMs > PING_AFTER_MS && now - holderStream.pingedAt > PING_AFTER_MS
+        giveUp(holderStream, `no sign of life for ${Math.round(silentMs)} ms`);
+      }
+      if (
+        !holderStream.isClosed && silentMs > PING_AFTER_MS &&
+        now - holderStream.pingedAt > PING_AFTER_MS
       ) {
         holderStream.pingedAt = now;
         holderStream.stream.ping();
@@ -283,7 +306,9 @@
   /** Sends a command over a stream and resolves with the target's reply. */
   function sendCommand(
     holderStream: HolderStream,
-    createMessage: (id: number) => ForwardRequest,
+    { createMessage, ...command }:
+      & Pick<PendingCommand, "channel" | "isInDoubtIfLost" | "isAwaited">
+      & { createMessage(id: number): ForwardRequest },
   ): Promise<TargetReply> {
     if (holderStream.isClosed) {
       return Promise.resolve(createNotSent("the link to the holder is closed"));
@@ -294,7 +319,7 @@
         holderStream.heardAt = nowMs();
       }
       const send = () => holderStream.stream.send(createMessage(id));
-      holderStream.pending.set(id, { send, resolve });
+      holderStream.pending.set(id, { ...command, send, resolve });
       if (holderStream.openedAt !== undefined) {
         send();
       }
@@ -320,7 +345,7 @@
       const isFirst = state === "idle" && pendingCount === 0;
       pendingCount++;
       io.metrics.count("forwarded_commands_total", { command: command.kind });
-      const reply = await sendCommand(holderStream, (id) => ({
+      const createMessage = (id: number): ForwardRequest => ({
         kind: "run",
         id,
         channel,
@@ -335,7 +360,15 @@
           ? { variables: [...variables].map(toVariable) }
           : {}),
         ...(statement ? { prepared: statement } : {}),
-      }));
+      });
+      const reply = await sendCommand(holderStream, {
+        channel,
+        isInDoubtIfLost: command.kind === "commit" ||
+          (state === "idle" &&
+            (command.kind === "run" || command.kind === "execute")),
+        isAwaited: () => !isClosed,
+        createMessage,
+      });
       pendingCount--;
       if (reply.kind === "lost") {
         isClosed = true;
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -4,8 +4,9 @@
  */
 
 import { afterEach, expect, test, vi } from "vitest";
-import { asId } from "../src/core/ids.ts";
+import { asId, type HostId } from "../src/core/ids.ts";
 import type { Session } from "../src/pooling/session.ts";
+import type { Catalog } from "../src/pooling/types.ts";
 import {
   begin,
   getOutcome,
@@ -168,6 +169,60 @@
   expect(outcomes).toEqual(["done"]);
 });
 
+/** Lets statements on all routes run for 10 s. */
+function allowLongStatements(): void {
+  const { value } = fleet.store.get(asId("catalog/main"));
+  const { routes } = value as Catalog;
+  fleet.setCatalog({
+    routes: new Map(
+      [...routes].map((
+        [name, route],
+      ) => [name, { ...route, statementTimeoutMs: 10_000 }]),
+    ),
+  });
+}
+
+const HOLDERS = ["h0", "h1", "h2"].map((host) => asId<HostId>(host));
+
+// Guards against a stream that is given up while a statement may still wait.
+test.each(["WRITE k 1", "COMMIT"])(
+  "an answer that comes after a suspension of 4 s reaches the client: %s",
+  async (text) => {
+    fleet = await startForwardingFleet();
+    allowLongStatements();
+    await vi.advanceTimersByTimeAsync(1_000);
+    const session = fleet.openSession("orders", 3);
+    await run(session, "WRITE k 0");
+    if (text === "COMMIT") {
+      await run(session, "BEGIN");
+      await run(session, "WRITE k 1");
+    }
+    const outcomes = await sendSlowly(session, text);
+    fleet.targetReplies.delayMs = 0;
+    fleet.network.suspend(HOLDERS);
+    await vi.advanceTimersByTimeAsync(4_000);
+    fleet.network.resume();
+    await vi.advanceTimersByTimeAsync(100);
+    expect(outcomes).toEqual(["done"]);
+    expect(getOutcome(await run(session, "WRITE k 2"))).toBe("done");
+  },
+);
+
+test("a holder suspended for longer than a statement may wait is given up", async () => {
+  fleet = await startForwardingFleet();
+  const session = fleet.openSession("orders", 3);
+  await run(session, "WRITE k 0");
+  const outcomes = await sendSlowly(session, "WRITE k 1");
+  fleet.targetReplies.delayMs = 0;
+  fleet.network.suspend(HOLDERS);
+  await vi.advanceTimersByTimeAsync(4_000);
+  expect(outcomes).toEqual(["in_doubt"]);
+  expect(fleet.logLines.some(({ event }) => event === "holder_lost"))
+    .toBe(true);
+  fleet.network.resume();
+  expect(getOutcome(await run(session, "WRITE k 2"))).toBe("done");
+});
+
 test("a silent holder gets no new statements", async () => {
   fleet = await startForwardingFleet();
   const session = fleet.openSession("accounts", 3);
--- a/test/memory_streams.ts
+++ b/test/memory_streams.ts
@@ -18,6 +18,9 @@
 export interface MemoryNetwork {
   /** Hosts that neither send nor receive; their streams stay open. */
   readonly silentHosts: Set<HostId>;
+  /** As `silentHosts`, but what they miss arrives when they are resumed. */
+  suspend(hosts: readonly HostId[]): void;
+  resume(): void;
   /** Number of streams opened so far. */
   readonly openedCount: number;
   createStreams(host: HostId): HostStreams;
@@ -34,6 +37,8 @@
 export function createMemoryNetwork(): MemoryNetwork {
   const accepts = new Map<HostId, Accept>();
   const silentHosts = new Set<HostId>();
+  const suspendedHosts = new Set<HostId>();
+  const heldBack: (() => void)[] = [];
   const connections = new Set<Connection>();
   let openedCount = 0;
 
@@ -44,13 +49,17 @@
   ): HostStream<ForwardRequest> {
     let isOpen = true;
     let atHolder: HostStreamHandlers<ForwardRequest> | undefined;
-    const deliver = (action: () => void) =>
-      void setTimeout(() => {
-        const isSilent = silentHosts.has(from) || silentHosts.has(to);
-        if (isOpen && !isSilent) {
+    function deliver(action: () => void): void {
+      setTimeout(() => {
+        if (suspendedHosts.has(from) || suspendedHosts.has(to)) {
+          heldBack.push(() => deliver(action));
+        } else if (
+          isOpen && !silentHosts.has(from) && !silentHosts.has(to)
+        ) {
           action();
         }
       }, DELAY_MS);
+    }
     const connection: Connection = {
       hosts: [from, to],
       reset() {
@@ -85,6 +94,11 @@
 
   return {
     silentHosts,
+    suspend: (hosts) => hosts.forEach((host) => suspendedHosts.add(host)),
+    resume() {
+      suspendedHosts.clear();
+      heldBack.splice(0).forEach((send) => send());
+    },
     get openedCount() {
       return openedCount;
     },
