--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -26,6 +26,7 @@
 import { createHealth } from "./health.ts";
 import { createPrimaryTracker } from "./primary_tracker.ts";
 import { createProbes } from "./probes.ts";
+import { createVersionCheck } from "./version_check.ts";
 import { createTokenExchange } from "./token_exchange.ts";
 import { createQuotas, type Quotas, type QuotaTolerance } from "./quotas.ts";
 import {
@@ -138,6 +139,7 @@
   });
   const catalog = createCatalogHolder(io, {
     tryDecode: decoding.tryDecodeCatalog,
+    isConfirmed: (version) => versionCheck.isConfirmed(version),
   });
   const directory = createDirectory(io, {
     tryDecode: decoding.tryDecodeTarget,
@@ -182,6 +184,11 @@
     peerAddress: options.peerAddress,
     domain: options.domain,
   });
+  const versionCheck = createVersionCheck(io, {
+    isFleetLoaded: fleet.isLoaded,
+    listPeers: fleet.listPeers,
+    getVersion: () => catalog.tryGet()?.version,
+  });
   const positionsByService = new Map<ServiceId, PositionHistory>();
   const sessions = new Set<Session>();
   let isAdmissionOpen = true;
@@ -266,6 +273,10 @@
         return void stepDownRequests.handleRequest(from, msg);
       case "tell_step_down":
         return stepDownRequests.handleReply(from, msg);
+      case "ask_version":
+        return versionCheck.handleRequest(from, msg);
+      case "tell_version":
+        return versionCheck.handleReply(from, msg);
       default:
         return assertNever(msg);
     }
@@ -406,13 +417,15 @@
       catalogFeed.start();
       targetFeed.start();
       fleet.start();
+      versionCheck.start();
       shares.start();
       probes.start();
       failover.start();
       timer = setInterval(runMaintenance, MAINTENANCE_INTERVAL_MS);
     },
     isReady: () =>
-      catalog.tryGet() !== undefined && directory.size > 0 && shares.isReady(),
+      catalog.tryGetConfirmed() !== undefined && directory.size > 0 &&
+      shares.isReady(),
     openSession(sessionOptions) {
       const opened = openSession(ctx, sessionOptions);
       return opened.map((session) => {
@@ -450,6 +463,7 @@
       failover.stop();
       probes.stop();
       shares.stop();
+      versionCheck.stop();
       fleet.stop();
       catalogFeed.stop();
       targetFeed.stop();
