Accept a deposed log that grew by statements that were running

Cause: a write that had begun before the step-down is appended after it and never acknowledged, and the second look took the longer log for a primary that had led again; the failover ended as overtaken and the next claim waited 3 s. The bound is valid as long as the target is a replica of the same term, so the term is compared.

--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -2,7 +2,6 @@
 
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
-import { comparePositions } from "../core/position.ts";
 import { sendControlCommand } from "./control.ts";
 import type { FailoverCause, FailoverLease } from "./failover_lease.ts";
 import {
@@ -203,7 +202,10 @@
     );
   }
 
-  /** Whether the old primary's log end is as it was when it stepped down. */
+  /**
+   * Whether no commit was acknowledged since the old primary stepped down. Its
+   * log may still grow by statements that were running, which are not.
+   */
   async function isStillDeposed(
     before: Deposition,
     depose: () => Promise<Deposition>,
@@ -214,7 +216,7 @@
     const now = await depose();
     return now.kind === "unreachable" ||
       (now.kind === "stepped_down" &&
-        comparePositions(now.position, before.position) === 0);
+        now.position.term === before.position.term);
   }
 
   async function replacePrimary(
