Claim a lease anew whose claim got no answer

Callers waited 9.3 s for a new primary: the store had accepted the claim of the failover's lease, its answer was lost, and all hosts waited until the lease timed out, the one that it named too. That host, also one that has started again under the same name, now claims it anew after 300 ms, with a new token.

--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -37,6 +37,11 @@
 const FAILOVER_COOLDOWN_MS = 3_000;
 /** Delay before an unanswered promotion order is repeated, in milliseconds. */
 const PROMOTION_RETRY_MS = 300;
+/**
+ * Age at which a host claims the lease anew if the stored claim is its own and
+ * had no answer, in milliseconds.
+ */
+const OWN_CLAIM_RETRY_MS = 300;
 /**
  * Time after which a paused replica counts as left behind by an unfinished
  * failover, in milliseconds; longer than any failover.
@@ -242,7 +247,23 @@
     const cooldownMs = lease.openTarget === undefined
       ? FAILOVER_COOLDOWN_MS
       : PROMOTION_RETRY_MS;
-    return fleet.getAgeMs(key) > (lease.isDone ? cooldownMs : LEASE_TIMEOUT_MS);
+    return fleet.getAgeMs(key) >
+      (lease.isDone
+        ? cooldownMs
+        : isOwnUnansweredClaim(service)
+        ? OWN_CLAIM_RETRY_MS
+        : LEASE_TIMEOUT_MS);
+  }
+
+  /**
+   * Whether the stored lease is a claim of this host, or of an earlier process
+   * on it, on which it does not act: the store accepted it without an answer.
+   */
+  function isOwnUnansweredClaim(service: ServiceId): boolean {
+    const known = fleet.tryGet(getFailoverLeaseKey(service));
+    const lease = tryDecodeFailoverLease(known?.value);
+    return lease?.holder === self && !lease.isDone &&
+      claims.get(service)?.version !== known?.version;
   }
 
   async function claimLease(
