Keep a session open for its first statement when sessions end

Callers saw: READY, and in the same moment the end of the session with BUSY; the statement that they sent next was dropped without any line.

Cause: drain() ended every session that was idle, also one that had just been opened and had had no statement yet, though the mode is meant for sessions that are idle after an answer, and though sessions opened during the drain were left open for a statement. READY and the reason for the end then lie together in the client's buffer. A client that reads both at once, as the one of the red test, takes the reason for no answer of its own, sends its statement into the ended session and gets no line for it. The host reads that statement and drops it. A withdrawn key or route had the same fault.

Fix: the end of a session without a statement is postponed until 250 ms after READY, by one rule for drains and for withdrawn keys and routes. Its first statement is executed, or refused with a whole answer (ERR and READY) where admission is closed or the key withdrawn, and the session ends after it. Also sessions opened during a drain now end after 250 ms without a statement; they stayed until the next phase. The end of execution postpones nothing.

'an ended connection is read for a time before it is closed' ended a session that had had no statement; its client sends one first now. What it checks of the time to read is unchanged.

--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -385,6 +385,13 @@
   return () => text.split("\r\n").slice(0, -1);
 }
 
+/** Lets real sockets make progress, beside the paused clock, until `isDone`. */
+async function turnUntil(isDone: () => boolean): Promise<void> {
+  while (!isDone()) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 /** Advances the paused clock, beside real sockets, until `isDone`. */
 async function advanceUntil(isDone: () => boolean): Promise<void> {
   while (!isDone()) {
@@ -435,14 +442,74 @@
   ]);
 });
 
+// Guards against a session that ends as it opens: its client may read READY and
+// the reason for the end together, and gets no line for what it sends then.
+test("a draining listener answers the first statement of a session it has opened", async () => {
+  const { listener, openSocket } = await startListener({
+    clock: "paused",
+    workMs: 300,
+  });
+  const client = openSocket();
+  const lines = collectLines(client);
+  client.write("START orders key1\r\n");
+  await turnUntil(() => lines().length === 1);
+  listener.drain();
+  client.write("QUERY 1 READ a\r\n");
+  await turnUntil(() =>
+    listener.countStatements() === 1 || client.readableEnded
+  );
+  await advanceUntil(() => client.readableEnded);
+  expect(lines()).toEqual([
+    "READY I -",
+    "ROW row of READ a",
+    "DONE signed-1",
+    expect.stringMatching(/^READY I /),
+    "ERR BUSY the host is stopping; connect again",
+  ]);
+});
+
+test("a draining listener ends a session whose client sends no statement", async () => {
+  const { listener, openSocket } = await startListener({ clock: "paused" });
+  const early = openSocket();
+  const earlyLines = collectLines(early);
+  early.write("START orders key1\r\n");
+  await turnUntil(() => earlyLines().length === 1);
+  listener.drain();
+  const late = openSocket();
+  const lateLines = collectLines(late);
+  late.write("START orders key1\r\n");
+  await advanceUntil(() => early.readableEnded && late.readableEnded);
+  const told = ["READY I -", "ERR BUSY the host is stopping; connect again"];
+  expect([earlyLines(), lateLines()]).toEqual([told, told]);
+});
+
+test("the first statement after a key is withdrawn gets a whole answer", async () => {
+  const { fleet, openSocket } = await startListener({ clock: "paused" });
+  let isWithdrawn = false;
+  const client = openSocket();
+  const lines = collectLines(client);
+  client.write("START orders key1\r\n");
+  await turnUntil(() => lines().length === 1);
+  fleet.poolers[0]!.onCatalogChange(() => isWithdrawn = true);
+  fleet.setCatalog({ workspaceByKey: new Map() });
+  await advanceUntil(() => isWithdrawn);
+  client.write("QUERY 1 READ a\r\n");
+  await turnUntil(() => client.readableEnded);
+  expect(lines()).toEqual([
+    "READY I -",
+    "ERR NOAUTH the key is unknown or withdrawn",
+    "READY I -",
+  ]);
+});
+
 // Guards against connections that are closed with unread input, which resets
 // them: the client may lose the last message.
 test("an ended connection is read for a time before it is closed", async () => {
   const { listener, openSocket } = await startListener();
   vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout"] });
   const client = openSocket(true);
-  client.write("START orders key1\r\n");
-  await readAnswers(client, 1);
+  client.write("START orders key1\r\nQUERY 0 SET a b\r\n");
+  await readAnswers(client, 2);
   const ended = new Promise((resolve) => client.on("end", resolve));
   listener.drain();
   client.resume();
