Let the clients of the stop's test send nothing after the end of a session

The test's clients sent a statement also in a session of which they had already read that it is over, and then wanted a line for it, which can't come. The platform's clients end a session on any message that they get while no request is outstanding, and retry elsewhere. On a stalled machine the test could still fail for that: READY and the reason for the end lie together in a buffer if the client doesn't read for longer than the 250 ms that a session just opened is kept.

Change: such a client ends its session and opens the next, and the test wants the reason to be the line of a stopping host, and no other. The checks are unchanged: each statement that was sent has a line, and each that a target began has its whole answer. A session that ends after READY without a reason still fails, since its client sends its statement.

--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -4,6 +4,8 @@
 import { type PoolProcess, startPoolProcess } from "./pool_process.ts";
 
 const POLL_INTERVAL_MS = 10;
+/** Line with which a stopping host ends an idle session. */
+const STOPPING_LINE = "ERR BUSY the host is stopping; connect again";
 
 vi.setConfig({ testTimeout: 60_000 });
 
@@ -75,22 +77,32 @@
   readonly answer: LineAnswer;
 }
 
+interface ClientRun {
+  readonly sent: readonly SentStatement[];
+  /** Lines that ended sessions before a statement was sent. */
+  readonly told: readonly string[];
+}
+
 /**
  * Opens one session after another for a single statement each, as clients do
- * that keep the host's address, until the host refuses connections.
+ * that keep the host's address, until the host refuses connections. As the
+ * platform's clients, it sends nothing in a session that it was told is over.
  */
 async function sendUntilRefused(
   host: PoolProcess,
   name: string,
-): Promise<SentStatement[]> {
+): Promise<ClientRun> {
   const sent: SentStatement[] = [];
+  const told: string[] = [];
   for (let i = 0;; i++) {
     const client = host.connect();
     const opened = await client.start("reports");
     if (opened.lines.length === 0) {
-      return sent;
+      return { sent, told };
     }
-    if (opened.lines[0]!.startsWith("READY")) {
+    if (client.unsolicited.length > 0) {
+      told.push(...client.unsolicited);
+    } else if (opened.lines[0]!.startsWith("READY")) {
       const id = `${name}-${i}`;
       sent.push({ id, answer: await client.query(id, "READ a") });
     }
@@ -128,8 +140,11 @@
     await sleep(POLL_INTERVAL_MS);
   }
   host.kill("SIGTERM");
-  const sent = (await Promise.all(clients)).flat();
+  const runs = await Promise.all(clients);
+  const sent = runs.flatMap((run) => run.sent);
+  const told = runs.flatMap((run) => run.told);
   expect(await host.exited).toBe(0);
+  expect(told.filter((line) => line !== STOPPING_LINE)).toEqual([]);
   expect(listBrokenOff(host, sent)).toEqual([]);
   // Not executed either, but the client was told so before the end.
   expect(sent.filter(({ answer }) => answer.lines.length === 0)).toEqual([]);
@@ -143,9 +158,7 @@
   await client.start("orders");
   host.kill("SIGTERM");
   await client.ended;
-  expect(client.unsolicited).toEqual([
-    "ERR BUSY the host is stopping; connect again",
-  ]);
+  expect(client.unsolicited).toEqual([STOPPING_LINE]);
 });
 
 // Guards against statements that a target does not answer until the process
