--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -365,16 +365,19 @@
   if (clock === "real") {
     vi.useRealTimers();
   }
+  const logged: unknown[] = [];
+  const record = (event: string, fields: LogFields) =>
+    void logged.push({ event, ...fields });
   const listener = createClientListener(fleet.poolers[0]!, {
     address: "127.0.0.1:0",
-    log: { info() {}, request() {} },
+    log: { info: record, request: record },
     metrics: createMetrics(),
   });
   const port = await listener.listen();
   closables.push(listener);
   const openSocket = (allowHalfOpen = false) =>
     connect({ host: "127.0.0.1", port, allowHalfOpen });
-  return { fleet, listener, openSocket };
+  return { fleet, listener, logged, openSocket };
 }
 
 /** Collects the lines that a socket receives. */
@@ -502,6 +505,34 @@
   ]);
 });
 
+test("statements that are read after the end of their session leave a line each", async () => {
+  const { listener, logged, openSocket } = await startListener({
+    clock: "paused",
+  });
+  const client = openSocket(true);
+  const lines = collectLines(client);
+  client.write("START orders key1\r\nQUERY 1 SET a b\r\n");
+  await turnUntil(() => lines().length === 3);
+  listener.drain();
+  await turnUntil(() => client.readableEnded);
+  client.write("QUERY 2 READ a\r\nQUERY 3 RE");
+  await new Promise((resolve) => setImmediate(resolve));
+  client.end("AD a\r\n");
+  await turnUntil(() => listener.countConnections() === 0);
+  const left = openSocket().resume();
+  left.write("START orders key1\r\nQUIT\r\nQUERY 4 READ a\r\n");
+  await turnUntil(() => left.readableEnded);
+  const workspace = "w1";
+  // The first line is that of the drain.
+  expect(logged.slice(1)).toEqual(
+    ["2", "3", "4"].map((id) => ({
+      event: "statement_dropped",
+      id,
+      workspace,
+    })),
+  );
+});
+
 // Guards against connections that are closed with unread input, which resets
 // them: the client may lose the last message.
 test("an ended connection is read for a time before it is closed", async () => {
