--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -114,14 +114,12 @@
 function listBrokenOff(
   host: PoolProcess,
   sent: readonly SentStatement[],
-): readonly string[] {
+): readonly SentStatement[] {
   const hasResult = ({ id, answer: { lines, isComplete } }: SentStatement) =>
     isComplete && lines.includes(`DONE signed-${id}`);
-  return sent
-    .filter((statement) =>
-      host.group.begun.has(statement.id) && !hasResult(statement)
-    )
-    .map(({ id }) => id);
+  return sent.filter((statement) =>
+    host.group.begun.has(statement.id) && !hasResult(statement)
+  );
 }
 
 // Guards against a stop that admits statements until its time is over and then
