Take over the records of many hosts in one step

Cause: each record of a host that arrived from the store copied the addresses of all hosts twice, made the peers be computed again and told the listeners, who place all connections again. A fleet that starts lists N records on each of N hosts, so a host did N times N steps.

Change: objects that arrive together are copied first; addresses and peers follow once, then the listeners. The order of keys stays.

Test: fleet_at_rest.test.ts counts the lists of addresses that a joining host takes over before 24 others: 25 before, at most 3 now. Failed before the change.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -201,15 +201,12 @@
         const isFirstOfEra = !isLoaded;
         isLoaded = true;
         const keys = new Set(listed.map(({ key }) => key));
-        for (const key of [...objects.keys()]) {
-          // The registration of a live host may be lost with an older era. The
-          // host registers again, and if it does not, its heartbeat expires.
-          const mayBeLost = isFirstOfEra && key.startsWith(HOST_PREFIX);
-          if (!keys.has(key) && !mayBeLost) {
-            applyObject({ key, version: 0, value: undefined });
-          }
-        }
-        listed.forEach(applyObject);
+        // The registration of a live host may be lost with an older era. The
+        // host registers again, and if it does not, its heartbeat expires.
+        const removed = [...objects.keys()].filter((key) =>
+          !keys.has(key) && !(isFirstOfEra && key.startsWith(HOST_PREFIX))
+        ).map((key) => ({ key, version: 0, value: undefined }));
+        applyObjects([...removed, ...listed]);
         if (!hasStarted) {
           hasStarted = true;
           firstEra = getEra(io.store);
@@ -220,7 +217,7 @@
           void sendHeartbeat();
         }
       },
-      onChanges: (changed) => changed.forEach(applyObject),
+      onChanges: applyObjects,
     },
   });
 
@@ -231,12 +228,13 @@
     io.metrics.add("store_era_losses_total", objects.size, { kind: "object" });
   });
 
-  function applyObject(object: StoredObject): void {
+  /** Copies an object; false if the copy is as new already. */
+  function copyObject(object: StoredObject): boolean {
     const { key, version } = object;
     const known = objects.get(key);
     const isOutdated = outdated.delete(key);
     if (known && !isOutdated && version !== 0 && version <= known.version) {
-      return;
+      return false;
     }
     if (version === 0) {
       objects.delete(key);
@@ -258,11 +256,26 @@
       } else {
         hosts.add(key);
       }
+    }
+    return true;
+  }
+
+  /** Applies objects that arrived together; peers are computed once for all. */
+  function applyObjects(arrived: readonly StoredObject[]): void {
+    const changed = arrived.filter(copyObject);
+    if (changed.some(({ key }) => key.startsWith(HOST_PREFIX))) {
       cachedPeers = { ...cachedPeers, computedAt: -Infinity };
-      io.peers.setAddresses(listAddresses());
-      io.streams.setAddresses(listAddresses());
+      const addresses = listAddresses();
+      io.peers.setAddresses(addresses);
+      io.streams.setAddresses(addresses);
+    }
+    for (const { key } of changed) {
+      listeners.forEach((listener) => listener(key));
     }
-    listeners.forEach((listener) => listener(key));
+  }
+
+  function applyObject(object: StoredObject): void {
+    applyObjects([object]);
   }
 
   function hasStoreReturned(): boolean {
--- a/test/fleet_at_rest.test.ts
+++ b/test/fleet_at_rest.test.ts
@@ -1,6 +1,7 @@
 /**
  * Patterns: many hosts and services, few statements at each host; timer
- * coalescing, so that an idle host seldom wakes up.
+ * coalescing, so that an idle host seldom wakes up; batched membership updates,
+ * so that a start is not quadratic in the number of hosts.
  */
 
 import { afterEach, expect, test, vi } from "vitest";
@@ -72,3 +73,12 @@
   // One timer of the failover monitor and one for all other checks.
   expect(wakeupCount / seconds).toBeLessThanOrEqual(2 * 10);
 });
+
+test("a host that joins a fleet takes over the list of hosts in one step", async () => {
+  const hosts = 24;
+  fleet = await startPoolFleet({ hosts });
+  fleet.startHost();
+  await vi.advanceTimersByTimeAsync(500);
+  // After the list, after its own registration, and after one watch.
+  expect(fleet.counters.get(`address_lists h${hosts}`)).toBeLessThanOrEqual(3);
+});
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -252,7 +252,7 @@
         },
       },
       peers: {
-        setAddresses() {},
+        setAddresses: () => addToCounter("address_lists", 1, { host }),
         send(to, msg) {
           addToCounter("peer_messages", 1, { kind: msg.kind });
           setTimeout(() => receivers.get(to)?.(host, msg), 1);
