Revert "Write log lines in batches"

The mechanism that the change named was not confirmed, and a killed host would lose its last 200 ms of lines, which incidents are traced with.

--- a/src/host/line_log.ts
+++ b/src/host/line_log.ts
@@ -1,7 +1,4 @@
-/**
- * Writes rate-limited, structured log lines to stdout without blocking. Lines
- * are batched: each asynchronous write wakes a thread and then the event loop.
- */
+/** Writes rate-limited, structured log lines to stdout without blocking. */
 
 import { pino } from "pino";
 import { nowMs, withTimeout } from "../core/clock.ts";
@@ -14,10 +11,6 @@
 const INFO_LINES_PER_S = 300;
 /** Limit on buffered output, beyond which lines are dropped. */
 const MAX_BUFFER_BYTES = 1_048_576;
-/** Buffered output that is written at once. */
-const MIN_WRITE_BYTES = 8_192;
-/** Longest time for which a line is buffered, in milliseconds. */
-const WRITE_DELAY_MS = 200;
 /** Window in which lines are counted; the limits are per second. */
 const LIMIT_WINDOW_MS = 1_000;
 
@@ -37,7 +30,6 @@
   const destination = pino.destination({
     dest: 1,
     sync: false,
-    minLength: MIN_WRITE_BYTES,
     maxLength: MAX_BUFFER_BYTES,
   });
   destination.on("drop", () => drop("buffer_full"));
@@ -45,14 +37,6 @@
   const requestLimiter = createLineLimiter(REQUEST_LINES_PER_S);
   const infoLimiter = createLineLimiter(INFO_LINES_PER_S);
   let droppedCount = 0;
-  let writeTimer: NodeJS.Timeout | undefined;
-
-  function scheduleWrite(): void {
-    writeTimer ??= setTimeout(() => {
-      writeTimer = undefined;
-      destination.flush();
-    }, WRITE_DELAY_MS);
-  }
 
   function drop(reason: string): void {
     droppedCount++;
@@ -60,7 +44,6 @@
   }
 
   function write(event: string, fields: LogFields): void {
-    scheduleWrite();
     if (droppedCount > 0) {
       logger.info({ ...fields, droppedBefore: droppedCount }, event);
       droppedCount = 0;
