--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -34,8 +34,6 @@
 /** Bounds of the delay before a stream that failed is opened again. */
 const MIN_REOPEN_DELAY_MS = 200;
 const MAX_REOPEN_DELAY_MS = 3_000;
-/** Interval of checks for silent hosts while replies are pending. */
-const CHECK_INTERVAL_MS = 100;
 /** Time without a sign of life after which a host is asked for one. */
 const PING_AFTER_MS = 200;
 /** Time without a sign of life after which a host gets no new statements. */
@@ -80,6 +78,8 @@
     target: TargetRecord,
     options: ForwardOptions,
   ): TargetLink | undefined;
+  /** Pings hosts that are silent and gives up streams; call it periodically. */
+  checkStreams(): void;
 }
 
 interface PendingCommand {
@@ -127,7 +127,6 @@
   const paths = createPathHealth();
   const holderStreams = new Map<HostId, HolderStream>();
   const backoffs = new Map<HostId, Backoff>();
-  let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
 
   function isSilent(holderStream: HolderStream): boolean {
@@ -220,7 +219,6 @@
       nextId: 0,
     };
     holderStreams.set(host, holderStream);
-    timer ??= setInterval(checkStreams, CHECK_INTERVAL_MS);
     return holderStream;
   }
 
@@ -256,10 +254,6 @@
       );
     }
     holderStream.stream.close();
-    if (holderStreams.size === 0) {
-      clearInterval(timer);
-      timer = undefined;
-    }
   }
 
   /** Gives up commands, and the stream unless one of them may still wait. */
@@ -461,6 +455,7 @@
       const host = tryFindHolder(target, linkOptions.workspace);
       return host && createLink(getStream(host), target, linkOptions);
     },
+    checkStreams,
     stop() {
       isStopped = true;
       [...holderStreams.values()].forEach((holderStream) =>
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -41,7 +41,8 @@
 import type { Catalog, PoolIo, TargetRecord } from "./types.ts";
 
 /**
- * Interval of checks for lapsed targets and idle transactions, in milliseconds.
+ * Interval of all periodic checks, in milliseconds. They share one timer: timers
+ * of their own drift apart, and each then wakes the process.
  */
 const MAINTENANCE_INTERVAL_MS = 100;
 const MS_PER_SECOND = 1_000;
@@ -404,11 +405,13 @@
 
   function runMaintenance(): void {
     clockJumps.getEpoch();
+    forwarder.checkStreams();
     directory.removeExpired();
     // A target that is no longer suspect may serve waiting requests.
     dispatcher.serveQueue();
     abortIdleTransactions();
     updateAllowancesOnHostChange();
+    probes.probeDueTargets();
     io.metrics.set("sessions", sessions.size, {});
   }
 
@@ -419,7 +422,6 @@
       fleet.start();
       versionCheck.start();
       shares.start();
-      probes.start();
       failover.start();
       timer = setInterval(runMaintenance, MAINTENANCE_INTERVAL_MS);
     },
@@ -461,7 +463,6 @@
       isAdmissionOpen = false;
       clearInterval(timer);
       failover.stop();
-      probes.stop();
       shares.stop();
       versionCheck.stop();
       fleet.stop();
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -272,7 +272,7 @@
         },
       },
       peers: {
-        setAddresses() {},
+        setAddresses: () => addToCounter("address_lists", 1, { host }),
         send(to, msg) {
           addToCounter("peer_messages", 1, { kind: msg.kind });
           if (!peerFaults.isLost) {
