--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -18,6 +18,7 @@
   TargetRecord,
   TargetReply,
 } from "../src/pooling/types.ts";
+import type { PoolPeerMessage } from "../src/generated/pool_peer.ts";
 import { createTargetDialer } from "../platform/target_link.ts";
 import { tryDecodeStatement } from "../platform/line_codec.ts";
 import {
@@ -87,6 +88,10 @@
    * after one to three times that delay.
    */
   readonly delayedPromotions: { minDelayMs: number };
+  /** Decides which messages between hosts are lost; none by default. */
+  readonly messageFaults: {
+    isLost(from: HostId, to: HostId, msg: PoolPeerMessage): boolean;
+  };
   readonly orders: readonly SentOrder[];
   /** Counters of all hosts, by name and label values with blanks between. */
   readonly counters: ReadonlyMap<string, number>;
@@ -121,6 +126,7 @@
   const targetReplies = { delayMs: 0 };
   const storeFaults = { getResponseDelayMs: () => 0 };
   const delayedPromotions = { minDelayMs: 0 };
+  const messageFaults: PoolFleet["messageFaults"] = { isLost: () => false };
   const isUnreachable = (host: string, id: string) =>
     unreachableTargets.has(id) || unreachableTargets.has(`${host}/${id}`) ||
     group.targets.find((t) => t.record.id === id)?.faults.isUnresponsive ===
@@ -257,7 +263,9 @@
         setAddresses() {},
         send(to, msg) {
           addToCounter("peer_messages", 1, { kind: msg.kind });
-          setTimeout(() => receivers.get(to)?.(host, msg), 1);
+          if (!messageFaults.isLost(host, to, msg)) {
+            setTimeout(() => receivers.get(to)?.(host, msg), 1);
+          }
         },
         onMessage: (receiver) => void receivers.set(host, receiver),
       },
@@ -310,6 +318,7 @@
     returnStore: (copy) => store.returnTo(copy, { isExternal: isExternalKey }),
     unreachableTargets,
     delayedPromotions,
+    messageFaults,
     targetReplies,
     orders,
     counters,
