--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -350,6 +350,22 @@
   expect(acknowledged.size - before).toBeGreaterThan(1_000);
 });
 
+// Guards against a step-down that succeeds and is not noticed: its answers come
+// later than the wait for them, and a new attempt finds a replica.
+test("a leaving primary that answers after 200 ms is replaced by the first attempt", async () => {
+  await startUnknownCopy({
+    group: { ids: ["t1", "t2", "t3"], promoteMs: PROMOTE_MS },
+    unregistered: [],
+  });
+  startWriters();
+  fleet.targetReplies.delayMs = 200;
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.register("t1", { isDraining: true });
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  const ended = fleet.logLines.find(({ event }) => event === "failover_ended");
+  expect(ended?.fields["result"]).toBe("promoted");
+});
+
 // Guards against a reply to a process that has started again since: its request
 // ids begin anew, and the log end is that of another service's target.
 test("a reply to an earlier process of this host is not taken for an answer", async () => {
