--- a/src/pooling/control.ts
+++ b/src/pooling/control.ts
@@ -75,6 +75,7 @@
   ctx.health.recordReport(id, {
     lagMs: report.lagMs,
     isPaused: !isPrimary && report.pausedTerm > 0,
+    received: report.position,
   });
   return report;
 }
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -131,6 +131,19 @@
     });
   }
 
+  /** Whether one of the targets answers. */
+  async function isAnyReachable(
+    targets: readonly TargetRecord[],
+  ): Promise<boolean> {
+    const answers = targets.map(async (target) => {
+      const report = await sendControlCommand(ctx, target, { kind: "status" });
+      return report
+        ? true
+        : Promise.reject(new Error(`${target.id} is silent`));
+    });
+    return await Promise.any(answers).catch(() => false);
+  }
+
   /** Orders a promotion; undefined if the order was refused. */
   async function promote(
     service: ServiceId,
@@ -240,8 +253,13 @@
       mayKeepOldPrimary: cause !== "leaving",
       openTarget,
     };
-    // Opens the connections that the replicas are fenced over.
-    void queryStatus(options.copies.list(service));
+    // Also opens the connections that the replicas are fenced over.
+    const hasReplica = isAnyReachable(
+      options.copies.list(service).filter(({ id }) => id !== oldPrimary),
+    );
+    if (cause === "leaving" && !await hasReplica) {
+      return { result: "too_few", lease };
+    }
     const depose = fencing.createDeposition(attempt);
     const deposition = await depose();
     ctx.io.log.info("old_primary_deposed", {
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -8,7 +8,12 @@
 import { sendControlCommand } from "./control.ts";
 import type { ExecutionContext } from "./execution.ts";
 import type { LogCopies } from "./log_copies.ts";
-import { createStepDown, haltTarget } from "./step_down.ts";
+import {
+  createStepDown,
+  haltTarget,
+  isLikelyDark,
+  type StepDownRes,
+} from "./step_down.ts";
 import type { StepDownRequests } from "./step_down_requests.ts";
 import {
   coversOldPrimary,
@@ -125,7 +130,7 @@
     const { service, oldPrimary, mayKeepOldPrimary, openTarget } = attempt;
     const { deposition, registered } = known;
     const ids = new Set([
-      ...copies.listIds(service),
+      ...copies.list(service).map(({ id }) => id),
       ...registered.map(({ id }) => id),
       ...(deposition.kind === "unreachable" ? deposition.peerCopies : []),
     ]);
@@ -165,19 +170,36 @@
     }
 
     let isDeposed = false;
+    let inProgress: Promise<StepDownRes> | undefined;
+
+    /** Joins the attempt that has not ended, if there is one. */
+    function stepDown(): Promise<StepDownRes | undefined> {
+      inProgress ??= tryStepDown?.({ isDeposed })
+        .finally(() => inProgress = undefined);
+      return inProgress ?? Promise.resolve(undefined);
+    }
 
     async function makeAttempt(): Promise<Deposition> {
-      const isSuspect = !target || ctx.health.isSuspect(target.id);
-      const own = await withTimeout(
-        tryStepDown?.({ isDeposed }) ?? Promise.resolve(undefined),
-        { ms: isSuspect ? 0 : LOCAL_STEP_DOWN_MS, fallback: undefined },
-      );
+      const isDark = !target || isLikelyDark(ctx, target);
+      const localDeadline = nowMs() + LOCAL_STEP_DOWN_MS;
+      const local = stepDown();
+      const early = await withTimeout(local, {
+        ms: isDark ? 0 : LOCAL_STEP_DOWN_MS,
+        fallback: undefined,
+      });
+      if (early?.kind === "stepped_down") {
+        return early;
+      }
+      const asked = await askPeers();
+      const own = await withTimeout(local, {
+        ms: Math.max(0, localDeadline - nowMs()),
+        fallback: early,
+      });
       if (own?.kind === "stepped_down") {
         return own;
       }
-      const asked = await askPeers();
       const mayAnswer = own?.kind === "answers" ||
-        (own === undefined && target && !ctx.health.isSuspect(target.id));
+        (own === undefined && target && !isLikelyDark(ctx, target));
       return asked.kind === "unreachable" && mayAnswer
         ? { kind: "answers" }
         : asked;
@@ -238,6 +260,10 @@
       if (registered || coversOldPrimary(successor, succession)) {
         return { targets, succession };
       }
+      if (succession.steppedDownAt && targets.length < succession.copies) {
+        // A copy that is not fenced yet may have received what these lack.
+        continue;
+      }
       // The count decides. A copy that this host has not heard of yet may have
       // received what the fenced ones lack.
       registered = await options.listRegistered(service);
@@ -245,7 +271,7 @@
     ctx.io.log.info("failover_waits", {
       service,
       fenced: [...fenced.keys()].join(" "),
-      copies: copies.listIds(service).length,
+      copies: copies.list(service).length,
       oldPrimary: deposition.kind,
       isListRead: registered !== undefined,
       reason: "too few targets reachable to cover every acknowledged commit",
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -100,15 +100,15 @@
   readonly hosts: readonly HostId[];
   /** These hosts and this host itself, with their failure domains. */
   readonly placed: readonly PeerInfo[];
-  /** Number of hosts that have left and may still be finishing their stop. */
-  readonly stoppingCount: number;
+  /** Hosts that have left and may still be finishing their stop. */
+  readonly stopping: readonly HostId[];
 }
 
 const NO_PEERS: Peers = {
   computedAt: -Infinity,
   hosts: [],
   placed: [],
-  stoppingCount: 0,
+  stopping: [],
 };
 
 /** Local copy of the objects that hosts share in the store. */
@@ -128,6 +128,8 @@
   listExpiredHosts(): readonly HostId[];
   /** Other hosts with an unexpired heartbeat that have not left. */
   listPeers(): readonly HostId[];
+  /** Other hosts that may be running, also leaving and expired ones. */
+  listPossiblyRunning(): readonly HostId[];
   /**
    * These hosts and this host itself, with their failure domains; the same
    * array until it changes.
@@ -370,31 +372,34 @@
     return SELF_TIMEOUT_INTERVALS * getHeartbeatIntervalMs();
   }
 
-  function hasLeft(key: ObjectKey): boolean {
-    return tryGetRecord(key)?.beat === -1;
-  }
-
   function isStillStopping(key: ObjectKey): boolean {
     const observedAt = observed.get(key)?.observedAt ?? -Infinity;
     return nowMs() - observedAt < LEAVING_TIMEOUT_MS;
   }
 
+  function listExpiredHosts(): readonly HostId[] {
+    return [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
+      .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length)));
+  }
+
   function computePeers(): Peers {
     const running: HostId[] = [];
     const placed: PeerInfo[] = [{ host: self, domain: options.domain }];
-    let stoppingCount = 0;
+    const stopping: HostId[] = [];
     for (const key of hosts) {
       if (key === ownKey) {
         continue;
       }
-      if (hasLeft(key)) {
-        stoppingCount += isStillStopping(key) ? 1 : 0;
+      const host = asId<HostId>(key.slice(HOST_PREFIX.length));
+      const record = tryGetRecord(key);
+      if (record?.beat === -1) {
+        if (isStillStopping(key)) {
+          stopping.push(host);
+        }
       } else if (!isHeartbeatExpired(key)) {
-        const host = asId<HostId>(key.slice(HOST_PREFIX.length));
         running.push(host);
-        const domain = tryGetRecord(key)?.domain;
-        if (domain !== undefined) {
-          placed.push({ host, domain });
+        if (record?.domain !== undefined) {
+          placed.push({ host, domain: record.domain });
         }
       }
     }
@@ -406,7 +411,7 @@
       placed: isSamePlacement(placed, cachedPeers.placed)
         ? cachedPeers.placed
         : placed,
-      stoppingCount,
+      stopping,
     };
   }
 
@@ -429,12 +434,17 @@
     getAgeMs: (key) => nowMs() - (observed.get(key)?.observedAt ?? -Infinity),
     countHosts: () => getPeers().hosts.length + 1,
     countConnectedHosts: () =>
-      getPeers().hosts.length + 1 + getPeers().stoppingCount,
+      getPeers().hosts.length + 1 + getPeers().stopping.length,
     listPeers: () => getPeers().hosts,
+    listPossiblyRunning: () => [
+      ...new Set([
+        ...getPeers().hosts,
+        ...getPeers().stopping,
+        ...listExpiredHosts(),
+      ]),
+    ],
     listPlacedHosts: () => getPeers().placed,
-    listExpiredHosts: () =>
-      [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
-        .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length))),
+    listExpiredHosts,
     isOwnHeartbeatExpired: () =>
       nowMs() - heartbeatAcceptedAt > getOwnTimeoutMs(),
     getOwnTimeoutMs,
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -43,6 +43,8 @@
   failingSince: number | undefined;
   ejectedUntil: number;
   position: Position | undefined;
+  /** Log end that the target has reported; reads may lag behind it. */
+  received: Position | undefined;
   lagMs: number;
   lagAt: number;
   /** Number of commands that are not answered yet. */
@@ -92,8 +94,14 @@
   /** Records the status that a target reported about itself. */
   recordReport(
     target: TargetId,
-    report: { readonly lagMs: number; readonly isPaused: boolean },
+    report: {
+      readonly lagMs: number;
+      readonly isPaused: boolean;
+      readonly received: Position;
+    },
   ): void;
+  /** Whether the target has reported a log end at or past the position. */
+  hasReceived(target: TargetId, position: Position): boolean;
   /** Returns for how long replication was seen paused; 0 if it is running. */
   getPausedMs(target: TargetId): number;
   isEjected(target: TargetId): boolean;
@@ -121,6 +129,7 @@
       failingSince: undefined,
       ejectedUntil: -Infinity,
       position: undefined,
+      received: undefined,
       lagMs: DEFAULT_LAG_MS,
       lagAt: nowMs(),
       pending: 0,
@@ -205,8 +214,9 @@
       record.lagMs = Math.max(getLagMs(target), ageMs * LAG_ESTIMATE_FACTOR);
       record.lagAt = nowMs();
     },
-    recordReport(target, { lagMs, isPaused }) {
+    recordReport(target, { lagMs, isPaused, received }) {
       const record = getRecord(target);
+      record.received = received;
       record.lagMs = lagMs;
       record.lagAt = nowMs();
       record.pausedSince = isPaused ? record.pausedSince ?? nowMs() : undefined;
@@ -215,6 +225,10 @@
       const { pausedSince } = getRecord(target);
       return pausedSince === undefined ? 0 : nowMs() - pausedSince;
     },
+    hasReceived(target, position) {
+      const { received } = getRecord(target);
+      return received !== undefined && isAtLeast(received, position);
+    },
     isEjected: (target) => nowMs() < getRecord(target).ejectedUntil,
     tryLatencyMs: (target) => getRecord(target).latencyMs,
     getLagMs,
--- a/src/pooling/log_copies.ts
+++ b/src/pooling/log_copies.ts
@@ -5,27 +5,26 @@
 import type { ServiceId, TargetId } from "../core/ids.ts";
 import type { Directory, DirectoryEvent } from "./directory.ts";
 import type { PrimaryTracker } from "./primary_tracker.ts";
-import type { PoolLog, TargetRecord } from "./types.ts";
+import type { Health } from "./health.ts";
+import type { PoolLog, Position, TargetRecord } from "./types.ts";
 
 /**
- * Time for which a target whose registration lapsed counts as a copy, in
+ * Time for which a target without a registration counts as a copy, in
  * milliseconds. It may be cut off from the store only, and still receive.
  */
-const LAPSED_COPY_TIMEOUT_MS = 60_000;
-
-/**
- * Time for which a target that has left as planned counts as a copy, in
- * milliseconds. The others receive within it what was acknowledged because only
- * that target had received it.
- */
-const LEFT_COPY_TIMEOUT_MS = 2_000;
+const UNREGISTERED_COPY_TIMEOUT_MS = 60_000;
 
 type CopyState =
   | { readonly kind: "registered" }
   /** Silent to the store, without having said that it leaves. */
   | { readonly kind: "lapsed"; readonly since: number }
-  /** Has left as planned, and its log with it. */
-  | { readonly kind: "left"; readonly since: number };
+  /** Was draining before; its log is gone once it has ended. */
+  | {
+    readonly kind: "left";
+    readonly since: number;
+    /** Newest known position of the primary at that time. */
+    readonly floor: Position | undefined;
+  };
 
 interface Copy {
   readonly target: TargetRecord;
@@ -34,15 +33,12 @@
 
 /** Copies of the logs of all services, as far as this host has heard of them. */
 export interface LogCopies {
-  /** Lists the copies that may still be running. */
-  list(service: ServiceId): readonly TargetRecord[];
   /**
-   * Ids of all copies that count for acknowledged commits. A primary that has
-   * left counts until another one is known: its last commits may be on any one
-   * of the others.
+   * Lists the copies that count for acknowledged commits. One that has left
+   * counts until another primary is known and another replica has received what
+   * it may alone have had.
    */
-  listIds(service: ServiceId): readonly TargetId[];
-  /** Returns a copy that may still be running. */
+  list(service: ServiceId): readonly TargetRecord[];
   tryGet(id: TargetId): TargetRecord | undefined;
 }
 
@@ -52,9 +48,12 @@
   options: {
     readonly directory: Pick<Directory, "onChange">;
     readonly primaries: Pick<PrimaryTracker, "tryPrimary">;
+    readonly health: Pick<Health, "hasReceived">;
+    /** Newest known position of a service's primary. */
+    tryPosition(service: ServiceId): Position | undefined;
   },
 ): LogCopies {
-  const { directory, primaries } = options;
+  const { directory, primaries, health } = options;
   const copies = new Map<TargetId, Copy>();
 
   function hasOtherPrimary({ service, id }: TargetRecord): boolean {
@@ -62,15 +61,29 @@
     return primary !== undefined && primary !== id;
   }
 
+  /** Whether another replica holds what the target that has left may have. */
+  function isCoveredByOther(
+    { service, id }: TargetRecord,
+    floor: Position | undefined,
+  ): boolean {
+    const primary = primaries.tryPrimary(service);
+    return floor !== undefined &&
+      [...copies.values()].some(({ target }) =>
+        target.service === service && target.id !== id &&
+        target.id !== primary && health.hasReceived(target.id, floor)
+      );
+  }
+
   function isCounted({ target, state }: Copy): boolean {
     switch (state.kind) {
       case "registered":
         return true;
       case "lapsed":
-        return nowMs() - state.since < LAPSED_COPY_TIMEOUT_MS;
+        return nowMs() - state.since < UNREGISTERED_COPY_TIMEOUT_MS;
       case "left":
-        return nowMs() - state.since < LEFT_COPY_TIMEOUT_MS ||
-          !hasOtherPrimary(target);
+        return !hasOtherPrimary(target) ||
+          (!isCoveredByOther(target, state.floor) &&
+            nowMs() - state.since < UNREGISTERED_COPY_TIMEOUT_MS);
       default:
         return assertNever(state);
     }
@@ -99,11 +112,11 @@
         copies.set(target.id, { target, state: { kind: "registered" } });
         return;
       case "gone": {
-        const state = target.isDraining ? "left" : "lapsed";
-        copies.set(target.id, {
-          target,
-          state: { kind: state, since: nowMs() },
-        });
+        const since = nowMs();
+        const state: CopyState = target.isDraining
+          ? { kind: "left", since, floor: options.tryPosition(target.service) }
+          : { kind: "lapsed", since };
+        copies.set(target.id, { target, state });
         return;
       }
       default:
@@ -113,15 +126,10 @@
 
   directory.onChange(applyEvent);
   return {
-    list: (service) =>
-      listCopies(service).filter(({ state }) => state.kind !== "left")
-        .map(({ target }) => target),
-    listIds: (service) => listCopies(service).map(({ target }) => target.id),
+    list: (service) => listCopies(service).map(({ target }) => target),
     tryGet(id) {
       const copy = copies.get(id);
-      return copy && copy.state.kind !== "left" && isCounted(copy)
-        ? copy.target
-        : undefined;
+      return copy && isCounted(copy) ? copy.target : undefined;
     },
   };
 }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -240,10 +240,15 @@
       }
     },
   });
-  const copies = createLogCopies(io.log, { directory, primaries });
+  const copies = createLogCopies(io.log, {
+    directory,
+    primaries,
+    health,
+    tryPosition: (service) => getPositions(service).tryLatest()?.position,
+  });
   const stepDownRequests = createStepDownRequests(ctx, {
     copies,
-    listPeers: fleet.listPeers,
+    listPeers: fleet.listPossiblyRunning,
   });
   const fencing = createFencing(ctx, {
     copies,
@@ -406,6 +411,7 @@
   function runMaintenance(): void {
     clockJumps.getEpoch();
     forwarder.checkStreams();
+    versionCheck.checkLater();
     directory.removeExpired();
     // A target that is no longer suspect may serve waiting requests.
     dispatcher.serveQueue();
--- a/src/pooling/step_down.ts
+++ b/src/pooling/step_down.ts
@@ -14,6 +14,14 @@
   | { readonly kind: "not_primary" }
   | { readonly kind: "unreachable" };
 
+/** Whether no answer of a target means that it is not there. */
+export function isLikelyDark(
+  ctx: ExecutionContext,
+  { id }: TargetRecord,
+): boolean {
+  return ctx.health.isSuspect(id) || ctx.directory.tryGet(id) === undefined;
+}
+
 /** Target that was paused or made to step down, as it reports itself. */
 export interface HaltedTarget {
   /** Whether the target led before. */
@@ -60,7 +68,7 @@
     wasPrimary ||= halted.wasPrimary || attempt?.isDeposed === true;
     const { report } = halted;
     if (!report) {
-      return ctx.health.isSuspect(target.id)
+      return isLikelyDark(ctx, target)
         ? { kind: "unreachable" }
         : { kind: "answers" };
     }
--- a/src/pooling/step_down_requests.ts
+++ b/src/pooling/step_down_requests.ts
@@ -4,11 +4,12 @@
  */
 
 import { nowMs } from "../core/clock.ts";
+import { rankNodes } from "../core/hash.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
 import type { AskStepDown, TellStepDown } from "../generated/pool_peer.ts";
 import type { ExecutionContext } from "./execution.ts";
 import type { LogCopies } from "./log_copies.ts";
-import { createStepDown, type StepDownRes } from "./step_down.ts";
+import { createStepDown, isLikelyDark, type StepDownRes } from "./step_down.ts";
 import type { Position } from "./types.ts";
 
 /**
@@ -19,10 +20,18 @@
 /** Interval at which an unanswered request is repeated, in milliseconds. */
 const REPEAT_INTERVAL_MS = 100;
 
+/**
+ * Maximum number of hosts that are asked, since each of them may open a
+ * connection to the target. The hosts that poll the primary come first.
+ */
+const MAX_ASKED_HOSTS = 24;
+/** Maximum number of step-downs for peers that this host remembers. */
+const MAX_REMEMBERED_ATTEMPTS = 32;
+
 /** Step-down that is requested of other hosts. */
 export interface StepDownOrder {
   readonly service: ServiceId;
-  /** Undefined to ask for the known copies only. */
+  /** Undefined to ask whether a primary answers, and for the known copies. */
   readonly target: TargetId | undefined;
   readonly term: number;
 }
@@ -48,6 +57,7 @@
 }
 
 interface PendingRequest {
+  readonly order: StepDownOrder;
   readonly unanswered: Set<HostId>;
   answers: PeerAnswers;
   finish(): void;
@@ -56,35 +66,59 @@
 /** Creates the requests of this host. */
 export function createStepDownRequests(
   ctx: ExecutionContext,
-  options: { readonly copies: LogCopies; listPeers(): readonly HostId[] },
+  options: {
+    readonly copies: LogCopies;
+    /** Lists the hosts that may have connections to targets. */
+    listPeers(): readonly HostId[];
+  },
 ): StepDownRequests {
   const { peers, log } = ctx.io;
   const { copies } = options;
   const pending = new Map<number, PendingRequest>();
+  /** Attempts by target and term, which may be asked for again. */
+  const attempts = new Map<string, ReturnType<typeof createStepDown>>();
   let nextId = 0;
 
   function listKnownCopies(service: ServiceId): TargetId[] {
-    return [...copies.listIds(service)];
+    return copies.list(service).map(({ id }) => id);
   }
 
   async function attempt(
-    { target: id, term }: AskStepDown,
+    { service, target: id, term }: AskStepDown,
   ): Promise<StepDownRes> {
-    const target = id === undefined ? undefined : copies.tryGet(id);
-    // The sender waits for all answers, so a peer without hope answers at once.
-    return !target || ctx.health.isSuspect(target.id)
-      ? { kind: "unreachable" }
-      : await createStepDown(ctx, { target, term })();
+    if (id === undefined) {
+      // The sender does not know which target leads.
+      const primary = ctx.primaries.tryPrimary(service);
+      const known = primary && copies.tryGet(primary);
+      return {
+        kind: known && !isLikelyDark(ctx, known) ? "answers" : "unreachable",
+      };
+    }
+    const target = copies.tryGet(id);
+    if (!target) {
+      return { kind: "unreachable" };
+    }
+    const key = `${target.id} ${term}`;
+    const stepDown = attempts.get(key) ?? createStepDown(ctx, { target, term });
+    attempts.delete(key);
+    attempts.set(key, stepDown);
+    const [oldest] = attempts.keys();
+    if (attempts.size > MAX_REMEMBERED_ATTEMPTS && oldest !== undefined) {
+      attempts.delete(oldest);
+    }
+    return await stepDown();
   }
 
   return {
     send(order) {
       const { service, target, term } = order;
-      const listed = options.listPeers();
+      const listed = rankNodes(service, options.listPeers())
+        .slice(0, MAX_ASKED_HOSTS);
       const id = nextId++;
       const startedAt = nowMs();
       return new Promise((resolve) => {
         const request: PendingRequest = {
+          order,
           unanswered: new Set(listed),
           answers: { steppedDownAt: undefined, isReachable: false, copies: [] },
           finish() {
@@ -124,29 +158,50 @@
       });
     },
     async handleRequest(from, msg) {
-      const res = await attempt(msg);
-      if (msg.target !== undefined) {
-        log.info("step_down_for_peer", {
-          peer: from,
-          target: msg.target,
-          term: msg.term,
-          result: res.kind,
+      const { id, service, target } = msg;
+      const tell = (
+        state: TellStepDown["state"],
+        position?: Position,
+      ) =>
+        peers.send(from, {
+          kind: "tell_step_down",
+          id,
+          service,
+          state,
+          copies: listKnownCopies(service),
+          ...(target === undefined ? {} : { target }),
+          ...position,
         });
-      }
-      peers.send(from, {
-        kind: "tell_step_down",
-        id: msg.id,
-        state: res.kind === "not_primary" ? "unreachable" : res.kind,
-        copies: listKnownCopies(msg.service),
-        ...(res.kind === "stepped_down" ? res.position : {}),
+      tell("trying");
+      const res = await attempt(msg);
+      log.info("step_down_for_peer", {
+        peer: from,
+        target,
+        term: msg.term,
+        result: res.kind,
       });
+      tell(
+        res.kind === "not_primary" ? "unreachable" : res.kind,
+        res.kind === "stepped_down" ? res.position : undefined,
+      );
     },
     handleReply(from, msg) {
       const request = pending.get(msg.id);
-      if (!request?.unanswered.delete(from)) {
+      // A reply may be for an earlier process of this host.
+      const isForRequest = msg.service === request?.order.service &&
+        msg.target === request.order.target;
+      if (!isForRequest || !request?.unanswered.has(from)) {
         return;
       }
       const { answers } = request;
+      if (msg.state === "trying") {
+        request.answers = {
+          ...answers,
+          copies: [...answers.copies, ...msg.copies],
+        };
+        return;
+      }
+      request.unanswered.delete(from);
       const position = msg.state === "stepped_down" &&
           msg.term !== undefined && msg.pos !== undefined
         ? { term: msg.term, pos: msg.pos }
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -66,8 +66,13 @@
     candidate.target.id !== options.oldPrimary &&
     coversOldPrimary(candidate, options)
   );
-  return covering.length > 0
-    ? tryPick(covering, options)
+  if (covering.length > 0) {
+    return tryPick(covering, options);
+  }
+  // The old primary holds what none of the others has received. It leads again
+  // until they have.
+  return options.steppedDownAt && options.oldPrimary !== undefined
+    ? fenced.find(({ target }) => target.id === options.oldPrimary)
     : tryChooseByCount(fenced, options);
 }
 
--- a/src/pooling/version_check.ts
+++ b/src/pooling/version_check.ts
@@ -12,7 +12,7 @@
 
 /** Maximum number of peers that are asked at the same time. */
 const MAX_ASKED_PEERS = 8;
-/** Interval of checks for the list of peers and their answers. */
+/** Interval of checks in the first round, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
 /**
  * Time in which the first peers may answer: two round trips between regions, as
@@ -34,6 +34,8 @@
 /** Knowledge of the newest configuration that peers have in force. */
 export interface VersionCheck extends Stoppable {
   start(): void;
+  /** Asks again after the first round when it is time to. */
+  checkLater(): void;
   /**
    * Whether no peer is known to have a newer configuration, and the first peers
    * have answered or have had the time to.
@@ -63,6 +65,7 @@
   let askedAt = -Infinity;
   let hasRetried = false;
   let isFirstRoundOver = false;
+  let isDone = false;
   let nextId = 0;
   let timer: NodeJS.Timeout | undefined;
 
@@ -99,6 +102,7 @@
       nowMs() - startedAt >= FIRST_ANSWER_TIMEOUT_MS;
     if (unanswered && isOver && !isFirstRoundOver) {
       isFirstRoundOver = true;
+      clearInterval(timer);
       io.log.info("configuration_version_asked", {
         unanswered: unanswered.size,
         newer: listNewer(options.getVersion()).length,
@@ -108,7 +112,7 @@
     }
   }
 
-  function check(): void {
+  function checkFirstRound(): void {
     if (!unanswered) {
       if (options.isFleetLoaded()) {
         startedAt = nowMs();
@@ -119,16 +123,21 @@
       return;
     }
     endFirstRoundIfDue();
-    if (!isFirstRoundOver) {
-      if (!hasRetried && nowMs() - askedAt >= FIRST_RETRY_MS) {
-        hasRetried = true;
-        ask(unanswered);
-      }
+    const isRetryDue = !isFirstRoundOver && !hasRetried &&
+      nowMs() - askedAt >= FIRST_RETRY_MS;
+    if (isRetryDue) {
+      hasRetried = true;
+      ask(unanswered);
+    }
+  }
+
+  function checkLater(): void {
+    if (!isFirstRoundOver || isDone) {
       return;
     }
     const newer = listNewer(options.getVersion());
     if (newer.length === 0 && nowMs() - startedAt >= ASKING_TIME_MS) {
-      clearInterval(timer);
+      isDone = true;
     } else if (nowMs() - askedAt >= LATER_INTERVAL_MS) {
       // A later answer replaces one that was wrong.
       ask(new Set([...choosePeers(), ...newer]));
@@ -137,8 +146,9 @@
 
   return {
     start() {
-      timer = setInterval(check, CHECK_INTERVAL_MS);
+      timer = setInterval(checkFirstRound, CHECK_INTERVAL_MS);
     },
+    checkLater,
     isConfirmed: (version) =>
       isFirstRoundOver && listNewer(version).length === 0,
     handleRequest(from, { id }) {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -22,6 +22,7 @@
       key: asId(`turmericchute-fleet/host.h${n}`),
       version,
       value: {
+        incarnation: 1,
         get beat() {
           state.reads++;
           return version;
