Fence the replicas before an old primary leads again

A leaving primary that is nearer than its replicas would have led again and again. It is chosen only when all copies are fenced and none covers its log end, or after 700 ms. 'a leaving primary is not chosen again while replicas are being fenced' failed before (ordered t1) and passes.

--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -25,6 +25,11 @@
 
 /** Time to fence enough targets, in milliseconds. */
 const FENCE_TIMEOUT_MS = 1_500;
+/**
+ * Time for replicas to be fenced before an old primary that has stepped down
+ * leads again for want of one, in milliseconds.
+ */
+const REPLICA_GRACE_MS = 700;
 /** Interval at which fencing is checked, in milliseconds. */
 const POLL_INTERVAL_MS = 50;
 /**
@@ -221,10 +226,11 @@
     attempt: FenceAttempt,
     deposition: Deposition,
   ): Promise<Fenced | undefined> {
-    const { service, term, openTarget } = attempt;
+    const { service, term, oldPrimary, openTarget } = attempt;
     const fenced = new Map<TargetId, ReportedTarget>();
     const inProgress = new Set<TargetId>();
     const deadline = nowMs() + FENCE_TIMEOUT_MS;
+    const graceEnd = nowMs() + REPLICA_GRACE_MS;
     let registered: readonly TargetRecord[] | undefined;
 
     async function addIfFenced(target: TargetRecord): Promise<void> {
@@ -257,13 +263,16 @@
       if (!successor || mayBePromoted) {
         continue;
       }
+      if (successor.target.id === oldPrimary && succession.steppedDownAt) {
+        // A copy that is not fenced yet may hold what the fenced ones lack.
+        if (targets.length >= succession.copies || nowMs() >= graceEnd) {
+          return { targets, succession };
+        }
+        continue;
+      }
       if (registered || coversOldPrimary(successor, succession)) {
         return { targets, succession };
       }
-      if (succession.steppedDownAt && targets.length < succession.copies) {
-        // A copy that is not fenced yet may have received what these lack.
-        continue;
-      }
       // The count decides. A copy that this host has not heard of yet may have
       // received what the fenced ones lack.
       registered = await options.listRegistered(service);
--- a/test/failover_copies.test.ts
+++ b/test/failover_copies.test.ts
@@ -214,3 +214,19 @@
   await vi.advanceTimersByTimeAsync(FAILOVER_MS);
   expect(getPrimary().record.id).not.toBe(first.record.id);
 });
+
+// Guards against a leaving primary that leads again only because the replicas
+// answer later than it does.
+test("a leaving primary is not chosen again while replicas are being fenced", async () => {
+  fleet = await startPoolFleet({ hosts: 3, group: { promoteMs: PROMOTE_MS } });
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  ["t2", "t3"].forEach((id) =>
+    fleet.targetReplies.delayMsByTarget.set(id, 120)
+  );
+  fleet.register("t1", { isDraining: true });
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  expect(fleet.orders.map(({ target }) => target)).not.toContain("t1");
+  expect(getPrimary().record.id).not.toBe("t1");
+  expect(listLost(acknowledged)).toHaveLength(0);
+});
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -108,8 +108,11 @@
   readonly orders: readonly SentOrder[];
   /** Counters of all hosts, by name and label values with blanks between. */
   readonly counters: ReadonlyMap<string, number>;
-  /** Delay of all replies of targets; 0 for none. */
-  readonly targetReplies: { delayMs: number };
+  /** Delay of all replies of targets, and of single targets; 0 for none. */
+  readonly targetReplies: {
+    delayMs: number;
+    readonly delayMsByTarget: Map<string, number>;
+  };
   readonly logLines: LogLine[];
   /** Streams between the hosts. */
   readonly network: MemoryNetwork;
@@ -136,7 +139,10 @@
   });
   const hostsWithoutStore = new Set<string>();
   const unreachableTargets = new Set<string>();
-  const targetReplies = { delayMs: 0 };
+  const targetReplies = {
+    delayMs: 0,
+    delayMsByTarget: new Map<string, number>(),
+  };
   const storeFaults: PoolFleet["storeFaults"] = {
     getResponseDelayMs: () => 0,
     isAnswerLost: () => false,
@@ -214,10 +220,13 @@
   }
 
   async function delayReply(
+    target: string,
     reply: Promise<TargetReply>,
   ): Promise<TargetReply> {
-    if (targetReplies.delayMs > 0) {
-      await sleep(targetReplies.delayMs);
+    const delayMs = targetReplies.delayMsByTarget.get(target) ??
+      targetReplies.delayMs;
+    if (delayMs > 0) {
+      await sleep(delayMs);
     }
     return await reply;
   }
@@ -233,7 +242,7 @@
       send: (command) =>
         isCut()
           ? new Promise((resolve) => unanswered.add(resolve))
-          : delayReply(link.send(command)),
+          : delayReply(link.target.id, link.send(command)),
       close() {
         link.close();
         unanswered.forEach((resolve) =>
