--- /dev/null
+++ b/test/write_load.ts
@@ -0,0 +1,50 @@
+/** A steady load of writes on a fleet of pool hosts, and what became of them. */
+
+import { tryDecodeStatement } from "../platform/line_codec.ts";
+import { asId } from "../src/core/ids.ts";
+import type { StatementTarget } from "../standins/statement_group.ts";
+import type { PoolFleet } from "./pool_fleet.ts";
+
+/** Interval of the writes of each host, in milliseconds. */
+const WRITE_INTERVAL_MS = 15;
+
+/** Writes until it is stopped. */
+export interface WriteLoad {
+  /** Ids of the acknowledged writes. */
+  readonly acknowledged: ReadonlySet<string>;
+  stop(): void;
+}
+
+/** Starts to write on these hosts, each write in a session of its own. */
+export function startWriteLoad(
+  fleet: PoolFleet,
+  hosts: readonly number[],
+): WriteLoad {
+  const acknowledged = new Set<string>();
+  let count = 0;
+  const timer = setInterval(() => {
+    for (const host of hosts) {
+      const id = `w${count++}`;
+      void fleet.openSession("orders", host)
+        .execute(asId(id), tryDecodeStatement("WRITE k 1")!)
+        .then(({ kind }) => kind === "done" && acknowledged.add(id));
+    }
+  }, WRITE_INTERVAL_MS);
+  return { acknowledged, stop: () => clearInterval(timer) };
+}
+
+/** Returns the primary of the newest term; undefined if no target leads. */
+export function tryPrimaryOf(fleet: PoolFleet): StatementTarget | undefined {
+  return fleet.group.targets.filter(({ role }) => role === "primary")
+    .toSorted((a, b) => b.term - a.term)[0];
+}
+
+/** Returns the acknowledged writes that the primary's log lacks. */
+export function listLostWrites(
+  fleet: PoolFleet,
+  acknowledged: ReadonlySet<string>,
+): readonly string[] {
+  const primary = tryPrimaryOf(fleet);
+  const kept = new Set(primary?.log.flatMap(({ ids }) => ids));
+  return primary ? [...acknowledged].filter((id) => !kept.has(id)) : [];
+}
