--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -273,6 +273,7 @@
 /** Names of the gauges. */
 export type GaugeName =
   | "sessions"
+  | "ready"
   | "target_connections"
   | "in_flight_requests"
   | "group_term"
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -53,6 +53,7 @@
   confirm_ms: "Time until a majority held a write in milliseconds",
   failover_phase_ms: "Time of each phase of a failover in milliseconds",
   sessions: "Open sessions of callers",
+  ready: "1 if the host serves clients, else 0",
   target_connections: "Data connections to targets",
   in_flight_requests: "Requests of callers that are not answered yet",
   group_term: "Highest term seen in a database group",
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -327,6 +327,28 @@
     },
   });
   let timer: NodeJS.Timeout | undefined;
+  /** What this host lacked at the last check; empty if it was ready. */
+  let loggedMissing: string | undefined;
+
+  /** Lists what this host lacks to serve clients. */
+  function listMissing(): readonly string[] {
+    return [
+      { part: "configuration", isThere: catalog.tryGetConfirmed() },
+      { part: "targets", isThere: directory.size > 0 },
+      { part: "shares", isThere: shares.isReady() },
+    ].filter(({ isThere }) => !isThere).map(({ part }) => part);
+  }
+
+  function logReadiness(): void {
+    const missing = listMissing().join(",");
+    if (missing !== loggedMissing) {
+      loggedMissing = missing;
+      io.log.info(missing ? "host_not_ready" : "host_ready", {
+        ...(missing ? { missing } : {}),
+        hosts: fleet.countHosts(),
+      });
+    }
+  }
 
   function applyCatalogObject(object: StoredObject): void {
     if (object.key === decoding.catalogKey && object.version > 0) {
@@ -418,7 +440,9 @@
     abortIdleTransactions();
     updateAllowancesOnHostChange();
     probes.probeDueTargets();
+    logReadiness();
     io.metrics.set("sessions", sessions.size, {});
+    io.metrics.set("ready", loggedMissing === "" ? 1 : 0, {});
   }
 
   return {
@@ -431,9 +455,7 @@
       failover.start();
       timer = setInterval(runMaintenance, MAINTENANCE_INTERVAL_MS);
     },
-    isReady: () =>
-      catalog.tryGetConfirmed() !== undefined && directory.size > 0 &&
-      shares.isReady(),
+    isReady: () => listMissing().length === 0,
     openSession(sessionOptions) {
       const opened = openSession(ctx, sessionOptions);
       return opened.map((session) => {
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -10,6 +10,7 @@
 import type { Quotas } from "./quotas.ts";
 import {
   createInitialLedger,
+  type Demand,
   EMPTY_LEDGER,
   getMinShare,
   type Ledger,
@@ -32,6 +33,9 @@
 /** Time that hosts have to register after this host first listed the fleet. */
 const REGISTRATION_WAIT_MS = 1_500;
 
+/** Shortage of a share below which none is logged. */
+const MIN_LOGGED_SHORTAGE = 500;
+
 /** An update of this host's row whose outcome is not known yet. */
 interface PendingUpdate {
   readonly row: ShareRow;
@@ -88,6 +92,8 @@
    */
   let shareLimits: ReadonlyMap<WorkspaceId, number> | undefined;
   let limitedAt = -Infinity;
+  /** Workspaces without enough shares at the last check. */
+  let loggedShortCount = 0;
 
   function getStoredVersion(): number {
     return fleet.tryGet(LEDGER_KEY)?.version ?? 0;
@@ -175,6 +181,33 @@
     }
   }
 
+  /** Logs who holds the shares that this host needs, whenever that changes. */
+  function logShortage(
+    ledger: Ledger,
+    demand: ReadonlyMap<WorkspaceId, Demand>,
+  ): void {
+    const row = ledger.shares[self] ?? {};
+    const short = [...demand].filter(([workspace, { share }]) =>
+      share > (row[workspace] ?? 0) + MIN_LOGGED_SHORTAGE
+    ).map(([workspace]) => workspace);
+    if (short.length === loggedShortCount) {
+      return;
+    }
+    loggedShortCount = short.length;
+    const sumOf = (hosts: readonly string[]) =>
+      hosts.flatMap((host) =>
+        short.map((workspace) => ledger.shares[host]?.[workspace] ?? 0)
+      ).reduce((sum, share) => sum + share, 0);
+    const others = Object.keys(ledger.shares).filter((host) => host !== self);
+    io.log.info("shares_short", {
+      workspaces: short.length,
+      own: sumOf([self]),
+      others: sumOf(others),
+      expired: sumOf(fleet.listExpiredHosts()),
+      holders: others.length,
+    });
+  }
+
   async function putLedger(next: Ledger): Promise<void> {
     const version = getStoredVersion();
     const row = next.shares[self] ?? {};
@@ -271,6 +304,7 @@
       );
       return;
     }
+    logShortage(ledger, demand);
     const next = tryAdjustRow(ledger, { host: self, hosts, demand });
     if (next || ledger.era !== era) {
       await putLedger({ ...(next ?? ledger), era });
