--- /dev/null
+++ b/test/fleet_return.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Patterns: a whole fleet is killed and returns, under its old names or new
+ * ones, while the store serves all of its hosts or only one; leases that end
+ * soon after their holder; a store that is reached through a peer.
+ */
+
+import { afterEach, expect, test, vi } from "vitest";
+import { asId } from "../src/core/ids.ts";
+import type { Statement } from "../src/pooling/types.ts";
+import {
+  getOutcome,
+  type PoolFleet,
+  type PoolFleetOptions,
+  startPoolFleet,
+} from "./pool_fleet.ts";
+
+/** Time within which service is back, in milliseconds. */
+const RECOVERY_MS = 12_000;
+/** Least fraction of the statements that must be served after that. */
+const MIN_SERVED = 0.9;
+const RATE_PER_S = 200;
+/** Statements a second that clients send; within the quota. */
+const SENT_PER_S = 120;
+const MEASURED_MS = 4_000;
+const READ: Statement = { kind: "run", access: "read", text: "READ k" };
+
+let fleet: PoolFleet;
+
+afterEach(() => fleet.stop());
+
+function startFleet(options: PoolFleetOptions): Promise<PoolFleet> {
+  return startPoolFleet({ ratePerS: RATE_PER_S, ...options });
+}
+
+/**
+ * Sends statements to the ready hosts in turn, as a balancer does; returns the
+ * times at which one was admitted, and how many were sent.
+ */
+async function sendStatements(ms: number) {
+  const admittedAt: number[] = [];
+  const outcomes: string[] = [];
+  let turn = 0;
+  const sent = (ms / 1_000) * SENT_PER_S;
+  for (let n = 0; n < sent; n++) {
+    const ready = fleet.poolers.filter((pooler) => pooler.isReady());
+    const pooler = ready[turn++ % ready.length];
+    pooler?.openSession({ database: asId("accounts"), key: "key1" }).map(
+      (session) =>
+        void session.execute(asId(`r${n}`), READ).then((answer) => {
+          outcomes.push(getOutcome(answer));
+          if (getOutcome(answer) === "done") {
+            admittedAt.push(Date.now());
+          }
+          pooler.closeSession(session);
+        }),
+    );
+    await vi.advanceTimersByTimeAsync(1_000 / SENT_PER_S);
+  }
+  return { admittedAt, outcomes, sent };
+}
+
+async function measureServed(): Promise<number> {
+  const { admittedAt, sent } = await sendStatements(MEASURED_MS);
+  return admittedAt.length / sent;
+}
+
+function listHosts(): number[] {
+  return [...fleet.poolers.keys()];
+}
+
+// Guards against hosts that can learn the configuration, the targets and their
+// shares only from a store that turns them away, though a peer has them.
+test("hosts that the store turns away return through one that it serves", async () => {
+  fleet = await startFleet({ hosts: 7, maxConnections: 21 });
+  await sendStatements(4_000);
+  listHosts().forEach(fleet.killHost);
+  listHosts().filter((host) => host !== 3).forEach((host) =>
+    fleet.hostsWithoutStore.add(`h${host}`)
+  );
+  listHosts().forEach(fleet.restartHost);
+  await vi.advanceTimersByTimeAsync(RECOVERY_MS);
+  expect(fleet.poolers.map((pooler) => pooler.isReady()))
+    .toEqual(Array(7).fill(true));
+  expect(await measureServed()).toBeGreaterThanOrEqual(MIN_SERVED);
+});
+
+// Guards against quota shares that stay with hosts which are gone for longer
+// than a fleet has to recover.
+test("hosts under new names serve what the hosts that are gone did", async () => {
+  fleet = await startFleet({ hosts: 3 });
+  await sendStatements(4_000);
+  listHosts().forEach(fleet.killHost);
+  [1, 2, 3].forEach(fleet.startHost);
+  await vi.advanceTimersByTimeAsync(RECOVERY_MS);
+  expect(await measureServed()).toBeGreaterThanOrEqual(MIN_SERVED);
+});
+
+// Guards against a remainder that each expired host keeps, computed from the
+// hosts that are left, so that a single one could reclaim nothing.
+test("the only host that returns serves what the whole fleet did", async () => {
+  fleet = await startFleet({ hosts: 7, maxConnections: 21 });
+  await sendStatements(4_000);
+  listHosts().forEach(fleet.killHost);
+  fleet.restartHost(3);
+  await vi.advanceTimersByTimeAsync(RECOVERY_MS);
+  expect(await measureServed()).toBeGreaterThanOrEqual(MIN_SERVED);
+});
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -123,6 +123,10 @@
   register(id: string, overrides?: Partial<TargetRecord>): void;
   /** Starts one more host; its index is the next one. */
   startHost(): void;
+  /** Ends a host's process without a stop. */
+  killHost(index: number): void;
+  /** Starts a killed host again, under its name. */
+  restartHost(index: number): void;
   stop(): void;
 }
 
@@ -254,6 +258,8 @@
 
   function createHost(index: number): Pooler {
     const host = asId<HostId>(`h${index}`);
+    /** Hosts whose addresses this one has. */
+    let knownHosts: ReadonlySet<HostId> = new Set();
     return createPooler({
       store: createStore(host),
       dialer: {
@@ -287,10 +293,15 @@
         },
       },
       peers: {
-        setAddresses: () => addToCounter("address_lists", 1, { host }),
+        setAddresses(known) {
+          addToCounter("address_lists", 1, { host });
+          knownHosts = new Set(known.keys());
+        },
         send(to, msg) {
           addToCounter("peer_messages", 1, { kind: msg.kind });
-          if (!peerFaults.isLost && !messageFaults.isLost(host, to, msg)) {
+          const isLost = peerFaults.isLost || !knownHosts.has(to) ||
+            messageFaults.isLost(host, to, msg);
+          if (!isLost) {
             const { toldVersion: version } = peerFaults;
             const sent = msg.kind === "tell_version" && version !== undefined
               ? { ...msg, version }
@@ -298,7 +309,12 @@
             setTimeout(() => receivers.get(to)?.(host, sent), 1);
           }
         },
-        onMessage: (receiver) => void receivers.set(host, receiver),
+        onMessage: (receiver) =>
+          void receivers.set(host, (from, msg) => {
+            if (knownHosts.has(from)) {
+              receiver(from, msg);
+            }
+          }),
       },
       streams: network.createStreams(host),
       log: {
@@ -369,6 +385,16 @@
       poolers.push(pooler);
       pooler.start();
     },
+    killHost(index) {
+      const host = asId<HostId>(`h${index}`);
+      poolers[index]!.stop();
+      receivers.delete(host);
+      network.reset(host);
+    },
+    restartHost(index) {
+      poolers[index] = createHost(index);
+      poolers[index]!.start();
+    },
     stop() {
       poolers.forEach((pooler) => pooler.stop());
       vi.useRealTimers();
