Leave an expired host what it may use, and give back what has ended

Each peer computed the remainder of an expired host from the hosts that it counted alive itself. A single host that returned counted one, so the remainder was 2,500 of 10,000, more than any of the other rows had, and it reclaimed nothing, ever. The host that was cut off computed its own from the hosts that it knew: with six that had joined since, it used more than they left it (sum 12,084 of 10,000).

The remainder is now a quarter of the row, which both sides know; the ledger names the hosts that were reduced, so that this happens once. After a return of the store, when the row may be of a lost ledger, it stays at the minimum as before. All expired hosts are reclaimed in one update, at the check that finds them, and a host that is short takes what became free within 200 ms instead of at its next adjustment.

Rows of hosts that have left are removed once their stop is over. They kept a quarter for good: a fleet that was replaced host by host had 7,501 of 10,000.

Tests of share_leases fail before (12,084; 7,501) and pass now. The single host of fleet_return is still red, for the 45 s that a heartbeat takes to expire.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -126,6 +126,8 @@
   countConnectedHosts(): number;
   /** Other registered hosts whose heartbeat has expired. */
   listExpiredHosts(): readonly HostId[];
+  /** Other hosts that have left and whose stop is over. */
+  listLeftHosts(): readonly HostId[];
   /** Other hosts with an unexpired heartbeat that have not left. */
   listPeers(): readonly HostId[];
   /** Other hosts that may be running, also leaving and expired ones. */
@@ -270,7 +272,7 @@
     }
     if (key.startsWith(HOST_PREFIX) && hosts.has(key) === (version === 0)) {
       const event = version === 0 ? "host_left" : "host_seen";
-      io.log.info(event, { peer: key.slice(HOST_PREFIX.length) });
+      io.log.info(event, { peer: toHost(key) });
     }
     if (key.startsWith(HOST_PREFIX)) {
       if (version === 0) {
@@ -316,7 +318,7 @@
     for (const key of hosts) {
       const peers = tryGetRecord(key)?.peers;
       if (key !== ownKey && peers !== undefined) {
-        addresses.set(asId<HostId>(key.slice(HOST_PREFIX.length)), peers);
+        addresses.set(toHost(key), peers);
       }
     }
     return addresses;
@@ -379,7 +381,13 @@
 
   function listExpiredHosts(): readonly HostId[] {
     return [...hosts].filter((key) => key !== ownKey && isHeartbeatExpired(key))
-      .map((key) => asId<HostId>(key.slice(HOST_PREFIX.length)));
+      .map(toHost);
+  }
+
+  function listLeftHosts(): readonly HostId[] {
+    return [...hosts].filter((key) =>
+      key !== ownKey && tryGetRecord(key)?.beat === -1 && !isStillStopping(key)
+    ).map(toHost);
   }
 
   function computePeers(): Peers {
@@ -390,7 +398,7 @@
       if (key === ownKey) {
         continue;
       }
-      const host = asId<HostId>(key.slice(HOST_PREFIX.length));
+      const host = toHost(key);
       const record = tryGetRecord(key);
       if (record?.beat === -1) {
         if (isStillStopping(key)) {
@@ -445,6 +453,7 @@
     ],
     listPlacedHosts: () => getPeers().placed,
     listExpiredHosts,
+    listLeftHosts,
     isOwnHeartbeatExpired: () =>
       nowMs() - heartbeatAcceptedAt > getOwnTimeoutMs(),
     getOwnTimeoutMs,
@@ -489,6 +498,11 @@
   };
 }
 
+/** Returns the host of a registration's key. */
+function toHost(key: ObjectKey): HostId {
+  return asId<HostId>(key.slice(HOST_PREFIX.length));
+}
+
 function isSameList<T>(a: readonly T[], b: readonly T[]): boolean {
   return a.length === b.length && a.every((item, index) => item === b[index]);
 }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -432,6 +432,7 @@
 
   function runMaintenance(): void {
     clockJumps.getEpoch();
+    shares.checkLeases();
     forwarder.checkStreams();
     versionCheck.checkLater();
     directory.removeExpired();
--- a/src/pooling/share_ledger.ts
+++ b/src/pooling/share_ledger.ts
@@ -11,6 +11,11 @@
 export const FULL_SHARE = 10_000;
 /** Minimum share of a holder as a fraction of an even share. */
 const MIN_SHARE_FRACTION = 0.25;
+/**
+ * Fraction of its share that a host may use while it is isolated. Peers that
+ * reclaim the rest leave as much, whatever hosts each of them knows.
+ */
+const ISOLATED_FRACTION = 0.25;
 /**
  * Minimum part of the burst, in tokens, that a share must represent. Smaller
  * shares are of no use, so small workspaces have few holders and the other
@@ -31,12 +36,22 @@
 export interface Ledger {
   readonly shares: Readonly<Record<string, ShareRow>>;
   readonly wants: Readonly<Record<string, ShareRow>>;
+  /**
+   * Hosts whose rows peers have reduced to what an isolated host may use, until
+   * the host changes its row itself.
+   */
+  readonly reclaimed: readonly string[];
   /** Era of the store in which shares were last granted; 0 if it has none. */
   readonly era: number;
 }
 
 /** A ledger without any shares. */
-export const EMPTY_LEDGER: Ledger = { shares: {}, wants: {}, era: 0 };
+export const EMPTY_LEDGER: Ledger = {
+  shares: {},
+  wants: {},
+  reclaimed: [],
+  era: 0,
+};
 
 /** Decodes a stored value; returns undefined if it is not a ledger. */
 export function tryDecodeLedger(value: unknown): Ledger | undefined {
@@ -45,6 +60,9 @@
     ? {
       shares: ledger.shares,
       wants: ledger.wants,
+      reclaimed: Array.isArray(ledger.reclaimed)
+        ? ledger.reclaimed.filter((host) => typeof host === "string")
+        : [],
       era: typeof ledger.era === "number" ? ledger.era : 0,
     }
     : undefined;
@@ -148,6 +166,7 @@
       ...ledger,
       shares: { ...ledger.shares, [host]: shares },
       wants: { ...ledger.wants, [host]: wants },
+      reclaimed: ledger.reclaimed.filter((name) => name !== host),
     }
     : undefined;
 }
@@ -207,26 +226,74 @@
     }, 0);
 }
 
-/** Returns the ledger with an expired host's shares reduced to the minimum. */
+/** Lists the expired hosts with shares that peers have not reclaimed yet. */
+export function listReclaimable(
+  ledger: Ledger,
+  expired: readonly HostId[],
+): readonly HostId[] {
+  return expired.filter((host) =>
+    !ledger.reclaimed.includes(host) &&
+    Object.values(ledger.shares[host] ?? {}).some((share) => share > 0)
+  );
+}
+
+/**
+ * Returns the ledger with the rows of expired hosts reduced to what these may
+ * use, but not below `minShare`.
+ */
 export function reclaimShares(
   ledger: Ledger,
-  options: { readonly host: string; readonly hostCount: number },
+  options: { readonly hosts: readonly HostId[]; readonly minShare: number },
 ): Ledger {
-  const row = ledger.shares[options.host] ?? {};
-  const minShare = getMinShare(options.hostCount);
-  const reducedRow = Object.fromEntries(
-    Object.entries(row).map((
-      [name, share],
-    ) => [name, Math.min(share, minShare)]),
-  );
+  const { hosts, minShare } = options;
+  const shares: Record<string, ShareRow> = { ...ledger.shares };
+  const wants: Record<string, ShareRow> = { ...ledger.wants };
+  for (const host of hosts) {
+    shares[host] = Object.fromEntries(
+      Object.entries(shares[host] ?? {})
+        .map(([workspace, share]) => [
+          workspace,
+          Math.min(share, Math.max(toIsolatedShare(share), minShare)),
+        ]),
+    );
+    wants[host] = {};
+  }
   return {
     ...ledger,
-    shares: { ...ledger.shares, [options.host]: reducedRow },
-    wants: { ...ledger.wants, [options.host]: {} },
+    shares,
+    wants,
+    reclaimed: [...ledger.reclaimed, ...hosts],
   };
 }
 
-/** Returns the share that a host may use even while it is disconnected. */
+/** Returns the ledger without the rows of hosts that have ended. */
+export function removeRows(
+  ledger: Ledger,
+  hosts: readonly HostId[],
+): Ledger {
+  const removed = new Set<string>(hosts);
+  const withoutRemoved = (table: Ledger["shares"]) =>
+    Object.fromEntries(
+      Object.entries(table).filter(([host]) => !removed.has(host)),
+    );
+  return {
+    ...ledger,
+    shares: withoutRemoved(ledger.shares),
+    wants: withoutRemoved(ledger.wants),
+    reclaimed: ledger.reclaimed.filter((host) => !removed.has(host)),
+  };
+}
+
+/** Returns how much of its share a host may use while it is isolated. */
+export function getIsolatedShare(share: number, hostCount: number): number {
+  return Math.min(toIsolatedShare(share), getMinShare(hostCount));
+}
+
+function toIsolatedShare(share: number): number {
+  return Math.floor(share * ISOLATED_FRACTION);
+}
+
+/** Returns the minimum share of a holder in a fleet of this size. */
 export function getMinShare(hostCount: number): number {
   return Math.floor((FULL_SHARE / Math.max(1, hostCount)) * MIN_SHARE_FRACTION);
 }
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -12,10 +12,15 @@
   createInitialLedger,
   type Demand,
   EMPTY_LEDGER,
+  FULL_SHARE,
+  getIsolatedShare,
   getMinShare,
   type Ledger,
+  listReclaimable,
   reclaimShares,
+  removeRows,
   type ShareRow,
+  sumShares,
   tryAdjustRow,
   tryDecodeLedger,
 } from "./share_ledger.ts";
@@ -30,11 +35,18 @@
 const ADJUST_INTERVAL_MS = 2_000;
 /** Interval between two adjustments until this host has a row. */
 const INITIAL_ADJUST_INTERVAL_MS = 250;
+/**
+ * Longest delay of an adjustment that answers a change of the ledger, in a
+ * small fleet; random, so that few hosts conflict.
+ */
+const MAX_REACTION_DELAY_MS = 200;
+/** Probability that a host reclaims at one check what others see as well. */
+const RECLAIM_PROBABILITY = 0.3;
 /** Time that hosts have to register after this host first listed the fleet. */
 const REGISTRATION_WAIT_MS = 1_500;
 
-/** Shortage of a share below which none is logged. */
-const MIN_LOGGED_SHORTAGE = 500;
+/** Shortage of a share below which a workspace is not short. */
+const MIN_SHORTAGE = 500;
 
 /** An update of this host's row whose outcome is not known yet. */
 interface PendingUpdate {
@@ -53,6 +65,11 @@
   start(): void;
   /** Whether the ledger has a row for this host. */
   isReady(): boolean;
+  /**
+   * Ends the use of shares that are not confirmed in time, and reclaims those
+   * of expired hosts; call it periodically.
+   */
+  checkLeases(): void;
   /** Returns a host's share of a workspace in the last known ledger. */
   getShare(host: HostId, workspace: WorkspaceId): number;
 }
@@ -71,6 +88,7 @@
   let timer: NodeJS.Timeout | undefined;
   let initialTimer: NodeJS.Timeout | undefined;
   let pendingUpdates: PendingUpdate[] = [];
+  let reactionTimer: NodeJS.Timeout | undefined;
   let isBusy = false;
   let isStopped = false;
   let listedAt: number | undefined;
@@ -92,8 +110,9 @@
    */
   let shareLimits: ReadonlyMap<WorkspaceId, number> | undefined;
   let limitedAt = -Infinity;
-  /** Workspaces without enough shares at the last check. */
-  let loggedShortCount = 0;
+  /** Workspaces without enough shares at the last adjustment. */
+  let short: readonly WorkspaceId[] = [];
+  let wasExpired = true;
 
   function getStoredVersion(): number {
     return fleet.tryGet(LEDGER_KEY)?.version ?? 0;
@@ -151,8 +170,8 @@
 
   /**
    * Applies the smallest of the stored share and those of pending updates, and
-   * at most the minimum share while the stored row is not confirmed. While the
-   * ledger is of an older era, no share grows.
+   * only a part of it while the stored row is not confirmed. While the ledger
+   * is of an older era, no share grows.
    */
   function applyShares(): void {
     const version = getStoredVersion();
@@ -160,13 +179,17 @@
       update.version >= version
     );
     updateShareLimits();
-    const row = getLedger().shares[self] ?? {};
+    const ledger = getLedger();
+    const row = ledger.shares[self] ?? {};
     const isExpired = fleet.isOwnHeartbeatExpired();
     hasBeenInContact ||= !isExpired;
     isConfirmed &&= !(isExpired && hasBeenInContact);
     const isUsable = isConfirmed && !isExpired;
-    const minShare = getMinShare(fleet.countHosts());
-    const maxShare = isUsable ? Infinity : minShare;
+    const hostCount = fleet.countHosts();
+    const minShare = getMinShare(hostCount);
+    // A row that an update may have replaced can be reclaimed once more.
+    const isReduced = ledger.reclaimed.includes(self) &&
+      pendingUpdates.length === 0;
     for (const workspace of quotas.listDemand().keys()) {
       const shares = [
         row[workspace] ?? 0,
@@ -175,25 +198,29 @@
       const limit = shareLimits
         ? shareLimits.get(workspace) ?? minShare
         : Infinity;
-      const share = Math.min(maxShare, limit, ...shares);
+      const granted = Math.min(...shares);
+      const share = Math.min(
+        limit,
+        isUsable || isReduced ? granted : getIsolatedShare(granted, hostCount),
+      );
       usedShares.set(workspace, share);
       quotas.setShare(workspace, share);
     }
   }
 
-  /** Logs who holds the shares that this host needs, whenever that changes. */
-  function logShortage(
+  /** Notes which workspaces are short, and logs a change of their number. */
+  function updateShortage(
     ledger: Ledger,
     demand: ReadonlyMap<WorkspaceId, Demand>,
   ): void {
     const row = ledger.shares[self] ?? {};
-    const short = [...demand].filter(([workspace, { share }]) =>
-      share > (row[workspace] ?? 0) + MIN_LOGGED_SHORTAGE
+    const previousCount = short.length;
+    short = [...demand].filter(([workspace, { share }]) =>
+      share > (row[workspace] ?? 0) + MIN_SHORTAGE
     ).map(([workspace]) => workspace);
-    if (short.length === loggedShortCount) {
+    if (short.length === previousCount) {
       return;
     }
-    loggedShortCount = short.length;
     const sumOf = (hosts: readonly string[]) =>
       hosts.flatMap((host) =>
         short.map((workspace) => ledger.shares[host]?.[workspace] ?? 0)
@@ -208,6 +235,24 @@
     });
   }
 
+  /** Takes shares soon that others have given up and this host needs. */
+  function takeFreeShares(): void {
+    const ledger = getLedger();
+    const isFree = short.some((workspace) =>
+      FULL_SHARE - sumShares(ledger, workspace) >= MIN_SHORTAGE
+    );
+    if (isFree && reactionTimer === undefined && !isStopped) {
+      reactionTimer = setTimeout(
+        () => {
+          reactionTimer = undefined;
+          void syncShares();
+        },
+        MAX_REACTION_DELAY_MS * getIntervalFactor(fleet.countHosts()) *
+          io.random(),
+      );
+    }
+  }
+
   async function putLedger(next: Ledger): Promise<void> {
     const version = getStoredVersion();
     const row = next.shares[self] ?? {};
@@ -281,14 +326,23 @@
       return;
     }
     const hosts = [self, ...fleet.listPeers()].sort();
-    const hostCount = hosts.length;
-    const expiredHost = fleet.listExpiredHosts().find((host) =>
-      Object.values(ledger.shares[host] ?? {})
-        .some((share) => share > getMinShare(hostCount))
+    const left = fleet.listLeftHosts().filter((host) => ledger.shares[host]);
+    const expired = listReclaimable(
+      ledger,
+      fleet.listExpiredHosts().filter((host) => !left.includes(host)),
     );
-    if (expiredHost) {
-      io.log.info("shares_reclaimed", { peer: expiredHost });
-      const next = reclaimShares(ledger, { host: expiredHost, hostCount });
+    if (expired.length + left.length > 0) {
+      io.log.info("shares_reclaimed", {
+        expired: expired.join(),
+        left: left.join(),
+      });
+      const reduced = reclaimShares(ledger, {
+        hosts: expired,
+        // An expired host may have had a larger share in a lost ledger, of
+        // which it uses no more than the minimum.
+        minShare: fleet.hasStoreReturned() ? getMinShare(hosts.length) : 0,
+      });
+      const next = removeRows(reduced, left);
       await putLedger({ ...next, era });
       return;
     }
@@ -304,7 +358,7 @@
       );
       return;
     }
-    logShortage(ledger, demand);
+    updateShortage(ledger, demand);
     const next = tryAdjustRow(ledger, { host: self, hosts, demand });
     if (next || ledger.era !== era) {
       await putLedger({ ...(next ?? ledger), era });
@@ -316,6 +370,7 @@
       fleet.onChange((key) => {
         if (key === LEDGER_KEY) {
           applyShares();
+          takeFreeShares();
           if (fleet.isLoaded() && getStoredVersion() === 0) {
             void syncShares();
           }
@@ -354,10 +409,25 @@
       }, INITIAL_ADJUST_INTERVAL_MS * (0.5 + io.random()));
     },
     getShare: (host, workspace) => getLedger().shares[host]?.[workspace] ?? 0,
+    checkLeases() {
+      const isExpired = fleet.isOwnHeartbeatExpired();
+      if (isExpired !== wasExpired) {
+        wasExpired = isExpired;
+        applyShares();
+        void syncShares();
+      }
+      const expired = fleet.listExpiredHosts();
+      const isReclaimable = expired.length > 0 &&
+        listReclaimable(getLedger(), expired).length > 0;
+      if (isReclaimable && io.random() < RECLAIM_PROBABILITY) {
+        void syncShares();
+      }
+    },
     isReady: () => getLedger().shares[self] !== undefined,
     stop() {
       isStopped = true;
       clearTimeout(timer);
+      clearTimeout(reactionTimer);
       clearInterval(initialTimer);
     },
   };
--- a/test/pooling_parts.test.ts
+++ b/test/pooling_parts.test.ts
@@ -19,6 +19,7 @@
   FULL_SHARE,
   type Ledger,
   listHolders,
+  listReclaimable,
   reclaimShares,
   sumShares,
   tryAdjustRow,
@@ -59,7 +60,10 @@
         ]);
         ledger = kind === "adjust"
           ? tryAdjustRow(ledger, { host, hosts: HOSTS, demand }) ?? ledger
-          : reclaimShares(ledger, { host, hostCount: HOSTS.length });
+          : reclaimShares(ledger, {
+            hosts: listReclaimable(ledger, [host]),
+            minShare: 100,
+          });
         expect(sumShares(ledger, WORKSPACE)).toBeLessThanOrEqual(FULL_SHARE);
       }
     }),
@@ -67,6 +71,23 @@
   );
 });
 
+test("a row is reclaimed once, until its host changes it", () => {
+  const demand = new Map([[WORKSPACE, { share: 3_000, burst: 100 }]]);
+  const [a] = HOSTS as [HostId];
+  let ledger: Ledger = {
+    ...EMPTY_LEDGER,
+    shares: { [a]: { [WORKSPACE]: 8_000 } },
+  };
+  ledger = reclaimShares(ledger, {
+    hosts: listReclaimable(ledger, [a]),
+    minShare: 0,
+  });
+  expect(ledger.shares[a]).toEqual({ [WORKSPACE]: 2_000 });
+  expect(listReclaimable(ledger, [a])).toEqual([]);
+  ledger = tryAdjustRow(ledger, { host: a, hosts: [a], demand })!;
+  expect(listReclaimable(ledger, [a])).toEqual([a]);
+});
+
 test("a host returns the share that another host wants, and no more", () => {
   const demand = (share: number) =>
     new Map([[WORKSPACE, { share, burst: 100 }]]);
@@ -75,6 +96,7 @@
   let ledger: Ledger = {
     shares: { [a]: { [WORKSPACE]: 8_000 }, [b]: { [WORKSPACE]: 2_000 } },
     wants: {},
+    reclaimed: [],
     era: 3,
   };
   ledger = tryAdjustRow(ledger, { host: b, hosts, demand: demand(5_000) })!;
--- a/test/share_hosts.ts
+++ b/test/share_hosts.ts
@@ -65,6 +65,7 @@
         fleet.start();
         shares.start();
       },
+      leave: () => fleet.leave(),
       stop() {
         shares.stop();
         fleet.stop();
--- a/test/share_sync.test.ts
+++ b/test/share_sync.test.ts
@@ -43,6 +43,8 @@
     applyObject() {},
     countHosts: () => 4,
     listExpiredHosts: () => [],
+    listLeftHosts: () => [],
+    hasStoreReturned: () => false,
     listPeers: () => [],
     getOwnTimeoutMs: () => 30_000,
     isOwnHeartbeatExpired: () => state.isHeartbeatExpired,
