Reach the store through a peer that it serves

The store turned six of seven hosts away; they had lost all that they knew, and could learn it only from the store, though the seventh had all of it and reached them. The class of the fault: state that several hosts hold can be had from one place only.

A call that gets no answer is followed by others through a peer that the store serves: over a host stream, one path for each call, with the era of the response. A host that has just started knows no peer, so hosts that the store serves introduce themselves to registered hosts that they do not hear.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -261,6 +261,7 @@
   | "host_stream_errors_total"
   | "store_era_changes_total"
   | "store_era_losses_total"
+  | "store_relayed_calls_total"
   | "quota_borrowed_total";
 
 /** Names of the histograms; values are in milliseconds. */
--- a/src/host/datagram_peers.ts
+++ b/src/host/datagram_peers.ts
@@ -28,11 +28,15 @@
   const invalidAddresses = new Map<HostId, string>();
   const hostsByAddress = new Map<string, HostId>();
   let receive: PeerReceiver = () => {};
+  let acceptIntroduction: Parameters<PoolPeers["onIntroduction"]>[0] = () =>
+    false;
 
   socket.on("error", (err) => log.info("peers_failed", { detail: `${err}` }));
   socket.on("message", (data, from) => {
-    const sender = hostsByAddress.get(`${from.address}:${from.port}`);
+    const fromAddress = `${from.address}:${from.port}`;
     const msg = tryDecode(data);
+    const sender = hostsByAddress.get(fromAddress) ??
+      tryGetIntroduced(msg, fromAddress);
     const labels = { channel: "datagram", direction: "in" };
     metrics.count("control_messages_total", labels);
     if (sender !== undefined && msg) {
@@ -42,6 +46,17 @@
     }
   });
 
+  /** Returns an unknown sender that may introduce itself with its message. */
+  function tryGetIntroduced(
+    msg: PoolPeerMessage | undefined,
+    senderAddress: string,
+  ): HostId | undefined {
+    return (msg?.kind === "ask_store" || msg?.kind === "tell_store") &&
+        acceptIntroduction(msg.host, senderAddress)
+      ? msg.host
+      : undefined;
+  }
+
   function recordInvalid(id: HostId, hostAddress: string): void {
     if (invalidAddresses.get(id) !== hostAddress) {
       invalidAddresses.set(id, hostAddress);
@@ -72,6 +87,9 @@
       metrics.count("control_messages_total", labels);
       socket.send(pack(msg), Number(toPort), ip);
     },
+    onIntroduction(accept) {
+      acceptIntroduction = accept;
+    },
     onMessage(receiver) {
       receive = receiver;
     },
--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -1,4 +1,7 @@
-/** Streams of forwarded commands: MessagePack frames over WebSocket. */
+/**
+ * Streams of forwarded commands and of calls to the store: MessagePack frames
+ * over WebSocket.
+ */
 
 import type { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage } from "node:http";
@@ -193,7 +196,7 @@
 }
 
 function isResponse({ kind }: ForwardMessage): boolean {
-  return kind === "reply" || kind === "leaving";
+  return kind === "reply" || kind === "leaving" || kind === "store_reply";
 }
 
 function tryDecode(packr: Packr, data: Buffer): ForwardMessage | undefined {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -46,6 +46,7 @@
   forwarded_commands_total: "Commands sent to other hosts, by kind",
   host_stream_errors_total: "Streams of other hosts ended as malformed",
   store_era_changes_total: "Returns of the store to an earlier copy",
+  store_relayed_calls_total: "Calls to the store for other hosts, by result",
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
   request_ms: "Time from a request to its answer in milliseconds",
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -18,7 +18,7 @@
 } from "./execution.ts";
 import { getPreparedName, type RequiredContext } from "./link_context.ts";
 import type {
-  ForwardRequest,
+  ConnectionRequest,
   ForwardResponse,
   HostStream,
   HostStreamHandlers,
@@ -37,7 +37,7 @@
   accept(
     from: HostId,
     stream: HostStream<ForwardResponse>,
-  ): HostStreamHandlers<ForwardRequest>;
+  ): HostStreamHandlers<ConnectionRequest>;
   /** Number of channels with a command at work or an open transaction. */
   countChannels(): number;
   /** Tells the other hosts to use other holders for new channels. */
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -17,6 +17,10 @@
 const OBJECT_KIND = "turmericchute-fleet";
 const HOST_PREFIX = `${OBJECT_KIND}/host.`;
 const LEASE_PREFIX = `${OBJECT_KIND}/duty.`;
+/** Whether the object is one of those that hosts share. */
+export function isSharedKey(key: ObjectKey): boolean {
+  return key.startsWith(`${OBJECT_KIND}/`);
+}
 /** Key of the quota share ledger. */
 export const LEDGER_KEY = asId<ObjectKey>(`${OBJECT_KIND}/shares`);
 
@@ -27,6 +31,8 @@
 const HEARTBEAT_INTERVAL_MS = 10_000;
 /** Heartbeat intervals without a heartbeat after which a peer has expired. */
 const PEER_TIMEOUT_INTERVALS = 4.5;
+/** Heartbeat intervals after which a peer's next heartbeat is overdue. */
+const OVERDUE_INTERVALS = 1.5;
 /**
  * Heartbeat intervals for which a host may use its quota shares while the store
  * accepts no heartbeat; less than `PEER_TIMEOUT_INTERVALS`, so that the host
@@ -91,6 +97,8 @@
   readonly version: number;
   /** Time of the observation, on the monotonic clock. */
   readonly observedAt: number;
+  /** Whether it was there when this process first listed the objects. */
+  readonly isFromFirstList: boolean;
 }
 
 /** Other hosts, as computed from the heartbeats. */
@@ -126,6 +134,11 @@
   countConnectedHosts(): number;
   /** Other registered hosts whose heartbeat has expired. */
   listExpiredHosts(): readonly HostId[];
+  /**
+   * Other hosts that have not left, and whose heartbeat is overdue or was not
+   * seen by this process.
+   */
+  listUnheard(): readonly HostId[];
   /** Other hosts that have left and whose stop is over. */
   listLeftHosts(): readonly HostId[];
   /** Other hosts with an unexpired heartbeat that have not left. */
@@ -176,6 +189,8 @@
     readonly self: HostId;
     readonly peerAddress: string;
     readonly domain: DomainId;
+    /** Sets the addresses of the other registered hosts. */
+    setAddresses(addresses: ReadonlyMap<HostId, string>): void;
   },
 ): Fleet {
   const { self } = options;
@@ -268,7 +283,11 @@
       objects.set(key, { ...object, value: known.value });
     } else {
       objects.set(key, object);
-      observed.set(key, { version, observedAt: nowMs() });
+      observed.set(key, {
+        version,
+        observedAt: nowMs(),
+        isFromFirstList: !hasStarted,
+      });
     }
     if (key.startsWith(HOST_PREFIX) && hosts.has(key) === (version === 0)) {
       const event = version === 0 ? "host_left" : "host_seen";
@@ -289,9 +308,7 @@
     const changed = arrived.filter(copyObject);
     if (changed.some(({ key }) => key.startsWith(HOST_PREFIX))) {
       cachedPeers = { ...cachedPeers, computedAt: -Infinity };
-      const addresses = listAddresses();
-      io.peers.setAddresses(addresses);
-      io.streams.setAddresses(addresses);
+      options.setAddresses(listAddresses());
     }
     for (const { key } of changed) {
       listeners.forEach((listener) => listener(key));
@@ -384,6 +401,16 @@
       .map(toHost);
   }
 
+  function listUnheard(): readonly HostId[] {
+    const overdueMs = OVERDUE_INTERVALS * getHeartbeatIntervalMs();
+    return [...hosts].filter((key) => {
+      const seen = observed.get(key);
+      return key !== ownKey && tryGetRecord(key)?.beat !== -1 &&
+        (seen?.isFromFirstList !== false ||
+          nowMs() - seen.observedAt > overdueMs);
+    }).map(toHost);
+  }
+
   function listLeftHosts(): readonly HostId[] {
     return [...hosts].filter((key) =>
       key !== ownKey && tryGetRecord(key)?.beat === -1 && !isStillStopping(key)
@@ -453,6 +480,7 @@
     ],
     listPlacedHosts: () => getPeers().placed,
     listExpiredHosts,
+    listUnheard,
     listLeftHosts,
     isOwnHeartbeatExpired: () =>
       nowMs() - heartbeatAcceptedAt > getOwnTimeoutMs(),
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -201,6 +201,10 @@
               holderStream.isLeaving = true;
               io.log.info("holder_leaving", { holder: host });
               return;
+            case "store_reply":
+              // This stream carries no calls to the store.
+              io.log.info("store_reply_unexpected", { holder: host });
+              return;
             default:
               assertNever(msg);
           }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -3,7 +3,9 @@
 import { assertNever } from "../core/errors.ts";
 import type { DomainId, HostId, ServiceId } from "../core/ids.ts";
 import type { Result } from "ts-results-es";
+import { createEraStore } from "../core/store_era.ts";
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
+import { createAddressBook } from "./address_book.ts";
 import { createCatalogHolder } from "./catalog.ts";
 import { nowMs } from "../core/clock.ts";
 import { createConnectionHolder } from "./connection_holder.ts";
@@ -15,7 +17,7 @@
 import { createFencing } from "./fencing.ts";
 import { createLogCopies } from "./log_copies.ts";
 import { createStepDownRequests } from "./step_down_requests.ts";
-import { createFleet } from "./fleet.ts";
+import { createFleet, isSharedKey, LEDGER_KEY } from "./fleet.ts";
 import { createForwarder } from "./forwarder.ts";
 import { createHolders } from "./holders.ts";
 import { createPositionSharing } from "./position_sharing.ts";
@@ -36,9 +38,11 @@
   type SessionOptions,
 } from "./session.ts";
 import { createShareSync } from "./share_sync.ts";
+import { createStoreAccess } from "./store_access.ts";
 import { createStoreFeed } from "./store_feed.ts";
+import { createStoreRelay } from "./store_relay.ts";
 import { isSameProcess } from "./target_pool.ts";
-import type { Catalog, PoolIo, TargetRecord } from "./types.ts";
+import type { Catalog, PoolerIo, PoolIo, TargetRecord } from "./types.ts";
 
 /**
  * Interval of all periodic checks, in milliseconds. They share one timer: timers
@@ -129,11 +133,34 @@
   isReplacingPrimary(): boolean;
 }
 
-/** Creates a session pool whose I/O all goes through `io`. */
-export function createPooler(io: PoolIo, options: PoolerOptions): Pooler {
+/** Creates a session pool whose I/O all goes through `poolerIo`. */
+export function createPooler(
+  poolerIo: PoolerIo,
+  options: PoolerOptions,
+): Pooler {
   const { decoding } = options;
+  const addresses = createAddressBook(poolerIo);
+  const storeAccess = createStoreAccess(poolerIo, {
+    self: options.host,
+    direct: poolerIo.storeCalls,
+    probeKey: LEDGER_KEY,
+    listPeers: () => [
+      ...new Set([...fleet.listPeers(), ...addresses.listIntroduced()]),
+    ],
+    listUnheard: () => fleet.listUnheard(),
+    onDirect: addresses.clearIntroduced,
+  });
+  const storeRelay = createStoreRelay(poolerIo, {
+    calls: poolerIo.storeCalls,
+    isDirect: () => storeAccess.getPath() === "direct",
+    isWritable: isSharedKey,
+  });
+  const io: PoolIo = { ...poolerIo, store: createEraStore(storeAccess.calls) };
   const clockJumps = createClockJumpDetector();
-  clockJumps.onJump((driftMs) => io.log.info("clock_jumped", { driftMs }));
+  clockJumps.onJump((driftMs) => {
+    io.log.info("clock_jumped", { driftMs });
+    storeAccess.forgetAnswers();
+  });
   io.store.eras?.onRise(({ era, previous }) => {
     io.log.info("store_era_changed", { era, previous });
     io.metrics.count("store_era_changes_total", {});
@@ -184,6 +211,7 @@
     self: options.host,
     peerAddress: options.peerAddress,
     domain: options.domain,
+    setAddresses: addresses.setRegistered,
   });
   const versionCheck = createVersionCheck(io, {
     isFleetLoaded: fleet.isLoaded,
@@ -264,7 +292,25 @@
     },
   });
   const connectionHolder = createConnectionHolder(ctx);
-  io.streams.onAccept(connectionHolder.accept);
+  io.streams.onAccept((from, stream) => {
+    const holder = connectionHolder.accept(from, stream);
+    return {
+      ...holder,
+      onMessage: (msg) =>
+        msg.kind === "store_call"
+          ? storeRelay.serve(from, stream, msg)
+          : holder.onMessage(msg),
+    };
+  });
+  io.peers.onIntroduction((host, address) => {
+    // The list of a host that the store serves is up to date.
+    const isAccepted = host !== options.host &&
+      storeAccess.getPath() !== "direct";
+    if (isAccepted) {
+      addresses.addIntroduced(host, address);
+    }
+    return isAccepted;
+  });
   io.peers.onMessage((from, msg) => {
     switch (msg.kind) {
       case "borrow":
@@ -283,6 +329,10 @@
         return versionCheck.handleRequest(from, msg);
       case "tell_version":
         return versionCheck.handleReply(from, msg);
+      case "ask_store":
+        return storeAccess.handleAsk(from, msg);
+      case "tell_store":
+        return storeAccess.handleTell(from, msg);
       default:
         return assertNever(msg);
     }
@@ -432,6 +482,7 @@
 
   function runMaintenance(): void {
     clockJumps.getEpoch();
+    storeAccess.check();
     shares.checkLeases();
     forwarder.checkStreams();
     versionCheck.checkLater();
@@ -504,6 +555,7 @@
       dispatcher.close();
       forwarder.stop();
       connectionHolder.stop();
+      storeAccess.stop();
     },
   };
 }
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -10,6 +10,7 @@
   TargetId,
   WorkspaceId,
 } from "../core/ids.ts";
+import type { EraCalls } from "../core/store_era.ts";
 import type { MetricsSink, PlatformStore, Position } from "../core/types.ts";
 import type { PoolPeerMessage } from "../generated/pool_peer.ts";
 import type {
@@ -17,6 +18,8 @@
   ForwardLeaving,
   ForwardReply,
   ForwardRun,
+  StoreCall,
+  StoreReply,
 } from "../generated/pool_forward.ts";
 import type { PoolErrKind } from "./errors.ts";
 
@@ -274,9 +277,15 @@
 export interface PoolPeers {
   send(to: HostId, msg: PoolPeerMessage): void;
   /**
-   * Sets the other hosts' addresses; messages from unknown hosts are ignored.
+   * Sets the other hosts' addresses. Messages from unknown hosts are ignored,
+   * unless they introduce themselves.
    */
   setAddresses(known: ReadonlyMap<HostId, string>): void;
+  /**
+   * Sets the function that decides whether an unknown host which asks for the
+   * store, or offers it, is heard. It may add the address to the known ones.
+   */
+  onIntroduction(accept: (host: HostId, address: string) => boolean): void;
   onMessage(receiver: PeerReceiver): void;
 }
 
@@ -297,9 +306,11 @@
 }
 
 /** Message from the host that uses a connection to the one that holds it. */
-export type ForwardRequest = ForwardRun | ForwardClose;
-/** Message from the host that holds a connection. */
-export type ForwardResponse = ForwardReply | ForwardLeaving;
+export type ConnectionRequest = ForwardRun | ForwardClose;
+/** Message of the host that has opened a stream. */
+export type ForwardRequest = ConnectionRequest | StoreCall;
+/** Message of the host that has accepted a stream. */
+export type ForwardResponse = ForwardReply | ForwardLeaving | StoreReply;
 
 /** Opens and accepts streams of forwarded commands. */
 export interface HostStreams {
@@ -333,7 +344,14 @@
 }
 
 /** All I/O dependencies of a session pool. */
+export interface PoolerIo extends Omit<PoolIo, "store"> {
+  /** Calls to the store over this host's own connections. */
+  readonly storeCalls: EraCalls;
+}
+
+/** I/O dependencies of the modules of a session pool. */
 export interface PoolIo {
+  /** The store, also where only a peer can reach it. */
   readonly store: PlatformStore;
   readonly dialer: TargetDialer;
   readonly promoter: Promoter;
--- a/test/host_streams.test.ts
+++ b/test/host_streams.test.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo } from "node:net";
 import fc from "fast-check";
 import { Packr } from "msgpackr";
-import { afterEach, beforeEach, expect, test } from "vitest";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { WebSocket } from "ws";
 import { asId, type HostId } from "../src/core/ids.ts";
 import {
@@ -222,3 +222,35 @@
   );
   expect(detail).toContain("ECONNREFUSED");
 });
+
+test("calls to the store and their replies pass with values as they are", async () => {
+  const replies: ForwardResponse[] = [];
+  const stream = entry.open(HOLDER, {
+    onOpen: () =>
+      stream.send({
+        kind: "store_call",
+        id: 4,
+        request: {
+          kind: "put",
+          key: asId("fleet/a"),
+          value: { list: [1, { x: null }] },
+          ifVersion: 0,
+        },
+      }),
+    onMessage: (msg) => void replies.push(msg),
+    onClose: (detail) => void closed.push(detail),
+  });
+  await vi.waitFor(() => expect(received).toHaveLength(1));
+  accepted[0]!.send({
+    kind: "store_reply",
+    id: 4,
+    era: 2,
+    result: {
+      kind: "conflict",
+      current: { key: asId("fleet/a"), version: 7, value: { list: [] } },
+    },
+  });
+  await vi.waitFor(() => expect(replies).toHaveLength(1));
+  expect({ received, replies, closed }).toMatchSnapshot();
+  stream.close();
+});
--- a/test/memory_streams.ts
+++ b/test/memory_streams.ts
@@ -36,6 +36,8 @@
 /** Creates a network without hosts. */
 export function createMemoryNetwork(): MemoryNetwork {
   const accepts = new Map<HostId, Accept>();
+  /** Hosts whose addresses each host has. */
+  const knownBy = new Map<HostId, ReadonlySet<HostId>>();
   const silentHosts = new Set<HostId>();
   const suspendedHosts = new Set<HostId>();
   const heldBack: (() => void)[] = [];
@@ -71,7 +73,11 @@
         }
       },
     };
-    const accept = accepts.get(to);
+    const isKnown = (host: HostId, other: HostId) =>
+      knownBy.get(host)?.has(other) === true;
+    const accept = isKnown(from, to) && isKnown(to, from)
+      ? accepts.get(to)
+      : undefined;
     if (!accept) {
       setTimeout(connection.reset, DELAY_MS);
     }
@@ -105,7 +111,7 @@
     createStreams: (host) => ({
       open: (to, handlers) => open(host, to, handlers),
       onAccept: (accept) => void accepts.set(host, accept),
-      setAddresses() {},
+      setAddresses: (known) => void knownBy.set(host, new Set(known.keys())),
     }),
     reset: (host) =>
       [...connections].filter(({ hosts }) => hosts.includes(host))
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -3,8 +3,8 @@
 import { Err } from "ts-results-es";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
 import { sleep } from "../src/core/clock.ts";
-import { createEraStore } from "../src/core/store_era.ts";
-import type { PlatformStore, StoredObject } from "../src/core/types.ts";
+import type { EraCalls } from "../src/core/store_era.ts";
+import type { StoredObject } from "../src/core/types.ts";
 import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
 import type { Session } from "../src/pooling/session.ts";
 import type {
@@ -12,6 +12,7 @@
   Consistency,
   LogFields,
   PeerReceiver,
+  PoolPeers,
   Statement,
   StatementAnswer,
   TargetLink,
@@ -214,13 +215,13 @@
     put(asId<ObjectKey>(`targets/${id}`), { ...record, ...overrides });
   }
 
-  function createStore(host: string): PlatformStore {
-    return createEraStore(createEraCalls(store, {
+  function createStoreCalls(host: string): EraCalls {
+    return createEraCalls(store, {
       isUnreachable: () =>
         hostsWithoutStore.has(host) || hostsWithoutStore.has("all"),
       getResponseDelayMs: () => storeFaults.getResponseDelayMs(),
       isAnswerLost: (key) => storeFaults.isAnswerLost(host, key),
-    }));
+    });
   }
 
   async function delayReply(
@@ -260,8 +261,10 @@
     const host = asId<HostId>(`h${index}`);
     /** Hosts whose addresses this one has. */
     let knownHosts: ReadonlySet<HostId> = new Set();
+    let acceptIntroduction: Parameters<PoolPeers["onIntroduction"]>[0] = () =>
+      false;
     return createPooler({
-      store: createStore(host),
+      storeCalls: createStoreCalls(host),
       dialer: {
         tryParseReport: createTargetDialer().tryParseReport,
         dial(target, { workspace, timeoutMs }) {
@@ -311,10 +314,17 @@
         },
         onMessage: (receiver) =>
           void receivers.set(host, (from, msg) => {
-            if (knownHosts.has(from)) {
+            const isIntroduction = msg.kind === "ask_store" ||
+              msg.kind === "tell_store";
+            const isHeard = knownHosts.has(from) ||
+              (isIntroduction && acceptIntroduction(from, `at ${from}`));
+            if (isHeard) {
               receiver(from, msg);
             }
           }),
+        onIntroduction(accept) {
+          acceptIntroduction = accept;
+        },
       },
       streams: network.createStreams(host),
       log: {
--- a/test/pooling_parts.test.ts
+++ b/test/pooling_parts.test.ts
@@ -411,6 +411,7 @@
     peers: {
       setAddresses() {},
       send: (_to, msg) => void sent.push(msg),
+      onIntroduction() {},
       onMessage() {},
     },
     metrics: createMetrics(),
--- a/test/share_hosts.ts
+++ b/test/share_hosts.ts
@@ -35,8 +35,6 @@
         getRequestDelayMs: () => state.requestDelayMs,
       })),
       log: { info: (event: string) => void events.push(event) },
-      peers: { setAddresses() {} },
-      streams: { setAddresses() {} },
       metrics: { count() {}, add() {} },
       random,
     } as unknown as PoolIo;
@@ -45,6 +43,7 @@
       self,
       peerAddress: `127.0.0.1:${index}`,
       domain: asId("d1"),
+      setAddresses() {},
     });
     const quotas = {
       setShare: (_: WorkspaceId, share: number) => void (state.share = share),
--- a/test/single_host_fleet.ts
+++ b/test/single_host_fleet.ts
@@ -16,12 +16,11 @@
   return createFleet({
     store: createMemoryStore(core),
     log: { info() {} },
-    peers: { setAddresses() {} },
-    streams: { setAddresses() {} },
     random: () => 0.5,
   } as unknown as PoolIo, {
     self: asId<HostId>("h0"),
     peerAddress: "127.0.0.1:1",
     domain: asId("d1"),
+    setAddresses() {},
   });
 }
--- a/test/store_return.test.ts
+++ b/test/store_return.test.ts
@@ -21,14 +21,13 @@
         getResponseDelayMs: () => state.responseDelayMs,
       })),
       log: { info: (event: string) => void events.push(event) },
-      peers: { setAddresses() {} },
-      streams: { setAddresses() {} },
       metrics: { count() {}, add() {} },
       random: () => 0.5,
     } as unknown as PoolIo, {
       self: asId<HostId>(`h${index}`),
       peerAddress: `127.0.0.1:${index}`,
       domain: asId("d1"),
+      setAddresses() {},
     });
     return { view, state, events };
   });
--- a/test/store_return_failover.test.ts
+++ b/test/store_return_failover.test.ts
@@ -153,6 +153,8 @@
   const [order] = fleet.orders;
   await vi.advanceTimersByTimeAsync(1_000);
   fleet.hostsWithoutStore.add(order!.holder);
+  fleet.messageFaults.isLost = (from, to) =>
+    from === order!.holder || to === order!.holder;
   fleet.returnStore(copy);
   await vi.advanceTimersByTimeAsync(1_500);
   expect(fleet.store.get(LEASE_KEY).value).toBeUndefined();
