Check leases less often, and survive calls that a relay cannot send

The checks for hosts to introduce oneself to and for rows to reclaim went over all hosts ten times a second; they now run every 0.5 s and 0.2 s, and less often in larger fleets. A relayed request that the client of the store cannot encode rejected a promise that nobody held, which ends the process; it is answered as rejected (new test).

--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -40,8 +40,10 @@
  * small fleet; random, so that few hosts conflict.
  */
 const MAX_REACTION_DELAY_MS = 200;
+/** Interval of the checks for shares to reclaim, in a small fleet. */
+const RECLAIM_CHECK_INTERVAL_MS = 200;
 /** Probability that a host reclaims at one check what others see as well. */
-const RECLAIM_PROBABILITY = 0.3;
+const RECLAIM_PROBABILITY = 0.5;
 /** Time that hosts have to register after this host first listed the fleet. */
 const REGISTRATION_WAIT_MS = 1_500;
 
@@ -112,6 +114,7 @@
   /** Workspaces without enough shares at the last adjustment. */
   let short: readonly WorkspaceId[] = [];
   let wasExpired = true;
+  let reclaimCheckedAt = -Infinity;
 
   function getStoredVersion(): number {
     return fleet.tryGet(LEDGER_KEY)?.version ?? 0;
@@ -444,10 +447,16 @@
     checkOwnLease,
     checkLeases() {
       checkOwnLease();
-      const expired = fleet.listExpiredHosts();
-      const isReclaimable = expired.length > 0 &&
-        listReclaimable(getLedger(), expired).length > 0;
-      if (isReclaimable && io.random() < RECLAIM_PROBABILITY) {
+      const intervalMs = RECLAIM_CHECK_INTERVAL_MS *
+        getIntervalFactor(fleet.countHosts());
+      if (nowMs() - reclaimCheckedAt < intervalMs) {
+        return;
+      }
+      reclaimCheckedAt = nowMs();
+      const { left, expired } = listUnusedRows(getLedger());
+      if (
+        left.length + expired.length > 0 && io.random() < RECLAIM_PROBABILITY
+      ) {
         void syncShares();
       }
     },
--- a/src/pooling/store_access.ts
+++ b/src/pooling/store_access.ts
@@ -126,6 +126,8 @@
       directAnsweredAt = nowMs();
       if (isDirectDown) {
         isDirectDown = false;
+        answers.clear();
+        pausedUntil.clear();
         relay?.retire();
         options.onDirect();
       }
@@ -278,13 +280,9 @@
         }
         return;
       }
-      const unheard = options.listUnheard();
       const intervalMs = INTRODUCE_INTERVAL_MS *
         getIntervalFactor(options.listPeers().length);
-      if (
-        getPath() === "direct" && unheard.length > 0 &&
-        now - introducedAt >= intervalMs
-      ) {
+      if (getPath() === "direct" && now - introducedAt >= intervalMs) {
         introduce();
       }
     },
@@ -297,6 +295,9 @@
       });
     },
     handleTell(from, { id, path }) {
+      if (getPath() === "direct") {
+        return;
+      }
       const questionAt = id === undefined ? undefined : questions.get(id);
       if (id !== undefined && questionAt === undefined) {
         return;
--- a/src/pooling/store_relay.ts
+++ b/src/pooling/store_relay.ts
@@ -88,7 +88,12 @@
         return;
       }
       callCount++;
-      const res = await call(from, request);
+      // A request that no call can carry must not end the process.
+      const res = await call(from, request).catch((err: unknown) => {
+        const detail = `${err}`;
+        io.log.info("relayed_call_failed", { peer: from, detail });
+        return createFailure({ kind: "rejected", detail });
+      });
       callCount--;
       stream.send(toReply(id, res));
     },
--- a/test/store_access.test.ts
+++ b/test/store_access.test.ts
@@ -101,51 +101,64 @@
   expect([...published.at(-1)!]).toEqual([[a, "10.0.0.3:1"]]);
 });
 
-// Guards against a relay through which a peer could change what others own.
-test("a relay writes only objects of the hosts, and only over its own path", async () => {
-  const written: string[] = [];
+/** Creates a relay that serves writes of host `h1`, and collects its replies. */
+function createRelay(calls: EraCalls, isDirect = () => true) {
   const sent: ForwardResponse[] = [];
-  const calls = {
-    put: (key: ObjectKey) => {
-      written.push(key);
-      return Promise.resolve({
-        era: 3,
-        result: Ok({ key, version: 2, value: 1 }),
-      });
-    },
-  } as unknown as EraCalls;
-  let isDirect = true;
   const relay = createStoreRelay(
     {
       log: { info() {}, request() {} },
       metrics: { count() {} },
     } as unknown as PoolIo,
-    {
-      calls,
-      isDirect: () => isDirect,
-      isWritable: (key) => key.startsWith("own/"),
-    },
+    { calls, isDirect, isWritable: (key) => key.startsWith("own/") },
   );
   const stream = {
     send: (msg: ForwardResponse) => void sent.push(msg),
     ping() {},
     close() {},
   };
-  const put = (id: number, key: string) =>
+  const serve = (id: number, key: string) =>
     relay.serve(asId("h1"), stream, {
       kind: "store_call",
       id,
       request: { kind: "put", key: asId(key), value: 1, ifVersion: 1 },
     });
-  put(0, "own/a");
-  put(1, "config/main");
+  return { serve, sent };
+}
+
+// Guards against a relay through which a peer could change what others own.
+test("a relay writes only objects of the hosts, and only over its own path", async () => {
+  const written: string[] = [];
+  let isDirect = true;
+  const { serve, sent } = createRelay({
+    put: (key: ObjectKey) => {
+      written.push(key);
+      return Promise.resolve({
+        era: 3,
+        result: Ok({ key, version: 2, value: 1 }),
+      });
+    },
+  } as unknown as EraCalls, () => isDirect);
+  serve(0, "own/a");
+  serve(1, "config/main");
   isDirect = false;
-  put(2, "own/a");
+  serve(2, "own/a");
   await vi.waitFor(() => expect(sent).toHaveLength(3));
   expect(written).toEqual(["own/a"]);
   expect(sent.sort((x, y) => idOf(x) - idOf(y))).toMatchSnapshot();
 });
 
+// Guards against a call of a peer that ends the process of the relay.
+test("a relay goes on after a request that it cannot send", async () => {
+  const { serve, sent } = createRelay({
+    put: () => Promise.reject(new TypeError("cannot serialize a BigInt")),
+  } as unknown as EraCalls);
+  serve(0, "own/a");
+  serve(1, "own/a");
+  await vi.waitFor(() => expect(sent).toHaveLength(2));
+  expect(sent.map((msg) => msg.kind === "store_reply" && msg.result.kind))
+    .toEqual(["rejected", "rejected"]);
+});
+
 function idOf(msg: ForwardResponse): number {
   return msg.kind === "leaving" ? -1 : msg.id;
 }
