--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -112,7 +112,7 @@
   let shareLimits: ReadonlyMap<WorkspaceId, number> | undefined;
   let limitedAt = -Infinity;
   /** Workspaces without enough shares at the last adjustment. */
-  let short: readonly WorkspaceId[] = [];
+  let shortWorkspaces: readonly WorkspaceId[] = [];
   let wasExpired = true;
   let reclaimCheckedAt = -Infinity;
 
@@ -216,20 +216,22 @@
     demand: ReadonlyMap<WorkspaceId, Demand>,
   ): void {
     const row = ledger.shares[self] ?? {};
-    const previousCount = short.length;
-    short = [...demand].filter(([workspace, { share }]) =>
+    const previousCount = shortWorkspaces.length;
+    shortWorkspaces = [...demand].filter(([workspace, { share }]) =>
       share > (row[workspace] ?? 0) + MIN_SHORTAGE
     ).map(([workspace]) => workspace);
-    if (short.length === previousCount) {
+    if (shortWorkspaces.length === previousCount) {
       return;
     }
     const sumOf = (hosts: readonly string[]) =>
       hosts.flatMap((host) =>
-        short.map((workspace) => ledger.shares[host]?.[workspace] ?? 0)
+        shortWorkspaces.map((workspace) =>
+          ledger.shares[host]?.[workspace] ?? 0
+        )
       ).reduce((sum, share) => sum + share, 0);
     const others = Object.keys(ledger.shares).filter((host) => host !== self);
     io.log.info("shares_short", {
-      workspaces: short.length,
+      workspaces: shortWorkspaces.length,
       own: sumOf([self]),
       others: sumOf(others),
       expired: sumOf(fleet.listExpiredHosts()),
@@ -240,7 +242,7 @@
   /** Takes shares soon that others have given up and this host needs. */
   function takeFreeShares(): void {
     const ledger = getLedger();
-    const isFree = short.some((workspace) =>
+    const isFree = shortWorkspaces.some((workspace) =>
       FULL_SHARE - sumShares(ledger, workspace) >= MIN_SHORTAGE
     );
     if (isFree && reactionTimer === undefined && !isStopped) {
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -27,8 +27,6 @@
 /** Feed of changes; runs from `start` to `stop`. */
 export interface StoreFeed extends Stoppable {
   start(): void;
-  /** Time since the store's last answer, in milliseconds. */
-  getTimeSinceAnswerMs(): number;
   /** Whether the last call failed. */
   isUnreachable(): boolean;
 }
@@ -154,7 +152,6 @@
 
   return {
     start: () => void pollUntilStopped(),
-    getTimeSinceAnswerMs: () => nowMs() - answeredAt,
     isUnreachable: () => isUnreachable,
     stop() {
       isStopped = true;
