Count a heartbeat whose answer is lost once its record is seen

A host now knows its heartbeat by its number wherever it reads its own registration: in a conflict, a watch or a list. It counts from its sending, so peers still wait longer than the host.

The test fails before (expired after 6 s) and passes.

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -55,6 +55,11 @@
  * milliseconds; longer than the grace period of a stop.
  */
 const LEAVING_TIMEOUT_MS = 10_000;
+/**
+ * Number of heartbeats without an answer that are remembered; the store may
+ * execute them seconds later.
+ */
+const MAX_UNANSWERED_HEARTBEATS = 16;
 /** Delay before a failed heartbeat is retried, in milliseconds. */
 const HEARTBEAT_RETRY_MS = 400;
 /**
@@ -238,6 +243,8 @@
   let isStopped = false;
   let beat = 0;
   let heartbeatAcceptedAt = -Infinity;
+  /** Times at which the last heartbeats were sent, by their number. */
+  const sentAtByBeat = new Map<number, number>();
   let storeAnsweredAt = nowMs();
   /** Time during which no heartbeat of a peer could be observed. */
   let uncountedMs = 0;
@@ -289,6 +296,14 @@
     return tryDecodeHostRecord(objects.get(key)?.value);
   }
 
+  /** Notes which heartbeat of this process the store has accepted last. */
+  function recordOwnHeartbeat(record: StoredHostRecord | undefined): void {
+    const sentAt = record?.incarnation === incarnation
+      ? sentAtByBeat.get(record.beat)
+      : undefined;
+    heartbeatAcceptedAt = Math.max(heartbeatAcceptedAt, sentAt ?? -Infinity);
+  }
+
   /** Copies an object; false if the copy is as new already, or invalid. */
   function copyObject(object: StoredObject): boolean {
     const { key, version } = object;
@@ -297,6 +312,9 @@
     if (known && !isOutdated && version !== 0 && version <= known.version) {
       return false;
     }
+    if (key === ownKey) {
+      recordOwnHeartbeat(tryDecodeHostRecord(object.value));
+    }
     const isInvalid = version !== 0 && key.startsWith(HOST_PREFIX) &&
       (key === HOST_PREFIX || !tryDecodeHostRecord(object.value));
     if (isInvalid) {
@@ -389,12 +407,13 @@
       domain: options.domain,
       firstEra,
     };
+    sentAtByBeat.set(record.beat, sentAt);
+    sentAtByBeat.delete(record.beat - MAX_UNANSWERED_HEARTBEATS);
     const put = await io.store.put(ownKey, record, {
       ifVersion: tryGet(ownKey)?.version ?? 0,
     });
     isSendingHeartbeat = false;
     if (put.isOk()) {
-      heartbeatAcceptedAt = sentAt;
       applyObject(put.value);
     } else if (put.error.kind === "conflict") {
       applyObject(put.error.current);
@@ -546,7 +565,10 @@
       );
     },
     getOwnTimeoutMs,
-    recordSuspension: (ms) => void (heartbeatAcceptedAt -= Math.abs(ms)),
+    recordSuspension(ms) {
+      heartbeatAcceptedAt -= Math.abs(ms);
+      sentAtByBeat.clear();
+    },
     sendHeartbeat,
     isLoaded: () => isLoaded,
     hasStoreReturned,
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,9 +1,11 @@
+import { Err } from "ts-results-es";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { rankNodes } from "../src/core/hash.ts";
 import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
 import { createPositionSharing } from "../src/pooling/position_sharing.ts";
 import type { PoolIo } from "../src/pooling/types.ts";
 import { createPlatformCore } from "../standins/platform_core.ts";
+import { createMemoryStore } from "./memory_store.ts";
 import { createSingleHostFleet } from "./single_host_fleet.ts";
 
 vi.mock(import("../src/core/hash.ts"), { spy: true });
@@ -54,6 +56,29 @@
   expect(fleet.countHosts()).toBe(HOSTS);
 });
 
+// Guards against a host that gives up its shares though its heartbeats are
+// accepted, because their answers are lost.
+test("a heartbeat whose answer is lost counts once its record is seen", async () => {
+  const core = createPlatformCore();
+  const store = createMemoryStore(core);
+  let isAnswerLost = false;
+  const fleet = createSingleHostFleet(core, {
+    ...store,
+    async put(...args) {
+      const res = await store.put(...args);
+      return isAnswerLost ? Err({ kind: "unreachable" }) : res;
+    },
+  });
+  fleet.start();
+  await vi.advanceTimersByTimeAsync(1_000);
+  isAnswerLost = true;
+  for (let ms = 0; ms < 4 * fleet.getOwnTimeoutMs(); ms += 100) {
+    await vi.advanceTimersByTimeAsync(100);
+    expect(fleet.isOwnHeartbeatExpired()).toBe(false);
+  }
+  fleet.stop();
+});
+
 /** Time within which a fleet has to recover. */
 const RECOVERY_MS = 12_000;
 
--- a/test/single_host_fleet.ts
+++ b/test/single_host_fleet.ts
@@ -1,6 +1,7 @@
 /** Fleet view of a single host on the in-memory store, for tests. */
 
 import { asId, type HostId } from "../src/core/ids.ts";
+import type { PlatformStore } from "../src/core/types.ts";
 import { createFleet, type Fleet } from "../src/pooling/fleet.ts";
 import type { PoolIo } from "../src/pooling/types.ts";
 import {
@@ -12,9 +13,10 @@
 /** Creates the fleet view of host `h0`; nothing is logged. */
 export function createSingleHostFleet(
   core: PlatformCore = createPlatformCore(),
+  store: PlatformStore = createMemoryStore(core),
 ): Fleet {
   return createFleet({
-    store: createMemoryStore(core),
+    store,
     log: { info() {} },
     random: () => 0.5,
   } as unknown as PoolIo, {
