--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -10,6 +10,7 @@
 } from "../core/ids.ts";
 import { getEra } from "../core/store_era.ts";
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
+import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import type { PoolIo } from "./types.ts";
 
@@ -118,7 +119,7 @@
   readonly version: number;
   /** Time of the observation, on the monotonic clock. */
   readonly observedAt: number;
-  /** As `observedAt`, without the time that is not counted against peers. */
+  /** Value of the counted time at the observation, in milliseconds. */
   readonly countedAt: number;
   /** Whether it was there when this process first listed the objects. */
   readonly isFromFirstList: boolean;
@@ -246,13 +247,13 @@
   let previousStartAt = -Infinity;
   let isLeaving = false;
   let isStopped = false;
-  let beat = 0;
+  let nextBeat = 0;
   let heartbeatAcceptedAt = -Infinity;
   /** Times at which the last heartbeats were sent, by their number. */
   const sentAtByBeat = new Map<number, number>();
   let storeAnsweredAt = nowMs();
-  /** Time during which no heartbeat of a peer could be observed. */
-  let uncountedMs = 0;
+  /** Time in which heartbeats of peers could be observed. */
+  let countedMs = 0;
   let timer: NodeJS.Timeout | undefined;
 
   const feed: StoreFeed = createStoreFeed(io, {
@@ -342,7 +343,7 @@
       observed.set(key, {
         version,
         observedAt: nowMs(),
-        countedAt: getCountedMs(),
+        countedAt: countedMs,
         isFromFirstList: !hasStarted,
       });
     }
@@ -398,6 +399,16 @@
     return addresses;
   }
 
+  function createRecord(beat: number): HostRecord {
+    return {
+      incarnation,
+      beat,
+      peers: options.peerAddress,
+      domain: options.domain,
+      firstEra,
+    };
+  }
+
   async function sendHeartbeat(): Promise<void> {
     if (isLeaving || isSendingHeartbeat) {
       return;
@@ -405,13 +416,7 @@
     clearTimeout(timer);
     isSendingHeartbeat = true;
     const sentAt = nowMs();
-    const record: HostRecord = {
-      incarnation,
-      beat: beat++,
-      peers: options.peerAddress,
-      domain: options.domain,
-      firstEra,
-    };
+    const record = createRecord(nextBeat++);
     sentAtByBeat.set(record.beat, sentAt);
     sentAtByBeat.delete(record.beat - MAX_UNANSWERED_HEARTBEATS);
     const put = await io.store.put(ownKey, record, {
@@ -432,19 +437,14 @@
   function recordAnswer(): void {
     const gapMs = nowMs() - storeAnsweredAt;
     storeAnsweredAt = nowMs();
-    if (gapMs > MAX_COUNTED_GAP_INTERVALS * getHeartbeatIntervalMs()) {
-      uncountedMs += gapMs;
+    if (gapMs <= MAX_COUNTED_GAP_INTERVALS * getHeartbeatIntervalMs()) {
+      countedMs += gapMs;
     }
   }
 
-  /** Time in which heartbeats could be observed, since some moment. */
-  function getCountedMs(): number {
-    return storeAnsweredAt - uncountedMs;
-  }
-
   function isHeartbeatExpired(key: ObjectKey): boolean {
-    const observedAt = observed.get(key)?.countedAt ?? -Infinity;
-    return getCountedMs() - observedAt >
+    const countedAt = observed.get(key)?.countedAt ?? -Infinity;
+    return countedMs - countedAt >
       PEER_TIMEOUT_INTERVALS * getHeartbeatIntervalMs();
   }
 
@@ -454,7 +454,7 @@
    */
   function getHeartbeatIntervalMs(): number {
     return HEARTBEAT_INTERVAL_MS *
-      Math.max(1, hosts.size / SMALL_FLEET_REGISTRATIONS);
+      getIntervalFactor(hosts.size, SMALL_FLEET_REGISTRATIONS);
   }
 
   function getOwnTimeoutMs(): number {
@@ -583,13 +583,7 @@
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
-      const value: HostRecord = {
-        incarnation,
-        beat: -1,
-        peers: options.peerAddress,
-        domain: options.domain,
-        firstEra,
-      };
+      const value = createRecord(-1);
       let isTold = !objects.has(ownKey);
       while (!isTold && !isStopped) {
         const put = await io.store.put(ownKey, value, {
--- a/src/pooling/fleet_size.ts
+++ b/src/pooling/fleet_size.ts
@@ -4,8 +4,12 @@
 const SMALL_FLEET_MAX_HOSTS = 8;
 
 /**
- * Returns the factor applied to an interval in a fleet of `hostCount` hosts.
+ * Returns the factor applied to an interval in a fleet of `hostCount` hosts,
+ * which is 1 up to `maxUnscaled` hosts.
  */
-export function getIntervalFactor(hostCount: number): number {
-  return Math.max(1, hostCount / SMALL_FLEET_MAX_HOSTS);
+export function getIntervalFactor(
+  hostCount: number,
+  maxUnscaled: number = SMALL_FLEET_MAX_HOSTS,
+): number {
+  return Math.max(1, hostCount / maxUnscaled);
 }
