Sample peers with one function, and look for a relay only without one

Candidates were listed for each relayed call, also while a relay was in use. RelayLink.isOpen had no caller; a missing response is one value.

--- a/src/pooling/store_access.ts
+++ b/src/pooling/store_access.ts
@@ -5,15 +5,16 @@
  * from.
  */
 
-import { Err } from "ts-results-es";
+import { Ok } from "ts-results-es";
 import { nowMs } from "../core/clock.ts";
 import type { HostId, ObjectKey } from "../core/ids.ts";
+import { sampleItems } from "../core/sample.ts";
 import type { EraCalls, EraRes } from "../core/store_era.ts";
 import type { Stoppable, StoredObject, WatchRes } from "../core/types.ts";
 import type { AskStore, TellStore } from "../generated/pool_peer.ts";
 import type { StoreRequest } from "../generated/pool_forward.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
-import { openRelayLink, type RelayLink } from "./store_relay.ts";
+import { openRelayLink, type RelayLink, UNANSWERED } from "./store_relay.ts";
 import type { PoolIo } from "./types.ts";
 
 /** Interval at which a host without the store asks its peers for a relay. */
@@ -155,10 +156,16 @@
       nowMs() >= (pausedUntil.get(host) ?? -Infinity);
   }
 
+  /** Returns the relay in use, or opens a stream to another one. */
   function tryGetRelay(): RelayLink | undefined {
-    const candidates = [...answers.keys()].filter(isCandidate);
-    const host = candidates[Math.floor(io.random() * candidates.length)];
-    if (!relay && host !== undefined && !isStopped) {
+    if (relay || isStopped) {
+      return relay;
+    }
+    const [host] = sampleItems([...answers.keys()].filter(isCandidate), {
+      count: 1,
+      random: io.random,
+    });
+    if (host !== undefined) {
       const link = openRelayLink(io, {
         host,
         onClose(detail) {
@@ -189,20 +196,20 @@
   /** Makes a call over one path; it is never repeated over the other. */
   async function call<T extends StoredObject | WatchRes>(
     request: StoreRequest,
-    callItself: () => Promise<EraRes<T>>,
+    callDirectly: () => Promise<EraRes<T>>,
     isExpected: (value: StoredObject | WatchRes) => value is T,
   ): Promise<EraRes<T>> {
     const link = isDirectDown ? tryGetRelay() : undefined;
     if (!link) {
-      return await callDirect(callItself);
+      return await callDirect(callDirectly);
     }
     const { era, result } = await callRelay(link, request);
     if (result.isErr()) {
       return { era, result };
     }
     return isExpected(result.value)
-      ? { era, result: result.map((value) => value as T) }
-      : { era: undefined, result: Err({ kind: "unreachable" }) };
+      ? { era, result: Ok(result.value) }
+      : UNANSWERED;
   }
 
   function askPeers(): void {
@@ -210,27 +217,26 @@
     const id = nextQuestion++;
     questions.set(id, askedAt);
     questions.delete(id - MAX_PENDING_QUESTIONS);
-    for (const peer of sample(options.listPeers(), MAX_ASKED_PEERS)) {
+    const peers = sampleItems(options.listPeers(), {
+      count: MAX_ASKED_PEERS,
+      random: io.random,
+    });
+    for (const peer of peers) {
       io.peers.send(peer, { kind: "ask_store", id, host: self });
     }
   }
 
   function introduce(): void {
     introducedAt = nowMs();
-    for (const host of sample(options.listUnheard(), MAX_INTRODUCTIONS)) {
+    const hosts = sampleItems(options.listUnheard(), {
+      count: MAX_INTRODUCTIONS,
+      random: io.random,
+    });
+    for (const host of hosts) {
       io.peers.send(host, { kind: "tell_store", host: self, path: "direct" });
     }
   }
 
-  function sample(hosts: readonly HostId[], count: number): readonly HostId[] {
-    return hosts.length <= count
-      ? hosts
-      : hosts.map((host) => ({ host, order: io.random() }))
-        .sort((a, b) => a.order - b.order)
-        .slice(0, count)
-        .map(({ host }) => host);
-  }
-
   return {
     calls: {
       get: (key) => call({ kind: "get", key }, () => direct.get(key), isObject),
--- a/src/pooling/store_relay.ts
+++ b/src/pooling/store_relay.ts
@@ -25,6 +25,9 @@
 /** Time to open a stream to the relay, in milliseconds. */
 const OPEN_TIMEOUT_MS = 700;
 
+/** Result of a call to which no response arrived. */
+export const UNANSWERED: EraRes<never> = createFailure({ kind: "unreachable" });
+
 /** Makes calls to the store for other hosts. */
 export interface StoreRelay {
   serve(
@@ -84,7 +87,7 @@
         result: isRefused ? "refused" : "made",
       });
       if (isRefused) {
-        stream.send(toReply(id, createFailure({ kind: "unreachable" })));
+        stream.send(toReply(id, UNANSWERED));
         return;
       }
       callCount++;
@@ -104,7 +107,6 @@
 export interface RelayLink {
   readonly host: HostId;
   call(request: StoreRequest): Promise<EraRes<StoredObject | WatchRes>>;
-  isOpen(): boolean;
   /** Closes the stream once no call is pending. */
   retire(): void;
   close(): void;
@@ -153,7 +155,7 @@
     isClosed = true;
     clearTimeout(openTimer);
     stream.close();
-    pending.forEach((resolve) => resolve(createFailure(UNREACHABLE)));
+    pending.forEach((resolve) => resolve(UNANSWERED));
     options.onClose(detail);
   }
 
@@ -167,7 +169,7 @@
     host,
     call(request) {
       if (isClosed) {
-        return Promise.resolve(createFailure(UNREACHABLE));
+        return Promise.resolve(UNANSWERED);
       }
       const id = nextId++;
       const waitMs = request.kind === "watch" ? request.waitMs : 0;
@@ -191,7 +193,6 @@
         }
       });
     },
-    isOpen: () => isOpened && !isClosed,
     retire() {
       isRetiring = true;
       closeIfRetired();
@@ -200,8 +201,6 @@
   };
 }
 
-const UNREACHABLE: PlatformErr = { kind: "unreachable" };
-
 function createFailure(error: PlatformErr): EraRes<never> {
   return { era: undefined, result: Err(error) };
 }
--- a/src/pooling/version_check.ts
+++ b/src/pooling/version_check.ts
@@ -6,6 +6,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { HostId } from "../core/ids.ts";
+import { sampleItems } from "../core/sample.ts";
 import type { Stoppable } from "../core/types.ts";
 import type { AskVersion, TellVersion } from "../generated/pool_peer.ts";
 import type { PoolIo } from "./types.ts";
@@ -90,11 +91,8 @@
   }
 
   function choosePeers(): readonly HostId[] {
-    return options.listPeers()
-      .map((peer) => ({ peer, order: io.random() }))
-      .sort((a, b) => a.order - b.order)
-      .slice(0, MAX_ASKED_PEERS)
-      .map(({ peer }) => peer);
+    const { random } = io;
+    return sampleItems(options.listPeers(), { count: MAX_ASKED_PEERS, random });
   }
 
   function endFirstRoundIfDue(): void {
