Show every return of a fleet, and hold the quota in each

Seven hosts killed at once that return under old or new names, with none, one or six of them turned away by the store: 0.9 of a load within the quota is served, and under twice the quota no window of 5 s admits more than its bound.

--- a/test/fleet_return.test.ts
+++ b/test/fleet_return.test.ts
@@ -22,6 +22,13 @@
 /** Statements a second that clients send; within the quota. */
 const SENT_PER_S = 120;
 const MEASURED_MS = 4_000;
+/** More than the quota. */
+const OVERLOAD_PER_S = 400;
+/** Time for which killed hosts are down, in milliseconds. */
+const DOWN_MS = 3_000;
+const QUOTA_WINDOW_MS = 5_000;
+/** Rate and burst in a window, with the tolerance of the fleet's hosts. */
+const QUOTA_BOUND = (RATE_PER_S * 5 + RATE_PER_S) * 1.1 + 20;
 const READ: Statement = { kind: "run", access: "read", text: "READ k" };
 
 let fleet: PoolFleet;
@@ -36,11 +43,11 @@
  * Sends statements to the ready hosts in turn, as a balancer does; returns the
  * times at which one was admitted, and how many were sent.
  */
-async function sendStatements(ms: number) {
+async function sendStatements(ms: number, perS: number = SENT_PER_S) {
   const admittedAt: number[] = [];
   const outcomes: string[] = [];
   let turn = 0;
-  const sent = (ms / 1_000) * SENT_PER_S;
+  const sent = (ms / 1_000) * perS;
   for (let n = 0; n < sent; n++) {
     const ready = fleet.listRunning().filter((pooler) => pooler.isReady());
     const pooler = ready[turn++ % ready.length];
@@ -54,7 +61,7 @@
           pooler.closeSession(session);
         }),
     );
-    await vi.advanceTimersByTimeAsync(1_000 / SENT_PER_S);
+    await vi.advanceTimersByTimeAsync(1_000 / perS);
   }
   return { admittedAt, outcomes, sent };
 }
@@ -109,3 +116,45 @@
   await sendStatements(RECOVERY_MS);
   expect(await measureServed()).toBeGreaterThanOrEqual(MIN_SERVED);
 });
+
+const RETURN_CASES = ["old", "new"].flatMap((names) =>
+  [0, 1, 6].map((away) => ({ names, away }))
+);
+
+// Guards against a return that serves only under old names, or only if the
+// store serves most hosts, and against shares that two hosts use meanwhile.
+test.each(RETURN_CASES)(
+  "seven hosts return under $names names, of which the store turns $away away",
+  async ({ names, away }) => {
+    fleet = await startFleet({ hosts: 7, maxConnections: 60 });
+    const before = await sendStatements(4_000, OVERLOAD_PER_S);
+    const gone = listHosts();
+    gone.forEach(fleet.killHost);
+    await vi.advanceTimersByTimeAsync(DOWN_MS);
+    const returning = gone.map((host) => names === "old" ? host : host + 7);
+    returning.slice(0, away).forEach((host) =>
+      fleet.hostsWithoutStore.add(`h${host}`)
+    );
+    returning.forEach(names === "old" ? fleet.restartHost : fleet.startHost);
+    const during = await sendStatements(RECOVERY_MS, OVERLOAD_PER_S);
+    const after = await sendStatements(MEASURED_MS, OVERLOAD_PER_S);
+    const admittedAt = [before, during, after].flatMap((sent) =>
+      sent.admittedAt
+    );
+    expect(getHighestCount(admittedAt)).toBeLessThanOrEqual(QUOTA_BOUND);
+    await sendStatements(MEASURED_MS);
+    expect(await measureServed()).toBeGreaterThanOrEqual(MIN_SERVED);
+  },
+);
+
+/** Returns the highest number of times within one window of the quota. */
+function getHighestCount(times: readonly number[]): number {
+  const sorted = [...times].sort((a, b) => a - b);
+  let first = 0;
+  return sorted.reduce((highest, time, index) => {
+    while (sorted[first]! <= time - QUOTA_WINDOW_MS) {
+      first++;
+    }
+    return Math.max(highest, index - first + 1);
+  }, 0);
+}
