Blame a target for silence only if its holder was heard from

Cause: a hedge after 250 ms recorded a failure of the target, while a holder counted as silent only after 600 ms.

Change: a missing reply is the target's failure only if its holder gave a sign of life after the command was sent; a hedge pings the holder and decides 100 ms later. A stream that was lost is opened again in the background, and gets statements only once it is open.

The new test failed before (one write refused as no_primary).

--- a/src/pooling/begin.ts
+++ b/src/pooling/begin.ts
@@ -1,5 +1,6 @@
 /** Starts transactions on connections to targets. */
 
+import { nowMs } from "../core/clock.ts";
 import type { TargetId } from "../core/ids.ts";
 import type { Checkout } from "./dispatch.ts";
 import type { AgedPosition } from "./position_history.ts";
@@ -51,6 +52,7 @@
     return { kind: "refused", failure: acquired.error };
   }
   const checkout = acquired.value;
+  const sentAt = nowMs();
   const fault = await prepareConnection(checkout, {
     context: task.context,
     followUp: options.command,
@@ -61,7 +63,7 @@
   }
   recordReply(ctx, checkout, {
     reply: fault,
-    latencyMs: 0,
+    latencyMs: nowMs() - sentAt,
     floor: options.floor,
   });
   checkout.release(false);
--- a/src/pooling/control.ts
+++ b/src/pooling/control.ts
@@ -58,7 +58,7 @@
     (reply.kind === "error" && reply.code !== "not_sent" &&
       reply.code !== "target_down");
   if (!isAnswered) {
-    recordReply(ctx, checkout, { reply, latencyMs: 0 });
+    recordReply(ctx, checkout, { reply, latencyMs: nowMs() - sentAt });
     return undefined;
   }
   ctx.forwarder.recordPathSuccess(id, holder);
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -244,21 +244,28 @@
       return;
     case "lost":
     case "silent":
-      recordNoReply(ctx, checkout);
+      recordNoReply(ctx, checkout, { sentAt: nowMs() - latencyMs });
       return;
   }
 }
 
 /**
- * Records that a command got no reply. A holder that cannot be reached says
- * nothing about the target.
+ * Records that a command got no reply. It is the target's failure only if the
+ * holder was heard from since; else the link to the holder may have failed, as
+ * in a network partition between hosts. Returns whether a failure was recorded.
  */
-export function recordNoReply(ctx: ExecutionContext, checkout: Checkout): void {
+export function recordNoReply(
+  ctx: ExecutionContext,
+  checkout: Checkout,
+  { sentAt }: { readonly sentAt: number },
+): boolean {
   const { link } = checkout.pooled;
-  if (!link.isHolderSilent?.()) {
+  const isHolderAlive = link.wasHolderHeardAfter?.(sentAt) ?? true;
+  if (isHolderAlive) {
     ctx.forwarder.recordPathFailure(checkout.target.id, link.holder);
     ctx.health.recordFailure(checkout.target.id);
   }
+  return isHolderAlive;
 }
 
 /** Whether the connection may be reused by another session after this reply. */
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -101,6 +101,8 @@
   openedAt: number | undefined;
   readonly createdAt: number;
   heardAt: number;
+  /** Time of the last message or sign of life; -Infinity without one. */
+  lastSignAt: number;
   pingedAt: number;
   isLeaving: boolean;
   isClosed: boolean;
@@ -136,8 +138,12 @@
 
   function isUsable(host: HostId): boolean {
     const holderStream = holderStreams.get(host);
+    // A stream that was lost is opened again before a statement relies on it.
+    if (backoffs.has(host)) {
+      return false;
+    }
     if (!holderStream) {
-      return nowMs() >= (backoffs.get(host)?.until ?? -Infinity);
+      return true;
     }
     return !holderStream.isLeaving && !isSilent(holderStream) &&
       holderStream.pending.size < MAX_PENDING_COMMANDS;
@@ -170,6 +176,31 @@
     return host === self ? undefined : host;
   }
 
+  /**
+   * Opens the streams to holders that were lost and would be used before the
+   * chosen one, so that no statement has to wait for an attempt that may fail.
+   */
+  function reopenPreferredStreams(
+    target: TargetRecord,
+    options: {
+      readonly workspace: WorkspaceId | undefined;
+      readonly chosen: HostId | undefined;
+    },
+  ): void {
+    for (const holder of holders.list(target, options.workspace)) {
+      if (holder === (options.chosen ?? self)) {
+        return;
+      }
+      const backoff = backoffs.get(holder);
+      if (
+        holder !== self && backoff && nowMs() >= backoff.until &&
+        !holderStreams.has(holder)
+      ) {
+        openStream(holder);
+      }
+    }
+  }
+
   function getStream(host: HostId): HolderStream {
     return holderStreams.get(host) ?? openStream(host);
   }
@@ -189,7 +220,7 @@
           );
         },
         onMessage(msg) {
-          holderStream.heardAt = nowMs();
+          recordSign(holderStream);
           switch (msg.kind) {
             case "reply": {
               const command = holderStream.pending.get(msg.id);
@@ -209,13 +240,14 @@
               assertNever(msg);
           }
         },
-        onAlive: () => void (holderStream.heardAt = nowMs()),
+        onAlive: () => recordSign(holderStream),
         onClose: (detail) => closeStream(holderStream, detail),
       }),
       pending: new Map(),
       openedAt: undefined,
       createdAt: now,
       heardAt: now,
+      lastSignAt: -Infinity,
       pingedAt: now,
       isLeaving: false,
       isClosed: false,
@@ -226,6 +258,11 @@
     return holderStream;
   }
 
+  function recordSign(holderStream: HolderStream): void {
+    holderStream.heardAt = nowMs();
+    holderStream.lastSignAt = nowMs();
+  }
+
   function closeStream(holderStream: HolderStream, detail: string): void {
     if (holderStream.isClosed) {
       return;
@@ -298,12 +335,18 @@
         !holderStream.isClosed && silentMs > PING_AFTER_MS &&
         now - holderStream.pingedAt > PING_AFTER_MS
       ) {
-        holderStream.pingedAt = now;
-        holderStream.stream.ping();
+        ping(holderStream);
       }
     }
   }
 
+  function ping(holderStream: HolderStream): void {
+    if (!holderStream.isClosed && holderStream.openedAt !== undefined) {
+      holderStream.pingedAt = nowMs();
+      holderStream.stream.ping();
+    }
+  }
+
   /** Sends a command over a stream and resolves with the target's reply. */
   function sendCommand(
     holderStream: HolderStream,
@@ -429,7 +472,9 @@
       workspace,
       holder: holderStream.host,
       isOpen: () => !isClosed && !holderStream.isClosed,
-      isHolderSilent: () => holderStream.isClosed || isSilent(holderStream),
+      wasHolderHeardAfter: (time) =>
+        !holderStream.isClosed && holderStream.lastSignAt > time,
+      pingHolder: () => ping(holderStream),
       send,
       close() {
         const isUsed = pendingCount > 0 || state !== "idle";
@@ -456,7 +501,9 @@
     isForwarded: (target, workspace) =>
       tryFindHolder(target, workspace) !== undefined,
     tryOpenLink(target, linkOptions) {
-      const host = tryFindHolder(target, linkOptions.workspace);
+      const { workspace } = linkOptions;
+      const host = tryFindHolder(target, workspace);
+      reopenPreferredStreams(target, { workspace, chosen: host });
       return host && createLink(getStream(host), target, linkOptions);
     },
     checkStreams,
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -36,6 +36,11 @@
 const MIN_HEDGE_DELAY_MS = 250;
 /** Multiple of the usual latency after which a second target is tried. */
 const HEDGE_LATENCY_FACTOR = 4;
+/**
+ * Time for a holder that has not been heard from to answer a ping, in
+ * milliseconds: a round trip between regions. If it does, the target is silent.
+ */
+const HOLDER_PING_TIMEOUT_MS = 100;
 /** Delay before a read that a busy target refused is retried. */
 const BUSY_RETRY_DELAY_MS = 15;
 
@@ -139,6 +144,7 @@
   return new Promise((resolve) => {
     let pendingCount = 1;
     let hedgeTimer: NodeJS.Timeout | undefined;
+    let pingTimer: NodeJS.Timeout | undefined;
     const settle = (attempt: AttemptResult) => {
       pendingCount--;
       if (attempt.kind === "outcome" || pendingCount === 0) {
@@ -146,12 +152,22 @@
         resolve(attempt);
       }
     };
+    const recordSilence = (checkout: Checkout, sentAt: number) => {
+      if (!recordNoReply(ctx, checkout, { sentAt })) {
+        checkout.pooled.link.pingHolder?.();
+        pingTimer = setTimeout(
+          () => recordNoReply(ctx, checkout, { sentAt }),
+          HOLDER_PING_TIMEOUT_MS,
+        );
+      }
+    };
     void readAboveFloor(ctx, {
       ...options,
       onSent(checkout) {
+        const sentAt = nowMs();
         const usualMs = ctx.health.tryLatencyMs(checkout.target.id) ?? 0;
         hedgeTimer = setTimeout(() => {
-          recordNoReply(ctx, checkout);
+          recordSilence(checkout, sentAt);
           ctx.io.log.info("read_hedged", {
             id: options.task.operation.id,
             silent: checkout.target.id,
@@ -160,7 +176,11 @@
           void readAboveFloor(ctx, options).then(settle);
         }, Math.max(MIN_HEDGE_DELAY_MS, usualMs * HEDGE_LATENCY_FACTOR));
       },
-    }).then(settle);
+    }).then((attempt) => {
+      // The first target has answered, or is recorded as silent already.
+      clearTimeout(pingTimer);
+      settle(attempt);
+    });
   });
 }
 
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -222,8 +222,13 @@
   /** Host whose connection is used; undefined if it is this host's own. */
   readonly holder?: HostId;
   isOpen(): boolean;
-  /** Whether the holder is lost or gives no sign of life. */
-  isHolderSilent?(): boolean;
+  /**
+   * Whether the holder has given a sign of life after this time, on the
+   * monotonic clock. Without one, a missing reply says nothing about the target.
+   */
+  wasHolderHeardAfter?(time: number): boolean;
+  /** Asks the holder for a sign of life. */
+  pingHolder?(): void;
   /** Sends a command; replies arrive in the order of the commands. */
   send(command: TargetCommand): Promise<TargetReply>;
   close(): void;
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -292,3 +292,30 @@
   expect(fleet.poolers.map((pooler) => pooler.countForwardedChannels()))
     .toEqual([0, 0, 0, 0, 0]);
 });
+
+// Load: most holders are cut off from other hosts, the targets are not. Guards
+// against taking the silence of a holder for that of its targets: hosts then
+// refused what primaries could run, and began to replace them.
+test("hosts cut off from holders do not blame the targets", async () => {
+  fleet = await startForwardingFleet();
+  const sessions = WORKSPACES.map((workspace) =>
+    fleet.openSession("accounts", 3, workspace)
+  );
+  for (const session of sessions) {
+    await run(session, "READ k");
+  }
+  HOLDERS.forEach((host) => fleet.network.silentHosts.add(host));
+  const writer = fleet.openSession("orders", 3);
+  const refused: string[] = [];
+  for (let round = 0; round < 20; round++) {
+    sessions.forEach((session) => void begin(session, "READ k"));
+    await vi.advanceTimersByTimeAsync(300);
+    const answer = await run(writer, "WRITE k 1");
+    refused.push(...answer.kind === "failed" ? [answer.error] : []);
+    await vi.advanceTimersByTimeAsync(1_000);
+  }
+  expect(refused.filter((error) => error === "no_primary")).toEqual([]);
+  expect(
+    fleet.logLines.filter(({ event }) => event === "failover_started"),
+  ).toEqual([]);
+});
