Add a report of who is refused under load, and where work goes

The log had to be searched by hand for it. `turmericchute load-report` reads the logs that `explain` reads and counts answered and refused statements by second, database, workspace, host and target.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -17,6 +17,7 @@
 import { registerKeys } from "./keys.ts";
 import { registerLists } from "./lists.ts";
 import { registerLoad } from "./load.ts";
+import { registerLoadReport } from "./load_report.ts";
 import { registerReplay } from "./replay.ts";
 import { registerRun } from "./run.ts";
 import { registerStatus } from "./status.ts";
@@ -31,6 +32,7 @@
   registerLoad,
   registerReplay,
   registerExplain,
+  registerLoadReport,
 ];
 
 /** Runs a command line and resolves with its exit code. */
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,21 +1,15 @@
 /** `turmericchute explain`: shows the log lines related to one request. */
 
-import { readFileSync } from "node:fs";
-import {
-  listRelatedLines,
-  type LogLine,
-  parseLogLines,
-} from "../host/explain.ts";
 import { formatDiagnostic } from "../core/diagnostics.ts";
-import { createFileProblem } from "../core/file_problems.ts";
+import { listRelatedLines, type LogLine } from "../host/explain.ts";
 import {
   EXIT_FAILED,
   EXIT_OK,
   type ExitCode,
   type RegisterCommand,
   type Terminal,
-  warnProblems,
 } from "./command.ts";
+import { readLogFiles } from "./log_files.ts";
 
 interface ExplainOptions {
   readonly json?: boolean;
@@ -40,17 +34,11 @@
   },
 ): ExitCode {
   const { id, files, options } = args;
-  const lines: LogLine[] = [];
-  for (const file of files) {
-    try {
-      lines.push(...parseLogLines(readFileSync(file, "utf8")));
-    } catch (err) {
-      const detail = err instanceof Error ? err.message : `${err}`;
-      const problems = [createFileProblem("", "file_unreadable", { detail })];
-      return warnProblems(terminal, { file, problems });
-    }
+  const read = readLogFiles(terminal, files);
+  if (read.isErr()) {
+    return read.error;
   }
-  const explanation = listRelatedLines(lines, id);
+  const explanation = listRelatedLines(read.value, id);
   if (explanation.length === 0) {
     terminal.warn(formatDiagnostic("request_unknown", { id }));
     return EXIT_FAILED;
