Request positions of primaries from one host of a large failure domain

Cause: every host asked a polling host of each service every 150 to 600 ms. At 76 hosts with 5 reads a service each 100 ms, 2,071 requests and replies in 10 s for one service, two thirds of them between regions; with six services that is some 2,500 datagrams a second, a quarter of the turns of all hosts.

Change: in a failure domain of 6 or more hosts one of them, the relay, refreshes positions from the polling hosts, twice as often, and the others request those of all services in use from it in one datagram. A relay that does not answer within 60 ms is passed over for a second; a position that is too old is asked for at a polling host as before. Ages count from before each question, as before.

Smaller domains work as before.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -267,6 +267,7 @@
   const positionSharing = createPositionSharing(io, {
     self: options.host,
     listPeers: fleet.listPeers,
+    listPlacedHosts: fleet.listPlacedHosts,
     getPositions,
     onPrimaryAnswered(service, at) {
       const primary = primaries.tryPrimary(service);
@@ -328,6 +329,10 @@
         return positionSharing.handleRequest(from, msg);
       case "tell_floor":
         return positionSharing.handleReply(msg);
+      case "ask_floors":
+        return positionSharing.handleRelayRequest(from, msg);
+      case "tell_floors":
+        return positionSharing.handleRelayReply(msg);
       case "ask_step_down":
         return void stepDownRequests.handleRequest(from, msg);
       case "tell_step_down":
--- a/src/pooling/position_history.ts
+++ b/src/pooling/position_history.ts
@@ -59,6 +59,8 @@
   getAgeMs(): number;
   /** Time since a read floor was last asked for, in milliseconds. */
   getTimeSinceUseMs(): number;
+  /** Records that another host uses the positions. */
+  recordUse(): void;
 }
 
 /** Creates an empty history. */
@@ -142,5 +144,6 @@
       return last ? nowMs() - last.sentAt : Infinity;
     },
     getTimeSinceUseMs: () => nowMs() - usedAt,
+    recordUse: () => void (usedAt = nowMs()),
   };
 }
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -13,6 +13,11 @@
  * Fraction of the shortest staleness bound after which positions are refreshed.
  */
 const REFRESH_AGE_FRACTION = 0.4;
+/**
+ * Fraction of that age after which a relay refreshes its positions, so that
+ * those it passes on are not refreshed at once again.
+ */
+const RELAY_REFRESH_FRACTION = 0.5;
 /**
  * Multiple of the refresh age after which a host that is not a polling host
  * probes the primary itself.
@@ -95,7 +100,8 @@
       return getReplicaProbeIntervalMs(options.countHosts());
     }
     const ageMs = ctx.getPositions(service).getAgeMs();
-    const refreshAgeMs = getRefreshAgeMs(service);
+    const refreshAgeMs = getRefreshAgeMs(service) *
+      (sharing.isRelay() ? RELAY_REFRESH_FRACTION : 1);
     if (ageMs <= refreshAgeMs) {
       return Infinity;
     }
--- a/test/fleet_at_rest.test.ts
+++ b/test/fleet_at_rest.test.ts
@@ -82,3 +82,60 @@
   // After the list, after its own registration, and after one watch.
   expect(fleet.counters.get(`address_lists h${hosts}`)).toBeLessThanOrEqual(3);
 });
+
+const DOMAINS = ["d1", "d2"];
+
+/** Two failure domains of 8 hosts, each of which serves reads. */
+async function startRelayedFleet() {
+  fleet = await startPoolFleet({
+    hosts: 16,
+    domains: Array.from({ length: 16 }, (_, index) => DOMAINS[index % 2]!),
+  });
+  return fleet.poolers.map((_, host) => fleet.openSession("reports", host));
+}
+
+async function readAtAllHosts(
+  sessions: Awaited<ReturnType<typeof startRelayedFleet>>,
+): Promise<string[]> {
+  return (await Promise.all(
+    sessions.map((session) => run(session, "READ k")),
+  )).map(getOutcome);
+}
+
+// Load: every host reads every service. Guards against one request for each
+// host, service and interval to the polling hosts, most of them in other
+// regions.
+test("the hosts of a large domain request positions from one of them", async () => {
+  const sessions = await startRelayedFleet();
+  await readAtAllHosts(sessions);
+  await vi.advanceTimersByTimeAsync(1_000);
+  const before = countPositionRequests();
+  const relayedBefore = fleet.counters.get("peer_messages ask_floors") ?? 0;
+  for (let second = 0; second < 4; second++) {
+    await readAtAllHosts(sessions);
+    await vi.advanceTimersByTimeAsync(1_000);
+  }
+  // Two relays refresh every 300 ms; 14 hosts request from them.
+  expect(countPositionRequests() - before).toBeLessThan(2 * 4_000 / 300 * 2);
+  expect(fleet.counters.get("peer_messages ask_floors") ?? 0)
+    .toBeGreaterThan(relayedBefore);
+});
+
+// Failure: the relay of a domain answers nobody. Guards against reads that
+// lose their floor, and go to the primary, while the polling hosts answer.
+test("without its relay a domain requests positions from polling hosts", async () => {
+  const sessions = await startRelayedFleet();
+  await readAtAllHosts(sessions);
+  fleet.messageFaults.isLost = (_from, _to, { kind }) => kind === "tell_floors";
+  await vi.advanceTimersByTimeAsync(2_000);
+  const runsBefore = fleet.group.runs.length;
+  const outcomes: string[] = [];
+  for (let n = 0; n < 10; n++) {
+    outcomes.push(...await readAtAllHosts(sessions));
+    await vi.advanceTimersByTimeAsync(300);
+  }
+  expect(new Set(outcomes)).toEqual(new Set(["done"]));
+  const inTransaction = fleet.group.runs.slice(runsBefore)
+    .filter(({ isInTransaction }) => isInTransaction);
+  expect(inTransaction).toEqual([]);
+});
