Count the log of a restarted target as a copy that cannot be fenced

Cause: a target that starts again under its id may hold nothing of before, but counted as the copy that it was. The empty log of a restarted old primary was counted in the same way.

Change: log_copies follows the incarnation. The log of the earlier process stays a copy that nobody can fence until a replica reports a log end at or past a position of the primary that was asked for after the restart was heard of, or for a minute. Hosts tell these logs to each other as ids ("t2@1") in the list of copies of tell_step_down, so that the message does not change and older hosts count them as well. For the old primary, the lost log replaces the new one in the count. Failovers more than one refresh of positions after a restart are as before.

--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -210,6 +210,7 @@
   function checkServices(): void {
     const wasSuspended = nowMs() - lastCheckAt > 5 * CHECK_INTERVAL_MS;
     lastCheckAt = nowMs();
+    copies.updateLost();
     if (wasSuspended) {
       // The process was suspended; targets that look silent may have answered.
       return;
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -7,7 +7,7 @@
 import type { ServiceId, TargetId } from "../core/ids.ts";
 import { sendControlCommand } from "./control.ts";
 import type { ExecutionContext } from "./execution.ts";
-import type { LogCopies } from "./log_copies.ts";
+import { isLostCopyOf, type LogCopies } from "./log_copies.ts";
 import {
   createStepDown,
   haltTarget,
@@ -136,9 +136,15 @@
     const { deposition, registered } = known;
     const ids = new Set([
       ...copies.list(service).map(({ id }) => id),
+      ...copies.listLost(service, registered),
       ...registered.map(({ id }) => id),
       ...(deposition.kind === "unreachable" ? deposition.peerCopies : []),
     ]);
+    // The log that the old primary led with counts in place of its new one.
+    const lostOfPrimary = [...ids].filter((id) =>
+      oldPrimary !== undefined && isLostCopyOf(id, oldPrimary)
+    );
+    lostOfPrimary.forEach((id) => ids.delete(id));
     return {
       copies: ids.size,
       syncReplicas: ctx.catalog.tryGet()?.services.get(service)
@@ -148,6 +154,7 @@
         : undefined,
       oldPrimary,
       mayKeepOldPrimary,
+      hasOldPrimaryRestarted: lostOfPrimary.length > 0,
       preferred: openTarget,
     };
   }
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -102,6 +102,8 @@
   ): void;
   /** Whether the target has reported a log end at or past the position. */
   hasReceived(target: TargetId, position: Position): boolean;
+  /** Forgets the reported log end, which was that of an earlier process. */
+  forgetReceived(target: TargetId): void;
   /** Returns for how long replication was seen paused; 0 if it is running. */
   getPausedMs(target: TargetId): number;
   isEjected(target: TargetId): boolean;
@@ -221,6 +223,9 @@
       record.lagAt = nowMs();
       record.pausedSince = isPaused ? record.pausedSince ?? nowMs() : undefined;
     },
+    forgetReceived(target) {
+      getRecord(target).received = undefined;
+    },
     getPausedMs(target) {
       const { pausedSince } = getRecord(target);
       return pausedSince === undefined ? 0 : nowMs() - pausedSince;
--- a/src/pooling/log_copies.ts
+++ b/src/pooling/log_copies.ts
@@ -2,10 +2,11 @@
 
 import { nowMs } from "../core/clock.ts";
 import { assertNever } from "../core/errors.ts";
-import type { ServiceId, TargetId } from "../core/ids.ts";
+import { asId, type ServiceId, type TargetId } from "../core/ids.ts";
 import type { Directory, DirectoryEvent } from "./directory.ts";
 import type { PrimaryTracker } from "./primary_tracker.ts";
 import type { Health } from "./health.ts";
+import type { AgedPosition } from "./position_history.ts";
 import type { PoolLog, Position, TargetRecord } from "./types.ts";
 
 /**
@@ -29,6 +30,18 @@
 interface Copy {
   readonly target: TargetRecord;
   readonly state: CopyState;
+  /** Highest incarnation heard of; a store that returned may list older ones. */
+  readonly incarnation: number;
+}
+
+/** Log of a process that has been replaced by a new one under the same id. */
+interface LostCopy {
+  readonly id: TargetId;
+  readonly target: TargetRecord;
+  /** Time at which this host heard of the new process. */
+  readonly since: number;
+  /** First known position of the primary after that time. */
+  floor: Position | undefined;
 }
 
 /** Copies of the logs of all services, as far as this host has heard of them. */
@@ -40,6 +53,35 @@
    */
   list(service: ServiceId): readonly TargetRecord[];
   tryGet(id: TargetId): TargetRecord | undefined;
+  /**
+   * Lists ids for the logs of processes that have started again under their
+   * target's id, which may have lost what they held. Each counts as a copy that
+   * cannot be fenced, until a replica holds all that it may have had, but for a
+   * minute at most. `registered` is a newer list than the directory's.
+   */
+  listLost(
+    service: ServiceId,
+    registered?: readonly TargetRecord[],
+  ): readonly TargetId[];
+  /** Notes the positions that lost logs are compared with; call it often. */
+  updateLost(): void;
+}
+
+/**
+ * Returns the id under which the log of an earlier process of a target counts.
+ * Hosts tell it to each other in the list of copies, so that hosts that do not
+ * know of lost logs count it as well.
+ */
+export function getLostCopyId(
+  target: TargetId,
+  incarnation: number,
+): TargetId {
+  return asId<TargetId>(`${target}@${incarnation}`);
+}
+
+/** Whether the id is that of the log of an earlier process of the target. */
+export function isLostCopyOf(id: TargetId, target: TargetId): boolean {
+  return id.startsWith(`${target}@`);
 }
 
 /** Creates a tracker that follows the directory. */
@@ -48,13 +90,16 @@
   options: {
     readonly directory: Pick<Directory, "onChange">;
     readonly primaries: Pick<PrimaryTracker, "tryPrimary">;
-    readonly health: Pick<Health, "hasReceived">;
+    readonly health: Pick<Health, "hasReceived" | "forgetReceived">;
     /** Newest known position of a service's primary. */
-    tryPosition(service: ServiceId): Position | undefined;
+    tryPosition(service: ServiceId): AgedPosition | undefined;
+    /** Requests that the position is kept fresh for the next seconds. */
+    requestPosition(service: ServiceId): void;
   },
 ): LogCopies {
   const { directory, primaries, health } = options;
   const copies = new Map<TargetId, Copy>();
+  const lostCopies = new Map<TargetId, LostCopy>();
 
   function hasOtherPrimary({ service, id }: TargetRecord): boolean {
     const primary = primaries.tryPrimary(service);
@@ -105,18 +150,91 @@
     return ofService.filter(isCounted);
   }
 
+  function updateLost(): void {
+    for (const lost of lostCopies.values()) {
+      const { target: { service }, since } = lost;
+      const known = options.tryPosition(service);
+      // An older position may lie before the last commits of the lost log.
+      if (known && nowMs() - known.ageMs >= since) {
+        lost.floor ??= known.position;
+      }
+      if (lost.floor === undefined) {
+        options.requestPosition(service);
+      }
+    }
+  }
+
+  /** Whether a replica holds all that the lost log may have held. */
+  function isRecovered({ target: { service }, floor }: LostCopy): boolean {
+    const primary = primaries.tryPrimary(service);
+    return floor !== undefined &&
+      [...copies.values()].some(({ target }) =>
+        target.service === service && target.id !== primary &&
+        health.hasReceived(target.id, floor)
+      );
+  }
+
+  function listLost(service: ServiceId): readonly TargetId[] {
+    updateLost();
+    const ofService = [...lostCopies.values()].filter(({ target }) =>
+      target.service === service
+    );
+    for (const lost of ofService) {
+      const isExpired = nowMs() - lost.since >= UNREGISTERED_COPY_TIMEOUT_MS;
+      if (isExpired || isRecovered(lost)) {
+        lostCopies.delete(lost.id);
+        log.info("copy_forgotten", {
+          service,
+          target: lost.id,
+          state: isExpired ? "lost" : "recovered",
+        });
+      }
+    }
+    return ofService.map(({ id }) => id).filter((id) => lostCopies.has(id));
+  }
+
+  function applyRecord(target: TargetRecord): void {
+    const { id, service, incarnation } = target;
+    const known = copies.get(id);
+    if (known && incarnation > known.incarnation) {
+      const lostId = getLostCopyId(id, known.incarnation);
+      lostCopies.set(lostId, {
+        id: lostId,
+        target: known.target,
+        since: nowMs(),
+        floor: undefined,
+      });
+      health.forgetReceived(id);
+      log.info("copy_lost", { service, target: lostId });
+    }
+    copies.set(id, {
+      target,
+      state: { kind: "registered" },
+      incarnation: Math.max(incarnation, known?.incarnation ?? incarnation),
+    });
+  }
+
   function applyEvent({ kind, target }: DirectoryEvent): void {
     switch (kind) {
       case "found":
       case "changed":
-        copies.set(target.id, { target, state: { kind: "registered" } });
+        applyRecord(target);
         return;
       case "gone": {
         const since = nowMs();
         const state: CopyState = target.isDraining
-          ? { kind: "left", since, floor: options.tryPosition(target.service) }
+          ? {
+            kind: "left",
+            since,
+            floor: options.tryPosition(target.service)?.position,
+          }
           : { kind: "lapsed", since };
-        copies.set(target.id, { target, state });
+        const known = copies.get(target.id);
+        copies.set(target.id, {
+          target,
+          state,
+          incarnation: known?.incarnation ?? target.incarnation,
+        });
         return;
       }
       default:
@@ -131,5 +249,17 @@
       const copy = copies.get(id);
       return copy && isCounted(copy) ? copy.target : undefined;
     },
+    updateLost,
+    listLost: (service, registered = []) => [
+      ...new Set([
+        ...listLost(service),
+        ...registered.flatMap(({ id, incarnation }) => {
+          const known = copies.get(id)?.incarnation;
+          return known !== undefined && incarnation > known
+            ? [getLostCopyId(id, known)]
+            : [];
+        }),
+      ]),
+    ],
   };
 }
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -279,7 +279,8 @@
     directory,
     primaries,
     health,
-    tryPosition: (service) => getPositions(service).tryLatest()?.position,
+    tryPosition: (service) => getPositions(service).tryLatest(),
+    requestPosition: (service) => getPositions(service).recordUse(),
   });
   const stepDownRequests = createStepDownRequests(ctx, {
     copies,
--- a/src/pooling/position_history.ts
+++ b/src/pooling/position_history.ts
@@ -57,7 +57,9 @@
   tryLatest(): AgedPosition | undefined;
   /** Age of the newest sample in milliseconds; infinite without one. */
   getAgeMs(): number;
-  /** Time since a read floor was last asked for, in milliseconds. */
+  /** Records a use of the position other than for a read floor. */
+  recordUse(): void;
+  /** Time since the last use, in milliseconds. */
   getTimeSinceUseMs(): number;
 }
 
@@ -141,6 +143,9 @@
       const last = samples.at(-1);
       return last ? nowMs() - last.sentAt : Infinity;
     },
+    recordUse() {
+      usedAt = nowMs();
+    },
     getTimeSinceUseMs: () => nowMs() - usedAt,
   };
 }
--- a/src/pooling/step_down_requests.ts
+++ b/src/pooling/step_down_requests.ts
@@ -80,7 +80,10 @@
   let nextId = 0;
 
   function listKnownCopies(service: ServiceId): TargetId[] {
-    return copies.list(service).map(({ id }) => id);
+    return [
+      ...copies.list(service).map(({ id }) => id),
+      ...copies.listLost(service),
+    ];
   }
 
   async function attempt(
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -27,6 +27,11 @@
    * hold every acknowledged commit.
    */
   readonly mayKeepOldPrimary: boolean;
+  /**
+   * Whether the old primary has started again since it led, and so may not hold
+   * what it has acknowledged.
+   */
+  readonly hasOldPrimaryRestarted?: boolean;
   /** Target chosen before all others if it holds every acknowledged commit. */
   readonly preferred?: TargetId | undefined;
 }
@@ -87,7 +92,9 @@
   );
   // If enough replicas are fenced, the old primary is left out, so that its
   // unacknowledged entries are not required of the successor.
-  const quorum = replicas.length >= required ? replicas : fenced;
+  const quorum = replicas.length >= required || options.hasOldPrimaryRestarted
+    ? replicas
+    : fenced;
   if (quorum.length < required) {
     return undefined;
   }
@@ -95,7 +102,8 @@
     (max, { report }) => maxPosition(max, report.position),
     ORIGIN,
   );
-  const upToDate = fenced.filter(({ report }) =>
+  const candidates = options.hasOldPrimaryRestarted ? replicas : fenced;
+  const upToDate = candidates.filter(({ report }) =>
     isAtLeast(report.position, lastPosition)
   );
   return tryPick(upToDate, options);
--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -255,6 +255,40 @@
   expect(await listLostWithin(FAILOVER_MS, acknowledged)).toHaveLength(0);
 });
 
+// Guards against the empty log of an old primary that has started again, which
+// counts as the one that it led with.
+test("an old primary that starts again with an empty log does not count as a holder", async () => {
+  await startUnknownCopy({
+    group: { ids: ["t1", "t2", "t3"], promoteMs: PROMOTE_MS },
+    unregistered: [],
+  });
+  stopReplication("t2");
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.unreachableTargets.add("t3");
+  Object.assign(fleet.getTarget("t1"), { log: [], role: "replica" });
+  fleet.register("t1", { incarnation: 2, role: "replica" });
+  expect(await listLostWithin(FAILOVER_MS, acknowledged)).toHaveLength(0);
+});
+
+// Guards against a failover that waits for the log of a replica which has caught
+// up since it started again.
+test("a primary that crashes after a restart of a replica is replaced", async () => {
+  await startUnknownCopy({
+    group: { ids: ["t1", "t2", "t3"], promoteMs: PROMOTE_MS },
+    unregistered: [],
+  });
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  Object.assign(fleet.getTarget("t2"), { log: [], appliedCount: 0 });
+  fleet.register("t2", { incarnation: 2 });
+  await vi.advanceTimersByTimeAsync(4_000);
+  const before = acknowledged.size;
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  expect(await listLostWithin(FAILOVER_MS, acknowledged)).toHaveLength(0);
+  expect(acknowledged.size - before).toBeGreaterThan(500);
+});
+
 const LEFT_REPLICA_CASES = [
   { title: "its registration has lapsed", isRunning: true },
   { title: "it has ended", isRunning: false },
@@ -359,7 +393,12 @@
   } as unknown as ExecutionContext;
   const ask = (service: string, target: string) => {
     const requests = createStepDownRequests(ctx, {
-      copies: { list: () => [], tryGet: () => undefined },
+      copies: {
+        list: () => [],
+        listLost: () => [],
+        updateLost() {},
+        tryGet: () => undefined,
+      },
       listPeers: () => [peer],
     });
     const answers = requests.send({
--- a/test/log_copies.test.ts
+++ b/test/log_copies.test.ts
@@ -10,19 +10,26 @@
 let primary: string | undefined;
 /** Replicas that have received all that the primary had when t3 left. */
 let caughtUp: Set<string>;
+/** Age of the primary's position. */
+let ageMs: number;
 let copies: LogCopies;
 
 beforeEach(() => {
   vi.useFakeTimers();
   primary = "t1";
   caughtUp = new Set();
+  ageMs = 0;
   copies = createLogCopies({ info() {}, request() {} }, {
     directory: { onChange: (listener) => void (emit = listener) },
     primaries: {
       tryPrimary: () => primary === undefined ? undefined : asId(primary),
     },
-    health: { hasReceived: (id) => caughtUp.has(id) },
-    tryPosition: () => ({ term: 1, pos: 7 }),
+    health: {
+      hasReceived: (id) => caughtUp.has(id),
+      forgetReceived: (id) => void caughtUp.delete(id),
+    },
+    tryPosition: () => ({ position: { term: 1, pos: 7 }, ageMs }),
+    requestPosition() {},
   });
   ["t1", "t2", "t3"].forEach((id) =>
     emit({ kind: "found", target: createRecord(id) })
@@ -46,6 +53,11 @@
   };
 }
 
+function restart(id: string): void {
+  const target = { ...createRecord(id), incarnation: 2 };
+  emit({ kind: "changed", target, previous: createRecord(id) });
+}
+
 function listIds() {
   return copies.list(SERVICE).map(({ id }) => id);
 }
@@ -84,3 +96,48 @@
   primary = "t2";
   expect(listIds()).toEqual(["t2", "t3"]);
 });
+
+// Guards against commits that only a replica which has started again without its
+// log had received: positions and log ends of before say nothing about them.
+test("a log that is lost in a restart counts until a replica holds what it may have held", () => {
+  caughtUp.add("t3");
+  ageMs = 100;
+  restart("t3");
+  copies.updateLost();
+  caughtUp.add("t2");
+  expect(copies.listLost(SERVICE)).toEqual(["t3@1"]);
+  vi.advanceTimersByTime(100);
+  caughtUp.clear();
+  copies.updateLost();
+  expect(copies.listLost(SERVICE)).toEqual(["t3@1"]);
+  caughtUp.add("t3");
+  expect(copies.listLost(SERVICE)).toEqual([]);
+});
+
+// Guards against a failover that waits for ever for a log that is gone.
+test("a log that is lost in a restart counts for a minute", () => {
+  ageMs = Infinity;
+  restart("t3");
+  vi.advanceTimersByTime(59_000);
+  expect(copies.listLost(SERVICE)).toEqual(["t3@1"]);
+  vi.advanceTimersByTime(2_000);
+  expect(copies.listLost(SERVICE)).toEqual([]);
+});
+
+// Guards against a restart that shows only in the list that is read after the
+// fence, and against a restored registration that passes for a restart.
+test("only a later process of a target than the one heard of has lost its log", () => {
+  const later = { ...createRecord("t3"), incarnation: 2 };
+  expect(copies.listLost(SERVICE, [later])).toEqual(["t3@1"]);
+  restart("t2");
+  emit({ kind: "changed", target: createRecord("t2"), previous: later });
+  ageMs = 0;
+  caughtUp.add("t2");
+  expect(copies.listLost(SERVICE)).toEqual([]);
+  emit({
+    kind: "changed",
+    target: { ...later, id: asId("t2") },
+    previous: later,
+  });
+  expect(copies.listLost(SERVICE)).toEqual([]);
+});
