Name the last primary in the failover lease before it steps down

Cause: a holder that ended after the old primary had stepped down left no word of it.

Change: a claim names the target that this host has seen to lead, with its incarnation and term; if that becomes known only during the claim, the lease is written once more before the step-down, beside the query of the replicas. The name stays until a promotion is confirmed. A later holder takes the log end of that target as a replica for that of a step-down, if no target reports a later term, it has not started again, and its log is not shorter than known positions. Peers tell the log end of a replica in the fields term and pos of tell_step_down with state "unreachable", which older hosts ignore. Older hosts ignore the field of the lease and drop it with their next claim; the number of copies decides then, as before.

Ruled out: also storing the log end. A host that reaches the old primary learns it; if nobody does, waiting for a copy that reaches a log end with unacknowledged entries could last for ever.

--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -15,6 +15,13 @@
   /** A failover did not finish, and replicas are still paused. */
   | "left_paused";
 
+/** Target that has been seen to lead in a term. */
+export interface ProvenPrimary {
+  readonly target: TargetId;
+  readonly incarnation: number;
+  readonly term: number;
+}
+
 /** Lease on the failover of a service; one host holds it at a time. */
 export interface FailoverLease {
   readonly holder: HostId;
@@ -38,6 +45,13 @@
    * effect once that target has stepped down.
    */
   readonly hasUnansweredOrder?: boolean;
+  /**
+   * Last primary, written before it is made to step down. While no later term
+   * is known, its log end bounds every acknowledged commit, also for a host
+   * that finds it as a replica. Missing if the holder has not seen it lead, or
+   * is a host of an earlier version.
+   */
+  readonly lastPrimary?: ProvenPrimary;
 }
 
 /** Revisions that fencing tokens distinguish within an era of the store. */
@@ -72,6 +86,15 @@
       ...(lease.hasUnansweredOrder === true
         ? { hasUnansweredOrder: true }
         : {}),
+      ...(isProvenPrimary(lease.lastPrimary)
+        ? { lastPrimary: lease.lastPrimary }
+        : {}),
     }
     : undefined;
 }
+
+function isProvenPrimary(value: unknown): value is ProvenPrimary {
+  const { target, incarnation, term } = (value ?? {}) as Partial<ProvenPrimary>;
+  return typeof target === "string" && typeof incarnation === "number" &&
+    typeof term === "number";
+}
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -7,6 +7,7 @@
   type FailoverCause,
   type FailoverLease,
   getFencingToken,
+  type ProvenPrimary,
   tryDecodeFailoverLease,
 } from "./failover_lease.ts";
 import { createFailoverProcedure } from "./failover_procedure.ts";
@@ -102,6 +103,7 @@
     copies,
     fencing,
     updateLease,
+    tryLastPrimary,
     isClaimCurrent: (service, { fencingToken }) =>
       claims.get(service)?.fencingToken === fencingToken,
   });
@@ -267,6 +269,29 @@
       claims.get(service)?.version !== known?.version;
   }
 
+  /**
+   * Returns the last primary, if this host has seen it lead or the lease names
+   * it, and nothing shows a later one.
+   */
+  function tryLastPrimary(
+    service: ServiceId,
+    lease: FailoverLease | undefined,
+  ): ProvenPrimary | undefined {
+    const { primaries } = ctx;
+    const term = primaries.tryProvenTerm(service);
+    const primary = primaries.tryPrimary(service);
+    const target = primary && copies.tryGet(primary);
+    if (target && term === primaries.getTerm(service)) {
+      return { target: target.id, incarnation: target.incarnation, term };
+    }
+    const named = lease?.lastPrimary;
+    return named && (primary ?? named.target) === named.target &&
+        named.term >= primaries.getTerm(service) &&
+        copies.tryGet(named.target)?.incarnation === named.incarnation
+      ? named
+      : undefined;
+  }
+
   async function claimLease(
     service: ServiceId,
     cause: FailoverCause,
@@ -274,6 +299,7 @@
     const key = getFailoverLeaseKey(service);
     const known = fleet.tryGet(key);
     const previous = newestLeases.get(service);
+    const lastPrimary = tryLastPrimary(service, previous);
     const claimed: FailoverLease = {
       holder: self,
       fencingToken: previous?.fencingToken ?? 0,
@@ -285,6 +311,7 @@
       ...(previous?.hasUnansweredOrder === true
         ? { hasUnansweredOrder: true }
         : {}),
+      ...(lastPrimary ? { lastPrimary } : {}),
     };
     const version = await tryPutLease(service, claimed, known?.version ?? 0);
     if (version === undefined) {
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -3,7 +3,11 @@
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
 import { sendControlCommand } from "./control.ts";
-import type { FailoverCause, FailoverLease } from "./failover_lease.ts";
+import type {
+  FailoverCause,
+  FailoverLease,
+  ProvenPrimary,
+} from "./failover_lease.ts";
 import {
   type Deposition,
   type FenceAttempt,
@@ -77,6 +81,11 @@
     readonly fencing: Fencing;
     /** Writes the lease if this host still holds it; false otherwise. */
     updateLease(service: ServiceId, lease: FailoverLease): Promise<boolean>;
+    /** Returns the last primary, see `FailoverLease`, if it is known. */
+    tryLastPrimary(
+      service: ServiceId,
+      lease: FailoverLease,
+    ): ProvenPrimary | undefined;
     /** Whether the claim of the lease is of the store's current era. */
     isClaimCurrent(service: ServiceId, lease: FailoverLease): boolean;
   },
@@ -236,30 +245,39 @@
     service: ServiceId,
     claim: FailoverClaim,
   ): Promise<ResolvedClaim> {
-    const { cause, lease } = claim;
-    const oldPrimary = ctx.primaries.tryPrimary(service);
-    const { openTarget } = lease;
+    const { cause, lease: claimed } = claim;
+    const lastPrimary = options.tryLastPrimary(service, claimed);
+    const oldPrimary = ctx.primaries.tryPrimary(service) ?? lastPrimary?.target;
+    const { openTarget } = claimed;
     const leading = oldPrimary && ctx.directory.tryGet(oldPrimary);
     if (
-      lease.hasUnansweredOrder && leading &&
-      !await invalidateOlderOrders(service, { target: leading, lease })
+      claimed.hasUnansweredOrder && leading &&
+      !await invalidateOlderOrders(service, { target: leading, lease: claimed })
     ) {
-      return { result: "not_fenced", lease };
+      return { result: "not_fenced", lease: claimed };
     }
-    const attempt: FenceAttempt = {
-      service,
-      term: ctx.primaries.getTerm(service) + 1,
-      oldPrimary,
-      mayKeepOldPrimary: cause !== "leaving",
-      openTarget,
-    };
     // Also opens the connections that the replicas are fenced over.
     const hasReplica = isAnyReachable(
       options.copies.list(service).filter(({ id }) => id !== oldPrimary),
     );
+    const lease = lastPrimary ? { ...claimed, lastPrimary } : claimed;
+    const isNamed = lastPrimary?.term === claimed.lastPrimary?.term &&
+      lastPrimary?.target === claimed.lastPrimary?.target;
+    // If this host goes dark after the step-down, the next one has to know.
+    if (!isNamed && !await options.updateLease(service, lease)) {
+      return { result: "overtaken", lease: claimed };
+    }
     if (cause === "leaving" && !await hasReplica) {
       return { result: "too_few", lease };
     }
+    const attempt: FenceAttempt = {
+      service,
+      term: ctx.primaries.getTerm(service) + 1,
+      oldPrimary,
+      hasOldPrimaryLed: lastPrimary !== undefined,
+      mayKeepOldPrimary: cause !== "leaving",
+      openTarget,
+    };
     const depose = fencing.createDeposition(attempt);
     const deposition = await depose();
     ctx.io.log.info("old_primary_deposed", {
@@ -390,7 +408,8 @@
   lease: FailoverLease,
   { isAnswered }: { readonly isAnswered: boolean },
 ): FailoverLease {
-  const { hasUnansweredOrder: _, ...promoted } = withoutOpenTarget(lease);
+  const { hasUnansweredOrder: _, lastPrimary: __, ...promoted } =
+    withoutOpenTarget(lease);
   return isAnswered ? promoted : { ...promoted, hasUnansweredOrder: true };
 }
 
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -22,6 +22,7 @@
   tryChooseSuccessor,
 } from "./succession.ts";
 import type { Position, TargetRecord, TargetReport } from "./types.ts";
+import { isAtLeast, ORIGIN } from "../core/position.ts";
 
 /** Time to fence enough targets, in milliseconds. */
 const FENCE_TIMEOUT_MS = 1_500;
@@ -61,6 +62,11 @@
   /** Term in which the successor will lead. */
   readonly term: number;
   readonly oldPrimary: TargetId | undefined;
+  /**
+   * Whether the old primary is known to have led last, so that its log end
+   * bounds every acknowledged commit also if it is a replica by now.
+   */
+  readonly hasOldPrimaryLed: boolean;
   readonly mayKeepOldPrimary: boolean;
   /** Target of an order that may still take effect, see `FailoverLease`. */
   readonly openTarget: TargetId | undefined;
@@ -160,19 +166,30 @@
   }
 
   function createDeposition(attempt: FenceAttempt): () => Promise<Deposition> {
-    const { service, oldPrimary, term } = attempt;
+    const { service, oldPrimary, hasOldPrimaryLed, term } = attempt;
     const target = oldPrimary === undefined
       ? undefined
       : copies.tryGet(oldPrimary);
     const tryStepDown = target && createStepDown(ctx, { target, term });
 
+    /** Returns the end of the old primary's log, which was found as a replica. */
+    function tryBound(end: Position | undefined): Position | undefined {
+      const known = ctx.getPositions(service).tryLatest()?.position;
+      // A shorter log is that of a process that has lost entries in a restart.
+      return hasOldPrimaryLed && end && isAtLeast(end, known ?? ORIGIN)
+        ? end
+        : undefined;
+    }
+
     async function askPeers(): Promise<Deposition> {
       const answers = await requests.send({
         service,
         target: target?.id,
         term,
       });
-      const { steppedDownAt, isReachable, copies: peerCopies } = answers;
+      const { isReachable, copies: peerCopies } = answers;
+      const steppedDownAt = answers.steppedDownAt ??
+        tryBound(answers.replicaEnd);
       if (steppedDownAt) {
         return { kind: "stepped_down", position: steppedDownAt };
       }
@@ -191,10 +208,18 @@
       return inProgress ?? Promise.resolve(undefined);
     }
 
+    /** Takes the log end of a replica that led last for that of a step-down. */
+    function toStepDown(res: StepDownRes | undefined): StepDownRes | undefined {
+      const position = res?.kind === "not_primary"
+        ? tryBound(res.position)
+        : undefined;
+      return position ? { kind: "stepped_down", position } : res;
+    }
+
     async function makeAttempt(): Promise<Deposition> {
       const isDark = !target || isLikelyDark(ctx, target);
       const localDeadline = nowMs() + LOCAL_STEP_DOWN_MS;
-      const local = stepDown();
+      const local = stepDown().then(toStepDown);
       const early = await withTimeout(local, {
         ms: isDark ? 0 : LOCAL_STEP_DOWN_MS,
         fallback: undefined,
@@ -240,6 +265,11 @@
     const graceEnd = nowMs() + REPLICA_GRACE_MS;
     let registered: readonly TargetRecord[] | undefined;
 
+    /** Whether another primary than the old one has led since. */
+    function hasFollowedLater({ report }: ReportedTarget): boolean {
+      return report.term >= term || report.position.term >= term;
+    }
+
     async function addIfFenced(target: TargetRecord): Promise<void> {
       inProgress.add(target.id);
       const report = await fenceTarget(target, term);
@@ -259,6 +289,10 @@
         deposition,
         registered: registered ?? [],
       });
+      if (attempt.hasOldPrimaryLed && targets.some(hasFollowedLater)) {
+        ctx.io.log.info("failover_outdated", { service, term, oldPrimary });
+        return undefined;
+      }
       const successor = tryChooseSuccessor(targets, succession);
       // The open target may still become primary. Unless it has left the
       // directory, wait for the missing copies, which may show that it holds
--- a/src/pooling/step_down.ts
+++ b/src/pooling/step_down.ts
@@ -10,8 +10,15 @@
   | { readonly kind: "stepped_down"; readonly position: Position }
   /** Answers, and may still be primary. */
   | { readonly kind: "answers" }
-  /** Was a replica at the first answer, so its log end bounds nothing. */
-  | { readonly kind: "not_primary" }
+  /**
+   * Was a replica at the first answer. Its log end bounds acknowledged commits
+   * only if it is known to be the last primary, and to have followed no other.
+   */
+  | {
+    readonly kind: "not_primary";
+    /** Undefined if the target may follow a primary of this term or later. */
+    readonly position: Position | undefined;
+  }
   | { readonly kind: "unreachable" };
 
 /** Whether no answer of a target means that it is not there. */
@@ -78,6 +85,9 @@
     // In a later term, another target leads and may have replaced entries.
     return wasPrimary && report.term <= term
       ? { kind: "stepped_down", position: report.position }
-      : { kind: "not_primary" };
+      : {
+        kind: "not_primary",
+        position: report.term < term ? report.position : undefined,
+      };
   };
 }
--- a/src/pooling/step_down_requests.ts
+++ b/src/pooling/step_down_requests.ts
@@ -40,7 +40,12 @@
 export interface PeerAnswers {
   /** Log end of the target, if a peer made it step down. */
   readonly steppedDownAt: Position | undefined;
-  /** Whether a peer had an answer from the target. */
+  /**
+   * Log end of the target, if a peer found it as a replica that has followed no
+   * primary of this term or later.
+   */
+  readonly replicaEnd: Position | undefined;
+  /** Whether a peer had an answer from the target that may be a primary's. */
   readonly isReachable: boolean;
   readonly copies: readonly TargetId[];
 }
@@ -123,7 +128,12 @@
         const request: PendingRequest = {
           order,
           unanswered: new Set(listed),
-          answers: { steppedDownAt: undefined, isReachable: false, copies: [] },
+          answers: {
+            steppedDownAt: undefined,
+            replicaEnd: undefined,
+            isReachable: false,
+            copies: [],
+          },
           finish() {
             clearInterval(repeat);
             clearTimeout(timer);
@@ -185,7 +195,9 @@
       });
       tell(
         res.kind === "not_primary" ? "unreachable" : res.kind,
-        res.kind === "stepped_down" ? res.position : undefined,
+        res.kind === "stepped_down" || res.kind === "not_primary"
+          ? res.position
+          : undefined,
       );
     },
     handleReply(from, msg) {
@@ -205,16 +217,18 @@
         return;
       }
       request.unanswered.delete(from);
-      const position = msg.state === "stepped_down" &&
-          msg.term !== undefined && msg.pos !== undefined
+      const position = msg.term !== undefined && msg.pos !== undefined
         ? { term: msg.term, pos: msg.pos }
         : undefined;
+      const steppedDownAt = msg.state === "stepped_down" ? position : undefined;
       request.answers = {
-        steppedDownAt: answers.steppedDownAt ?? position,
+        steppedDownAt: answers.steppedDownAt ?? steppedDownAt,
+        replicaEnd: answers.replicaEnd ??
+          (msg.state === "unreachable" ? position : undefined),
         isReachable: answers.isReachable || msg.state !== "unreachable",
         copies: [...answers.copies, ...msg.copies],
       };
-      if (position || request.unanswered.size === 0) {
+      if (steppedDownAt || request.unanswered.size === 0) {
         request.finish();
       }
     },
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -92,9 +92,8 @@
   );
   // If enough replicas are fenced, the old primary is left out, so that its
   // unacknowledged entries are not required of the successor.
-  const quorum = replicas.length >= required || options.hasOldPrimaryRestarted
-    ? replicas
-    : fenced;
+  const eligible = options.hasOldPrimaryRestarted ? replicas : fenced;
+  const quorum = replicas.length >= required ? replicas : eligible;
   if (quorum.length < required) {
     return undefined;
   }
@@ -102,8 +101,7 @@
     (max, { report }) => maxPosition(max, report.position),
     ORIGIN,
   );
-  const candidates = options.hasOldPrimaryRestarted ? replicas : fenced;
-  const upToDate = candidates.filter(({ report }) =>
+  const upToDate = eligible.filter(({ report }) =>
     isAtLeast(report.position, lastPosition)
   );
   return tryPick(upToDate, options);
--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -337,6 +337,29 @@
   expect(await listLostWithin(2 * FAILOVER_MS, acknowledged)).toHaveLength(0);
 });
 
+// Guards against a holder that ends after the step-down, and a next one that
+// reaches the old primary, finds a replica and counts copies.
+test("an old primary that alone holds the last commits leads again under the next holder", async () => {
+  await startUnknownCopy();
+  const acknowledged = startWriters();
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.hostsWithoutStore.add("h1").add("h2");
+  stopReplication("t2", "t3");
+  await vi.advanceTimersByTimeAsync(100);
+  fleet.register("t1", { isDraining: true });
+  for (let ms = 0; ms < 2_000 && listSteppedDown().length === 0; ms++) {
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  expect(fleet.store.get(asId<ObjectKey>("turmericchute-fleet/duty.ledger")))
+    .toMatchObject({ value: { lastPrimary: { target: "t1", term: 1 } } });
+  fleet.killHost(0);
+  fleet.hostsWithoutStore.delete("h1");
+  const before = acknowledged.size;
+  expect(await listLostWithin(2 * FAILOVER_MS, acknowledged)).toHaveLength(0);
+  expect(fleet.orders[0]?.target).toBe("t1");
+  expect(acknowledged.size - before).toBeGreaterThan(500);
+});
+
 // Guards against an outage that the failover makes: a leaving primary steps down
 // although no replica can be fenced.
 test("a leaving primary serves on while no successor can be reached", async () => {
