--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -280,7 +280,8 @@
     directory,
     primaries,
     health,
-    tryPosition: (service) => getPositions(service).tryLatest()?.position,
+    tryPosition: (service) => getPositions(service).tryLatest(),
+    requestPosition: (service) => getPositions(service).recordUse(),
   });
   const stepDownRequests = createStepDownRequests(ctx, {
     copies,
@@ -460,6 +461,7 @@
       case "changed":
         if (!isSameProcess(target, event.previous)) {
           dispatcher.removeTarget(id);
+          primaries.applyEvidence(service, id, { kind: "restarted" });
         }
         if (target.role !== event.previous.role) {
           const evidence = target.role === "primary"
