--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -199,7 +199,10 @@
   readonly eras?: StoreEras;
   get(key: ObjectKey): Promise<Result<StoredObject, PlatformErr>>;
   /** Lists the objects whose key begins with `prefix`. */
-  list(prefix: string): Promise<Result<WatchRes, PlatformErr>>;
+  list(
+    prefix: string,
+    options?: ListOptions,
+  ): Promise<Result<WatchRes, PlatformErr>>;
   /** Stores `value` if the object is at `ifVersion`; 0 creates the object. */
   put(
     key: ObjectKey,
@@ -213,6 +216,15 @@
   ): Promise<Result<WatchRes, PlatformErr>>;
 }
 
+/** Options of a list. */
+export interface ListOptions {
+  /**
+   * Whether the list may be seconds old; the store then charges less. An exact
+   * watch from its revision returns what it lacks.
+   */
+  readonly mayBeLate?: boolean;
+}
+
 /** Options of a watch. */
 export interface WatchOptions {
   /** Revision after which changes are reported. */
@@ -262,6 +274,7 @@
   | "store_era_changes_total"
   | "store_era_losses_total"
   | "store_relayed_calls_total"
+  | "store_calls_total"
   | "quota_borrowed_total";
 
 /** Names of the histograms; values are in milliseconds. */
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -38,6 +38,7 @@
   type SessionOptions,
 } from "./session.ts";
 import { createShareSync } from "./share_sync.ts";
+import { createCountedCalls } from "./store_calls.ts";
 import { createStoreAccess } from "./store_access.ts";
 import { createStoreFeed } from "./store_feed.ts";
 import { createStoreRelay } from "./store_relay.ts";
@@ -140,9 +141,13 @@
 ): Pooler {
   const { decoding } = options;
   const addresses = createAddressBook(poolerIo);
+  const storeCalls = createCountedCalls(poolerIo, {
+    calls: poolerIo.storeCalls,
+    prefixes: decoding,
+  });
   const storeAccess = createStoreAccess(poolerIo, {
     self: options.host,
-    direct: poolerIo.storeCalls,
+    direct: storeCalls,
     probeKey: LEDGER_KEY,
     listPeers: () => [
       ...new Set([...fleet.listPeers(), ...addresses.listIntroduced()]),
@@ -151,7 +156,7 @@
     onDirect: addresses.clearIntroduced,
   });
   const storeRelay = createStoreRelay(poolerIo, {
-    calls: poolerIo.storeCalls,
+    calls: storeCalls,
     isDirect: () => storeAccess.getPath() === "direct",
     isWritable: isSharedKey,
   });
--- a/src/pooling/store_access.ts
+++ b/src/pooling/store_access.ts
@@ -240,8 +240,12 @@
   return {
     calls: {
       get: (key) => call({ kind: "get", key }, () => direct.get(key), isObject),
-      list: (prefix) =>
-        call({ kind: "list", prefix }, () => direct.list(prefix), isList),
+      list: (prefix, list) =>
+        call(
+          { kind: "list", prefix },
+          () => direct.list(prefix, list),
+          isList,
+        ),
       put: (key, value, condition) =>
         call(
           { kind: "put", key, value, ifVersion: condition.ifVersion },
