Let one host of a failure domain watch the store for the others

Cause: each host keeps three watches of the store, so the calls at rest grow with the number of hosts. Change: from six registered hosts of a domain on, hosts watch through the best of them by rendezvous hashing, which answers from one watch for each prefix. Hosts say in their registration whether they answer such watches; an older one gets none of the new messages.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -275,6 +275,8 @@
   | "store_era_losses_total"
   | "store_relayed_calls_total"
   | "store_calls_total"
+  | "store_reader_served_total"
+  | "store_reader_failures_total"
   | "quota_borrowed_total";
 
 /** Names of the histograms; values are in milliseconds. */
--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -196,7 +196,8 @@
 }
 
 function isResponse({ kind }: ForwardMessage): boolean {
-  return kind === "reply" || kind === "leaving" || kind === "store_reply";
+  return kind === "reply" || kind === "leaving" || kind === "store_reply" ||
+    kind === "reader_changes" || kind === "reader_ages";
 }
 
 function tryDecode(packr: Packr, data: Buffer): ForwardMessage | undefined {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -47,6 +47,8 @@
   host_stream_errors_total: "Streams of other hosts ended as malformed",
   store_era_changes_total: "Returns of the store to an earlier copy",
   store_relayed_calls_total: "Calls to the store for other hosts, by result",
+  store_reader_served_total: "Watches answered for other hosts, by outcome",
+  store_reader_failures_total: "Store readers given up, by reason",
   store_calls_total: "Calls to the store by kind, cause and freshness",
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -10,16 +10,19 @@
 } from "../core/ids.ts";
 import { getEra } from "../core/store_era.ts";
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
+import { rankNodes } from "../core/hash.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import type { PoolIo } from "./types.ts";
 
 const OBJECT_KIND = "turmericchute-fleet";
+/** Prefix of the objects that hosts share. */
+export const SHARED_PREFIX = `${OBJECT_KIND}/`;
 const HOST_PREFIX = `${OBJECT_KIND}/host.`;
 const LEASE_PREFIX = `${OBJECT_KIND}/duty.`;
 /** Whether the object is one of those that hosts share. */
 export function isSharedKey(key: ObjectKey): boolean {
-  return key.startsWith(`${OBJECT_KIND}/`);
+  return key.startsWith(SHARED_PREFIX);
 }
 /** Key of the quota share ledger. */
 export const LEDGER_KEY = asId<ObjectKey>(`${OBJECT_KIND}/shares`);
@@ -84,6 +87,18 @@
  */
 const WATCH_INTERVAL_PER_HOST_MS = 25;
 
+/**
+ * Number of hosts in a failure domain from which one of them watches the store
+ * for the others. With fewer, the reader and its stand-by would be a third of
+ * all hosts and more, and save little.
+ */
+const MIN_HOSTS_WITH_READER = 6;
+/**
+ * Number of hosts that may be readers, the best first. Besides the reader and
+ * its stand-by there are some for the time in which lost hosts are listed.
+ */
+const MAX_READERS = 6;
+
 /** Key of the failover lease of a service. */
 export function getFailoverLeaseKey(service: string): ObjectKey {
   return asId<ObjectKey>(LEASE_PREFIX + service);
@@ -108,6 +123,8 @@
   readonly domain: DomainId;
   /** Era of the store in which the process started; 0 if it has none. */
   readonly firstEra: number;
+  /** Whether the process answers watches of other hosts. */
+  readonly readsStore: boolean;
 }
 
 /** Record as decoded; fields that the writer did not know are missing. */
@@ -134,6 +151,8 @@
   readonly placed: readonly PeerInfo[];
   /** Hosts that have left and may still be finishing their stop. */
   readonly stopping: readonly HostId[];
+  /** Hosts of this failure domain that may read the store for the others. */
+  readonly readers: readonly HostId[];
 }
 
 const NO_PEERS: Peers = {
@@ -141,6 +160,7 @@
   hosts: [],
   placed: [],
   stopping: [],
+  readers: [],
 };
 
 /** Local copy of the objects that hosts share in the store. */
@@ -179,6 +199,11 @@
    * array until it changes.
    */
   listPlacedHosts(): readonly PeerInfo[];
+  /**
+   * Hosts of this failure domain that may read the store for the others, the
+   * best first; empty if there are few hosts, and each reads for itself.
+   */
+  listStoreReaders(): readonly HostId[];
   /**
    * Whether the store has accepted no heartbeat of this host in time, so that
    * peers may reclaim its shares.
@@ -257,7 +282,7 @@
   let timer: NodeJS.Timeout | undefined;
 
   const feed: StoreFeed = createStoreFeed(io, {
-    prefix: `${OBJECT_KIND}/`,
+    prefix: SHARED_PREFIX,
     waitMs: WATCH_WAIT_MS,
     // Updates are conditional, so stale data causes at most a conflict.
     mayBeLate: true,
@@ -406,6 +431,7 @@
       peers: options.peerAddress,
       domain: options.domain,
       firstEra,
+      readsStore: true,
     };
   }
 
@@ -491,6 +517,8 @@
     const running: HostId[] = [];
     const placed: PeerInfo[] = [{ host: self, domain: options.domain }];
     const stopping: HostId[] = [];
+    const readers: HostId[] = isLeaving ? [] : [self];
+    const overdueMs = OVERDUE_INTERVALS * getHeartbeatIntervalMs();
     for (const key of hosts) {
       if (key === ownKey) {
         continue;
@@ -506,6 +534,12 @@
         if (record?.domain !== undefined) {
           placed.push({ host, domain: record.domain });
         }
+        const isReader = record?.readsStore === true &&
+          record.domain === options.domain &&
+          nowMs() - (observed.get(key)?.observedAt ?? -Infinity) <= overdueMs;
+        if (isReader) {
+          readers.push(host);
+        }
       }
     }
     return {
@@ -517,6 +551,10 @@
         ? cachedPeers.placed
         : placed,
       stopping,
+      readers: readers.length < MIN_HOSTS_WITH_READER
+        ? []
+        : rankNodes(`store_reader/${options.domain}`, readers)
+          .slice(0, MAX_READERS),
     };
   }
 
@@ -549,6 +587,7 @@
       ]),
     ],
     listPlacedHosts: () => getPeers().placed,
+    listStoreReaders: () => getPeers().readers,
     listExpiredHosts,
     listUnheard,
     listLeftHosts,
@@ -641,7 +680,7 @@
 /** Decodes a host's record, which may be of another writer. */
 function tryDecodeHostRecord(value: unknown): StoredHostRecord | undefined {
   const record = (value ?? {}) as Readonly<Record<string, unknown>>;
-  const { incarnation, beat, peers, domain, firstEra } = record;
+  const { incarnation, beat, peers, domain, firstEra, readsStore } = record;
   return typeof incarnation === "number" && typeof beat === "number"
     ? {
       incarnation,
@@ -649,6 +688,7 @@
       ...(typeof peers === "string" ? { peers } : {}),
       ...(typeof domain === "string" ? { domain: asId<DomainId>(domain) } : {}),
       ...(typeof firstEra === "number" ? { firstEra } : {}),
+      ...(readsStore === true ? { readsStore } : {}),
     }
     : undefined;
 }
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -202,6 +202,8 @@
               io.log.info("holder_leaving", { holder: host });
               return;
             case "store_reply":
+            case "reader_changes":
+            case "reader_ages":
               // This stream carries no calls to the store.
               io.log.info("store_reply_unexpected", { holder: host });
               return;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -17,7 +17,12 @@
 import { createFencing } from "./fencing.ts";
 import { createLogCopies } from "./log_copies.ts";
 import { createStepDownRequests } from "./step_down_requests.ts";
-import { createFleet, isSharedKey, LEDGER_KEY } from "./fleet.ts";
+import {
+  createFleet,
+  isSharedKey,
+  LEDGER_KEY,
+  SHARED_PREFIX,
+} from "./fleet.ts";
 import { createForwarder } from "./forwarder.ts";
 import { createHolders } from "./holders.ts";
 import { createPositionSharing } from "./position_sharing.ts";
@@ -41,6 +46,7 @@
 import { createCountedCalls } from "./store_calls.ts";
 import { createStoreAccess } from "./store_access.ts";
 import { createStoreFeed } from "./store_feed.ts";
+import { createStoreReaders } from "./store_readers.ts";
 import { createStoreRelay } from "./store_relay.ts";
 import { isSameProcess } from "./target_pool.ts";
 import type { Catalog, PoolerIo, PoolIo, TargetRecord } from "./types.ts";
@@ -160,11 +166,27 @@
     isDirect: () => storeAccess.getPath() === "direct",
     isWritable: isSharedKey,
   });
-  const io: PoolIo = { ...poolerIo, store: createEraStore(storeAccess.calls) };
+  const storeReaders = createStoreReaders(poolerIo, {
+    self: options.host,
+    prefixes: [
+      { prefix: decoding.catalogPrefix, mayBeLate: false },
+      { prefix: decoding.targetPrefix, mayBeLate: false },
+      { prefix: SHARED_PREFIX, mayBeLate: true },
+    ],
+    listReaders: () => fleet.listStoreReaders(),
+    tryGetEra: () => io.store.eras?.tryGet(),
+    watchDirectly: storeAccess.watchDirectly,
+    watchAlone: storeAccess.calls.watch,
+  });
+  const io: PoolIo = {
+    ...poolerIo,
+    store: createEraStore({ ...storeAccess.calls, watch: storeReaders.watch }),
+  };
   const clockJumps = createClockJumpDetector();
   clockJumps.onJump((driftMs) => {
     io.log.info("clock_jumped", { driftMs });
     storeAccess.forgetAnswers();
+    storeReaders.distrustAges();
     void fleet.sendHeartbeat();
   });
   io.store.eras?.onRise(({ era, previous }) => {
@@ -308,10 +330,17 @@
     const holder = connectionHolder.accept(from, stream);
     return {
       ...holder,
-      onMessage: (msg) =>
-        msg.kind === "store_call"
-          ? storeRelay.serve(from, stream, msg)
-          : holder.onMessage(msg),
+      onMessage(msg) {
+        switch (msg.kind) {
+          case "store_call":
+            return void storeRelay.serve(from, stream, msg);
+          case "reader_watch":
+          case "reader_ask":
+            return storeReaders.serve(stream, msg);
+          default:
+            return holder.onMessage(msg);
+        }
+      },
     };
   });
   io.peers.onIntroduction((host, address) => {
@@ -495,6 +524,7 @@
   function runMaintenance(): void {
     clockJumps.getEpoch();
     storeAccess.check();
+    storeReaders.check();
     shares.checkLeases();
     forwarder.checkStreams();
     versionCheck.checkLater();
@@ -567,6 +597,7 @@
       dispatcher.close();
       forwarder.stop();
       connectionHolder.stop();
+      storeReaders.stop();
       storeAccess.stop();
     },
   };
--- a/src/pooling/store_access.ts
+++ b/src/pooling/store_access.ts
@@ -40,6 +40,8 @@
 /** Access to the store over the path that works. */
 export interface StoreAccess extends Stoppable {
   readonly calls: EraCalls;
+  /** Watches over this host's own connections only. */
+  readonly watchDirectly: EraCalls["watch"];
   getPath(): StorePath;
   /**
    * Whether each of these hosts has said lately that it does not reach the
@@ -265,6 +267,8 @@
           isList,
         ),
     },
+    watchDirectly: (prefix, watch) =>
+      callDirect(() => direct.watch(prefix, watch)),
     getPath,
     isLostBy(hosts) {
       const now = nowMs();
--- /dev/null
+++ b/src/pooling/store_readers.ts
@@ -0,0 +1,268 @@
+/**
+ * One host of a failure domain, the reader, watches the store, and the others
+ * watch through it. A host that can't trust its reader asks the stand-by, and
+ * then the store itself. See docs/design/store_readers.md.
+ */
+
+import { nowMs } from "../core/clock.ts";
+import { assertNever } from "../core/errors.ts";
+import type { HostId } from "../core/ids.ts";
+import { getBackoffMs } from "../core/retry_delay.ts";
+import type { EraCalls, EraRes } from "../core/store_era.ts";
+import type { Stoppable, WatchOptions, WatchRes } from "../core/types.ts";
+import type { ReaderWatch } from "../generated/pool_forward.ts";
+import {
+  openReaderLink,
+  type ReaderFailure,
+  type ReaderLink,
+} from "./reader_link.ts";
+import { toStoreResult } from "./store_relay.ts";
+import type {
+  ForwardResponse,
+  HostStream,
+  PoolIo,
+  ReaderRequest,
+} from "./types.ts";
+import {
+  type CachedRes,
+  createWatchCache,
+  MAX_READER_AGE_MS,
+  type WatchCache,
+} from "./watch_cache.ts";
+
+/**
+ * Number of readers that are tried before the store itself: the reader and its
+ * stand-by. A change must arrive within 3 s, also if both have failed.
+ */
+const MAX_TRIED_READERS = 2;
+/**
+ * Time for which a reader that failed is not asked, in milliseconds. It doubles
+ * with each failure, since a lost host stays in the list until its heartbeat is
+ * overdue.
+ */
+const MIN_PAUSE_MS = 3_000;
+const MAX_PAUSE_MS = 24_000;
+
+/** Prefix that a reader watches. */
+export interface ReaderPrefix {
+  readonly prefix: string;
+  /** Whether changes under it may arrive seconds late. */
+  readonly mayBeLate: boolean;
+}
+
+/** Watches of this host and, if it is a reader, of others. */
+export interface StoreReaders extends Stoppable {
+  readonly watch: EraCalls["watch"];
+  /** Answers another host from the copy that this one keeps. */
+  serve(stream: HostStream<ForwardResponse>, msg: ReaderRequest): void;
+  check(): void;
+  /** Ends the trust in all ages, as after a suspension of this process. */
+  distrustAges(): void;
+}
+
+/** Dependencies of the readers. */
+export interface StoreReadersOptions {
+  readonly self: HostId;
+  readonly prefixes: readonly ReaderPrefix[];
+  /**
+   * Lists the hosts that may be the reader, the best first; empty if each host
+   * watches for itself.
+   */
+  listReaders(): readonly HostId[];
+  /** Returns the highest era that this host has seen. */
+  tryGetEra(): number | undefined;
+  /** Watches over this host's own connections. */
+  readonly watchDirectly: EraCalls["watch"];
+  /** Watches over whatever path to the store there is. */
+  readonly watchAlone: EraCalls["watch"];
+}
+
+interface Pause {
+  readonly failures: number;
+  readonly until: number;
+}
+
+/** Creates readers that watch nothing yet. */
+export function createStoreReaders(
+  io: Pick<PoolIo, "streams" | "log" | "metrics">,
+  options: StoreReadersOptions,
+): StoreReaders {
+  const { self } = options;
+  const caches = new Map<string, WatchCache>(
+    options.prefixes.map(({ prefix, mayBeLate }) => [
+      prefix,
+      createWatchCache(io, {
+        prefix,
+        mayBeLate,
+        watchStore: options.watchDirectly,
+      }),
+    ]),
+  );
+  const links = new Map<HostId, ReaderLink>();
+  const pauses = new Map<HostId, Pause>();
+  /** Reader used last for each prefix; undefined for the store itself. */
+  const usedReaders = new Map<string, HostId | undefined>();
+  let isStopped = false;
+
+  function pause(host: HostId, reason: ReaderFailure): void {
+    const failures = pauses.get(host)?.failures ?? 0;
+    const pauseMs = getBackoffMs(failures, {
+      minMs: MIN_PAUSE_MS,
+      maxMs: MAX_PAUSE_MS,
+    });
+    pauses.set(host, { failures: failures + 1, until: nowMs() + pauseMs });
+    io.log.info("store_reader_given_up", { reader: host, reason, pauseMs });
+    io.metrics.count("store_reader_failures_total", { reason });
+  }
+
+  function isPaused(host: HostId): boolean {
+    return nowMs() < (pauses.get(host)?.until ?? -Infinity);
+  }
+
+  function getLink(host: HostId): ReaderLink {
+    const known = links.get(host);
+    if (known) {
+      return known;
+    }
+    const link = openReaderLink(io, {
+      host,
+      onClose(reason) {
+        links.delete(host);
+        if (reason !== "idle" && reason !== "clock_jump" && !isStopped) {
+          pause(host, reason);
+        }
+      },
+    });
+    links.set(host, link);
+    return link;
+  }
+
+  /** Returns why an answer is not used; undefined if it is. */
+  function tryGetFlaw(res: CachedRes): ReaderFailure | undefined {
+    const { era, ageMs, result } = res;
+    const ownEra = options.tryGetEra();
+    if (era !== undefined && ownEra !== undefined && era < ownEra) {
+      return "older_era";
+    }
+    if (result.isErr()) {
+      // A newer era ends the trust in the revision that this host asked about.
+      const isNewer = era !== undefined && era > (ownEra ?? -Infinity);
+      return isNewer ? undefined : "no_answer";
+    }
+    return ageMs === undefined || ageMs > MAX_READER_AGE_MS
+      ? "too_old"
+      : undefined;
+  }
+
+  /** Asks one reader; undefined if it can't be used. */
+  async function tryReader(
+    host: HostId,
+    request: { readonly prefix: string; readonly watch: WatchOptions },
+  ): Promise<EraRes<WatchRes> | undefined> {
+    const { prefix } = request;
+    const watch = { ...request.watch, era: options.tryGetEra() };
+    const link = host === self ? undefined : getLink(host);
+    const res = link
+      ? await link.watch(prefix, watch)
+      : await caches.get(prefix)?.watch(watch);
+    if (!res) {
+      return undefined;
+    }
+    const flaw = tryGetFlaw(res);
+    if (flaw === undefined) {
+      pauses.delete(host);
+      return { era: res.era, result: res.result };
+    }
+    if (link) {
+      link.close(flaw);
+    } else {
+      pause(host, flaw);
+    }
+    return undefined;
+  }
+
+  function recordUse(prefix: string, host: HostId | undefined): void {
+    if (!usedReaders.has(prefix) || usedReaders.get(prefix) !== host) {
+      usedReaders.set(prefix, host);
+      io.log.info("store_reader_used", { prefix, reader: host ?? "none" });
+    }
+  }
+
+  async function watch(
+    prefix: string,
+    watch: WatchOptions,
+  ): Promise<EraRes<WatchRes>> {
+    const tried = new Set<HostId>();
+    while (caches.has(prefix) && tried.size < MAX_TRIED_READERS) {
+      const host = options.listReaders().find((reader) =>
+        !tried.has(reader) && !isPaused(reader)
+      );
+      if (host === undefined || isStopped) {
+        break;
+      }
+      tried.add(host);
+      recordUse(prefix, host);
+      const res = await tryReader(host, { prefix, watch });
+      if (res) {
+        return res;
+      }
+    }
+    if (usedReaders.size > 0) {
+      recordUse(prefix, undefined);
+    }
+    const res = await options.watchAlone(prefix, watch);
+    if (watch.waitMs === 0 && res.result.isOk()) {
+      // The store has answered again, so readers may do so too.
+      pauses.clear();
+    }
+    return res;
+  }
+
+  async function serveWatch(
+    stream: HostStream<ForwardResponse>,
+    { id, prefix, after, waitMs, era }: ReaderWatch,
+  ): Promise<void> {
+    const res = await caches.get(prefix)?.watch({ after, waitMs, era });
+    const outcome = res?.result.isOk() === true ? "answered" : "failed";
+    io.metrics.count("store_reader_served_total", { outcome });
+    stream.send({
+      kind: "reader_changes",
+      id,
+      ...(res?.era === undefined ? {} : { era: res.era }),
+      ...(res?.ageMs === undefined ? {} : { ageMs: res.ageMs }),
+      result: res ? toStoreResult(res.result) : { kind: "unreachable" },
+    });
+  }
+
+  function serveAges(stream: HostStream<ForwardResponse>, id: number): void {
+    const ages = [...caches].flatMap(([prefix, cache]) => {
+      const ageMs = cache.tryGetAgeMs();
+      return ageMs === undefined ? [] : [{ prefix, ageMs }];
+    });
+    stream.send({ kind: "reader_ages", id, ages });
+  }
+
+  return {
+    watch,
+    serve(stream, msg) {
+      switch (msg.kind) {
+        case "reader_watch":
+          return void serveWatch(stream, msg);
+        case "reader_ask":
+          return serveAges(stream, msg.id);
+        default:
+          return assertNever(msg);
+      }
+    },
+    check: () => links.forEach((link) => link.check()),
+    distrustAges() {
+      caches.forEach((cache) => cache.distrustAge());
+      links.forEach((link) => link.close("clock_jump"));
+    },
+    stop() {
+      isStopped = true;
+      links.forEach((link) => link.close("closed"));
+      caches.forEach((cache) => cache.stop());
+    },
+  };
+}
--- a/src/pooling/store_relay.ts
+++ b/src/pooling/store_relay.ts
@@ -213,10 +213,17 @@
     kind: "store_reply",
     id,
     ...(era === undefined ? {} : { era }),
-    result: result.isOk() ? toFound(result.value) : toFailed(result.error),
+    result: toStoreResult(result),
   };
 }
 
+/** Encodes an answer of the store. */
+export function toStoreResult(
+  result: EraRes<StoredObject | WatchRes>["result"],
+): StoreResult {
+  return result.isOk() ? toFound(result.value) : toFailed(result.error);
+}
+
 function toFound(value: StoredObject | WatchRes): StoreResult {
   return "objects" in value
     ? { kind: "objects", revision: value.revision, objects: [...value.objects] }
@@ -229,7 +236,8 @@
     : { kind: error.kind };
 }
 
-function toResult(
+/** Decodes an answer of the store. */
+export function toResult(
   result: StoreResult,
 ): EraRes<StoredObject | WatchRes>["result"] {
   switch (result.kind) {
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -18,6 +18,10 @@
   ForwardLeaving,
   ForwardReply,
   ForwardRun,
+  ReaderAges,
+  ReaderAsk,
+  ReaderChanges,
+  ReaderWatch,
   StoreCall,
   StoreReply,
 } from "../generated/pool_forward.ts";
@@ -307,10 +311,17 @@
 
 /** Message from the host that uses a connection to the one that holds it. */
 export type ConnectionRequest = ForwardRun | ForwardClose;
+/** Message of a host that watches the store through another. */
+export type ReaderRequest = ReaderWatch | ReaderAsk;
 /** Message of the host that has opened a stream. */
-export type ForwardRequest = ConnectionRequest | StoreCall;
+export type ForwardRequest = ConnectionRequest | StoreCall | ReaderRequest;
 /** Message of the host that has accepted a stream. */
-export type ForwardResponse = ForwardReply | ForwardLeaving | StoreReply;
+export type ForwardResponse =
+  | ForwardReply
+  | ForwardLeaving
+  | StoreReply
+  | ReaderChanges
+  | ReaderAges;
 
 /** Opens and accepts streams of forwarded commands. */
 export interface HostStreams {
