--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -84,7 +84,8 @@
   readonly hostsWithoutStore: Set<string>;
   /** Faults of the store's responses after their execution. */
   readonly storeFaults: {
-    getResponseDelayMs(): number;
+    /** Delay of the responses to a host (`h0`, ...). */
+    getResponseDelayMs(host: string): number;
     /** Whether the response to a host's write of the object is lost. */
     isAnswerLost(host: string, key: ObjectKey): boolean;
   };
@@ -221,7 +222,7 @@
     return createEraCalls(store, {
       isUnreachable: () =>
         hostsWithoutStore.has(host) || hostsWithoutStore.has("all"),
-      getResponseDelayMs: () => storeFaults.getResponseDelayMs(),
+      getResponseDelayMs: () => storeFaults.getResponseDelayMs(host),
       isAnswerLost: (key) => storeFaults.isAnswerLost(host, key),
     });
   }
--- /dev/null
+++ b/test/store_readers.test.ts
@@ -0,0 +1,194 @@
+/**
+ * Failures of the host that reads the store for its failure domain: whatever
+ * happens to it, a change that the store accepted must reach each host in touch
+ * within 3 s.
+ */
+
+import { afterEach, expect, test, vi } from "vitest";
+import type { HostId } from "../src/core/ids.ts";
+import { asId } from "../src/core/ids.ts";
+import { type PoolFleet, startPoolFleet } from "./pool_fleet.ts";
+
+/** Time within which a change must reach each host in touch. */
+const CHANGE_BOUND_MS = 3_000;
+const HOSTS = 8;
+/** Times of the fault after the fleet is at rest; a watch waits for 1.5 s. */
+const OFFSETS_MS = [0, 500, 1_000, 1_400];
+
+let fleet: PoolFleet;
+afterEach(() => fleet.stop());
+
+/** Starts eight hosts of one domain and waits until they watch through one. */
+async function startWithReader(): Promise<number> {
+  fleet = await startPoolFleet({ hosts: HOSTS });
+  await vi.advanceTimersByTimeAsync(8_000);
+  return getReader();
+}
+
+/** Index of the host through which the others watch. */
+function getReader(): number {
+  const line = fleet.logLines.findLast(({ event, fields }) =>
+    event === "store_reader_used" && fields["reader"] !== "none"
+  );
+  return Number(String(line?.fields["reader"]).slice(1));
+}
+
+function toHostId(index: number): HostId {
+  return asId<HostId>(`h${index}`);
+}
+
+/** Changes the configuration; returns the slowest of these hosts, in ms. */
+async function measureChange(hosts: readonly number[]): Promise<number> {
+  const changedAt = Date.now();
+  const arrivedAt = new Map<number, number>();
+  for (const index of hosts) {
+    fleet.poolers[index]!.onCatalogChange(() => {
+      arrivedAt.set(index, arrivedAt.get(index) ?? Date.now());
+    });
+  }
+  fleet.setCatalog({ transactionIdleMs: 2_999 });
+  await vi.advanceTimersByTimeAsync(2 * CHANGE_BOUND_MS);
+  return Math.max(
+    ...hosts.map((index) => (arrivedAt.get(index) ?? Infinity) - changedAt),
+  );
+}
+
+function listOthers(...excluded: readonly number[]): readonly number[] {
+  return [...fleet.poolers.keys()].filter((index) => !excluded.includes(index));
+}
+
+function countWatches(freshness: string): number {
+  return [...fleet.counters].filter(([name]) =>
+    name.startsWith("store_calls_total watch") && name.endsWith(freshness)
+  ).reduce((sum, [, count]) => sum + count, 0);
+}
+
+test("a cost at rest that grows with the hosts: only the reader watches", async () => {
+  await startWithReader();
+  const before = countWatches("exact");
+  await vi.advanceTimersByTimeAsync(15_000);
+  // Two prefixes, each watched again after 1.5 s.
+  expect(countWatches("exact") - before).toBeLessThanOrEqual(2 * 11);
+  expect(await measureChange(listOthers())).toBeLessThan(100);
+});
+
+test("fewer than six hosts of a domain: each watches for itself", async () => {
+  fleet = await startPoolFleet({ hosts: 5 });
+  await vi.advanceTimersByTimeAsync(8_000);
+  expect(fleet.logLines.filter(({ event }) => event === "store_reader_used"))
+    .toEqual([]);
+  expect(await measureChange(listOthers())).toBeLessThan(100);
+});
+
+test.each(OFFSETS_MS)("the reader is killed after %i ms", async (offsetMs) => {
+  const reader = await startWithReader();
+  await vi.advanceTimersByTimeAsync(offsetMs);
+  fleet.killHost(reader);
+  expect(await measureChange(listOthers(reader))).toBeLessThan(CHANGE_BOUND_MS);
+});
+
+test.each(OFFSETS_MS)("the reader is frozen after %i ms", async (offsetMs) => {
+  const reader = await startWithReader();
+  await vi.advanceTimersByTimeAsync(offsetMs);
+  fleet.network.suspend([toHostId(reader)]);
+  expect(await measureChange(listOthers(reader))).toBeLessThan(CHANGE_BOUND_MS);
+  // What it sent before it was frozen must not be taken for news later.
+  fleet.network.resume();
+  expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
+});
+
+test.each(OFFSETS_MS)(
+  "the reader is partitioned from its clients after %i ms",
+  async (offsetMs) => {
+    const reader = await startWithReader();
+    await vi.advanceTimersByTimeAsync(offsetMs);
+    fleet.network.silentHosts.add(toHostId(reader));
+    // The reader still reaches the store, so it is in touch.
+    expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
+  },
+);
+
+test.each(OFFSETS_MS)(
+  "the reader is turned away by the store after %i ms",
+  async (offsetMs) => {
+    const reader = await startWithReader();
+    await vi.advanceTimersByTimeAsync(offsetMs);
+    fleet.hostsWithoutStore.add(`h${reader}`);
+    expect(await measureChange(listOthers(reader))).toBeLessThan(
+      CHANGE_BOUND_MS,
+    );
+  },
+);
+
+test.each(OFFSETS_MS)(
+  "the reader is cut off from the store, whose answers never come, after %i ms",
+  async (offsetMs) => {
+    const reader = await startWithReader();
+    await vi.advanceTimersByTimeAsync(offsetMs);
+    fleet.storeFaults.getResponseDelayMs = (host) =>
+      host === `h${reader}` ? 60_000 : 0;
+    expect(await measureChange(listOthers(reader))).toBeLessThan(
+      CHANGE_BOUND_MS,
+    );
+  },
+);
+
+test("the reader and its stand-by are killed together", async () => {
+  const reader = await startWithReader();
+  fleet.killHost(reader);
+  await vi.advanceTimersByTimeAsync(100);
+  const standBy = getReader();
+  expect(standBy).not.toBe(reader);
+  fleet.killHost(standBy);
+  expect(await measureChange(listOthers(reader, standBy)))
+    .toBeLessThan(CHANGE_BOUND_MS);
+});
+
+test("the reader lags: answers of the store reach it 2 s late", async () => {
+  const reader = await startWithReader();
+  fleet.storeFaults.getResponseDelayMs = (host) =>
+    host === `h${reader}` ? 2_000 : 0;
+  for (let n = 0; n < 4; n++) {
+    await vi.advanceTimersByTimeAsync(700);
+    expect(await measureChange(listOthers(reader)))
+      .toBeLessThan(CHANGE_BOUND_MS);
+  }
+});
+
+test("the store returned to an earlier copy: no revision of the old era is watched", async () => {
+  await startWithReader();
+  const copy = fleet.store.takeCopy();
+  await vi.advanceTimersByTimeAsync(4_000);
+  fleet.returnStore(copy);
+  expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
+  await vi.advanceTimersByTimeAsync(4_000);
+  expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
+  const before = countWatches("exact");
+  await vi.advanceTimersByTimeAsync(15_000);
+  expect(countWatches("exact") - before).toBeLessThanOrEqual(2 * 11);
+});
+
+test("the whole fleet is restarted: hosts find their reader again", async () => {
+  await startWithReader();
+  listOthers().forEach((index) => fleet.killHost(index));
+  await vi.advanceTimersByTimeAsync(1_000);
+  const before = countWatches("exact");
+  listOthers().forEach((index) => fleet.restartHost(index));
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(fleet.poolers.every((pooler) => pooler.isReady())).toBe(true);
+  expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
+  // One reader's watches, and those of hosts that could not reach it at once.
+  expect(countWatches("exact") - before).toBeLessThanOrEqual(2 * (6 + HOSTS));
+});
+
+test("the store is down: hosts notice, and no host uses a copy without its age", async () => {
+  await startWithReader();
+  fleet.hostsWithoutStore.add("all");
+  await vi.advanceTimersByTimeAsync(10_000);
+  const lost = fleet.logLines.filter(({ event, fields }) =>
+    event === "store_lost" && fields["prefix"] === "catalog/"
+  );
+  expect(lost.length).toBe(HOSTS);
+  fleet.hostsWithoutStore.clear();
+  expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
+});
