--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -10,16 +10,19 @@
 } from "../core/ids.ts";
 import { getEra } from "../core/store_era.ts";
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
+import { rankNodes } from "../core/hash.ts";
 import { getIntervalFactor } from "./fleet_size.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import type { PoolIo } from "./types.ts";
 
 const OBJECT_KIND = "turmericchute-fleet";
+/** Prefix of the objects that hosts share. */
+export const SHARED_PREFIX = `${OBJECT_KIND}/`;
 const HOST_PREFIX = `${OBJECT_KIND}/host.`;
 const LEASE_PREFIX = `${OBJECT_KIND}/duty.`;
 /** Whether the object is one of those that hosts share. */
 export function isSharedKey(key: ObjectKey): boolean {
-  return key.startsWith(`${OBJECT_KIND}/`);
+  return key.startsWith(SHARED_PREFIX);
 }
 /** Key of the quota share ledger. */
 export const LEDGER_KEY = asId<ObjectKey>(`${OBJECT_KIND}/shares`);
@@ -36,6 +39,16 @@
  * registrations as hosts until the old ones are gone.
  */
 const SMALL_FLEET_REGISTRATIONS = 20;
+/**
+ * Number of registrations from which the interval grows further where hosts
+ * watch through readers, up to twice as long. Heartbeats are then the dearest
+ * calls, and a lost host has a small part of what all have. At the number of
+ * registrations at which readers begin in six domains, the interval grows by
+ * less than a third, so that hosts which count differently for a moment still
+ * agree that a host gives its shares up before its peers reclaim them.
+ */
+const READER_FLEET_REGISTRATIONS = 30;
+const MAX_READER_FLEET_FACTOR = 2;
 /** Heartbeat intervals without a heartbeat after which a peer has expired. */
 const PEER_TIMEOUT_INTERVALS = 4;
 /** Heartbeat intervals after which a peer's next heartbeat is overdue. */
@@ -84,6 +97,18 @@
  */
 const WATCH_INTERVAL_PER_HOST_MS = 25;
 
+/**
+ * Number of hosts in a failure domain from which one of them watches the store
+ * for the others. With fewer, the reader and its stand-by would be a third of
+ * all hosts and more, and save little.
+ */
+const MIN_HOSTS_WITH_READER = 6;
+/**
+ * Number of hosts that may be readers, the best first. Besides the reader and
+ * its stand-by there are some for the time in which lost hosts are listed.
+ */
+const MAX_READERS = 6;
+
 /** Key of the failover lease of a service. */
 export function getFailoverLeaseKey(service: string): ObjectKey {
   return asId<ObjectKey>(LEASE_PREFIX + service);
@@ -108,6 +133,8 @@
   readonly domain: DomainId;
   /** Era of the store in which the process started; 0 if it has none. */
   readonly firstEra: number;
+  /** Whether the process answers watches of other hosts. */
+  readonly readsStore: boolean;
 }
 
 /** Record as decoded; fields that the writer did not know are missing. */
@@ -134,6 +161,8 @@
   readonly placed: readonly PeerInfo[];
   /** Hosts that have left and may still be finishing their stop. */
   readonly stopping: readonly HostId[];
+  /** Hosts of this failure domain that may read the store for the others. */
+  readonly readers: readonly HostId[];
 }
 
 const NO_PEERS: Peers = {
@@ -141,6 +170,7 @@
   hosts: [],
   placed: [],
   stopping: [],
+  readers: [],
 };
 
 /** Local copy of the objects that hosts share in the store. */
@@ -179,6 +209,11 @@
    * array until it changes.
    */
   listPlacedHosts(): readonly PeerInfo[];
+  /**
+   * Hosts of this failure domain that may read the store for the others, the
+   * best first; empty if there are few hosts, and each reads for itself.
+   */
+  listStoreReaders(): readonly HostId[];
   /**
    * Whether the store has accepted no heartbeat of this host in time, so that
    * peers may reclaim its shares.
@@ -239,6 +274,8 @@
   /** Keys of objects whose version is of an older era of the store. */
   const outdated = new Set<ObjectKey>();
   let cachedPeers = NO_PEERS;
+  /** Whether hosts watch through readers; undefined until it is computed. */
+  let cachedHasReaders: boolean | undefined;
   const listeners = new Set<(key: ObjectKey) => void>();
   let hasStarted = false;
   let firstEra = 0;
@@ -257,7 +294,7 @@
   let timer: NodeJS.Timeout | undefined;
 
   const feed: StoreFeed = createStoreFeed(io, {
-    prefix: `${OBJECT_KIND}/`,
+    prefix: SHARED_PREFIX,
     waitMs: WATCH_WAIT_MS,
     // Updates are conditional, so stale data causes at most a conflict.
     mayBeLate: true,
@@ -366,6 +403,7 @@
     const changed = arrived.filter(copyObject);
     if (changed.some(({ key }) => key.startsWith(HOST_PREFIX))) {
       cachedPeers = { ...cachedPeers, computedAt: -Infinity };
+      cachedHasReaders = undefined;
       options.setAddresses(listAddresses());
     }
     for (const { key } of changed) {
@@ -406,6 +444,7 @@
       peers: options.peerAddress,
       domain: options.domain,
       firstEra,
+      readsStore: true,
     };
   }
 
@@ -453,10 +492,36 @@
    * every host.
    */
   function getHeartbeatIntervalMs(): number {
-    return HEARTBEAT_INTERVAL_MS *
+    cachedHasReaders ??= hasReaders();
+    const readerFactor = cachedHasReaders
+      ? Math.min(
+        MAX_READER_FLEET_FACTOR,
+        getIntervalFactor(hosts.size, READER_FLEET_REGISTRATIONS),
+      )
+      : 1;
+    return HEARTBEAT_INTERVAL_MS * readerFactor *
       getIntervalFactor(hosts.size, SMALL_FLEET_REGISTRATIONS);
   }
 
+  /**
+   * Whether a domain has enough registrations for a reader, and each registered
+   * process knows readers, so that all have the same interval.
+   */
+  function hasReaders(): boolean {
+    const countByDomain = new Map<DomainId, number>();
+    for (const key of hosts) {
+      const record = tryGetRecord(key);
+      if (record?.readsStore !== true || record.domain === undefined) {
+        return false;
+      }
+      const { domain } = record;
+      countByDomain.set(domain, (countByDomain.get(domain) ?? 0) + 1);
+    }
+    return [...countByDomain.values()].some((count) =>
+      count >= MIN_HOSTS_WITH_READER
+    );
+  }
+
   function getOwnTimeoutMs(): number {
     return SELF_TIMEOUT_INTERVALS * getHeartbeatIntervalMs();
   }
@@ -491,6 +556,8 @@
     const running: HostId[] = [];
     const placed: PeerInfo[] = [{ host: self, domain: options.domain }];
     const stopping: HostId[] = [];
+    const readers: HostId[] = isLeaving ? [] : [self];
+    const overdueMs = OVERDUE_INTERVALS * getHeartbeatIntervalMs();
     for (const key of hosts) {
       if (key === ownKey) {
         continue;
@@ -506,6 +573,12 @@
         if (record?.domain !== undefined) {
           placed.push({ host, domain: record.domain });
         }
+        const isReader = record?.readsStore === true &&
+          record.domain === options.domain &&
+          nowMs() - (observed.get(key)?.observedAt ?? -Infinity) <= overdueMs;
+        if (isReader) {
+          readers.push(host);
+        }
       }
     }
     return {
@@ -517,6 +590,10 @@
         ? cachedPeers.placed
         : placed,
       stopping,
+      readers: readers.length < MIN_HOSTS_WITH_READER
+        ? []
+        : rankNodes(`store_reader/${options.domain}`, readers)
+          .slice(0, MAX_READERS),
     };
   }
 
@@ -549,6 +626,7 @@
       ]),
     ],
     listPlacedHosts: () => getPeers().placed,
+    listStoreReaders: () => getPeers().readers,
     listExpiredHosts,
     listUnheard,
     listLeftHosts,
@@ -641,7 +719,7 @@
 /** Decodes a host's record, which may be of another writer. */
 function tryDecodeHostRecord(value: unknown): StoredHostRecord | undefined {
   const record = (value ?? {}) as Readonly<Record<string, unknown>>;
-  const { incarnation, beat, peers, domain, firstEra } = record;
+  const { incarnation, beat, peers, domain, firstEra, readsStore } = record;
   return typeof incarnation === "number" && typeof beat === "number"
     ? {
       incarnation,
@@ -649,6 +727,7 @@
       ...(typeof peers === "string" ? { peers } : {}),
       ...(typeof domain === "string" ? { domain: asId<DomainId>(domain) } : {}),
       ...(typeof firstEra === "number" ? { firstEra } : {}),
+      ...(readsStore === true ? { readsStore } : {}),
     }
     : undefined;
 }
--- a/src/pooling/store_access.ts
+++ b/src/pooling/store_access.ts
@@ -40,6 +40,8 @@
 /** Access to the store over the path that works. */
 export interface StoreAccess extends Stoppable {
   readonly calls: EraCalls;
+  /** Watches over this host's own connections only. */
+  readonly watchDirectly: EraCalls["watch"];
   getPath(): StorePath;
   /**
    * Whether each of these hosts has said lately that it does not reach the
@@ -240,8 +242,12 @@
   return {
     calls: {
       get: (key) => call({ kind: "get", key }, () => direct.get(key), isObject),
-      list: (prefix) =>
-        call({ kind: "list", prefix }, () => direct.list(prefix), isList),
+      list: (prefix, list) =>
+        call(
+          { kind: "list", prefix },
+          () => direct.list(prefix, list),
+          isList,
+        ),
       put: (key, value, condition) =>
         call(
           { kind: "put", key, value, ifVersion: condition.ifVersion },
@@ -261,6 +267,8 @@
           isList,
         ),
     },
+    watchDirectly: (prefix, watch) =>
+      callDirect(() => direct.watch(prefix, watch)),
     getPath,
     isLostBy(hosts) {
       const now = nowMs();
