Grant quotas of large fleets from owners of partitions

Cause: with 76 hosts a share follows demand after minutes, and most refusals are of workspaces within their plan.

Change: where a new ledger is created for 24 workspaces or more, it says "owners". Each of 8 partitions has an owner with a lease in the store and the one bucket of each workspace; hosts ask it for tokens by datagram. Two stand-bys promise the owner not to vote for a successor, so that a lost owner is replaced without waiting for the lease. Smaller deployments keep the ledger.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -262,7 +262,13 @@
   | "store_era_changes_total"
   | "store_era_losses_total"
   | "store_relayed_calls_total"
-  | "quota_borrowed_total";
+  | "quota_borrowed_total"
+  | "quota_refusals_total"
+  | "quota_requests_repeated_total"
+  | "quota_requests_refused_total"
+  | "quota_tokens_granted_total"
+  | "quota_tokens_lost_total"
+  | "quota_owner_changes_total";
 
 /** Names of the histograms; values are in milliseconds. */
 export type HistogramName =
@@ -278,7 +284,8 @@
   | "target_connections"
   | "in_flight_requests"
   | "group_term"
-  | "peers_alive";
+  | "peers_alive"
+  | "quota_partitions_owned";
 
 /** I/O interface of a host; all external effects go through it. */
 export interface HostIo {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -49,6 +49,14 @@
   store_relayed_calls_total: "Calls to the store for other hosts, by result",
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
+  quota_refusals_total: "Statements refused by their quota, by cause",
+  quota_requests_repeated_total: "Requests for tokens without an answer",
+  quota_requests_refused_total: "Requests for tokens that this owner refused",
+  quota_tokens_granted_total: "Quota tokens that this owner granted",
+  quota_tokens_lost_total: "Granted tokens that were not used in time",
+  quota_owner_changes_total:
+    "Partitions of the quotas that this host has claimed, by reason",
+  quota_partitions_owned: "Partitions of the quotas that this host owns",
   request_ms: "Time from a request to its answer in milliseconds",
   queue_ms: "Time in the queue of a database group in milliseconds",
   confirm_ms: "Time until a majority held a write in milliseconds",
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -21,6 +21,10 @@
 export function isSharedKey(key: ObjectKey): boolean {
   return key.startsWith(`${OBJECT_KIND}/`);
 }
+/** Key of the object that names the owner of a partition of the quotas. */
+export function getQuotaOwnerKey(partition: number): ObjectKey {
+  return asId<ObjectKey>(`${OBJECT_KIND}/quota.${partition}`);
+}
 /** Key of the quota share ledger. */
 export const LEDGER_KEY = asId<ObjectKey>(`${OBJECT_KIND}/shares`);
 
@@ -210,6 +214,10 @@
    */
   getTimeSincePreviousStartMs(): number;
   onChange(listener: (key: ObjectKey) => void): void;
+  /** Start of this process, in Unix milliseconds. */
+  readonly incarnation: number;
+  /** Start of the process that is registered under a host's name. */
+  tryGetIncarnation(host: HostId): number | undefined;
   /** Marks this host as leaving, so that peers no longer count it. */
   leave(): Promise<void>;
 }
@@ -580,6 +588,9 @@
     hasStoreReturned,
     getTimeSincePreviousStartMs: () => Math.abs(incarnation - previousStartAt),
     onChange: (listener) => void listeners.add(listener),
+    incarnation,
+    tryGetIncarnation: (host) =>
+      tryGetRecord(asId<ObjectKey>(HOST_PREFIX + host))?.incarnation,
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -30,6 +30,8 @@
 import { createProbes } from "./probes.ts";
 import { createVersionCheck } from "./version_check.ts";
 import { createTokenExchange } from "./token_exchange.ts";
+import { createOwnedQuotas } from "./owned_quotas.ts";
+import { createQuotaOwners } from "./quota_owner_sync.ts";
 import { createQuotas, type Quotas, type QuotaTolerance } from "./quotas.ts";
 import {
   openSession,
@@ -176,7 +178,7 @@
   });
   const primaries = createPrimaryTracker(io);
   const health = createHealth();
-  const quotas: Quotas = createQuotas({
+  const sharedQuotas: Quotas = createQuotas({
     random: io.random,
     checkLease() {
       // A process that was suspended may take tokens before its timers run.
@@ -192,6 +194,17 @@
     getUptimeMs: nowMs,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
+  const ownedQuotas = createOwnedQuotas(io, {
+    self: options.host,
+    checkClock: () => void clockJumps.getEpoch(),
+    listOwners: (partition) => quotaOwners.listOwners(partition),
+    grantLocally: (workspace, request) => quotaOwners.grant(workspace, request),
+  });
+  const isOwned = () => shares.tryIsOwned() === true;
+  const quotas: Pick<Quotas, "takeToken"> = {
+    takeToken: (workspace, limits) =>
+      (isOwned() ? ownedQuotas : sharedQuotas).takeToken(workspace, limits),
+  };
   const topology = { domain: options.domain, regions: options.regions };
   const holders = createHolders({
     self: options.host,
@@ -256,13 +269,26 @@
   const shares = createShareSync(io, {
     self: options.host,
     fleet,
-    quotas,
+    quotas: sharedQuotas,
+    clockJumps,
+  });
+  const quotaOwners = createQuotaOwners(io, {
+    self: options.host,
+    domain: options.domain,
+    fleet,
     clockJumps,
+    isOwned,
+    isStoreLost: () => storeAccess.getPath() === "none",
+    onOwnerChange: ownedQuotas.recordOwner,
+  });
+  clockJumps.onJump(() => {
+    quotaOwners.recordSuspension();
+    ownedQuotas.recordSuspension();
   });
   const tokenExchange = createTokenExchange(io, {
     listPeers: fleet.listPeers,
     getShare: shares.getShare,
-    lend: quotas.lend,
+    lend: sharedQuotas.lend,
   });
   const positionSharing = createPositionSharing(io, {
     self: options.host,
@@ -340,6 +366,16 @@
         return storeAccess.handleAsk(from, msg);
       case "tell_store":
         return storeAccess.handleTell(from, msg);
+      case "tell_tokens":
+        return ownedQuotas.handleTokens(from, msg);
+      case "ask_tokens":
+      case "tell_owner":
+      case "ask_lease":
+      case "tell_lease":
+      case "ask_vote":
+      case "tell_vote":
+      case "release_quota":
+        return quotaOwners.handleMessage(from, msg);
       default:
         return assertNever(msg);
     }
@@ -387,12 +423,16 @@
   /** What this host lacked at the last check; empty if it was ready. */
   let loggedMissing: string | undefined;
 
+  function isQuotaReady(): boolean {
+    return isOwned() ? quotaOwners.isReady() : shares.isReady();
+  }
+
   /** Lists what this host lacks to serve clients. */
   function listMissing(): readonly string[] {
     return [
       { part: "configuration", isThere: catalog.tryGetConfirmed() },
       { part: "targets", isThere: directory.size > 0 },
-      { part: "shares", isThere: shares.isReady() },
+      { part: "shares", isThere: isQuotaReady() },
     ].filter(({ isThere }) => !isThere).map(({ part }) => part);
   }
 
@@ -414,7 +454,9 @@
   }
 
   catalog.onChange((next) => {
-    quotas.setQuotas(next.quotas);
+    sharedQuotas.setQuotas(next.quotas);
+    ownedQuotas.setQuotas(next.quotas);
+    quotaOwners.setQuotas(next.quotas);
     updateAllowances();
   });
   fleet.onChange(updateAllowancesOnHostChange);
@@ -491,6 +533,7 @@
     clockJumps.getEpoch();
     storeAccess.check();
     shares.checkLeases();
+    quotaOwners.check();
     forwarder.checkStreams();
     versionCheck.checkLater();
     directory.removeExpired();
@@ -542,6 +585,7 @@
       failover.stop();
       connectionHolder.announceLeaving();
       isLeaving = true;
+      quotaOwners.leave();
       updateAllowances();
       return fleet.leave();
     },
@@ -558,7 +602,8 @@
       sessions.forEach((session) =>
         session.abort(POOL_ERRORS.stopping.message)
       );
-      quotas.close();
+      sharedQuotas.close();
+      ownedQuotas.close();
       dispatcher.close();
       forwarder.stop();
       connectionHolder.stop();
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -71,7 +71,7 @@
 
 /** Dependencies of sessions. */
 export interface SessionContext extends ExecutionContext {
-  readonly quotas: Quotas;
+  readonly quotas: Pick<Quotas, "takeToken">;
   /** False once the host refuses new sessions and operations. */
   isAdmissionOpen(): boolean;
 }
--- a/src/pooling/share_ledger.ts
+++ b/src/pooling/share_ledger.ts
@@ -43,6 +43,23 @@
   readonly reclaimed: readonly string[];
   /** Era of the store in which shares were last granted; 0 if it has none. */
   readonly era: number;
+  /**
+   * `owners` if the quotas have owners instead of shares. Decided when the
+   * ledger is created, and kept, so that all hosts agree.
+   */
+  readonly allocation?: "owners";
+}
+
+/** Number of workspaces from which a new ledger says `owners`. */
+const MIN_OWNERS_WORKSPACES = 24;
+
+/** Creates the ledger of a new deployment if its quotas get owners. */
+export function tryCreateOwnersLedger(
+  workspaceCount: number,
+): Ledger | undefined {
+  return workspaceCount >= MIN_OWNERS_WORKSPACES
+    ? { ...EMPTY_LEDGER, allocation: "owners" }
+    : undefined;
 }
 
 /** A ledger without any shares. */
@@ -64,6 +81,7 @@
         ? ledger.reclaimed.filter((host) => typeof host === "string")
         : [],
       era: typeof ledger.era === "number" ? ledger.era : 0,
+      ...(ledger.allocation === "owners" ? { allocation: "owners" } : {}),
     }
     : undefined;
 }
--- a/src/pooling/share_sync.ts
+++ b/src/pooling/share_sync.ts
@@ -22,6 +22,7 @@
   type ShareRow,
   sumShares,
   tryAdjustRow,
+  tryCreateOwnersLedger,
   tryDecodeLedger,
 } from "./share_ledger.ts";
 import type { PoolIo } from "./types.ts";
@@ -71,6 +72,8 @@
   checkOwnLease(): void;
   /** As `checkOwnLease`, and reclaims shares of expired hosts. */
   checkLeases(): void;
+  /** Whether the quotas have owners; undefined if it is not known yet. */
+  tryIsOwned(): boolean | undefined;
   /** Returns a host's share of a workspace in the last known ledger. */
   getShare(host: HostId, workspace: WorkspaceId): number;
 }
@@ -148,6 +151,10 @@
     return !isLedgerKnown() || getLedger().era === getEra(io.store);
   }
 
+  function isOwned(): boolean {
+    return getLedger().allocation === "owners";
+  }
+
   function limitShares(): void {
     shareLimits = new Map(usedShares);
     limitedAt = nowMs();
@@ -176,6 +183,9 @@
    * is of an older era, no share grows.
    */
   function applyShares(): void {
+    if (isOwned()) {
+      return;
+    }
     const version = getStoredVersion();
     pendingUpdates = pendingUpdates.filter((update) =>
       update.version >= version
@@ -341,6 +351,16 @@
   async function adjustShares(): Promise<void> {
     listedAt ??= nowMs();
     const ledger = getLedger();
+    if (isOwned() && getStoredVersion() > 0) {
+      return;
+    }
+    const owned = isLedgerKnown()
+      ? undefined
+      : tryCreateOwnersLedger(quotas.listDemand().size);
+    if (owned) {
+      await putLedger({ ...owned, era: getEra(io.store) });
+      return;
+    }
     const hasRow = ledger.shares[self] !== undefined;
     if (!hasRow && nowMs() - listedAt < REGISTRATION_WAIT_MS) {
       return;
@@ -394,6 +414,9 @@
   }
 
   function checkOwnLease(): void {
+    if (isOwned()) {
+      return;
+    }
     const isExpired = fleet.isOwnHeartbeatExpired();
     if (isExpired !== wasExpired) {
       wasExpired = isExpired;
@@ -419,7 +442,7 @@
           kind: "share_update",
         });
         pendingUpdates = [];
-        if (isLedgerKnown()) {
+        if (isLedgerKnown() && !isOwned()) {
           limitShares();
         }
         applyShares();
@@ -439,12 +462,13 @@
       };
       schedule();
       initialTimer = setInterval(() => {
-        if (getLedger().shares[self]) {
+        if (getLedger().shares[self] || isOwned()) {
           clearInterval(initialTimer);
         }
         void syncShares();
       }, INITIAL_ADJUST_INTERVAL_MS * (0.5 + io.random()));
     },
+    tryIsOwned: () => isLedgerKnown() ? isOwned() : undefined,
     getShare: (host, workspace) => getLedger().shares[host]?.[workspace] ?? 0,
     checkOwnLease,
     checkLeases() {
@@ -455,6 +479,9 @@
         return;
       }
       reclaimCheckedAt = nowMs();
+      if (isOwned()) {
+        return;
+      }
       const { left, expired } = listUnusedRows(getLedger());
       if (
         left.length + expired.length > 0 && io.random() < RECLAIM_PROBABILITY
