--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -35,6 +35,8 @@
 import { createProbes } from "./probes.ts";
 import { createVersionCheck } from "./version_check.ts";
 import { createTokenExchange } from "./token_exchange.ts";
+import { createOwnedQuotas } from "./owned_quotas.ts";
+import { createQuotaOwners } from "./quota_owner_sync.ts";
 import { createQuotas, type Quotas, type QuotaTolerance } from "./quotas.ts";
 import {
   openSession,
@@ -203,7 +205,7 @@
   });
   const primaries = createPrimaryTracker(io);
   const health = createHealth();
-  const quotas: Quotas = createQuotas({
+  const sharedQuotas: Quotas = createQuotas({
     random: io.random,
     checkLease() {
       // A process that was suspended may take tokens before its timers run.
@@ -219,6 +221,17 @@
     getUptimeMs: nowMs,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
+  const ownedQuotas = createOwnedQuotas(io, {
+    self: options.host,
+    checkClock: () => void clockJumps.getEpoch(),
+    listOwners: (partition) => quotaOwners.listOwners(partition),
+    grantLocally: (workspace, request) => quotaOwners.grant(workspace, request),
+  });
+  const isOwned = () => shares.tryIsOwned() === true;
+  const quotas: Pick<Quotas, "takeToken"> = {
+    takeToken: (workspace, limits) =>
+      (isOwned() ? ownedQuotas : sharedQuotas).takeToken(workspace, limits),
+  };
   const topology = { domain: options.domain, regions: options.regions };
   const holders = createHolders({
     self: options.host,
@@ -283,13 +296,26 @@
   const shares = createShareSync(io, {
     self: options.host,
     fleet,
-    quotas,
+    quotas: sharedQuotas,
+    clockJumps,
+  });
+  const quotaOwners = createQuotaOwners(io, {
+    self: options.host,
+    domain: options.domain,
+    fleet,
     clockJumps,
+    isOwned,
+    isStoreLost: () => storeAccess.getPath() === "none",
+    onOwnerChange: ownedQuotas.recordOwner,
+  });
+  clockJumps.onJump(() => {
+    quotaOwners.recordSuspension();
+    ownedQuotas.recordSuspension();
   });
   const tokenExchange = createTokenExchange(io, {
     listPeers: fleet.listPeers,
     getShare: shares.getShare,
-    lend: quotas.lend,
+    lend: sharedQuotas.lend,
   });
   const positionSharing = createPositionSharing(io, {
     self: options.host,
@@ -380,6 +406,16 @@
         return storeAccess.handleAsk(from, msg);
       case "tell_store":
         return storeAccess.handleTell(from, msg);
+      case "tell_tokens":
+        return ownedQuotas.handleTokens(from, msg);
+      case "ask_tokens":
+      case "tell_owner":
+      case "ask_lease":
+      case "tell_lease":
+      case "ask_vote":
+      case "tell_vote":
+      case "release_quota":
+        return quotaOwners.handleMessage(from, msg);
       default:
         return assertNever(msg);
     }
@@ -427,12 +463,16 @@
   /** What this host lacked at the last check; empty if it was ready. */
   let loggedMissing: string | undefined;
 
+  function isQuotaReady(): boolean {
+    return isOwned() ? quotaOwners.isReady() : shares.isReady();
+  }
+
   /** Lists what this host lacks to serve clients. */
   function listMissing(): readonly string[] {
     return [
       { part: "configuration", isThere: catalog.tryGetConfirmed() },
       { part: "targets", isThere: directory.size > 0 },
-      { part: "shares", isThere: shares.isReady() },
+      { part: "shares", isThere: isQuotaReady() },
     ].filter(({ isThere }) => !isThere).map(({ part }) => part);
   }
 
@@ -454,7 +494,9 @@
   }
 
   catalog.onChange((next) => {
-    quotas.setQuotas(next.quotas);
+    sharedQuotas.setQuotas(next.quotas);
+    ownedQuotas.setQuotas(next.quotas);
+    quotaOwners.setQuotas(next.quotas);
     updateAllowances();
   });
   fleet.onChange(updateAllowancesOnHostChange);
@@ -533,6 +575,7 @@
     storeAccess.check();
     storeReaders.check();
     shares.checkLeases();
+    quotaOwners.check();
     forwarder.checkStreams();
     versionCheck.checkLater();
     directory.removeExpired();
@@ -584,6 +627,7 @@
       failover.stop();
       connectionHolder.announceLeaving();
       isLeaving = true;
+      quotaOwners.leave();
       updateAllowances();
       return fleet.leave();
     },
@@ -600,7 +644,8 @@
       sessions.forEach((session) =>
         session.abort(POOL_ERRORS.stopping.message)
       );
-      quotas.close();
+      sharedQuotas.close();
+      ownedQuotas.close();
       dispatcher.close();
       forwarder.stop();
       connectionHolder.stop();
--- a/src/pooling/position_history.ts
+++ b/src/pooling/position_history.ts
@@ -61,8 +61,6 @@
   recordUse(): void;
   /** Time since the last use, in milliseconds. */
   getTimeSinceUseMs(): number;
-  /** Records that another host uses the positions. */
-  recordUse(): void;
 }
 
 /** Creates an empty history. */
@@ -149,6 +147,5 @@
       usedAt = nowMs();
     },
     getTimeSinceUseMs: () => nowMs() - usedAt,
-    recordUse: () => void (usedAt = nowMs()),
   };
 }
