Ask one module which targets may get new work

The check of draining targets stood in two functions, and there was no place for evacuated domains and home regions. target_eligibility.ts decides for reads, writes, transactions, hedges, holders that queue for other hosts, status requests and the dispatcher; homeRegions of routes and tenants are decoded. A statement that no target may run is refused at once with a retry delay, also if it waits or its connection is being opened. Statements with homes pass only through hosts in a home region or in the entry host's own.

Without homes nothing changes; draining primaries get work until replaced, as before.

--- a/src/pooling/begin.ts
+++ b/src/pooling/begin.ts
@@ -4,15 +4,16 @@
 import type { Checkout } from "./dispatch.ts";
 import type { AgedPosition } from "./position_history.ts";
 import type { PoolFailure } from "./errors.ts";
-import type { TargetCommand, TargetRecord } from "./types.ts";
+import type { TargetCommand } from "./types.ts";
 import {
   acquireConnection,
+  choosePrimary,
   describeReply,
   type ExecutionContext,
   getTimeLeftMs,
-  listPrimary,
   prepareConnection,
   recordReply,
+  type TargetChoice,
   type Task,
 } from "./execution.ts";
 
@@ -36,17 +37,13 @@
   ctx: ExecutionContext,
   task: Task,
   options: {
-    listCandidates(): readonly TargetRecord[];
+    readonly choice: TargetChoice;
     readonly command: TargetCommand;
     /** Read floor that the command carries. */
     readonly floor?: AgedPosition;
   },
 ): Promise<BeginResult> {
-  const acquired = await acquireConnection(
-    ctx,
-    task,
-    () => options.listCandidates(),
-  );
+  const acquired = await acquireConnection(ctx, task, options.choice);
   if (acquired.isErr()) {
     return { kind: "refused", failure: acquired.error };
   }
@@ -81,7 +78,7 @@
   task: Task,
 ): Promise<BeginResult> {
   return beginAtCandidate(ctx, task, {
-    listCandidates: () => listPrimary(ctx, task.route.service),
+    choice: choosePrimary(ctx, task),
     command: { kind: "begin", isReadOnly: false },
   });
 }
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -9,6 +9,7 @@
 import type { Stoppable } from "../core/types.ts";
 import type { ForwardedReply, ForwardRun } from "../generated/pool_forward.ts";
 import type { Checkout } from "./dispatch.ts";
+import type { PoolFailure } from "./errors.ts";
 import {
   describeReply,
   type ExecutionContext,
@@ -32,6 +33,12 @@
 /** Time for session state to be applied to a connection, in milliseconds. */
 const PREPARE_TIMEOUT_MS = 1_000;
 
+/** Refusal of commands for a target that may get no new work. */
+const EVACUATED: PoolFailure = {
+  error: "overloaded",
+  detail: "the target's failure domain is evacuated",
+};
+
 /** Serves the commands that other hosts forward to this one. */
 export interface ConnectionHolder extends Stoppable {
   accept(
@@ -91,6 +98,7 @@
     if (ctx.forwarder.isOwnPathDown(target.id)) {
       return createRefusal("target_down", "no answer to the holder");
     }
+    const isEligible = () => ctx.eligibility.isEligible(target);
     const acquired = await ctx.dispatcher.acquire({
       service: target.service,
       workspace,
@@ -99,7 +107,9 @@
       deadline: nowMs() + Math.max(1, waitMs),
       isLocalOnly: true,
       // A connection is of no use to a host that has given up.
-      listCandidates: () => channel.isClosed ? [] : [target],
+      listCandidates: () => channel.isClosed || !isEligible() ? [] : [target],
+      tryRefuse: () => isEligible() ? undefined : EVACUATED,
+      isEligible,
     });
     if (acquired.isOk()) {
       return acquired.value;
--- a/src/pooling/control.ts
+++ b/src/pooling/control.ts
@@ -36,13 +36,19 @@
   } = {},
 ): Promise<TargetReport | undefined> {
   const { service, id } = target;
+  const mayAsk = () =>
+    command.kind !== "status" || ctx.eligibility.isEligible(target);
+  if (!mayAsk()) {
+    return undefined;
+  }
   const acquired = await ctx.dispatcher.acquire({
     service,
     workspace: undefined,
     priority: CONTROL_PRIORITY,
     deadline: nowMs() + ACQUIRE_TIMEOUT_MS,
     isLocalOnly: !options.mayForward,
-    listCandidates: () => [target],
+    listCandidates: () => mayAsk() ? [target] : [],
+    isEligible: mayAsk,
   });
   if (acquired.isErr()) {
     return undefined;
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -5,7 +5,7 @@
 
 import { Err, Ok, type Result } from "ts-results-es";
 import { nowMs } from "../core/clock.ts";
-import type { ServiceId, TargetId, WorkspaceId } from "../core/ids.ts";
+import type { HostId, ServiceId, TargetId, WorkspaceId } from "../core/ids.ts";
 import { moveAverage } from "../core/moving_average.ts";
 import type { PoolFailure } from "./errors.ts";
 import {
@@ -58,6 +58,15 @@
   readonly isLocalOnly?: boolean;
   /** Lists eligible targets, best first; evaluated again while waiting. */
   listCandidates(): readonly TargetRecord[];
+  /** Returns why no target may serve the request now; undefined by default. */
+  tryRefuse?(): PoolFailure | undefined;
+  /**
+   * Whether the target may still serve the request once its connection is
+   * open; true by default.
+   */
+  isEligible?(target: TargetRecord): boolean;
+  /** Whether the request may be forwarded to the host; true by default. */
+  mayUseHolder?(host: HostId): boolean;
 }
 
 /** A pooled connection in exclusive use by its holder until released. */
@@ -79,10 +88,15 @@
   /** Returns how a connection could be obtained now; used for ranking. */
   tryFindSource(
     target: TargetRecord,
-    request: Pick<ConnectionRequest, "workspace" | "context">,
+    request: Pick<
+      ConnectionRequest,
+      "workspace" | "context" | "mayUseHolder"
+    >,
   ): LinkSource | { readonly kind: "forward" } | undefined;
   /** Serves the queued requests that can get a connection now. */
   serveQueue(): void;
+  /** Refuses the waiting requests that no target may serve any more. */
+  refuseWaiting(): void;
   /** Sets how many connections this host may have to each target. */
   setAllowances(
     getAllowance: (target: TargetRecord) => ConnectionAllowance,
@@ -271,6 +285,13 @@
     const { pool, workspace, replaced } = dialOptions;
     const since = nowMs();
     const dialed = await pool.dial(workspace, replaced);
+    if (dialed.isOk() && waiter.request.isEligible?.(pool.target) === false) {
+      createCheckout(pool, { pooled: dialed.value, since }).release(true);
+      if (waiters.has(waiter) && !tryServe(waiter)) {
+        enqueue(waiter);
+      }
+      return;
+    }
     if (dialed.isOk()) {
       waiter.settle(Ok(createCheckout(pool, { pooled: dialed.value, since })));
       return;
@@ -365,6 +386,10 @@
     if (isClosed) {
       return Promise.resolve(Err({ error: "stopping" }));
     }
+    const refusal = request.tryRefuse?.();
+    if (refusal) {
+      return Promise.resolve(Err(refusal));
+    }
     const since = nowMs();
     return new Promise((resolve) => {
       const waiter: Waiter = {
@@ -422,11 +447,19 @@
         : 0;
       return ownLoad + (forwardedCounts.get(id) ?? 0) / Math.max(1, slots);
     },
-    tryFindSource: (target, { workspace, context }) =>
-      forwarder?.isForwarded(target, workspace)
+    tryFindSource: (target, { workspace, context, mayUseHolder }) =>
+      forwarder?.isForwarded(target, { workspace, mayUseHolder })
         ? { kind: "forward" }
         : getPool(target).tryFindSource({ workspace, context }),
     serveQueue,
+    refuseWaiting() {
+      for (const waiter of [...waiters]) {
+        const refusal = waiter.request.tryRefuse?.();
+        if (refusal) {
+          waiter.settle(Err(refusal));
+        }
+      }
+    },
     setAllowances(nextAllowance) {
       getAllowance = nextAllowance;
       for (const pool of pools.values()) {
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -6,6 +6,7 @@
 import type { CatalogHolder } from "./catalog.ts";
 import type { ClockJumpDetector } from "./clock_jumps.ts";
 import type { Directory } from "./directory.ts";
+import type { TargetEligibility, TargetUse } from "./target_eligibility.ts";
 import type { Checkout, Dispatcher } from "./dispatch.ts";
 import type { PoolFailure } from "./errors.ts";
 import type { AgedPosition, PositionHistory } from "./position_history.ts";
@@ -33,6 +34,7 @@
 export interface ExecutionContext {
   readonly io: PoolIo;
   readonly topology: Topology;
+  readonly eligibility: TargetEligibility;
   readonly catalog: CatalogHolder;
   readonly directory: Directory;
   readonly primaries: PrimaryTracker;
@@ -84,14 +86,22 @@
  */
 const MAX_QUEUE_WAIT_FRACTION = 0.5;
 
+/** Targets among which a connection may be chosen. */
+export interface TargetChoice {
+  readonly use: TargetUse;
+  /** Lists the targets, best first; evaluated again while waiting. */
+  listCandidates(): readonly TargetRecord[];
+}
+
 /**
  * Acquires a connection to one of the candidates, within the queueing limit.
  */
 export function acquireConnection(
   ctx: ExecutionContext,
   task: Task,
-  listCandidates: () => readonly TargetRecord[],
+  { use, listCandidates }: TargetChoice,
 ): Promise<Result<Checkout, PoolFailure>> {
+  const { eligibility } = ctx;
   const { route, workspace, context, startedAt } = task;
   return ctx.dispatcher.acquire({
     service: route.service,
@@ -103,6 +113,9 @@
       nowMs() + 1,
     ),
     listCandidates,
+    tryRefuse: () => eligibility.tryRefuse(task, use),
+    isEligible: (target) => eligibility.isEligibleFor(target, task),
+    mayUseHolder: (host) => eligibility.mayForwardThrough(host, task),
   });
 }
 
@@ -187,25 +200,22 @@
   return { kind: "execute", id, name, args: prepared.args, ...after };
 }
 
-/** Lists the targets of a service that accept new statements. */
-export function listAvailableTargets(
-  ctx: ExecutionContext,
-  service: ServiceId,
-): readonly TargetRecord[] {
-  return ctx.directory.list(service).filter((target) => !target.isDraining);
-}
-
 /**
- * Lists the primary as the only candidate, or no target while the primary is
+ * Chooses the primary as the only candidate, or no target while the primary is
  * suspect: a write that has not been sent can still be refused as not run.
  */
-export function listPrimary(
-  ctx: ExecutionContext,
-  service: ServiceId,
-): readonly TargetRecord[] {
-  const id = ctx.primaries.tryPrimary(service);
-  const target = id && ctx.directory.tryGet(id);
-  return target && !ctx.health.isSuspect(target.id) ? [target] : [];
+export function choosePrimary(ctx: ExecutionContext, task: Task): TargetChoice {
+  return {
+    use: "primary",
+    listCandidates() {
+      const id = ctx.primaries.tryPrimary(task.route.service);
+      const target = id && ctx.directory.tryGet(id);
+      return target && ctx.eligibility.isEligibleFor(target, task) &&
+          !ctx.health.isSuspect(target.id)
+        ? [target]
+        : [];
+    },
+  };
 }
 
 /**
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -53,6 +53,8 @@
   readonly priority: number;
   /** Time until which the holder may wait, on the monotonic clock. */
   readonly deadline: number;
+  /** Whether the host may be used as holder; all by default. */
+  mayUseHolder?: ((host: HostId) => boolean) | undefined;
 }
 
 /** Provides connections that other hosts hold. */
@@ -71,7 +73,7 @@
   /** Whether commands to the target would be forwarded now. */
   isForwarded(
     target: TargetRecord,
-    workspace: WorkspaceId | undefined,
+    options: Pick<ForwardOptions, "workspace" | "mayUseHolder">,
   ): boolean;
   /** Undefined if this host should use its own connections. */
   tryOpenLink(
@@ -156,12 +158,17 @@
   /** Returns the holder to use; undefined if it is this host or none. */
   function tryFindHolder(
     target: TargetRecord,
-    workspace: WorkspaceId | undefined,
+    { workspace, mayUseHolder }: Pick<
+      ForwardOptions,
+      "workspace" | "mayUseHolder"
+    >,
   ): HostId | undefined {
     if (isStopped) {
       return undefined;
     }
-    const ranked = holders.list(target, workspace);
+    const ranked = holders.list(target, workspace).filter((holder) =>
+      holder === self || mayUseHolder?.(holder) !== false
+    );
     const host = ranked.find((holder) =>
       workspace === undefined &&
       paths.isProbeDue({ target: target.id, holder })
@@ -453,10 +460,10 @@
         paths.isProbeDue({ target: target.id, holder })
       ),
     removeTarget: paths.removeTarget,
-    isForwarded: (target, workspace) =>
-      tryFindHolder(target, workspace) !== undefined,
+    isForwarded: (target, findOptions) =>
+      tryFindHolder(target, findOptions) !== undefined,
     tryOpenLink(target, linkOptions) {
-      const host = tryFindHolder(target, linkOptions.workspace);
+      const host = tryFindHolder(target, linkOptions);
       return host && createLink(getStream(host), target, linkOptions);
     },
     checkStreams,
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -41,8 +41,15 @@
 import { createStoreAccess } from "./store_access.ts";
 import { createStoreFeed } from "./store_feed.ts";
 import { createStoreRelay } from "./store_relay.ts";
+import { createTargetEligibility } from "./target_eligibility.ts";
 import { isSameProcess } from "./target_pool.ts";
-import type { Catalog, PoolerIo, PoolIo, TargetRecord } from "./types.ts";
+import type {
+  Catalog,
+  PoolerIo,
+  PoolIo,
+  TargetRecord,
+  Topology,
+} from "./types.ts";
 
 /**
  * Interval of all periodic checks, in milliseconds. They share one timer: timers
@@ -192,7 +199,19 @@
     getUptimeMs: nowMs,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
-  const topology = { domain: options.domain, regions: options.regions };
+  const topology: Topology = {
+    domain: options.domain,
+    regions: options.regions,
+  };
+  const eligibility = createTargetEligibility({
+    topology,
+    directory,
+    primaries,
+    tryGetCatalog: catalog.tryGet,
+    listHosts: () => fleet.listPlacedHosts(),
+    transactionGraceMs: 0,
+    random: io.random,
+  });
   const holders = createHolders({
     self: options.host,
     topology,
@@ -241,6 +260,7 @@
   const ctx: SessionContext = {
     io,
     topology,
+    eligibility,
     catalog,
     directory,
     primaries,
@@ -416,9 +436,13 @@
   catalog.onChange((next) => {
     quotas.setQuotas(next.quotas);
     updateAllowances();
+    dispatcher.refuseWaiting();
   });
   fleet.onChange(updateAllowancesOnHostChange);
-  primaries.onChange(() => dispatcher.serveQueue());
+  primaries.onChange(() => {
+    dispatcher.refuseWaiting();
+    dispatcher.serveQueue();
+  });
   directory.onChange(applyDirectoryEvent);
 
   /** Hosts for which the allowances were computed. */
--- a/src/pooling/probes.ts
+++ b/src/pooling/probes.ts
@@ -78,7 +78,7 @@
     const primary = ctx.primaries.tryPrimary(service);
     const isSuspect = ctx.health.getFailingMs(id) > 0 ||
       ctx.health.isSuspect(id) || ctx.health.getPausedMs(id) > 0;
-    if (primary === undefined || isSuspect) {
+    if (!isPrimaryUsable(service) || isSuspect) {
       if (primary === id) {
         // A polling host learns first that its primary answers again.
         requestFromPeer(service, SUSPECT_PROBE_INTERVAL_MS);
@@ -117,6 +117,17 @@
     return Infinity;
   }
 
+  /**
+   * Whether there is a primary that may be asked. Of a change of an evacuated
+   * one this host learns from the other targets only.
+   */
+  function isPrimaryUsable(service: ServiceId): boolean {
+    const primary = ctx.primaries.tryPrimary(service);
+    const target = primary && ctx.directory.tryGet(primary);
+    return primary !== undefined &&
+      (!target || ctx.eligibility.isEligible(target));
+  }
+
   function requestFromPeer(service: ServiceId, intervalMs: number): void {
     const last = peerRequestedAt.get(service) ?? -Infinity;
     if (nowMs() - last >= intervalMs) {
@@ -157,7 +168,9 @@
   function probeDueTargets(): void {
     const services = ctx.catalog.tryGet()?.services.keys() ?? [];
     for (const service of services) {
-      for (const target of ctx.directory.list(service)) {
+      const targets = ctx.directory.list(service)
+        .filter(ctx.eligibility.isEligible);
+      for (const target of targets) {
         const intervalMs = getProbeIntervalMs(target);
         const last = probedAt.get(target.id) ?? drawFirstTime(intervalMs);
         probedAt.set(target.id, last);
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -6,7 +6,7 @@
 import type { Health } from "./health.ts";
 import type { RequiredContext } from "./link_context.ts";
 import type { TargetRecord, Topology } from "./types.ts";
-import type { TargetId, WorkspaceId } from "../core/ids.ts";
+import type { HostId, TargetId, WorkspaceId } from "../core/ids.ts";
 
 /** Round-trip times that are assumed until a latency has been measured. */
 const SAME_DOMAIN_RTT_MS = 1;
@@ -34,6 +34,8 @@
   readonly floor: AgedPosition;
   readonly workspace: WorkspaceId;
   readonly context: RequiredContext;
+  /** Whether the statement may pass through the host; all by default. */
+  mayUseHolder?(host: HostId): boolean;
 }
 
 /**
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -18,7 +18,6 @@
   type ExecutionContext,
   getTimeLeftMs,
   isClean,
-  listAvailableTargets,
   type Outcome,
   prepareConnection,
   recordNoReply,
@@ -111,9 +110,8 @@
 ): readonly TargetRecord[] {
   const { task, floor, triedTargets } = options;
   const { service } = task.route;
-  const targets = listAvailableTargets(ctx, service).filter(({ id }) =>
-    !triedTargets.has(id)
-  );
+  const targets = ctx.eligibility.listEligible(service, task)
+    .filter(({ id }) => !triedTargets.has(id));
   return rankReadTargets(targets, {
     topology: ctx.topology,
     health: ctx.health,
@@ -122,6 +120,7 @@
     floor,
     workspace: task.workspace,
     context: task.context,
+    mayUseHolder: (host) => ctx.eligibility.mayForwardThrough(host, task),
   });
 }
 
@@ -170,11 +169,10 @@
 ): Promise<AttemptResult> {
   const { task, floor, triedTargets } = options;
   const { context } = task;
-  const acquired = await acquireConnection(
-    ctx,
-    task,
-    () => rankCandidates(ctx, options),
-  );
+  const acquired = await acquireConnection(ctx, task, {
+    use: "read",
+    listCandidates: () => rankCandidates(ctx, options),
+  });
   if (acquired.isErr()) {
     return toFailedResult(acquired.error);
   }
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -97,8 +97,11 @@
       const floor = isReadOnly ? await tryFreshReadFloor(ctx, task) : undefined;
       const begun = floor
         ? await beginAtCandidate(ctx, task, {
-          listCandidates: () =>
-            rankCandidates(ctx, { task, floor, triedTargets }),
+          choice: {
+            use: "read",
+            listCandidates: () =>
+              rankCandidates(ctx, { task, floor, triedTargets }),
+          },
           command: { kind: "begin", isReadOnly: true, after: floor.position },
           floor,
         })
@@ -131,6 +134,14 @@
       return pinned;
     }
     const checkout = pinned;
+    const { eligibility } = ctx;
+    if (
+      eligibility.mustEndTransactions(checkout.target) ||
+      !eligibility.isAtHome(checkout.target, task)
+    ) {
+      const detail = "the target may get no more statements";
+      return { kind: "failed", error: "aborted", detail };
+    }
     const fault = await prepareConnection(checkout, {
       context: task.context,
       timeoutMs: getTimeLeftMs(task),
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -47,6 +47,8 @@
   readonly priority: number;
   /** Whether clients may connect without a key. */
   readonly isPublic: boolean;
+  /** Regions in which its statements may run; undefined for all. */
+  readonly homeRegions?: readonly string[];
 }
 
 /** Operator configuration of a database service. */
@@ -71,6 +73,8 @@
   readonly services: ReadonlyMap<ServiceId, ServicePolicy>;
   readonly quotas: ReadonlyMap<WorkspaceId, Quota>;
   readonly workspaceByKey: ReadonlyMap<string, WorkspaceId>;
+  /** Regions in which a workspace's statements may run, where it has any. */
+  readonly homesByWorkspace?: ReadonlyMap<WorkspaceId, readonly string[]>;
   /** Idle time after which a transaction is rolled back, in milliseconds. */
   readonly transactionIdleMs: number;
 }
@@ -96,6 +100,26 @@
   readonly domain: DomainId;
   /** Region of each failure domain. */
   readonly regions: ReadonlyMap<DomainId, string>;
+  /** Evacuated failure domains; none if the deployment has no evacuations. */
+  readonly evacuations?: EvacuationView;
+}
+
+/** Evacuated failure domains, as far as this host knows. */
+export interface EvacuationView {
+  /** Number that rises with each change. */
+  readonly version: number;
+  /** Time since the store last confirmed it, in milliseconds. */
+  getAgeMs(): number;
+  /**
+   * Time since the domain's evacuation became known here, in milliseconds;
+   * undefined if the domain is not evacuated.
+   */
+  tryGetActiveMs(domain: DomainId): number | undefined;
+  /**
+   * Time since the end of the domain's last evacuation became known here, in
+   * milliseconds; undefined if there was none.
+   */
+  tryGetEndedMs(domain: DomainId): number | undefined;
 }
 
 /** State of a session or of a connection to a target. */
--- a/src/pooling/writes.ts
+++ b/src/pooling/writes.ts
@@ -4,11 +4,11 @@
 import type { Checkout } from "./dispatch.ts";
 import {
   acquireConnection,
+  choosePrimary,
   describeReply,
   type ExecutionContext,
   getTimeLeftMs,
   isClean,
-  listPrimary,
   type Outcome,
   prepareConnection,
   recordPrimary,
@@ -29,13 +29,12 @@
   ctx: ExecutionContext,
   task: Task,
 ): Promise<Outcome> {
-  const { service } = task.route;
   let reason = "not sent";
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
     const acquired = await acquireConnection(
       ctx,
       task,
-      () => listPrimary(ctx, service),
+      choosePrimary(ctx, task),
     );
     if (acquired.isErr()) {
       return { kind: "failed", ...acquired.error };
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -262,6 +262,26 @@
   expect([...catalog.workspaceByKey]).toEqual([["k3", "t"]]);
 });
 
+// Guards against homes that are lost or opened by an entry of another form.
+test("home regions of routes and tenants are decoded", () => {
+  const catalog = tryDecodeCatalog({
+    version: 1,
+    routes: [
+      { host: "a", service: "s", homeRegions: ["r1", 5] },
+      { host: "b", service: "s", homeRegions: [] },
+    ],
+    tenants: [
+      { name: "t", homeRegions: ["r1", "r2"] },
+      { name: "u", homeRegions: [] },
+      { name: "v", homeRegions: "r1" },
+    ],
+  })!;
+  expect([...catalog.routes.values()].map(({ homeRegions }) => homeRegions))
+    .toEqual([["r1", ""], undefined]);
+  expect([...catalog.homesByWorkspace!])
+    .toEqual([["t", ["r1", "r2"]], ["v", ["r1"]]]);
+});
+
 test("the deployment template gives valid settings", () => {
   const fields: Record<string, string> = {
     "node|json": `"n1"`,
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -48,6 +48,8 @@
   readonly maxConnections?: number;
   /** Failure domain of each host; `d1` by default, where the targets are. */
   readonly domains?: readonly string[];
+  /** Region of each failure domain; none by default. */
+  readonly regions?: Readonly<Record<string, string>>;
   readonly workspaces?: readonly string[];
   /** Targets that are not registered at the start. */
   readonly unregistered?: readonly string[];
@@ -344,7 +346,11 @@
       host,
       domain: asId(options.domains?.[index] ?? "d1"),
       peerAddress: `127.0.0.1:${index}`,
-      regions: new Map(),
+      regions: new Map(
+        Object.entries(options.regions ?? {}).map((
+          [domain, region],
+        ) => [asId(domain), region]),
+      ),
       freshness: { changeInForceMs: 3_000, settlingMs: 2_000 },
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
       decoding: {
