--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -53,6 +53,8 @@
   readonly priority: number;
   /** Time until which the holder may wait, on the monotonic clock. */
   readonly deadline: number;
+  /** Whether the host may be used as holder; all by default. */
+  mayUseHolder?: ((host: HostId) => boolean) | undefined;
 }
 
 /** Provides connections that other hosts hold. */
@@ -71,7 +73,7 @@
   /** Whether commands to the target would be forwarded now. */
   isForwarded(
     target: TargetRecord,
-    workspace: WorkspaceId | undefined,
+    options: Pick<ForwardOptions, "workspace" | "mayUseHolder">,
   ): boolean;
   /** Undefined if this host should use its own connections. */
   tryOpenLink(
@@ -162,12 +164,17 @@
   /** Returns the holder to use; undefined if it is this host or none. */
   function tryFindHolder(
     target: TargetRecord,
-    workspace: WorkspaceId | undefined,
+    { workspace, mayUseHolder }: Pick<
+      ForwardOptions,
+      "workspace" | "mayUseHolder"
+    >,
   ): HostId | undefined {
     if (isStopped) {
       return undefined;
     }
-    const ranked = holders.list(target, workspace);
+    const ranked = holders.list(target, workspace).filter((holder) =>
+      holder === self || mayUseHolder?.(holder) !== false
+    );
     const host = ranked.find((holder) =>
       workspace === undefined &&
       paths.isProbeDue({ target: target.id, holder })
@@ -500,12 +507,11 @@
         paths.isProbeDue({ target: target.id, holder })
       ),
     removeTarget: paths.removeTarget,
-    isForwarded: (target, workspace) =>
-      tryFindHolder(target, workspace) !== undefined,
+    isForwarded: (target, findOptions) =>
+      tryFindHolder(target, findOptions) !== undefined,
     tryOpenLink(target, linkOptions) {
-      const { workspace } = linkOptions;
-      const host = tryFindHolder(target, workspace);
-      reopenPreferredStreams(target, { workspace, chosen: host });
+      const host = tryFindHolder(target, linkOptions);
+      reopenPreferredStreams(target, { ...linkOptions, chosen: host });
       return host && createLink(getStream(host), target, linkOptions);
     },
     checkStreams,
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -50,8 +50,15 @@
 import { createStoreFeed } from "./store_feed.ts";
 import { createStoreReaders } from "./store_readers.ts";
 import { createStoreRelay } from "./store_relay.ts";
+import { createTargetEligibility } from "./target_eligibility.ts";
 import { isSameProcess } from "./target_pool.ts";
-import type { Catalog, PoolerIo, PoolIo, TargetRecord } from "./types.ts";
+import type {
+  Catalog,
+  PoolerIo,
+  PoolIo,
+  TargetRecord,
+  Topology,
+} from "./types.ts";
 
 /**
  * Interval of all periodic checks, in milliseconds. They share one timer: timers
@@ -232,7 +239,19 @@
     takeToken: (workspace, limits) =>
       (isOwned() ? ownedQuotas : sharedQuotas).takeToken(workspace, limits),
   };
-  const topology = { domain: options.domain, regions: options.regions };
+  const topology: Topology = {
+    domain: options.domain,
+    regions: options.regions,
+  };
+  const eligibility = createTargetEligibility({
+    topology,
+    directory,
+    primaries,
+    tryGetCatalog: catalog.tryGet,
+    listHosts: () => fleet.listPlacedHosts(),
+    transactionGraceMs: 0,
+    random: io.random,
+  });
   const holders = createHolders({
     self: options.host,
     topology,
@@ -281,6 +300,7 @@
   const ctx: SessionContext = {
     io,
     topology,
+    eligibility,
     catalog,
     directory,
     primaries,
@@ -498,9 +518,13 @@
     ownedQuotas.setQuotas(next.quotas);
     quotaOwners.setQuotas(next.quotas);
     updateAllowances();
+    dispatcher.refuseWaiting();
   });
   fleet.onChange(updateAllowancesOnHostChange);
-  primaries.onChange(() => dispatcher.serveQueue());
+  primaries.onChange(() => {
+    dispatcher.refuseWaiting();
+    dispatcher.serveQueue();
+  });
   directory.onChange(applyDirectoryEvent);
 
   /** Hosts for which the allowances were computed. */
