--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -1,7 +1,8 @@
 /**
  * Start-time fair queueing of the requests that wait for one target: one flow
  * per workspace. Flows are served in the order of their start tags, which
- * advance by the time that the statements of the flow take.
+ * advance by the time that the statements of the flow take. Used by the queue
+ * of a database group and, within a priority, by the order of a target's slots.
  */
 
 import type { WorkspaceId } from "./ids.ts";
@@ -27,8 +28,17 @@
 export interface Flows<T> {
   get(workspace: WorkspaceId): Flow<T>;
   enqueue(flow: Flow<T>, item: T): void;
-  /** Dequeues the next request of the flows for which `isReady` holds. */
-  dequeue(isReady: (flow: Flow<T>) => boolean): T | undefined;
+  /**
+   * Dequeues the request that `pick` returns for the first flow for which it
+   * returns one. `getDelayMs` puts a flow behind those whose tags are less than
+   * this much later, for example because a connection has to be opened for it.
+   */
+  dequeue(
+    pick: (flow: Flow<T>) => T | undefined,
+    getDelayMs?: (flow: Flow<T>) => number,
+  ): T | undefined;
+  /** Removes a request that is no longer to be served. */
+  remove(flow: Flow<T>, item: T): void;
   /** Adjusts the charge made on dequeue to the time the statement took. */
   charge(flow: Flow<T>, options: { chargedMs: number; ms: number }): void;
   listBacklogged(): Flow<T>[];
@@ -37,7 +47,12 @@
 }
 
 /** Creates an empty fair queue. */
-export function createFlows<T>(): Flows<T> {
+export function createFlows<T>(
+  options: {
+    /** Estimate for the first statement of a flow, in milliseconds. */
+    getInitialCostMs(): number;
+  } = { getInitialCostMs: () => INITIAL_COST_MS },
+): Flows<T> {
   const flows = new Map<WorkspaceId, Flow<T>>();
   let virtualTime = 0;
 
@@ -45,10 +60,22 @@
     return [...flows.values()].filter((flow) => flow.waiting.length > 0);
   }
 
+  function remove(flow: Flow<T>, item: T): void {
+    const index = flow.waiting.indexOf(item);
+    if (index >= 0) {
+      flow.waiting.splice(index, 1);
+    }
+  }
+
   return {
     get(workspace) {
       const flow = flows.get(workspace) ??
-        { workspace, waiting: [], costMs: INITIAL_COST_MS, startTag: 0 };
+        {
+          workspace,
+          waiting: [],
+          costMs: options.getInitialCostMs(),
+          startTag: 0,
+        };
       flows.set(workspace, flow);
       return flow;
     },
@@ -58,16 +85,22 @@
       }
       flow.waiting.push(item);
     },
-    dequeue(isReady) {
-      const sorted = listBacklogged().sort((a, b) => a.startTag - b.startTag);
-      const flow = sorted.find(isReady);
-      if (!flow) {
-        return undefined;
+    dequeue(pick, getDelayMs = () => 0) {
+      const sorted = listBacklogged()
+        .map((flow) => ({ flow, tag: flow.startTag + getDelayMs(flow) }))
+        .sort((a, b) => a.tag - b.tag);
+      for (const { flow } of sorted) {
+        const item = pick(flow);
+        if (item !== undefined) {
+          virtualTime = Math.max(virtualTime, flow.startTag);
+          flow.startTag += flow.costMs;
+          remove(flow, item);
+          return item;
+        }
       }
-      virtualTime = Math.max(virtualTime, flow.startTag);
-      flow.startTag += flow.costMs;
-      return flow.waiting.shift();
+      return undefined;
     },
+    remove,
     charge(flow, { chargedMs, ms }) {
       // The target was not busy for the whole time of a statement that hung.
       const spentMs = Math.min(ms, MAX_COST_MS);
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -187,7 +187,7 @@
       let token: Token | undefined;
       const waiter = queue.flows.dequeue((flow) => {
         token = limits.tryTake(flow.workspace);
-        return token !== undefined;
+        return token && flow.waiting[0];
       });
       if (!waiter || !token) {
         return;
