Schedule the slots of a target at its holders

A holder may have 20 connections to a target with 6 slots, and each target has three holders: statements waited in the target's own queue, which is first come, first served. slot_scheduler.ts bounds the statements that a holder runs at a target by its part of the slots and starts them in the order of fair_order.ts; the dispatcher asks it for connections that holders share and assigns the connections as before. Commands of the proxy itself take no slot. With connections of every host, or with no fewer slots than connections, nothing changes.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -262,12 +262,14 @@
   | "store_era_changes_total"
   | "store_era_losses_total"
   | "store_relayed_calls_total"
-  | "quota_borrowed_total";
+  | "quota_borrowed_total"
+  | "slot_refusals_total";
 
 /** Names of the histograms; values are in milliseconds. */
 export type HistogramName =
   | "request_ms"
   | "queue_ms"
+  | "slot_wait_ms"
   | "confirm_ms"
   | "failover_phase_ms";
 
@@ -278,6 +280,8 @@
   | "target_connections"
   | "in_flight_requests"
   | "group_term"
+  | "slots_in_use"
+  | "slot_limit"
   | "peers_alive";
 
 /** I/O interface of a host; all external effects go through it. */
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -49,14 +49,19 @@
   store_relayed_calls_total: "Calls to the store for other hosts, by result",
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
+  slot_refusals_total: "Statements that got no slot in time, by reason",
   request_ms: "Time from a request to its answer in milliseconds",
   queue_ms: "Time in the queue of a database group in milliseconds",
+  slot_wait_ms:
+    "Time until a statement had a connection and a slot, by priority",
   confirm_ms: "Time until a majority held a write in milliseconds",
   failover_phase_ms: "Time of each phase of a failover in milliseconds",
   sessions: "Open sessions of callers",
   ready: "1 if the host serves clients, else 0",
   target_connections: "Data connections to targets",
   in_flight_requests: "Requests of callers that are not answered yet",
+  slots_in_use: "Statements of this host that run at a target",
+  slot_limit: "Statements that this host may run at once at a target",
   group_term: "Highest term seen in a database group",
   peers_alive: "Hosts that this host counts as alive",
 };
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -15,6 +15,13 @@
 } from "./batching.ts";
 import type { Health } from "./health.ts";
 import type { Forwarder } from "./forwarder.ts";
+import { createSlotLink } from "./slot_link.ts";
+import {
+  createSlotScheduler,
+  type Slot,
+  type SlotScheduler,
+  type SlotStatement,
+} from "./slot_scheduler.ts";
 import { createLinkContext, type RequiredContext } from "./link_context.ts";
 import {
   createTargetPool,
@@ -42,6 +49,17 @@
 const MIN_RETRY_AFTER_MS = 25;
 /** Delay before a failed dial is retried. */
 const DIAL_RETRY_MS = 25;
+/**
+ * Expected wait for a slot of this host up to which another target is not tried,
+ * in milliseconds: a round trip between regions.
+ */
+const MAX_LOCAL_WAIT_MS = 40;
+
+/** Result of a request whose client left; nobody is told. */
+const CLIENT_LEFT: PoolFailure = {
+  error: "overloaded",
+  detail: "the client has left",
+};
 
 /** Allowance until one is set. */
 const DEFAULT_ALLOWANCE: ConnectionAllowance = { cap: 1, idleCap: 1 };
@@ -54,6 +72,13 @@
   readonly priority: number;
   /** Time after which the connection is useless, on the monotonic clock. */
   readonly deadline: number;
+  /**
+   * Time by which the statement has to be answered, on the monotonic clock;
+   * the deadline by default.
+   */
+  readonly objectiveAt?: number;
+  /** Aborted when the client leaves: the request then loses its place. */
+  readonly signal?: AbortSignal | undefined;
   /** Whether only connections of this host may be used. */
   readonly isLocalOnly?: boolean;
   /** Lists eligible targets, best first; evaluated again while waiting. */
@@ -73,7 +98,7 @@
   acquire(request: ConnectionRequest): Promise<Result<Checkout, PoolFailure>>;
   /**
    * Returns this host's connections in use at a target, as a fraction of its
-   * cap, plus the forwarded ones as a fraction of the target's slots.
+   * cap, or its statements there as a multiple of its scheduled slots, plus the forwarded ones as a fraction of the target's slots.
    */
   getLoad(target: TargetRecord): number;
   /** Returns how a connection could be obtained now; used for ranking. */
@@ -99,9 +124,17 @@
 
 interface Waiter extends QueuedRequest {
   readonly request: ConnectionRequest;
+  /** Place among the statements that wait for a slot, if it waits for one. */
+  place: SlotPlace | undefined;
   settle(result: Result<Checkout, PoolFailure>): void;
 }
 
+interface SlotPlace {
+  readonly target: TargetRecord;
+  readonly scheduler: SlotScheduler;
+  readonly statement: SlotStatement;
+}
+
 /** Creates a dispatcher without connections. */
 export function createDispatcher(
   io: PoolIo,
@@ -118,6 +151,11 @@
     >;
     /** Order in which queued requests are served; batched by default. */
     readonly plan?: RoundPlanner;
+    /**
+     * Returns how many statements this host may run at once at a target whose
+     * slots are scheduled; undefined for other targets and by default.
+     */
+    tryGetSlotBudget?(target: TargetRecord): number | undefined;
   },
 ): Dispatcher {
   const { health, forwarder, plan = planRound } = options;
@@ -126,6 +164,7 @@
   /** Requests without a result: queued, dialing, or about to dial again. */
   const waiters = new Set<Waiter>();
   const averageCheckoutMs = new Map<ServiceId, number>();
+  const schedulers = new Map<TargetId, SlotScheduler>();
   let getAllowance: (target: TargetRecord) => ConnectionAllowance = () =>
     DEFAULT_ALLOWANCE;
   /** Number of forwarded checkouts at each target. */
@@ -152,15 +191,74 @@
     }
   }
 
+  /**
+   * Returns the scheduler of a target whose slots are scheduled; undefined if
+   * they are not, or for a command of the proxy itself, which has no workspace
+   * and must not wait behind statements.
+   */
+  function tryGetScheduler(
+    target: TargetRecord,
+    { workspace }: Pick<ConnectionRequest, "workspace">,
+  ): SlotScheduler | undefined {
+    const getBudget = () => options.tryGetSlotBudget?.(target);
+    if (workspace === undefined || getBudget() === undefined) {
+      return undefined;
+    }
+    const scheduler = schedulers.get(target.id) ??
+      createSlotScheduler({ getLimit: () => getBudget() ?? Infinity });
+    schedulers.set(target.id, scheduler);
+    return scheduler;
+  }
+
+  /** Lets the statements of a transaction on this connection take slots. */
+  function createScheduledLink(
+    link: TargetLink,
+    { slot, waiter, scheduler }: {
+      readonly slot: Slot;
+      readonly waiter: Waiter;
+      readonly scheduler: SlotScheduler;
+    },
+  ): ReturnType<typeof createSlotLink> {
+    const { request } = waiter;
+    return createSlotLink(link, {
+      slot,
+      requestSlot(onGranted) {
+        const statement: SlotStatement = {
+          workspace: request.workspace!,
+          priority: request.priority,
+          isInTransaction: true,
+          objectiveAt: request.deadline,
+          hasConnection: () => true,
+          tryStart(granted) {
+            onGranted(granted);
+            return true;
+          },
+        };
+        scheduler.enter(statement);
+        return () => scheduler.leave(statement);
+      },
+    });
+  }
+
   /** Creates a checkout; `since` is when the connection was taken or dialed. */
   function createCheckout(
     pool: TargetPool,
-    { pooled, since }: { readonly pooled: PooledLink; readonly since: number },
+    { pooled, since, scheduled }: {
+      readonly pooled: PooledLink;
+      readonly since: number;
+      readonly scheduled?: {
+        readonly slot: Slot;
+        readonly waiter: Waiter;
+        readonly scheduler: SlotScheduler;
+      };
+    },
   ): Checkout {
     const { target } = pool;
+    const slotLink = scheduled &&
+      createScheduledLink(pooled.link, scheduled);
     let isReleased = false;
     return {
-      pooled,
+      pooled: slotLink ? { ...pooled, link: slotLink.link } : pooled,
       target,
       release(isClean) {
         if (isReleased) {
@@ -178,7 +276,8 @@
         );
         pool.release(pooled, isClean);
         dropIfAbandoned(pool);
-        serveQueue();
+        slotLink?.release();
+        serveFreed(target.id);
         pool.closeIfSurplus(pooled);
       },
     };
@@ -221,6 +320,7 @@
     },
   ): boolean {
     const { request } = waiter;
+    let firstScheduled: TargetRecord | undefined;
     for (const target of request.listCandidates()) {
       const forwarded = request.isLocalOnly
         ? undefined
@@ -229,6 +329,15 @@
         waiter.settle(Ok(createForwardedCheckout(target, forwarded)));
         return true;
       }
+      const scheduler = tryGetScheduler(target, request);
+      if (scheduler) {
+        firstScheduled ??= target;
+        if (getSlotWaitMs(scheduler, request) <= MAX_LOCAL_WAIT_MS) {
+          enterScheduler(waiter, target, scheduler);
+          return true;
+        }
+        continue;
+      }
       const pool = getPool(target);
       const source = pool.tryFindSource({
         workspace: request.workspace,
@@ -257,24 +366,187 @@
       });
       return true;
     }
+    const scheduler = firstScheduled &&
+      tryGetScheduler(firstScheduled, request);
+    if (firstScheduled && scheduler) {
+      enterOrRefuse(waiter, firstScheduled, scheduler);
+      return true;
+    }
     return false;
   }
 
+  function getSlotWaitMs(
+    scheduler: SlotScheduler,
+    { workspace, priority }: ConnectionRequest,
+  ): number {
+    return workspace === undefined
+      ? 0
+      : scheduler.getExpectedWaitMs({ workspace, priority });
+  }
+
+  function enterOrRefuse(
+    waiter: Waiter,
+    target: TargetRecord,
+    scheduler: SlotScheduler,
+  ): void {
+    const { request } = waiter;
+    const expectedWaitMs = getSlotWaitMs(scheduler, request);
+    const isFull = scheduler.getLoad().waiting >= MAX_QUEUE_LENGTH;
+    if (!isFull && expectedWaitMs <= request.deadline - nowMs()) {
+      enterScheduler(waiter, target, scheduler);
+      return;
+    }
+    const reason = isFull ? "queue_full" : "expected_wait";
+    waiter.settle(
+      Err(createSlotRefusal(request, { target, scheduler, reason })),
+    );
+  }
+
+  function createSlotRefusal(
+    request: ConnectionRequest,
+    { target, scheduler, reason }: {
+      readonly target: TargetRecord;
+      readonly scheduler: SlotScheduler;
+      readonly reason: "queue_full" | "expected_wait" | "waited";
+    },
+  ): PoolFailure {
+    const { workspace, service, priority } = request;
+    const expectedWaitMs = getSlotWaitMs(scheduler, request);
+    const load = scheduler.getLoad();
+    io.metrics.count("slot_refusals_total", { reason });
+    io.log.info("slot_refused", {
+      workspace,
+      service,
+      target: target.id,
+      priority,
+      reason,
+      expectedWaitMs: Math.round(expectedWaitMs),
+      leftMs: Math.round(request.deadline - nowMs()),
+      ...load,
+    });
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs) *
+      (1 + io.random());
+    return {
+      error: request.listCandidates().length === 0
+        ? "no_primary"
+        : "overloaded",
+      detail: `${load.waiting} statements wait for ${load.limit} slots`,
+      retryAfterMs: Math.ceil(retryAfterMs),
+    };
+  }
+
+  /** Lets a statement wait for a slot of the target, or starts it. */
+  function enterScheduler(
+    waiter: Waiter,
+    target: TargetRecord,
+    scheduler: SlotScheduler,
+  ): void {
+    const { request } = waiter;
+    const { workspace, context } = request;
+    const index = queue.indexOf(waiter);
+    if (index >= 0) {
+      queue.splice(index, 1);
+    }
+    const requirement = { workspace, context };
+    const statement: SlotStatement = {
+      workspace: workspace!,
+      priority: request.priority,
+      isInTransaction: false,
+      objectiveAt: request.objectiveAt ?? request.deadline,
+      hasConnection: () =>
+        pools.get(target.id)?.tryFindSource(requirement)?.kind === "idle",
+      tryStart(slot) {
+        const pool = getPool(target);
+        const source = isCandidate(request, target)
+          ? pool.tryFindSource(requirement)
+          : undefined;
+        if (!source) {
+          return false;
+        }
+        waiter.place = undefined;
+        const scheduled = { slot, waiter, scheduler };
+        if (source.kind === "idle") {
+          const { pooled } = source;
+          pool.markBusy(pooled);
+          waiter.settle(
+            Ok(createCheckout(pool, { pooled, since: nowMs(), scheduled })),
+          );
+        } else {
+          void dial(waiter, {
+            pool,
+            workspace: workspace!,
+            scheduled,
+            ...(source.kind === "replace" ? { replaced: source.pooled } : {}),
+          });
+        }
+        return true;
+      },
+    };
+    waiter.place = { target, scheduler, statement };
+    scheduler.enter(statement);
+  }
+
+  function isCandidate(
+    { listCandidates }: ConnectionRequest,
+    target: TargetRecord,
+  ): boolean {
+    return listCandidates().some((candidate) =>
+      candidate.id === target.id && isSameProcess(candidate, target)
+    );
+  }
+
+  /** Moves the statements that wait for a slot of a target they may not use. */
+  function moveMisplaced(): void {
+    for (const waiter of [...waiters]) {
+      const { place, request } = waiter;
+      if (place && !isCandidate(request, place.target)) {
+        waiter.place = undefined;
+        place.scheduler.leave(place.statement);
+        if (!tryServe(waiter)) {
+          enqueue(waiter);
+        }
+      }
+    }
+  }
+
+  /** Serves statements after a connection to the target has become free. */
+  function serveFreed(target: TargetId): void {
+    schedulers.get(target)?.serve();
+    if (queue.length > 0) {
+      serveQueued();
+    }
+  }
+
   async function dial(
     waiter: Waiter,
     dialOptions: {
       readonly pool: TargetPool;
       readonly workspace: WorkspaceId;
       readonly replaced?: PooledLink;
+      readonly scheduled?: {
+        readonly slot: Slot;
+        readonly waiter: Waiter;
+        readonly scheduler: SlotScheduler;
+      };
     },
   ): Promise<void> {
-    const { pool, workspace, replaced } = dialOptions;
+    const { pool, workspace, replaced, scheduled } = dialOptions;
     const since = nowMs();
     const dialed = await pool.dial(workspace, replaced);
     if (dialed.isOk()) {
-      waiter.settle(Ok(createCheckout(pool, { pooled: dialed.value, since })));
+      const pooled = dialed.value;
+      waiter.settle(
+        Ok(
+          createCheckout(pool, {
+            pooled,
+            since,
+            ...(scheduled ? { scheduled } : {}),
+          }),
+        ),
+      );
       return;
     }
+    scheduled?.slot.release();
     dropIfAbandoned(pool);
     if (isClosed) {
       return;
@@ -341,6 +613,24 @@
   }
 
   function serveQueue(): void {
+    moveMisplaced();
+    schedulers.forEach(checkScheduler);
+    serveQueued();
+  }
+
+  function checkScheduler(scheduler: SlotScheduler, target: TargetId): void {
+    scheduler.serve();
+    const { inUse, waiting, limit } = scheduler.getLoad();
+    if (inUse + waiting === 0 && !pools.has(target)) {
+      schedulers.delete(target);
+    }
+    io.metrics.set("slots_in_use", inUse, { target });
+    if (Number.isFinite(limit)) {
+      io.metrics.set("slot_limit", limit, { target });
+    }
+  }
+
+  function serveQueued(): void {
     if (isServing) {
       return;
     }
@@ -365,12 +655,17 @@
     if (isClosed) {
       return Promise.resolve(Err({ error: "stopping" }));
     }
+    const { signal } = request;
+    if (signal?.aborted) {
+      return Promise.resolve(Err(CLIENT_LEFT));
+    }
     const since = nowMs();
     return new Promise((resolve) => {
       const waiter: Waiter = {
         request,
         since,
         deadline: request.deadline,
+        place: undefined,
         settle(result) {
           if (!waiters.delete(waiter)) {
             // The request timed out while its connection was being opened, or
@@ -381,6 +676,9 @@
             return;
           }
           clearTimeout(timer);
+          signal?.removeEventListener("abort", giveUp);
+          waiter.place?.scheduler.leave(waiter.place.statement);
+          waiter.place = undefined;
           const index = queue.indexOf(waiter);
           if (index >= 0) {
             queue.splice(index, 1);
@@ -388,13 +686,30 @@
           io.metrics.observe("queue_ms", nowMs() - since, {
             service: request.service,
           });
+          if (options.tryGetSlotBudget && request.workspace !== undefined) {
+            io.metrics.observe("slot_wait_ms", nowMs() - since, {
+              priority: String(request.priority),
+            });
+          }
           resolve(result);
         },
       };
+      const giveUp = () => waiter.settle(Err(CLIENT_LEFT));
+      signal?.addEventListener("abort", giveUp);
       waiters.add(waiter);
       const remainingMs = request.deadline - since;
       const timer = setTimeout(
-        () => waiter.settle(Err(createRefusal(request))),
+        () =>
+          waiter.settle(
+            Err(
+              waiter.place
+                ? createSlotRefusal(request, {
+                  ...waiter.place,
+                  reason: "waited",
+                })
+                : createRefusal(request),
+            ),
+          ),
         Math.max(0, remainingMs),
       );
       if (tryServe(waiter)) {
@@ -417,9 +732,13 @@
     acquire,
     getLoad({ id, slots }) {
       const pool = pools.get(id);
-      const ownLoad = pool
+      const slotLoad = schedulers.get(id)?.getLoad();
+      const connectionLoad = pool
         ? pool.countBusy() / getAllowance(pool.target).cap
         : 0;
+      const ownLoad = slotLoad
+        ? (slotLoad.inUse + slotLoad.waiting) / slotLoad.limit
+        : connectionLoad;
       return ownLoad + (forwardedCounts.get(id) ?? 0) / Math.max(1, slots);
     },
     tryFindSource: (target, { workspace, context }) =>
@@ -440,6 +759,7 @@
         pool.retire();
         dropIfAbandoned(pool);
       }
+      schedulers.get(target)?.serve();
       health.removeTarget(target);
     },
     close() {
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -102,6 +102,7 @@
       startedAt + route.objectiveMs * MAX_QUEUE_WAIT_FRACTION,
       nowMs() + 1,
     ),
+    objectiveAt: startedAt + route.objectiveMs,
     listCandidates,
   });
 }
--- a/src/pooling/holders.ts
+++ b/src/pooling/holders.ts
@@ -50,6 +50,13 @@
   ): readonly HostId[];
   /** Whether this host is one of the target's holders. */
   isHolder(target: TargetRecord): boolean;
+  /**
+   * Returns this host's part of the target's slots, rounded up; undefined where
+   * they are not scheduled: where hosts use connections of their own, where
+   * this host is not a holder, and where the slots are no fewer than the
+   * connections that the holders may have.
+   */
+  tryGetSlotBudget(target: TargetRecord): number | undefined;
   /** Returns this host's part of the target's connection limit. */
   getAllowance(target: TargetRecord): ConnectionAllowance;
 }
@@ -132,6 +139,25 @@
   const isHolder = (target: TargetRecord) =>
     getTargetHolders(target).holders.includes(self);
 
+  /** Returns how many connections each holder may have. */
+  function getHolderCap(target: TargetRecord): number {
+    const maxConnections = options.getMaxConnections(target.service);
+    const { holders } = getTargetHolders(target);
+    return Math.max(
+      1,
+      Math.floor((maxConnections - getReserved(target)) / holders.length),
+    );
+  }
+
+  /** Returns how many connections are left to hosts that are not holders. */
+  function getReserved(target: TargetRecord): number {
+    const { holders } = getTargetHolders(target);
+    const maxConnections = options.getMaxConnections(target.service);
+    return hosts.length === holders.length
+      ? 0
+      : Math.max(1, maxConnections * RESERVED_FRACTION);
+  }
+
   return {
     list(target, workspace) {
       if (tryDirectCap(target) !== undefined) {
@@ -144,26 +170,31 @@
       return ranked;
     },
     isHolder,
+    tryGetSlotBudget(target) {
+      if (tryDirectCap(target) !== undefined || !isHolder(target)) {
+        return undefined;
+      }
+      const { slots } = target;
+      const { holders } = getTargetHolders(target);
+      return slots < getHolderCap(target) * holders.length
+        ? Math.max(1, Math.ceil(slots / holders.length))
+        : undefined;
+    },
     getAllowance(target) {
       const directCap = tryDirectCap(target);
       if (directCap !== undefined) {
         const idleCap = Math.floor(directCap * SOLE_HOLDER_IDLE_KEEP_FRACTION);
         return { cap: directCap, idleCap: Math.max(1, idleCap) };
       }
-      const maxConnections = options.getMaxConnections(target.service);
       const { holders } = getTargetHolders(target);
       const otherCount = hosts.length - holders.length;
-      const reserved = otherCount === 0
-        ? 0
-        : Math.max(1, maxConnections * RESERVED_FRACTION);
       if (!holders.includes(self)) {
-        const share = Math.floor(reserved / Math.max(1, otherCount));
+        const share = Math.floor(
+          getReserved(target) / Math.max(1, otherCount),
+        );
         return { cap: Math.max(1, share), idleCap: 0 };
       }
-      const cap = Math.max(
-        1,
-        Math.floor((maxConnections - reserved) / holders.length),
-      );
+      const cap = getHolderCap(target);
       const keepFraction = holders.length > 1
         ? IDLE_KEEP_FRACTION
         : SOLE_HOLDER_IDLE_KEEP_FRACTION;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -211,6 +211,7 @@
   const dispatcher = createDispatcher(io, {
     health,
     forwarder,
+    tryGetSlotBudget: holders.tryGetSlotBudget,
     getDefaultWorkspace: () => catalog.tryGet()?.quotas.keys().next().value,
   });
   const fleet = createFleet(io, {
