Free the place of a statement whose client has left

A statement of a client that had left kept its place at the entry host and at the holder, and ran. The end of a session now aborts its waits: at the entry host in the dispatcher's queue, at the holder by a close of the channel with ifUnsent, which gives up only what has not been sent to the target. A commit at work is no longer cut off by the rollback at the end of its session; it was answered in_doubt.

ifUnsent is sent only to hosts that state the feature when the stream is opened: an earlier version rejects unknown fields and closes the stream. The entry host states it in the URL, the holder in a header of the response; earlier versions ignore both.

--- a/src/host/host_streams.ts
+++ b/src/host/host_streams.ts
@@ -21,7 +21,7 @@
   PoolLog,
 } from "../pooling/types.ts";
 import { listenAt } from "./listen.ts";
-import { tryGetSender, tryOpenWebSocket } from "./web_socket.ts";
+import { hasFeature, tryGetSender, tryOpenWebSocket } from "./web_socket.ts";
 import { createWriteBatch, type WriteBatch } from "./write_batch.ts";
 
 /** Longest frame; a statement and a row are at most a mebibyte each. */
@@ -37,6 +37,12 @@
 const IPV4_MAPPED_PREFIX = "::ffff:";
 /** Close code for a protocol violation. */
 const MALFORMED_CODE = 1_008;
+/**
+ * Feature that hosts state when a stream is opened: the fields about load. A
+ * host of an earlier version ignores the statement and rejects the fields.
+ */
+const LOAD_FEATURE = "load";
+const FEATURE_HEADER = "x-turmericchute-feature";
 
 /** Streams between hosts, with the server that accepts them. */
 export interface ListeningHostStreams extends HostStreams {
@@ -91,6 +97,7 @@
     const packr = new Packr({ sequential: true });
     const unpackr = new Packr({ sequential: true });
     let batch: WriteBatch | undefined = req && createWriteBatch(req.socket);
+    let acceptsLoadFields = hasFeature(req?.url, LOAD_FEATURE);
     return {
       stream: {
         send(msg) {
@@ -106,6 +113,7 @@
           ws.send(packr.pack(msg));
         },
         ping: () => ws.readyState === WebSocket.OPEN && ws.ping(),
+        acceptsLoadFields: () => acceptsLoadFields,
         close: () => ws.terminate(),
       },
       attach(handlers) {
@@ -127,7 +135,10 @@
           }
           handlers.onMessage(msg);
         });
-        ws.on("upgrade", (res) => batch = createWriteBatch(res.socket));
+        ws.on("upgrade", (res) => {
+          batch = createWriteBatch(res.socket);
+          acceptsLoadFields = res.headers[FEATURE_HEADER] === LOAD_FEATURE;
+        });
       },
     };
   }
@@ -140,12 +151,19 @@
     },
     open(to, handlers) {
       const ws = tryOpenWebSocket(
-        `ws://${addresses.get(to) ?? ""}/?from=${encodeURIComponent(self)}`,
+        `ws://${addresses.get(to) ?? ""}/?from=${
+          encodeURIComponent(self)
+        }&feature=${LOAD_FEATURE}`,
         { perMessageDeflate: false },
       );
       if (!ws) {
         setImmediate(() => handlers.onClose("no address"));
-        return { send() {}, ping() {}, close() {} };
+        return {
+          send() {},
+          ping() {},
+          close() {},
+          acceptsLoadFields: () => false,
+        };
       }
       const { stream, attach } = createStream<ForwardRequest>(ws);
       attach({
@@ -157,6 +175,10 @@
       return stream;
     },
     onAccept(accept) {
+      wss.on(
+        "headers",
+        (headers) => headers.push(`${FEATURE_HEADER}: ${LOAD_FEATURE}`),
+      );
       wss.on("connection", (ws, req) => {
         const from = tryFindSender(req);
         if (from === undefined) {
--- a/src/host/web_socket.ts
+++ b/src/host/web_socket.ts
@@ -17,6 +17,16 @@
   }
 }
 
+/** Whether a peer says in its URL that it knows the feature. */
+export function hasFeature(url: string | undefined, feature: string): boolean {
+  try {
+    return new URL(url ?? "", "ws://peer").searchParams.getAll("feature")
+      .includes(feature);
+  } catch {
+    return false;
+  }
+}
+
 /** Returns the host that a peer claims to be; undefined on a malformed URL. */
 export function tryGetSender(url: string | undefined): HostId | undefined {
   try {
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -56,6 +56,8 @@
   pendingCount: number;
   /** Whether the other host has given up the channel. */
   isClosed: boolean;
+  /** Ends the wait for a connection; undefined while there is none. */
+  waiting: AbortController | undefined;
 }
 
 /** Creates a holder without channels. */
@@ -91,6 +93,7 @@
     if (ctx.forwarder.isOwnPathDown(target.id)) {
       return createRefusal("target_down", "no answer to the holder");
     }
+    channel.waiting = new AbortController();
     const acquired = await ctx.dispatcher.acquire({
       service: target.service,
       workspace,
@@ -98,9 +101,11 @@
       priority,
       deadline: nowMs() + Math.max(1, waitMs),
       isLocalOnly: true,
+      signal: channel.waiting.signal,
       // A connection is of no use to a host that has given up.
       listCandidates: () => channel.isClosed ? [] : [target],
     });
+    channel.waiting = undefined;
     if (acquired.isOk()) {
       return acquired.value;
     }
@@ -177,6 +182,7 @@
   /** Ends a channel; a command at work loses its connection. */
   function closeChannel(channel: Channel): void {
     channel.isClosed = true;
+    channel.waiting?.abort();
     unbind(channel, false);
   }
 
@@ -196,7 +202,9 @@
         onMessage(msg) {
           if (msg.kind === "close") {
             const channel = channels.get(msg.channel);
-            if (channel) {
+            if (msg.ifUnsent) {
+              channel?.waiting?.abort();
+            } else if (channel) {
               closeChannel(channel);
               if (channel.pendingCount === 0) {
                 channels.delete(msg.channel);
@@ -215,6 +223,7 @@
             tail: Promise.resolve(),
             pendingCount: 0,
             isClosed: false,
+            waiting: undefined,
           };
           channels.set(msg.channel, channel);
           channel.pendingCount++;
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -694,7 +694,12 @@
           resolve(result);
         },
       };
-      const giveUp = () => waiter.settle(Err(CLIENT_LEFT));
+      const giveUp = () => {
+        if (waiter.place) {
+          io.metrics.count("slot_refusals_total", { reason: "client_left" });
+        }
+        waiter.settle(Err(CLIENT_LEFT));
+      };
       signal?.addEventListener("abort", giveUp);
       waiters.add(waiter);
       const remainingMs = request.deadline - since;
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -67,6 +67,8 @@
   readonly lastCommitPosition: Position | undefined;
   /** Time at which the statement arrived, on the monotonic clock. */
   readonly startedAt: number;
+  /** Aborted when the client leaves. */
+  readonly signal?: AbortSignal;
 }
 
 /** Outcome of an operation. */
@@ -103,6 +105,7 @@
       nowMs() + 1,
     ),
     objectiveAt: startedAt + route.objectiveMs,
+    signal: task.signal,
     listCandidates,
   });
 }
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -53,6 +53,8 @@
   readonly priority: number;
   /** Time until which the holder may wait, on the monotonic clock. */
   readonly deadline: number;
+  /** Aborted when the client leaves: what is not sent yet is given up. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** Provides connections that other hosts hold. */
@@ -330,7 +332,7 @@
   function createLink(
     holderStream: HolderStream,
     target: TargetRecord,
-    { workspace, priority, deadline }: ForwardOptions,
+    { workspace, priority, deadline, signal }: ForwardOptions,
   ): TargetLink {
     const channel = holderStream.nextChannel++;
     const variables = new Map<string, string>();
@@ -424,6 +426,22 @@
       }
     }
 
+    /** Gives up what waits at the holder; what the target has goes on. */
+    function giveUpUnsent(): void {
+      const { stream, openedAt, pending } = holderStream;
+      if (openedAt === undefined) {
+        for (const [id, command] of [...pending]) {
+          if (command.channel === channel) {
+            pending.delete(id);
+            command.resolve(createNotSent("the client has left"));
+          }
+        }
+      } else if (pendingCount > 0 && stream.acceptsLoadFields?.()) {
+        stream.send({ kind: "close", channel, ifUnsent: true });
+      }
+    }
+    signal?.addEventListener("abort", giveUpUnsent);
+
     return {
       target,
       workspace,
@@ -436,6 +454,7 @@
         if (!isClosed && isUsed && holderStream.openedAt !== undefined) {
           holderStream.stream.send({ kind: "close", channel });
         }
+        signal?.removeEventListener("abort", giveUpUnsent);
         isClosed = true;
       },
     };
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -130,6 +130,7 @@
   let lastCommitPosition: Position | undefined;
   /** Why this host aborted the transaction; until the client is told. */
   let untoldAbort: string | undefined;
+  const closing = new AbortController();
 
   function toDoneAnswer(
     outcome?: Extract<Outcome, { kind: "done" }>,
@@ -215,6 +216,7 @@
       route,
       workspace,
       lastCommitPosition,
+      signal: closing.signal,
     };
   }
 
@@ -452,6 +454,7 @@
     },
     tryRefusal,
     close() {
+      closing.abort();
       transaction?.rollback();
       transaction = undefined;
     },
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -57,6 +57,7 @@
   let hasWritten = false;
   let isEnded = false;
   let isRunning = false;
+  let isCommitting = false;
   let answeredAt = nowMs();
 
   /** Marks the transaction as ended and releases its connection. */
@@ -67,6 +68,10 @@
   }
 
   function rollback(): void {
+    if (isCommitting) {
+      // The commit may have taken effect; it ends the transaction itself.
+      return;
+    }
     const checkout = pinned;
     pinned = undefined;
     isEnded = true;
@@ -232,6 +237,7 @@
       end(false);
       return checkout;
     }
+    isCommitting = true;
     const { reply, sentAt } = await sendWithBusyRetry(checkout, {
       task,
       command: {
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -294,6 +294,11 @@
   send(msg: Out): void;
   /** Asks the other end for a sign of life. */
   ping(): void;
+  /**
+   * Whether the other end knows the fields about load, which earlier versions
+   * reject; known once the stream is open.
+   */
+  acceptsLoadFields?(): boolean;
   close(): void;
 }
 
--- a/test/memory_streams.ts
+++ b/test/memory_streams.ts
@@ -87,6 +87,7 @@
       atHolder = accept?.(from, {
         send: (msg) => deliver(() => handlers.onMessage(msg)),
         ping: () => deliver(() => handlers.onAlive?.()),
+        acceptsLoadFields: () => true,
         close: () => setTimeout(connection.reset, DELAY_MS),
       });
       deliver(handlers.onOpen);
@@ -94,6 +95,7 @@
     return {
       send: (msg) => deliver(() => atHolder?.onMessage(msg)),
       ping: () => deliver(() => deliver(() => handlers.onAlive?.())),
+      acceptsLoadFields: () => true,
       close: () => setTimeout(connection.reset, DELAY_MS),
     };
   }
