--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -283,12 +283,14 @@
   | "quota_requests_refused_total"
   | "quota_tokens_granted_total"
   | "quota_tokens_lost_total"
-  | "quota_owner_changes_total";
+  | "quota_owner_changes_total"
+  | "slot_refusals_total";
 
 /** Names of the histograms; values are in milliseconds. */
 export type HistogramName =
   | "request_ms"
   | "queue_ms"
+  | "slot_wait_ms"
   | "confirm_ms"
   | "failover_phase_ms";
 
@@ -300,7 +302,9 @@
   | "in_flight_requests"
   | "group_term"
   | "peers_alive"
-  | "quota_partitions_owned";
+  | "quota_partitions_owned"
+  | "slots_in_use"
+  | "slot_limit";
 
 /** I/O interface of a host; all external effects go through it. */
 export interface HostIo {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -60,14 +60,19 @@
   quota_owner_changes_total:
     "Partitions of the quotas that this host has claimed, by reason",
   quota_partitions_owned: "Partitions of the quotas that this host owns",
+  slot_refusals_total: "Statements that got no slot in time, by reason",
   request_ms: "Time from a request to its answer in milliseconds",
   queue_ms: "Time in the queue of a database group in milliseconds",
+  slot_wait_ms:
+    "Time until a statement had a connection and a slot, by priority",
   confirm_ms: "Time until a majority held a write in milliseconds",
   failover_phase_ms: "Time of each phase of a failover in milliseconds",
   sessions: "Open sessions of callers",
   ready: "1 if the host serves clients, else 0",
   target_connections: "Data connections to targets",
   in_flight_requests: "Requests of callers that are not answered yet",
+  slots_in_use: "Statements of this host that run at a target",
+  slot_limit: "Statements that this host may run at once at a target",
   group_term: "Highest term seen in a database group",
   peers_alive: "Hosts that this host counts as alive",
 };
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -63,6 +63,8 @@
   pendingCount: number;
   /** Whether the other host has given up the channel. */
   isClosed: boolean;
+  /** Ends the wait for a connection; undefined while there is none. */
+  waiting: AbortController | undefined;
 }
 
 /** Creates a holder without channels. */
@@ -99,6 +101,7 @@
       return createRefusal("target_down", "no answer to the holder");
     }
     const isEligible = () => ctx.eligibility.isEligible(target);
+    channel.waiting = new AbortController();
     const acquired = await ctx.dispatcher.acquire({
       service: target.service,
       workspace,
@@ -106,11 +109,13 @@
       priority,
       deadline: nowMs() + Math.max(1, waitMs),
       isLocalOnly: true,
+      signal: channel.waiting.signal,
       // A connection is of no use to a host that has given up.
       listCandidates: () => channel.isClosed || !isEligible() ? [] : [target],
       tryRefuse: () => isEligible() ? undefined : EVACUATED,
       isEligible,
     });
+    channel.waiting = undefined;
     if (acquired.isOk()) {
       return acquired.value;
     }
@@ -187,6 +192,7 @@
   /** Ends a channel; a command at work loses its connection. */
   function closeChannel(channel: Channel): void {
     channel.isClosed = true;
+    channel.waiting?.abort();
     unbind(channel, false);
   }
 
@@ -206,7 +212,9 @@
         onMessage(msg) {
           if (msg.kind === "close") {
             const channel = channels.get(msg.channel);
-            if (channel) {
+            if (msg.ifUnsent) {
+              channel?.waiting?.abort();
+            } else if (channel) {
               closeChannel(channel);
               if (channel.pendingCount === 0) {
                 channels.delete(msg.channel);
@@ -225,6 +233,7 @@
             tail: Promise.resolve(),
             pendingCount: 0,
             isClosed: false,
+            waiting: undefined,
           };
           channels.set(msg.channel, channel);
           channel.pendingCount++;
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -69,6 +69,8 @@
   readonly lastCommitPosition: Position | undefined;
   /** Time at which the statement arrived, on the monotonic clock. */
   readonly startedAt: number;
+  /** Aborted when the client leaves. */
+  readonly signal?: AbortSignal;
 }
 
 /** Outcome of an operation. */
@@ -112,6 +114,8 @@
       startedAt + route.objectiveMs * MAX_QUEUE_WAIT_FRACTION,
       nowMs() + 1,
     ),
+    objectiveAt: startedAt + route.objectiveMs,
+    signal: task.signal,
     listCandidates,
     tryRefuse: () => eligibility.tryRefuse(task, use),
     isEligible: (target) => eligibility.isEligibleFor(target, task),
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -55,6 +55,8 @@
   readonly deadline: number;
   /** Whether the host may be used as holder; all by default. */
   mayUseHolder?: ((host: HostId) => boolean) | undefined;
+  /** Aborted when the client leaves: what is not sent yet is given up. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** Provides connections that other hosts hold. */
@@ -382,7 +384,7 @@
   function createLink(
     holderStream: HolderStream,
     target: TargetRecord,
-    { workspace, priority, deadline }: ForwardOptions,
+    { workspace, priority, deadline, signal }: ForwardOptions,
   ): TargetLink {
     const channel = holderStream.nextChannel++;
     const variables = new Map<string, string>();
@@ -476,6 +478,22 @@
       }
     }
 
+    /** Gives up what waits at the holder; what the target has goes on. */
+    function giveUpUnsent(): void {
+      const { stream, openedAt, pending } = holderStream;
+      if (openedAt === undefined) {
+        for (const [id, command] of [...pending]) {
+          if (command.channel === channel) {
+            pending.delete(id);
+            command.resolve(createNotSent("the client has left"));
+          }
+        }
+      } else if (pendingCount > 0 && stream.acceptsLoadFields?.()) {
+        stream.send({ kind: "close", channel, ifUnsent: true });
+      }
+    }
+    signal?.addEventListener("abort", giveUpUnsent);
+
     return {
       target,
       workspace,
@@ -490,6 +508,7 @@
         if (!isClosed && isUsed && holderStream.openedAt !== undefined) {
           holderStream.stream.send({ kind: "close", channel });
         }
+        signal?.removeEventListener("abort", giveUpUnsent);
         isClosed = true;
       },
     };
