Send the second signal once a target has begun the write

Cause: "a second signal ends a drain with an answer to each request" once answered "unavailable" with "not_run". The test's targets were unreachable, and a host that has missed a majority of the targets for a second answers requests that wait for a primary with that. On a busy machine this second passed before the signals. "Not run" was true: a statement counts as sent from the moment it is handed to a connection, and none was ever opened.

Change: stand-in targets report as a group with a primary and begin the write without answering it. The signals come once a target has the write, so the only true answer is "outcome_unknown", whatever the host does first. A write that the host refuses before is sent again and must say "not run".

Fails if the end of a drain leaves out the requests in flight, and if it answers writes with "shutting_down".

--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import type { Server } from "node:http";
@@ -6,10 +7,14 @@
 import { join } from "node:path";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import process from "node:process";
+import { pack, unpack } from "msgpackr";
+import { WebSocketServer } from "ws";
 import { stringify } from "yaml";
 import { runCli } from "../src/cli/cli.ts";
 import { DIAGNOSTICS } from "../src/core/diagnostics.ts";
-import { asId, type ServiceId } from "../src/core/ids.ts";
+import { asId, type TargetId } from "../src/core/ids.ts";
+import type { TargetStatus } from "../src/core/types.ts";
+import type { TargetCall } from "../src/host/target_driver.ts";
 import { createPlatformServer } from "../standins/platform_server.ts";
 import { listen } from "../standins/serve.ts";
 import { type Client, tryConnect } from "../tools/client.ts";
@@ -19,7 +24,7 @@
   buildServices,
   LAKAZ,
 } from "../tools/workloads.ts";
-import { createGetFrame, createPutFrame } from "./fleet.ts";
+import { createPutFrame } from "./fleet.ts";
 import { findPort } from "./ports.ts";
 
 const ANSWER_TIMEOUT_MS = 60_000;
@@ -27,6 +32,7 @@
 let platform: Server;
 let platformUrl: string;
 let tempDir: string;
+let targets: WebSocketServer | undefined;
 
 interface CommandResult {
   readonly code: number;
@@ -55,8 +61,10 @@
   return file;
 }
 
-async function applyAll(): Promise<void> {
-  const groups = buildGroups(LAKAZ, () => "ws://127.0.0.1:1");
+async function applyAll(
+  getUrl = (_target: TargetId) => "ws://127.0.0.1:1",
+): Promise<void> {
+  const groups = buildGroups(LAKAZ, getUrl);
   const lists = {
     groups: { kind: "groups", groups },
     services: buildServices(LAKAZ),
@@ -79,6 +87,8 @@
 afterEach(() => {
   platform.close();
   platform.closeAllConnections();
+  targets?.clients.forEach((ws) => ws.terminate());
+  targets?.close();
   vi.restoreAllMocks();
 });
 
@@ -337,9 +347,47 @@
   return client ?? await connectWhenReady(port, key);
 }
 
-// Guards against a second signal that leaves requests without an answer.
+/**
+ * Starts targets that are found by the path of the URL. The first one of each
+ * group leads, and begins statements without ever answering them.
+ */
+async function startStuckTargets(onStatement: () => void): Promise<number> {
+  targets = new WebSocketServer({ port: 0, host: "127.0.0.1" });
+  await once(targets, "listening");
+  targets.on("connection", (ws, { url }) => {
+    const target = asId<TargetId>(/^\/([^/?]+)/.exec(url!)![1]!);
+    const status: TargetStatus = {
+      target,
+      term: 1,
+      role: target.endsWith("-1") ? "primary" : "replica",
+      logEnd: { term: 0, pos: 0 },
+    };
+    ws.on("message", (data: Buffer) => {
+      const { rid, req } = unpack(data) as TargetCall;
+      if (req.kind === "status") {
+        ws.send(pack({ rid, ok: status }));
+      } else if (req.kind === "write") {
+        onStatement();
+      }
+    });
+    ws.send(pack("ready"));
+  });
+  return (targets.address() as AddressInfo).port;
+}
+
+// Guards against a second signal that leaves requests without an answer, and
+// against "not run" for a write that a target has begun. The signals come once a
+// target has the write: before that, "not run" is a true answer, which a host
+// gives as soon as it has missed the targets for a second.
 test("a second signal ends a drain with an answer to each request", async () => {
-  await applyAll();
+  let isBegun = false;
+  let begin = () => {};
+  const begun = new Promise<void>((resolve) => begin = resolve);
+  const targetPort = await startStuckTargets(() => {
+    isBegun = true;
+    begin();
+  });
+  await applyAll((target) => `ws://127.0.0.1:${targetPort}/${target}`);
   const { workspace } = LAKAZ.workspaces[0]!;
   const { out: key } = await runWithPlatform("keys", "issue", workspace);
   const callers = await findPort();
@@ -349,13 +397,18 @@
   const client = await connectWhenReady(callers, key);
   const sendSignal = onProcess.mock.calls
     .find(([event]) => event === "SIGTERM")![1] as () => void;
-  // No target of the group is reachable.
-  const written = client.request(
-    createPutFrame("row", 1, { timeoutMs: ANSWER_TIMEOUT_MS }),
-    ANSWER_TIMEOUT_MS,
-  );
-  const service = asId<ServiceId>("none");
-  await client.request(createGetFrame("row", { service }), ANSWER_TIMEOUT_MS);
+  const write = () =>
+    client.request(
+      createPutFrame("row", 1, { timeoutMs: ANSWER_TIMEOUT_MS }),
+      ANSWER_TIMEOUT_MS,
+    );
+  let written = write();
+  await Promise.race([begun, written]);
+  while (!isBegun) {
+    expect(await written).toMatchObject({ run: "not_run" });
+    written = write();
+    await Promise.race([begun, written]);
+  }
   sendSignal();
   sendSignal();
   expect(await written).toMatchObject({
