Read results that came during a suspension before a stop ends execution

What callers saw: a host that was suspended in its stop until after 0.85 of the grace answered statements with "the host is stopping" although the targets had sent their results: true for a read, which keeps nothing, but a result that is ready is to be delivered also when it is late, and a write would have been in doubt.

Cause: after a suspension the timers of the process run before its sockets are read. All phases of the stop that were due were entered in one turn, and the last one ended execution with the results still in the buffers.

Change: if the end of execution is more than 50 ms late, the stop waits for the statements at work, 100 ms at most, and then ends execution. A stop that is not suspended is as before.

--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -54,6 +54,7 @@
   readonly event: string;
   /** Fraction of the grace period at which the phase begins. */
   readonly startsAt: number;
+  readonly endsExecution?: boolean;
   enter(host: StoppingHost): void;
 }
 
@@ -80,6 +81,7 @@
     // Every statement still at work gets its final answer.
     event: "stop_ends_execution",
     startsAt: 0.85,
+    endsExecution: true,
     enter({ pooler, connections }) {
       pooler.stop();
       connections.endAll();
@@ -93,6 +95,16 @@
  * milliseconds, also in a process that reaches its phases late.
  */
 const MIN_ANSWER_MS = 100;
+/**
+ * Delay of the end of execution above which the process is taken to have been
+ * suspended, in milliseconds; above the interval at which the stop looks.
+ */
+const SUSPENDED_MS = 50;
+/**
+ * Longest time to read what targets have sent during a suspension, before the
+ * end of execution, in milliseconds.
+ */
+const MAX_READ_MS = 100;
 
 /**
  * Stops the host within the grace period, in milliseconds; resolves once
@@ -125,6 +137,16 @@
     );
   }
 
+  /**
+   * Reads the results that have come while the process was suspended. They are
+   * in the buffers of its sockets, and its timers run before these are read.
+   */
+  async function readLateResults(fraction: number): Promise<void> {
+    if (nowMs() - startedAt - fraction * graceMs > SUSPENDED_MS) {
+      await waitUntil(() => connections.countStatements() === 0, MAX_READ_MS);
+    }
+  }
+
   logPhase("stopping", { graceMs });
   void pooler.leave();
   await sleep(Math.min(ROTATION_DELAY_MS, PHASES[0]!.startsAt * graceMs));
@@ -133,6 +155,9 @@
     if (await waitUntilDone(phase.startsAt)) {
       break;
     }
+    if (phase.endsExecution) {
+      await readLateResults(phase.startsAt);
+    }
     logPhase(phase.event);
     phase.enter(host);
   }
--- a/test/shutdown_process.test.ts
+++ b/test/shutdown_process.test.ts
@@ -148,6 +148,32 @@
   expect(sent.filter(({ answer }) => answer.lines.length === 0)).toEqual([]);
 });
 
+// Guards against a host that is suspended until its stop ends execution, and
+// tells clients that it stops although the targets have sent their results.
+test("results that come while a stopping host is suspended reach the clients", async () => {
+  const host = await start({ graceS: 6, group: { workMs: 400 } });
+  const transaction = host.connect();
+  await transaction.start("orders");
+  await transaction.query("t-1", "BEGIN");
+  const clients = Array.from(
+    { length: 20 },
+    (_, i) => sendUntilRefused(host, `c${i}`),
+  );
+  while (host.group.runs.length < 20) {
+    await sleep(POLL_INTERVAL_MS);
+  }
+  host.kill("SIGTERM");
+  // From before the end of admission at 3 s until after that of execution at
+  // 5.1 s. A statement takes 0.4 s at the target.
+  await sleep(2_700);
+  host.kill("SIGSTOP");
+  await sleep(2_600);
+  host.kill("SIGCONT");
+  const sent = (await Promise.all(clients)).flatMap((run) => run.sent);
+  expect(await host.exited).toBe(0);
+  expect(listBrokenOff(host, sent)).toEqual([]);
+});
+
 // Guards against a statement that crosses the end of its session: without a
 // message before the end its client can't tell that it was not executed.
 test("a stop tells idle clients before it ends their sessions", async () => {
