--- a/src/pooling/owned_quotas.ts
+++ b/src/pooling/owned_quotas.ts
@@ -126,12 +126,6 @@
     while (waiters.length > 0 && account.tryTake()) {
       waiters.shift()!.settle(Ok(undefined));
     }
-    const pauseMs = account.getPauseMs();
-    if (pauseMs > 0) {
-      waiters.splice(0).forEach(({ settle }) =>
-        settle(refuse(entry, pauseMs, "no_tokens"))
-      );
-    }
     const now = nowMs();
     for (let index = waiters.length - 1; index >= 0; index--) {
       if (waiters[index]!.deadline <= now) {
@@ -153,17 +147,21 @@
     }
   }
 
+  function listOpen(entry: Entry): readonly TokenRequest[] {
+    return [...open.values()].filter((pending) =>
+      pending.workspace === entry.workspace && !pending.isGivenUp
+    ).map(({ request }) => request);
+  }
+
   function ask(entry: Entry): void {
-    const mine = [...open.values()].filter((request) =>
-      request.workspace === entry.workspace && !request.isGivenUp
-    );
+    const requests = listOpen(entry);
     const request = entry.account.planRequest({
       waiting: entry.waiters.length,
-      openRequests: mine.length,
-      openCount: mine.reduce(
-        (sum, { request: { need, ahead } }) => sum + need + ahead,
-        0,
-      ),
+      openRequests: requests.length,
+      open: {
+        need: requests.reduce((sum, { need }) => sum + need, 0),
+        ahead: requests.reduce((sum, { ahead }) => sum + ahead, 0),
+      },
     });
     const owners = options.listOwners(entry.partition);
     if (!request || owners.length === 0) {
@@ -209,9 +207,23 @@
 
   function retry(entry: Entry): void {
     serve(entry);
+    refuseOldest(entry, entry.account.getPauseMs());
     ask(entry);
   }
 
+  /** Refuses the waiters for which no request is open, until the next token. */
+  function refuseOldest(entry: Entry, pauseMs: number): void {
+    if (pauseMs <= 0) {
+      return;
+    }
+    const expected = listOpen(entry).reduce((sum, { need }) => sum + need, 0);
+    const count = Math.max(0, entry.waiters.length - expected);
+    entry.waiters.splice(0, count).forEach(({ settle }) =>
+      settle(refuse(entry, pauseMs, "no_tokens"))
+    );
+    schedule(entry);
+  }
+
   function send(entry: Entry, id: number): void {
     const pending = open.get(id)!;
     pending.sends++;
@@ -277,6 +289,7 @@
       entry.account.recordRefusal(grant.retryMs);
     }
     serve(entry);
+    refuseOldest(entry, grant.retryMs);
   }
 
   function createEntry(workspace: WorkspaceId): Entry {
--- a/src/pooling/quota_owner_sync.ts
+++ b/src/pooling/quota_owner_sync.ts
@@ -274,6 +274,8 @@
       fleet.applyObject(res.value);
     } else if (res.error.kind === "conflict") {
       fleet.applyObject(res.error.current);
+      // The watch was late; what is still due is done on the newer version.
+      partition.claimedAt = -Infinity;
     }
     updateOwnership(partition);
     return res.isOk();
--- a/src/pooling/quota_tokens.ts
+++ b/src/pooling/quota_tokens.ts
@@ -165,7 +165,7 @@
     readonly waiting: number;
     /** Requests without an answer, and the tokens that they ask for. */
     readonly openRequests: number;
-    readonly openCount: number;
+    readonly open: TokenRequest;
   }): TokenRequest | undefined;
   /** Discards the tokens, whose age is not known any more. */
   clear(): number;
@@ -222,15 +222,15 @@
       pausedUntil = Math.max(pausedUntil, nowMs() + retryMs);
     },
     getPauseMs: () => Math.max(0, pausedUntil - nowMs()),
-    planRequest({ waiting, openRequests, openCount }) {
+    planRequest({ waiting, openRequests, open }) {
       removeExpired();
       if (nowMs() < pausedUntil || openRequests >= MAX_OPEN_REQUESTS) {
         return undefined;
       }
       const target = Math.floor((getDemandPerS() * AHEAD_MS) / 1_000);
-      const available = sumTokens() + openCount;
-      const need = Math.max(0, waiting - available);
-      const spare = Math.max(0, available - waiting);
+      const need = Math.max(0, waiting - open.need);
+      // Tokens that are asked ahead may be denied, so none counts for a need.
+      const spare = sumTokens() + open.ahead;
       const ahead = Math.max(0, target - spare);
       return need > 0 || (target > 0 && spare < target * REFILL_FRACTION)
         ? { need, ahead }
