--- a/src/pooling/owned_quotas.ts
+++ b/src/pooling/owned_quotas.ts
@@ -39,6 +39,8 @@
 export interface OwnedQuotas
   extends Pick<Quotas, "takeToken" | "setQuotas" | "close"> {
   handleTokens(from: HostId, msg: TellTokens): void;
+  /** Asks the owner that another host has named. */
+  handleRedirect(from: HostId, id: number): void;
   /** Asks again for what waits, after an owner has become known. */
   recordOwner(partition: number): void;
   /** Discards tokens whose age is not known any more. */
@@ -79,8 +81,6 @@
   readonly partition: number;
   readonly account: TokenAccount;
   readonly waiters: Waiter[];
-  /** Requests in a row that were given up. */
-  failures: number;
   timer: NodeJS.Timeout | undefined;
 }
 
@@ -91,6 +91,9 @@
 ): OwnedQuotas {
   const entries = new Map<WorkspaceId, Entry>();
   const open = new Map<number, OpenRequest>();
+  /** Requests in a row that were given up, by partition, and the last time. */
+  const failures = new Map<number, number>();
+  const failedAt = new Map<number, number>();
   /** Partitions whose owner does not answer, as logged. */
   const silentPartitions = new Set<number>();
   // A new process does not get the answers to requests of an earlier one.
@@ -123,12 +126,6 @@
     while (waiters.length > 0 && account.tryTake()) {
       waiters.shift()!.settle(Ok(undefined));
     }
-    const pauseMs = account.getPauseMs();
-    if (pauseMs > 0) {
-      waiters.splice(0).forEach(({ settle }) =>
-        settle(refuse(entry, pauseMs, "no_tokens"))
-      );
-    }
     const now = nowMs();
     for (let index = waiters.length - 1; index >= 0; index--) {
       if (waiters[index]!.deadline <= now) {
@@ -150,23 +147,28 @@
     }
   }
 
+  function listOpen(entry: Entry): readonly TokenRequest[] {
+    return [...open.values()].filter((pending) =>
+      pending.workspace === entry.workspace && !pending.isGivenUp
+    ).map(({ request }) => request);
+  }
+
   function ask(entry: Entry): void {
-    const mine = [...open.values()].filter((request) =>
-      request.workspace === entry.workspace && !request.isGivenUp
-    );
+    const requests = listOpen(entry);
     const request = entry.account.planRequest({
       waiting: entry.waiters.length,
-      openRequests: mine.length,
-      openCount: mine.reduce(
-        (sum, { request: { need, ahead } }) => sum + need + ahead,
-        0,
-      ),
+      openRequests: requests.length,
+      open: {
+        need: requests.reduce((sum, { need }) => sum + need, 0),
+        ahead: requests.reduce((sum, { ahead }) => sum + ahead, 0),
+      },
     });
     const owners = options.listOwners(entry.partition);
     if (!request || owners.length === 0) {
       return;
     }
-    const to = owners[entry.failures % owners.length]!;
+    const failureCount = failures.get(entry.partition) ?? 0;
+    const to = owners[failureCount % owners.length]!;
     if (to === options.self) {
       askLocally(entry, request);
       return;
@@ -189,20 +191,39 @@
     if (grant) {
       applyGrant(entry, { ...grant, askedAt });
     } else {
-      entry.failures++;
+      recordFailure(entry);
       setTimeout(() => isClosed || retry(entry), getRepeatMs());
     }
   }
 
+  function recordFailure({ partition }: Entry): void {
+    failures.set(partition, (failures.get(partition) ?? 0) + 1);
+    failedAt.set(partition, nowMs());
+  }
+
   function getRepeatMs(): number {
     return MIN_REPEAT_MS + (MAX_REPEAT_MS - MIN_REPEAT_MS) * io.random();
   }
 
   function retry(entry: Entry): void {
     serve(entry);
+    refuseOldest(entry, entry.account.getPauseMs());
     ask(entry);
   }
 
+  /** Refuses the waiters for which no request is open, until the next token. */
+  function refuseOldest(entry: Entry, pauseMs: number): void {
+    if (pauseMs <= 0) {
+      return;
+    }
+    const expected = listOpen(entry).reduce((sum, { need }) => sum + need, 0);
+    const count = Math.max(0, entry.waiters.length - expected);
+    entry.waiters.splice(0, count).forEach(({ settle }) =>
+      settle(refuse(entry, pauseMs, "no_tokens"))
+    );
+    schedule(entry);
+  }
+
   function send(entry: Entry, id: number): void {
     const pending = open.get(id)!;
     pending.sends++;
@@ -226,8 +247,12 @@
       send(entry, id);
       return;
     }
-    giveUp(entry, id);
-    if (entry.failures > 0 && !silentPartitions.has(entry.partition)) {
+    giveUp(id);
+    // Requests that were open at the same time count as one.
+    if (pending.askedAt > (failedAt.get(entry.partition) ?? -Infinity)) {
+      recordFailure(entry);
+    }
+    if (!silentPartitions.has(entry.partition)) {
       silentPartitions.add(entry.partition);
       io.log.info("quota_owner_silent", {
         partition: entry.partition,
@@ -238,10 +263,9 @@
   }
 
   /** Expects no answer any more, but takes one that still arrives in time. */
-  function giveUp(entry: Entry, id: number): void {
+  function giveUp(id: number): void {
     const pending = open.get(id)!;
     pending.isGivenUp = true;
-    entry.failures++;
     setTimeout(
       () => open.delete(id),
       Math.max(0, pending.askedAt + TOKEN_TTL_MS - nowMs()),
@@ -256,7 +280,6 @@
       readonly askedAt: number;
     },
   ): void {
-    entry.failures = 0;
     entry.account.addGrant(grant);
     const lost = entry.account.takeExpiredCount();
     if (lost > 0) {
@@ -266,6 +289,7 @@
       entry.account.recordRefusal(grant.retryMs);
     }
     serve(entry);
+    refuseOldest(entry, grant.retryMs);
   }
 
   function createEntry(workspace: WorkspaceId): Entry {
@@ -274,7 +298,6 @@
       partition: getPartition(workspace),
       account: createTokenAccount(),
       waiters: [],
-      failures: 0,
       timer: undefined,
     };
   }
@@ -317,6 +340,9 @@
         return;
       }
       open.delete(id);
+      if (from === options.listOwners(entry.partition)[0]) {
+        failures.delete(entry.partition);
+      }
       const { need, ahead } = pending.request;
       if (silentPartitions.delete(entry.partition)) {
         io.log.info("quota_owner_answers", {
@@ -332,18 +358,27 @@
       });
       ask(entry);
     },
+    handleRedirect(from, id) {
+      const pending = open.get(id);
+      const entry = pending && entries.get(pending.workspace);
+      if (entry && pending.to === from && !pending.isGivenUp) {
+        open.delete(id);
+        failures.delete(entry.partition);
+        retry(entry);
+      }
+    },
     recordOwner(partition) {
       const [owner] = options.listOwners(partition);
+      failures.delete(partition);
       for (const entry of entries.values()) {
         if (entry.partition === partition) {
           open.forEach((pending, id) => {
             const isOther = pending.workspace === entry.workspace &&
               pending.to !== owner && !pending.isGivenUp;
             if (isOther) {
-              giveUp(entry, id);
+              giveUp(id);
             }
           });
-          entry.failures = 0;
           ask(entry);
         }
       }
