Keep failure domains that the operator evacuated free of work

Evacuations were not read anywhere. evacuations.ts watches evacuations/ where the settings have evacuationInForceMs (bounds.evacMs); without it no call is made. A host is not ready, and asks no target, until it knows them; one that the store turns away reads them through a peer. When the store returns to an earlier copy, an evacuation that this host saw revoked is known by its version and stays revoked, an active one that the copy lacks stays for the settling time, and a host that starts then learns both from the answers on the configuration's version. Queued statements are refused, also those that wait at a holder for other hosts; transactions may stay open for a fifth of the bound.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -261,6 +261,7 @@
   | "host_stream_errors_total"
   | "store_era_changes_total"
   | "store_era_losses_total"
+  | "evacuation_changes_total"
   | "store_relayed_calls_total"
   | "quota_borrowed_total";
 
@@ -275,6 +276,8 @@
 export type GaugeName =
   | "sessions"
   | "ready"
+  | "evacuated_domains"
+  | "evacuations_age_ms"
   | "target_connections"
   | "in_flight_requests"
   | "group_term"
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -49,11 +49,15 @@
   store_relayed_calls_total: "Calls to the store for other hosts, by result",
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
+  evacuation_changes_total: "Evacuations of domains that began and ended",
   request_ms: "Time from a request to its answer in milliseconds",
   queue_ms: "Time in the queue of a database group in milliseconds",
   confirm_ms: "Time until a majority held a write in milliseconds",
   failover_phase_ms: "Time of each phase of a failover in milliseconds",
   sessions: "Open sessions of callers",
+  evacuated_domains: "Failure domains that are evacuated, as known here",
+  evacuations_age_ms:
+    "Time since the store last confirmed the evacuations in milliseconds",
   ready: "1 if the host serves clients, else 0",
   target_connections: "Data connections to targets",
   in_flight_requests: "Requests of callers that are not answered yet",
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -53,6 +53,8 @@
   closeAdmission(): void;
   /** Ends open transactions as soon as no command of theirs is at work. */
   abortTransactionsWhenIdle(): void;
+  /** Ends open transactions whose target may get no more statements. */
+  abortEvacuatedTransactions(): void;
 }
 
 interface Channel {
@@ -123,6 +125,10 @@
     channel: Channel,
     msg: ForwardRun,
   ): Promise<ForwardedReply> {
+    if (mustEnd(channel)) {
+      unbind(channel, false);
+      return createRefusal("not_sent", "the target's domain is evacuated");
+    }
     if (!channel.checkout) {
       if (!msg.isFirst) {
         return createRefusal("not_sent", "the connection has ended before");
@@ -178,6 +184,12 @@
     }
   }
 
+  /** Whether the channel's transaction must end for an evacuation. */
+  function mustEnd({ checkout }: Channel): boolean {
+    return checkout !== undefined &&
+      ctx.eligibility.mustEndTransactions(checkout.target);
+  }
+
   function endIfIdle(channel: Channel): void {
     if (channel.pendingCount === 0) {
       unbind(channel, false);
@@ -253,6 +265,8 @@
       abortsIdleTransactions = true;
       listChannels().forEach(endIfIdle);
     },
+    abortEvacuatedTransactions: () =>
+      listChannels().filter(mustEnd).forEach(endIfIdle),
     stop() {
       if (isStopped) {
         return;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -1,7 +1,7 @@
 /** Assembles a session pool from its components. */
 
 import { assertNever } from "../core/errors.ts";
-import type { DomainId, HostId, ServiceId } from "../core/ids.ts";
+import type { DomainId, HostId, ObjectKey, ServiceId } from "../core/ids.ts";
 import type { Result } from "ts-results-es";
 import { createEraStore } from "../core/store_era.ts";
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
@@ -41,6 +41,7 @@
 import { createStoreAccess } from "./store_access.ts";
 import { createStoreFeed } from "./store_feed.ts";
 import { createStoreRelay } from "./store_relay.ts";
+import { createEvacuations } from "./evacuations.ts";
 import { createTargetEligibility } from "./target_eligibility.ts";
 import { isSameProcess } from "./target_pool.ts";
 import type {
@@ -70,6 +71,12 @@
 const WATCH_WAIT_FRACTION = 0.6;
 /** Longest wait of one watch that the store accepts, in milliseconds. */
 const MAX_WATCH_WAIT_MS = 30_000;
+/**
+ * Part of the time for an evacuation to be in force for which transactions may
+ * stay open at its targets; most end by themselves in it. The rest is for the
+ * news to reach this host.
+ */
+const EVACUATED_TRANSACTION_FRACTION = 0.2;
 /**
  * Minimum interval between two watches of the targets, in milliseconds, and its
  * growth with each host. A change of any target ends the watch of every host,
@@ -85,8 +92,11 @@
   readonly catalogPrefix: string;
   readonly catalogKey: string;
   readonly targetPrefix: string;
+  readonly evacuationPrefix: string;
   tryDecodeCatalog(value: unknown): Catalog | undefined;
   tryDecodeTarget(object: StoredObject): TargetRecord | undefined;
+  /** Returns the domain that an object evacuates; undefined if none. */
+  tryDecodeEvacuation(key: ObjectKey): DomainId | undefined;
 }
 
 /** How soon changes in the store must be in force. */
@@ -98,6 +108,11 @@
    * milliseconds.
    */
   readonly settlingMs: number;
+  /**
+   * Time within which an accepted evacuation must be in force, in
+   * milliseconds; undefined if the deployment has no evacuations.
+   */
+  readonly evacuationInForceMs?: number | undefined;
 }
 
 /** Settings of a session pool. */
@@ -199,9 +214,16 @@
     getUptimeMs: nowMs,
     borrow: (workspace, count) => tokenExchange.borrow(workspace, count),
   });
+  const { evacuationInForceMs } = options.freshness;
+  const evacuations = createEvacuations(io, {
+    isEnabled: evacuationInForceMs !== undefined,
+    tryDecode: decoding.tryDecodeEvacuation,
+    returnGraceMs: options.freshness.settlingMs,
+  });
   const topology: Topology = {
     domain: options.domain,
     regions: options.regions,
+    evacuations,
   };
   const eligibility = createTargetEligibility({
     topology,
@@ -209,7 +231,8 @@
     primaries,
     tryGetCatalog: catalog.tryGet,
     listHosts: () => fleet.listPlacedHosts(),
-    transactionGraceMs: 0,
+    transactionGraceMs: EVACUATED_TRANSACTION_FRACTION *
+      (evacuationInForceMs ?? 0),
     random: io.random,
   });
   const holders = createHolders({
@@ -243,6 +266,7 @@
     isFleetLoaded: fleet.isLoaded,
     listPeers: fleet.listPeers,
     getVersion: () => catalog.tryGet()?.version,
+    listEvacuations: evacuations.listDeviations,
   });
   const positionsByService = new Map<ServiceId, PositionHistory>();
   const sessions = new Set<Session>();
@@ -355,7 +379,10 @@
       case "ask_version":
         return versionCheck.handleRequest(from, msg);
       case "tell_version":
-        return versionCheck.handleReply(from, msg);
+        if (versionCheck.handleReply(from, msg) && evacuationFeed) {
+          evacuations.applyDeviations(msg.evacuations ?? []);
+        }
+        return;
       case "ask_store":
         return storeAccess.handleAsk(from, msg);
       case "tell_store":
@@ -376,11 +403,12 @@
     fencing,
   });
   // A connection that fails silently counts as a fault of the host.
-  const watchWaitMs = Math.min(
-    MAX_WATCH_WAIT_MS,
-    WATCH_WAIT_FRACTION *
-      (options.freshness.changeInForceMs + options.freshness.settlingMs),
-  );
+  const getWatchWaitMs = (inForceMs: number) =>
+    Math.min(
+      MAX_WATCH_WAIT_MS,
+      WATCH_WAIT_FRACTION * (inForceMs + options.freshness.settlingMs),
+    );
+  const watchWaitMs = getWatchWaitMs(options.freshness.changeInForceMs);
   const catalogFeed = createStoreFeed(io, {
     prefix: decoding.catalogPrefix,
     waitMs: watchWaitMs,
@@ -403,6 +431,13 @@
       onReconnected: directory.recordStoreReconnected,
     },
   });
+  const evacuationFeed = evacuationInForceMs === undefined
+    ? undefined
+    : createStoreFeed(io, {
+      prefix: decoding.evacuationPrefix,
+      waitMs: getWatchWaitMs(evacuationInForceMs),
+      handlers: evacuations.handlers,
+    });
   let timer: NodeJS.Timeout | undefined;
   /** What this host lacked at the last check; empty if it was ready. */
   let loggedMissing: string | undefined;
@@ -413,6 +448,10 @@
       { part: "configuration", isThere: catalog.tryGetConfirmed() },
       { part: "targets", isThere: directory.size > 0 },
       { part: "shares", isThere: shares.isReady() },
+      {
+        part: "evacuations",
+        isThere: evacuations.isKnown(),
+      },
     ].filter(({ isThere }) => !isThere).map(({ part }) => part);
   }
 
@@ -444,6 +483,15 @@
     dispatcher.serveQueue();
   });
   directory.onChange(applyDirectoryEvent);
+  evacuations.onChange((domain) => {
+    const services = catalog.tryGet()?.services.keys() ?? [];
+    [...services].flatMap(directory.list)
+      .filter((target) => target.domain === domain)
+      // Closes idle connections. What is known of its health will be outdated.
+      .forEach(({ id }) => dispatcher.removeTarget(id));
+    dispatcher.refuseWaiting();
+    dispatcher.serveQueue();
+  });
 
   /** Hosts for which the allowances were computed. */
   let placedHosts: readonly PeerInfo[] = [];
@@ -511,8 +559,19 @@
     }
   }
 
+  function checkEvacuations(): void {
+    evacuations.check();
+    if (evacuations.listDomains().length > 0) {
+      sessions.forEach((session) => session.abortEvacuatedTransaction());
+      connectionHolder.abortEvacuatedTransactions();
+    }
+  }
+
   function runMaintenance(): void {
     clockJumps.getEpoch();
+    if (evacuationFeed) {
+      checkEvacuations();
+    }
     storeAccess.check();
     shares.checkLeases();
     forwarder.checkStreams();
@@ -532,6 +591,7 @@
     start() {
       catalogFeed.start();
       targetFeed.start();
+      evacuationFeed?.start();
       fleet.start();
       versionCheck.start();
       shares.start();
@@ -579,6 +639,7 @@
       fleet.stop();
       catalogFeed.stop();
       targetFeed.stop();
+      evacuationFeed?.stop();
       sessions.forEach((session) =>
         session.abort(POOL_ERRORS.stopping.message)
       );
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -67,6 +67,11 @@
   abortIdleTransaction(
     options: { readonly idleMs: number; readonly reason: string },
   ): void;
+  /**
+   * Aborts the open transaction between two statements if its target may get no
+   * more of them; the client is told with its next statement.
+   */
+  abortEvacuatedTransaction(): void;
 }
 
 /** Dependencies of sessions. */
@@ -471,5 +476,16 @@
         abortUntold(reason);
       }
     },
+    abortEvacuatedTransaction() {
+      const target = transaction?.tryIdleTarget();
+      if (target && ctx.eligibility.mustEndTransactions(target)) {
+        ctx.io.log.info("transaction_evacuated", {
+          workspace,
+          database: sessionOptions.database,
+          target: target.id,
+        });
+        abortUntold("the target's failure domain is evacuated");
+      }
+    },
   };
 }
--- a/src/pooling/target_eligibility.ts
+++ b/src/pooling/target_eligibility.ts
@@ -82,8 +82,12 @@
     readonly domains: ReadonlyMap<HostId, DomainId>;
   } = { hosts: [], domains: new Map() };
 
+  /** Also true of every domain until the evacuations are known. */
   function isDomainEvacuated(domain: DomainId): boolean {
-    return topology.evacuations?.tryGetActiveMs(domain) !== undefined;
+    const { evacuations } = topology;
+    return evacuations !== undefined &&
+      (!evacuations.isKnown() ||
+        evacuations.tryGetActiveMs(domain) !== undefined);
   }
 
   const isEvacuated = ({ domain }: TargetRecord) => isDomainEvacuated(domain);
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -5,7 +5,7 @@
 import type { Checkout } from "./dispatch.ts";
 import type { RequiredContext } from "./link_context.ts";
 import { rankCandidates, tryFreshReadFloor } from "./reads.ts";
-import type { Position, TargetCommand } from "./types.ts";
+import type { Position, TargetCommand, TargetRecord } from "./types.ts";
 import {
   describeReply,
   type ExecutionContext,
@@ -44,6 +44,8 @@
   rollback(): void;
   /** Returns the time since the last answer; undefined at work. */
   tryIdleMs(): number | undefined;
+  /** Returns the target in use; undefined at work or if there is none yet. */
+  tryIdleTarget(): TargetRecord | undefined;
 }
 
 /** Creates a transaction; its first statement acquires the connection. */
@@ -73,9 +75,9 @@
     if (!checkout) {
       return;
     }
-    if (isRunning) {
-      // The rollback would have to wait for the running statement, so the
-      // connection is closed instead.
+    if (isRunning || ctx.eligibility.isEvacuated(checkout.target)) {
+      // The rollback would have to wait for the running statement, or the
+      // target may get no statement, so the connection is closed instead.
       checkout.release(false);
       return;
     }
@@ -289,6 +291,7 @@
     run: (task) => track(run(task)),
     commit: (task) => track(commit(task)),
     rollback,
+    tryIdleTarget: () => isRunning ? undefined : pinned?.target,
     tryIdleMs: () => isRunning ? undefined : nowMs() - answeredAt,
   };
 }
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -108,6 +108,8 @@
 export interface EvacuationView {
   /** Number that rises with each change. */
   readonly version: number;
+  /** Whether the store has told; until then, any domain may be evacuated. */
+  isKnown(): boolean;
   /** Time since the store last confirmed it, in milliseconds. */
   getAgeMs(): number;
   /**
--- a/src/pooling/version_check.ts
+++ b/src/pooling/version_check.ts
@@ -8,7 +8,11 @@
 import type { HostId } from "../core/ids.ts";
 import { sampleItems } from "../core/sample.ts";
 import type { Stoppable } from "../core/types.ts";
-import type { AskVersion, TellVersion } from "../generated/pool_peer.ts";
+import type {
+  AskVersion,
+  TellVersion,
+  ToldEvacuation,
+} from "../generated/pool_peer.ts";
 import type { PoolIo } from "./types.ts";
 
 /** Maximum number of peers that are asked at the same time. */
@@ -43,7 +47,8 @@
    */
   isConfirmed(version: number): boolean;
   handleRequest(from: HostId, msg: AskVersion): void;
-  handleReply(from: HostId, msg: TellVersion): void;
+  /** Returns whether the message answers a question of this host. */
+  handleReply(from: HostId, msg: TellVersion): boolean;
 }
 
 /** Creates a check that has confirmed no version. */
@@ -55,6 +60,8 @@
     listPeers(): readonly HostId[];
     /** Version of the configuration read; undefined if there is none. */
     getVersion(): number | undefined;
+    /** Lists what is known of evacuations and the store does not show. */
+    listEvacuations(): readonly ToldEvacuation[];
   },
 ): VersionCheck {
   /** Newest answer of each peer that has told a version. */
@@ -151,15 +158,17 @@
       isFirstRoundOver && listNewer(version).length === 0,
     handleRequest(from, { id }) {
       const version = options.getVersion();
+      const evacuations = options.listEvacuations();
       io.peers.send(from, {
         kind: "tell_version",
         id,
         ...(version === undefined ? {} : { version }),
+        ...(evacuations.length === 0 ? {} : { evacuations: [...evacuations] }),
       });
     },
     handleReply(from, { id, version }) {
       if (peerByRequest.get(id) !== from) {
-        return;
+        return false;
       }
       peerByRequest.delete(id);
       unanswered?.delete(from);
@@ -174,6 +183,7 @@
         versionByPeer.delete(from);
       }
       endFirstRoundIfDue();
+      return true;
     },
     stop: () => clearInterval(timer),
   };
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -301,10 +301,30 @@
     "bounds.quotaOver|json": "0.1",
     "bounds.quotaSlack|json": "20",
   };
-  const text = readFileSync("deploy/pool_host.yaml", "utf8")
-    .replace(/\{\{(.*?)\}\}/g, (_, name: string) => fields[name] ?? "MISSING");
+  const render = (given: Record<string, string>) =>
+    readFileSync("deploy/pool_host.yaml", "utf8")
+      .replace(
+        /\{\{#(.*?)\}\}(.*?)\{\{\/\1\}\}/gs,
+        (_, name: string, text: string) =>
+          given[`${name}|json`] === undefined ? "" : text,
+      )
+      .replace(/\{\{(.*?)\}\}/g, (_, name: string) => given[name] ?? "MISSING");
+  const text = render(fields);
   expect(text).not.toContain("MISSING");
-  expect(validatePoolHostSettings(parse(text))).toBe(true);
+  const settings = parse(text);
+  expect(validatePoolHostSettings(settings)).toBe(true);
+  expect(settings.evacuationInForceMs).toBeUndefined();
+  const extended = parse(render({
+    ...fields,
+    "bounds.evacMs|json": "5000",
+    "bounds.coldOver|json": "1.5",
+    "bounds.coldSlack|json": "5",
+  }));
+  expect(validatePoolHostSettings(extended)).toBe(true);
+  expect(extended).toMatchObject({
+    evacuationInForceMs: 5_000,
+    coldLimit: { factor: 1.5, statements: 5 },
+  });
   expect(validatePoolHostSettings({ host: "n1" })).toBe(false);
   expect(validatePoolHostSettings.errors!.length).toBeGreaterThan(5);
 });
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -15,11 +15,16 @@
   PoolPeers,
   Statement,
   StatementAnswer,
+  TargetCommand,
   TargetLink,
   TargetRecord,
   TargetReply,
 } from "../src/pooling/types.ts";
 import type { PoolPeerMessage } from "../src/generated/pool_peer.ts";
+import {
+  EVACUATION_KIND,
+  tryDecodeEvacuation,
+} from "../platform/decode_evacuation.ts";
 import { createTargetDialer } from "../platform/target_link.ts";
 import { tryDecodeStatement } from "../platform/line_codec.ts";
 import {
@@ -53,6 +58,8 @@
   readonly workspaces?: readonly string[];
   /** Targets that are not registered at the start. */
   readonly unregistered?: readonly string[];
+  /** Time for an evacuation to be in force; no evacuations by default. */
+  readonly evacuationInForceMs?: number;
 }
 
 /** Line in the log of a host. */
@@ -70,6 +77,14 @@
   readonly time: number;
 }
 
+/** Command that a host has sent to a target over its own connection. */
+export interface SentCommand {
+  readonly host: HostId;
+  readonly target: TargetRecord["id"];
+  readonly kind: TargetCommand["kind"];
+  readonly time: number;
+}
+
 /** Faults of datagrams between the hosts. */
 export interface PeerFaults {
   isLost: boolean;
@@ -89,7 +104,12 @@
     getResponseDelayMs(): number;
     /** Whether the response to a host's write of the object is lost. */
     isAnswerLost(host: string, key: ObjectKey): boolean;
+    /** Delay of a list of the objects under a prefix; none by default. */
+    getListDelayMs(prefix: string): number;
   };
+  /** Prefixes that hosts have listed or watched, with the number of calls. */
+  readonly readPrefixes: ReadonlyMap<string, number>;
+  readonly commands: readonly SentCommand[];
   /** Faults of datagrams between the hosts. */
   readonly peerFaults: PeerFaults;
   /** Returns the store to a copy and writes the external objects again. */
@@ -124,6 +144,10 @@
   getTarget(id: string): StatementTarget;
   setCatalog(overrides?: Partial<Catalog>): void;
   register(id: string, overrides?: Partial<TargetRecord>): void;
+  /** Evacuates a failure domain, as the operator does. */
+  evacuate(domain: string): void;
+  /** Takes the evacuation of a failure domain back. */
+  endEvacuation(domain: string): void;
   /** Starts one more host; its index is the next one. */
   startHost(): void;
   /** Hosts whose process runs. */
@@ -155,7 +179,10 @@
   const storeFaults: PoolFleet["storeFaults"] = {
     getResponseDelayMs: () => 0,
     isAnswerLost: () => false,
+    getListDelayMs: () => 0,
   };
+  const readPrefixes = new Map<string, number>();
+  const commands: SentCommand[] = [];
   const peerFaults: PeerFaults = { isLost: false, toldVersion: undefined };
   const delayedPromotions = { minDelayMs: 0 };
   const messageFaults: PoolFleet["messageFaults"] = { isLost: () => false };
@@ -220,12 +247,29 @@
   }
 
   function createStoreCalls(host: string): EraCalls {
-    return createEraCalls(store, {
+    const calls = createEraCalls(store, {
       isUnreachable: () =>
         hostsWithoutStore.has(host) || hostsWithoutStore.has("all"),
       getResponseDelayMs: () => storeFaults.getResponseDelayMs(),
       isAnswerLost: (key) => storeFaults.isAnswerLost(host, key),
     });
+    const countRead = (prefix: string) =>
+      readPrefixes.set(prefix, (readPrefixes.get(prefix) ?? 0) + 1);
+    return {
+      ...calls,
+      async list(prefix) {
+        countRead(prefix);
+        const delayMs = storeFaults.getListDelayMs(prefix);
+        if (delayMs > 0) {
+          await sleep(delayMs);
+        }
+        return await calls.list(prefix);
+      },
+      watch(prefix, options) {
+        countRead(prefix);
+        return calls.watch(prefix, options);
+      },
+    };
   }
 
   async function delayReply(
@@ -243,15 +287,19 @@
   /** As the link, but commands get no reply while the target is unreachable. */
   function createCuttableLink(
     link: TargetLink,
-    isCut: () => boolean,
+    { host, isCut }: { readonly host: HostId; isCut(): boolean },
   ): TargetLink {
     const unanswered = new Set<(reply: TargetReply) => void>();
     return {
       ...link,
-      send: (command) =>
-        isCut()
+      send(command) {
+        const { kind } = command;
+        const target = link.target.id;
+        commands.push({ host, target, kind, time: Date.now() });
+        return isCut()
           ? new Promise((resolve) => unanswered.add(resolve))
-          : delayReply(link.target.id, link.send(command)),
+          : delayReply(target, link.send(command));
+      },
       close() {
         link.close();
         unanswered.forEach((resolve) =>
@@ -283,7 +331,10 @@
           }
           return Promise.resolve(
             group.connect(target.id, workspace).map((link) =>
-              createCuttableLink(link, () => isUnreachable(host, target.id))
+              createCuttableLink(link, {
+                host,
+                isCut: () => isUnreachable(host, target.id),
+              })
             ),
           );
         },
@@ -351,15 +402,21 @@
           [domain, region],
         ) => [asId(domain), region]),
       ),
-      freshness: { changeInForceMs: 3_000, settlingMs: 2_000 },
+      freshness: {
+        changeInForceMs: 3_000,
+        settlingMs: 2_000,
+        evacuationInForceMs: options.evacuationInForceMs,
+      },
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
       decoding: {
         catalogPrefix: "catalog/",
         catalogKey: CATALOG_KEY,
         targetPrefix: "targets/",
+        evacuationPrefix: EVACUATION_KIND,
         tryDecodeCatalog: (value) => value as Catalog,
         tryDecodeTarget: (object: StoredObject) =>
           object.value as TargetRecord | undefined,
+        tryDecodeEvacuation,
       },
     });
   }
@@ -381,6 +438,8 @@
     store,
     hostsWithoutStore,
     storeFaults,
+    readPrefixes,
+    commands,
     peerFaults,
     returnStore: (copy) => store.returnTo(copy, { isExternal: isExternalKey }),
     unreachableTargets,
@@ -399,6 +458,8 @@
         key: toKey(workspace),
       }).unwrap(),
     getTarget: (id) => group.targets.find((t) => t.record.id === id)!,
+    evacuate: (domain) => put(toEvacuationKey(domain), {}),
+    endEvacuation: (domain) => store.remove(toEvacuationKey(domain)),
     startHost() {
       const pooler = createHost(poolers.length);
       poolers.push(pooler);
@@ -423,6 +484,10 @@
   };
 }
 
+function toEvacuationKey(domain: string): ObjectKey {
+  return asId<ObjectKey>(EVACUATION_KIND + domain);
+}
+
 function createRoute(database: string, consistency: Consistency) {
   return [database, {
     database,
--- a/test/target_eligibility.test.ts
+++ b/test/target_eligibility.test.ts
@@ -54,6 +54,7 @@
       regions: REGIONS,
       evacuations: {
         version: 1,
+        isKnown: () => true,
         getAgeMs: () => 0,
         tryGetActiveMs: (domain) => options.evacuated?.[domain],
         tryGetEndedMs: () => undefined,
