Replace the primary of an evacuated domain in order

An evacuated primary is replaced like a draining one, by a target outside of the domain. It steps down only once such a target has received what it has, as nobody else brings one up to date; if the primary does not answer, a target of the domain may lead until one outside has caught up. Where no other target may lead, no failover begins. Targets of the domain get no status requests from the failover either, but the order to pause, which a primary ignores; replicas that an unfinished failover left paused there are found by its open lease. A change of a target's domain counts as a change of its record: the copies of the log kept the old one.

--- a/src/pooling/directory.ts
+++ b/src/pooling/directory.ts
@@ -211,5 +211,5 @@
 function isSameRecord(a: TargetRecord, b: TargetRecord): boolean {
   return a.incarnation === b.incarnation && a.address === b.address &&
     a.isDraining === b.isDraining && a.role === b.role &&
-    a.service === b.service && a.slots === b.slots;
+    a.service === b.service && a.domain === b.domain && a.slots === b.slots;
 }
--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -6,6 +6,8 @@
 export type FailoverCause =
   /** The primary is draining. */
   | "leaving"
+  /** The primary's failure domain is evacuated. */
+  | "evacuated"
   /** The primary does not answer. */
   | "silent"
   /** The primary is no longer registered. */
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -190,6 +190,12 @@
     if (!target) {
       return "gone";
     }
+    if (ctx.eligibility.isEvacuated(target)) {
+      // No target of the domain is asked, so its silence says nothing.
+      return ctx.directory.list(service).some(ctx.eligibility.mayLead)
+        ? "evacuated"
+        : undefined;
+    }
     if (ctx.health.getFailingMs(primary) > PRIMARY_TIMEOUT_MS) {
       return "silent";
     }
@@ -202,9 +208,15 @@
     const limitMs = lease && !lease.isDone
       ? PAUSED_TIMEOUT_MS
       : PAUSED_IDLE_TIMEOUT_MS;
-    const isLeftPaused = ctx.directory.list(service)
-      .some(({ id }) => ctx.health.getPausedMs(id) > limitMs);
-    return isLeftPaused ? "left_paused" : undefined;
+    const targets = ctx.directory.list(service);
+    const isLeftPaused = targets.some((target) =>
+      ctx.eligibility.isEligible(target) &&
+      ctx.health.getPausedMs(target.id) > limitMs
+    );
+    // No host sees whether a replica in an evacuated domain is paused.
+    const isLeftOpen = lease?.isDone === false &&
+      targets.some(ctx.eligibility.isEvacuated);
+    return isLeftPaused || isLeftOpen ? "left_paused" : undefined;
   }
 
   function checkServices(): void {
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -2,6 +2,7 @@
 
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
+import { isAtLeast } from "../core/position.ts";
 import { sendControlCommand } from "./control.ts";
 import type { FailoverCause, FailoverLease } from "./failover_lease.ts";
 import {
@@ -15,7 +16,12 @@
   type ReportedTarget,
   tryChooseSuccessor,
 } from "./succession.ts";
-import type { Position, PromoteRes, TargetRecord } from "./types.ts";
+import type {
+  Position,
+  PromoteRes,
+  TargetRecord,
+  TargetReport,
+} from "./types.ts";
 import type { ExecutionContext } from "./execution.ts";
 import type { LogCopies } from "./log_copies.ts";
 
@@ -34,6 +40,12 @@
  */
 const PRIMARY_CHECK_TIMEOUT_MS = 250;
 
+/**
+ * Time for a replica outside of the evacuated domain to receive what the
+ * primary has, in milliseconds: many times the lag of a replica that follows.
+ */
+const CATCH_UP_TIMEOUT_MS = 1_000;
+
 /** Result of a failover attempt. */
 export type FailoverResult =
   | "promoted"
@@ -93,25 +105,106 @@
       PRIMARY_CHECK_TIMEOUT_MS,
     );
     const primary = reports.find(({ report }) => report.role === "primary");
-    const isLeaving = primary?.target.isDraining === true;
-    return isLeaving || cause === "leaving" ? undefined : primary?.target.id;
+    const isLeaving = primary !== undefined &&
+      !ctx.eligibility.mayLead(primary.target);
+    return isLeaving || isInOrder(cause) ? undefined : primary?.target.id;
+  }
+
+  /**
+   * Returns the target's report. A target of an evacuated domain gets no status
+   * request, but the order to pause, which a primary ignores and which changes
+   * nothing at a replica that is fenced in the same term.
+   */
+  function queryTarget(
+    target: TargetRecord,
+    term: number,
+  ): Promise<TargetReport | undefined> {
+    return sendControlCommand(
+      ctx,
+      target,
+      ctx.eligibility.isEligible(target)
+        ? { kind: "status" }
+        : { kind: "pause", term },
+    );
   }
 
   /** Returns the reports of the targets that answer within `ms`. */
-  async function queryStatus(
+  function queryStatus(
     targets: readonly TargetRecord[],
     ms: number = STATUS_TIMEOUT_MS,
+  ): Promise<readonly ReportedTarget[]> {
+    return queryTargets(targets, {
+      ms,
+      query: (target) => sendControlCommand(ctx, target, { kind: "status" }),
+    });
+  }
+
+  async function queryTargets(
+    targets: readonly TargetRecord[],
+    { ms, query }: {
+      readonly ms: number;
+      query(target: TargetRecord): Promise<TargetReport | undefined>;
+    },
   ): Promise<readonly ReportedTarget[]> {
     const answered = await Promise.all(targets.map(async (target) => {
-      const report = await withTimeout(
-        sendControlCommand(ctx, target, { kind: "status" }),
-        { ms, fallback: undefined },
-      );
+      const report = await withTimeout(query(target), {
+        ms,
+        fallback: undefined,
+      });
       return report ? [{ target, report }] : [];
     }));
     return answered.flat();
   }
 
+  /** Lists the copies that may lead while others may as well. */
+  function listCandidates(service: ServiceId): readonly TargetRecord[] {
+    return options.copies.list(service).filter(ctx.eligibility.mayLead);
+  }
+
+  /**
+   * Waits until a target that may lead has received what the primary of an
+   * evacuated domain is known to have. If none has in time, the primary is
+   * replaced only if it does not answer: only a primary brings a replica up to
+   * date, and it gets no new statements meanwhile.
+   */
+  async function waitForSuccessor(
+    service: ServiceId,
+    oldPrimary: TargetRecord | undefined,
+  ): Promise<boolean> {
+    const deadline = nowMs() + CATCH_UP_TIMEOUT_MS;
+    const term = ctx.primaries.getTerm(service) + 1;
+    let hasAnswer = false;
+    let doesPrimaryAnswer = false;
+    while (nowMs() < deadline) {
+      const queryOptions = {
+        ms: PRIMARY_CHECK_TIMEOUT_MS,
+        query: (target: TargetRecord) => queryTarget(target, term),
+      };
+      const [leading, candidates] = await Promise.all([
+        queryTargets(oldPrimary ? [oldPrimary] : [], queryOptions),
+        queryTargets(listCandidates(service), queryOptions),
+      ]);
+      hasAnswer ||= candidates.length > 0;
+      doesPrimaryAnswer ||= leading.length > 0;
+      const last = leading[0]?.report.position ??
+        ctx.getPositions(service).tryLatest()?.position;
+      if (
+        candidates.some(({ report }) =>
+          !last || isAtLeast(report.position, last)
+        )
+      ) {
+        return true;
+      }
+      await sleep(POLL_INTERVAL_MS);
+    }
+    ctx.io.log.info("successor_behind", {
+      service,
+      hasAnswer,
+      doesPrimaryAnswer,
+    });
+    return hasAnswer && !doesPrimaryAnswer;
+  }
+
   /**
    * Queries the fenced targets again and returns those that are unchanged. A
    * target that was resumed meanwhile may hold commits that the others lack.
@@ -120,7 +213,10 @@
     fenced: readonly ReportedTarget[],
     term: number,
   ): Promise<readonly ReportedTarget[]> {
-    const rechecked = await queryStatus(fenced.map(({ target }) => target));
+    const rechecked = await queryTargets(
+      fenced.map(({ target }) => target),
+      { ms: STATUS_TIMEOUT_MS, query: (target) => queryTarget(target, term) },
+    );
     return rechecked.filter(({ target, report }) => {
       const original = fenced.find((previous) =>
         previous.target.id === target.id
@@ -147,7 +243,11 @@
   /** Orders a promotion; undefined if the order was refused. */
   async function promote(
     service: ServiceId,
-    order: { readonly target: TargetRecord; readonly lease: FailoverLease },
+    order: {
+      readonly target: TargetRecord;
+      readonly lease: FailoverLease;
+      readonly term: number;
+    },
   ): Promise<ResolvedClaim | undefined> {
     const { target, lease } = order;
     const res = await orderPromotion(service, { target: target.id, lease });
@@ -157,7 +257,7 @@
     const deadline = nowMs() + PROMOTION_TIMEOUT_MS;
     while (nowMs() < deadline) {
       await sleep(POLL_INTERVAL_MS);
-      const report = await sendControlCommand(ctx, target, { kind: "status" });
+      const report = await queryTarget(target, order.term);
       if (report?.role === "primary") {
         return {
           result: "promoted",
@@ -177,7 +277,10 @@
     order: { readonly target: TargetRecord; readonly lease: FailoverLease },
   ): Promise<boolean> {
     const { target, lease } = order;
-    const report = await sendControlCommand(ctx, target, { kind: "status" });
+    const report = await queryTarget(
+      target,
+      ctx.primaries.getTerm(service) + 1,
+    );
     // Any other target would be promoted by the order.
     return report?.role !== "primary" ||
       await orderPromotion(service, { target: target.id, lease }) !== "unknown";
@@ -206,12 +309,21 @@
 
   /** Resumes replicas that a failover has paused. */
   async function resumeReplicas(service: ServiceId): Promise<void> {
-    const reports = await queryStatus(options.copies.list(service));
+    const { eligibility, primaries } = ctx;
+    const copies = options.copies.list(service);
+    const reports = await queryStatus(copies.filter(eligibility.isEligible));
+    const paused = [
+      ...reports.filter(({ report }) => report.pausedTerm > 0)
+        .map(({ target }) => target),
+      ...copies.filter((target) =>
+        eligibility.isEvacuated(target) &&
+        target.id !== primaries.tryPrimary(service)
+      ),
+    ];
     await Promise.all(
-      reports.filter(({ report }) => report.pausedTerm > 0)
-        .map(({ target }) =>
-          sendControlCommand(ctx, target, { kind: "resume" })
-        ),
+      paused.map((target) =>
+        sendControlCommand(ctx, target, { kind: "resume" })
+      ),
     );
   }
 
@@ -239,18 +351,23 @@
     const { cause, lease } = claim;
     const oldPrimary = ctx.primaries.tryPrimary(service);
     const { openTarget } = lease;
-    const leading = oldPrimary && ctx.directory.tryGet(oldPrimary);
+    const leading = oldPrimary === undefined
+      ? undefined
+      : ctx.directory.tryGet(oldPrimary);
     if (
       lease.hasUnansweredOrder && leading &&
       !await invalidateOlderOrders(service, { target: leading, lease })
     ) {
       return { result: "not_fenced", lease };
     }
+    if (cause === "evacuated" && !await waitForSuccessor(service, leading)) {
+      return { result: "too_few", lease };
+    }
     const attempt: FenceAttempt = {
       service,
       term: ctx.primaries.getTerm(service) + 1,
       oldPrimary,
-      mayKeepOldPrimary: cause !== "leaving",
+      mayKeepOldPrimary: !isInOrder(cause),
       openTarget,
     };
     // Also opens the connections that the replicas are fenced over.
@@ -315,7 +432,11 @@
       fenced: targets,
       depose,
     });
-    const resolved = await promote(service, { target, lease: orderedLease });
+    const resolved = await promote(service, {
+      target,
+      lease: orderedLease,
+      term: attempt.term,
+    });
     stopFencing();
     // A refused order does not take effect later.
     return resolved ?? { result: "not_promoted", lease };
@@ -329,7 +450,7 @@
     const target = ctx.directory.list(service)
       .find(({ id }) => id === lease.openTarget);
     const report = target &&
-      await sendControlCommand(ctx, target, { kind: "status" });
+      await queryTarget(target, ctx.primaries.getTerm(service) + 1);
     return report?.role === "primary";
   }
 
@@ -372,6 +493,11 @@
   };
 }
 
+/** Whether the old primary answers and is replaced because of where it is. */
+function isInOrder(cause: FailoverCause): boolean {
+  return cause === "leaving" || cause === "evacuated";
+}
+
 function toOpenTarget(
   chosen: ReportedTarget | undefined,
 ): { openTarget?: TargetId } {
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -149,6 +149,7 @@
       oldPrimary,
       mayKeepOldPrimary,
       preferred: openTarget,
+      mayLead: ctx.eligibility.mayLead,
     };
   }
 
@@ -263,6 +264,13 @@
       if (!successor || mayBePromoted) {
         continue;
       }
+      // A target outside of the evacuated domain may be fenced a little later.
+      if (
+        ctx.eligibility.isEvacuated(successor.target) &&
+        targets.length < succession.copies && nowMs() < graceEnd
+      ) {
+        continue;
+      }
       if (successor.target.id === oldPrimary && succession.steppedDownAt) {
         // A copy that is not fenced yet may hold what the fenced ones lack.
         if (targets.length >= succession.copies || nowMs() >= graceEnd) {
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -29,6 +29,11 @@
   readonly mayKeepOldPrimary: boolean;
   /** Target chosen before all others if it holds every acknowledged commit. */
   readonly preferred?: TargetId | undefined;
+  /**
+   * Whether a target may lead while others may as well; by default unless it is
+   * draining.
+   */
+  mayLead?(target: TargetRecord): boolean;
 }
 
 /**
@@ -108,9 +113,11 @@
 ): ReportedTarget | undefined {
   const isOldPrimary = ({ target }: ReportedTarget) =>
     target.id === options.oldPrimary;
+  const mayLead = (target: TargetRecord) =>
+    options.mayLead?.(target) ?? !target.isDraining;
   return upToDate.find(({ target }) => target.id === options.preferred) ??
     upToDate.find((candidate) =>
-      !isOldPrimary(candidate) && !candidate.target.isDraining
+      !isOldPrimary(candidate) && mayLead(candidate.target)
     ) ??
     (options.mayKeepOldPrimary ? upToDate.find(isOldPrimary) : undefined) ??
     upToDate.find((candidate) => !isOldPrimary(candidate));
