--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -273,6 +273,7 @@
   | "host_stream_errors_total"
   | "store_era_changes_total"
   | "store_era_losses_total"
+  | "evacuation_changes_total"
   | "store_relayed_calls_total"
   | "store_calls_total"
   | "store_reader_served_total"
@@ -298,6 +299,8 @@
 export type GaugeName =
   | "sessions"
   | "ready"
+  | "evacuated_domains"
+  | "evacuations_age_ms"
   | "target_connections"
   | "in_flight_requests"
   | "group_term"
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -162,6 +162,7 @@
       mayKeepOldPrimary,
       hasOldPrimaryRestarted: lostOfPrimary.length > 0,
       preferred: openTarget,
+      mayLead: ctx.eligibility.mayLead,
     };
   }
 
@@ -304,6 +305,13 @@
       if (!successor || mayBePromoted) {
         continue;
       }
+      // A target outside of the evacuated domain may be fenced a little later.
+      if (
+        ctx.eligibility.isEvacuated(successor.target) &&
+        targets.length < succession.copies && nowMs() < graceEnd
+      ) {
+        continue;
+      }
       if (successor.target.id === oldPrimary && succession.steppedDownAt) {
         // A copy that is not fenced yet may hold what the fenced ones lack.
         if (targets.length >= succession.copies || nowMs() >= graceEnd) {
