Learn how many statements a target handles at once

A holder ran as many statements as its part of the stated slots, also at a target that slows down long before it is full. capacity_limit.ts reduces the limit when the median service time exceeds 1.5 times the target's own unloaded baseline for the kind of statement, and only if fewer statements make them shorter: where half of the limit changes nothing, the target is slow for another reason and the baseline is moved instead. While statements wait all the time, half of the limit is left unused for 200 ms of 3 s to measure the baseline; all holders do so at the same time of day. The additive increase and multiplicative decrease are shared with src/core/concurrency.ts.

Tried first: the mean of a kind as baseline.

--- a/src/core/concurrency.ts
+++ b/src/core/concurrency.ts
@@ -1,4 +1,7 @@
-/** Adaptive limit on the statements that a host has in flight at one target. */
+/**
+ * Adaptive limits on the statements that a host has in flight at one target:
+ * additive increase, multiplicative decrease.
+ */
 
 import { nowMs } from "./clock.ts";
 
@@ -16,6 +19,31 @@
  */
 const BASELINE_WINDOW_MS = 10_000;
 
+/** Limit between 1 and a maximum. */
+export interface AimdLimit {
+  readonly value: number;
+  increase(by: number): void;
+  decrease(factor: number): void;
+}
+
+/** Creates a limit; `getMax` may change its result. */
+export function createAimdLimit(
+  options: { readonly initial: number; getMax(): number },
+): AimdLimit {
+  let value = options.initial;
+  return {
+    get value() {
+      return Math.max(MIN_LIMIT, Math.min(value, options.getMax()));
+    },
+    increase(by) {
+      value = Math.min(options.getMax(), value + by);
+    },
+    decrease(factor) {
+      value = Math.max(MIN_LIMIT, Math.min(value, options.getMax()) * factor);
+    },
+  };
+}
+
 /** Concurrency limit that falls when statements queue inside the target. */
 export interface ConcurrencyLimit {
   readonly limit: number;
@@ -37,7 +65,10 @@
   options: { readonly initial: number; readonly max: number },
 ): ConcurrencyLimit {
   const baselines = new Map<string, Baseline>();
-  let limit = Math.min(options.initial, options.max);
+  const limit = createAimdLimit({
+    initial: options.initial,
+    getMax: () => options.max,
+  });
   let decreasedAt = -Infinity;
 
   function getBaseline(key: string, ms: number): number {
@@ -56,17 +87,17 @@
 
   return {
     get limit() {
-      return Math.floor(limit);
+      return Math.floor(limit.value);
     },
     recordDuration(key, { ms, inFlight }) {
       const baseline = getBaseline(key, ms);
       const isSlow = ms > baseline * SLOW_RATIO + SLOW_EXTRA_MS;
       // Statements that were slow at the same time cause a single decrease.
       if (isSlow && nowMs() - decreasedAt > ms) {
-        limit = Math.max(MIN_LIMIT, limit * DECREASE_FACTOR);
+        limit.decrease(DECREASE_FACTOR);
         decreasedAt = nowMs();
-      } else if (!isSlow && inFlight >= Math.floor(limit)) {
-        limit = Math.min(options.max, limit + 1 / (2 * limit));
+      } else if (!isSlow && inFlight >= Math.floor(limit.value)) {
+        limit.increase(1 / (2 * limit.value));
       }
     },
   };
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -15,6 +15,7 @@
 } from "./batching.ts";
 import type { Health } from "./health.ts";
 import type { Forwarder } from "./forwarder.ts";
+import { type CapacityLimit, createCapacityLimit } from "./capacity_limit.ts";
 import { createSlotLink } from "./slot_link.ts";
 import {
   createSlotScheduler,
@@ -33,6 +34,7 @@
 import type {
   ConnectionAllowance,
   PoolIo,
+  TargetCommand,
   TargetLink,
   TargetRecord,
 } from "./types.ts";
@@ -55,6 +57,17 @@
  */
 const MAX_LOCAL_WAIT_MS = 40;
 
+/**
+ * Commands whose service times show the load of a target; the others only
+ * change the state of a connection.
+ */
+const MEASURED_KINDS: ReadonlySet<TargetCommand["kind"]> = new Set([
+  "begin",
+  "run",
+  "execute",
+  "commit",
+]);
+
 /** Result of a request whose client left; nobody is told. */
 const CLIENT_LEFT: PoolFailure = {
   error: "overloaded",
@@ -165,6 +178,7 @@
   const waiters = new Set<Waiter>();
   const averageCheckoutMs = new Map<ServiceId, number>();
   const schedulers = new Map<TargetId, SlotScheduler>();
+  const capacities = new Map<TargetId, CapacityLimit>();
   let getAllowance: (target: TargetRecord) => ConnectionAllowance = () =>
     DEFAULT_ALLOWANCE;
   /** Number of forwarded checkouts at each target. */
@@ -200,16 +214,44 @@
     target: TargetRecord,
     { workspace }: Pick<ConnectionRequest, "workspace">,
   ): SlotScheduler | undefined {
-    const getBudget = () => options.tryGetSlotBudget?.(target);
-    if (workspace === undefined || getBudget() === undefined) {
+    if (
+      workspace === undefined ||
+      options.tryGetSlotBudget?.(target) === undefined
+    ) {
       return undefined;
     }
-    const scheduler = schedulers.get(target.id) ??
-      createSlotScheduler({ getLimit: () => getBudget() ?? Infinity });
+    const scheduler = schedulers.get(target.id) ?? createScheduler(target);
     schedulers.set(target.id, scheduler);
     return scheduler;
   }
 
+  /** Creates the scheduler of a target with the limit that it learns. */
+  function createScheduler({ id }: TargetRecord): SlotScheduler {
+    let loggedLimit: number | undefined;
+    const capacity = createCapacityLimit({
+      getMax: () => tryGetBudgetOf(id) ?? Infinity,
+      onChange({ reason, ratio, limit }) {
+        // A limit that moves between two values within a slot is not logged.
+        if (limit !== loggedLimit || reason === "not_caused_by_load") {
+          loggedLimit = limit;
+          io.log.info("capacity_changed", {
+            target: id,
+            reason,
+            ratio: Math.round(ratio * 100) / 100,
+            limit,
+          });
+        }
+      },
+    });
+    capacities.set(id, capacity);
+    return createSlotScheduler({ getLimit: capacity.getLimit });
+  }
+
+  function tryGetBudgetOf(target: TargetId): number | undefined {
+    const pool = pools.get(target);
+    return pool && options.tryGetSlotBudget?.(pool.target);
+  }
+
   /** Lets the statements of a transaction on this connection take slots. */
   function createScheduledLink(
     link: TargetLink,
@@ -222,6 +264,17 @@
     const { request } = waiter;
     return createSlotLink(link, {
       slot,
+      onServed(kind, { ms, isInTransaction }) {
+        const { inUse, waiting } = scheduler.getLoad();
+        if (MEASURED_KINDS.has(kind)) {
+          capacities.get(link.target.id)?.record({
+            kind: `${kind} ${request.priority} ${isInTransaction}`,
+            ms,
+            inUse,
+            isQueued: waiting > 0,
+          });
+        }
+      },
       requestSlot(onGranted) {
         const statement: SlotStatement = {
           workspace: request.workspace!,
@@ -623,6 +676,7 @@
     const { inUse, waiting, limit } = scheduler.getLoad();
     if (inUse + waiting === 0 && !pools.has(target)) {
       schedulers.delete(target);
+      capacities.delete(target);
     }
     io.metrics.set("slots_in_use", inUse, { target });
     if (Number.isFinite(limit)) {
--- a/src/pooling/slot_link.ts
+++ b/src/pooling/slot_link.ts
@@ -5,8 +5,14 @@
  * thinks does not hold one.
  */
 
+import { nowMs } from "../core/clock.ts";
 import type { Slot } from "./slot_scheduler.ts";
-import type { TargetCommand, TargetLink, TargetReply } from "./types.ts";
+import type {
+  TargetCommand,
+  TargetLink,
+  TargetReply,
+  TransactionState,
+} from "./types.ts";
 
 /** A connection with the slot of its current statement. */
 export interface SlotLink {
@@ -30,12 +36,18 @@
      * before those of new statements; returns a function that withdraws it.
      */
     requestSlot(onGranted: (slot: Slot) => void): () => void;
+    /** Called with the service time of each statement that was answered. */
+    onServed(
+      kind: TargetCommand["kind"],
+      options: { readonly ms: number; readonly isInTransaction: boolean },
+    ): void;
   },
 ): SlotLink {
   let slot: Slot | undefined = options.slot;
   let withdraw: (() => void) | undefined;
   const held: HeldCommand[] = [];
   let pendingCount = 0;
+  let state: TransactionState = "idle";
   let isReleased = false;
 
   function freeSlot(): void {
@@ -45,8 +57,17 @@
 
   async function forward(command: TargetCommand): Promise<TargetReply> {
     pendingCount++;
+    const sentAt = nowMs();
+    const isInTransaction = state !== "idle";
     const reply = await link.send(command);
     pendingCount--;
+    if (reply.kind === "done") {
+      options.onServed(command.kind, {
+        ms: nowMs() - sentAt,
+        isInTransaction,
+      });
+    }
+    state = reply.kind === "lost" ? "idle" : reply.state;
     // The slot is kept where session state is applied before the statement.
     const isPausing = reply.kind === "lost" || reply.state !== "idle";
     if (pendingCount === 0 && held.length === 0 && isPausing) {
--- a/test/slot_load.ts
+++ b/test/slot_load.ts
@@ -62,6 +62,8 @@
 export const CONNECTIONS = 60;
 /** Cost of opening a connection, in milliseconds of a slot. */
 const DIAL_MS = 12;
+/** Interval in which a host serves its queue again, as in pooler.ts. */
+const MAINTENANCE_INTERVAL_MS = 100;
 /** Statements of a transaction between its begin and its commit. */
 const STATEMENTS_PER_TRANSACTION = 2;
 /** Fraction of the objective for which an operation may wait for a slot. */
@@ -365,7 +367,9 @@
       void offer(operation, workspace);
     }
   }
+  const timer = setInterval(dispatcher.serveQueue, MAINTENANCE_INTERVAL_MS);
   await vi.advanceTimersByTimeAsync(durationMs + 30_000);
+  clearInterval(timer);
   dispatcher.close();
   return { byPriority, byWorkspace, refusedAfterMs, mostAtTarget: getMost() };
 }
--- a/test/slot_scheduler.test.ts
+++ b/test/slot_scheduler.test.ts
@@ -49,6 +49,22 @@
       getSlowness: ({ ms }: { readonly ms: number }) => ms > 5_000 ? 2 : 1,
     },
   },
+  {
+    name: "a target that is 5 times slower for 6.5 s",
+    load: {
+      utilization: 0.6,
+      getSlowness: ({ ms }: { readonly ms: number }) =>
+        ms > 5_000 && ms < 11_500 ? 5 : 1,
+    },
+  },
+  {
+    name: "a target whose latency bends at half its slots",
+    load: {
+      utilization: 0.4,
+      getSlowness: ({ running }: { readonly running: number }) =>
+        running <= SLOTS / 2 ? 1 : (running / (SLOTS / 2)) ** 2,
+    },
+  },
 ];
 
 test.each(BURSTS)(
