Spend fewer calls at the start of a large fleet

Cause: in 50 s at 76 hosts, 228 lists, 152 first watches that each host made before it knew of a reader, and 76 heartbeats whose interval had grown since. Change: a host that knows of readers lists configuration and targets with staleOk, as an exact watch follows; in a new deployment the first watch waits up to 0.5 s for a reader; a heartbeat that is not due any more is not sent. Ruled out: 750 ms between the watches of the shared objects for all sizes; hosts that start together then get their share of quotas later (store_return_catalog).

--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -176,6 +176,8 @@
 /** Local copy of the objects that hosts share in the store. */
 export interface Fleet extends Stoppable {
   start(): void;
+  /** Minimum interval between two watches of the objects, in milliseconds. */
+  getMinWatchIntervalMs(): number;
   /** Returns an object that was read in the current era of the store. */
   tryGet(key: ObjectKey): StoredObject | undefined;
   /** Applies an object that a conditional update returned. */
@@ -231,6 +233,10 @@
   recordSuspension(ms: number): void;
   /** Sends a heartbeat and schedules the next one. */
   sendHeartbeat(): Promise<void>;
+  /** Resolves when the objects have been listed for the first time. */
+  readonly whenListed: Promise<void>;
+  /** Whether no other host was registered when this process started. */
+  isFirstHost(): boolean;
   /** Whether the objects were listed in the current era of the store. */
   isLoaded(): boolean;
   /**
@@ -278,6 +284,11 @@
   let cachedHasReaders: boolean | undefined;
   const listeners = new Set<(key: ObjectKey) => void>();
   let hasStarted = false;
+  let isFirstHost = false;
+  let resolveListed = () => {};
+  const whenListed = new Promise<void>((resolve) => {
+    resolveListed = resolve;
+  });
   let firstEra = 0;
   let isLoaded = false;
   let isSendingHeartbeat = false;
@@ -298,7 +309,7 @@
     waitMs: WATCH_WAIT_MS,
     // Updates are conditional, so stale data causes at most a conflict.
     mayBeLate: true,
-    getMinWatchIntervalMs: () => WATCH_INTERVAL_PER_HOST_MS * hosts.size,
+    getMinWatchIntervalMs,
     handlers: {
       onList(listed) {
         recordAnswer();
@@ -315,6 +326,8 @@
           hasStarted = true;
           firstEra = getEra(io.store);
           previousStartAt = tryGetRecord(ownKey)?.incarnation ?? -Infinity;
+          isFirstHost = [...hosts].every((key) => key === ownKey);
+          resolveListed();
         }
         if (isFirstOfEra) {
           void sendHeartbeat();
@@ -334,6 +347,10 @@
     io.metrics.add("store_era_losses_total", objects.size, { kind: "object" });
   });
 
+  function getMinWatchIntervalMs(): number {
+    return WATCH_INTERVAL_PER_HOST_MS * hosts.size;
+  }
+
   /** Returns a host's record; undefined if there is no valid one. */
   function tryGetRecord(key: ObjectKey): StoredHostRecord | undefined {
     return tryDecodeHostRecord(objects.get(key)?.value);
@@ -468,9 +485,19 @@
       applyObject(put.error.current);
     }
     timer = setTimeout(
-      () => void sendHeartbeat(),
+      put.isOk() ? sendHeartbeatIfDue : () => void sendHeartbeat(),
       put.isOk() ? getHeartbeatIntervalMs() : HEARTBEAT_RETRY_MS,
     );
+
+    /** The interval has grown where many hosts started together. */
+    function sendHeartbeatIfDue(): void {
+      const remainingMs = sentAt + getHeartbeatIntervalMs() - nowMs();
+      if (cachedHasReaders && remainingMs > 0) {
+        timer = setTimeout(sendHeartbeatIfDue, remainingMs);
+      } else {
+        void sendHeartbeat();
+      }
+    }
   }
 
   function recordAnswer(): void {
@@ -611,6 +638,7 @@
 
   return {
     start: feed.start,
+    getMinWatchIntervalMs,
     tryGet,
     applyObject,
     getAgeMs: (key) => nowMs() - (observed.get(key)?.observedAt ?? -Infinity),
@@ -654,6 +682,8 @@
       sentAtByBeat.clear();
     },
     sendHeartbeat,
+    whenListed,
+    isFirstHost: () => isFirstHost,
     isLoaded: () => isLoaded,
     hasStoreReturned,
     getTimeSincePreviousStartMs: () => Math.abs(incarnation - previousStartAt),
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -7,7 +7,7 @@
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
 import { createAddressBook } from "./address_book.ts";
 import { createCatalogHolder } from "./catalog.ts";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, waitUntil, withTimeout } from "../core/clock.ts";
 import { createConnectionHolder } from "./connection_holder.ts";
 import { createClockJumpDetector } from "./clock_jumps.ts";
 import { createDirectory, type DirectoryEvent } from "./directory.ts";
@@ -77,6 +77,22 @@
  */
 const MIN_TARGET_WATCH_INTERVAL_MS = 250;
 const TARGET_WATCH_INTERVAL_PER_HOST_MS = 2;
+/**
+ * Minimum interval between two watches of a reader, in milliseconds: how long a
+ * drain or a change of primary may wait behind another change.
+ */
+const READER_WATCH_INTERVAL_MS = 500;
+/**
+ * Longest wait at the start for the list of hosts, in milliseconds: a round trip
+ * to the store in another region. It tells whether hosts watch through readers.
+ */
+const HOST_LIST_WAIT_MS = 60;
+/**
+ * Longest wait for the registrations of other hosts before the first watch in a
+ * new deployment, in milliseconds. Hosts that start together find their reader
+ * in this time, and their first watches cost the store nothing.
+ */
+const FIRST_WATCH_WAIT_MS = 500;
 /** Connections to a target of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 10;
 
@@ -169,9 +185,21 @@
   const storeReaders = createStoreReaders(poolerIo, {
     self: options.host,
     prefixes: [
-      { prefix: decoding.catalogPrefix, mayBeLate: false },
-      { prefix: decoding.targetPrefix, mayBeLate: false },
-      { prefix: SHARED_PREFIX, mayBeLate: true },
+      {
+        prefix: decoding.catalogPrefix,
+        mayBeLate: false,
+        getMinWatchIntervalMs: () => READER_WATCH_INTERVAL_MS,
+      },
+      {
+        prefix: decoding.targetPrefix,
+        mayBeLate: false,
+        getMinWatchIntervalMs: () => READER_WATCH_INTERVAL_MS,
+      },
+      {
+        prefix: SHARED_PREFIX,
+        mayBeLate: true,
+        getMinWatchIntervalMs: () => fleet.getMinWatchIntervalMs(),
+      },
     ],
     listReaders: () => fleet.listStoreReaders(),
     tryGetEra: () => io.store.eras?.tryGet(),
@@ -395,17 +423,27 @@
     WATCH_WAIT_FRACTION *
       (options.freshness.changeInForceMs + options.freshness.settlingMs),
   );
+  const hasReader = () => fleet.listStoreReaders().length > 0;
+  const feedOptions = {
+    waitMs: watchWaitMs,
+    mayListLate: hasReader,
+    async waitBeforeFirstWatch() {
+      if (fleet.isFirstHost()) {
+        await waitUntil(hasReader, FIRST_WATCH_WAIT_MS);
+      }
+    },
+  };
   const catalogFeed = createStoreFeed(io, {
+    ...feedOptions,
     prefix: decoding.catalogPrefix,
-    waitMs: watchWaitMs,
     handlers: {
       onList: (objects) => objects.forEach(applyCatalogObject),
       onChanges: (changed) => changed.forEach(applyCatalogObject),
     },
   });
   const targetFeed = createStoreFeed(io, {
+    ...feedOptions,
     prefix: decoding.targetPrefix,
-    waitMs: watchWaitMs,
     getMinWatchIntervalMs: () =>
       Math.max(
         MIN_TARGET_WATCH_INTERVAL_MS,
@@ -417,6 +455,15 @@
       onReconnected: directory.recordStoreReconnected,
     },
   });
+  async function startFeeds(): Promise<void> {
+    await withTimeout(fleet.whenListed, {
+      ms: HOST_LIST_WAIT_MS,
+      fallback: undefined,
+    });
+    catalogFeed.start();
+    targetFeed.start();
+  }
+
   let timer: NodeJS.Timeout | undefined;
   /** What this host lacked at the last check; empty if it was ready. */
   let loggedMissing: string | undefined;
@@ -541,9 +588,8 @@
 
   return {
     start() {
-      catalogFeed.start();
-      targetFeed.start();
       fleet.start();
+      void startFeeds();
       versionCheck.start();
       shares.start();
       failover.start();
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -48,6 +48,10 @@
      * between are delivered together.
      */
     getMinWatchIntervalMs?(): number;
+    /** Whether the first list may be late, as an exact watch follows it. */
+    mayListLate?(): boolean;
+    /** Resolves when the first watch may begin. */
+    waitBeforeFirstWatch?(): Promise<void>;
     readonly handlers: FeedHandlers;
   },
 ): StoreFeed {
@@ -57,6 +61,7 @@
   let answeredAt = nowMs();
   let revision: number | undefined;
   let hasReturned = false;
+  let hasListed = false;
   let interruptWatch = () => {};
 
   io.store.eras?.onRise(() => {
@@ -86,7 +91,9 @@
   /** Makes one call to the store; false if it failed. */
   async function poll(): Promise<boolean> {
     if (revision === undefined) {
-      const listed = await io.store.list(prefix);
+      const listed = await io.store.list(prefix, {
+        mayBeLate: !hasListed && options.mayListLate?.() === true,
+      });
       if (listed.isErr()) {
         recordFailure(listed.error.kind);
         return false;
@@ -98,6 +105,10 @@
       }
       revision = listed.value.revision;
       handlers.onList(listed.value.objects);
+      if (!hasListed) {
+        hasListed = true;
+        await options.waitBeforeFirstWatch?.();
+      }
       return true;
     }
     const interrupted = new Promise<undefined>((resolve) => {
--- a/src/pooling/store_readers.ts
+++ b/src/pooling/store_readers.ts
@@ -50,6 +50,8 @@
   readonly prefix: string;
   /** Whether changes under it may arrive seconds late. */
   readonly mayBeLate: boolean;
+  /** Minimum interval between two watches, as far as the age allows it. */
+  getMinWatchIntervalMs(): number;
 }
 
 /** Watches of this host and, if it is a reader, of others. */
@@ -96,11 +98,10 @@
 ): StoreReaders {
   const { self } = options;
   const caches = new Map<string, WatchCache>(
-    options.prefixes.map(({ prefix, mayBeLate }) => [
-      prefix,
+    options.prefixes.map((prefix) => [
+      prefix.prefix,
       createWatchCache(io, {
-        prefix,
-        mayBeLate,
+        ...prefix,
         watchStore: options.watchDirectly,
         onRenewed: tellAges,
       }),
--- a/src/pooling/watch_cache.ts
+++ b/src/pooling/watch_cache.ts
@@ -23,10 +23,10 @@
  */
 const MAX_ANSWER_INTERVAL_MS = 1_750;
 /**
- * Minimum interval between two watches of the store, in milliseconds. Changes
- * in quick succession are delivered together and cost one call.
+ * Longest minimum interval between two watches of the store, in milliseconds.
+ * Changes in quick succession are delivered together and cost one call.
  */
-const MIN_WATCH_INTERVAL_MS = 750;
+const MAX_WATCH_SPACING_MS = 750;
 /**
  * Delay of an answer beyond the wait of its watch from which it does not renew
  * the age, in milliseconds: this process may have been stopped meanwhile.
@@ -82,6 +82,8 @@
     readonly prefix: string;
     /** Allows changes to arrive seconds late, which costs the store less. */
     readonly mayBeLate: boolean;
+    /** Minimum interval between two watches, as far as the age allows it. */
+    getMinWatchIntervalMs(): number;
     /** Watches the store over this host's own connections. */
     readonly watchStore: EraCalls["watch"];
     /** Called when an answer of the store has renewed the age. */
@@ -236,7 +238,11 @@
       if (isRenewed) {
         options.onRenewed();
       }
-      await sleep(Math.max(0, startedAt + MIN_WATCH_INTERVAL_MS - nowMs()));
+      const spacingMs = Math.min(
+        MAX_WATCH_SPACING_MS,
+        options.getMinWatchIntervalMs(),
+      );
+      await sleep(Math.max(0, startedAt + spacingMs - nowMs()));
       if (generation !== started) {
         return;
       }
