--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -7,7 +7,7 @@
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
 import { createAddressBook } from "./address_book.ts";
 import { createCatalogHolder } from "./catalog.ts";
-import { nowMs } from "../core/clock.ts";
+import { nowMs, waitUntil, withTimeout } from "../core/clock.ts";
 import { createConnectionHolder } from "./connection_holder.ts";
 import { createClockJumpDetector } from "./clock_jumps.ts";
 import { createDirectory, type DirectoryEvent } from "./directory.ts";
@@ -93,6 +93,22 @@
  */
 const MIN_TARGET_WATCH_INTERVAL_MS = 250;
 const TARGET_WATCH_INTERVAL_PER_HOST_MS = 2;
+/**
+ * Minimum interval between two watches of a reader, in milliseconds: how long a
+ * drain or a change of primary may wait behind another change.
+ */
+const READER_WATCH_INTERVAL_MS = 500;
+/**
+ * Longest wait at the start for the list of hosts, in milliseconds: a round trip
+ * to the store in another region. It tells whether hosts watch through readers.
+ */
+const HOST_LIST_WAIT_MS = 60;
+/**
+ * Longest wait for the registrations of other hosts before the first watch in a
+ * new deployment, in milliseconds. Hosts that start together find their reader
+ * in this time, and their first watches cost the store nothing.
+ */
+const FIRST_WATCH_WAIT_MS = 500;
 /** Connections to a target of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 10;
 
@@ -194,12 +210,26 @@
   const storeReaders = createStoreReaders(poolerIo, {
     self: options.host,
     prefixes: [
-      { prefix: decoding.catalogPrefix, mayBeLate: false },
-      { prefix: decoding.targetPrefix, mayBeLate: false },
-      { prefix: SHARED_PREFIX, mayBeLate: true },
-      ...(evacuationInForceMs === undefined
-        ? []
-        : [{ prefix: decoding.evacuationPrefix, mayBeLate: false }]),
+      {
+        prefix: decoding.catalogPrefix,
+        mayBeLate: false,
+        getMinWatchIntervalMs: () => READER_WATCH_INTERVAL_MS,
+      },
+      {
+        prefix: decoding.targetPrefix,
+        mayBeLate: false,
+        getMinWatchIntervalMs: () => READER_WATCH_INTERVAL_MS,
+      },
+      {
+        prefix: SHARED_PREFIX,
+        mayBeLate: true,
+        getMinWatchIntervalMs: () => fleet.getMinWatchIntervalMs(),
+      },
+      ...(evacuationInForceMs === undefined ? [] : [{
+        prefix: decoding.evacuationPrefix,
+        mayBeLate: false,
+        getMinWatchIntervalMs: () => READER_WATCH_INTERVAL_MS,
+      }]),
     ],
     listReaders: () => fleet.listStoreReaders(),
     tryGetEra: () => io.store.eras?.tryGet(),
@@ -490,17 +520,27 @@
       WATCH_WAIT_FRACTION * (inForceMs + options.freshness.settlingMs),
     );
   const watchWaitMs = getWatchWaitMs(options.freshness.changeInForceMs);
+  const hasReader = () => fleet.listStoreReaders().length > 0;
+  const feedOptions = {
+    waitMs: watchWaitMs,
+    mayListLate: hasReader,
+    async waitBeforeFirstWatch() {
+      if (fleet.isFirstHost()) {
+        await waitUntil(hasReader, FIRST_WATCH_WAIT_MS);
+      }
+    },
+  };
   const catalogFeed = createStoreFeed(io, {
+    ...feedOptions,
     prefix: decoding.catalogPrefix,
-    waitMs: watchWaitMs,
     handlers: {
       onList: (objects) => objects.forEach(applyCatalogObject),
       onChanges: (changed) => changed.forEach(applyCatalogObject),
     },
   });
   const targetFeed = createStoreFeed(io, {
+    ...feedOptions,
     prefix: decoding.targetPrefix,
-    waitMs: watchWaitMs,
     getMinWatchIntervalMs: () =>
       Math.max(
         MIN_TARGET_WATCH_INTERVAL_MS,
@@ -519,6 +559,17 @@
       waitMs: getWatchWaitMs(evacuationInForceMs),
       handlers: evacuations.handlers,
     });
+
+  async function startFeeds(): Promise<void> {
+    await withTimeout(fleet.whenListed, {
+      ms: HOST_LIST_WAIT_MS,
+      fallback: undefined,
+    });
+    catalogFeed.start();
+    targetFeed.start();
+    evacuationFeed?.start();
+  }
+
   let timer: NodeJS.Timeout | undefined;
   /** What this host lacked at the last check; empty if it was ready. */
   let loggedMissing: string | undefined;
@@ -679,10 +730,8 @@
 
   return {
     start() {
-      catalogFeed.start();
-      targetFeed.start();
-      evacuationFeed?.start();
       fleet.start();
+      void startFeeds();
       versionCheck.start();
       shares.start();
       failover.start();
