Give statements their time in a stop whose admission closed late

Cause: a host resumed shortly before the end of execution admits statements until it closes admission in its next poll, and then had 100 ms for them.

Change: if a suspension ended after admission was to close, statements at work have until 100 ms before connections are cut.

--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -58,12 +58,15 @@
   enter(host: StoppingHost): void;
 }
 
+/** Fraction of the grace period after which nothing new is admitted. */
+const ADMISSION_FRACTION = 0.5;
+
 /** Phases after new sessions are no longer routed to the host. */
 const PHASES: readonly Phase[] = [
   {
     // The rest of the grace period is for the operations admitted until now.
     event: "stop_closes_admission",
-    startsAt: 0.5,
+    startsAt: ADMISSION_FRACTION,
     enter({ pooler, connections }) {
       pooler.closeAdmission();
       connections.drain();
@@ -101,10 +104,10 @@
  */
 const SUSPENDED_MS = 50;
 /**
- * Longest time from the end of a suspension to the end of execution in which
- * results that targets have sent meanwhile are read, in milliseconds.
+ * Least time to read the results that targets have sent during a suspension, in
+ * milliseconds, also in a process that reaches the end of its stop late.
  */
-const MAX_READ_MS = 100;
+const MIN_READ_MS = 100;
 
 /**
  * Stops the host within the grace period, in milliseconds; resolves once
@@ -150,13 +153,21 @@
   }
 
   /**
-   * Reads the results that have come while the process was suspended. They are
-   * in the buffers of its sockets, and its timers run before these are read.
+   * Lets statements end that a suspension has kept from ending. Their results
+   * are in the buffers of the sockets, which are read after the timers have run,
+   * or they were admitted after the suspension, as admission closed late.
    */
-  async function readLateResults(): Promise<void> {
+  async function waitForDelayed(): Promise<void> {
+    if (resumedAt < startedAt + ADMISSION_FRACTION * graceMs) {
+      return;
+    }
+    const deadline = Math.max(
+      resumedAt + MIN_READ_MS,
+      startedAt + CUT_FRACTION * graceMs - MIN_ANSWER_MS,
+    );
     await waitUntil(
       () => connections.countStatements() === 0,
-      resumedAt + MAX_READ_MS - nowMs(),
+      deadline - nowMs(),
     );
   }
 
@@ -164,7 +175,7 @@
   void pooler.leave();
   const rotationMs = Math.min(
     ROTATION_DELAY_MS,
-    PHASES[0]!.startsAt * graceMs,
+    ADMISSION_FRACTION * graceMs,
   );
   await sleep(rotationMs);
   polledAt = startedAt + rotationMs;
@@ -174,7 +185,7 @@
       break;
     }
     if (phase.endsExecution) {
-      await readLateResults();
+      await waitForDelayed();
     }
     logPhase(phase.event);
     phase.enter(host);
