--- a/src/pooling/shutdown.ts
+++ b/src/pooling/shutdown.ts
@@ -58,12 +58,15 @@
   enter(host: StoppingHost): void;
 }
 
+/** Fraction of the grace period after which nothing new is admitted. */
+const ADMISSION_FRACTION = 0.5;
+
 /** Phases after new sessions are no longer routed to the host. */
 const PHASES: readonly Phase[] = [
   {
     // The rest of the grace period is for the operations admitted until now.
     event: "stop_closes_admission",
-    startsAt: 0.5,
+    startsAt: ADMISSION_FRACTION,
     enter({ pooler, connections }) {
       pooler.closeAdmission();
       connections.drain();
@@ -96,15 +99,15 @@
  */
 const MIN_ANSWER_MS = 100;
 /**
- * Delay of the end of execution above which the process is taken to have been
- * suspended, in milliseconds; above the interval at which the stop looks.
+ * Time between two polls above which the process is taken to have been
+ * suspended, in milliseconds; above the interval of `waitUntil`.
  */
 const SUSPENDED_MS = 50;
 /**
- * Longest time to read what targets have sent during a suspension, before the
- * end of execution, in milliseconds.
+ * Least time to read the results that targets have sent during a suspension, in
+ * milliseconds, also in a process that reaches the end of its stop late.
  */
-const MAX_READ_MS = 100;
+const MIN_READ_MS = 100;
 
 /**
  * Stops the host within the grace period, in milliseconds; resolves once
@@ -117,6 +120,9 @@
   const { connections, pooler, log } = host;
   const startedAt = nowMs();
   const acceptedBefore = connections.countAccepted();
+  let polledAt = startedAt;
+  /** End of the last suspension that the stop has noticed. */
+  let resumedAt = -Infinity;
 
   function logPhase(event: string, fields: LogFields = {}): void {
     log.info(event, {
@@ -128,35 +134,58 @@
     });
   }
 
+  function recordPoll(): void {
+    if (nowMs() - polledAt > SUSPENDED_MS) {
+      resumedAt = nowMs();
+    }
+    polledAt = nowMs();
+  }
+
   function waitUntilDone(fraction: number, minMs = 0): Promise<boolean> {
     return waitUntil(
-      () =>
-        connections.countConnections() === 0 &&
-        pooler.countForwardedChannels() === 0 && !pooler.isReplacingPrimary(),
+      () => {
+        recordPoll();
+        return connections.countConnections() === 0 &&
+          pooler.countForwardedChannels() === 0 && !pooler.isReplacingPrimary();
+      },
       Math.max(minMs, startedAt + fraction * graceMs - nowMs()),
     );
   }
 
   /**
-   * Reads the results that have come while the process was suspended. They are
-   * in the buffers of its sockets, and its timers run before these are read.
+   * Lets statements end that a suspension has kept from ending. Their results
+   * are in the buffers of the sockets, which are read after the timers have run,
+   * or they were admitted after the suspension, as admission closed late.
    */
-  async function readLateResults(fraction: number): Promise<void> {
-    if (nowMs() - startedAt - fraction * graceMs > SUSPENDED_MS) {
-      await waitUntil(() => connections.countStatements() === 0, MAX_READ_MS);
+  async function waitForDelayed(): Promise<void> {
+    if (resumedAt < startedAt + ADMISSION_FRACTION * graceMs) {
+      return;
     }
+    const deadline = Math.max(
+      resumedAt + MIN_READ_MS,
+      startedAt + CUT_FRACTION * graceMs - MIN_ANSWER_MS,
+    );
+    await waitUntil(
+      () => connections.countStatements() === 0,
+      deadline - nowMs(),
+    );
   }
 
   logPhase("stopping", { graceMs });
   void pooler.leave();
-  await sleep(Math.min(ROTATION_DELAY_MS, PHASES[0]!.startsAt * graceMs));
+  const rotationMs = Math.min(
+    ROTATION_DELAY_MS,
+    ADMISSION_FRACTION * graceMs,
+  );
+  await sleep(rotationMs);
+  polledAt = startedAt + rotationMs;
   connections.drain();
   for (const phase of PHASES) {
     if (await waitUntilDone(phase.startsAt)) {
       break;
     }
     if (phase.endsExecution) {
-      await readLateResults(phase.startsAt);
+      await waitForDelayed();
     }
     logPhase(phase.event);
     phase.enter(host);
