Limit the statements of cold targets over the whole fleet

Statements are counted where they are sent; reads go elsewhere once a host has given the target its part of the rate. Without the setting or the rate nothing is limited.

Also counts what is refused because no target may run it, by reason, and logs which targets are cold.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -262,6 +262,7 @@
   | "store_era_changes_total"
   | "store_era_losses_total"
   | "evacuation_changes_total"
+  | "ineligible_refusals_total"
   | "store_relayed_calls_total"
   | "quota_borrowed_total";
 
@@ -278,6 +279,7 @@
   | "ready"
   | "evacuated_domains"
   | "evacuations_age_ms"
+  | "cold_targets"
   | "target_connections"
   | "in_flight_requests"
   | "group_term"
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -50,6 +50,8 @@
   store_era_losses_total:
     "What was given up when the store returned to an earlier copy, by kind",
   evacuation_changes_total: "Evacuations of domains that began and ended",
+  ineligible_refusals_total:
+    "Work refused at once because no target may run it, by reason",
   request_ms: "Time from a request to its answer in milliseconds",
   queue_ms: "Time in the queue of a database group in milliseconds",
   confirm_ms: "Time until a majority held a write in milliseconds",
@@ -58,6 +60,7 @@
   evacuated_domains: "Failure domains that are evacuated, as known here",
   evacuations_age_ms:
     "Time since the store last confirmed the evacuations in milliseconds",
+  cold_targets: "Targets with a limit after a start or an evacuation",
   ready: "1 if the host serves clients, else 0",
   target_connections: "Data connections to targets",
   in_flight_requests: "Requests of callers that are not answered yet",
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -14,6 +14,7 @@
   type RoundPlanner,
 } from "./batching.ts";
 import type { Health } from "./health.ts";
+import type { ColdReservation, ColdTargets } from "./cold_targets.ts";
 import type { Forwarder } from "./forwarder.ts";
 import { createLinkContext, type RequiredContext } from "./link_context.ts";
 import {
@@ -130,11 +131,13 @@
       Forwarder,
       "isForwarded" | "tryOpenLink" | "recordPathFailure"
     >;
+    /** Limits of cold targets; none by default. */
+    readonly cold?: Pick<ColdTargets, "tryReserve" | "recordGiven">;
     /** Order in which queued requests are served; batched by default. */
     readonly plan?: RoundPlanner;
   },
 ): Dispatcher {
-  const { health, forwarder, plan = planRound } = options;
+  const { health, forwarder, cold, plan = planRound } = options;
   const pools = new Map<TargetId, TargetPool>();
   const queue: Waiter[] = [];
   /** Requests without a result: queued, dialing, or about to dial again. */
@@ -169,9 +172,14 @@
   /** Creates a checkout; `since` is when the connection was taken or dialed. */
   function createCheckout(
     pool: TargetPool,
-    { pooled, since }: { readonly pooled: PooledLink; readonly since: number },
+    { pooled, since, reservation }: {
+      readonly pooled: PooledLink;
+      readonly since: number;
+      readonly reservation: ColdReservation | undefined;
+    },
   ): Checkout {
     const { target } = pool;
+    pooled.onStatement = reservation?.recordSent;
     let isReleased = false;
     return {
       pooled,
@@ -181,6 +189,8 @@
           return;
         }
         isReleased = true;
+        pooled.onStatement = undefined;
+        reservation?.release();
         const previous = averageCheckoutMs.get(target.service) ??
           DEFAULT_CHECKOUT_MS;
         averageCheckoutMs.set(
@@ -251,22 +261,30 @@
       if (!source) {
         continue;
       }
-      if (source.kind === "idle") {
-        const { pooled } = source;
-        pool.markBusy(pooled);
-        waiter.settle(Ok(createCheckout(pool, { pooled, since: nowMs() })));
-        return true;
-      }
-      if (isOwnWorkspaceOnly) {
+      if (source.kind !== "idle" && isOwnWorkspaceOnly) {
         continue;
       }
       const workspace = request.workspace ?? options.getDefaultWorkspace();
-      if (workspace === undefined) {
+      if (source.kind !== "idle" && workspace === undefined) {
+        continue;
+      }
+      // Requests without a workspace run no statements.
+      const reservation = request.workspace && cold?.tryReserve(target);
+      if (request.workspace && cold && !reservation) {
         continue;
       }
+      if (source.kind === "idle") {
+        const { pooled } = source;
+        pool.markBusy(pooled);
+        waiter.settle(
+          Ok(createCheckout(pool, { pooled, since: nowMs(), reservation })),
+        );
+        return true;
+      }
       void dial(waiter, {
         pool,
-        workspace,
+        workspace: workspace!,
+        reservation,
         ...(source.kind === "replace" ? { replaced: source.pooled } : {}),
       });
       return true;
@@ -279,23 +297,28 @@
     dialOptions: {
       readonly pool: TargetPool;
       readonly workspace: WorkspaceId;
+      readonly reservation: ColdReservation | undefined;
       readonly replaced?: PooledLink;
     },
   ): Promise<void> {
-    const { pool, workspace, replaced } = dialOptions;
+    const { pool, workspace, reservation, replaced } = dialOptions;
     const since = nowMs();
     const dialed = await pool.dial(workspace, replaced);
     if (dialed.isOk() && waiter.request.isEligible?.(pool.target) === false) {
-      createCheckout(pool, { pooled: dialed.value, since }).release(true);
+      createCheckout(pool, { pooled: dialed.value, since, reservation })
+        .release(true);
       if (waiters.has(waiter) && !tryServe(waiter)) {
         enqueue(waiter);
       }
       return;
     }
     if (dialed.isOk()) {
-      waiter.settle(Ok(createCheckout(pool, { pooled: dialed.value, since })));
+      waiter.settle(
+        Ok(createCheckout(pool, { pooled: dialed.value, since, reservation })),
+      );
       return;
     }
+    reservation?.release();
     dropIfAbandoned(pool);
     if (isClosed) {
       return;
@@ -410,6 +433,9 @@
           if (index >= 0) {
             queue.splice(index, 1);
           }
+          if (request.workspace) {
+            result.map(({ target }) => cold?.recordGiven(target));
+          }
           io.metrics.observe("queue_ms", nowMs() - since, {
             service: request.service,
           });
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -5,6 +5,7 @@
 import type { ReqId, ServiceId, WorkspaceId } from "../core/ids.ts";
 import type { CatalogHolder } from "./catalog.ts";
 import type { ClockJumpDetector } from "./clock_jumps.ts";
+import type { ColdTargets } from "./cold_targets.ts";
 import type { Directory } from "./directory.ts";
 import type { TargetEligibility, TargetUse } from "./target_eligibility.ts";
 import type { Checkout, Dispatcher } from "./dispatch.ts";
@@ -35,6 +36,7 @@
   readonly io: PoolIo;
   readonly topology: Topology;
   readonly eligibility: TargetEligibility;
+  readonly cold: ColdTargets;
   readonly catalog: CatalogHolder;
   readonly directory: Directory;
   readonly primaries: PrimaryTracker;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -41,6 +41,7 @@
 import { createStoreAccess } from "./store_access.ts";
 import { createStoreFeed } from "./store_feed.ts";
 import { createStoreRelay } from "./store_relay.ts";
+import { type ColdLimit, createColdTargets } from "./cold_targets.ts";
 import { createEvacuations } from "./evacuations.ts";
 import { createTargetEligibility } from "./target_eligibility.ts";
 import { isSameProcess } from "./target_pool.ts";
@@ -123,6 +124,8 @@
   readonly peerAddress: string;
   readonly regions: ReadonlyMap<DomainId, string>;
   readonly quotaTolerance: QuotaTolerance;
+  /** Limit of cold targets; undefined if the deployment has none. */
+  readonly coldLimit?: ColdLimit | undefined;
   readonly freshness: Freshness;
   readonly decoding: PoolerDecoding;
 }
@@ -233,7 +236,7 @@
     listHosts: () => fleet.listPlacedHosts(),
     transactionGraceMs: EVACUATED_TRANSACTION_FRACTION *
       (evacuationInForceMs ?? 0),
-    random: io.random,
+    io,
   });
   const holders = createHolders({
     self: options.host,
@@ -245,6 +248,15 @@
       catalog.tryGet()?.services.get(service)?.maxConnections ??
         DEFAULT_MAX_CONNECTIONS,
   });
+  const cold = createColdTargets(io, {
+    self: options.host,
+    limit: options.coldLimit,
+    tryGetPolicy: (service) => catalog.tryGet()?.services.get(service)?.cold,
+    evacuations,
+    holders,
+    listHosts: () => fleet.listPlacedHosts().map(({ host }) => host),
+    isShareExpired: () => fleet.isOwnHeartbeatExpired(),
+  });
   const forwarder = createForwarder(io, {
     self: options.host,
     holders,
@@ -253,6 +265,7 @@
   const dispatcher = createDispatcher(io, {
     health,
     forwarder,
+    cold,
     getDefaultWorkspace: () => catalog.tryGet()?.quotas.keys().next().value,
   });
   const fleet = createFleet(io, {
@@ -285,6 +298,7 @@
     io,
     topology,
     eligibility,
+    cold,
     catalog,
     directory,
     primaries,
@@ -484,8 +498,7 @@
   });
   directory.onChange(applyDirectoryEvent);
   evacuations.onChange((domain) => {
-    const services = catalog.tryGet()?.services.keys() ?? [];
-    [...services].flatMap(directory.list)
+    listTargets()
       .filter((target) => target.domain === domain)
       // Closes idle connections. What is known of its health will be outdated.
       .forEach(({ id }) => dispatcher.removeTarget(id));
@@ -559,6 +572,11 @@
     }
   }
 
+  function listTargets(): readonly TargetRecord[] {
+    return [...catalog.tryGet()?.services.keys() ?? []]
+      .flatMap(directory.list);
+  }
+
   function checkEvacuations(): void {
     evacuations.check();
     if (evacuations.listDomains().length > 0) {
@@ -572,6 +590,9 @@
     if (evacuationFeed) {
       checkEvacuations();
     }
+    if (options.coldLimit) {
+      cold.check(listTargets());
+    }
     storeAccess.check();
     shares.checkLeases();
     forwarder.checkStreams();
--- a/src/pooling/ranking.ts
+++ b/src/pooling/ranking.ts
@@ -22,6 +22,11 @@
 const PRIMARY_PENALTY_MS = 15;
 /** Penalty on ejected targets, which are used only as a last resort. */
 const EJECTED_PENALTY_MS = 5_000;
+/**
+ * Penalty on cold targets that have their part; less than that on ejected ones,
+ * which are likely to fail.
+ */
+const COLD_PENALTY_MS = 2_500;
 /** Penalty on other regions, because traffic between regions is expensive. */
 const CROSS_REGION_PENALTY_MS = 5;
 
@@ -34,6 +39,8 @@
   readonly floor: AgedPosition;
   readonly workspace: WorkspaceId;
   readonly context: RequiredContext;
+  /** Whether a cold target has its part of this host's work; not by default. */
+  isServed?(target: TargetRecord): boolean;
   /** Whether the statement may pass through the host; all by default. */
   mayUseHolder?(host: HostId): boolean;
 }
@@ -68,6 +75,7 @@
   let scoreMs = latencyMs * (1 + dispatcher.getLoad(target));
   scoreMs += rttMs >= CROSS_REGION_RTT_MS ? CROSS_REGION_PENALTY_MS : 0;
   scoreMs += health.isEjected(target.id) ? EJECTED_PENALTY_MS : 0;
+  scoreMs += options.isServed?.(target) ? COLD_PENALTY_MS : 0;
   scoreMs += target.id === options.primary ? PRIMARY_PENALTY_MS : 0;
   const source = dispatcher.tryFindSource(target, options);
   if (!source) {
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -120,6 +120,7 @@
     floor,
     workspace: task.workspace,
     context: task.context,
+    isServed: ctx.cold.isServed,
     mayUseHolder: (host) => ctx.eligibility.mayForwardThrough(host, task),
   });
 }
--- a/src/pooling/target_eligibility.ts
+++ b/src/pooling/target_eligibility.ts
@@ -9,7 +9,13 @@
 import type { Directory } from "./directory.ts";
 import type { PoolFailure } from "./errors.ts";
 import type { PrimaryTracker } from "./primary_tracker.ts";
-import type { Catalog, Route, TargetRecord, Topology } from "./types.ts";
+import type {
+  Catalog,
+  PoolIo,
+  Route,
+  TargetRecord,
+  Topology,
+} from "./types.ts";
 
 /**
  * Shortest retry delay while a primary is replaced, in milliseconds: about the
@@ -72,7 +78,7 @@
    * domain, in milliseconds.
    */
   readonly transactionGraceMs: number;
-  random(): number;
+  readonly io: Pick<PoolIo, "metrics" | "random">;
 }): TargetEligibility {
   const { topology, directory, primaries } = options;
   /** Services whose evacuated primary has no successor yet. */
@@ -115,16 +121,18 @@
 
   function refuse(
     detail: string,
-    { use, minRetryMs }: {
+    { use, reason, minRetryMs }: {
       readonly use: TargetUse;
+      readonly reason: "evacuated" | "homes" | "no_target";
       readonly minRetryMs: number;
     },
   ): PoolFailure {
+    options.io.metrics.count("ineligible_refusals_total", { reason });
     return {
       error: use === "primary" ? "no_primary" : "overloaded",
       detail,
       // Spread, so that the refused do not come back all at once.
-      retryAfterMs: Math.ceil(minRetryMs * (1 + options.random())),
+      retryAfterMs: Math.ceil(minRetryMs * (1 + options.io.random())),
     };
   }
 
@@ -136,6 +144,7 @@
     const hasSuccessor = directory.list(service).some(mayLead);
     return refuse("the primary's failure domain is evacuated", {
       use: "primary",
+      reason: "evacuated",
       minRetryMs: hasSuccessor ? FAILOVER_RETRY_MS : NO_TARGET_RETRY_MS,
     });
   }
@@ -162,6 +171,7 @@
       ? undefined
       : refuse("the primary is outside of the home regions", {
         use: "primary",
+        reason: "homes",
         minRetryMs: NO_TARGET_RETRY_MS,
       });
   }
@@ -191,6 +201,7 @@
       if (homes?.length === 0) {
         return refuse("route and workspace have no home region in common", {
           use: "read",
+          reason: "homes",
           minRetryMs: NO_TARGET_RETRY_MS,
         });
       }
@@ -202,6 +213,7 @@
           listEligible(service, scope).length === 0
         ? refuse("all targets are in evacuated domains or other regions", {
           use,
+          reason: "no_target",
           minRetryMs: NO_TARGET_RETRY_MS,
         })
         : undefined;
--- a/src/pooling/target_pool.ts
+++ b/src/pooling/target_pool.ts
@@ -12,6 +12,7 @@
   ConnectionAllowance,
   DialErr,
   PoolIo,
+  TargetCommand,
   TargetLink,
   TargetRecord,
 } from "./types.ts";
@@ -31,6 +32,8 @@
   readonly context: LinkContext;
   usedAt: number;
   isBusy: boolean;
+  /** Called with each statement that is sent; undefined if nobody counts. */
+  onStatement?: (() => void) | undefined;
 }
 
 /** Way to obtain a connection. */
@@ -95,10 +98,16 @@
   /**
    * Wraps a connection so that sends and replies update the target's health.
    */
-  function trackHealth(link: TargetLink): TargetLink {
+  function trackHealth(
+    link: TargetLink,
+    onStatement: () => void,
+  ): TargetLink {
     return {
       ...link,
       async send(command) {
+        if (isStatement(command)) {
+          onStatement();
+        }
         const pendingReply = health.recordSent(target.id);
         const reply = await link.send(command);
         pendingReply.end(reply.kind !== "lost");
@@ -179,7 +188,7 @@
       }
       return dialed.map((link) => {
         const pooled: PooledLink = {
-          link: trackHealth(link),
+          link: trackHealth(link, () => pooled.onStatement?.()),
           context: createLinkContext(),
           usedAt: nowMs(),
           isBusy: true,
@@ -229,6 +238,12 @@
   };
 }
 
+/** Whether the target runs a statement of a client for the command. */
+function isStatement({ kind }: TargetCommand): boolean {
+  return kind === "run" || kind === "execute" || kind === "begin" ||
+    kind === "commit";
+}
+
 /** Whether both records belong to one process of the target. */
 export function isSameProcess(a: TargetRecord, b: TargetRecord): boolean {
   return a.incarnation === b.incarnation && a.address === b.address &&
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -58,6 +58,16 @@
   readonly maxConnections: number;
   /** Number of replicas that must hold a commit before it is acknowledged. */
   readonly syncReplicas: number;
+  /** Undefined if cold targets get as much work as others. */
+  readonly cold?: ColdPolicy;
+}
+
+/** How a service's targets are treated after their start. */
+export interface ColdPolicy {
+  /** Time for which a target is slow, in milliseconds. */
+  readonly durationMs: number;
+  /** Statements that a cold target can take in a second. */
+  readonly ratePerS: number;
 }
 
 /** Quota of a workspace in operations, across all hosts. */
@@ -93,6 +103,8 @@
   readonly slots: number;
   readonly isDraining: boolean;
   readonly role: "primary" | "replica";
+  /** Time for which it was still slow when it registered, in milliseconds. */
+  readonly coldLeftMs?: number;
 }
 
 /** Location of this host and of all failure domains. */
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -262,6 +262,36 @@
   expect([...catalog.workspaceByKey]).toEqual([["k3", "t"]]);
 });
 
+test("rates of cold targets and the time left of a cold one are decoded", () => {
+  const catalog = tryDecodeCatalog({
+    version: 1,
+    services: [
+      { name: "a", coldS: 20, coldPerS: 30 },
+      { name: "b", coldS: 20, coldPerS: 0 },
+      { name: "c", coldPerS: "30" },
+    ],
+  })!;
+  expect([...catalog.services.values()].map(({ cold }) => cold))
+    .toEqual([{ durationMs: 20_000, ratePerS: 30 }, undefined, undefined]);
+  const decode = (coldLeftMs: unknown) =>
+    tryDecodeTarget({
+      key: asId<ObjectKey>("servers/t1"),
+      version: 1,
+      value: {
+        service: "a",
+        addr: "10.0.0.1:1",
+        zone: "z1",
+        slots: 4,
+        state: "ready",
+        dbRole: "replica",
+        coldLeftMs,
+      },
+    });
+  expect(
+    [1_500, 0, -1, "9", undefined].map((value) => decode(value)?.coldLeftMs),
+  ).toEqual([1_500, undefined, undefined, undefined, undefined]);
+});
+
 // Guards against homes that are lost or opened by an entry of another form.
 test("home regions of routes and tenants are decoded", () => {
   const catalog = tryDecodeCatalog({
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -5,10 +5,12 @@
 import { sleep } from "../src/core/clock.ts";
 import type { EraCalls } from "../src/core/store_era.ts";
 import type { StoredObject } from "../src/core/types.ts";
+import type { ColdLimit } from "../src/pooling/cold_targets.ts";
 import { createPooler, type Pooler } from "../src/pooling/pooler.ts";
 import type { Session } from "../src/pooling/session.ts";
 import type {
   Catalog,
+  ColdPolicy,
   Consistency,
   LogFields,
   PeerReceiver,
@@ -60,6 +62,9 @@
   readonly unregistered?: readonly string[];
   /** Time for an evacuation to be in force; no evacuations by default. */
   readonly evacuationInForceMs?: number;
+  /** Limit of cold targets; none by default. */
+  readonly coldLimit?: ColdLimit;
+  readonly cold?: ColdPolicy;
 }
 
 /** Line in the log of a host. */
@@ -231,6 +236,7 @@
         service: SERVICE,
         maxConnections: options.maxConnections ?? 20,
         syncReplicas: 1,
+        ...(options.cold ? { cold: options.cold } : {}),
       }]]),
       quotas: new Map(
         workspaces.map((id) => [id, { ratePerS, burst: ratePerS }]),
@@ -407,6 +413,7 @@
         settlingMs: 2_000,
         evacuationInForceMs: options.evacuationInForceMs,
       },
+      coldLimit: options.coldLimit,
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
       decoding: {
         catalogPrefix: "catalog/",
--- a/test/target_eligibility.test.ts
+++ b/test/target_eligibility.test.ts
@@ -1,6 +1,7 @@
 /** Patterns: one decision on which targets may get new work; data residency. */
 
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type { MetricsSink } from "../src/core/types.ts";
 import { asId, type HostId, type TargetId } from "../src/core/ids.ts";
 import {
   createTargetEligibility,
@@ -29,6 +30,10 @@
   ) => [asId<TargetRecord["domain"]>(domain!), region!]),
 );
 
+function createTestMetrics(): MetricsSink {
+  return { count() {}, add() {}, observe() {}, set() {} };
+}
+
 /** Decisions of a host in `d0` on targets `t0` to `t3` in `d0` to `d3`. */
 function createDecisions(options: {
   readonly evacuated?: Readonly<Record<string, number>>;
@@ -72,7 +77,7 @@
         domain,
       })),
     transactionGraceMs: 1_000,
-    random: () => 0.5,
+    io: { metrics: createTestMetrics(), random: () => 0.5 },
   });
   const scope = (homeRegions?: readonly string[]): WorkScope => ({
     route: { service: asId("ledger"), ...homeRegions && { homeRegions } },
