--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -14,6 +14,7 @@
   type RoundPlanner,
 } from "./batching.ts";
 import type { Health } from "./health.ts";
+import type { ColdReservation, ColdTargets } from "./cold_targets.ts";
 import type { Forwarder } from "./forwarder.ts";
 import { type CapacityLimit, createCapacityLimit } from "./capacity_limit.ts";
 import { createSlotLink } from "./slot_link.ts";
@@ -176,6 +177,8 @@
       Forwarder,
       "isForwarded" | "tryOpenLink" | "recordPathFailure"
     >;
+    /** Limits of cold targets; none by default. */
+    readonly cold?: Pick<ColdTargets, "tryReserve" | "recordGiven">;
     /** Order in which queued requests are served; batched by default. */
     readonly plan?: RoundPlanner;
     /**
@@ -185,7 +188,7 @@
     tryGetSlotBudget?(target: TargetRecord): number | undefined;
   },
 ): Dispatcher {
-  const { health, forwarder, plan = planRound } = options;
+  const { health, forwarder, cold, plan = planRound } = options;
   const pools = new Map<TargetId, TargetPool>();
   const queue: Waiter[] = [];
   /** Requests without a result: queued, dialing, or about to dial again. */
@@ -310,9 +313,10 @@
   /** Creates a checkout; `since` is when the connection was taken or dialed. */
   function createCheckout(
     pool: TargetPool,
-    { pooled, since, scheduled }: {
+    { pooled, since, reservation, scheduled }: {
       readonly pooled: PooledLink;
       readonly since: number;
+      readonly reservation: ColdReservation | undefined;
       readonly scheduled?: {
         readonly slot: Slot;
         readonly waiter: Waiter;
@@ -321,6 +325,7 @@
     },
   ): Checkout {
     const { target } = pool;
+    pooled.onStatement = reservation?.recordSent;
     const slotLink = scheduled &&
       createScheduledLink(pooled.link, scheduled);
     let isReleased = false;
@@ -332,6 +337,8 @@
           return;
         }
         isReleased = true;
+        pooled.onStatement = undefined;
+        reservation?.release();
         const previous = averageCheckoutMs.get(target.service) ??
           DEFAULT_CHECKOUT_MS;
         averageCheckoutMs.set(
@@ -413,22 +420,30 @@
       if (!source) {
         continue;
       }
-      if (source.kind === "idle") {
-        const { pooled } = source;
-        pool.markBusy(pooled);
-        waiter.settle(Ok(createCheckout(pool, { pooled, since: nowMs() })));
-        return true;
-      }
-      if (isOwnWorkspaceOnly) {
+      if (source.kind !== "idle" && isOwnWorkspaceOnly) {
         continue;
       }
       const workspace = request.workspace ?? options.getDefaultWorkspace();
-      if (workspace === undefined) {
+      if (source.kind !== "idle" && workspace === undefined) {
+        continue;
+      }
+      // Requests without a workspace run no statements.
+      const reservation = request.workspace && cold?.tryReserve(target);
+      if (request.workspace && cold && !reservation) {
         continue;
       }
+      if (source.kind === "idle") {
+        const { pooled } = source;
+        pool.markBusy(pooled);
+        waiter.settle(
+          Ok(createCheckout(pool, { pooled, since: nowMs(), reservation })),
+        );
+        return true;
+      }
       void dial(waiter, {
         pool,
-        workspace,
+        workspace: workspace!,
+        reservation,
         ...(source.kind === "replace" ? { replaced: source.pooled } : {}),
       });
       return true;
@@ -527,7 +542,8 @@
         const source = isCandidate(request, target)
           ? pool.tryFindSource(requirement)
           : undefined;
-        if (!source) {
+        const reservation = source && cold?.tryReserve(target);
+        if (!source || (cold && !reservation)) {
           return false;
         }
         waiter.place = undefined;
@@ -536,12 +552,20 @@
           const { pooled } = source;
           pool.markBusy(pooled);
           waiter.settle(
-            Ok(createCheckout(pool, { pooled, since: nowMs(), scheduled })),
+            Ok(
+              createCheckout(pool, {
+                pooled,
+                since: nowMs(),
+                reservation,
+                scheduled,
+              }),
+            ),
           );
         } else {
           void dial(waiter, {
             pool,
             workspace: workspace!,
+            reservation,
             scheduled,
             ...(source.kind === "replace" ? { replaced: source.pooled } : {}),
           });
@@ -589,6 +613,7 @@
     dialOptions: {
       readonly pool: TargetPool;
       readonly workspace: WorkspaceId;
+      readonly reservation: ColdReservation | undefined;
       readonly replaced?: PooledLink;
       readonly scheduled?: {
         readonly slot: Slot;
@@ -597,11 +622,12 @@
       };
     },
   ): Promise<void> {
-    const { pool, workspace, replaced, scheduled } = dialOptions;
+    const { pool, workspace, reservation, replaced, scheduled } = dialOptions;
     const since = nowMs();
     const dialed = await pool.dial(workspace, replaced);
     if (dialed.isOk() && waiter.request.isEligible?.(pool.target) === false) {
-      createCheckout(pool, { pooled: dialed.value, since }).release(true);
+      createCheckout(pool, { pooled: dialed.value, since, reservation })
+        .release(true);
       scheduled?.slot.release(false);
       if (waiters.has(waiter) && !tryServe(waiter)) {
         enqueue(waiter);
@@ -615,6 +641,7 @@
           createCheckout(pool, {
             pooled,
             since,
+            reservation,
             ...(scheduled ? { scheduled } : {}),
           }),
         ),
@@ -622,6 +649,7 @@
       return;
     }
     scheduled?.slot.release();
+    reservation?.release();
     dropIfAbandoned(pool);
     if (isClosed) {
       return;
@@ -763,6 +791,9 @@
           if (index >= 0) {
             queue.splice(index, 1);
           }
+          if (request.workspace) {
+            result.map(({ target }) => cold?.recordGiven(target));
+          }
           io.metrics.observe("queue_ms", nowMs() - since, {
             service: request.service,
           });
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -50,6 +50,7 @@
 import { createStoreFeed } from "./store_feed.ts";
 import { createStoreReaders } from "./store_readers.ts";
 import { createStoreRelay } from "./store_relay.ts";
+import { type ColdLimit, createColdTargets } from "./cold_targets.ts";
 import { createEvacuations } from "./evacuations.ts";
 import { createTargetEligibility } from "./target_eligibility.ts";
 import { isSameProcess } from "./target_pool.ts";
@@ -148,6 +149,8 @@
   readonly peerAddress: string;
   readonly regions: ReadonlyMap<DomainId, string>;
   readonly quotaTolerance: QuotaTolerance;
+  /** Limit of cold targets; undefined if the deployment has none. */
+  readonly coldLimit?: ColdLimit | undefined;
   readonly freshness: Freshness;
   readonly decoding: PoolerDecoding;
 }
@@ -306,7 +309,7 @@
     listHosts: () => fleet.listPlacedHosts(),
     transactionGraceMs: EVACUATED_TRANSACTION_FRACTION *
       (evacuationInForceMs ?? 0),
-    random: io.random,
+    io,
   });
   const holders = createHolders({
     self: options.host,
@@ -318,6 +321,15 @@
       catalog.tryGet()?.services.get(service)?.maxConnections ??
         DEFAULT_MAX_CONNECTIONS,
   });
+  const cold = createColdTargets(io, {
+    self: options.host,
+    limit: options.coldLimit,
+    tryGetPolicy: (service) => catalog.tryGet()?.services.get(service)?.cold,
+    evacuations,
+    holders,
+    listHosts: () => fleet.listPlacedHosts().map(({ host }) => host),
+    isShareExpired: () => fleet.isOwnHeartbeatExpired(),
+  });
   const forwarder = createForwarder(io, {
     self: options.host,
     holders,
@@ -327,6 +339,7 @@
     health,
     forwarder,
     tryGetSlotBudget: holders.tryGetSlotBudget,
+    cold,
     getDefaultWorkspace: () => catalog.tryGet()?.quotas.keys().next().value,
   });
   const fleet = createFleet(io, {
@@ -359,6 +372,7 @@
     io,
     topology,
     eligibility,
+    cold,
     catalog,
     directory,
     primaries,
@@ -622,8 +636,7 @@
   });
   directory.onChange(applyDirectoryEvent);
   evacuations.onChange((domain) => {
-    const services = catalog.tryGet()?.services.keys() ?? [];
-    [...services].flatMap(directory.list)
+    listTargets()
       .filter((target) => target.domain === domain)
       // Closes idle connections. What is known of its health will be outdated.
       .forEach(({ id }) => dispatcher.removeTarget(id));
@@ -698,6 +711,11 @@
     }
   }
 
+  function listTargets(): readonly TargetRecord[] {
+    return [...catalog.tryGet()?.services.keys() ?? []]
+      .flatMap(directory.list);
+  }
+
   function checkEvacuations(): void {
     evacuations.check();
     if (evacuations.listDomains().length > 0) {
@@ -711,6 +729,9 @@
     if (evacuationFeed) {
       checkEvacuations();
     }
+    if (options.coldLimit) {
+      cold.check(listTargets());
+    }
     storeAccess.check();
     storeReaders.check();
     shares.checkLeases();
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -125,6 +125,7 @@
     floor,
     workspace: task.workspace,
     context: task.context,
+    isServed: ctx.cold.isServed,
     mayUseHolder: (host) => ctx.eligibility.mayForwardThrough(host, task),
   });
 }
