--- a/test/quota_owners.test.ts
+++ b/test/quota_owners.test.ts
@@ -119,6 +119,23 @@
   hosts.forEach((host) => host.kill());
 });
 
+// Guards against renewals that cost the store more with each host or token.
+test("an owner writes at most once a second, whatever is granted", async () => {
+  const { hosts, taker, core } = await startHosts(6, 5);
+  const versions = new Set<string>();
+  const stop = core.onChange(() =>
+    core.list("turmericchute-fleet/quota.").objects.forEach((object) =>
+      versions.add(`${object.key} ${object.version}`)
+    )
+  );
+  await taker.run(10_000);
+  stop();
+  // The first change lists all eight partitions as they were.
+  expect(versions.size).toBeLessThanOrEqual(8 * (10 + 1));
+  expect(versions.size).toBeGreaterThan(8);
+  hosts.forEach((host) => host.kill());
+});
+
 const STEPS = 120;
 const STEP_LENGTH_MS = 500;
 const MAX_COPIES = 6;
