Refuse at once what would wait too long for a slot

Most statements that got no slot were held until their deadline: in a burst of the lowest priority at 2.5 times the refusals came after 975 ms on average.

The holder reports the expected wait of the workspace by priority with its replies. Entry hosts refuse with it before they take a quota token, unless the report is older than 1 s: of the statements that expect to wait n times as long as they may, all but one in n, at random, and at most nine in ten, so that hosts with the same report do not move together. The report counts what the holder has refused. A statement whose holder expects more than 40 ms goes to another holder with less than half of that, every second time, as lending of slots between holders is not built. A refusal for load is told with the holder's retry delay and is not repeated at the same target; delays are spread over as long as the excess wait and grow with the priority number.

New fields are sent only to hosts that state the feature.

npx vitest run test/wait_admission.test.ts test/slot_scheduler.test.ts: 7 of 7 and 18 of 18; also forwarding, session_pool, dispatch, host_streams, fuzz, module_graph, pool_chaos.

--- a/src/pooling/begin.ts
+++ b/src/pooling/begin.ts
@@ -14,6 +14,7 @@
   prepareConnection,
   recordReply,
   type Task,
+  tryGetLoadRefusal,
 } from "./execution.ts";
 
 /** Result of an attempt to begin a transaction. */
@@ -65,6 +66,10 @@
     floor: options.floor,
   });
   checkout.release(false);
+  const refused = tryGetLoadRefusal(fault);
+  if (refused) {
+    return { kind: "refused", failure: refused };
+  }
   return {
     kind: "fault",
     target: checkout.target.id,
--- a/src/pooling/capacity_limit.ts
+++ b/src/pooling/capacity_limit.ts
@@ -67,6 +67,8 @@
 export interface CapacityLimit {
   /** At least 1 and at most the stated maximum; lower during a probe. */
   getLimit(): number;
+  /** The limit outside of probes, for estimates of waits. */
+  getUsualLimit(): number;
   record(sample: ServiceSample): void;
 }
 
@@ -206,6 +208,7 @@
       const value = Math.floor(limit.value);
       return isInProbe() ? Math.max(1, Math.floor(value / 2)) : value;
     },
+    getUsualLimit: () => Math.floor(limit.value),
     record({ kind, ms, inUse, isQueued }) {
       const now = nowMs();
       const baseline = baselines.get(kind) ?? ms;
--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -109,9 +109,16 @@
     if (acquired.isOk()) {
       return acquired.value;
     }
-    return ctx.forwarder.isOwnPathDown(target.id)
-      ? createRefusal("target_down", "the holder cannot reach it")
-      : createRefusal("not_sent", acquired.error.detail ?? "no connection");
+    if (ctx.forwarder.isOwnPathDown(target.id)) {
+      return createRefusal("target_down", "the holder cannot reach it");
+    }
+    const { detail = "no connection", retryAfterMs } = acquired.error;
+    const isLoad = acquired.error.error === "overloaded" &&
+      retryAfterMs !== undefined;
+    return {
+      ...createRefusal("not_sent", detail),
+      ...(isLoad ? { retryAfterMs } : {}),
+    };
   }
 
   async function execute(
@@ -160,7 +167,16 @@
   ): Promise<void> {
     const reply = await execute(channel, msg);
     channel.pendingCount--;
-    stream.send({ kind: "reply", id: msg.id, reply });
+    const waits = msg.workspace === undefined
+      ? []
+      : ctx.dispatcher.listExpectedWaits(msg.target, msg.workspace);
+    stream.send({
+      kind: "reply",
+      id: msg.id,
+      ...(stream.acceptsLoadFields?.()
+        ? { reply, ...(waits.length > 0 ? { waits: [...waits] } : {}) }
+        : { reply: withoutLoadFields(reply) }),
+    });
     if (channel.isClosed || abortsIdleTransactions) {
       endIfIdle(channel);
     }
@@ -294,6 +310,15 @@
     : { ...rest, ...position };
 }
 
+/** Removes what hosts of earlier versions reject. */
+function withoutLoadFields(reply: ForwardedReply): ForwardedReply {
+  if (reply.kind !== "error") {
+    return reply;
+  }
+  const { retryAfterMs: _, ...rest } = reply;
+  return rest;
+}
+
 function createRefusal(code: TargetErrCode, detail: string): ForwardedReply {
   return { kind: "error", code, detail, state: "idle" };
 }
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -13,6 +13,8 @@
   type QueuedRequest,
   type RoundPlanner,
 } from "./batching.ts";
+import type { AgedWait, PriorityWait } from "./wait_reports.ts";
+import { getWaitRetryAfterMs } from "./wait_admission.ts";
 import type { Health } from "./health.ts";
 import type { Forwarder } from "./forwarder.ts";
 import { type CapacityLimit, createCapacityLimit } from "./capacity_limit.ts";
@@ -119,6 +121,20 @@
     target: TargetRecord,
     request: Pick<ConnectionRequest, "workspace" | "context">,
   ): LinkSource | { readonly kind: "forward" } | undefined;
+  /**
+   * Returns how long a new statement would wait for a slot of the target, here
+   * or at the holder that it would be forwarded to; undefined where slots are
+   * not scheduled and without a recent report of the holder.
+   */
+  tryGetExpectedWait(
+    target: TargetRecord,
+    request: Pick<ConnectionRequest, "workspace" | "priority">,
+  ): AgedWait | undefined;
+  /** Lists a workspace's expected waits for this host's slots at a target. */
+  listExpectedWaits(
+    target: TargetId,
+    workspace: WorkspaceId,
+  ): readonly PriorityWait[];
   /** Serves the queued requests that can get a connection now. */
   serveQueue(): void;
   /** Sets how many connections this host may have to each target. */
@@ -160,7 +176,7 @@
     /** Provides connections that other hosts hold; none by default. */
     readonly forwarder?: Pick<
       Forwarder,
-      "isForwarded" | "tryOpenLink" | "recordPathFailure"
+      "isForwarded" | "tryOpenLink" | "tryGetWait" | "recordPathFailure"
     >;
     /** Order in which queued requests are served; batched by default. */
     readonly plan?: RoundPlanner;
@@ -244,7 +260,7 @@
       },
     });
     capacities.set(id, capacity);
-    return createSlotScheduler({ getLimit: capacity.getLimit });
+    return createSlotScheduler(capacity);
   }
 
   function tryGetBudgetOf(target: TargetId): number | undefined {
@@ -445,7 +461,11 @@
     const { request } = waiter;
     const expectedWaitMs = getSlotWaitMs(scheduler, request);
     const isFull = scheduler.getLoad().waiting >= MAX_QUEUE_LENGTH;
-    if (!isFull && expectedWaitMs <= request.deadline - nowMs()) {
+    const isAdmitted = !isFull &&
+      expectedWaitMs <= request.deadline - nowMs();
+    const { workspace, priority } = request;
+    scheduler.recordAdmission({ workspace: workspace!, priority }, isAdmitted);
+    if (isAdmitted) {
       enterScheduler(waiter, target, scheduler);
       return;
     }
@@ -477,14 +497,18 @@
       leftMs: Math.round(request.deadline - nowMs()),
       ...load,
     });
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs) *
-      (1 + io.random());
+    const retryAfterMs = getWaitRetryAfterMs({
+      waitMs: expectedWaitMs,
+      leftMs: request.deadline - nowMs(),
+      priority,
+      random: io.random,
+    });
     return {
       error: request.listCandidates().length === 0
         ? "no_primary"
         : "overloaded",
       detail: `${load.waiting} statements wait for ${load.limit} slots`,
-      retryAfterMs: Math.ceil(retryAfterMs),
+      retryAfterMs,
     };
   }
 
@@ -731,7 +755,9 @@
           }
           clearTimeout(timer);
           signal?.removeEventListener("abort", giveUp);
-          waiter.place?.scheduler.leave(waiter.place.statement);
+          waiter.place?.scheduler.leave(waiter.place.statement, {
+            isTooLate: nowMs() >= request.deadline,
+          });
           waiter.place = undefined;
           const index = queue.indexOf(waiter);
           if (index >= 0) {
@@ -804,6 +830,21 @@
       forwarder?.isForwarded(target, workspace)
         ? { kind: "forward" }
         : getPool(target).tryFindSource({ workspace, context }),
+    tryGetExpectedWait(target, request) {
+      const { workspace, priority } = request;
+      if (forwarder?.isForwarded(target, workspace)) {
+        return forwarder.tryGetWait(target, request);
+      }
+      const scheduler = tryGetScheduler(target, request);
+      return scheduler && workspace !== undefined
+        ? {
+          waitMs: scheduler.getExpectedWaitMs({ workspace, priority }),
+          ageMs: 0,
+        }
+        : undefined;
+    },
+    listExpectedWaits: (target, workspace) =>
+      schedulers.get(target)?.listExpectedWaits(workspace) ?? [],
     serveQueue,
     setAllowances(nextAllowance) {
       getAllowance = nextAllowance;
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -86,6 +86,11 @@
  */
 const MAX_QUEUE_WAIT_FRACTION = 0.5;
 
+/** Returns how long a statement may wait for a connection, in milliseconds. */
+export function getMaxQueueWaitMs({ objectiveMs }: Route): number {
+  return objectiveMs * MAX_QUEUE_WAIT_FRACTION;
+}
+
 /**
  * Acquires a connection to one of the candidates, within the queueing limit.
  */
@@ -101,7 +106,7 @@
     context,
     priority: route.priority,
     deadline: Math.max(
-      startedAt + route.objectiveMs * MAX_QUEUE_WAIT_FRACTION,
+      startedAt + getMaxQueueWaitMs(route),
       nowMs() + 1,
     ),
     objectiveAt: startedAt + route.objectiveMs,
@@ -265,6 +270,17 @@
   }
 }
 
+/** Returns the failure to tell if a holder refused a command for load. */
+export function tryGetLoadRefusal(reply: TimedReply): PoolFailure | undefined {
+  return reply.kind === "error" && reply.retryAfterMs !== undefined
+    ? {
+      error: "overloaded",
+      detail: reply.detail,
+      retryAfterMs: Math.ceil(reply.retryAfterMs),
+    }
+    : undefined;
+}
+
 /** Whether the connection may be reused by another session after this reply. */
 export function isClean(reply: TimedReply): boolean {
   return (reply.kind === "done" || reply.kind === "error") &&
--- a/src/pooling/fair_order.ts
+++ b/src/pooling/fair_order.ts
@@ -31,6 +31,8 @@
 const INITIAL_COST_MS = 20;
 /** Weight of the latest statement in the average over all workspaces. */
 const COST_SMOOTHING_FACTOR = 0.1;
+/** Slot time that one statement counts as at the most, in milliseconds. */
+const MAX_COST_MS = 1_000;
 
 /** What the order has to know of a waiting statement. */
 export interface OrderedStatement {
@@ -66,10 +68,8 @@
   getTimeAheadMs(
     options: Pick<OrderedStatement, "workspace" | "priority">,
   ): number;
-  /** Estimated slot time of a statement, in milliseconds. */
-  getCostMs(
-    options: Pick<OrderedStatement, "workspace" | "priority">,
-  ): number;
+  /** Returns the average slot time of a priority's statements. */
+  getCostMs(priority: number): number;
   /** Lists the priorities that have been used, the highest first. */
   listPriorities(): readonly number[];
 }
@@ -120,8 +120,28 @@
     return flows.listBacklogged().length > 0;
   }
 
-  function getWaitingMs({ waiting, costMs }: Flow<T>): number {
-    return waiting.length * costMs;
+  /** Uses the average over all workspaces, which follows the target sooner. */
+  function getWaitingMs(level: Level<T>, { waiting }: Flow<T>): number {
+    return waiting.length * level.costMs;
+  }
+
+  function getTimeAheadInLevelMs(
+    level: Level<T>,
+    workspace: WorkspaceId,
+  ): number {
+    const { flows, costMs } = level;
+    const own = flows.get(workspace);
+    const ownWaitingMs = getWaitingMs(level, own);
+    const ownMs = ownWaitingMs + flows.getVirtualDelay(own);
+    let aheadMs = ownWaitingMs;
+    for (const flow of flows.listBacklogged()) {
+      if (flow !== own) {
+        // Another workspace is served before it up to the same use.
+        const beforeMs = ownMs + costMs - flows.getVirtualDelay(flow);
+        aheadMs += Math.max(0, Math.min(getWaitingMs(level, flow), beforeMs));
+      }
+    }
+    return aheadMs;
   }
 
   /** Returns the statement of a workspace that is to be served first. */
@@ -244,7 +264,7 @@
             settle(ms) {
               level.flows.charge(flow, { chargedMs, ms });
               level.costMs = moveAverage(level.costMs, {
-                sample: flow.costMs,
+                sample: Math.min(ms, MAX_COST_MS),
                 weight: COST_SMOOTHING_FACTOR,
               });
             },
@@ -256,30 +276,18 @@
     getTimeAheadMs({ workspace, priority }) {
       let aheadMs = 0;
       for (const level of levels) {
-        const backlogged = level.flows.listBacklogged();
         if (level.priority < priority) {
-          aheadMs += backlogged.reduce(
-            (ms, flow) => ms + getWaitingMs(flow),
+          aheadMs += level.flows.listBacklogged().reduce(
+            (ms, flow) => ms + getWaitingMs(level, flow),
             0,
           );
         } else if (level.priority === priority) {
-          const own = level.flows.get(workspace);
-          const ownMs = getWaitingMs(own) + level.flows.getVirtualDelay(own);
-          aheadMs += getWaitingMs(own);
-          for (const flow of backlogged) {
-            // Another workspace is served before it up to the same use.
-            const beforeMs = ownMs + own.costMs -
-              level.flows.getVirtualDelay(flow);
-            aheadMs += flow === own
-              ? 0
-              : Math.max(0, Math.min(getWaitingMs(flow), beforeMs));
-          }
+          aheadMs += getTimeAheadInLevelMs(level, workspace);
         }
       }
       return aheadMs;
     },
-    getCostMs: ({ workspace, priority }) =>
-      getLevel(priority).flows.get(workspace).costMs,
+    getCostMs: (priority) => getLevel(priority).costMs,
     listPriorities: () => levels.map(({ priority }) => priority),
   };
 }
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -15,7 +15,8 @@
   ForwardVariable,
 } from "../generated/pool_forward.ts";
 import type { Health } from "./health.ts";
-import type { Holders } from "./holders.ts";
+import { type Holders, HOLDERS_PER_TARGET } from "./holders.ts";
+import { type AgedWait, createWaitReports } from "./wait_reports.ts";
 import { createPathHealth } from "./path_health.ts";
 import type {
   ForwardRequest,
@@ -46,6 +47,11 @@
 const GIVE_UP_AFTER_MS = 3_000;
 /** Maximum number of commands without a reply on one stream. */
 const MAX_PENDING_COMMANDS = 400;
+/**
+ * Expected wait at a holder from which another one is considered, in
+ * milliseconds: a few times what a new connection costs there.
+ */
+const MAX_HOLDER_WAIT_MS = 40;
 
 /** Requirements on a forwarded connection. */
 export interface ForwardOptions {
@@ -75,6 +81,14 @@
     target: TargetRecord,
     workspace: WorkspaceId | undefined,
   ): boolean;
+  /**
+   * Returns the wait for a slot that the holder has reported; undefined without
+   * a recent report.
+   */
+  tryGetWait(
+    target: TargetRecord,
+    options: Pick<ForwardOptions, "workspace" | "priority">,
+  ): AgedWait | undefined;
   /** Undefined if this host should use its own connections. */
   tryOpenLink(
     target: TargetRecord,
@@ -86,6 +100,8 @@
 
 interface PendingCommand {
   readonly channel: number;
+  readonly target: TargetId;
+  readonly workspace: WorkspaceId | undefined;
   /** Whether it is not known without a reply what the command has done. */
   readonly isInDoubtIfLost: boolean;
   /** Whether the statement has not timed out yet. */
@@ -118,7 +134,7 @@
 
 /** Creates a forwarder without streams. */
 export function createForwarder(
-  io: Pick<PoolIo, "streams" | "log" | "metrics">,
+  io: Pick<PoolIo, "streams" | "log" | "metrics" | "random">,
   options: {
     readonly self: HostId;
     readonly holders: Holders;
@@ -127,6 +143,7 @@
 ): Forwarder {
   const { self, holders, health } = options;
   const paths = createPathHealth();
+  const waits = createWaitReports();
   const holderStreams = new Map<HostId, HolderStream>();
   const backoffs = new Map<HostId, Backoff>();
   let isStopped = false;
@@ -172,6 +189,32 @@
     return host === self ? undefined : host;
   }
 
+  /**
+   * Returns the holder to use for a statement. Where the workspace's own holder
+   * expects a long wait and another one a much shorter one, half of the
+   * statements go there: the slots of all holders are used, and hosts with the
+   * same reports do not move together.
+   */
+  function tryChooseHolder(
+    target: TargetRecord,
+    { workspace, priority }: ForwardOptions,
+  ): HostId | undefined {
+    const first = tryFindHolder(target, workspace);
+    const getWaitMs = (holder: HostId) =>
+      waits.tryGet({ holder, target: target.id, workspace }, priority)
+        ?.waitMs ?? 0;
+    const firstWaitMs = first ? getWaitMs(first) : 0;
+    if (!first || firstWaitMs <= MAX_HOLDER_WAIT_MS) {
+      return first;
+    }
+    const other = holders.list(target, workspace).slice(0, HOLDERS_PER_TARGET)
+      .find((holder) =>
+        holder !== first && holder !== self &&
+        isPathUsable(target.id, holder) && getWaitMs(holder) < firstWaitMs / 2
+      );
+    return other && io.random() < 0.5 ? other : first;
+  }
+
   function getStream(host: HostId): HolderStream {
     return holderStreams.get(host) ?? openStream(host);
   }
@@ -196,6 +239,10 @@
             case "reply": {
               const command = holderStream.pending.get(msg.id);
               holderStream.pending.delete(msg.id);
+              if (command && msg.waits) {
+                const { target, workspace } = command;
+                waits.record({ holder: host, target, workspace }, msg.waits);
+              }
               command?.resolve(toTargetReply(msg.reply));
               return;
             }
@@ -310,7 +357,10 @@
   function sendCommand(
     holderStream: HolderStream,
     { createMessage, ...command }:
-      & Pick<PendingCommand, "channel" | "isInDoubtIfLost" | "isAwaited">
+      & Pick<
+        PendingCommand,
+        "channel" | "target" | "workspace" | "isInDoubtIfLost" | "isAwaited"
+      >
       & { createMessage(id: number): ForwardRequest },
   ): Promise<TargetReply> {
     if (holderStream.isClosed) {
@@ -366,6 +416,8 @@
       });
       const reply = await sendCommand(holderStream, {
         channel,
+        target: target.id,
+        workspace,
         isInDoubtIfLost: command.kind === "commit" ||
           (state === "idle" &&
             (command.kind === "run" || command.kind === "execute")),
@@ -472,10 +524,15 @@
         paths.isProbeDue({ target: target.id, holder })
       ),
     removeTarget: paths.removeTarget,
+    tryGetWait(target, { workspace, priority }) {
+      const holder = tryFindHolder(target, workspace);
+      return holder &&
+        waits.tryGet({ holder, target: target.id, workspace }, priority);
+    },
     isForwarded: (target, workspace) =>
       tryFindHolder(target, workspace) !== undefined,
     tryOpenLink(target, linkOptions) {
-      const host = tryFindHolder(target, linkOptions.workspace);
+      const host = tryChooseHolder(target, linkOptions);
       return host && createLink(getStream(host), target, linkOptions);
     },
     checkStreams,
--- a/src/pooling/holders.ts
+++ b/src/pooling/holders.ts
@@ -18,7 +18,7 @@
 import type { ConnectionAllowance, TargetRecord, Topology } from "./types.ts";
 
 /** Maximum number of hosts that hold connections to one target. */
-const HOLDERS_PER_TARGET = 3;
+export const HOLDERS_PER_TARGET = 3;
 /**
  * Hosts after the holders that are asked when no holder is reachable; they use
  * the connections that are kept free for them.
--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -28,6 +28,7 @@
   type Task,
   type TimedReply,
   toCommand,
+  tryGetLoadRefusal,
 } from "./execution.ts";
 
 /** Maximum number of attempts for one read, made one after the other. */
@@ -43,7 +44,12 @@
 type AttemptResult =
   | { readonly kind: "outcome"; readonly outcome: Outcome }
   /** The read was not served; another target may serve it. */
-  | { readonly kind: "retry"; readonly reason: string };
+  | {
+    readonly kind: "retry";
+    readonly reason: string;
+    /** Set if a holder refused the read for load. */
+    readonly refusal?: PoolFailure;
+  };
 
 /** Executes a read outside a transaction for a session. */
 export async function executeRead(
@@ -64,6 +70,10 @@
       return result.outcome;
     }
     reason = result.reason;
+    const { refusal } = result;
+    if (refusal && floor && !hasCandidate(ctx, { task, floor, triedTargets })) {
+      return { kind: "failed", ...refusal };
+    }
   }
   // A read has no effects, so the client may safely retry it.
   return { kind: "failed", error: "overloaded", detail: reason };
@@ -100,6 +110,13 @@
   return tryReadFloor(ctx, task);
 }
 
+function hasCandidate(
+  ctx: ExecutionContext,
+  options: Parameters<typeof rankCandidates>[1],
+): boolean {
+  return rankCandidates(ctx, options).length > 0;
+}
+
 /** Ranks the targets not yet tried for a read with a read floor. */
 export function rankCandidates(
   ctx: ExecutionContext,
@@ -272,7 +289,12 @@
       outcome: { kind: "failed", error: "malformed", detail },
     };
   }
-  return { kind: "retry", reason: describeReply(reply) };
+  const refusal = tryGetLoadRefusal(reply);
+  return {
+    kind: "retry",
+    reason: describeReply(reply),
+    ...(refusal ? { refusal } : {}),
+  };
 }
 
 function isBusy(reply: TimedReply): boolean {
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -29,6 +29,7 @@
   Outcome,
   Task,
 } from "./execution.ts";
+import { tryRefuseByWait } from "./wait_refusal.ts";
 import { executeWrite } from "./writes.ts";
 
 /** Workspace reported to targets for clients of public routes without a key. */
@@ -182,7 +183,10 @@
    * Checks an operation against the current key, route and quota; returns the
    * answer if it is refused.
    */
-  async function admit(id: ReqId): Promise<StatementAnswer | undefined> {
+  async function admit(
+    id: ReqId,
+    options: { readonly needsPrimary: boolean },
+  ): Promise<StatementAnswer | undefined> {
     if (!ctx.isAdmissionOpen()) {
       return refuse(id, { error: "stopping" }, { isLast: true });
     }
@@ -197,6 +201,10 @@
       lastCommitPosition = undefined;
     }
     route = admitted.value.route;
+    const waitRefusal = tryRefuseByWait(ctx, { route, workspace, ...options });
+    if (waitRefusal) {
+      return refuse(id, waitRefusal);
+    }
     const quotaResult = await ctx.quotas.takeToken(workspace, {
       maxWaitMs: route.objectiveMs * QUOTA_WAIT_FRACTION,
     });
@@ -233,7 +241,9 @@
         context,
       });
     }
-    const refused = await admit(operation.id);
+    const refused = await admit(operation.id, {
+      needsPrimary: operation.access === "write",
+    });
     if (refused) {
       return refused;
     }
@@ -311,7 +321,7 @@
         detail: "a transaction is open",
       });
     }
-    const refused = await admit(id);
+    const refused = await admit(id, { needsPrimary: !isReadOnly });
     if (refused) {
       return refused;
     }
--- a/src/pooling/slot_scheduler.ts
+++ b/src/pooling/slot_scheduler.ts
@@ -6,6 +6,8 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { WorkspaceId } from "../core/ids.ts";
+import { moveAverage } from "../core/moving_average.ts";
+import type { PriorityWait } from "./wait_reports.ts";
 import {
   createFairOrder,
   type FairOrderOptions,
@@ -15,6 +17,21 @@
 
 /** Half-life of the measured slot time that each priority uses. */
 const USE_HALF_LIFE_MS = 500;
+/**
+ * Bounds of the factor by which waits exceed their estimate, and the weight of
+ * one wait in it. The estimate does not know what will arrive.
+ */
+const MIN_WAIT_FACTOR = 1;
+const MAX_WAIT_FACTOR = 10;
+const EXPERIENCE_WEIGHT = 0.05;
+/** Time without statements after which experience with them is not used. */
+const EXPERIENCE_TIMEOUT_MS = 1_000;
+/** Lower bound of the fraction of admitted statements that is reported. */
+const MIN_ADMITTED_FRACTION = 0.1;
+/** Longest wait that is reported; no objective is longer. */
+const MAX_REPORTED_WAIT_MS = 60_000;
+/** Time added to waits and estimates before they are compared. */
+const WAIT_EXTRA_MS = 20;
 
 /** Permission to run one statement at the target. */
 export interface Slot {
@@ -41,8 +58,14 @@
 export interface SlotScheduler {
   /** Starts the statement, or lets it wait for its turn. */
   enter(statement: SlotStatement): void;
-  /** Removes a statement that has not been started. */
-  leave(statement: SlotStatement): void;
+  /**
+   * Removes a statement that has not been started; `isTooLate` if it has waited
+   * as long as it may.
+   */
+  leave(
+    statement: SlotStatement,
+    options?: { readonly isTooLate: boolean },
+  ): void;
   /** Starts what can be started; to be called when a connection is free. */
   serve(): void;
   /** Returns how long a new statement outside a transaction would wait. */
@@ -52,20 +75,57 @@
       readonly priority: number;
     },
   ): number;
+  /** Records whether a statement was refused at once. */
+  recordAdmission(
+    statement: Pick<OrderedStatement, "workspace" | "priority">,
+    isAdmitted: boolean,
+  ): void;
+  /**
+   * Lists the expected wait of a workspace's statements for each priority that
+   * has been used, as if none had been refused at once: hosts that are told the
+   * wait behind the admitted ones would go on sending those that are refused.
+   */
+  listExpectedWaits(workspace: WorkspaceId): readonly PriorityWait[];
   getLoad(): SlotLoad;
 }
 
+/** What became of the statements of a priority and workspace. */
+interface Experience {
+  /** Moving averages of the waits and of their estimates. */
+  waitedMs: number;
+  estimatedMs: number;
+  /** Fraction of the statements that were not refused at once. */
+  admittedFraction: number;
+  at: number;
+}
+
+/**
+ * Returns the factor by which waits exceed their estimate: of the averages, as
+ * the average of the factors is too high where estimates vary.
+ */
+function getWaitFactor({ waitedMs, estimatedMs }: Experience): number {
+  const factor = (waitedMs + WAIT_EXTRA_MS) / (estimatedMs + WAIT_EXTRA_MS);
+  return Math.min(MAX_WAIT_FACTOR, Math.max(MIN_WAIT_FACTOR, factor));
+}
+
 /** Creates a scheduler without statements. */
 export function createSlotScheduler(options: {
   /** Number of statements that may run at once, at least 1. */
   getLimit(): number;
+  /** The limit that waits are estimated with; that of `getLimit` by default. */
+  getUsualLimit?(): number;
   readonly order?: FairOrderOptions<SlotStatement>;
 }): SlotScheduler {
   const order = createFairOrder<SlotStatement>({
     hasConnection: (statement) => statement.hasConnection(),
     ...options.order,
   });
-  const waiting = new Set<SlotStatement>();
+  const waiting = new Map<
+    SlotStatement,
+    { readonly since: number; readonly estimateMs: number }
+  >();
+  /** Experience with each priority and workspace. */
+  const experiences = new Map<string, Experience>();
   /** Slot time used by each priority per millisecond, decaying. */
   const used = new Map<number, { perMs: number; at: number }>();
   let inUse = 0;
@@ -114,15 +174,91 @@
     statement: SlotStatement,
   ): ReturnType<typeof createSlot> | undefined {
     const created = createSlot(statement.priority);
+    const entry = waiting.get(statement);
     waiting.delete(statement);
     if (statement.tryStart(created.slot)) {
+      if (entry) {
+        recordWait(statement, entry);
+      }
       return created;
     }
-    waiting.add(statement);
+    if (entry) {
+      waiting.set(statement, entry);
+    }
     inUse--;
     return undefined;
   }
 
+  /** Compares how long a statement has waited with its estimate. */
+  function recordWait(
+    { priority, workspace, isInTransaction }: SlotStatement,
+    { since, estimateMs }: {
+      readonly since: number;
+      readonly estimateMs: number;
+    },
+  ): void {
+    if (isInTransaction) {
+      return;
+    }
+    const experience = getExperience({ priority, workspace });
+    experience.at = nowMs();
+    experience.waitedMs = moveAverage(experience.waitedMs, {
+      sample: nowMs() - since,
+      weight: EXPERIENCE_WEIGHT,
+    });
+    experience.estimatedMs = moveAverage(experience.estimatedMs, {
+      sample: estimateMs,
+      weight: EXPERIENCE_WEIGHT,
+    });
+  }
+
+  function getExperience(
+    { priority, workspace }: Pick<OrderedStatement, "workspace" | "priority">,
+  ): Experience {
+    const key = `${priority} ${workspace}`;
+    const known = experiences.get(key);
+    if (known && nowMs() - known.at <= EXPERIENCE_TIMEOUT_MS) {
+      return known;
+    }
+    const experience = {
+      waitedMs: 0,
+      estimatedMs: 0,
+      admittedFraction: 1,
+      at: nowMs(),
+    };
+    experiences.set(key, experience);
+    return experience;
+  }
+
+  /** Estimates the wait from what waits now. */
+  function estimateWaitMs(
+    statement: {
+      readonly workspace: WorkspaceId;
+      readonly priority: number;
+    },
+  ): number {
+    const limit = getLimit();
+    const isFree = inUse < limit;
+    if (isFree && waiting.size === 0) {
+      return 0;
+    }
+    let higherPerMs = 0;
+    for (const priority of used.keys()) {
+      if (priority < statement.priority) {
+        higherPerMs += getUsePerMs(priority);
+      }
+    }
+    // What higher priorities have used lately they will use again.
+    const usualLimit = Math.max(1, options.getUsualLimit?.() ?? limit);
+    const rate = usualLimit *
+      Math.max(PRIORITY_FLOOR, 1 - higherPerMs / usualLimit);
+    const runningMs = isFree ? 0 : order.getCostMs(statement.priority);
+    return (order.getTimeAheadMs(statement) + runningMs) / rate;
+  }
+
+  const getExpectedWaitMs: SlotScheduler["getExpectedWaitMs"] = (statement) =>
+    estimateWaitMs(statement) * getWaitFactor(getExperience(statement));
+
   function serve(): void {
     if (isServing) {
       return;
@@ -144,33 +280,48 @@
 
   return {
     enter(statement) {
-      waiting.add(statement);
+      waiting.set(statement, {
+        since: nowMs(),
+        estimateMs: statement.isInTransaction ? 0 : estimateWaitMs(statement),
+      });
       order.add(statement);
       serve();
     },
-    leave(statement) {
-      if (waiting.delete(statement)) {
+    leave(statement, { isTooLate } = { isTooLate: false }) {
+      const entry = waiting.get(statement);
+      if (entry) {
+        waiting.delete(statement);
         order.remove(statement);
+        if (isTooLate) {
+          recordWait(statement, entry);
+        }
       }
     },
     serve,
-    getExpectedWaitMs(statement) {
-      const limit = getLimit();
-      const isFree = inUse < limit;
-      if (isFree && waiting.size === 0) {
-        return 0;
-      }
-      let higherPerMs = 0;
-      for (const priority of used.keys()) {
-        if (priority < statement.priority) {
-          higherPerMs += getUsePerMs(priority);
-        }
-      }
-      // What higher priorities have used lately they will use again.
-      const rate = limit * Math.max(PRIORITY_FLOOR, 1 - higherPerMs / limit);
-      const runningMs = isFree ? 0 : order.getCostMs(statement);
-      return (order.getTimeAheadMs(statement) + runningMs) / rate;
+    getExpectedWaitMs,
+    recordAdmission(statement, isAdmitted) {
+      const experience = getExperience(statement);
+      experience.at = nowMs();
+      experience.admittedFraction = moveAverage(experience.admittedFraction, {
+        sample: isAdmitted ? 1 : 0,
+        weight: EXPERIENCE_WEIGHT,
+      });
     },
+    listExpectedWaits: (workspace) =>
+      order.listPriorities().map((priority) => {
+        const request = { workspace, priority };
+        const admitted = Math.max(
+          MIN_ADMITTED_FRACTION,
+          getExperience(request).admittedFraction,
+        );
+        return {
+          priority,
+          waitMs: Math.min(
+            MAX_REPORTED_WAIT_MS,
+            getExpectedWaitMs(request) / admitted,
+          ),
+        };
+      }),
     getLoad: () => ({ inUse, waiting: waiting.size, limit: getLimit() }),
   };
 }
--- a/src/pooling/types.ts
+++ b/src/pooling/types.ts
@@ -198,6 +198,8 @@
     readonly detail: string;
     readonly state: TransactionState;
     readonly position: Position | undefined;
+    /** Set if a holder refused the command because of load. */
+    readonly retryAfterMs?: number;
   }
   /** The connection was closed before a reply; the command may have run. */
   | { readonly kind: "lost"; readonly detail: string };
--- a/src/pooling/writes.ts
+++ b/src/pooling/writes.ts
@@ -17,6 +17,7 @@
   type Task,
   type TimedReply,
   toCommand,
+  tryGetLoadRefusal,
 } from "./execution.ts";
 
 /** Maximum number of attempts for a write that targets refuse to run. */
@@ -105,6 +106,10 @@
 
 function toSendResult(reply: TimedReply): SendResult {
   const detail = describeReply(reply);
+  const refused = tryGetLoadRefusal(reply);
+  if (refused) {
+    return { kind: "failed", ...refused };
+  }
   switch (reply.kind) {
     case "done": {
       const { rows, signature, position } = reply;
