--- a/test/host_streams.test.ts
+++ b/test/host_streams.test.ts
@@ -6,7 +6,7 @@
 import fc from "fast-check";
 import { Packr } from "msgpackr";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { WebSocket } from "ws";
+import { WebSocket, WebSocketServer } from "ws";
 import { asId, type HostId } from "../src/core/ids.ts";
 import {
   createHostStreams,
@@ -254,3 +254,28 @@
   expect({ received, replies, closed }).toMatchSnapshot();
   stream.close();
 });
+
+// A host of an earlier version rejects unknown fields and closes the stream, so
+// a rolling replacement would have closed every stream.
+test("only hosts that state the feature are sent the fields about load", async () => {
+  const { stream } = await open();
+  expect(stream.acceptsLoadFields?.()).toBe(true);
+  await waitFor(() => accepted.length === 1);
+  expect(accepted[0]!.acceptsLoadFields?.()).toBe(true);
+  // As an earlier version opens a stream.
+  const earlier = new WebSocket(`ws://${holderAddress}/?from=${ENTRY}`);
+  await waitFor(() => accepted.length === 2);
+  expect(accepted[1]!.acceptsLoadFields?.()).toBe(false);
+  earlier.terminate();
+});
+
+test("a holder of an earlier version is not sent the fields about load", async () => {
+  holder.close();
+  const port = Number(holderAddress.split(":")[1]);
+  const earlier = new WebSocketServer({ host: "127.0.0.1", port });
+  await once(earlier, "listening");
+  const { stream } = await open();
+  expect(stream.acceptsLoadFields?.()).toBe(false);
+  earlier.clients.forEach((client) => client.terminate());
+  earlier.close();
+});
