End a reported wait with the next reply, and count all admissions

The fraction of admitted statements was only recorded while the wait was above 40 ms, so after a burst the reported wait stayed up to ten times too long. Replies without a wait now carry no field, which saves its bytes, and end the report before.

--- a/src/pooling/connection_holder.ts
+++ b/src/pooling/connection_holder.ts
@@ -167,9 +167,11 @@
   ): Promise<void> {
     const reply = await execute(channel, msg);
     channel.pendingCount--;
+    // Without a wait, the field would only cost bytes between regions.
     const waits = msg.workspace === undefined
       ? []
-      : ctx.dispatcher.listExpectedWaits(msg.target, msg.workspace);
+      : ctx.dispatcher.listExpectedWaits(msg.target, msg.workspace)
+        .filter(({ waitMs }) => waitMs > 0);
     stream.send({
       kind: "reply",
       id: msg.id,
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -402,6 +402,7 @@
       if (scheduler) {
         firstScheduled ??= target;
         if (getSlotWaitMs(scheduler, request) <= MAX_LOCAL_WAIT_MS) {
+          recordAdmission(scheduler, request, true);
           enterScheduler(waiter, target, scheduler);
           return true;
         }
@@ -453,6 +454,16 @@
       : scheduler.getExpectedWaitMs({ workspace, priority });
   }
 
+  function recordAdmission(
+    scheduler: SlotScheduler,
+    { workspace, priority }: ConnectionRequest,
+    isAdmitted: boolean,
+  ): void {
+    if (workspace !== undefined) {
+      scheduler.recordAdmission({ workspace, priority }, isAdmitted);
+    }
+  }
+
   function enterOrRefuse(
     waiter: Waiter,
     target: TargetRecord,
@@ -463,8 +474,7 @@
     const isFull = scheduler.getLoad().waiting >= MAX_QUEUE_LENGTH;
     const isAdmitted = !isFull &&
       expectedWaitMs <= request.deadline - nowMs();
-    const { workspace, priority } = request;
-    scheduler.recordAdmission({ workspace: workspace!, priority }, isAdmitted);
+    recordAdmission(scheduler, request, isAdmitted);
     if (isAdmitted) {
       enterScheduler(waiter, target, scheduler);
       return;
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -239,9 +239,12 @@
             case "reply": {
               const command = holderStream.pending.get(msg.id);
               holderStream.pending.delete(msg.id);
-              if (command && msg.waits) {
+              if (command) {
                 const { target, workspace } = command;
-                waits.record({ holder: host, target, workspace }, msg.waits);
+                waits.record(
+                  { holder: host, target, workspace },
+                  msg.waits ?? [],
+                );
               }
               command?.resolve(toTargetReply(msg.reply));
               return;
--- a/src/pooling/slot_scheduler.ts
+++ b/src/pooling/slot_scheduler.ts
@@ -316,10 +316,10 @@
         );
         return {
           priority,
-          waitMs: Math.min(
+          waitMs: Math.round(Math.min(
             MAX_REPORTED_WAIT_MS,
             getExpectedWaitMs(request) / admitted,
-          ),
+          )),
         };
       }),
     getLoad: () => ({ inUse, waiting: waiting.size, limit: getLimit() }),
--- a/src/pooling/wait_reports.ts
+++ b/src/pooling/wait_reports.ts
@@ -33,6 +33,7 @@
 
 /** Latest reports of the holders. */
 export interface WaitReports {
+  /** Records a report; one without waits ends the one before. */
   record(path: ReportedPath, waits: readonly PriorityWait[]): void;
   /** Returns the expected wait; undefined without a recent report. */
   tryGet(path: ReportedPath, priority: number): AgedWait | undefined;
@@ -63,6 +64,10 @@
 
   return {
     record(path, waits) {
+      if (waits.length === 0) {
+        reports.delete(toKey(path));
+        return;
+      }
       reports.set(toKey(path), { waits, at: nowMs() });
       if (reports.size > nextCleanupSize) {
         removeAged();
