--- a/src/pooling/begin.ts
+++ b/src/pooling/begin.ts
@@ -16,6 +16,7 @@
   recordReply,
   type TargetChoice,
   type Task,
+  tryGetLoadRefusal,
 } from "./execution.ts";
 
 /** Result of an attempt to begin a transaction. */
@@ -64,6 +65,10 @@
     floor: options.floor,
   });
   checkout.release(false);
+  const refused = tryGetLoadRefusal(fault);
+  if (refused) {
+    return { kind: "refused", failure: refused };
+  }
   return {
     kind: "fault",
     target: checkout.target.id,
--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -13,6 +13,8 @@
   type QueuedRequest,
   type RoundPlanner,
 } from "./batching.ts";
+import type { AgedWait, PriorityWait } from "./wait_reports.ts";
+import { getWaitRetryAfterMs } from "./wait_admission.ts";
 import type { Health } from "./health.ts";
 import type { ColdReservation, ColdTargets } from "./cold_targets.ts";
 import type { Forwarder } from "./forwarder.ts";
@@ -132,6 +134,20 @@
       "workspace" | "context" | "mayUseHolder"
     >,
   ): LinkSource | { readonly kind: "forward" } | undefined;
+  /**
+   * Returns how long a new statement would wait for a slot of the target, here
+   * or at the holder that it would be forwarded to; undefined where slots are
+   * not scheduled and without a recent report of the holder.
+   */
+  tryGetExpectedWait(
+    target: TargetRecord,
+    request: Pick<ConnectionRequest, "workspace" | "priority">,
+  ): AgedWait | undefined;
+  /** Lists a workspace's expected waits for this host's slots at a target. */
+  listExpectedWaits(
+    target: TargetId,
+    workspace: WorkspaceId,
+  ): readonly PriorityWait[];
   /** Serves the queued requests that can get a connection now. */
   serveQueue(): void;
   /** Refuses the waiting requests that no target may serve any more. */
@@ -175,7 +191,7 @@
     /** Provides connections that other hosts hold; none by default. */
     readonly forwarder?: Pick<
       Forwarder,
-      "isForwarded" | "tryOpenLink" | "recordPathFailure"
+      "isForwarded" | "tryOpenLink" | "tryGetWait" | "recordPathFailure"
     >;
     /** Limits of cold targets; none by default. */
     readonly cold?: Pick<ColdTargets, "tryReserve" | "recordGiven">;
@@ -261,7 +277,7 @@
       },
     });
     capacities.set(id, capacity);
-    return createSlotScheduler({ getLimit: capacity.getLimit });
+    return createSlotScheduler(capacity);
   }
 
   function tryGetBudgetOf(target: TargetId): number | undefined {
@@ -407,6 +423,7 @@
       if (scheduler) {
         firstScheduled ??= target;
         if (getSlotWaitMs(scheduler, request) <= MAX_LOCAL_WAIT_MS) {
+          recordAdmission(scheduler, request, true);
           enterScheduler(waiter, target, scheduler);
           return true;
         }
@@ -466,6 +483,16 @@
       : scheduler.getExpectedWaitMs({ workspace, priority });
   }
 
+  function recordAdmission(
+    scheduler: SlotScheduler,
+    { workspace, priority }: ConnectionRequest,
+    isAdmitted: boolean,
+  ): void {
+    if (workspace !== undefined) {
+      scheduler.recordAdmission({ workspace, priority }, isAdmitted);
+    }
+  }
+
   function enterOrRefuse(
     waiter: Waiter,
     target: TargetRecord,
@@ -474,7 +501,10 @@
     const { request } = waiter;
     const expectedWaitMs = getSlotWaitMs(scheduler, request);
     const isFull = scheduler.getLoad().waiting >= MAX_QUEUE_LENGTH;
-    if (!isFull && expectedWaitMs <= request.deadline - nowMs()) {
+    const isAdmitted = !isFull &&
+      expectedWaitMs <= request.deadline - nowMs();
+    recordAdmission(scheduler, request, isAdmitted);
+    if (isAdmitted) {
       enterScheduler(waiter, target, scheduler);
       return;
     }
@@ -506,14 +536,18 @@
       leftMs: Math.round(request.deadline - nowMs()),
       ...load,
     });
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs) *
-      (1 + io.random());
+    const retryAfterMs = getWaitRetryAfterMs({
+      waitMs: expectedWaitMs,
+      leftMs: request.deadline - nowMs(),
+      priority,
+      random: io.random,
+    });
     return {
       error: request.listCandidates().length === 0
         ? "no_primary"
         : "overloaded",
       detail: `${load.waiting} statements wait for ${load.limit} slots`,
-      retryAfterMs: Math.ceil(retryAfterMs),
+      retryAfterMs,
     };
   }
 
@@ -785,7 +819,9 @@
           }
           clearTimeout(timer);
           signal?.removeEventListener("abort", giveUp);
-          waiter.place?.scheduler.leave(waiter.place.statement);
+          waiter.place?.scheduler.leave(waiter.place.statement, {
+            isTooLate: nowMs() >= request.deadline,
+          });
           waiter.place = undefined;
           const index = queue.indexOf(waiter);
           if (index >= 0) {
@@ -861,6 +897,21 @@
       forwarder?.isForwarded(target, { workspace, mayUseHolder })
         ? { kind: "forward" }
         : getPool(target).tryFindSource({ workspace, context }),
+    tryGetExpectedWait(target, request) {
+      const { workspace, priority } = request;
+      if (forwarder?.isForwarded(target, request)) {
+        return forwarder.tryGetWait(target, request);
+      }
+      const scheduler = tryGetScheduler(target, request);
+      return scheduler && workspace !== undefined
+        ? {
+          waitMs: scheduler.getExpectedWaitMs({ workspace, priority }),
+          ageMs: 0,
+        }
+        : undefined;
+    },
+    listExpectedWaits: (target, workspace) =>
+      schedulers.get(target)?.listExpectedWaits(workspace) ?? [],
     serveQueue,
     refuseWaiting() {
       for (const waiter of [...waiters]) {
--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -97,6 +97,11 @@
   listCandidates(): readonly TargetRecord[];
 }
 
+/** Returns how long a statement may wait for a connection, in milliseconds. */
+export function getMaxQueueWaitMs({ objectiveMs }: Route): number {
+  return objectiveMs * MAX_QUEUE_WAIT_FRACTION;
+}
+
 /**
  * Acquires a connection to one of the candidates, within the queueing limit.
  */
@@ -113,7 +118,7 @@
     context,
     priority: route.priority,
     deadline: Math.max(
-      startedAt + route.objectiveMs * MAX_QUEUE_WAIT_FRACTION,
+      startedAt + getMaxQueueWaitMs(route),
       nowMs() + 1,
     ),
     objectiveAt: startedAt + route.objectiveMs,
@@ -210,13 +215,16 @@
  * Chooses the primary as the only candidate, or no target while the primary is
  * suspect: a write that has not been sent can still be refused as not run.
  */
-export function choosePrimary(ctx: ExecutionContext, task: Task): TargetChoice {
+export function choosePrimary(
+  ctx: ExecutionContext,
+  scope: Pick<Task, "route" | "workspace">,
+): TargetChoice {
   return {
     use: "primary",
     listCandidates() {
-      const id = ctx.primaries.tryPrimary(task.route.service);
+      const id = ctx.primaries.tryPrimary(scope.route.service);
       const target = id && ctx.directory.tryGet(id);
-      return target && ctx.eligibility.isEligibleFor(target, task) &&
+      return target && ctx.eligibility.isEligibleFor(target, scope) &&
           !ctx.health.isSuspect(target.id)
         ? [target]
         : [];
@@ -284,6 +292,17 @@
   return isHolderAlive;
 }
 
+/** Returns the failure to tell if a holder refused a command for load. */
+export function tryGetLoadRefusal(reply: TimedReply): PoolFailure | undefined {
+  return reply.kind === "error" && reply.retryAfterMs !== undefined
+    ? {
+      error: "overloaded",
+      detail: reply.detail,
+      retryAfterMs: Math.ceil(reply.retryAfterMs),
+    }
+    : undefined;
+}
+
 /** Whether the connection may be reused by another session after this reply. */
 export function isClean(reply: TimedReply): boolean {
   return (reply.kind === "done" || reply.kind === "error") &&
