--- a/standins/wire_objects.ts
+++ b/standins/wire_objects.ts
@@ -6,6 +6,8 @@
   TargetRecord,
 } from "../src/pooling/types.ts";
 
+const MS_PER_SECOND = 1_000;
+
 /** Type of a route for each kind of consistency. */
 const ROUTE_TYPES: Readonly<Record<Consistency["kind"], string>> = {
   primary: "primary",
@@ -29,11 +31,18 @@
       sloMs: route.objectiveMs,
       prio: route.priority,
       public: route.isPublic,
+      ...(route.homeRegions ? { homeRegions: route.homeRegions } : {}),
     })),
     services: [...catalog.services.values()].map((policy) => ({
       name: policy.service,
       maxConns: policy.maxConnections,
       syncReplicas: policy.syncReplicas,
+      ...(policy.cold
+        ? {
+          coldS: policy.cold.durationMs / MS_PER_SECOND,
+          coldPerS: policy.cold.ratePerS,
+        }
+        : {}),
     })),
     limits: { txIdleMs: catalog.transactionIdleMs },
     tenants: [...catalog.quotas].map(([workspace, { ratePerS, burst }]) => ({
@@ -43,6 +52,9 @@
         .map(([key]) => key),
       ratePerS,
       burst,
+      ...(catalog.homesByWorkspace?.has(workspace)
+        ? { homeRegions: catalog.homesByWorkspace.get(workspace) }
+        : {}),
     })),
   };
 }
@@ -57,5 +69,8 @@
     state: target.isDraining ? "draining" : "ready",
     dbRole: target.role,
     born: target.incarnation,
+    ...(target.coldLeftMs === undefined
+      ? {}
+      : { coldLeftMs: target.coldLeftMs }),
   };
 }
--- a/test/standins.test.ts
+++ b/test/standins.test.ts
@@ -130,4 +130,21 @@
     transactionIdleMs: 1_200,
   };
   expect(tryDecodeCatalog(encodeCatalog(catalog))).toEqual(catalog);
+  const [name, route] = [...catalog.routes][0]!;
+  const withHomes: Catalog = {
+    ...catalog,
+    routes: new Map([[name, { ...route, homeRegions: ["r1"] }]]),
+    services: new Map([[asId("s"), {
+      ...catalog.services.get(asId("s"))!,
+      cold: { durationMs: 20_000, ratePerS: 30 },
+    }]]),
+    homesByWorkspace: new Map([[asId("w"), ["r1", "r2"]]]),
+  };
+  expect(tryDecodeCatalog(encodeCatalog(withHomes))).toEqual(withHomes);
+  const cold: TargetRecord = { ...target, coldLeftMs: 1_500 };
+  expect(tryDecodeTarget({
+    key: asId("servers/t1"),
+    version: 1,
+    value: encodeTarget(cold),
+  })).toEqual(cold);
 });
