Pass on what a peer told of evacuations before a return

A host that started after the store's return kept what its peers told it of revoked evacuations, but did not tell later hosts, so that the knowledge ended with the hosts that had seen the revocation.

Test: the case in test/evacuation.test.ts, seen failing without the change.

--- a/src/pooling/evacuations.ts
+++ b/src/pooling/evacuations.ts
@@ -76,7 +76,7 @@
   let isLoaded = false;
   /** Whether no list has been read in the store's current era. */
   let isReturning = false;
-  /** Whether the store has returned to an earlier copy since the start. */
+  /** Whether the store is known to have returned to an earlier copy. */
   let hasReturned = false;
 
   io.store.eras?.onRise(() => {
@@ -254,6 +254,8 @@
         ])
         : [],
     applyDeviations(told) {
+      // Hosts that start later ask this one.
+      hasReturned ||= told.length > 0;
       for (const { domain, revision } of told) {
         const entry = getEntry(domain);
         if (revision === undefined) {
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -91,10 +91,16 @@
   await advance(5_000);
   expect(await isUsed("t2", 0)).toBe(true);
   expect(await isUsed("t2", 3)).toBe(true);
+  // Guards also against knowledge that is lost with the hosts that saw it.
+  [0, 1, 2].forEach((host) => fleet.killHost(host));
+  fleet.startHost();
+  await advance(5_000);
+  expect(await isUsed("t2", 4)).toBe(true);
   // A new one counts, although the object was there before.
   fleet.evacuate("d1");
   await advance(2_000);
   expect(await isUsed("t2", 3)).toBe(false);
+  expect(await isUsed("t2", 4)).toBe(false);
 });
 
 // Guards against an evacuation that ends because an older copy lacks it.
