--- a/test/target_eligibility.test.ts
+++ b/test/target_eligibility.test.ts
@@ -202,3 +202,40 @@
   expect(getOutcome(await run(session, "WRITE a 2"))).toBe("aborted");
   expect(fleet.group.runs.length).toBe(before);
 });
+
+// Guards against a holder in a third region: no host is in the target's region,
+// so the holders are chosen among all.
+test("a statement with homes passes through no host of a third region", async () => {
+  const workspaces = Array.from({ length: 8 }, (_, n) => `w${n + 1}`);
+  fleet = await startPoolFleet({
+    hosts: 6,
+    domains: ["d0", "d0", "d1", "d1", "d1", "d1"],
+    regions: { d0: "north", d1: "south", d2: "west" },
+    workspaces,
+    maxConnections: 20,
+    ratePerS: 10_000,
+  });
+  const readAtTarget = async () => {
+    const before = fleet!.commands.length;
+    for (const workspace of workspaces) {
+      const session = fleet!.openSession("accounts", 0, workspace);
+      expect(getOutcome(await run(session, "READ k"))).toBe("done");
+    }
+    return new Set(
+      fleet!.commands.slice(before).filter(({ target, kind }) =>
+        target === "t3" && kind === "run"
+      ).map(({ host }) => host),
+    );
+  };
+  fleet.store.remove(asId("targets/t2"));
+  fleet.store.remove(asId("targets/t1"));
+  await vi.advanceTimersByTimeAsync(5_000);
+  const without = await readAtTarget();
+  expect([...without].some((host) => Number(host.slice(1)) > 1)).toBe(true);
+  fleet.setCatalog({
+    homesByWorkspace: new Map(workspaces.map((id) => [asId(id), ["west"]])),
+  });
+  await vi.advanceTimersByTimeAsync(1_000);
+  const withHomes = await readAtTarget();
+  expect([...withHomes].every((host) => Number(host.slice(1)) <= 1)).toBe(true);
+});
