Keep the successor of an evacuated primary

A host that had not heard of the successor believed that the evacuated target leads, which it does not ask, and stepped the successor down: two promotions where the other hosts could not reach it for 3.4 s. A primary outside of the domain that answers ends the claim as not needed now.

Test: the case in test/evacuation_failover.test.ts, which had two orders before the change and has one.

--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -107,7 +107,8 @@
     const primary = reports.find(({ report }) => report.role === "primary");
     const isLeaving = primary !== undefined &&
       !ctx.eligibility.mayLead(primary.target);
-    return isLeaving || isInOrder(cause) ? undefined : primary?.target.id;
+    // Of an evacuated target, which is not asked, the belief may be outdated.
+    return isLeaving || cause === "leaving" ? undefined : primary?.target.id;
   }
 
   /**
--- a/test/evacuation_failover.test.ts
+++ b/test/evacuation_failover.test.ts
@@ -48,6 +48,27 @@
     .toEqual([0, 0, 0]);
 });
 
+// Guards against a second failover, of the successor: a host that has not heard
+// of it believes that the evacuated target leads, and asks that one nothing.
+test("a host that still believes in the old primary keeps the new one", async () => {
+  fleet = await startEvacuable({ hosts: 4, domains: ["d0", "d1", "d2", "d2"] });
+  fleet.evacuate("d0");
+  for (let ms = 0; ms < 5_000 && fleet.orders.length === 0; ms += 5) {
+    await advance(5);
+  }
+  const { holder, target } = fleet.orders[0]!;
+  for (let host = 0; host < 4; host++) {
+    if (`h${host}` !== holder) {
+      fleet.unreachableTargets.add(`h${host}/${target}`);
+    }
+  }
+  await advance(3_400);
+  fleet.unreachableTargets.clear();
+  await advance(10_000);
+  expect(fleet.orders).toHaveLength(1);
+  expect(listPrimaries()).toEqual([target]);
+});
+
 // Guards against a promotion of a target that lacks acknowledged writes because
 // the only one that has them is evacuated too.
 test("a target outside of the domain leads only once it has caught up", async () => {
