--- a/test/store_readers.test.ts
+++ b/test/store_readers.test.ts
@@ -5,8 +5,7 @@
  */
 
 import { afterEach, expect, test, vi } from "vitest";
-import type { HostId } from "../src/core/ids.ts";
-import { asId } from "../src/core/ids.ts";
+import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
 import { type PoolFleet, startPoolFleet } from "./pool_fleet.ts";
 
 /** Time within which a change must reach each host in touch. */
@@ -192,3 +191,31 @@
   fleet.hostsWithoutStore.clear();
   expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
 });
+
+/** Registers a host whose process does not know readers. */
+function registerOlderHost(): void {
+  const key = asId<ObjectKey>("turmericchute-fleet/host.older");
+  const record = {
+    incarnation: 1,
+    beat: 1,
+    peers: "127.0.0.1:99",
+    domain: "d1",
+    firstEra: 1,
+  };
+  fleet.store.put(key, record, { ifVersion: 0 }).unwrap();
+}
+
+test("an older process in the domain: it is neither counted nor sent a message that it does not know", async () => {
+  fleet = await startPoolFleet({ hosts: 5 });
+  registerOlderHost();
+  await vi.advanceTimersByTimeAsync(8_000);
+  const listUsed = () =>
+    fleet.logLines.filter(({ event }) => event === "store_reader_used")
+      .map(({ fields }) => fields["reader"]);
+  expect(listUsed()).toEqual([]);
+  fleet.startHost();
+  await vi.advanceTimersByTimeAsync(8_000);
+  expect(listUsed().length).toBeGreaterThan(0);
+  expect(listUsed()).not.toContain("older");
+  expect(await measureChange(listOthers())).toBeLessThan(100);
+});
