Do not let a slow store hold up the watches of its reader

Cause: an answer that takes more than 0.5 s does not renew the age, so with a store that always takes longer the reader's own watches waited for ever; only clients gave up. Change: a copy that is too old fails the watches that wait for it.

--- a/src/pooling/reader_link.ts
+++ b/src/pooling/reader_link.ts
@@ -1,5 +1,6 @@
 /** Stream over which this host watches the store through another host. */
 
+import { Err, Ok } from "ts-results-es";
 import { nowMs } from "../core/clock.ts";
 import type { HostId } from "../core/ids.ts";
 import type { ReaderAges, ReaderChanges } from "../generated/pool_forward.ts";
@@ -8,6 +9,7 @@
 import {
   type CachedRes,
   type CachedWatch,
+  FIRST_AGE_TIMEOUT_MS,
   MAX_READER_AGE_MS,
 } from "./watch_cache.ts";
 
@@ -16,12 +18,6 @@
  * it with each answer of the store.
  */
 const ASK_INTERVAL_MS = 1_000;
-/**
- * Time in which a reader that was not used lately must open the stream and tell
- * an age, in milliseconds; two round trips between regions and a call to the
- * store fit into it.
- */
-const FIRST_AGE_TIMEOUT_MS = 500;
 /** Maximum number of questions to which answers are used. */
 const MAX_PENDING_ASKS = 16;
 /** Time without a watch after which the stream is closed, in milliseconds. */
@@ -106,8 +102,8 @@
       era,
       ageMs,
       // A watch is answered with objects; anything else is no answer.
-      result: decoded.map((value) =>
-        "objects" in value ? value : { revision: 0, objects: [value] }
+      result: decoded.andThen((value) =>
+        "objects" in value ? Ok(value) : Err({ kind: "unreachable" as const })
       ),
     });
   }
--- a/src/pooling/store_readers.ts
+++ b/src/pooling/store_readers.ts
@@ -281,7 +281,10 @@
           return assertNever(msg);
       }
     },
-    check: () => links.forEach((link) => link.check()),
+    check() {
+      links.forEach((link) => link.check());
+      caches.forEach((cache) => cache.check());
+    },
     distrustAges() {
       caches.forEach((cache) => cache.distrustAge());
       links.forEach((link) => link.close("clock_jump"));
--- a/src/pooling/watch_cache.ts
+++ b/src/pooling/watch_cache.ts
@@ -16,6 +16,12 @@
  * is for the check of the age, the stand-by and its call to the store.
  */
 export const MAX_READER_AGE_MS = 2_500;
+/**
+ * Time in which a copy that was not used lately must have an age, in
+ * milliseconds; two round trips between regions and a call to the store fit into
+ * it.
+ */
+export const FIRST_AGE_TIMEOUT_MS = 500;
 /**
  * Longest time between two answers of the store, in milliseconds. Beyond two
  * round trips, this leaves more than half a second of `MAX_READER_AGE_MS` for
@@ -57,6 +63,8 @@
 export interface WatchCache {
   watch(request: CachedWatch): Promise<CachedRes>;
   tryGetAgeMs(): number | undefined;
+  /** Fails the watches that wait for a copy which is too old. */
+  check(): void;
   /** Ends the trust in the age, as after a suspension of this process. */
   distrustAge(): void;
   stop(): void;
@@ -102,6 +110,8 @@
   let generation = 0;
   let answeredAt = -Infinity;
   let requestedAt = -Infinity;
+  /** End of the time in which the copy may be too old. */
+  let graceUntil = -Infinity;
   let isWatching = false;
   let isFillingIn = false;
   let isStopped = false;
@@ -302,6 +312,9 @@
       return Promise.resolve(createErr({ kind: "unreachable" }));
     }
     requestedAt = nowMs();
+    if (!isFresh() && nowMs() >= graceUntil) {
+      graceUntil = nowMs() + FIRST_AGE_TIMEOUT_MS;
+    }
     if (request.era !== era && era !== undefined) {
       if (request.era === undefined || request.era < era) {
         return Promise.resolve(createErr({ kind: "history_gone" }));
@@ -337,6 +350,12 @@
   return {
     watch,
     tryGetAgeMs,
+    check() {
+      // A store that is slow, or does not answer, must not hold watches up.
+      if (waiters.size > 0 && !isFresh() && nowMs() >= graceUntil) {
+        failAll({ kind: "unreachable" });
+      }
+    },
     distrustAge() {
       answeredAt = -Infinity;
     },
--- a/test/store_readers.test.ts
+++ b/test/store_readers.test.ts
@@ -10,6 +10,8 @@
 
 /** Time within which a change must reach each host in touch. */
 const CHANGE_BOUND_MS = 3_000;
+/** Time within which a configuration must be in force in any case. */
+const CONFIG_BOUND_MS = 6_000;
 const HOSTS = 8;
 /** Times of the fault after the fleet is at rest; a watch waits for 1.75 s. */
 const OFFSETS_MS = [0, 500, 1_000, 1_500];
@@ -46,7 +48,7 @@
     });
   }
   fleet.setCatalog({ transactionIdleMs: 2_999 });
-  await vi.advanceTimersByTimeAsync(2 * CHANGE_BOUND_MS);
+  await vi.advanceTimersByTimeAsync(2 * CONFIG_BOUND_MS);
   return Math.max(
     ...hosts.map((index) => (arrivedAt.get(index) ?? Infinity) - changedAt),
   );
@@ -154,6 +156,15 @@
   }
 });
 
+test("the store is slow: no host waits for a copy that never becomes young", async () => {
+  const reader = await startWithReader();
+  fleet.storeFaults.getResponseDelayMs = () => 1_000;
+  await vi.advanceTimersByTimeAsync(10_000);
+  // Changes take a second longer then; a configuration has 6 s.
+  expect(await measureChange([reader])).toBeLessThan(CONFIG_BOUND_MS);
+  expect(await measureChange(listOthers())).toBeLessThan(CONFIG_BOUND_MS);
+});
+
 test("the store returned to an earlier copy: no revision of the old era is watched", async () => {
   await startWithReader();
   const copy = fleet.store.takeCopy();
