Keep the newest change where two answers of the store cross

Cause: a reader that fills its history in beside its watch may get the older answer last, and replaced the newer state of a key by the older one; a client that had not seen the newer one would have kept a stale registration. Change: an answer of an older revision adds only keys that the history lacks. The test fails without it (version 2 instead of 3).

--- a/src/pooling/watch_cache.ts
+++ b/src/pooling/watch_cache.ts
@@ -169,12 +169,15 @@
     isFillingIn = false;
   }
 
-  function addChanges(changes: WatchRes, upTo: number): void {
+  function addChanges(changes: WatchRes): void {
+    // Two calls may be under way, and the older answer may arrive last; it knows
+    // no newer state of a key.
+    const isNewest = changes.revision >= revision;
+    revision = Math.max(revision, changes.revision);
     for (const object of changes.objects) {
-      // An answer from before the latest one knows no newer state of a key.
-      if (upTo >= revision || !history.has(object.key)) {
+      if (isNewest || !history.has(object.key)) {
         history.delete(object.key);
-        history.set(object.key, { object, upTo });
+        history.set(object.key, { object, upTo: revision });
       }
     }
     for (const [key, change] of history) {
@@ -240,9 +243,7 @@
       if (isRenewed) {
         answeredAt = nowMs();
       }
-      const upTo = Math.max(revision, changes.revision);
-      addChanges(changes, upTo);
-      revision = upTo;
+      addChanges(changes);
       waiters.forEach(serve);
       fillInIfNeeded();
       if (isRenewed) {
@@ -284,8 +285,7 @@
         break;
       }
       base = from;
-      addChanges(changes, changes.revision);
-      revision = Math.max(revision, changes.revision);
+      addChanges(changes);
       waiters.forEach(serve);
       const oldest = base;
       if (oldest > from) {
--- a/test/watch_cache.test.ts
+++ b/test/watch_cache.test.ts
@@ -153,3 +153,32 @@
   expect(state.calls).toBe(before);
   cache.stop();
 });
+
+test("an older answer that arrives last does not replace newer changes", async () => {
+  let heldMs = 0;
+  const { cache, put } = startCache((calls) => async (prefix, watch) => {
+    const res = await calls.watch(prefix, watch);
+    if (watch.waitMs > 0 && heldMs > 0) {
+      await sleep(heldMs);
+    }
+    return res;
+  });
+  put("a");
+  const ask = (after: number) => cache.watch({ after, waitMs: 0, era: 1 });
+  void ask(1);
+  await vi.advanceTimersByTimeAsync(150);
+  heldMs = 300;
+  // The watch that waits is answered with this state, which is held back.
+  put("a");
+  await vi.advanceTimersByTimeAsync(100);
+  put("a");
+  // This host's revision is older than the history, so it is read at once.
+  const answer = ask(0);
+  await vi.advanceTimersByTimeAsync(10);
+  const early = await answer;
+  expect(early.result.unwrap().objects[0]?.version).toBe(3);
+  await vi.advanceTimersByTimeAsync(500);
+  const late = await ask(1);
+  expect(late.result.unwrap().objects[0]?.version).toBe(3);
+  cache.stop();
+});
