--- a/src/pooling/watch_cache.ts
+++ b/src/pooling/watch_cache.ts
@@ -16,6 +16,12 @@
  * is for the check of the age, the stand-by and its call to the store.
  */
 export const MAX_READER_AGE_MS = 2_500;
+/**
+ * Time in which a copy that was not used lately must have an age, in
+ * milliseconds; two round trips between regions and a call to the store fit into
+ * it.
+ */
+export const FIRST_AGE_TIMEOUT_MS = 500;
 /**
  * Longest time between two answers of the store, in milliseconds. Beyond two
  * round trips, this leaves more than half a second of `MAX_READER_AGE_MS` for
@@ -57,6 +63,8 @@
 export interface WatchCache {
   watch(request: CachedWatch): Promise<CachedRes>;
   tryGetAgeMs(): number | undefined;
+  /** Fails the watches that wait for a copy which is too old. */
+  check(): void;
   /** Ends the trust in the age, as after a suspension of this process. */
   distrustAge(): void;
   stop(): void;
@@ -102,6 +110,8 @@
   let generation = 0;
   let answeredAt = -Infinity;
   let requestedAt = -Infinity;
+  /** End of the time in which the copy may be too old. */
+  let graceUntil = -Infinity;
   let isWatching = false;
   let isFillingIn = false;
   let isStopped = false;
@@ -159,12 +169,15 @@
     isFillingIn = false;
   }
 
-  function addChanges(changes: WatchRes, upTo: number): void {
+  function addChanges(changes: WatchRes): void {
+    // Two calls may be under way, and the older answer may arrive last; it knows
+    // no newer state of a key.
+    const isNewest = changes.revision >= revision;
+    revision = Math.max(revision, changes.revision);
     for (const object of changes.objects) {
-      // An answer from before the latest one knows no newer state of a key.
-      if (upTo >= revision || !history.has(object.key)) {
+      if (isNewest || !history.has(object.key)) {
         history.delete(object.key);
-        history.set(object.key, { object, upTo });
+        history.set(object.key, { object, upTo: revision });
       }
     }
     for (const [key, change] of history) {
@@ -230,9 +243,7 @@
       if (isRenewed) {
         answeredAt = nowMs();
       }
-      const upTo = Math.max(revision, changes.revision);
-      addChanges(changes, upTo);
-      revision = upTo;
+      addChanges(changes);
       waiters.forEach(serve);
       fillInIfNeeded();
       if (isRenewed) {
@@ -274,8 +285,7 @@
         break;
       }
       base = from;
-      addChanges(changes, changes.revision);
-      revision = Math.max(revision, changes.revision);
+      addChanges(changes);
       waiters.forEach(serve);
       const oldest = base;
       if (oldest > from) {
@@ -302,6 +312,9 @@
       return Promise.resolve(createErr({ kind: "unreachable" }));
     }
     requestedAt = nowMs();
+    if (!isFresh() && nowMs() >= graceUntil) {
+      graceUntil = nowMs() + FIRST_AGE_TIMEOUT_MS;
+    }
     if (request.era !== era && era !== undefined) {
       if (request.era === undefined || request.era < era) {
         return Promise.resolve(createErr({ kind: "history_gone" }));
@@ -337,6 +350,12 @@
   return {
     watch,
     tryGetAgeMs,
+    check() {
+      // A store that is slow, or does not answer, must not hold watches up.
+      if (waiters.size > 0 && !isFresh() && nowMs() >= graceUntil) {
+        failAll({ kind: "unreachable" });
+      }
+    },
     distrustAge() {
       answeredAt = -Infinity;
     },
--- a/test/store_readers.test.ts
+++ b/test/store_readers.test.ts
@@ -5,12 +5,13 @@
  */
 
 import { afterEach, expect, test, vi } from "vitest";
-import type { HostId } from "../src/core/ids.ts";
-import { asId } from "../src/core/ids.ts";
+import { asId, type HostId, type ObjectKey } from "../src/core/ids.ts";
 import { type PoolFleet, startPoolFleet } from "./pool_fleet.ts";
 
 /** Time within which a change must reach each host in touch. */
 const CHANGE_BOUND_MS = 3_000;
+/** Time within which a configuration must be in force in any case. */
+const CONFIG_BOUND_MS = 6_000;
 const HOSTS = 8;
 /** Times of the fault after the fleet is at rest; a watch waits for 1.75 s. */
 const OFFSETS_MS = [0, 500, 1_000, 1_500];
@@ -47,7 +48,7 @@
     });
   }
   fleet.setCatalog({ transactionIdleMs: 2_999 });
-  await vi.advanceTimersByTimeAsync(2 * CHANGE_BOUND_MS);
+  await vi.advanceTimersByTimeAsync(2 * CONFIG_BOUND_MS);
   return Math.max(
     ...hosts.map((index) => (arrivedAt.get(index) ?? Infinity) - changedAt),
   );
@@ -155,6 +156,15 @@
   }
 });
 
+test("the store is slow: no host waits for a copy that never becomes young", async () => {
+  const reader = await startWithReader();
+  fleet.storeFaults.getResponseDelayMs = () => 1_000;
+  await vi.advanceTimersByTimeAsync(10_000);
+  // Changes take a second longer then; a configuration has 6 s.
+  expect(await measureChange([reader])).toBeLessThan(CONFIG_BOUND_MS);
+  expect(await measureChange(listOthers())).toBeLessThan(CONFIG_BOUND_MS);
+});
+
 test("the store returned to an earlier copy: no revision of the old era is watched", async () => {
   await startWithReader();
   const copy = fleet.store.takeCopy();
@@ -192,3 +202,31 @@
   fleet.hostsWithoutStore.clear();
   expect(await measureChange(listOthers())).toBeLessThan(CHANGE_BOUND_MS);
 });
+
+/** Registers a host whose process does not know readers. */
+function registerOlderHost(): void {
+  const key = asId<ObjectKey>("turmericchute-fleet/host.older");
+  const record = {
+    incarnation: 1,
+    beat: 1,
+    peers: "127.0.0.1:99",
+    domain: "d1",
+    firstEra: 1,
+  };
+  fleet.store.put(key, record, { ifVersion: 0 }).unwrap();
+}
+
+test("an older process in the domain: it is neither counted nor sent a message that it does not know", async () => {
+  fleet = await startPoolFleet({ hosts: 5 });
+  registerOlderHost();
+  await vi.advanceTimersByTimeAsync(8_000);
+  const listUsed = () =>
+    fleet.logLines.filter(({ event }) => event === "store_reader_used")
+      .map(({ fields }) => fields["reader"]);
+  expect(listUsed()).toEqual([]);
+  fleet.startHost();
+  await vi.advanceTimersByTimeAsync(8_000);
+  expect(listUsed().length).toBeGreaterThan(0);
+  expect(listUsed()).not.toContain("older");
+  expect(await measureChange(listOthers())).toBeLessThan(100);
+});
