Take the last primary from the lease only, and remove it before an order

Cause: the claim named the primary that its host remembered. A host that had missed a promotion named the one before, found it as a replica of the older term, and had it lead again: 854 acknowledged writes of the later term were lost.

Change: a holder names the last primary only if it answered the holder's own query as primary, and writes that beside the query of the replicas, before the step-down. Every holder removes the name when it writes the target of an order. A claim carries it over only from a lease of the same era without an open target. If two targets report as primaries, the one of the later term counts.

Cost: one more write of the lease in a planned change of primary, none in the failover of a primary that does not answer.

--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -46,10 +46,11 @@
    */
   readonly hasUnansweredOrder?: boolean;
   /**
-   * Last primary, written before it is made to step down. While no later term
-   * is known, its log end bounds every acknowledged commit, also for a host
-   * that finds it as a replica. Missing if the holder has not seen it lead, or
-   * is a host of an earlier version.
+   * Last primary, which answered as primary to a holder of the lease, written
+   * before it is made to step down. Its log end bounds every acknowledged
+   * commit, also for a later holder that finds it as a replica. Removed before
+   * an order, after which another target may lead; a host of an earlier version
+   * does not carry it over to its claim.
    */
   readonly lastPrimary?: ProvenPrimary;
 }
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -270,22 +270,22 @@
   }
 
   /**
-   * Returns the last primary, if this host has seen it lead or the lease names
-   * it, and nothing shows a later one.
+   * Returns the last primary that the lease names. A lease of another era may be
+   * a restored one, which lacks later orders.
    */
   function tryLastPrimary(
     service: ServiceId,
     lease: FailoverLease | undefined,
   ): ProvenPrimary | undefined {
     const { primaries } = ctx;
-    const term = primaries.tryProvenTerm(service);
-    const primary = primaries.tryPrimary(service);
-    const target = primary && copies.tryGet(primary);
-    if (target && term === primaries.getTerm(service)) {
-      return { target: target.id, incarnation: target.incarnation, term };
-    }
     const named = lease?.lastPrimary;
-    return named && (primary ?? named.target) === named.target &&
+    if (
+      !named || lease.openTarget !== undefined || lease.era !== getEra(store)
+    ) {
+      return undefined;
+    }
+    const believed = primaries.tryPrimary(service) ?? named.target;
+    return believed === named.target &&
         named.term >= primaries.getTerm(service) &&
         copies.tryGet(named.target)?.incarnation === named.incarnation
       ? named
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -92,18 +92,28 @@
 ): FailoverProcedure {
   const { fencing } = options;
 
-  /** Returns the primary that answers, unless it has to be replaced. */
+  /** Returns the primary that answers, and whether it has to be replaced. */
   async function tryFindLivePrimary(
     service: ServiceId,
     cause: FailoverCause,
-  ): Promise<TargetId | undefined> {
+  ): Promise<
+    { readonly primary: ProvenPrimary; readonly isLeaving: boolean } | undefined
+  > {
     const reports = await queryStatus(
       ctx.directory.list(service),
       PRIMARY_CHECK_TIMEOUT_MS,
     );
-    const primary = reports.find(({ report }) => report.role === "primary");
-    const isLeaving = primary?.target.isDraining === true;
-    return isLeaving || cause === "leaving" ? undefined : primary?.target.id;
+    // A deposed primary that was cut off reports an older term.
+    const [found] = reports.filter(({ report }) => report.role === "primary")
+      .toSorted((a, b) => b.report.term - a.report.term);
+    return found && {
+      primary: {
+        target: found.target.id,
+        incarnation: found.target.incarnation,
+        term: found.report.term,
+      },
+      isLeaving: found.target.isDraining || cause === "leaving",
+    };
   }
 
   /** Returns the reports of the targets that answer within `ms`. */
@@ -243,11 +253,14 @@
 
   async function replacePrimary(
     service: ServiceId,
-    claim: FailoverClaim,
+    claim: FailoverClaim & { readonly found?: ProvenPrimary | undefined },
   ): Promise<ResolvedClaim> {
     const { cause, lease: claimed } = claim;
-    const lastPrimary = options.tryLastPrimary(service, claimed);
-    const oldPrimary = ctx.primaries.tryPrimary(service) ?? lastPrimary?.target;
+    const believed = ctx.primaries.tryPrimary(service);
+    // Found by a query of this claim, or of an earlier one without an order.
+    const found = claim.found?.target === believed ? claim.found : undefined;
+    const lastPrimary = found ?? options.tryLastPrimary(service, claimed);
+    const oldPrimary = believed ?? lastPrimary?.target;
     const { openTarget } = claimed;
     const leading = oldPrimary && ctx.directory.tryGet(oldPrimary);
     if (
@@ -261,10 +274,8 @@
       options.copies.list(service).filter(({ id }) => id !== oldPrimary),
     );
     const lease = lastPrimary ? { ...claimed, lastPrimary } : claimed;
-    const isNamed = lastPrimary?.term === claimed.lastPrimary?.term &&
-      lastPrimary?.target === claimed.lastPrimary?.target;
     // If this host goes dark after the step-down, the next one has to know.
-    if (!isNamed && !await options.updateLease(service, lease)) {
+    if (found && !await options.updateLease(service, lease)) {
       return { result: "overtaken", lease: claimed };
     }
     if (cause === "leaving" && !await hasReplica) {
@@ -306,7 +317,10 @@
       oldPrimary,
       chosen: chosen?.target.id,
     });
-    const orderedLease: FailoverLease = { ...lease, ...toOpenTarget(chosen) };
+    const orderedLease: FailoverLease = {
+      ...withoutLastPrimary(lease),
+      ...toOpenTarget(chosen),
+    };
     if (!await options.updateLease(service, orderedLease)) {
       return { result: "overtaken", lease };
     }
@@ -365,9 +379,10 @@
         }
         : await replacePrimary(service, claim);
     }
-    return await tryFindLivePrimary(service, cause) === undefined
-      ? await replacePrimary(service, claim)
-      : { result: "not_needed", lease };
+    const found = await tryFindLivePrimary(service, cause);
+    return found?.isLeaving === false
+      ? { result: "not_needed", lease }
+      : await replacePrimary(service, { ...claim, found: found?.primary });
   }
 
   return {
@@ -403,13 +418,21 @@
   return lease;
 }
 
+/** Returns the lease for a time in which another target may come to lead. */
+function withoutLastPrimary(
+  { lastPrimary: _, ...lease }: FailoverLease,
+): FailoverLease {
+  return lease;
+}
+
 /** Returns the lease after its target has become primary. */
 function toPromotedLease(
   lease: FailoverLease,
   { isAnswered }: { readonly isAnswered: boolean },
 ): FailoverLease {
-  const { hasUnansweredOrder: _, lastPrimary: __, ...promoted } =
-    withoutOpenTarget(lease);
+  const { hasUnansweredOrder: _, ...promoted } = withoutLastPrimary(
+    withoutOpenTarget(lease),
+  );
   return isAnswered ? promoted : { ...promoted, hasUnansweredOrder: true };
 }
 
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -456,7 +456,6 @@
       case "changed":
         if (!isSameProcess(target, event.previous)) {
           dispatcher.removeTarget(id);
-          primaries.applyEvidence(service, id, { kind: "restarted" });
         }
         if (target.role !== event.previous.role) {
           const evidence = target.role === "primary"
--- a/src/pooling/primary_tracker.ts
+++ b/src/pooling/primary_tracker.ts
@@ -10,8 +10,6 @@
   /** Highest term observed. */
   term: number;
   changedAt: number;
-  /** Term in which the primary was seen to lead; undefined if it was not. */
-  provenTerm: number | undefined;
 }
 
 /** Evidence that a target is or is not primary. */
@@ -24,18 +22,11 @@
   /** Answered a command that only a primary answers. */
   | { readonly kind: "answered"; readonly term: number }
   /** Refused a write as a replica, or is no longer registered as primary. */
-  | { readonly kind: "denied" }
-  /** A new process runs under its id, which may not have led. */
-  | { readonly kind: "restarted" };
+  | { readonly kind: "denied" };
 
 /** Primaries by service. */
 export interface PrimaryTracker {
   tryPrimary(service: ServiceId): TargetId | undefined;
-  /**
-   * Returns the term in which the tracked primary was seen to lead; undefined
-   * if there is none, or only its registration says so.
-   */
-  tryProvenTerm(service: ServiceId): number | undefined;
   getTerm(service: ServiceId): number;
   /** Time since the tracked primary changed, in milliseconds. */
   getTimeSinceChangeMs(service: ServiceId): number;
@@ -50,12 +41,7 @@
 
   function getState(service: ServiceId): PrimaryState {
     const state = states.get(service) ??
-      {
-        primary: undefined,
-        term: 0,
-        changedAt: nowMs(),
-        provenTerm: undefined,
-      };
+      { primary: undefined, term: 0, changedAt: nowMs() };
     states.set(service, state);
     return state;
   }
@@ -75,7 +61,6 @@
       return;
     }
     state.primary = primary;
-    state.provenTerm = undefined;
     state.changedAt = nowMs();
     io.log.info("primary_believed", {
       service,
@@ -88,7 +73,6 @@
 
   return {
     tryPrimary: (service) => getState(service).primary,
-    tryProvenTerm: (service) => getState(service).provenTerm,
     getTerm: (service) => getState(service).term,
     getTimeSinceChangeMs: (service) => nowMs() - getState(service).changedAt,
     applyEvidence(service, target, evidence) {
@@ -109,14 +93,12 @@
         case "answered":
           if (evidence.term >= state.term) {
             setPrimary(service, { ...asPrimary, term: evidence.term });
-            state.provenTerm = evidence.term;
           }
           return;
         case "reported": {
           const { role, term } = evidence.report;
           if (role === "primary" && term >= state.term) {
             setPrimary(service, { ...asPrimary, term });
-            state.provenTerm = term;
           } else if (role === "replica" && state.primary === target) {
             setPrimary(service, { ...asUnknown, term });
           }
@@ -128,11 +110,6 @@
             setPrimary(service, { ...asUnknown, term: 0 });
           }
           return;
-        case "restarted":
-          if (state.primary === target) {
-            state.provenTerm = undefined;
-          }
-          return;
       }
     },
     onChange: (listener) => void listeners.add(listener),
--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -425,6 +425,38 @@
   expect(acknowledged.size - before).toBeGreaterThan(500);
 });
 
+// Guards against a host that has missed a promotion, and takes the log end of the
+// primary that it has seen lead for the bound, as the model's variant "take the
+// log end of a deposed primary for the bound" does.
+test("a host that has missed a promotion does not bring the primary before it back", async () => {
+  await startUnknownCopy({
+    hosts: 2,
+    group: { ids: ["t1", "t2", "t3"], promoteMs: PROMOTE_MS },
+    unregistered: [],
+  });
+  const acknowledged = startWriters([0, 1]);
+  await vi.advanceTimersByTimeAsync(1_000);
+  // From here on, h1 misses what becomes of the service.
+  fleet.hostsWithoutStore.add("h1");
+  ["t1", "t2", "t3"].forEach((id) => fleet.unreachableTargets.add(`h1/${id}`));
+  fleet.messageFaults.isLost = () => true;
+  fleet.getTarget("t1").faults.isUnresponsive = true;
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  stopReplication("t1");
+  fleet.getTarget("t1").faults.isUnresponsive = false;
+  fleet.hostsWithoutStore.delete("h1");
+  const hasStarted = () =>
+    fleet.logLines.some(({ host, event }) =>
+      host === "h1" && event === "failover_started"
+    );
+  for (let ms = 0; ms < FAILOVER_MS && !hasStarted(); ms++) {
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  expect(hasStarted()).toBe(true);
+  fleet.unreachableTargets.delete("h1/t1");
+  expect(await listLostWithin(FAILOVER_MS, acknowledged)).toHaveLength(0);
+});
+
 // Guards against an outage that the failover makes: a leaving primary steps down
 // although no replica can be fenced.
 test("a leaving primary serves on while no successor can be reached", async () => {
