Let the answer to a read come after its client has left

The read of such a client is not hedged any more, and a refusal does not replace an answer to come.

npx vitest run test/shutdown_process.test.ts -t "leaves a line with its id": passed; session_pool, slot_forwarding, forwarding: 49 of 49; later the whole file, 12 of 12.

--- a/src/pooling/reads.ts
+++ b/src/pooling/reads.ts
@@ -158,7 +158,12 @@
     let hedgeTimer: NodeJS.Timeout | undefined;
     const settle = (attempt: AttemptResult) => {
       pendingCount--;
-      if (attempt.kind === "outcome" || pendingCount === 0) {
+      // Where the client has left, the target may still answer the other read.
+      const isGivenUp = options.task.signal?.aborted &&
+        attempt.kind === "outcome" && attempt.outcome.kind === "failed";
+      if (
+        (attempt.kind === "outcome" && !isGivenUp) || pendingCount === 0
+      ) {
         clearTimeout(hedgeTimer);
         resolve(attempt);
       }
@@ -169,6 +174,10 @@
         const usualMs = ctx.health.tryLatencyMs(checkout.target.id) ?? 0;
         hedgeTimer = setTimeout(() => {
           recordNoReply(ctx, checkout);
+          if (options.task.signal?.aborted) {
+            // The refusal of the hedge would replace the answer still to come.
+            return;
+          }
           ctx.io.log.info("read_hedged", {
             id: options.task.operation.id,
             silent: checkout.target.id,
