--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -123,7 +123,8 @@
   acquire(request: ConnectionRequest): Promise<Result<Checkout, PoolFailure>>;
   /**
    * Returns this host's connections in use at a target, as a fraction of its
-   * cap, or its statements there as a multiple of its scheduled slots, plus the forwarded ones as a fraction of the target's slots.
+   * cap, or its statements there as a multiple of its scheduled slots, plus the
+   * forwarded ones as a fraction of the target's slots.
    */
   getLoad(target: TargetRecord): number;
   /** Returns how a connection could be obtained now; used for ranking. */
