--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -512,6 +512,32 @@
   expect((await store.list("things/")).unwrapErr().kind).toBe("unreachable");
 });
 
+// Load: a configuration of a thousand routes over a slow link. Guards against a
+// host that gives up each download while it goes on, and never gets the change.
+test("a response that goes on arriving is not given up", async () => {
+  const body = JSON.stringify({ items: [], currentRev: 3 });
+  const pieces = body.match(/.{1,5}/g)!;
+  const server = createServer((_req, res) => {
+    const writeNext = () => {
+      const piece = pieces.shift();
+      if (piece === undefined) {
+        res.end();
+      } else {
+        res.write(piece);
+        setTimeout(writeNext, 500);
+      }
+    };
+    writeNext();
+  });
+  closables.push(server);
+  const port = await listen(server, 0);
+  const store = createObjectStore(`http://127.0.0.1:${port}`, {
+    caller: "test",
+    timeoutMs: 2_000,
+  });
+  expect((await store.list("things/")).unwrap().revision).toBe(3);
+});
+
 /** Reads from a socket until `count` ready messages have arrived. */
 function readAnswers(socket: Socket, count: number): Promise<string> {
   return new Promise((resolve) => {
