--- a/src/pooling/holders.ts
+++ b/src/pooling/holders.ts
@@ -54,7 +54,7 @@
    * Returns this host's part of the target's slots, rounded up; undefined where
    * they are not scheduled: where hosts use connections of their own, where
    * this host is not a holder, where the slots are no fewer than the connections
-   * that the holders may have, and where the service does not ask for it.
+   * that the holders may have, and where the settings do not ask for it.
    */
   tryGetSlotBudget(target: TargetRecord): number | undefined;
   /** Returns this host's part of the target's connection limit. */
@@ -77,8 +77,8 @@
   countWorkspaces(): number;
   /** Connection limit of each target of a service, for all hosts together. */
   getMaxConnections(service: ServiceId): number;
-  /** Whether the slots of a service's targets are scheduled; no by default. */
-  isScheduled?(service: ServiceId): boolean;
+  /** Whether the slots of targets are scheduled; no by default. */
+  isScheduled?(): boolean;
 }): Holders {
   const { self, topology } = options;
   let hosts: readonly PeerInfo[] = [];
@@ -174,7 +174,7 @@
     isHolder,
     tryGetSlotBudget(target) {
       if (
-        options.isScheduled?.(target.service) !== true ||
+        options.isScheduled?.() !== true ||
         tryDirectCap(target) !== undefined || !isHolder(target)
       ) {
         return undefined;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -110,8 +110,6 @@
  * in this time, and their first watches cost the store nothing.
  */
 const FIRST_WATCH_WAIT_MS = 500;
-/** Priority of a route that is served before all others. */
-const HIGHEST_PRIORITY = 0;
 /** Connections to a target of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 10;
 
@@ -151,6 +149,11 @@
   readonly peerAddress: string;
   readonly regions: ReadonlyMap<DomainId, string>;
   readonly quotaTolerance: QuotaTolerance;
+  /**
+   * Whether holders schedule the slots of their targets; no by default. Dividing
+   * a target's slots among its holders costs throughput.
+   */
+  readonly schedulesSlots?: boolean | undefined;
   /** Limit of cold targets; undefined if the deployment has none. */
   readonly coldLimit?: ColdLimit | undefined;
   readonly freshness: Freshness;
@@ -313,12 +316,6 @@
       (evacuationInForceMs ?? 0),
     io,
   });
-  /**
-   * Services whose slots are scheduled: those with a route of the highest
-   * priority. Dividing the slots of a target among its holders costs throughput
-   * (0.045 and 0.08 of the value of two days without such a route).
-   */
-  let scheduledServices: ReadonlySet<ServiceId> = new Set();
   const holders = createHolders({
     self: options.host,
     topology,
@@ -328,7 +325,7 @@
     getMaxConnections: (service) =>
       catalog.tryGet()?.services.get(service)?.maxConnections ??
         DEFAULT_MAX_CONNECTIONS,
-    isScheduled: (service) => scheduledServices.has(service),
+    isScheduled: () => options.schedulesSlots === true,
   });
   const cold = createColdTargets(io, {
     self: options.host,
@@ -632,11 +629,6 @@
   }
 
   catalog.onChange((next) => {
-    scheduledServices = new Set(
-      [...next.routes.values()]
-        .filter(({ priority }) => priority <= HIGHEST_PRIORITY)
-        .map(({ service }) => service),
-    );
     sharedQuotas.setQuotas(next.quotas);
     ownedQuotas.setQuotas(next.quotas);
     quotaOwners.setQuotas(next.quotas);
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -53,8 +53,7 @@
   readonly group?: Partial<GroupOptions>;
   readonly ratePerS?: number;
   readonly maxConnections?: number;
-  /** Priority of all routes; 1 by default. */
-  readonly priority?: number;
+  readonly schedulesSlots?: boolean;
   /** Failure domain of each host; `d1` by default, where the targets are. */
   readonly domains?: readonly string[];
   /** Region of each failure domain; none by default. */
@@ -255,17 +254,9 @@
     put(CATALOG_KEY, {
       version,
       routes: new Map([
-        createRoute("orders", { kind: "primary" }, options.priority),
-        createRoute(
-          "reports",
-          { kind: "bounded", maxStaleMs: 1_500 },
-          options.priority,
-        ),
-        createRoute(
-          "accounts",
-          { kind: "session", maxStaleMs: 2_500 },
-          options.priority,
-        ),
+        createRoute("orders", { kind: "primary" }),
+        createRoute("reports", { kind: "bounded", maxStaleMs: 1_500 }),
+        createRoute("accounts", { kind: "session", maxStaleMs: 2_500 }),
       ]),
       services: new Map([[SERVICE, {
         service: SERVICE,
@@ -454,6 +445,7 @@
         evacuationInForceMs: options.evacuationInForceMs,
       },
       coldLimit: options.coldLimit,
+      schedulesSlots: options.schedulesSlots,
       quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
       decoding: {
         catalogPrefix: "catalog/",
@@ -537,18 +529,14 @@
   return asId<ObjectKey>(EVACUATION_KIND + domain);
 }
 
-function createRoute(
-  database: string,
-  consistency: Consistency,
-  priority = 1,
-) {
+function createRoute(database: string, consistency: Consistency) {
   return [database, {
     database,
     service: SERVICE,
     consistency,
     statementTimeoutMs: 1_000,
     objectiveMs: 1_000,
-    priority,
+    priority: 1,
     isPublic: false,
   }] as const;
 }
--- a/test/slot_forwarding.test.ts
+++ b/test/slot_forwarding.test.ts
@@ -23,8 +23,7 @@
     domains: ["d1", "d1", "d1", "d2", "d2"],
     workspaces: WORKSPACES,
     maxConnections: 20,
-    // Slots are scheduled only for services with a route of this priority.
-    priority: 0,
+    schedulesSlots: true,
     ratePerS: 10_000,
     group: { workMs: WORK_MS },
   });
