Look for reported waits only where there are any

Each admitted statement listed the eligible targets and asked for the holder and the report of each, also where no slots are scheduled and nothing is reported. The check ends at once without a report or a scheduler; what it decides is the same.

--- a/src/pooling/dispatch.ts
+++ b/src/pooling/dispatch.ts
@@ -144,6 +144,8 @@
     target: TargetRecord,
     request: Pick<ConnectionRequest, "workspace" | "priority">,
   ): AgedWait | undefined;
+  /** Whether `tryGetExpectedWait` can know a wait at any target. */
+  hasExpectedWaits(): boolean;
   /** Lists a workspace's expected waits for this host's slots at a target. */
   listExpectedWaits(
     target: TargetId,
@@ -192,7 +194,11 @@
     /** Provides connections that other hosts hold; none by default. */
     readonly forwarder?: Pick<
       Forwarder,
-      "isForwarded" | "tryOpenLink" | "tryGetWait" | "recordPathFailure"
+      | "isForwarded"
+      | "tryOpenLink"
+      | "tryGetWait"
+      | "hasWaits"
+      | "recordPathFailure"
     >;
     /** Limits of cold targets; none by default. */
     readonly cold?: Pick<ColdTargets, "tryReserve" | "recordGiven">;
@@ -911,6 +917,8 @@
         }
         : undefined;
     },
+    hasExpectedWaits: () =>
+      schedulers.size > 0 || forwarder?.hasWaits() === true,
     listExpectedWaits: (target, workspace) =>
       schedulers.get(target)?.listExpectedWaits(workspace) ?? [],
     serveQueue,
--- a/src/pooling/forwarder.ts
+++ b/src/pooling/forwarder.ts
@@ -91,6 +91,8 @@
     target: TargetRecord,
     options: Pick<ForwardOptions, "workspace" | "priority">,
   ): AgedWait | undefined;
+  /** Whether any holder has reported a wait for a slot. */
+  hasWaits(): boolean;
   /** Undefined if this host should use its own connections. */
   tryOpenLink(
     target: TargetRecord,
@@ -589,6 +591,7 @@
       return holder &&
         waits.tryGet({ holder, target: target.id, workspace }, priority);
     },
+    hasWaits: () => !waits.isEmpty(),
     isForwarded: (target, findOptions) =>
       tryFindHolder(target, findOptions) !== undefined,
     tryOpenLink(target, linkOptions) {
--- a/src/pooling/wait_refusal.ts
+++ b/src/pooling/wait_refusal.ts
@@ -23,6 +23,9 @@
     readonly needsPrimary: boolean;
   },
 ): PoolFailure | undefined {
+  if (!ctx.dispatcher.hasExpectedWaits()) {
+    return undefined;
+  }
   const { route, workspace } = options;
   const { service, priority } = route;
   const mayUseReplicas = !options.needsPrimary &&
--- a/src/pooling/wait_reports.ts
+++ b/src/pooling/wait_reports.ts
@@ -37,6 +37,8 @@
   record(path: ReportedPath, waits: readonly PriorityWait[]): void;
   /** Returns the expected wait; undefined without a recent report. */
   tryGet(path: ReportedPath, priority: number): AgedWait | undefined;
+  /** Whether there is no report, not even one that is too old to be used. */
+  isEmpty(): boolean;
 }
 
 interface Report {
@@ -88,5 +90,6 @@
       );
       return { waitMs, ageMs };
     },
+    isEmpty: () => reports.size === 0,
   };
 }
