--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -302,6 +302,7 @@
   | "ready"
   | "evacuated_domains"
   | "evacuations_age_ms"
+  | "store_age_ms"
   | "cold_targets"
   | "target_connections"
   | "in_flight_requests"
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -47,7 +47,7 @@
 import { createShareSync } from "./share_sync.ts";
 import { createCountedCalls } from "./store_calls.ts";
 import { createStoreAccess } from "./store_access.ts";
-import { createStoreFeed } from "./store_feed.ts";
+import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import { createStoreReaders } from "./store_readers.ts";
 import { createStoreRelay } from "./store_relay.ts";
 import { type ColdLimit, createColdTargets } from "./cold_targets.ts";
@@ -243,6 +243,7 @@
     tryGetEra: () => io.store.eras?.tryGet(),
     watchDirectly: storeAccess.watchDirectly,
     watchAlone: storeAccess.calls.watch,
+    getPath: storeAccess.getPath,
   });
   const io: PoolIo = {
     ...poolerIo,
@@ -580,14 +581,20 @@
       handlers: evacuations.handlers,
     });
 
+  const feeds = new Map<string, StoreFeed>([
+    [decoding.catalogPrefix, catalogFeed],
+    [decoding.targetPrefix, targetFeed],
+    ...(evacuationFeed
+      ? [[decoding.evacuationPrefix, evacuationFeed] as const]
+      : []),
+  ]);
+
   async function startFeeds(): Promise<void> {
     await withTimeout(fleet.whenListed, {
       ms: HOST_LIST_WAIT_MS,
       fallback: undefined,
     });
-    catalogFeed.start();
-    targetFeed.start();
-    evacuationFeed?.start();
+    feeds.forEach((feed) => feed.start());
   }
 
   let timer: NodeJS.Timeout | undefined;
@@ -750,6 +757,9 @@
     updateAllowancesOnHostChange();
     probes.probeDueTargets();
     logReadiness();
+    for (const [prefix, feed] of feeds) {
+      io.metrics.set("store_age_ms", Math.round(feed.getAgeMs()), { prefix });
+    }
     io.metrics.set("sessions", sessions.size, {});
     io.metrics.set("ready", loggedMissing === "" ? 1 : 0, {});
   }
@@ -803,9 +813,7 @@
       shares.stop();
       versionCheck.stop();
       fleet.stop();
-      catalogFeed.stop();
-      targetFeed.stop();
-      evacuationFeed?.stop();
+      feeds.forEach((feed) => feed.stop());
       sessions.forEach((session) =>
         session.abort(POOL_ERRORS.stopping.message)
       );
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -3,7 +3,7 @@
 import { nowMs, sleep } from "../core/clock.ts";
 import { getBackoffMs } from "../core/retry_delay.ts";
 import type { PlatformStore, Stoppable, StoredObject } from "../core/types.ts";
-import type { PoolIo } from "./types.ts";
+import type { LogFields, PoolIo } from "./types.ts";
 
 /** Longest wait of one watch unless the feed has another, in milliseconds. */
 const WATCH_WAIT_MS = 3_000;
@@ -29,6 +29,8 @@
   start(): void;
   /** Whether the last call failed. */
   isUnreachable(): boolean;
+  /** Time since the last answer, in milliseconds. */
+  getAgeMs(): number;
 }
 
 /** Creates a feed of the objects under `prefix`. */
@@ -71,8 +73,12 @@
     interruptWatch();
   });
 
+  function getAgeMs(): number {
+    return nowMs() - answeredAt;
+  }
+
   function recordAnswer(): void {
-    const outageMs = nowMs() - answeredAt;
+    const outageMs = getAgeMs();
     answeredAt = nowMs();
     if (isUnreachable) {
       isUnreachable = false;
@@ -81,10 +87,10 @@
     }
   }
 
-  function recordFailure(detail: string): void {
+  function recordFailure(detail: string, timing: LogFields = {}): void {
     if (!isUnreachable) {
       isUnreachable = true;
-      io.log.info("store_lost", { prefix, detail });
+      io.log.info("store_lost", { prefix, detail, ...timing });
     }
   }
 
@@ -114,10 +120,12 @@
     const interrupted = new Promise<undefined>((resolve) => {
       interruptWatch = () => resolve(undefined);
     });
+    // After a failure, a call without wait detects recovery sooner.
+    const waitMs = isUnreachable ? 0 : options.waitMs ?? WATCH_WAIT_MS;
+    const startedAt = nowMs();
     const watched = io.store.watch(prefix, {
       after: revision,
-      // After a failure, a call without wait detects recovery sooner.
-      waitMs: isUnreachable ? 0 : options.waitMs ?? WATCH_WAIT_MS,
+      waitMs,
       mayBeLate: options.mayBeLate ?? false,
     });
     const changes = await Promise.race([interrupted, watched]);
@@ -125,12 +133,17 @@
       return true;
     }
     if (changes.isErr()) {
+      const timing = {
+        waitMs,
+        tookMs: Math.round(nowMs() - startedAt),
+        ageMs: Math.round(getAgeMs()),
+      };
       if (changes.error.kind === "history_gone") {
-        io.log.info("history_gone", { prefix, revision });
+        io.log.info("history_gone", { prefix, revision, ...timing });
         revision = undefined;
         return true;
       }
-      recordFailure(changes.error.kind);
+      recordFailure(changes.error.kind, timing);
       return false;
     }
     recordAnswer();
@@ -164,6 +177,7 @@
   return {
     start: () => void pollUntilStopped(),
     isUnreachable: () => isUnreachable,
+    getAgeMs,
     stop() {
       isStopped = true;
     },
--- a/src/pooling/store_readers.ts
+++ b/src/pooling/store_readers.ts
@@ -22,6 +22,7 @@
   type ReaderFailure,
   type ReaderLink,
 } from "./reader_link.ts";
+import type { StorePath } from "./store_access.ts";
 import { toStoreResult } from "./store_relay.ts";
 import type {
   ForwardResponse,
@@ -91,6 +92,8 @@
   readonly watchDirectly: EraCalls["watch"];
   /** Watches over whatever path to the store there is. */
   readonly watchAlone: EraCalls["watch"];
+  /** Returns the path that `watchAlone` takes. */
+  getPath(): StorePath;
 }
 
 interface Pause {
@@ -217,6 +220,20 @@
     }
   }
 
+  function logWatchAlone(
+    prefix: string,
+    { after, waitMs }: WatchOptions,
+    reason: "readers_failed" | "reader_lacks_changes",
+  ): void {
+    io.log.info("store_watched_alone", {
+      prefix,
+      reason,
+      path: options.getPath(),
+      after,
+      waitMs,
+    });
+  }
+
   async function watch(
     prefix: string,
     watch: WatchOptions,
@@ -233,6 +250,7 @@
       recordUse(prefix, host);
       const res = await tryReader(host, { prefix, watch });
       if (res === "store") {
+        logWatchAlone(prefix, watch, "reader_lacks_changes");
         return await options.watchAlone(prefix, watch);
       }
       if (res) {
@@ -241,6 +259,7 @@
     }
     if (usedReaders.size > 0) {
       recordUse(prefix, undefined);
+      logWatchAlone(prefix, watch, "readers_failed");
     }
     const res = await options.watchAlone(prefix, watch);
     if (watch.waitMs === 0 && res.result.isOk()) {
