Count the age of what a host knows against the wait of its watch

Cause: a host that had given up its readers watched the store itself with a whole new wait, 0.6 x (changeInForceMs + settlingMs), although the last proof from a reader was up to 2.5 s old. The store left that watch unanswered until its wait was over, since it discarded its history while the watch began, and only then answered history_gone. So the age of what a host knows was bounded by the sum of both, 9.7 s where 6 s are allowed.

Change: a watch of the store waits for less by the age of what the host knows: the last answer of the store, or the time up to which a reader has proved its copy. A late first list has no age to trust, so the first watch after it does not wait.

The new test fails before: 3,701 ms on one of eight hosts, bound 3,000 ms; it passes now. store_readers, store_feed, store_calls, watch_cache pass.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -173,6 +173,11 @@
   readonly revision: number;
   /** Objects, or changed ones in order; a removed one has version 0. */
   readonly objects: readonly StoredObject[];
+  /**
+   * Age of the store's answer if another host has passed it on, in milliseconds;
+   * changes since are not in it.
+   */
+  readonly ageMs?: number;
 }
 
 /** Rise of the store's era: the store has returned to an earlier copy. */
@@ -231,6 +236,11 @@
   readonly after: number;
   /** Maximum wait for a change, in milliseconds. */
   readonly waitMs: number;
+  /**
+   * Age of what the caller knows already, in milliseconds; 0 by default. A watch
+   * of the store waits for less by this time.
+   */
+  readonly ageMs?: number;
   /** Whether changes may arrive seconds late; the store then charges less. */
   readonly mayBeLate?: boolean;
 }
--- a/src/pooling/reader_link.ts
+++ b/src/pooling/reader_link.ts
@@ -38,6 +38,8 @@
 export interface ReaderLink {
   /** Undefined if the reader can't be used any more. */
   watch(prefix: string, watch: CachedWatch): Promise<CachedRes | undefined>;
+  /** Time up to which what was received under a prefix is complete. */
+  getCoveredUntil(prefix: string): number;
   /** Asks for the age when it is time to, and gives an old reader up. */
   check(): void;
   close(reason: ReaderFailure): void;
@@ -88,9 +90,12 @@
     onClose: () => close("closed"),
   });
 
+  function getCoveredUntil(prefix: string): number {
+    return coveredUntil.get(prefix) ?? -Infinity;
+  }
+
   function isCovered(prefix: string): boolean {
-    const until = coveredUntil.get(prefix) ?? -Infinity;
-    return nowMs() - until <= MAX_READER_AGE_MS;
+    return nowMs() - getCoveredUntil(prefix) <= MAX_READER_AGE_MS;
   }
 
   function handleChanges(msg: ReaderChanges): void {
@@ -118,8 +123,8 @@
       return;
     }
     for (const { prefix, ageMs } of ages) {
-      const known = coveredUntil.get(prefix) ?? -Infinity;
-      coveredUntil.set(prefix, Math.max(known, askSentAt + heldMs - ageMs));
+      const until = askSentAt + heldMs - ageMs;
+      coveredUntil.set(prefix, Math.max(getCoveredUntil(prefix), until));
     }
   }
 
@@ -175,6 +180,7 @@
         });
       });
     },
+    getCoveredUntil,
     check() {
       const now = nowMs();
       if (isClosed) {
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -29,7 +29,7 @@
   start(): void;
   /** Whether the last call failed. */
   isUnreachable(): boolean;
-  /** Time since the last answer, in milliseconds. */
+  /** Time up to which changes may be unknown here, in milliseconds. */
   getAgeMs(): number;
 }
 
@@ -61,6 +61,8 @@
   let isStopped = false;
   let isUnreachable = false;
   let answeredAt = nowMs();
+  /** Time up to which all changes are known. */
+  let knownUntil = -Infinity;
   let revision: number | undefined;
   let hasReturned = false;
   let hasListed = false;
@@ -74,12 +76,13 @@
   });
 
   function getAgeMs(): number {
-    return nowMs() - answeredAt;
+    return nowMs() - knownUntil;
   }
 
-  function recordAnswer(): void {
-    const outageMs = getAgeMs();
+  function recordAnswer(ageMs: number): void {
+    const outageMs = nowMs() - answeredAt;
     answeredAt = nowMs();
+    knownUntil = Math.max(knownUntil, answeredAt - ageMs);
     if (isUnreachable) {
       isUnreachable = false;
       io.log.info("store_regained", { prefix, outageMs: Math.round(outageMs) });
@@ -97,14 +100,13 @@
   /** Makes one call to the store; false if it failed. */
   async function poll(): Promise<boolean> {
     if (revision === undefined) {
-      const listed = await io.store.list(prefix, {
-        mayBeLate: !hasListed && options.mayListLate?.() === true,
-      });
+      const mayBeLate = !hasListed && options.mayListLate?.() === true;
+      const listed = await io.store.list(prefix, { mayBeLate });
       if (listed.isErr()) {
         recordFailure(listed.error.kind);
         return false;
       }
-      recordAnswer();
+      recordAnswer(mayBeLate ? Infinity : 0);
       if (hasReturned) {
         hasReturned = false;
         handlers.onReconnected?.(0);
@@ -126,6 +128,7 @@
     const watched = io.store.watch(prefix, {
       after: revision,
       waitMs,
+      ageMs: getAgeMs(),
       mayBeLate: options.mayBeLate ?? false,
     });
     const changes = await Promise.race([interrupted, watched]);
@@ -146,7 +149,7 @@
       recordFailure(changes.error.kind, timing);
       return false;
     }
-    recordAnswer();
+    recordAnswer(changes.value.ageMs ?? 0);
     revision = changes.value.revision;
     handlers.onChanges(changes.value.objects);
     return true;
--- a/src/pooling/store_readers.ts
+++ b/src/pooling/store_readers.ts
@@ -101,6 +101,16 @@
   readonly until: number;
 }
 
+/** What became of a watch through one reader. */
+type ReaderOutcome =
+  | { readonly kind: "answered"; readonly res: EraRes<WatchRes> }
+  /** The reader can't be used, or has changes that it does not pass on. */
+  | {
+    readonly kind: "failed" | "not_passed_on";
+    /** Time up to which the reader's changes are known here. */
+    readonly knownUntil: number;
+  };
+
 interface Question {
   readonly id: number;
   readonly receivedAt: number;
@@ -180,37 +190,37 @@
       : undefined;
   }
 
-  /**
-   * Asks one reader; undefined if it can't be used, and `store` if it has changes
-   * that it does not pass on.
-   */
   async function tryReader(
     host: HostId,
     request: { readonly prefix: string; readonly watch: WatchOptions },
-  ): Promise<EraRes<WatchRes> | "store" | undefined> {
+  ): Promise<ReaderOutcome> {
     const { prefix } = request;
     const watch = { ...request.watch, era: options.tryGetEra() };
     const link = host === self ? undefined : getLink(host);
-    const res = link
-      ? await link.watch(prefix, watch)
-      : await caches.get(prefix)?.watch(watch);
+    const cache = caches.get(prefix);
+    const res = await (link ? link.watch(prefix, watch) : cache?.watch(watch));
+    const knownUntil = link
+      ? link.getCoveredUntil(prefix)
+      : nowMs() - (cache?.tryGetAgeMs() ?? Infinity);
     if (!res) {
-      return undefined;
+      return { kind: "failed", knownUntil };
     }
     if (res.result.isErr() && res.result.error.kind === "history_gone") {
-      return "store";
+      return { kind: "not_passed_on", knownUntil };
     }
     const flaw = tryGetFlaw(res);
     if (flaw === undefined) {
       pauses.delete(host);
-      return { era: res.era, result: res.result };
+      const { era, ageMs } = res;
+      const result = res.result.map((changes) => ({ ...changes, ageMs }));
+      return { kind: "answered", res: { era, result } };
     }
     if (link) {
       link.close(flaw);
     } else {
       pause(host, flaw);
     }
-    return undefined;
+    return { kind: "failed", knownUntil };
   }
 
   function recordUse(prefix: string, host: HostId | undefined): void {
@@ -220,18 +230,31 @@
     }
   }
 
-  function logWatchAlone(
+  /**
+   * Watches without a reader. The store may leave a watch unanswered until its
+   * wait is over, so what was known before counts towards the wait.
+   */
+  function watchAlone(
     prefix: string,
-    { after, waitMs }: WatchOptions,
-    reason: "readers_failed" | "reader_lacks_changes",
-  ): void {
-    io.log.info("store_watched_alone", {
-      prefix,
-      reason,
-      path: options.getPath(),
-      after,
-      waitMs,
-    });
+    watch: WatchOptions,
+    { knownUntil, reason }: {
+      readonly knownUntil: number;
+      readonly reason?: "readers_failed" | "reader_lacks_changes";
+    },
+  ): Promise<EraRes<WatchRes>> {
+    const ageMs = Math.round(nowMs() - knownUntil);
+    const waitMs = Math.max(0, watch.waitMs - ageMs);
+    if (reason) {
+      io.log.info("store_watched_alone", {
+        prefix,
+        reason,
+        path: options.getPath(),
+        after: watch.after,
+        waitMs,
+        ageMs,
+      });
+    }
+    return options.watchAlone(prefix, { ...watch, waitMs });
   }
 
   async function watch(
@@ -239,6 +262,7 @@
     watch: WatchOptions,
   ): Promise<EraRes<WatchRes>> {
     const tried = new Set<HostId>();
+    let knownUntil = nowMs() - (watch.ageMs ?? 0);
     while (caches.has(prefix) && tried.size < MAX_TRIED_READERS) {
       const host = options.listReaders().find((reader) =>
         !tried.has(reader) && !isPaused(reader)
@@ -248,20 +272,23 @@
       }
       tried.add(host);
       recordUse(prefix, host);
-      const res = await tryReader(host, { prefix, watch });
-      if (res === "store") {
-        logWatchAlone(prefix, watch, "reader_lacks_changes");
-        return await options.watchAlone(prefix, watch);
+      const outcome = await tryReader(host, { prefix, watch });
+      if (outcome.kind === "answered") {
+        return outcome.res;
       }
-      if (res) {
-        return res;
+      knownUntil = Math.max(knownUntil, outcome.knownUntil);
+      if (outcome.kind === "not_passed_on") {
+        const reason = "reader_lacks_changes";
+        return await watchAlone(prefix, watch, { knownUntil, reason });
       }
     }
     if (usedReaders.size > 0) {
       recordUse(prefix, undefined);
-      logWatchAlone(prefix, watch, "readers_failed");
     }
-    const res = await options.watchAlone(prefix, watch);
+    const res = await watchAlone(prefix, watch, {
+      knownUntil,
+      ...(usedReaders.size > 0 ? { reason: "readers_failed" } : {}),
+    });
     if (watch.waitMs === 0 && res.result.isOk()) {
       // The store has answered again, so readers may do so too.
       pauses.clear();
--- a/standins/platform_core.ts
+++ b/standins/platform_core.ts
@@ -17,12 +17,15 @@
   remove(key: ObjectKey): void;
   /**
    * Returns the objects under `prefix` changed after `revision`;
-   * `history_gone` if the store has not reached that revision.
+   * `history_gone` if the store has not reached that revision, or has discarded
+   * changes after it.
    */
   changesAfter(
     prefix: string,
     revision: number,
   ): Result<WatchRes, PlatformErr>;
+  /** Discards all changes so far; the objects stay. */
+  discardHistory(): void;
   /** Number of the store's era; rises with each return to a copy. */
   getEra(): number;
   takeCopy(): PlatformCopy;
@@ -67,6 +70,8 @@
   const entries = new Map<ObjectKey, Entry>();
   const listeners = new Set<() => void>();
   let revision = 0;
+  /** Revision from which on changes can be reported. */
+  let historyStart = 0;
   let era = 1;
 
   function get(key: ObjectKey): StoredObject {
@@ -120,9 +125,12 @@
       notify();
     },
     changesAfter: (prefix, after) =>
-      after > revision
+      after > revision || after < historyStart
         ? Err({ kind: "history_gone" })
         : Ok({ revision, objects: listChanged(prefix, after) }),
+    discardHistory() {
+      historyStart = revision;
+    },
     getEra: () => era,
     takeCopy: () => ({ revision, entries: new Map(entries) }),
     returnTo(copy, { isExternal }) {
@@ -131,6 +139,7 @@
       entries.clear();
       copy.entries.forEach((entry, key) => entries.set(key, entry));
       revision = copy.revision;
+      historyStart = Math.min(historyStart, revision);
       era++;
       for (const { key, version, value } of external) {
         const isPresent = get(key).version !== 0;
--- /dev/null
+++ b/test/lost_history.test.ts
@@ -0,0 +1,63 @@
+/**
+ * A store that leaves watches unanswered and then discards its history: whatever
+ * became of a watch, an accepted change must be in force within its bound.
+ */
+
+import { afterEach, expect, test, vi } from "vitest";
+import { type PoolFleet, startPoolFleet } from "./pool_fleet.ts";
+
+/** Time within which a configuration must be in force, as in the settings. */
+const CONFIG_BOUND_MS = 3_000;
+/** Hosts of one domain that watch for themselves, and through a reader. */
+const FLEET_SIZES = [5, 8];
+
+let fleet: PoolFleet;
+afterEach(() => fleet.stop());
+
+const advance = (ms: number) => vi.advanceTimersByTimeAsync(ms);
+
+/** Counts for each host how long it takes until a change is in force. */
+async function measureChange(change: () => void, since: number) {
+  const arrivedAt = new Map<number, number>();
+  fleet.poolers.forEach((pooler, index) =>
+    pooler.onCatalogChange(() => arrivedAt.set(index, Date.now()))
+  );
+  change();
+  await advance(4 * CONFIG_BOUND_MS);
+  return Math.max(
+    ...fleet.poolers.map((_, index) => arrivedAt.get(index) ?? Infinity),
+  ) - since;
+}
+
+/** Discards the history after a second without answers, and cuts watches off. */
+function discardHistory(options: { readonly silentAfterCutMs: number }): void {
+  const { watches } = fleet.storeFaults;
+  watches.isSilent = true;
+  setTimeout(() => {
+    [...watches.waiting].forEach((cutOff) => cutOff());
+    setTimeout(() => {
+      fleet.store.discardHistory();
+      watches.isSilent = false;
+    }, options.silentAfterCutMs);
+  }, 1_000);
+}
+
+// Guards against a configuration that is late by the wait of a watch which the
+// store answers only at its end: the history was discarded after it began.
+test.each(FLEET_SIZES)(
+  "a watch that hears of nothing until its end delays no configuration (%i hosts)",
+  async (hosts) => {
+    fleet = await startPoolFleet({ hosts });
+    await advance(8_000);
+    const delays: number[] = [];
+    // A reader watches for 1.75 s at a time.
+    for (let phaseMs = 0; phaseMs < 1_750; phaseMs += 125) {
+      await advance(phaseMs);
+      discardHistory({ silentAfterCutMs: 100 });
+      await advance(300);
+      const change = () => fleet.setCatalog({ transactionIdleMs: 2_999 });
+      delays.push(await measureChange(change, Date.now()));
+    }
+    expect(Math.max(...delays)).toBeLessThanOrEqual(CONFIG_BOUND_MS);
+  },
+);
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -35,7 +35,11 @@
   type PlatformCore,
 } from "../standins/platform_core.ts";
 import { createMemoryNetwork, type MemoryNetwork } from "./memory_streams.ts";
-import { createEraCalls, isExternalKey } from "./era_calls.ts";
+import {
+  createEraCalls,
+  isExternalKey,
+  type WatchFaults,
+} from "./era_calls.ts";
 import {
   createStatementGroup,
   type GroupOptions,
@@ -114,6 +118,7 @@
     isAnswerLost(host: string, key: ObjectKey): boolean;
     /** Delay of a list of the objects under a prefix; none by default. */
     getListDelayMs(prefix: string): number;
+    readonly watches: WatchFaults;
   };
   /** Prefixes that hosts have listed or watched, with the number of calls. */
   readonly readPrefixes: ReadonlyMap<string, number>;
@@ -195,6 +200,7 @@
     getResponseDelayMs: () => 0,
     isAnswerLost: () => false,
     getListDelayMs: () => 0,
+    watches: { isSilent: false, waiting: new Set() },
   };
   const readPrefixes = new Map<string, number>();
   const commands: SentCommand[] = [];
@@ -285,6 +291,7 @@
       getResponseDelayMs: () => storeFaults.getResponseDelayMs(host),
       getRequestDelayMs: () => getFrozenMs(host),
       isAnswerLost: (key) => storeFaults.isAnswerLost(host, key),
+      watchFaults: storeFaults.watches,
     });
     const countRead = (prefix: string) =>
       readPrefixes.set(prefix, (readPrefixes.get(prefix) ?? 0) + 1);
