Bound the wait of a watch by the time for a change to be in force

Cause: a watch could wait for 0.6 x (bound + settlingMs). settlingMs was added since a connection that fails silently counts as a fault of the host. But a watch can stay unanswered for other causes, without any fault of the host: the store may discard its history or leave a watch alone. Then the bound itself must hold.

Change: a watch of the store waits for at most the bound less 1.8 s, the timeout of a call and the delay of its retry. Through a reader it waits for 8 s as the reader proves the age of its copy meanwhile. The store gets more calls from hosts without a reader: 1 per 1.2 s and prefix instead of 4.8 s at a bound of 3 s.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -75,10 +75,13 @@
  */
 const TOLERANCE_START_WINDOWS = 2;
 /**
- * Fraction of the time to notice that a watch is dead which one watch may wait;
- * the rest is for the call's own timeout and the next call.
+ * Part of the time within which a change must be in force that is not spent on
+ * the wait of a watch, in milliseconds. The store may leave a watch unanswered;
+ * the host then needs the timeout of the call and the delay of its retry.
  */
-const WATCH_WAIT_FRACTION = 0.6;
+const WATCH_RECOVERY_MS = 1_800;
+/** Shortest wait of a watch, whatever the time for a change to be in force. */
+const MIN_WATCH_WAIT_MS = 500;
 /** Longest wait of one watch that the store accepts, in milliseconds. */
 const MAX_WATCH_WAIT_MS = 30_000;
 /**
@@ -534,11 +537,10 @@
     copies,
     fencing,
   });
-  // A connection that fails silently counts as a fault of the host.
   const getWatchWaitMs = (inForceMs: number) =>
     Math.min(
       MAX_WATCH_WAIT_MS,
-      WATCH_WAIT_FRACTION * (inForceMs + options.freshness.settlingMs),
+      Math.max(MIN_WATCH_WAIT_MS, inForceMs - WATCH_RECOVERY_MS),
     );
   const watchWaitMs = getWatchWaitMs(options.freshness.changeInForceMs);
   const hasReader = () => fleet.listStoreReaders().length > 0;
--- a/src/pooling/store_readers.ts
+++ b/src/pooling/store_readers.ts
@@ -55,6 +55,12 @@
  * half a minute, so each host reads that from the store itself.
  */
 const MAX_SERVED_BYTES = 16 * 1024;
+/**
+ * Wait of a watch through a reader, in milliseconds. The reader proves the age
+ * of its copy meanwhile; it watches the store only while it is asked, so the
+ * wait is shorter than the time after which it stops.
+ */
+const READER_WAIT_MS = 8_000;
 /** Time without a question after which a host is not told the age. */
 const CLIENT_TIMEOUT_MS = 5_000;
 
@@ -195,7 +201,11 @@
     request: { readonly prefix: string; readonly watch: WatchOptions },
   ): Promise<ReaderOutcome> {
     const { prefix } = request;
-    const watch = { ...request.watch, era: options.tryGetEra() };
+    const watch = {
+      after: request.watch.after,
+      waitMs: request.watch.waitMs === 0 ? 0 : READER_WAIT_MS,
+      era: options.tryGetEra(),
+    };
     const link = host === self ? undefined : getLink(host);
     const cache = caches.get(prefix);
     const res = await (link ? link.watch(prefix, watch) : cache?.watch(watch));
--- a/test/lost_history.test.ts
+++ b/test/lost_history.test.ts
@@ -4,6 +4,7 @@
  */
 
 import { afterEach, expect, test, vi } from "vitest";
+import { countLines, IN_FORCE_MS, startEvacuable } from "./evacuable_fleet.ts";
 import { type PoolFleet, startPoolFleet } from "./pool_fleet.ts";
 
 /** Time within which a configuration must be in force, as in the settings. */
@@ -61,3 +62,47 @@
     expect(Math.max(...delays)).toBeLessThanOrEqual(CONFIG_BOUND_MS);
   },
 );
+
+/** Loses the answers to the watches that wait now, if a change ends them. */
+async function loseAnswers(change: () => void): Promise<void> {
+  const { watches } = fleet.storeFaults;
+  watches.isSilent = true;
+  change();
+  await advance(50);
+  watches.isSilent = false;
+}
+
+// Guards against a bound that holds only if each watch is answered: a watch
+// could wait for longer than changes may take to be in force.
+test.each(FLEET_SIZES)(
+  "a watch that is never answered delays no configuration (%i hosts)",
+  async (hosts) => {
+    fleet = await startPoolFleet({ hosts });
+    await advance(8_000);
+    const delays: number[] = [];
+    for (let phaseMs = 0; phaseMs < CONFIG_BOUND_MS; phaseMs += 250) {
+      await advance(phaseMs);
+      const changedAt = Date.now();
+      const change = () => {
+        void loseAnswers(() => fleet.setCatalog({ transactionIdleMs: 2_999 }));
+      };
+      delays.push(await measureChange(change, changedAt));
+    }
+    expect(Math.max(...delays)).toBeLessThanOrEqual(CONFIG_BOUND_MS);
+  },
+);
+
+// As above: an evacuation has a bound of its own.
+test("a watch that is never answered delays no evacuation", async () => {
+  fleet = await startEvacuable();
+  for (let phaseMs = 0; phaseMs < IN_FORCE_MS; phaseMs += 500) {
+    await advance(phaseMs);
+    fleet.logLines.length = 0;
+    void loseAnswers(() => fleet.evacuate("d1"));
+    await advance(IN_FORCE_MS);
+    const known = countLines("evacuation_started", { domain: "d1" });
+    expect(known).toBe(fleet.poolers.length);
+    fleet.endEvacuation("d1");
+    await advance(2 * IN_FORCE_MS);
+  }
+});
