--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -237,8 +237,8 @@
   /** Maximum wait for a change, in milliseconds. */
   readonly waitMs: number;
   /**
-   * Age of what the caller knows already, in milliseconds; 0 by default. A watch
-   * of the store waits for less by this time.
+   * Age of what the caller knows already, in milliseconds; 0 by default. A host
+   * that watches the store itself waits for less by this time.
    */
   readonly ageMs?: number;
   /** Whether changes may arrive seconds late; the store then charges less. */
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -72,7 +72,7 @@
   failover_phase_ms: "Time of each phase of a failover in milliseconds",
   sessions: "Open sessions of callers",
   evacuated_domains: "Failure domains that are evacuated, as known here",
-  store_age_ms: "Time since the store last answered in milliseconds, by prefix",
+  store_age_ms: "Time since the last list or watch in milliseconds, by prefix",
   evacuations_age_ms:
     "Time since the store last confirmed the evacuations in milliseconds",
   cold_targets: "Targets with a limit after a start or an evacuation",
--- a/src/pooling/store_feed.ts
+++ b/src/pooling/store_feed.ts
@@ -29,7 +29,10 @@
   start(): void;
   /** Whether the last call failed. */
   isUnreachable(): boolean;
-  /** Time up to which changes may be unknown here, in milliseconds. */
+  /**
+   * Time for which changes may be unknown here, in milliseconds; infinite before
+   * the first exact answer.
+   */
   getAgeMs(): number;
 }
 
