--- a/test/host_streams.test.ts
+++ b/test/host_streams.test.ts
@@ -264,6 +264,7 @@
   expect(accepted[0]!.acceptsLoadFields?.()).toBe(true);
   // As an earlier version opens a stream.
   const earlier = new WebSocket(`ws://${holderAddress}/?from=${ENTRY}`);
+  await once(earlier, "open");
   await waitFor(() => accepted.length === 2);
   expect(accepted[1]!.acceptsLoadFields?.()).toBe(false);
   earlier.terminate();
