Revert "Let a watch of the targets wait for as long as a drain allows"

With a bound of 7 s a host without a reader was left 0.15 s after an unanswered watch of 5.2 s, a call that is given up after 1.5 s and its retry; a second call without an answer exceeds the bound.

The two drain tests, types, linter and generated code pass.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -137,11 +137,6 @@
    * milliseconds.
    */
   readonly settlingMs: number;
-  /**
-   * Time within which a draining target must get no new work, in milliseconds;
-   * `changeInForceMs` if undefined.
-   */
-  readonly drainInForceMs?: number | undefined;
   /**
    * Time within which an accepted evacuation must be in force, in
    * milliseconds; undefined if the deployment has no evacuations.
@@ -547,9 +542,10 @@
       MAX_WATCH_WAIT_MS,
       Math.max(MIN_WATCH_WAIT_MS, inForceMs - WATCH_RECOVERY_MS),
     );
-  const { changeInForceMs, drainInForceMs } = options.freshness;
+  const watchWaitMs = getWatchWaitMs(options.freshness.changeInForceMs);
   const hasReader = () => fleet.listStoreReaders().length > 0;
   const feedOptions = {
+    waitMs: watchWaitMs,
     mayListLate: hasReader,
     async waitBeforeFirstWatch() {
       if (fleet.isFirstHost()) {
@@ -560,7 +556,6 @@
   const catalogFeed = createStoreFeed(io, {
     ...feedOptions,
     prefix: decoding.catalogPrefix,
-    waitMs: getWatchWaitMs(changeInForceMs),
     handlers: {
       onList: (objects) => objects.forEach(applyCatalogObject),
       onChanges: (changed) => changed.forEach(applyCatalogObject),
@@ -569,7 +564,6 @@
   const targetFeed = createStoreFeed(io, {
     ...feedOptions,
     prefix: decoding.targetPrefix,
-    waitMs: getWatchWaitMs(drainInForceMs ?? changeInForceMs),
     getMinWatchIntervalMs: () =>
       Math.max(
         MIN_TARGET_WATCH_INTERVAL_MS,
--- a/test/lost_history.test.ts
+++ b/test/lost_history.test.ts
@@ -5,14 +5,12 @@
 
 import { afterEach, expect, test, vi } from "vitest";
 import { IN_FORCE_MS, startEvacuable } from "./evacuable_fleet.ts";
-import {
-  DRAIN_IN_FORCE_MS,
-  type PoolFleet,
-  startPoolFleet,
-} from "./pool_fleet.ts";
+import { type PoolFleet, startPoolFleet } from "./pool_fleet.ts";
 
 /** Time within which a configuration must be in force, as in the settings. */
 const CONFIG_BOUND_MS = 3_000;
+/** Time within which a draining target must get no new work. */
+const DRAIN_BOUND_MS = 5_000;
 /** Hosts of one domain that watch for themselves, and through a reader. */
 const FLEET_SIZES = [5, 8];
 
@@ -154,14 +152,14 @@
   async (hosts) => {
     fleet = await startPoolFleet({ hosts });
     await advance(8_000);
-    for (let phaseMs = 0; phaseMs < DRAIN_IN_FORCE_MS; phaseMs += 500) {
+    for (let phaseMs = 0; phaseMs < DRAIN_BOUND_MS; phaseMs += 500) {
       await advance(phaseMs);
       fleet.logLines.length = 0;
       void loseAnswers(() => fleet.register("t2", { isDraining: true }));
-      await advance(DRAIN_IN_FORCE_MS);
+      await advance(DRAIN_BOUND_MS);
       expect(listHosts("target_changed").size).toBe(hosts);
       fleet.register("t2", { isDraining: false });
-      await advance(DRAIN_IN_FORCE_MS);
+      await advance(DRAIN_BOUND_MS);
     }
   },
 );
--- a/test/platform_adapter.test.ts
+++ b/test/platform_adapter.test.ts
@@ -346,14 +346,12 @@
   expect(settings.evacuationInForceMs).toBeUndefined();
   const extended = parse(render({
     ...fields,
-    "bounds.drainMs|json": "7000",
     "bounds.evacMs|json": "5000",
     "bounds.coldOver|json": "1.5",
     "bounds.coldSlack|json": "5",
   }));
   expect(validatePoolHostSettings(extended)).toBe(true);
   expect(extended).toMatchObject({
-    drainInForceMs: 7_000,
     evacuationInForceMs: 5_000,
     coldLimit: { factor: 1.5, statements: 5 },
   });
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -48,8 +48,6 @@
 } from "../standins/statement_group.ts";
 import { vi } from "vitest";
 
-/** Time within which a draining target gets no new work, in milliseconds. */
-export const DRAIN_IN_FORCE_MS = 5_000;
 const SERVICE = asId<TargetRecord["service"]>("ledger");
 const CATALOG_KEY = asId<ObjectKey>("catalog/main");
 
@@ -451,7 +449,6 @@
       freshness: {
         changeInForceMs: 3_000,
         settlingMs: 2_000,
-        drainInForceMs: DRAIN_IN_FORCE_MS,
         evacuationInForceMs: options.evacuationInForceMs,
       },
       coldLimit: options.coldLimit,
