--- a/src/pooling/store_readers.ts
+++ b/src/pooling/store_readers.ts
@@ -196,6 +196,7 @@
       : undefined;
   }
 
+  /** Watches through one reader. */
   async function tryReader(
     host: HostId,
     request: { readonly prefix: string; readonly watch: WatchOptions },
