Review: a holder that freezes before its order loses acknowledged commits

Cause: an old primary that was unreachable is not asked again before the order, and the copies are not counted again, so what both have acknowledged since the fence is not looked for.

Nothing is fixed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if a statement ran as another tenant, 0 if none did, 2 if the case
+# Exits with 1 if an acknowledged commit is lost, 0 if none is, 2 if the case
 # could not run. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec node target/review/tenant_name.mjs review/3
+exec node target/review/frozen_holder.mjs review/3
