--- a/review/lib/lost_commit.ts
+++ b/review/lib/lost_commit.ts
@@ -27,6 +27,8 @@
 const DARK_MS = 7_000;
 /** Time for which the hosts have no power. */
 const DOWN_MS = 3_500;
+/** How much later the host of the other zone has power, in milliseconds. */
+const LATER_MS = 300;
 const WORKSPACES = ["w0", "w1"];
 
 const record = createRecord(`${process.argv[2]}/record.txt`);
@@ -41,14 +43,14 @@
   });
   const { group, links } = platform.groups[0]!;
   const [primary, , deaf] = group.targets;
-  // The hosts and the last target are in one zone, the others elsewhere.
+  // Two hosts and the last target are in one zone.
   links[0]!.faults.delayMs = REGION_DELAY_MS;
   links[1]!.faults.delayMs = REGION_DELAY_MS;
   platform.setCatalog(
     createCatalog({ service: "orders-db", workspaces: WORKSPACES }),
   );
   const hosts = await createHosts({
-    domains: ["d2", "d2", "d2"],
+    domains: ["d2", "d2", "d1"],
     storePort: platform.storePort,
     ordersPort: platform.ordersPort,
     record,
@@ -106,7 +108,9 @@
     await sleep(850);
     hosts.forEach((host) => host.kill("SIGKILL"));
     await sleep(DOWN_MS);
-    hosts.forEach((host) => host.start());
+    hosts.slice(0, 2).forEach((host) => host.start());
+    await sleep(LATER_MS);
+    hosts[2]!.start();
   }
   isWriting = false;
   const isPromoted = () =>
