Review: a script without its build exits with 2

Cause: node ends with 1 for a missing file or an unforeseen error, which reads as a broken rule.

Change: run.sh looks for both programs, and an unforeseen error ends with 2.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,5 @@
 # Exits with 1 if an acknowledged commit is lost, 0 if none is, 2 if the case
 # could not run. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
+[ -f target/review/frozen_holder.mjs ] && [ -f target/turmericchute.mjs ] || exit 2
 exec node target/review/frozen_holder.mjs review/3
--- a/review/lib/fleet.ts
+++ b/review/lib/fleet.ts
@@ -36,6 +36,12 @@
 export const BROKEN = 1;
 export const NOT_RUN = 2;
 
+// Anything unforeseen means that the case could not run, not that a rule broke.
+process.on("uncaughtException", (err) => {
+  process.stderr.write(`${err.stack}\n`);
+  process.exit(NOT_RUN);
+});
+
 /** Whether the case runs with its disruption. */
 export const hasTrouble = process.env["TROUBLE"] !== "0";
 
