Keep the copies of each log in the store

Cause: a host counts the copies of a log that it has heard of. One whose registration has lapsed, and the log of a process that has started again, were kept in the memory of the processes only. After a restart of all hosts the count was what the store listed at that moment, so that one fenced replica was enough, and the first one fenced need not have the last commits.

Change: `stored_copies.ts` keeps a record a service among the shared objects: the copies with incarnation and address, and the processes whose logs are lost. One host writes it when a target is found, drains, starts again or is forgotten; a host that starts counts what it lists, and its time without a registration begins then. The record is read again together with the list of registrations before a count decides. A copy that has left while no host ran is compared with the first position of the primary after the start.

Cost: one write a service at the first start and one a change of its targets, one read a failover by count, at the same time as the list of registrations.

Related paths: a lapsed replica that alone has the last commits, and a log lost in a restart of its target while no host runs; both had the same cause.

`store_return_failover` counts one more shared object a host, as there is one.

--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -237,7 +237,7 @@
   function checkServices(): void {
     const wasSuspended = nowMs() - lastCheckAt > 5 * CHECK_INTERVAL_MS;
     lastCheckAt = nowMs();
-    copies.updateLost();
+    copies.updateFloors();
     if (wasSuspended) {
       // The process was suspended; targets that look silent may have answered.
       return;
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -20,6 +20,7 @@
 export const SHARED_PREFIX = `${OBJECT_KIND}/`;
 const HOST_PREFIX = `${OBJECT_KIND}/host.`;
 const LEASE_PREFIX = `${OBJECT_KIND}/duty.`;
+const COPIES_PREFIX = `${OBJECT_KIND}/copies.`;
 /** Whether the object is one of those that hosts share. */
 export function isSharedKey(key: ObjectKey): boolean {
   return key.startsWith(SHARED_PREFIX);
@@ -120,8 +121,22 @@
 
 /** Service of a failover lease; undefined if the key is of another object. */
 export function tryGetLeaseService(key: ObjectKey): ServiceId | undefined {
-  return key.startsWith(LEASE_PREFIX)
-    ? asId<ServiceId>(key.slice(LEASE_PREFIX.length))
+  return tryGetService(key, LEASE_PREFIX);
+}
+
+/** Key of the record of the copies of a service's log. */
+export function getCopiesKey(service: ServiceId): ObjectKey {
+  return asId<ObjectKey>(COPIES_PREFIX + service);
+}
+
+/** Service of a record of copies; undefined if the key is of another object. */
+export function tryGetCopiesService(key: ObjectKey): ServiceId | undefined {
+  return tryGetService(key, COPIES_PREFIX);
+}
+
+function tryGetService(key: ObjectKey, prefix: string): ServiceId | undefined {
+  return key.startsWith(prefix)
+    ? asId<ServiceId>(key.slice(prefix.length))
     : undefined;
 }
 
--- a/src/pooling/log_copies.ts
+++ b/src/pooling/log_copies.ts
@@ -23,7 +23,10 @@
   | {
     readonly kind: "left";
     readonly since: number;
-    /** Newest known position of the primary at that time. */
+    /**
+     * Newest known position of the primary at that time; if there was none, the
+     * first one after it.
+     */
     readonly floor: Position | undefined;
   };
 
@@ -37,13 +40,31 @@
 /** Log of a process that has been replaced by a new one under the same id. */
 interface LostCopy {
   readonly id: TargetId;
-  readonly target: TargetRecord;
+  readonly service: ServiceId;
+  readonly target: TargetId;
+  readonly incarnation: number;
   /** Time at which this host heard of the new process. */
   readonly since: number;
   /** First known position of the primary after that time. */
   floor: Position | undefined;
 }
 
+/** Copy of a log as it is recorded in the store. */
+export type StoredCopy = Pick<
+  TargetRecord,
+  "id" | "incarnation" | "address" | "domain" | "slots" | "isDraining"
+>;
+
+/** Record of the copies of a service's log that count. */
+export interface StoredCopies {
+  readonly copies: readonly StoredCopy[];
+  /** Processes that have been replaced under their target's id. */
+  readonly lost: readonly {
+    readonly target: TargetId;
+    readonly incarnation: number;
+  }[];
+}
+
 /** Copies of the logs of all services, as far as this host has heard of them. */
 export interface LogCopies {
   /**
@@ -63,8 +84,28 @@
     service: ServiceId,
     registered?: readonly TargetRecord[],
   ): readonly TargetId[];
-  /** Notes the positions that lost logs are compared with; call it often. */
-  updateLost(): void;
+  /**
+   * Notes the positions that the logs of lost and departed copies are compared
+   * with; call it often.
+   */
+  updateFloors(): void;
+  /** Returns the copies that count, with those that are not registered. */
+  describe(service: ServiceId): KnownCopies;
+  /**
+   * Adds copies that another process has recorded and this one has not heard
+   * of. Their time without a registration begins now.
+   */
+  restore(service: ServiceId, stored: StoredCopies): void;
+  /** Forgets copies that another host has found not to count any more. */
+  drop(service: ServiceId, dropped: StoredCopies): void;
+}
+
+/** Copies of a service's log that count, as this host knows them. */
+export interface KnownCopies {
+  readonly registered: readonly TargetRecord[];
+  /** Copies without a registration. */
+  readonly unregistered: readonly TargetRecord[];
+  readonly lost: StoredCopies["lost"];
 }
 
 /**
@@ -150,22 +191,37 @@
     return ofService.filter(isCounted);
   }
 
-  function updateLost(): void {
+  /**
+   * Returns the position of the primary if it was asked for at or after a time;
+   * an older one may lie before the last commits. Requests it otherwise.
+   */
+  function tryPositionSince(
+    service: ServiceId,
+    since: number,
+  ): Position | undefined {
+    const known = options.tryPosition(service);
+    if (known && nowMs() - known.ageMs >= since) {
+      return known.position;
+    }
+    options.requestPosition(service);
+    return undefined;
+  }
+
+  function updateFloors(): void {
     for (const lost of lostCopies.values()) {
-      const { target: { service }, since } = lost;
-      const known = options.tryPosition(service);
-      // An older position may lie before the last commits of the lost log.
-      if (known && nowMs() - known.ageMs >= since) {
-        lost.floor ??= known.position;
-      }
-      if (lost.floor === undefined) {
-        options.requestPosition(service);
+      lost.floor ??= tryPositionSince(lost.service, lost.since);
+    }
+    for (const [id, copy] of copies) {
+      const { state, target: { service } } = copy;
+      if (state.kind === "left" && state.floor === undefined) {
+        const floor = tryPositionSince(service, state.since);
+        copies.set(id, { ...copy, state: { ...state, floor } });
       }
     }
   }
 
   /** Whether a replica holds all that the lost log may have held. */
-  function isRecovered({ target: { service }, floor }: LostCopy): boolean {
+  function isRecovered({ service, floor }: LostCopy): boolean {
     const primary = primaries.tryPrimary(service);
     return floor !== undefined &&
       [...copies.values()].some(({ target }) =>
@@ -174,10 +230,10 @@
       );
   }
 
-  function listLost(service: ServiceId): readonly TargetId[] {
-    updateLost();
-    const ofService = [...lostCopies.values()].filter(({ target }) =>
-      target.service === service
+  function listLost(service: ServiceId): readonly LostCopy[] {
+    updateFloors();
+    const ofService = [...lostCopies.values()].filter((lost) =>
+      lost.service === service
     );
     for (const lost of ofService) {
       const isExpired = nowMs() - lost.since >= UNREGISTERED_COPY_TIMEOUT_MS;
@@ -190,22 +246,55 @@
         });
       }
     }
-    return ofService.map(({ id }) => id).filter((id) => lostCopies.has(id));
+    return ofService.filter(({ id }) => lostCopies.has(id));
+  }
+
+  /** Records that the log of a target's process is lost. */
+  function addLost(
+    service: ServiceId,
+    lost: { readonly target: TargetId; readonly incarnation: number },
+  ): void {
+    const id = getLostCopyId(lost.target, lost.incarnation);
+    if (lostCopies.has(id)) {
+      return;
+    }
+    lostCopies.set(id, {
+      ...lost,
+      id,
+      service,
+      since: nowMs(),
+      floor: undefined,
+    });
+    health.forgetReceived(lost.target);
+    log.info("copy_lost", { service, target: id });
+  }
+
+  /** Adds a copy that this host has not heard of, or an earlier process of it. */
+  function restoreCopy(service: ServiceId, stored: StoredCopy): void {
+    const { id, incarnation, isDraining } = stored;
+    const known = copies.get(id);
+    if (known) {
+      if (incarnation < known.incarnation) {
+        addLost(service, { target: id, incarnation });
+      }
+      return;
+    }
+    const since = nowMs();
+    copies.set(id, {
+      target: { ...stored, service, role: "replica" },
+      state: isDraining
+        ? { kind: "left", since, floor: undefined }
+        : { kind: "lapsed", since },
+      incarnation,
+    });
+    log.info("copy_restored", { service, target: id, incarnation, isDraining });
   }
 
   function applyRecord(target: TargetRecord): void {
     const { id, service, incarnation } = target;
     const known = copies.get(id);
     if (known && incarnation > known.incarnation) {
-      const lostId = getLostCopyId(id, known.incarnation);
-      lostCopies.set(lostId, {
-        id: lostId,
-        target: known.target,
-        since: nowMs(),
-        floor: undefined,
-      });
-      health.forgetReceived(id);
-      log.info("copy_lost", { service, target: lostId });
+      addLost(service, { target: id, incarnation: known.incarnation });
     }
     copies.set(id, {
       target,
@@ -249,10 +338,41 @@
       const copy = copies.get(id);
       return copy && isCounted(copy) ? copy.target : undefined;
     },
-    updateLost,
+    updateFloors,
+    describe(service) {
+      const known = listCopies(service);
+      const ofKind = (isRegistered: boolean) =>
+        known.filter(({ state }) =>
+          (state.kind === "registered") === isRegistered
+        ).map(({ target, incarnation }) => ({ ...target, incarnation }));
+      return {
+        registered: ofKind(true),
+        unregistered: ofKind(false),
+        lost: listLost(service).map(({ target, incarnation }) => ({
+          target,
+          incarnation,
+        })),
+      };
+    },
+    restore(service, { copies: stored, lost }) {
+      stored.forEach((copy) => restoreCopy(service, copy));
+      lost.forEach((copy) => addLost(service, copy));
+    },
+    drop(service, dropped) {
+      for (const { id } of dropped.copies) {
+        const state = copies.get(id)?.state.kind;
+        if (state === "lapsed" || state === "left") {
+          copies.delete(id);
+          log.info("copy_forgotten", { service, target: id, state: "dropped" });
+        }
+      }
+      dropped.lost.forEach(({ target, incarnation }) =>
+        lostCopies.delete(getLostCopyId(target, incarnation))
+      );
+    },
     listLost: (service, registered = []) => [
       ...new Set([
-        ...listLost(service),
+        ...listLost(service).map(({ id }) => id),
         ...registered.flatMap(({ id, incarnation }) => {
           const known = copies.get(id)?.incarnation;
           return known !== undefined && incarnation > known
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -16,6 +16,7 @@
 import { createFailoverMonitor } from "./failover_monitor.ts";
 import { createFencing } from "./fencing.ts";
 import { createLogCopies } from "./log_copies.ts";
+import { createCopyRecords } from "./stored_copies.ts";
 import { createStepDownRequests } from "./step_down_requests.ts";
 import {
   createFleet,
@@ -439,6 +440,12 @@
     tryPosition: (service) => getPositions(service).tryLatest(),
     requestPosition: (service) => getPositions(service).recordUse(),
   });
+  const copyRecords = createCopyRecords(io, {
+    self: options.host,
+    fleet,
+    directory,
+    copies,
+  });
   const stepDownRequests = createStepDownRequests(ctx, {
     copies,
     listPeers: fleet.listPossiblyRunning,
@@ -447,8 +454,11 @@
     copies,
     requests: stepDownRequests,
     async listRegistered(service) {
-      const listed = await io.store.list(decoding.targetPrefix);
-      return listed.isErr()
+      const [listed, isRecordRead] = await Promise.all([
+        io.store.list(decoding.targetPrefix),
+        copyRecords.refresh(service),
+      ]);
+      return listed.isErr() || !isRecordRead
         ? undefined
         : listed.value.objects.flatMap((object) => {
           const target = decoding.tryDecodeTarget(object);
@@ -753,6 +763,7 @@
     forwarder.checkStreams();
     versionCheck.checkLater();
     directory.removeExpired();
+    copyRecords.check();
     // A target that is no longer suspect may serve waiting requests.
     dispatcher.serveQueue();
     abortIdleTransactions();
--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -516,7 +516,10 @@
       copies: {
         list: () => [],
         listLost: () => [],
-        updateLost() {},
+        updateFloors() {},
+        describe: () => ({ registered: [], unregistered: [], lost: [] }),
+        restore() {},
+        drop() {},
         tryGet: () => undefined,
       },
       listPeers: () => [peer],
--- a/test/log_copies.test.ts
+++ b/test/log_copies.test.ts
@@ -103,12 +103,12 @@
   caughtUp.add("t3");
   ageMs = 100;
   restart("t3");
-  copies.updateLost();
+  copies.updateFloors();
   caughtUp.add("t2");
   expect(copies.listLost(SERVICE)).toEqual(["t3@1"]);
   vi.advanceTimersByTime(100);
   caughtUp.clear();
-  copies.updateLost();
+  copies.updateFloors();
   expect(copies.listLost(SERVICE)).toEqual(["t3@1"]);
   caughtUp.add("t3");
   expect(copies.listLost(SERVICE)).toEqual([]);
--- a/test/store_return_failover.test.ts
+++ b/test/store_return_failover.test.ts
@@ -244,6 +244,7 @@
   expect(listLines("watch_given_up")).toHaveLength(9);
   expect(fleet.counters.get("store_era_changes_total")).toBe(3);
   expect(fleet.counters.get("store_era_losses_total lease")).toBe(1);
-  // The records of three hosts, the ledger and the lease on each host.
-  expect(fleet.counters.get("store_era_losses_total object")).toBe(15);
+  // The records of three hosts, the ledger, the lease and the record of the
+  // copies on each host.
+  expect(fleet.counters.get("store_era_losses_total object")).toBe(18);
 });
