Withhold acknowledgements of a primary that is being replaced

Cause: where no host reaches the old primary, a failover rests on "clients are answered through hosts, so none gets an acknowledgement from it either". That held at the moment of the question only. Until the order takes effect the old primary can be back and commit with a replica that was not fenced, as nothing stops the hosts from handing its answers out. How long that is depends on freezes and on the platform, which may carry an order out seconds later. Ruled out as a cause: that neither the old primary nor the list is looked at again after the lease is written.

A host that is asked to make the old primary step down promises to hand out no acknowledgement of a lower term until that claim has ended, and says so in its answer. The holder writes the term into the lease (`minTerm`) before it fences replicas, which tells hosts that were not asked or start meanwhile; it is taken back if no promotion is ordered, and stays after one. A withheld acknowledgement is delivered if the failover ends without an order, and is in doubt otherwise; new writes are not sent meanwhile. If a host that was asked has not promised, the old primary is asked for again after the lease is written.

`write_load` numbers the writes of several loads differently.

--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -6,6 +6,7 @@
 import type { CatalogHolder } from "./catalog.ts";
 import type { ClockJumpDetector } from "./clock_jumps.ts";
 import type { ColdTargets } from "./cold_targets.ts";
+import type { CommitBarrier } from "./commit_barrier.ts";
 import type { Directory } from "./directory.ts";
 import type { TargetEligibility, TargetUse } from "./target_eligibility.ts";
 import type { Checkout, Dispatcher } from "./dispatch.ts";
@@ -40,6 +41,7 @@
   readonly catalog: CatalogHolder;
   readonly directory: Directory;
   readonly primaries: PrimaryTracker;
+  readonly barrier: CommitBarrier;
   readonly health: Health;
   readonly forwarder: Forwarder;
   readonly dispatcher: Dispatcher;
@@ -211,9 +213,42 @@
   return { kind: "execute", id, name, args: prepared.args, ...after };
 }
 
+/**
+ * Returns the outcome of a commit that the target acknowledged: in doubt if a
+ * failover may have discarded it.
+ */
+export async function confirmCommit(
+  ctx: ExecutionContext,
+  task: Task,
+  outcome: Extract<Outcome, { readonly kind: "done" }>,
+): Promise<Outcome> {
+  const { service } = task.route;
+  const term = outcome.position?.term ?? ctx.primaries.getTerm(service);
+  const isOpen = await ctx.barrier.waitUntilOpen(service, {
+    term,
+    timeoutMs: getTimeLeftMs(task),
+  });
+  if (isOpen) {
+    return outcome;
+  }
+  ctx.io.log.info("commit_withheld", {
+    id: task.operation.id,
+    workspace: task.workspace,
+    service,
+    term,
+    state: ctx.barrier.getState(service, term),
+  });
+  return {
+    kind: "failed",
+    error: "in_doubt",
+    detail: "the primary was replaced without having stepped down",
+  };
+}
+
 /**
  * Chooses the primary as the only candidate, or no target while the primary is
- * suspect: a write that has not been sent can still be refused as not run.
+ * suspect or may be replaced: a write that has not been sent can still be
+ * refused as not run.
  */
 export function choosePrimary(
   ctx: ExecutionContext,
@@ -222,10 +257,13 @@
   return {
     use: "primary",
     listCandidates() {
-      const id = ctx.primaries.tryPrimary(scope.route.service);
+      const { service } = scope.route;
+      const id = ctx.primaries.tryPrimary(service);
       const target = id && ctx.directory.tryGet(id);
       return target && ctx.eligibility.isEligibleFor(target, scope) &&
-          !ctx.health.isSuspect(target.id)
+          !ctx.health.isSuspect(target.id) &&
+          ctx.barrier.getState(service, ctx.primaries.getTerm(service)) !==
+            "pending"
         ? [target]
         : [];
     },
--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -14,7 +14,10 @@
   | "gone"
   /** No primary is known. */
   | "leaderless"
-  /** A failover did not finish, and replicas are still paused. */
+  /**
+   * A failover did not finish, and replicas are still paused or acknowledgements
+   * withheld.
+   */
   | "left_paused";
 
 /** Target that has been seen to lead in a term. */
@@ -55,6 +58,13 @@
    * does not carry it over to its claim.
    */
   readonly lastPrimary?: ProvenPrimary;
+  /**
+   * Term from which a primary's acknowledgements count. Set before replicas are
+   * fenced if the old primary has not stepped down, and kept once a target was
+   * promoted; taken back if no promotion was ordered. Also tells hosts that
+   * start meanwhile.
+   */
+  readonly minTerm?: number;
 }
 
 /** Revisions that fencing tokens distinguish within an era of the store. */
@@ -92,6 +102,7 @@
       ...(isProvenPrimary(lease.lastPrimary)
         ? { lastPrimary: lease.lastPrimary }
         : {}),
+      ...(typeof lease.minTerm === "number" ? { minTerm: lease.minTerm } : {}),
     }
     : undefined;
 }
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -149,10 +149,15 @@
         lease.era === getEra(store) &&
         (newest.holder !== self || !isWaitingAfterReturn()));
     if (isNewer) {
-      newestLeases.set(service, lease);
+      setNewestLease(service, lease);
     }
   }
 
+  function setNewestLease(service: ServiceId, lease: FailoverLease): void {
+    newestLeases.set(service, lease);
+    ctx.barrier.applyLease(service, lease);
+  }
+
   /**
    * Whether a holder of a claim that the store has lost may still act. A claim
    * is over within `LEASE_TIMEOUT_MS`.
@@ -231,7 +236,11 @@
     // No host sees whether a replica in an evacuated domain is paused.
     const isLeftOpen = lease?.isDone === false &&
       targets.some(ctx.eligibility.isEvacuated);
-    return isLeftPaused || isLeftOpen ? "left_paused" : undefined;
+    const isLeftWithheld =
+      ctx.barrier.getPendingMs(service) > PAUSED_TIMEOUT_MS;
+    return isLeftPaused || isLeftOpen || isLeftWithheld
+      ? "left_paused"
+      : undefined;
   }
 
   function checkServices(): void {
@@ -337,6 +346,7 @@
         ? { hasUnansweredOrder: true }
         : {}),
       ...(lastPrimary ? { lastPrimary } : {}),
+      ...(previous?.minTerm === undefined ? {} : { minTerm: previous.minTerm }),
     };
     const version = await tryPutLease(service, claimed, known?.version ?? 0);
     if (version === undefined) {
@@ -376,7 +386,7 @@
    */
   function keepOutcome(service: ServiceId, lease: FailoverLease): void {
     if (newestLeases.get(service)?.fencingToken === lease.fencingToken) {
-      newestLeases.set(service, { ...lease, isDone: true });
+      setNewestLease(service, { ...lease, isDone: true });
     }
   }
 
@@ -409,7 +419,7 @@
       return false;
     }
     claims.set(service, { fencingToken, version });
-    newestLeases.set(service, lease);
+    setNewestLease(service, lease);
     return true;
   }
 
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -1,6 +1,7 @@
 /** Performs the failover of a service: fences, chooses, verifies, promotes. */
 
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
+import { assertNever } from "../core/errors.ts";
 import type { HostId, ServiceId, TargetId } from "../core/ids.ts";
 import { isAtLeast } from "../core/position.ts";
 import { sendControlCommand } from "./control.ts";
@@ -347,20 +348,28 @@
   }
 
   /**
-   * Whether no commit was acknowledged since the old primary stepped down. Its
-   * log may still grow by statements that were running, which are not.
+   * Whether no commit was acknowledged since the old primary stepped down or,
+   * if it has not, since the hosts promised to withhold its acknowledgements.
+   * Its log may still grow by statements that were running, which are not.
    */
   async function isStillDeposed(
     before: Deposition,
     depose: () => Promise<Deposition>,
   ): Promise<boolean> {
-    if (before.kind !== "stepped_down") {
-      return true;
+    switch (before.kind) {
+      case "answers":
+        return false;
+      case "unreachable":
+        return before.isPromised || (await depose()).kind === "unreachable";
+      case "stepped_down": {
+        const now = await depose();
+        return now.kind === "unreachable" ||
+          (now.kind === "stepped_down" &&
+            now.position.term === before.position.term);
+      }
+      default:
+        return assertNever(before);
     }
-    const now = await depose();
-    return now.kind === "unreachable" ||
-      (now.kind === "stepped_down" &&
-        now.position.term === before.position.term);
   }
 
   async function replacePrimary(
@@ -398,6 +407,7 @@
     }
     const attempt: FenceAttempt = {
       service,
+      fencingToken: lease.fencingToken,
       term: ctx.primaries.getTerm(service) + 1,
       oldPrimary,
       hasOldPrimaryLed: lastPrimary !== undefined,
@@ -405,7 +415,13 @@
       openTarget,
     };
     const depose = fencing.createDeposition(attempt);
+    const withholding: FailoverLease = { ...lease, minTerm: attempt.term };
+    // Written at the same time, as no answer is expected.
+    const withheldEarly = found
+      ? undefined
+      : options.updateLease(service, withholding);
     const deposition = await depose();
+    await withheldEarly;
     ctx.io.log.info("old_primary_deposed", {
       service,
       oldPrimary,
@@ -417,6 +433,13 @@
     if (deposition.kind === "answers") {
       return { result: "not_fenced", lease };
     }
+    const isUnreachable = deposition.kind === "unreachable";
+    if (
+      isUnreachable &&
+      !await (withheldEarly ?? options.updateLease(service, withholding))
+    ) {
+      return { result: "overtaken", lease };
+    }
     const fenced = await fencing.fenceReplicas(attempt, deposition);
     if (!fenced) {
       return { result: "too_few", lease };
@@ -433,7 +456,7 @@
       chosen: chosen?.target.id,
     });
     const orderedLease: FailoverLease = {
-      ...withoutLastPrimary(lease),
+      ...withoutLastPrimary(isUnreachable ? withholding : lease),
       ...toOpenTarget(chosen),
     };
     if (!await options.updateLease(service, orderedLease)) {
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -54,11 +54,18 @@
    * No host has an answer from it or knows it to be primary. Clients are
    * answered through hosts, so none gets an acknowledgement from it either.
    */
-  | { readonly kind: "unreachable"; readonly peerCopies: readonly TargetId[] };
+  | {
+    readonly kind: "unreachable";
+    readonly peerCopies: readonly TargetId[];
+    /** Whether all hosts that were asked withhold its acknowledgements. */
+    readonly isPromised: boolean;
+  };
 
 /** A failover's attempt to fence the targets of a service. */
 export interface FenceAttempt {
   readonly service: ServiceId;
+  /** Token of the claim under which the attempt is made. */
+  readonly fencingToken: number;
   /** Term in which the successor will lead. */
   readonly term: number;
   readonly oldPrimary: TargetId | undefined;
@@ -167,7 +174,8 @@
   }
 
   function createDeposition(attempt: FenceAttempt): () => Promise<Deposition> {
-    const { service, oldPrimary, hasOldPrimaryLed, term } = attempt;
+    const { service, oldPrimary, hasOldPrimaryLed, term, fencingToken } =
+      attempt;
     const target = oldPrimary === undefined
       ? undefined
       : copies.tryGet(oldPrimary);
@@ -187,8 +195,9 @@
         service,
         target: target?.id,
         term,
+        fencingToken,
       });
-      const { isReachable, copies: peerCopies } = answers;
+      const { isReachable, copies: peerCopies, isPromised } = answers;
       const steppedDownAt = answers.steppedDownAt ??
         tryBound(answers.replicaEnd);
       if (steppedDownAt) {
@@ -196,7 +205,7 @@
       }
       return isReachable
         ? { kind: "answers" }
-        : { kind: "unreachable", peerCopies };
+        : { kind: "unreachable", peerCopies, isPromised };
     }
 
     let isDeposed = false;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -7,6 +7,7 @@
 import type { PeerInfo, Stoppable, StoredObject } from "../core/types.ts";
 import { createAddressBook } from "./address_book.ts";
 import { createCatalogHolder } from "./catalog.ts";
+import { createCommitBarrier } from "./commit_barrier.ts";
 import { nowMs, waitUntil, withTimeout } from "../core/clock.ts";
 import { createConnectionHolder } from "./connection_holder.ts";
 import { createClockJumpDetector } from "./clock_jumps.ts";
@@ -387,6 +388,7 @@
     catalog,
     directory,
     primaries,
+    barrier: createCommitBarrier(io.log),
     health,
     forwarder,
     dispatcher,
--- a/src/pooling/step_down_requests.ts
+++ b/src/pooling/step_down_requests.ts
@@ -34,6 +34,8 @@
   /** Undefined to ask whether a primary answers, and for the known copies. */
   readonly target: TargetId | undefined;
   readonly term: number;
+  /** Token of the claim for which acknowledgements are to be withheld. */
+  readonly fencingToken: number;
 }
 
 /** Answers of the other hosts. */
@@ -48,6 +50,11 @@
   /** Whether a peer had an answer from the target that may be a primary's. */
   readonly isReachable: boolean;
   readonly copies: readonly TargetId[];
+  /**
+   * Whether each host that was asked withholds acknowledgements of lower terms
+   * until the failover has ended, see `CommitBarrier`.
+   */
+  readonly isPromised: boolean;
 }
 
 /** Sends requests to the other hosts and answers theirs. */
@@ -64,7 +71,9 @@
 interface PendingRequest {
   readonly order: StepDownOrder;
   readonly unanswered: Set<HostId>;
-  answers: PeerAnswers;
+  /** Hosts that have not promised to withhold acknowledgements. */
+  readonly unpromised: Set<HostId>;
+  answers: Omit<PeerAnswers, "isPromised">;
   finish(): void;
 }
 
@@ -119,7 +128,7 @@
 
   return {
     send(order) {
-      const { service, target, term } = order;
+      const { service, target, term, fencingToken } = order;
       const listed = rankNodes(service, options.listPeers())
         .slice(0, MAX_ASKED_HOSTS);
       const id = nextId++;
@@ -128,6 +137,7 @@
         const request: PendingRequest = {
           order,
           unanswered: new Set(listed),
+          unpromised: new Set(listed),
           answers: {
             steppedDownAt: undefined,
             replicaEnd: undefined,
@@ -144,11 +154,15 @@
               term,
               asked: listed.length,
               unanswered: request.unanswered.size,
+              unpromised: request.unpromised.size,
               isSteppedDown: request.answers.steppedDownAt !== undefined,
               isReachable: request.answers.isReachable,
               ms: Math.round(nowMs() - startedAt),
             });
-            resolve(request.answers);
+            resolve({
+              ...request.answers,
+              isPromised: request.unpromised.size === 0,
+            });
           },
         };
         const ask = () =>
@@ -158,6 +172,7 @@
               id,
               service,
               term,
+              fencingToken,
               ...(target === undefined ? {} : { target }),
             })
           );
@@ -171,7 +186,10 @@
       });
     },
     async handleRequest(from, msg) {
-      const { id, service, target } = msg;
+      const { id, service, target, term, fencingToken } = msg;
+      if (fencingToken !== undefined) {
+        ctx.barrier.promise(service, { term, fencingToken });
+      }
       const tell = (
         state: TellStepDown["state"],
         position?: Position,
@@ -182,6 +200,7 @@
           service,
           state,
           copies: listKnownCopies(service),
+          isPromised: fencingToken !== undefined,
           ...(target === undefined ? {} : { target }),
           ...position,
         });
@@ -190,7 +209,7 @@
       log.info("step_down_for_peer", {
         peer: from,
         target,
-        term: msg.term,
+        term,
         result: res.kind,
       });
       tell(
@@ -208,6 +227,9 @@
       if (!isForRequest || !request?.unanswered.has(from)) {
         return;
       }
+      if (msg.isPromised === true) {
+        request.unpromised.delete(from);
+      }
       const { answers } = request;
       if (msg.state === "trying") {
         request.answers = {
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -7,6 +7,7 @@
 import { rankCandidates, tryFreshReadFloor } from "./reads.ts";
 import type { Position, TargetCommand, TargetRecord } from "./types.ts";
 import {
+  confirmCommit,
   describeReply,
   type ExecutionContext,
   getTimeLeftMs,
@@ -267,7 +268,8 @@
         recordPrimaryPosition(checkout, reply.position, sentAt);
       }
       const { rows, signature, position } = reply;
-      return { kind: "done", rows, signature, position };
+      const outcome = { kind: "done", rows, signature, position } as const;
+      return hasWritten ? await confirmCommit(ctx, task, outcome) : outcome;
     }
     const outcome = toCommitFailure(reply, hasWritten);
     ctx.io.log.info("commit_not_acknowledged", {
--- a/src/pooling/writes.ts
+++ b/src/pooling/writes.ts
@@ -5,6 +5,7 @@
 import {
   acquireConnection,
   choosePrimary,
+  confirmCommit,
   describeReply,
   type ExecutionContext,
   getTimeLeftMs,
@@ -83,7 +84,10 @@
   if (reply.kind === "done" && reply.position) {
     recordPrimary(ctx, checkout, { position: reply.position, sentAt });
   }
-  const result = toSendResult(reply);
+  const sent = toSendResult(reply);
+  const result = sent.kind === "done"
+    ? await confirmCommit(ctx, task, sent)
+    : sent;
   const fields = {
     id: task.operation.id,
     workspace: task.workspace,
--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -528,6 +528,7 @@
       service: asId<ServiceId>(service),
       target: asId<TargetId>(target),
       term: 9,
+      fencingToken: 1,
     });
     return { requests, answers };
   };
--- a/test/write_load.ts
+++ b/test/write_load.ts
@@ -15,13 +15,15 @@
   stop(): void;
 }
 
+/** Number of writes of all loads, so that their ids differ. */
+let count = 0;
+
 /** Starts to write on these hosts, each write in a session of its own. */
 export function startWriteLoad(
   fleet: PoolFleet,
   hosts: readonly number[],
 ): WriteLoad {
   const acknowledged = new Set<string>();
-  let count = 0;
   const timer = setInterval(() => {
     for (const host of hosts) {
       const id = `w${count++}`;
