Wait for registrations after an outage before copies are counted

Cause: the count of copies takes the list that is read after the fence for complete. Hosts that start right after an outage do not know of it at all. Ruled out: a stale list; it is read exactly, and the entry is not there yet (`failover_fenced` with copies 3, the fourth registers 0.8 to 1.3 s later).

Change: the directory tells how long registrations may still be missing, counted from the last moment at which the store began to answer this host, to any call; for a process that has just started that is its first list. Until then a count does not decide, and no host claims the lease for a primary that is silent, as its replicas would be paused in vain. A primary that is only no longer registered may still step down, so that failover begins at once. `failover_waits` tells the time that was left.

Cost: a failover by count begins 2.2 s after an outage or the start of its host at the earliest. Nothing otherwise.

--- a/src/pooling/directory.ts
+++ b/src/pooling/directory.ts
@@ -41,6 +41,17 @@
    * lapsed during the outage get time to register again.
    */
   recordStoreReconnected(): void;
+  /**
+   * Records that the store answers calls of this host again. Targets that this
+   * host has never heard of get the same time to register.
+   */
+  recordStoreAnswering(): void;
+  /**
+   * Time for which live targets may still be missing, in milliseconds: they
+   * could not register in an outage, of which a process that has just started
+   * does not know.
+   */
+  getSettlingMs(): number;
   /** Removes lapsed targets that did not register again in time. */
   removeExpired(): void;
   onChange(listener: (event: DirectoryEvent) => void): void;
@@ -63,6 +74,8 @@
   const graceEndById = new Map<TargetId, number>();
   const listeners = new Set<(event: DirectoryEvent) => void>();
   let reconnectedAt = -Infinity;
+  /** Time at which the store began to answer this host; undefined before. */
+  let answeringSince: number | undefined;
 
   function emit(event: DirectoryEvent): void {
     byService.clear();
@@ -171,6 +184,7 @@
       return listed;
     },
     replaceAll(objects) {
+      answeringSince ??= nowMs();
       const listed = new Set(
         objects.map(({ key }) => toTargetId(key)),
       );
@@ -186,6 +200,14 @@
       handleDeregistrations(removed.map(({ key }) => toTargetId(key)));
     },
     recordStoreReconnected,
+    recordStoreAnswering: () => void (answeringSince = nowMs()),
+    getSettlingMs() {
+      if (options.isStoreUnreachable() || answeringSince === undefined) {
+        return REREGISTRATION_GRACE_MS;
+      }
+      const since = Math.max(reconnectedAt, answeringSince);
+      return Math.max(0, since + REREGISTRATION_GRACE_MS - nowMs());
+    },
     removeExpired() {
       if (options.isStoreUnreachable()) {
         return;
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -1,6 +1,7 @@
 /** Decides when a primary is replaced and which host performs the failover. */
 
 import { nowMs, sleep } from "../core/clock.ts";
+import { assertNever } from "../core/errors.ts";
 import { rankNodes } from "../core/hash.ts";
 import type { HostId, ServiceId } from "../core/ids.ts";
 import { getEra } from "../core/store_era.ts";
@@ -258,7 +259,7 @@
       const cause = activeServices.has(service) || isCoolingDown
         ? undefined
         : tryGetCause(service);
-      if (cause && isLeaseFree(service)) {
+      if (cause && !isPremature(service, cause) && isLeaseFree(service)) {
         activeServices.add(service);
         void runFailover(service, cause).finally(() =>
           activeServices.delete(service)
@@ -267,6 +268,38 @@
     }
   }
 
+  /**
+   * Whether the failover would have to count the copies of the log while some
+   * of them may not have registered yet. An unfinished one may go on.
+   */
+  function isPremature(service: ServiceId, cause: FailoverCause): boolean {
+    const lease = newestLeases.get(service);
+    const isUnfinished = lease?.openTarget !== undefined ||
+      lease?.lastPrimary !== undefined;
+    return !isUnfinished && isPrimarySilent(service, cause) &&
+      ctx.directory.getSettlingMs() > 0;
+  }
+
+  /** Whether the primary is not expected to step down. */
+  function isPrimarySilent(service: ServiceId, cause: FailoverCause): boolean {
+    switch (cause) {
+      case "silent":
+      case "leaderless":
+        return true;
+      case "gone": {
+        // It may run, and have lost no more than its registration.
+        const primary = ctx.primaries.tryPrimary(service);
+        return primary === undefined || ctx.health.isSuspect(primary);
+      }
+      case "leaving":
+      case "evacuated":
+      case "left_paused":
+        return false;
+      default:
+        return assertNever(cause);
+    }
+  }
+
   /**
    * Whether this host may claim the lease: there is none yet, or the last one
    * has timed out, or its failover ended long enough ago. After a return of the
@@ -436,7 +469,10 @@
   ): Promise<void> {
     const delayMs = isFirstClaimant(service) ? 0 : LATER_CLAIM_DELAY_MS;
     await sleep(delayMs + ctx.io.random() * MAX_JITTER_MS);
-    if (tryGetCause(service) !== cause || !isLeaseFree(service)) {
+    if (
+      tryGetCause(service) !== cause || isPremature(service, cause) ||
+      !isLeaseFree(service)
+    ) {
       return;
     }
     const lease = await claimLease(service, cause);
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -332,7 +332,10 @@
         return { targets, succession };
       }
       // The count decides. A copy that this host has not heard of yet may have
-      // received what the fenced ones lack.
+      // received what the fenced ones lack, and cannot register in an outage.
+      if (ctx.directory.getSettlingMs() > 0) {
+        continue;
+      }
       registered = await options.listRegistered(service);
     }
     ctx.io.log.info("failover_waits", {
@@ -341,6 +344,7 @@
       copies: copies.list(service).length,
       oldPrimary: deposition.kind,
       isListRead: registered !== undefined,
+      settlingMs: Math.round(ctx.directory.getSettlingMs()),
       reason: "too few targets reachable to cover every acknowledged commit",
     });
     return undefined;
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -213,7 +213,10 @@
       ...new Set([...fleet.listPeers(), ...addresses.listIntroduced()]),
     ],
     listUnheard: () => fleet.listUnheard(),
-    onDirect: addresses.clearIntroduced,
+    onDirect() {
+      addresses.clearIntroduced();
+      directory.recordStoreAnswering();
+    },
   });
   const storeRelay = createStoreRelay(poolerIo, {
     calls: storeCalls,
