--- a/standins/statement_server.ts
+++ b/standins/statement_server.ts
@@ -14,6 +14,7 @@
   encodeReady,
   tryDecodePosition,
   tryDecodeStatement,
+  tryDecodeText,
 } from "../platform/line_codec.ts";
 import { createLineReader, splitFields } from "../platform/line_reader.ts";
 import type { StatementGroup } from "./statement_group.ts";
@@ -67,7 +68,11 @@
   });
 
   function open(line: string): TargetLink | undefined {
-    const [word, service, workspace = "", expected = id] = splitFields(line, 4);
+    const start = tryDecodeText(line) ?? "";
+    const [word, service, workspace = "", expected = id] = splitFields(
+      start,
+      4,
+    );
     const { record } = group.targets.find((t) => t.record.id === id)!;
     const opened = word === "START" && service === record.service &&
         expected === id
