--- a/test/pool_process.ts
+++ b/test/pool_process.ts
@@ -46,6 +46,7 @@
 /** Process of a pool host with its stand-ins. */
 export interface PoolProcess {
   readonly group: StatementGroup;
+  /** Lines of all hosts; each names its host. */
   readonly logLines: readonly Readonly<Record<string, unknown>>[];
   readonly settingsFile: string;
   /** Ports on which the host listens. */
@@ -63,7 +64,9 @@
   /** Fetches the metrics as text. */
   getMetrics(): Promise<string>;
   kill(signal: NodeJS.Signals): void;
-  /** Resolves with the exit code, or the signal that ended the process. */
+  /** Names of the hosts whose process runs. */
+  listRunning(): readonly string[];
+  /** Resolves with the exit code, or the signal that ended the first host. */
   readonly exited: Promise<number | NodeJS.Signals>;
   stop(): Promise<void>;
 }
@@ -77,6 +80,8 @@
 
 /** Options of a process; a host without faults by default. */
 export interface PoolProcessOptions {
+  /** Number of hosts (`h1`, ...), all in one failure domain; 1 by default. */
+  readonly hosts?: number;
   readonly graceS?: number;
   readonly group?: Partial<GroupOptions>;
   /** Statements that the process runs before the program. */
@@ -143,34 +148,40 @@
     put("servers", id, encodeTarget({ ...record, address }));
     addresses.set(id, address);
   }
-  const reserved = await reservePorts(1);
-  const ports = reserved.hosts[0]!;
+  const reserved = await reservePorts(options.hosts ?? 1);
   const directory = mkdtempSync(join(tmpdir(), "pool-process-"));
-  const settingsFile = join(directory, "host.yaml");
-  writeSettings(settingsFile, {
-    host: "h1",
-    domain: "d0",
-    ports,
-    storePort,
-    ordersPort,
-    graceS: options.graceS ?? 6,
-    quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
-  });
   const logLines: Record<string, unknown>[] = [];
-  const host = startHost({
-    program: buildHost("test"),
-    settingsFile,
-    ports,
-    ...(options.prologue
-      ? {
-        nodeOptions: `--import=data:text/javascript,${
-          encodeURIComponent(options.prologue)
-        }`,
-      }
-      : {}),
-    onLog: createLineSplitter((line) => logLines.push(JSON.parse(line))),
+  const program = buildHost("test");
+  const hosts = reserved.hosts.map((ports, index) => {
+    const name = `h${index + 1}`;
+    const settingsFile = join(directory, `${name}.yaml`);
+    writeSettings(settingsFile, {
+      host: name,
+      domain: "d0",
+      ports,
+      storePort,
+      ordersPort,
+      graceS: options.graceS ?? 6,
+      quotaTolerance: { windowS: 5, part: 0.1, operations: 20 },
+    });
+    const host = startHost({
+      program,
+      settingsFile,
+      ports,
+      ...(options.prologue
+        ? {
+          nodeOptions: `--import=data:text/javascript,${
+            encodeURIComponent(options.prologue)
+          }`,
+        }
+        : {}),
+      onLog: createLineSplitter((line) => logLines.push(JSON.parse(line))),
+    });
+    return { ...host, name, settingsFile, ports };
   });
-  await waitUntilReady(host);
+  await Promise.all(hosts.map(waitUntilReady));
+  const [host] = hosts;
+  const { settingsFile, ports } = host!;
   return {
     group,
     logLines,
@@ -191,14 +202,16 @@
     },
     connect: (clientOptions = {}) =>
       createLineClient(ports.clients, { key: KEY, ...clientOptions }),
-    getHealth: () => host.getHealth(),
+    getHealth: () => host!.getHealth(),
     getMetrics: async () =>
       await (await fetch(`http://127.0.0.1:${ports.metrics}`)).text(),
-    kill: (signal) => void host.child.kill(signal),
-    exited: host.exited,
+    kill: (signal) => void host!.child.kill(signal),
+    listRunning: () =>
+      hosts.filter(({ hasExited }) => !hasExited()).map(({ name }) => name),
+    exited: host!.exited,
     async stop() {
-      host.child.kill("SIGKILL");
-      await host.exited;
+      hosts.forEach(({ child }) => child.kill("SIGKILL"));
+      await Promise.all(hosts.map(({ exited }) => exited));
       servers.forEach((server) => server.close());
       reserved.release();
       rmSync(directory, { recursive: true });
