Leave the record of the copies to its first writer for as long as it is unheard of

In a fleet of 76 hosts six hosts wrote the first record, five of them in vain: the others hear of a write only after the watch's minimum interval, 1.9 s there, and each took its turn after 300 ms.

--- a/src/pooling/stored_copies.ts
+++ b/src/pooling/stored_copies.ts
@@ -28,7 +28,8 @@
 const WRITERS = 6;
 /**
  * Time for which each writer leaves a change to the one before it, in
- * milliseconds; several times the duration of a write.
+ * milliseconds, in addition to the time in which it hears of a write: several
+ * times the duration of a write.
  */
 const WRITER_DELAY_MS = 300;
 
@@ -58,7 +59,12 @@
     readonly self: HostId;
     readonly fleet: Pick<
       Fleet,
-      "applyObject" | "isLoaded" | "listPeers" | "onChange" | "tryGet"
+      | "applyObject"
+      | "getMinWatchIntervalMs"
+      | "isLoaded"
+      | "listPeers"
+      | "onChange"
+      | "tryGet"
     >;
     readonly directory: Pick<Directory, "onChange">;
     readonly copies: LogCopies;
@@ -99,7 +105,8 @@
   /** Whether it is this host's turn to write a change. */
   function isWriter(service: ServiceId, waitedMs: number): boolean {
     const rank = rankNodes(service, [self, ...fleet.listPeers()]).indexOf(self);
-    return rank < WRITERS && waitedMs >= rank * WRITER_DELAY_MS;
+    const delayMs = WRITER_DELAY_MS + fleet.getMinWatchIntervalMs();
+    return rank < WRITERS && waitedMs >= rank * delayMs;
   }
 
   async function write(service: ServiceId, next: StoredCopies): Promise<void> {
