Repeat a request to step down without a token for hosts of an earlier version

A host of an earlier version drops a datagram with a field that it does not know, so while a fleet is being upgraded it would be taken not to reach the old primary. A host that has not promised to withhold acknowledgements gets the request again without the token. Test: `hosts that ignore a request with a token make the old primary step down`, fails before.

--- a/src/pooling/step_down_requests.ts
+++ b/src/pooling/step_down_requests.ts
@@ -165,21 +165,23 @@
             });
           },
         };
-        const ask = () =>
-          request.unanswered.forEach((peer) =>
-            peers.send(peer, {
-              kind: "ask_step_down",
-              id,
-              service,
-              term,
-              fencingToken,
-              ...(target === undefined ? {} : { target }),
-            })
-          );
-        const repeat = setInterval(ask, REPEAT_INTERVAL_MS);
+        const plain = {
+          kind: "ask_step_down",
+          id,
+          service,
+          term,
+          ...(target === undefined ? {} : { target }),
+        } as const;
+        const ask = (hosts: ReadonlySet<HostId>) =>
+          hosts.forEach((peer) => peers.send(peer, { ...plain, fencingToken }));
+        const repeat = setInterval(() => {
+          ask(request.unanswered);
+          // A host of an earlier version ignores messages with a token.
+          request.unpromised.forEach((peer) => peers.send(peer, plain));
+        }, REPEAT_INTERVAL_MS);
         const timer = setTimeout(request.finish, REPLY_TIMEOUT_MS);
         pending.set(id, request);
-        ask();
+        ask(request.unanswered);
         if (listed.length === 0) {
           request.finish();
         }
--- a/test/failover_copies.test.ts
+++ b/test/failover_copies.test.ts
@@ -100,6 +100,26 @@
   },
 );
 
+// Guards against hosts of an earlier version that do not understand the request
+// while a fleet is upgraded, and are taken not to reach the old primary.
+test("hosts that ignore a request with a token make the old primary step down", async () => {
+  await startFourCopies({ unregistered: ["t4"] });
+  const acknowledged = startWriters();
+  fleet.messageFaults.isLost = (_, __, msg) =>
+    msg.kind === "ask_step_down" && msg.fencingToken !== undefined;
+  await vi.advanceTimersByTimeAsync(1_000);
+  fleet.unreachableTargets.add("h0/t1");
+  fleet.hostsWithoutStore.add("h1").add("h2");
+  await vi.advanceTimersByTimeAsync(500);
+  fleet.register("t1", { isDraining: true });
+  await vi.advanceTimersByTimeAsync(FAILOVER_MS);
+  const [deposed] = fleet.logLines.filter(({ event }) =>
+    event === "old_primary_deposed"
+  );
+  expect(deposed?.fields["result"]).toBe("stepped_down");
+  expect(listLost(acknowledged)).toHaveLength(0);
+});
+
 // Guards against an order whose fence ends before it takes effect: a replica is
 // resumed and makes the old primary's commits acknowledged again.
 test("a replica that is resumed after the last look at the logs loses no write", async () => {
