Keep the term that was given in the lease, not the one that was expected

The holder expects the next term to be one above the highest that it has heard of. If the platform gave a lower one, acknowledgements of the new primary would be withheld for as long as the lease lists the higher term. Found by reading; no run has shown such a term.

--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -281,7 +281,10 @@
       if (report?.role === "primary") {
         return {
           result: "promoted",
-          lease: toPromotedLease(lease, { isAnswered: res === "accepted" }),
+          lease: toPromotedLease(lease, {
+            term: report.term,
+            isAnswered: res === "accepted",
+          }),
         };
       }
     }
@@ -495,16 +498,19 @@
     return resolved ?? { result: "not_promoted", lease };
   }
 
-  /** Whether the target of an unanswered order has become primary. */
-  async function hasOpenTargetTakenOver(
+  /**
+   * Returns the term in which the target of an unanswered order leads; undefined
+   * if it has not become primary.
+   */
+  async function tryTermOfOpenTarget(
     service: ServiceId,
     lease: FailoverLease,
-  ): Promise<boolean> {
+  ): Promise<number | undefined> {
     const target = ctx.directory.list(service)
       .find(({ id }) => id === lease.openTarget);
     const report = target &&
       await queryTarget(target, ctx.primaries.getTerm(service) + 1);
-    return report?.role === "primary";
+    return report?.role === "primary" ? report.term : undefined;
   }
 
   /** Replaces the primary, unless a usable primary answers. */
@@ -514,12 +520,11 @@
   ): Promise<ResolvedClaim> {
     const { cause, lease } = claim;
     if (lease.openTarget !== undefined) {
-      return await hasOpenTargetTakenOver(service, lease)
-        ? {
-          result: "promoted",
-          lease: toPromotedLease(lease, { isAnswered: false }),
-        }
-        : await replacePrimary(service, claim);
+      const term = await tryTermOfOpenTarget(service, lease);
+      return term === undefined ? await replacePrimary(service, claim) : {
+        result: "promoted",
+        lease: toPromotedLease(lease, { term, isAnswered: false }),
+      };
     }
     const found = await tryFindLivePrimary(service, cause);
     return found?.isLeaving === false
@@ -572,15 +577,23 @@
   return lease;
 }
 
-/** Returns the lease after its target has become primary. */
+/** Returns the lease after its target has become primary in a term. */
 function toPromotedLease(
   lease: FailoverLease,
-  { isAnswered }: { readonly isAnswered: boolean },
+  { term, isAnswered }: {
+    readonly term: number;
+    readonly isAnswered: boolean;
+  },
 ): FailoverLease {
-  const { hasUnansweredOrder: _, ...promoted } = withoutLastPrimary(
+  const { hasUnansweredOrder: _, minTerm, ...promoted } = withoutLastPrimary(
     withoutOpenTarget(lease),
   );
-  return isAnswered ? promoted : { ...promoted, hasUnansweredOrder: true };
+  return {
+    ...promoted,
+    // The term that was expected may be higher than the one that was given.
+    ...(minTerm === undefined ? {} : { minTerm: Math.min(minTerm, term) }),
+    ...(isAnswered ? {} : { hasUnansweredOrder: true }),
+  };
 }
 
 /** Formats targets with their roles and log ends, for the log. */
