Answer hosts of an earlier version without the field of a promise

A host of an earlier version that performs a failover drops an answer with a field that it does not know, so its peers would be silent for it. The field is sent only in answer to a request with a token. The test of hosts that ignore such a request now loses such answers as well; it failed with the field sent always.

--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -52,7 +52,8 @@
   | { readonly kind: "answers" }
   /**
    * No host has an answer from it or knows it to be primary. Clients are
-   * answered through hosts, so none gets an acknowledgement from it either.
+   * answered through hosts, so none gets an acknowledgement from it either as
+   * long as the hosts withhold them, see `CommitBarrier`.
    */
   | {
     readonly kind: "unreachable";
--- a/src/pooling/step_down_requests.ts
+++ b/src/pooling/step_down_requests.ts
@@ -202,7 +202,8 @@
           service,
           state,
           copies: listKnownCopies(service),
-          isPromised: fencingToken !== undefined,
+          // A host of an earlier version ignores answers with this field.
+          ...(fencingToken === undefined ? {} : { isPromised: true }),
           ...(target === undefined ? {} : { target }),
           ...position,
         });
--- a/test/failover_copies.test.ts
+++ b/test/failover_copies.test.ts
@@ -105,8 +105,10 @@
 test("hosts that ignore a request with a token make the old primary step down", async () => {
   await startFourCopies({ unregistered: ["t4"] });
   const acknowledged = startWriters();
+  // Nor do they understand an answer with a field that they have not asked for.
   fleet.messageFaults.isLost = (_, __, msg) =>
-    msg.kind === "ask_step_down" && msg.fencingToken !== undefined;
+    (msg.kind === "ask_step_down" && msg.fencingToken !== undefined) ||
+    (msg.kind === "tell_step_down" && msg.isPromised !== undefined);
   await vi.advanceTimersByTimeAsync(1_000);
   fleet.unreachableTargets.add("h0/t1");
   fleet.hostsWithoutStore.add("h1").add("h2");
