Write the record of the copies at intervals while the store fails

A record that differs while the store does not answer was written every 100 ms by up to six hosts, each a priced call. A failed write is repeated after 2 s. A record that cannot be read, of another writer, no longer counts as one without copies, which made hosts forget what had lapsed. Both found by reading; both tests fail before.

--- a/src/pooling/stored_copies.ts
+++ b/src/pooling/stored_copies.ts
@@ -32,6 +32,8 @@
  * times the duration of a write.
  */
 const WRITER_DELAY_MS = 300;
+/** Delay before a write without an answer is repeated, in milliseconds. */
+const RETRY_DELAY_MS = 2_000;
 
 /** Reads and writes the records of this host's services. */
 export interface CopyRecords {
@@ -48,6 +50,8 @@
   /** Time since which the record has differed; undefined if it does not. */
   differsSince: number | undefined;
   isWriting: boolean;
+  /** Time before which this host does not write. */
+  nextWriteAt: number;
 }
 
 const NO_COPIES: StoredCopies = { copies: [], lost: [] };
@@ -81,6 +85,7 @@
       era: getEra(io.store),
       differsSince: undefined,
       isWriting: false,
+      nextWriteAt: -Infinity,
     };
     states.set(service, state);
     return state;
@@ -91,9 +96,10 @@
     object: StoredObject | undefined,
   ): void {
     const state = getState(service);
-    const stored = tryDecodeStoredCopies(object?.value) ?? NO_COPIES;
+    const decoded = tryDecodeStoredCopies(object?.value);
+    const stored = decoded ?? NO_COPIES;
     // A record of another era may lack what was added last.
-    if (object && state.era === getEra(io.store)) {
+    if (decoded && state.era === getEra(io.store)) {
       copies.drop(service, listRemoved(state.stored, stored));
     }
     state.stored = stored;
@@ -127,6 +133,8 @@
       fleet.applyObject(res.value);
     } else if (res.error.kind === "conflict") {
       fleet.applyObject(res.error.current);
+    } else {
+      state.nextWriteAt = nowMs() + RETRY_DELAY_MS;
     }
   }
 
@@ -156,7 +164,8 @@
         }
         state.differsSince ??= nowMs();
         if (
-          !state.isWriting && isWriter(service, nowMs() - state.differsSince)
+          !state.isWriting && nowMs() >= state.nextWriteAt &&
+          isWriter(service, nowMs() - state.differsSince)
         ) {
           void write(service, next);
         }
--- a/test/failover_restart.test.ts
+++ b/test/failover_restart.test.ts
@@ -146,6 +146,39 @@
   expect(listRecorded()).toEqual(["t1", "t2", "t3"]);
 });
 
+/** Lets the registration of a replica lapse; it counts as a copy for a minute. */
+async function lapseReplica(): Promise<void> {
+  load.stop();
+  deregister("t3");
+  await vi.advanceTimersByTimeAsync(RECORD_MS);
+}
+
+// Guards against calls to a store that does not answer, ten a second.
+test("a record that the store does not accept is written again at intervals", async () => {
+  await startLoadedFleet();
+  await lapseReplica();
+  fleet.hostsWithoutStore.add("all");
+  // The copy does not count any more after a minute.
+  await vi.advanceTimersByTimeAsync(70_000);
+  const failed = fleet.logLines.filter(({ event, fields }) =>
+    event === "copies_recorded" && fields["isAccepted"] === false
+  );
+  expect(failed.length).toBeGreaterThan(0);
+  expect(failed.length).toBeLessThan(10 * HOSTS);
+});
+
+// Guards against a record of another writer that makes hosts forget copies.
+test("a record that cannot be read is replaced and removes no copy", async () => {
+  await startLoadedFleet();
+  await lapseReplica();
+  const { version } = fleet.store.get(RECORD_KEY);
+  fleet.store.put(RECORD_KEY, "odd", { ifVersion: version }).unwrap();
+  await vi.advanceTimersByTimeAsync(RECORD_MS);
+  expect(listRecorded()).toEqual(["t1", "t2"]);
+  expect(fleet.logLines.some(({ event }) => event === "copy_forgotten"))
+    .toBe(false);
+});
+
 // Guards against hosts that write a record which is up to date.
 test("the record of the copies is written once while no target changes", async () => {
   await startLoadedFleet();
