--- a/test/failover_restart.test.ts
+++ b/test/failover_restart.test.ts
@@ -57,6 +57,14 @@
   }
 }
 
+/** Lets the primary go dark while t3 receives nothing; t2 has all writes. */
+async function crashPrimary(): Promise<void> {
+  await startLoadedFleet();
+  fleet.getTarget("t3").faults.isReplicationStopped = true;
+  await vi.advanceTimersByTimeAsync(500);
+  setUnresponsive("t1", true);
+}
+
 function listRecorded(): readonly string[] {
   const { copies } = fleet.store.get(RECORD_KEY).value as {
     copies: { id: string }[];
@@ -67,10 +75,7 @@
 // Guards against a count of copies that forgets, in a restart of all hosts, a
 // primary whose registration has lapsed: one fenced replica would be enough.
 test("a lapsed primary counts as a copy after a restart of all hosts", async () => {
-  await startLoadedFleet();
-  fleet.getTarget("t3").faults.isReplicationStopped = true;
-  await vi.advanceTimersByTimeAsync(500);
-  setUnresponsive("t1", true);
+  await crashPrimary();
   // The replica without the last writes is fenced first.
   fleet.targetReplies.delayMsByTarget.set("t2", 300);
   await restartHosts({ downMs: 3_000, whileDown: () => deregister("t1") });
@@ -83,10 +88,7 @@
 // Guards against a lapsed replica, the only one with the last writes, that no
 // host knows after a restart of all.
 test("a lapsed replica is the successor after a restart of all hosts", async () => {
-  await startLoadedFleet();
-  fleet.getTarget("t3").faults.isReplicationStopped = true;
-  await vi.advanceTimersByTimeAsync(500);
-  setUnresponsive("t1", true);
+  await crashPrimary();
   await restartHosts({
     downMs: 3_000,
     whileDown() {
@@ -102,10 +104,7 @@
 // Guards against the log of a replica that has started again, which held the
 // last writes and is not counted after a restart of all hosts.
 test("a log that was lost counts after a restart of all hosts", async () => {
-  await startLoadedFleet();
-  fleet.getTarget("t3").faults.isReplicationStopped = true;
-  await vi.advanceTimersByTimeAsync(500);
-  setUnresponsive("t1", true);
+  await crashPrimary();
   await restartHosts({
     downMs: 3_000,
     whileDown() {
