--- /dev/null
+++ b/review/lib-2/store.mjs
@@ -0,0 +1,208 @@
+// Stand-in for the platform's store and for its promotion endpoint.
+
+import { Buffer } from "node:buffer";
+import { createServer } from "node:http";
+
+export function listen(server, port = 0) {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(
+      { host: "127.0.0.1", port },
+      () => resolve(server.address().port),
+    );
+  });
+}
+
+function readBody(req) {
+  return new Promise((resolve) => {
+    const chunks = [];
+    req.on("data", (chunk) => chunks.push(chunk));
+    req.on("end", () => {
+      const text = Buffer.concat(chunks).toString("utf8");
+      try {
+        resolve(text === "" ? {} : JSON.parse(text));
+      } catch {
+        resolve({});
+      }
+    });
+    req.on("error", () => resolve({}));
+  });
+}
+
+/** Starts a store that loses nothing and answers all callers. */
+export async function startStore() {
+  const objects = new Map();
+  const history = [];
+  const watches = new Set();
+  let rev = 100;
+
+  const key = (kind, name) => `${kind}/${name}`;
+
+  function record(kind, object, deleted) {
+    history.push({ kind, rev, deleted, object });
+    [...watches].forEach((watch) => watch.check());
+  }
+
+  function write(kind, name, change) {
+    const old = objects.get(key(kind, name));
+    const next = { ...(old ?? { spec: null, status: null }), ...change };
+    const isSame = old &&
+      JSON.stringify([old.spec, old.status]) ===
+        JSON.stringify([next.spec, next.status]);
+    if (isSame) {
+      return old;
+    }
+    rev++;
+    const object = {
+      ...next,
+      meta: {
+        name,
+        rev,
+        createRevision: old?.meta.createRevision ?? rev,
+        finalizers: [],
+        deleting: false,
+      },
+    };
+    objects.set(key(kind, name), object);
+    record(kind, object, false);
+    return object;
+  }
+
+  function remove(kind, name) {
+    const old = objects.get(key(kind, name));
+    if (old) {
+      objects.delete(key(kind, name));
+      rev++;
+      record(kind, { ...old, meta: { ...old.meta, rev } }, true);
+    }
+  }
+
+  function send(res, status, body) {
+    if (!res.destroyed) {
+      const text = JSON.stringify(body);
+      res.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+      });
+      res.end(text);
+    }
+  }
+
+  function watch(res, { kind, after, waitMs }) {
+    const entry = {
+      check(isDue = false) {
+        const events = history
+          .filter((event) => event.kind === kind && event.rev > after)
+          .map(({ object, deleted }) => ({ object, deleted }));
+        if (events.length > 0 || isDue) {
+          watches.delete(entry);
+          clearTimeout(timer);
+          send(res, 200, { events, currentRev: rev });
+        }
+      },
+    };
+    const timer = setTimeout(() => entry.check(true), waitMs);
+    res.on("close", () => {
+      watches.delete(entry);
+      clearTimeout(timer);
+    });
+    watches.add(entry);
+    entry.check();
+  }
+
+  const server = createServer(async (req, res) => {
+    const url = new URL(req.url, "http://store");
+    const [, root, kind, name, sub] = url.pathname.split("/")
+      .map(decodeURIComponent);
+    const body = await readBody(req);
+    if (root !== "objects" || !kind) {
+      return send(res, 404, {});
+    }
+    const old = name === undefined ? undefined : objects.get(key(kind, name));
+    if (req.method === "GET" && name === undefined) {
+      const after = url.searchParams.get("watch");
+      if (after !== null) {
+        const waitMs = Number(url.searchParams.get("waitMs") ?? 0);
+        return watch(res, { kind, after: Number(after), waitMs });
+      }
+      const items = [...objects]
+        .filter(([id]) => id.startsWith(`${kind}/`))
+        .map(([, object]) => object);
+      return send(res, 200, { items, truncated: false, currentRev: rev });
+    }
+    if (req.method === "GET") {
+      return old ? send(res, 200, old) : send(res, 404, {});
+    }
+    if (req.method === "POST") {
+      const id = body.meta?.name;
+      const existing = objects.get(key(kind, id));
+      return existing
+        ? send(res, 409, existing)
+        : send(res, 200, write(kind, id, { spec: body.spec ?? null }));
+    }
+    const expected = body.meta?.rev ?? url.searchParams.get("rev");
+    if (!old) {
+      return send(res, 404, {});
+    }
+    if (
+      expected !== null && expected !== undefined &&
+      Number(expected) !== old.meta.rev
+    ) {
+      return send(res, 409, old);
+    }
+    if (req.method === "PUT") {
+      const change = sub === "status"
+        ? { status: body.status ?? null }
+        : { spec: body.spec ?? null };
+      return send(res, 200, write(kind, name, change));
+    }
+    remove(kind, name);
+    return send(res, 200, old);
+  });
+  const port = await listen(server);
+  return {
+    port,
+    put: (kind, name, spec) => write(kind, name, { spec }),
+    remove,
+    get: (kind, name) => objects.get(key(kind, name)),
+    close() {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+/** Starts the endpoint for orders to promote; it checks generation numbers. */
+export async function startOrders(groups, onOrder) {
+  const seen = new Map();
+  const server = createServer(async (req, res) => {
+    const { service, id } = await readBody(req);
+    const fence = Number(req.headers["fence-token"]);
+    const group = groups.find((entry) => entry.service === service);
+    const isOld = fence < (seen.get(service) ?? 0);
+    const isRunning = group?.isRunning(id) === true;
+    const status = isOld || !isRunning ? 409 : 200;
+    onOrder({
+      service,
+      id,
+      fence,
+      holder: req.headers["lease-holder"],
+      status,
+    });
+    if (!isOld) {
+      seen.set(service, fence);
+    }
+    if (status === 200) {
+      await group.promote(id);
+    }
+    res.writeHead(status).end();
+  });
+  const port = await listen(server);
+  return {
+    port,
+    close() {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
