--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -61,6 +61,17 @@
     return received;
   }
 
+  /** Returns the value of an item that is visible at a server. */
+  function getValue({ log, applied }, item) {
+    for (let i = applied - 1; i >= 0; i--) {
+      const write = log[i].writes.findLast((entry) => entry.item === item);
+      if (write) {
+        return write.data;
+      }
+    }
+    return "none";
+  }
+
   async function append(primary, writes) {
     const { term } = primary;
     const entry = {
@@ -281,6 +292,7 @@
           return fail("READONLY");
         }
         const position = appliedOf(server);
+        const value = getValue(server, statement ? args[1] : args[0]);
         await sleep(workMs);
         if (socket.destroyed && word !== "COMMIT" && !isWrite) {
           return;
@@ -303,18 +315,20 @@
           }
           return done([], signature);
         }
+        const [item, ...data] = statement ? args.slice(1) : args;
+        const write = { id, item, data: data.join(" ") };
         if (isWrite && state === "T") {
-          writes.push(id);
+          writes.push(write);
           return done([], signature);
         }
         if (isWrite) {
-          if (!await append(server, [id])) {
+          if (!await append(server, [write])) {
             return socket.destroy();
           }
           return done([], signature);
         }
         const rows = getRows(text);
-        return done(rows.length > 0 ? rows : [`v${args[0]}`], signature);
+        return done(rows.length > 0 ? rows : [value], signature);
       } finally {
         freeSlot(server);
       }
