Add review case 10: regions that lose each other lose commits

Cause: a copy of the log without a registration counts for 60 s only, so that a replica which lacks acknowledged commits is promoted after that. Change: a script that parts two regions for 75 s, with relays for the paths between machines.

--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -15,7 +15,8 @@
 };
 
 /**
- * Starts a group. `getRows` returns the rows of a read beside its value, and
+ * Starts a group. `isCut` tells whether one server cannot send to another,
+ * `getRows` returns the rows of a read beside its value, and
  * `record` gets what ran.
  */
 export async function startGroup(options) {
@@ -30,6 +31,7 @@
     promoteMs = 600,
     getRows = () => [],
     record = () => {},
+    isCut = () => false,
   } = options;
   const servers = [];
   let nextSignature = 1;
@@ -43,7 +45,8 @@
     for (const replica of servers) {
       if (
         replica === primary || replica.role !== "replica" ||
-        replica.pausedTerm > 0 || replica.isDeaf
+        replica.pausedTerm > 0 || replica.isDeaf ||
+        isCut(primary.id, replica.id)
       ) {
         continue;
       }
@@ -379,7 +382,7 @@
       next.term = term;
       next.applied = next.log.length;
       for (const server of servers) {
-        if (server !== next) {
+        if (server !== next && !isCut(next.id, server.id)) {
           server.log = [...next.log];
           server.applied = Math.min(server.applied, server.log.length);
         }
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -69,7 +69,11 @@
   const { groups, zones, record, tenants, routes } = options;
   const regions = Object.fromEntries(zones.map((zone) => [zone, `r-${zone}`]));
   const directory = mkdtempSync(join(tmpdir(), "review-"));
-  const store = await startStore();
+  const { network } = options;
+  const store = await startStore({
+    callers: options.hosts,
+    ...(network ? { view: network.view } : {}),
+  });
   const orders = await startOrders(
     groups,
     (order) => record(`order ${JSON.stringify(order)}`),
@@ -136,6 +140,12 @@
   configure();
 
   const ports = await findPorts(4 * options.hosts);
+  await network?.connect({
+    groups,
+    peers: Array.from({ length: options.hosts }, (_, i) => ports[4 * i + 3]),
+  });
+  // The first version names addresses that are known only now.
+  registerAll();
   const hosts = [];
   /** Resolves with "cut" once the process that a host runs now has ended. */
   const ended = new Map();
@@ -155,7 +165,7 @@
         health: at(health),
         metrics: at(metrics),
         peers: at(peers),
-        store: at(store.port),
+        store: at(store.ports[i]),
         orders: at(orders.port),
         changeInForceMs: 4_000,
         settlingMs: 5_000,
@@ -235,6 +245,7 @@
       clearInterval(beat);
       hosts.forEach(({ child }) => child.kill("SIGKILL"));
       groups.forEach((group) => group.close());
+      network?.close();
       store.close();
       orders.close();
       rmSync(directory, { recursive: true, force: true });
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -29,16 +29,26 @@
   });
 }
 
-/** Starts a store that loses nothing and answers all callers. */
-export async function startStore() {
+/**
+ * Starts a store that loses nothing. Each caller has a port of its own, which
+ * can be cut off; `view` tells under which addresses a caller reaches others.
+ */
+export async function startStore(
+  { callers = 1, view = (_, spec) => spec } = {},
+) {
   const objects = new Map();
   const history = [];
   const watches = new Set();
+  /** Earlier states, to which a drill returns. */
+  const copies = [];
   let rev = 100;
+  let era = 1;
+  let isDown = false;
 
   const key = (kind, name) => `${kind}/${name}`;
 
   function record(kind, object, deleted) {
+    copies.push({ at: Date.now(), rev, objects: new Map(objects) });
     history.push({ kind, rev, deleted, object });
     [...watches].forEach((watch) => watch.check());
   }
@@ -77,19 +87,49 @@
     }
   }
 
-  function send(res, status, body) {
+  const cutOff = new Set();
+
+  function send(res, status, whole) {
+    const { caller } = res;
+    if (cutOff.has(caller)) {
+      return;
+    }
+    const show = (object) =>
+      object?.meta
+        ? { ...object, spec: view(caller, object.spec, object.meta.name) }
+        : object;
+    const body = whole.items
+      ? { ...whole, items: whole.items.map(show) }
+      : whole.events
+      ? {
+        ...whole,
+        events: whole.events.map((event) => ({
+          ...event,
+          object: show(event.object),
+        })),
+      }
+      : show(whole);
     if (!res.destroyed) {
       const text = JSON.stringify(body);
       res.writeHead(status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
+        "store-era": `${era}`,
       });
       res.end(text);
     }
   }
 
   function watch(res, { kind, after, waitMs }) {
+    if (after > rev) {
+      send(res, 410, {});
+      return;
+    }
     const entry = {
+      cut() {
+        watches.delete(entry);
+        clearTimeout(timer);
+      },
       check(isDue = false) {
         const events = history
           .filter((event) => event.kind === kind && event.rev > after)
@@ -110,11 +150,18 @@
     entry.check();
   }
 
-  const server = createServer(async (req, res) => {
+  const serve = async (req, res, caller) => {
+    res.caller = caller;
     const url = new URL(req.url, "http://store");
     const [, root, kind, name, sub] = url.pathname.split("/")
       .map(decodeURIComponent);
     const body = await readBody(req);
+    if (cutOff.has(caller)) {
+      return;
+    }
+    if (isDown) {
+      return res.destroy();
+    }
     if (root !== "objects" || !kind) {
       return send(res, 404, {});
     }
@@ -158,16 +205,48 @@
     }
     remove(kind, name);
     return send(res, 200, old);
-  });
-  const port = await listen(server);
+  };
+  const servers = [];
+  const ports = [];
+  for (let caller = 0; caller < callers; caller++) {
+    const server = createServer((req, res) => serve(req, res, caller));
+    servers.push(server);
+    ports.push(await listen(server));
+  }
+  const closeAll = () =>
+    servers.forEach((server) => server.closeAllConnections());
   return {
-    port,
+    ports,
+    /** Leaves all that a caller asks unanswered, or ends that. */
+    setCut: (caller, isCut) =>
+      void (isCut ? cutOff.add(caller) : cutOff.delete(caller)),
+    /**
+     * The store is away for a moment and comes back from a copy some seconds
+     * old, in a new era.
+     */
+    async drill({ downMs, ageMs }) {
+      isDown = true;
+      watches.forEach(({ cut }) => cut());
+      closeAll();
+      await new Promise((resolve) => setTimeout(resolve, downMs));
+      const copy = copies.findLast(({ at }) => at <= Date.now() - ageMs);
+      rev = copy.rev;
+      objects.clear();
+      copy.objects.forEach((object, id) => objects.set(id, object));
+      history.splice(
+        0,
+        history.length,
+        ...history.filter((event) => event.rev <= rev),
+      );
+      era++;
+      isDown = false;
+    },
     put: (kind, name, spec) => write(kind, name, { spec }),
     remove,
     get: (kind, name) => objects.get(key(kind, name)),
     close() {
-      server.closeAllConnections();
-      server.close();
+      closeAll();
+      servers.forEach((server) => server.close());
     },
   };
 }
