Let the relays of the review hold bytes up in a cut

Cause: the relays lost bytes of connections in a cut, and servers kept connections whose far end had gone; both is not what a partition does. Change: bytes are held until the path is back or their sender has closed, and a connection whose far end is dark is dropped after 3 s.

--- a/review/lib-2/network.mjs
+++ b/review/lib-2/network.mjs
@@ -1,40 +1,75 @@
 // Paths between machines that can be cut: each host reaches each server and
-// each other host through a relay of its own. A cut path loses what is sent, in
-// both directions, and does not answer new connections.
+// each other host through a relay of its own. A cut holds up the bytes of
+// connections, new ones too, and loses datagrams.
 
 import { createSocket } from "node:dgram";
 import { connect, createServer } from "node:net";
 import { listen } from "./store.mjs";
 
 const HOST = "127.0.0.1";
+const POLL_MS = 10;
+/** Time after which a connection whose far end is dark is dropped. */
+const DARK_MS = 3_000;
 
-/** Creates the paths; `isCut(from, to)` is asked for each piece of data. */
+/**
+ * Creates the paths; `isCut(from, to)` is asked for each piece of data, in its
+ * direction.
+ */
 export function createNetwork({ isCut, nameHost }) {
   /** Port by which a host reaches a server or another host. */
   const ports = new Map();
   const closers = [];
 
+  /** Calls back as soon as the path is not cut any more. */
+  function whenJoined(from, to, callback) {
+    const timer = setInterval(() => {
+      if (!isCut(from, to)) {
+        clearInterval(timer);
+        callback();
+      }
+    }, POLL_MS);
+    closers.push(() => clearInterval(timer));
+  }
+
+  /** Passes bytes on in one direction; a cut holds them up. */
+  function passOn(from, to, [source, target]) {
+    const held = [];
+    const write = () => {
+      for (const data of held.splice(0)) {
+        target.write(data);
+      }
+    };
+    source.setNoDelay(true);
+    source.on("data", (data) => {
+      held.push(data);
+      if (!isCut(from, to)) {
+        write();
+      } else if (held.length === 1) {
+        whenJoined(from, to, write);
+      }
+    });
+    source.on("error", () => {});
+    source.on("close", () => {
+      if (!isCut(from, to)) {
+        target.end();
+        return;
+      }
+      // What is held up is lost with its sender.
+      held.length = 0;
+      setTimeout(() => target.destroy(), DARK_MS);
+    });
+  }
+
   async function relayStream(from, to, port) {
     const sockets = new Set();
-    const server = createServer({ allowHalfOpen: true }, (near) => {
-      const far = connect({ host: HOST, port, allowHalfOpen: true });
-      for (const [one, other] of [[near, far], [far, near]]) {
-        sockets.add(one);
-        one.setNoDelay(true);
-        one.on("data", (data) => {
-          if (!isCut(from, to) && !other.destroyed) {
-            other.write(data);
-          }
-        });
-        one.on("end", () => !isCut(from, to) && other.end());
-        one.on("error", () => !isCut(from, to) && other.destroy());
-        one.on("close", () => {
-          sockets.delete(one);
-          if (!isCut(from, to)) {
-            other.destroy();
-          }
-        });
+    const server = createServer((near) => {
+      const far = connect({ host: HOST, port });
+      for (const socket of [near, far]) {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
       }
+      passOn(from, to, [near, far]);
+      passOn(to, from, [far, near]);
     });
     const bound = await listen(server);
     ports.set(`${from} ${to}`, bound);
