--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -432,6 +432,9 @@
       position: deposition.kind === "stepped_down"
         ? formatPosition(deposition.position)
         : undefined,
+      isPromised: deposition.kind === "unreachable"
+        ? deposition.isPromised
+        : undefined,
     });
     if (deposition.kind === "answers") {
       return { result: "not_fenced", lease };
@@ -447,13 +450,14 @@
     if (!fenced) {
       return { result: "too_few", lease };
     }
-    const { targets, succession } = fenced;
+    const { targets, succession, counted } = fenced;
     const chosen = tryChooseSuccessor(targets, succession);
     ctx.io.log.info("failover_fenced", {
       service,
       term: attempt.term,
       fenced: formatReports(targets),
       copies: succession.copies,
+      counted,
       required: getRequiredFencedCount(succession),
       oldPrimary,
       chosen: chosen?.target.id,
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -84,6 +84,8 @@
 export interface Fenced {
   readonly targets: readonly ReportedTarget[];
   readonly succession: SuccessionOptions;
+  /** Copies that count, and why each of them does, for the log. */
+  readonly counted: string;
 }
 
 /** Fences the targets of services. */
@@ -145,21 +147,22 @@
       readonly deposition: Deposition;
       readonly registered: readonly TargetRecord[];
     },
-  ): SuccessionOptions {
+  ): { readonly succession: SuccessionOptions; readonly counted: string } {
     const { service, oldPrimary, mayKeepOldPrimary, openTarget } = attempt;
     const { deposition, registered } = known;
-    const ids = new Set([
-      ...copies.list(service).map(({ id }) => id),
-      ...copies.listLost(service, registered),
-      ...registered.map(({ id }) => id),
-      ...(deposition.kind === "unreachable" ? deposition.peerCopies : []),
-    ]);
+    const sources = {
+      known: copies.list(service).map(({ id }) => id),
+      lost: copies.listLost(service, registered),
+      registered: registered.map(({ id }) => id),
+      peer: deposition.kind === "unreachable" ? deposition.peerCopies : [],
+    };
+    const ids = new Set(Object.values(sources).flat());
     // The log that the old primary led with counts in place of its new one.
     const lostOfPrimary = [...ids].filter((id) =>
       oldPrimary !== undefined && isLostCopyOf(id, oldPrimary)
     );
     lostOfPrimary.forEach((id) => ids.delete(id));
-    return {
+    const succession = {
       copies: ids.size,
       syncReplicas: ctx.catalog.tryGet()?.services.get(service)
         ?.syncReplicas ?? 0,
@@ -172,6 +175,12 @@
       preferred: openTarget,
       mayLead: ctx.eligibility.mayLead,
     };
+    const counted = [...ids].map((id) => {
+      const listedBy = Object.entries(sources)
+        .filter(([, listed]) => listed.includes(id)).map(([source]) => source);
+      return `${id}:${listedBy.join("+")}`;
+    }).join(" ");
+    return { succession, counted };
   }
 
   function createDeposition(attempt: FenceAttempt): () => Promise<Deposition> {
@@ -296,7 +305,7 @@
         .forEach((target) => void addIfFenced(target));
       await sleep(POLL_INTERVAL_MS);
       const targets = [...fenced.values()];
-      const succession = getSuccessionOptions(attempt, {
+      const { succession, counted } = getSuccessionOptions(attempt, {
         deposition,
         registered: registered ?? [],
       });
@@ -325,12 +334,12 @@
       if (successor.target.id === oldPrimary && succession.steppedDownAt) {
         // A copy that is not fenced yet may hold what the fenced ones lack.
         if (targets.length >= succession.copies || nowMs() >= graceEnd) {
-          return { targets, succession };
+          return { targets, succession, counted };
         }
         continue;
       }
       if (registered || coversOldPrimary(successor, succession)) {
-        return { targets, succession };
+        return { targets, succession, counted };
       }
       // The count decides. A copy that this host has not heard of yet may have
       // received what the fenced ones lack, and cannot register in an outage.
