Acknowledge a commit only once no failover can discard it

Cause: a primary acknowledges a commit as soon as any replica has received it, also one that is registered nowhere. A failover that does not reach the primary counts copies, and can count only those that it knows; hosts on the side of the primary went on handing acknowledgements out, and their silence was taken for a promise. docs/PROOFS.md argued that this cannot be told from an outage of the store. It can: in an outage a host reaches a recorded replica, or the store.

Change: a host hands an acknowledgement out once one of two witnesses has the commit. The first is a copy that the store's record names: its reported log end has reached the commit in the same term. The record counts as the watch has delivered it, so that a lease that was written before it is known too. The second is a floor in the failover lease, for hosts that reach no such copy: it is written on condition of the lease's version and only while no claim is held, and a successor must have reached it. Without either, the outcome is in doubt when the statement's time is over. Silence of peers needs no meaning any more.

An exception for hosts with a current view of the store was refuted: a replica that has just started, or that the store turns away, is on no list at the moment of the commit, however current the list.

--- a/src/pooling/execution.ts
+++ b/src/pooling/execution.ts
@@ -2,7 +2,7 @@
 
 import type { Result } from "ts-results-es";
 import { nowMs, withTimeout } from "../core/clock.ts";
-import type { ReqId, ServiceId, WorkspaceId } from "../core/ids.ts";
+import type { ReqId, ServiceId, TargetId, WorkspaceId } from "../core/ids.ts";
 import type { CatalogHolder } from "./catalog.ts";
 import type { ClockJumpDetector } from "./clock_jumps.ts";
 import type { ColdTargets } from "./cold_targets.ts";
@@ -32,6 +32,26 @@
   Topology,
 } from "./types.ts";
 
+/** Commit that a primary has acknowledged. */
+export interface AcknowledgedCommit {
+  readonly position: Position;
+  readonly primary: TargetId;
+  /** Time to wait for a receipt, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Receipts of commits, see `createCommitReceipts`. */
+export interface CommitReceipts {
+  /**
+   * Waits until a recorded replica is known to have received the commit, or the
+   * store to name it; false if neither is in time.
+   */
+  waitUntilSafe(
+    service: ServiceId,
+    commit: AcknowledgedCommit,
+  ): Promise<boolean>;
+}
+
 /** Dependencies of statement execution. */
 export interface ExecutionContext {
   readonly io: PoolIo;
@@ -42,6 +62,7 @@
   readonly directory: Directory;
   readonly primaries: PrimaryTracker;
   readonly barrier: CommitBarrier;
+  readonly receipts: CommitReceipts;
   readonly health: Health;
   readonly forwarder: Forwarder;
   readonly dispatcher: Dispatcher;
@@ -214,17 +235,26 @@
 }
 
 /**
- * Returns the outcome of a commit that the target acknowledged: in doubt if a
- * failover may have discarded it.
+ * Returns the outcome of a commit that a primary acknowledged: in doubt if a
+ * failover may discard it, or may have done so.
  */
 export async function confirmCommit(
   ctx: ExecutionContext,
   task: Task,
-  outcome: Extract<Outcome, { readonly kind: "done" }>,
+  commit: {
+    readonly outcome: Extract<Outcome, { readonly kind: "done" }>;
+    readonly primary: TargetId;
+  },
 ): Promise<Outcome> {
   const { service } = task.route;
+  const { outcome, primary } = commit;
   const term = outcome.position?.term ?? ctx.primaries.getTerm(service);
-  const isOpen = await ctx.barrier.waitUntilOpen(service, {
+  // The barrier is asked last: a later failover counts the copy that received.
+  const isSafe = await isCommitSafe(ctx, task, {
+    position: outcome.position,
+    primary,
+  });
+  const isOpen = isSafe && await ctx.barrier.waitUntilOpen(service, {
     term,
     timeoutMs: getTimeLeftMs(task),
   });
@@ -235,16 +265,42 @@
     id: task.operation.id,
     workspace: task.workspace,
     service,
+    primary,
     term,
+    position: outcome.position?.pos,
+    isSafe,
     state: ctx.barrier.getState(service, term),
   });
   return {
     kind: "failed",
     error: "in_doubt",
-    detail: "the primary was replaced without having stepped down",
+    detail: isSafe
+      ? "the primary was replaced without having stepped down"
+      : "no recorded replica has confirmed the commit",
   };
 }
 
+/** Whether no failover can discard the commit, if the service has replicas. */
+async function isCommitSafe(
+  ctx: ExecutionContext,
+  task: Task,
+  { position, primary }: {
+    readonly position: Position | undefined;
+    readonly primary: TargetId;
+  },
+): Promise<boolean> {
+  const { service } = task.route;
+  const { syncReplicas = 0 } = ctx.catalog.tryGet()?.services.get(service) ??
+    {};
+  return syncReplicas === 0 ||
+    (position !== undefined &&
+      await ctx.receipts.waitUntilSafe(service, {
+        position,
+        primary,
+        timeoutMs: getTimeLeftMs(task),
+      }));
+}
+
 /**
  * Chooses the primary as the only candidate, or no target while the primary is
  * suspect or may be replaced: a write that has not been sent can still be
--- a/src/pooling/failover_lease.ts
+++ b/src/pooling/failover_lease.ts
@@ -1,6 +1,8 @@
 /** Stored lease on the failover of a service. */
 
 import type { HostId, TargetId } from "../core/ids.ts";
+import { maxPosition } from "../core/position.ts";
+import type { Position } from "./types.ts";
 
 /** Reason for replacing a primary. */
 export type FailoverCause =
@@ -65,6 +67,21 @@
    * start meanwhile.
    */
   readonly minTerm?: number;
+  /**
+   * Position that the log of every successor must have reached, see
+   * `StoredFloors`; carried over from claim to claim.
+   */
+  readonly floor?: Position;
+}
+
+/** Returns the higher floor of two leases; undefined if there is none. */
+export function tryHigherFloor(
+  a: Pick<FailoverLease, "floor"> | undefined,
+  b: Pick<FailoverLease, "floor"> | undefined,
+): Position | undefined {
+  return a?.floor && b?.floor
+    ? maxPosition(a.floor, b.floor)
+    : a?.floor ?? b?.floor;
 }
 
 /** Revisions that fencing tokens distinguish within an era of the store. */
@@ -103,10 +120,16 @@
         ? { lastPrimary: lease.lastPrimary }
         : {}),
       ...(typeof lease.minTerm === "number" ? { minTerm: lease.minTerm } : {}),
+      ...(isPosition(lease.floor) ? { floor: lease.floor } : {}),
     }
     : undefined;
 }
 
+function isPosition(value: unknown): value is Position {
+  const { term, pos } = (value ?? {}) as Partial<Position>;
+  return typeof term === "number" && typeof pos === "number";
+}
+
 function isProvenPrimary(value: unknown): value is ProvenPrimary {
   const { target, incarnation, term } = (value ?? {}) as Partial<ProvenPrimary>;
   return typeof target === "string" && typeof incarnation === "number" &&
--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -11,6 +11,7 @@
   getFencingToken,
   type ProvenPrimary,
   tryDecodeFailoverLease,
+  tryHigherFloor,
 } from "./failover_lease.ts";
 import { createFailoverProcedure } from "./failover_procedure.ts";
 import type { Fencing } from "./fencing.ts";
@@ -36,6 +37,8 @@
 const NO_PRIMARY_TIMEOUT_MS = 1_200;
 /** Time after which another host's lease expires; longer than any failover. */
 const LEASE_TIMEOUT_MS = 7_000;
+/** Attempts to claim the lease while other hosts change nothing but its floor. */
+const MAX_CLAIM_ATTEMPTS = 3;
 /** Minimum time between two changes of primary, in milliseconds. */
 const FAILOVER_COOLDOWN_MS = 3_000;
 /** Delay before an unanswered promotion order is repeated, in milliseconds. */
@@ -109,6 +112,8 @@
   const claims = new Map<ServiceId, Claim>();
   /** Newest lease seen of each service, by fencing token, in any era. */
   const newestLeases = new Map<ServiceId, FailoverLease>();
+  /** Times at which claims began or ended last, as the store told. */
+  const claimChangedAt = new Map<ServiceId, number>();
   const writingBack = new Set<ServiceId>();
   const createdAt = nowMs();
   let eraRoseAt = -Infinity;
@@ -128,6 +133,7 @@
     const service = tryGetLeaseService(key);
     const lease = tryDecodeFailoverLease(fleet.tryGet(key)?.value);
     if (service && lease) {
+      recordClaimChange(service, lease);
       recordLease(service, lease);
     }
   });
@@ -140,6 +146,18 @@
     claims.clear();
   });
 
+  /** Notes the time of a change of the lease other than of its floor. */
+  function recordClaimChange(service: ServiceId, lease: FailoverLease): void {
+    const { floor: _, ...claim } = lease;
+    const { floor: __, ...earlier } = newestLeases.get(service) ?? {};
+    // A lease that nobody has claimed yet only records a floor.
+    const isClaim = !(lease.isDone && lease.fencingToken === 0) &&
+      JSON.stringify(claim) !== JSON.stringify(earlier);
+    if (isClaim) {
+      claimChangedAt.set(service, nowMs());
+    }
+  }
+
   /** Records a lease, unless it is older than one that this host has seen. */
   function recordLease(service: ServiceId, lease: FailoverLease): void {
     const newest = newestLeases.get(service);
@@ -317,7 +335,7 @@
     const cooldownMs = lease.openTarget === undefined
       ? FAILOVER_COOLDOWN_MS
       : PROMOTION_RETRY_MS;
-    return fleet.getAgeMs(key) >
+    return nowMs() - (claimChangedAt.get(service) ?? -Infinity) >
       (lease.isDone
         ? cooldownMs
         : isOwnUnansweredClaim(service)
@@ -359,14 +377,41 @@
       : undefined;
   }
 
+  /**
+   * Claims the lease. A floor that was recorded meanwhile does not count as a
+   * claim of another host.
+   */
   async function claimLease(
     service: ServiceId,
     cause: FailoverCause,
+  ): Promise<FailoverLease | undefined> {
+    const key = getFailoverLeaseKey(service);
+    for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt++) {
+      const version = fleet.tryGet(key)?.version;
+      const claimed = await tryClaimLease(service);
+      if (claimed) {
+        return claimed;
+      }
+      const isConflict = fleet.tryGet(key)?.version !== version;
+      if (!isConflict || !isLeaseFree(service)) {
+        break;
+      }
+    }
+    ctx.io.log.info("failover_not_claimed", { service, cause });
+    return undefined;
+  }
+
+  async function tryClaimLease(
+    service: ServiceId,
   ): Promise<FailoverLease | undefined> {
     const key = getFailoverLeaseKey(service);
     const known = fleet.tryGet(key);
     const previous = newestLeases.get(service);
     const lastPrimary = tryLastPrimary(service, previous);
+    const floor = tryHigherFloor(
+      previous,
+      tryDecodeFailoverLease(known?.value),
+    );
     const claimed: FailoverLease = {
       holder: self,
       fencingToken: previous?.fencingToken ?? 0,
@@ -380,10 +425,10 @@
         : {}),
       ...(lastPrimary ? { lastPrimary } : {}),
       ...(previous?.minTerm === undefined ? {} : { minTerm: previous.minTerm }),
+      ...(floor ? { floor } : {}),
     };
     const version = await tryPutLease(service, claimed, known?.version ?? 0);
     if (version === undefined) {
-      ctx.io.log.info("failover_not_claimed", { service, cause });
       return undefined;
     }
     const fencingToken = getFencingToken(version, getEra(store));
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -415,6 +415,7 @@
       oldPrimary,
       hasOldPrimaryLed: lastPrimary !== undefined,
       mayKeepOldPrimary: !isInOrder(cause),
+      floor: lease.floor,
       openTarget,
     };
     const depose = fencing.createDeposition(attempt);
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -76,6 +76,8 @@
    */
   readonly hasOldPrimaryLed: boolean;
   readonly mayKeepOldPrimary: boolean;
+  /** Position that the successor must have reached, see `FailoverLease`. */
+  readonly floor: Position | undefined;
   /** Target of an order that may still take effect, see `FailoverLease`. */
   readonly openTarget: TargetId | undefined;
 }
@@ -164,6 +166,7 @@
     lostOfPrimary.forEach((id) => ids.delete(id));
     const succession = {
       copies: ids.size,
+      floor: attempt.floor,
       syncReplicas: ctx.catalog.tryGet()?.services.get(service)
         ?.syncReplicas ?? 0,
       steppedDownAt: deposition.kind === "stepped_down"
--- a/src/pooling/fleet.ts
+++ b/src/pooling/fleet.ts
@@ -272,6 +272,12 @@
    */
   getTimeSincePreviousStartMs(): number;
   onChange(listener: (key: ObjectKey) => void): void;
+  /**
+   * Calls the listener with each object that the watch delivers, also if a call
+   * has returned it before. All changes before that of the object have been
+   * applied by then.
+   */
+  onDelivered(listener: (object: StoredObject) => void): void;
   /**
    * Whether each registered host that was heard from within `withinMs` and has
    * not left knows the era of the store.
@@ -313,6 +319,7 @@
   /** Whether hosts watch through readers; undefined until it is computed. */
   let cachedHasReaders: boolean | undefined;
   const listeners = new Set<(key: ObjectKey) => void>();
+  const deliveryListeners = new Set<(object: StoredObject) => void>();
   let hasStarted = false;
   let isFirstHost = false;
   let resolveListed = () => {};
@@ -351,7 +358,7 @@
         const removed = [...objects.keys()].filter((key) =>
           !keys.has(key) && !(isFirstOfEra && key.startsWith(HOST_PREFIX))
         ).map((key) => ({ key, version: 0, value: undefined }));
-        applyObjects([...removed, ...listed]);
+        applyDelivered([...removed, ...listed]);
         if (!hasStarted) {
           hasStarted = true;
           firstEra = getEra(io.store);
@@ -365,7 +372,7 @@
       },
       onChanges(changed) {
         recordAnswer();
-        applyObjects(changed);
+        applyDelivered(changed);
       },
     },
   });
@@ -458,6 +465,13 @@
     }
   }
 
+  function applyDelivered(arrived: readonly StoredObject[]): void {
+    applyObjects(arrived);
+    for (const object of arrived) {
+      deliveryListeners.forEach((listener) => listener(object));
+    }
+  }
+
   function applyObject(object: StoredObject): void {
     applyObjects([object]);
   }
@@ -719,6 +733,7 @@
     hasStoreReturned,
     getTimeSincePreviousStartMs: () => Math.abs(incarnation - previousStartAt),
     onChange: (listener) => void listeners.add(listener),
+    onDelivered: (listener) => void deliveryListeners.add(listener),
     isEraKnownToAll: (withinMs) =>
       [...hosts].every((key) => {
         const record = tryGetRecord(key);
--- a/src/pooling/health.ts
+++ b/src/pooling/health.ts
@@ -100,6 +100,8 @@
       readonly received: Position;
     },
   ): void;
+  /** Returns the log end that the target has reported last. */
+  tryReceived(target: TargetId): Position | undefined;
   /** Whether the target has reported a log end at or past the position. */
   hasReceived(target: TargetId, position: Position): boolean;
   /** Forgets the reported log end, which was that of an earlier process. */
@@ -230,6 +232,7 @@
       const { pausedSince } = getRecord(target);
       return pausedSince === undefined ? 0 : nowMs() - pausedSince;
     },
+    tryReceived: (target) => getRecord(target).received,
     hasReceived(target, position) {
       const { received } = getRecord(target);
       return received !== undefined && isAtLeast(received, position);
--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -8,6 +8,7 @@
 import { createAddressBook } from "./address_book.ts";
 import { createCatalogHolder } from "./catalog.ts";
 import { createCommitBarrier } from "./commit_barrier.ts";
+import { createCommitReceipts } from "./commit_receipts.ts";
 import { nowMs, waitUntil, withTimeout } from "../core/clock.ts";
 import { createConnectionHolder } from "./connection_holder.ts";
 import { createClockJumpDetector } from "./clock_jumps.ts";
@@ -49,6 +50,7 @@
 import { createShareSync } from "./share_sync.ts";
 import { createCountedCalls } from "./store_calls.ts";
 import { createStoreAccess } from "./store_access.ts";
+import { createStoredFloors } from "./stored_floors.ts";
 import { createStoreFeed, type StoreFeed } from "./store_feed.ts";
 import { createStoreReaders } from "./store_readers.ts";
 import { createStoreRelay } from "./store_relay.ts";
@@ -392,6 +394,10 @@
     directory,
     primaries,
     barrier: createCommitBarrier(io.log),
+    receipts: {
+      waitUntilSafe: (service, commit) =>
+        receipts.waitUntilSafe(service, commit),
+    },
     health,
     forwarder,
     dispatcher,
@@ -451,6 +457,10 @@
     directory,
     copies,
   });
+  const receipts = createCommitReceipts(ctx, {
+    listRecorded: copyRecords.listDelivered,
+    floors: createStoredFloors(io, { self: options.host, fleet }),
+  });
   const stepDownRequests = createStepDownRequests(ctx, {
     copies,
     listPeers: fleet.listPossiblyRunning,
--- a/src/pooling/stored_copies.ts
+++ b/src/pooling/stored_copies.ts
@@ -41,6 +41,12 @@
   check(): void;
   /** Reads the record of a service; false if the store did not answer. */
   refresh(service: ServiceId): Promise<boolean>;
+  /**
+   * Lists the copies that the record names, as the watch has delivered it. The
+   * leases that were written before are known then, so a record that grew after
+   * a failover counted does not hide that failover.
+   */
+  listDelivered(service: ServiceId): readonly StoredCopy[];
 }
 
 interface RecordState {
@@ -68,6 +74,7 @@
       | "isLoaded"
       | "listPeers"
       | "onChange"
+      | "onDelivered"
       | "tryGet"
     >;
     readonly directory: Pick<Directory, "onChange">;
@@ -76,6 +83,7 @@
 ): CopyRecords {
   const { self, fleet, copies } = options;
   const states = new Map<ServiceId, RecordState>();
+  const delivered = new Map<ServiceId, readonly StoredCopy[]>();
   /** Services whose record may not be up to date. */
   const unchecked = new Set<ServiceId>();
 
@@ -144,6 +152,12 @@
       applyRecord(service, fleet.tryGet(key));
     }
   });
+  fleet.onDelivered(({ key, value }) => {
+    const service = tryGetCopiesService(key);
+    if (service !== undefined) {
+      delivered.set(service, tryDecodeStoredCopies(value)?.copies ?? []);
+    }
+  });
   options.directory.onChange(({ target }) => unchecked.add(target.service));
 
   return {
@@ -171,6 +185,7 @@
         }
       }
     },
+    listDelivered: (service) => delivered.get(service) ?? [],
     async refresh(service) {
       const res = await io.store.get(getCopiesKey(service));
       if (res.isErr()) {
--- a/src/pooling/succession.ts
+++ b/src/pooling/succession.ts
@@ -19,6 +19,8 @@
    * commit is at or before it, however many copies there are.
    */
   readonly steppedDownAt?: Position | undefined;
+  /** Position that a successor must have reached in any case. */
+  readonly floor?: Position | undefined;
   /** Number of replicas that hold a commit before it is acknowledged. */
   readonly syncReplicas: number;
   readonly oldPrimary: TargetId | undefined;
@@ -104,7 +106,7 @@
   }
   const lastPosition = quorum.reduce(
     (max, { report }) => maxPosition(max, report.position),
-    ORIGIN,
+    options.floor ?? ORIGIN,
   );
   const upToDate = eligible.filter(({ report }) =>
     isAtLeast(report.position, lastPosition)
--- a/src/pooling/transaction.ts
+++ b/src/pooling/transaction.ts
@@ -269,7 +269,12 @@
       }
       const { rows, signature, position } = reply;
       const outcome = { kind: "done", rows, signature, position } as const;
-      return hasWritten ? await confirmCommit(ctx, task, outcome) : outcome;
+      return hasWritten
+        ? await confirmCommit(ctx, task, {
+          outcome,
+          primary: checkout.target.id,
+        })
+        : outcome;
     }
     const outcome = toCommitFailure(reply, hasWritten);
     ctx.io.log.info("commit_not_acknowledged", {
--- a/src/pooling/writes.ts
+++ b/src/pooling/writes.ts
@@ -86,7 +86,10 @@
   }
   const sent = toSendResult(reply);
   const result = sent.kind === "done"
-    ? await confirmCommit(ctx, task, sent)
+    ? await confirmCommit(ctx, task, {
+      outcome: sent,
+      primary: checkout.target.id,
+    })
     : sent;
   const fields = {
     id: task.operation.id,
--- a/test/write_load.ts
+++ b/test/write_load.ts
@@ -5,7 +5,7 @@
 import type { StatementTarget } from "../standins/statement_group.ts";
 import type { PoolFleet } from "./pool_fleet.ts";
 
-/** Interval of the writes of each host, in milliseconds. */
+/** Usual interval of the writes of each host, in milliseconds. */
 const WRITE_INTERVAL_MS = 15;
 
 /** Writes until it is stopped. */
@@ -22,6 +22,7 @@
 export function startWriteLoad(
   fleet: PoolFleet,
   hosts: readonly number[],
+  intervalMs = WRITE_INTERVAL_MS,
 ): WriteLoad {
   const acknowledged = new Set<string>();
   const timer = setInterval(() => {
@@ -31,7 +32,7 @@
         .execute(asId(id), tryDecodeStatement("WRITE k 1")!)
         .then(({ kind }) => kind === "done" && acknowledged.add(id));
     }
-  }, WRITE_INTERVAL_MS);
+  }, intervalMs);
   return { acknowledged, stop: () => clearInterval(timer) };
 }
 
