Model the record of copies, partitions and silent copies

The model of the failover knew no host that goes on serving clients apart from the store, and acknowledged a commit with any copy. The record is a state now: an acknowledgement needs a recorded copy, hosts that are parted go by the record that they have, and a silent copy leaves it only when another one covers it.

Four broken variants are caught: acknowledging what only an unrecorded copy has, not counting a silent copy, taking one from the record that may hold more, and counting although a copy registers later. The last one was listed as beyond any procedure; with receipts no violation is left. The variant of registrations after an outage is caught without receipts only, and says so.

The model found one case that the change does not cover: beside a partition, a replica loses its pause in a restart between the second query and the promotion, receives, and gives a receipt to hosts that learn of no failover. It stands among the variants that are the platform's doing, with its control.

--- a/test/failover_model.test.ts
+++ b/test/failover_model.test.ts
@@ -2,28 +2,35 @@
 import { exploreFailover } from "../tools/failover_model/explore.ts";
 import {
   FAILOVER_VARIANTS,
+  PARTITION,
   SMALL_BOUNDS,
   TWO_HOLDERS,
 } from "../tools/failover_model/variants.ts";
 
 describe("the model of the failover", () => {
   test.each([
-    { name: "one holder", bounds: SMALL_BOUNDS, states: 6_219 },
+    { name: "one holder", bounds: SMALL_BOUNDS, states: 6_186 },
     {
       name: "a lost pause",
       bounds: { ...SMALL_BOUNDS, restarts: 1 },
-      states: 29_393,
+      states: 29_240,
     },
     {
       name: "a copy that leaves",
       bounds: { ...SMALL_BOUNDS, fault: "departure" as const },
-      states: 30_590,
+      states: 30_466,
     },
-    { name: "two holders", bounds: TWO_HOLDERS, states: 22_631 },
+    { name: "a partition", bounds: PARTITION, states: 16_246 },
+    {
+      name: "a silent replica",
+      bounds: { ...SMALL_BOUNDS, fault: "silence" as const },
+      states: 29_965,
+    },
+    { name: "two holders", bounds: TWO_HOLDERS, states: 22_587 },
     {
       name: "two holders, and hosts reach the old primary again",
       bounds: { ...TWO_HOLDERS, fault: "reach_returns" as const },
-      states: 58_260,
+      states: 58_246,
     },
   ])("keeps acknowledged commits in every order of steps: $name", (
     { bounds, states },
--- a/tools/failover_model/holder_steps.ts
+++ b/tools/failover_model/holder_steps.ts
@@ -74,6 +74,9 @@
   },
 ): boolean {
   const { isRegistered, isRecorded } = state.copies[target]!;
+  if (!procedure.countsSilent && !isReachable(state, target)) {
+    return false;
+  }
   return procedure.rereadsList
     ? isRegistered || (isRecorded && procedure.remembersCopies)
     : target !== FOURTH || holder.hasHeardOfFourth;
--- a/tools/failover_model/state.ts
+++ b/tools/failover_model/state.ts
@@ -32,6 +32,18 @@
   readonly remembersCopies: boolean;
   /** Counts only when copies that could not register have had time for it. */
   readonly awaitsRegistrations: boolean;
+  /**
+   * Hands an acknowledgement out only once a copy has received the commit that
+   * the record names, as the host knows it.
+   */
+  readonly awaitsReceipts: boolean;
+  /** Counts recorded copies that no holder reaches. */
+  readonly countsSilent: boolean;
+  /**
+   * Takes a silent copy from the record only while the primary answers and
+   * another replica has all that it has.
+   */
+  readonly dropsCovered: boolean;
   /**
    * Hands out no acknowledgement of the old primary from before the count until
    * the claim has ended.
@@ -64,6 +76,9 @@
   rereadsList: true,
   remembersCopies: true,
   awaitsRegistrations: true,
+  awaitsReceipts: true,
+  countsSilent: true,
+  dropsCovered: true,
   withholdsAcknowledgements: true,
   countsDeparted: true,
   looksAgain: true,
@@ -84,6 +99,14 @@
   | "lapse"
   /** Hosts reach the first target again. */
   | "reach_returns"
+  /**
+   * The first target, or the first two, and some hosts are parted from the
+   * holders and the store. These hosts go on serving clients, by the record
+   * that they have, and learn of no failover.
+   */
+  | "partition"
+  /** A replica falls silent for all hosts, and may be taken from the record. */
+  | "silence"
   /** A primary that has stepped down restarts and leads again. */
   | "leads_again";
 
@@ -117,8 +140,12 @@
   readonly length: number;
   readonly pausedTerm: number;
   readonly isRegistered: boolean;
-  /** Whether it has been registered; the store keeps that. */
+  /** Whether the store's record names it. */
   readonly isRecorded: boolean;
+  /** Whether no holder reaches it; for the first target see `State`. */
+  readonly isCutOff: boolean;
+  /** Whether the hosts that are parted from the store know it as recorded. */
+  readonly isTrusted: boolean;
   readonly hasLeft: boolean;
 }
 
@@ -153,6 +180,8 @@
   readonly copies: readonly Copy[];
   /** Whether no host reaches the first target: its replies are lost. */
   readonly isFirstCutOff: boolean;
+  /** Whether hosts on the side of the first target serve clients from it. */
+  readonly isSideServing: boolean;
   /** Term below which hosts hand out no acknowledgements; 0 for none. */
   readonly minTerm: number;
   readonly holders: readonly Holder[];
@@ -245,9 +274,12 @@
       pausedTerm: 0,
       isRegistered: index !== FOURTH || isFourthKnown,
       isRecorded: index !== FOURTH || isFourthKnown,
+      isCutOff: false,
+      isTrusted: false,
       hasLeft: index === FOURTH && bounds.fourthCopy === "none",
     })),
     isFirstCutOff: false,
+    isSideServing: false,
     minTerm: 0,
     holders: [createHolder({
       token: decisions.getFencingToken(1, 0),
@@ -265,10 +297,10 @@
   };
 }
 
-/** Whether a host reaches the target. */
+/** Whether a host that may hold the lease reaches the target. */
 export function isReachable(state: State, target: number): boolean {
-  return !state.copies[target]!.hasLeft &&
-    !(target === 0 && state.isFirstCutOff);
+  const { hasLeft, isCutOff } = state.copies[target]!;
+  return !hasLeft && !isCutOff && !(target === 0 && state.isFirstCutOff);
 }
 
 /** Returns the position of the last entry of a target. */
@@ -316,9 +348,10 @@
     state.copies.map((c) =>
       `${c.length}${c.pausedTerm}${c.isRegistered ? "r" : ""}${
         c.isRecorded ? "m" : ""
-      }${c.hasLeft ? "g" : ""}`
+      }${c.isCutOff ? "x" : ""}${c.isTrusted ? "t" : ""}${c.hasLeft ? "g" : ""}`
     ).join(),
     state.isFirstCutOff ? "c" : "",
+    state.isSideServing ? "s" : "",
     state.minTerm,
     state.holders.map((h) =>
       `${h.phase[1]}${h.token}.${h.term}${h.oldPrimary}${
--- a/tools/failover_model/target_steps.ts
+++ b/tools/failover_model/target_steps.ts
@@ -7,24 +7,53 @@
   getName,
   isReachable,
   type ModelOptions,
+  type Procedure,
   type State,
   type Step,
   withCopy,
 } from "./state.ts";
 
+/**
+ * Raises the acknowledged entries to those that a host may hand out now: of the
+ * primary's term, and received by a copy that makes them safe in the eyes of a
+ * host that reaches primary and copy. Later is less strict.
+ */
+function acknowledge(state: State, procedure: Procedure): State {
+  const { log, primary, term, copies } = state;
+  if (primary === undefined) {
+    return state;
+  }
+  const isServedNear = isReachable(state, primary) && term >= state.minTerm;
+  const isServedApart = state.isSideServing && primary === 0;
+  const received = copies.map((copy, index) => {
+    const { isRecorded, isTrusted, hasLeft, length } = copy;
+    const isReceipt = procedure.awaitsReceipts
+      ? (isServedNear && isRecorded && isReachable(state, index)) ||
+        (isServedApart && isTrusted)
+      : isServedNear || isServedApart;
+    return index !== primary && !hasLeft && isReceipt &&
+        log[length - 1] === term
+      ? length
+      : 0;
+  });
+  return {
+    ...state,
+    acknowledged: Math.max(state.acknowledged, ...received),
+  };
+}
+
 /**
  * Lists the steps of the targets: a commit, an entry received, a restart, a
- * registration. A commit is acknowledged as soon as a replica has received it,
- * if the primary leads and a host hears it; later is less strict.
+ * registration. A commit is acknowledged as soon as it may be.
  */
 export function listTargetSteps(
   state: State,
-  { bounds }: ModelOptions,
+  { bounds, procedure }: ModelOptions,
 ): Step[] {
   const steps: Step[] = [];
   const { log, primary, copies } = state;
-  const canCommit = primary !== undefined && isReachable(state, primary);
-  const canAcknowledge = canCommit && state.term >= state.minTerm;
+  const canCommit = primary !== undefined &&
+    (isReachable(state, primary) || (state.isSideServing && primary === 0));
   if (canCommit && log.length < bounds.commits) {
     const committed = withCopy(state, primary, { length: log.length + 1 });
     steps.push({
@@ -39,15 +68,17 @@
     }
     if (copy.pausedTerm === 0 && copy.length < log.length) {
       const length = copy.length + 1;
-      const isAcknowledged = canAcknowledge && length > state.acknowledged &&
-        log[length - 1] === state.term;
+      const received = acknowledge(
+        withCopy(state, index, { length }),
+        procedure,
+      );
+      const isAcknowledged = received.acknowledged > state.acknowledged;
       steps.push({
         name: `${name} receives entry ${length}` +
-          (isAcknowledged ? `, which ${getName(primary)} acknowledges` : ""),
-        state: {
-          ...withCopy(state, index, { length }),
-          acknowledged: isAcknowledged ? length : state.acknowledged,
-        },
+          (isAcknowledged && primary !== undefined
+            ? `, which ${getName(primary)} acknowledges`
+            : ""),
+        state: received,
       });
     }
     const mayRestart = bounds.mayRestartLate ||
@@ -61,13 +92,21 @@
         state: { ...restarted, restarts: state.restarts + 1 },
       });
     }
-    if (!copy.isRegistered && !copy.isRecorded) {
+    if (!copy.isRegistered && !copy.isRecorded && !copy.isCutOff) {
+      const registered = withCopy(state, index, {
+        isRegistered: true,
+        isRecorded: true,
+      });
       steps.push({
         name: `${name} registers`,
-        state: withCopy(state, index, {
-          isRegistered: true,
-          isRecorded: true,
-        }),
+        state: acknowledge(registered, procedure),
+      });
+    }
+    if (copy.isCutOff && mayDrop(state, index, procedure)) {
+      const change = { isRegistered: false, isRecorded: false };
+      steps.push({
+        name: `${name} is taken from the record`,
+        state: withCopy(state, index, change),
       });
     }
   });
@@ -83,6 +122,22 @@
   return steps;
 }
 
+/** Whether a silent copy may be taken from the record. */
+function mayDrop(
+  state: State,
+  index: number,
+  { dropsCovered }: Procedure,
+): boolean {
+  const { primary, copies, log } = state;
+  const isCovered = primary !== undefined && isReachable(state, primary) &&
+    !state.isSideServing &&
+    copies.some(({ length, isRecorded }, other) =>
+      other !== index && other !== primary && isRecorded &&
+      isReachable(state, other) && length === log.length
+    );
+  return copies[index]!.isRecorded && (isCovered || !dropsCovered);
+}
+
 /** Whether the first target may be out of reach by now, see `fourthCopy`. */
 function mayLoseFirst({ copies }: State, bounds: FailoverBounds): boolean {
   const { isRegistered, length } = copies[FOURTH]!;
@@ -125,6 +180,30 @@
         name: "hosts reach t1 again",
         state: { ...faulty, isFirstCutOff: false },
       }];
+    case "partition": {
+      const parted: State = {
+        ...faulty,
+        isFirstCutOff: true,
+        isSideServing: true,
+        copies: state.copies.map((copy) => ({
+          ...copy,
+          isTrusted: copy.isRecorded,
+        })),
+      };
+      const isStillFirst = lastPrimary === 0 && !isFirstCutOff;
+      return !isStillFirst ? [] : [
+        { name: "t1 and some hosts are parted from the others", state: parted },
+        {
+          name: "t1, t2 and some hosts are parted from the others",
+          state: withCopy(parted, 1, { isCutOff: true }),
+        },
+      ];
+    }
+    case "silence":
+      return replicas.filter((index) => index !== 0).map((index) => ({
+        name: `${getName(index)} falls silent`,
+        state: withCopy(faulty, index, { isCutOff: true }),
+      }));
     case "leads_again":
       return primary !== undefined ? [] : [{
         name: `${getName(lastPrimary)} restarts and leads again`,
--- a/tools/failover_model/variants.ts
+++ b/tools/failover_model/variants.ts
@@ -69,6 +69,13 @@
   procedure: { ...PROCEDURE, looksAgain: false },
 };
 
+/** A partition, and a fourth copy that may register at any moment. */
+export const PARTITION: FailoverBounds = {
+  ...SMALL_BOUNDS,
+  fourthCopy: "registers_late",
+  fault: "partition",
+};
+
 /** All faulty variants. */
 export const FAILOVER_VARIANTS: readonly FailoverVariant[] = [
   {
@@ -185,18 +192,50 @@
   },
   {
     name: "count before copies can have registered after an outage",
-    procedure: { ...PROCEDURE, awaitsRegistrations: false },
+    procedure: {
+      ...PROCEDURE,
+      awaitsReceipts: false,
+      awaitsRegistrations: false,
+    },
     bounds: { ...SMALL_BOUNDS, fourthCopy: "registers_after_outage" },
     violation: `${LOST}t2`,
+    control: { procedure: { ...PROCEDURE, awaitsReceipts: false } },
+  },
+  {
+    name: "acknowledge what only an unrecorded copy has received",
+    procedure: { ...PROCEDURE, awaitsReceipts: false },
+    bounds: PARTITION,
+    violation: `${LOST}t2`,
+    control: { procedure: PROCEDURE },
+  },
+  {
+    name: "do not count a recorded copy that is silent",
+    procedure: { ...PROCEDURE, countsSilent: false },
+    bounds: PARTITION,
+    violation: `${LOST}t3`,
+    control: { procedure: PROCEDURE },
+  },
+  {
+    name: "take a silent copy from the record although it may hold more",
+    procedure: { ...PROCEDURE, dropsCovered: false },
+    bounds: { ...KNOWN, fourthCopy: "none", fault: "silence" },
+    violation: `${LOST}t3`,
+    control: { procedure: PROCEDURE },
+  },
+  {
+    name: "count although a copy may register later, without receipts",
+    procedure: { ...PROCEDURE, awaitsReceipts: false },
+    bounds: { ...SMALL_BOUNDS, fourthCopy: "registers_late" },
+    violation: `${LOST}t2`,
     control: { procedure: PROCEDURE },
   },
   // The platform's doing: no procedure that counts can make up for these.
   {
-    name: "count although a copy may register later",
+    name: "order while a paused replica may restart beside a partition",
     procedure: PROCEDURE,
-    bounds: { ...SMALL_BOUNDS, fourthCopy: "registers_late" },
+    bounds: { ...PARTITION, restarts: 1 },
     violation: `${LOST}t2`,
-    control: { bounds: SMALL_BOUNDS },
+    control: { bounds: { ...PARTITION, restarts: 1, mayRestartLate: false } },
   },
   {
     name: "order although the old primary may lead again",
--- a/tools/model_check.ts
+++ b/tools/model_check.ts
@@ -9,6 +9,7 @@
 import type { FailoverBounds } from "./failover_model/state.ts";
 import {
   FAILOVER_VARIANTS,
+  PARTITION,
   SMALL_BOUNDS,
   TWO_HOLDERS,
 } from "./failover_model/variants.ts";
@@ -27,6 +28,10 @@
   { ...SMALL_BOUNDS, fault: "departure" },
   { ...SMALL_BOUNDS, fault: "reach_returns" },
   { ...SMALL_BOUNDS, fourthCopy: "registers_after_outage" },
+  { ...SMALL_BOUNDS, fourthCopy: "registers_late" },
+  PARTITION,
+  { ...PARTITION, restarts: 1, mayRestartLate: false },
+  { ...SMALL_BOUNDS, fault: "silence" },
   { ...SMALL_BOUNDS, holders: 2 },
   { ...TWO_HOLDERS, restarts: 1 },
   { ...TWO_HOLDERS, fault: "lapse" },
