Keep a session's read floor of each service

Cause: a session kept one position, that of its last commit, and dropped it as soon as an operation found the route at another service. With the route back, only the floor for other sessions' commits was left.

Change: a session keeps the position of its last commit on each service, and a read asks for that of the service which its route names. Positions say nothing about the logs of other services, so none has to be dropped; their number is that of the services on which the session has committed.

--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -2,7 +2,13 @@
 
 import { nowMs } from "../core/clock.ts";
 import { assertNever } from "../core/errors.ts";
-import type { DatabaseName, ReqId, WorkspaceId } from "../core/ids.ts";
+import type {
+  DatabaseName,
+  ReqId,
+  ServiceId,
+  WorkspaceId,
+} from "../core/ids.ts";
+import { maxPosition } from "../core/position.ts";
 import { Err, Ok, type Result } from "ts-results-es";
 import { POOL_ERRORS, type PoolFailure } from "./errors.ts";
 import type { RequiredContext } from "./link_context.ts";
@@ -133,7 +139,11 @@
   let route = sessionOptions.route;
   let transaction: Transaction | undefined;
   let state: TransactionState = "idle";
-  let lastCommitPosition: Position | undefined;
+  /**
+   * Position of the session's last commit on each service. A route may lead to
+   * another service and back, also within a transaction's pauses.
+   */
+  const commitPositions = new Map<ServiceId, Position>();
   /** Why this host aborted the transaction; until the client is told. */
   let untoldAbort: string | undefined;
   const closing = new AbortController();
@@ -202,9 +212,6 @@
     if (admitted.value.workspace !== workspace) {
       return refuse(id, { error: "unauthenticated" }, { isLast: true });
     }
-    if (admitted.value.route.service !== route.service) {
-      lastCommitPosition = undefined;
-    }
     route = admitted.value.route;
     const waitRefusal = tryRefuseByWait(ctx, { route, workspace, ...options });
     if (waitRefusal) {
@@ -228,11 +235,25 @@
       operation,
       route,
       workspace,
-      lastCommitPosition,
+      lastCommitPosition: commitPositions.get(route.service),
       signal: closing.signal,
     };
   }
 
+  /** Notes a commit, which later reads on the service must reflect. */
+  function recordCommit(
+    service: ServiceId,
+    position: Position | undefined,
+  ): void {
+    const known = commitPositions.get(service);
+    if (position) {
+      commitPositions.set(
+        service,
+        known ? maxPosition(known, position) : position,
+      );
+    }
+  }
+
   /** Executes a read or write, within the open transaction if there is one. */
   async function run(operation: Operation): Promise<StatementAnswer> {
     const startedAt = nowMs();
@@ -257,7 +278,7 @@
       ? await executeRead(ctx, task)
       : await executeWrite(ctx, task);
     if (outcome.kind === "done" && operation.access === "write") {
-      lastCommitPosition = outcome.position ?? lastCommitPosition;
+      recordCommit(task.route.service, outcome.position);
     }
     return toAnswer(operation, { outcome, startedAt });
   }
@@ -356,13 +377,12 @@
     }
     const context = toCommitContext({ variables });
     const operation = toCommitOperation({ id, text });
-    const outcome = await openTransaction.commit(
-      createTask(operation, { startedAt, context }),
-    );
+    const task = createTask(operation, { startedAt, context });
+    const outcome = await openTransaction.commit(task);
     transaction = undefined;
     state = "idle";
     if (outcome.kind === "done") {
-      lastCommitPosition = outcome.position ?? lastCommitPosition;
+      recordCommit(task.route.service, outcome.position);
     }
     return toAnswer(operation, { outcome, startedAt });
   }
