Decide workspace and route in one place, also inside a transaction

Cause: a session kept the workspace of its START. New operations compared it with the key's, statements and COMMIT of a transaction only asked whether key and route were there at all.

Change: session_admission.ts alone reads key and route. An operation renews the admission, and once more after it has waited for quota; a transaction is aborted before its next statement if its workspace is not that of the key any more.

--- a/src/pooling/pooler.ts
+++ b/src/pooling/pooler.ts
@@ -41,12 +41,8 @@
 import { createOwnedQuotas } from "./owned_quotas.ts";
 import { createQuotaOwners } from "./quota_owner_sync.ts";
 import { createQuotas, type Quotas, type QuotaTolerance } from "./quotas.ts";
-import {
-  openSession,
-  type Session,
-  type SessionContext,
-  type SessionOptions,
-} from "./session.ts";
+import { openSession, type Session, type SessionContext } from "./session.ts";
+import type { SessionOptions } from "./session_admission.ts";
 import { createShareSync } from "./share_sync.ts";
 import { createCountedCalls } from "./store_calls.ts";
 import { createStoreAccess } from "./store_access.ts";
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -2,15 +2,15 @@
 
 import { nowMs } from "../core/clock.ts";
 import { assertNever } from "../core/errors.ts";
-import type {
-  DatabaseName,
-  ReqId,
-  ServiceId,
-  WorkspaceId,
-} from "../core/ids.ts";
+import type { ReqId, ServiceId, WorkspaceId } from "../core/ids.ts";
 import { maxPosition } from "../core/position.ts";
-import { Err, Ok, type Result } from "ts-results-es";
+import { Err, type Result } from "ts-results-es";
 import { POOL_ERRORS, type PoolFailure } from "./errors.ts";
+import {
+  createSessionAdmission,
+  type SessionAdmission,
+  type SessionOptions,
+} from "./session_admission.ts";
 import type { RequiredContext } from "./link_context.ts";
 import type { Quotas } from "./quotas.ts";
 import { executeRead } from "./reads.ts";
@@ -24,7 +24,6 @@
   Access,
   Position,
   PreparedStatement,
-  Route,
   Statement,
   StatementAnswer,
   TransactionState,
@@ -38,19 +37,12 @@
 import { tryRefuseByWait } from "./wait_refusal.ts";
 import { executeWrite } from "./writes.ts";
 
-/** Workspace reported to targets for clients of public routes without a key. */
-const PUBLIC_WORKSPACE = "public" as WorkspaceId;
 /** Maximum fraction of the latency objective spent waiting for quota. */
 const QUOTA_WAIT_FRACTION = 0.3;
 
-/** Parameters with which a client opens a session. */
-export interface SessionOptions {
-  readonly database: DatabaseName;
-  readonly key: string;
-}
-
 /** A client's session. */
 export interface Session {
+  /** Workspace of the last operation; its key may move to another one. */
   readonly workspace: WorkspaceId;
   /** Executes a statement; calls must not overlap. */
   execute(id: ReqId, statement: Statement): Promise<StatementAnswer>;
@@ -96,47 +88,17 @@
   if (!ctx.isAdmissionOpen()) {
     return Err({ error: "stopping" });
   }
-  const admitted = tryAdmit(ctx, options);
-  return admitted.isErr()
-    ? Err(admitted.error)
-    : Ok(createSession(ctx, { ...options, ...admitted.value }));
-}
-
-interface Admission {
-  readonly route: Route;
-  readonly workspace: WorkspaceId;
-}
-
-/** Looks up the route and the workspace in the current configuration. */
-function tryAdmit(
-  ctx: SessionContext,
-  { database, key }: SessionOptions,
-): Result<Admission, PoolFailure> {
-  const catalog = ctx.catalog.tryGetConfirmed();
-  if (!catalog) {
-    return Err({ error: "not_ready" });
-  }
-  const route = catalog.routes.get(database);
-  if (!route) {
-    return Err({ error: "unknown_database" });
-  }
-  const workspace = catalog.workspaceByKey.get(key);
-  if (workspace) {
-    return Ok({ route, workspace });
-  }
-  return route.isPublic
-    ? Ok({ route, workspace: PUBLIC_WORKSPACE })
-    : Err({ error: "unauthenticated" });
+  return createSessionAdmission(ctx.catalog, options)
+    .map((admission) => createSession(ctx, { ...options, admission }));
 }
 
 function createSession(
   ctx: SessionContext,
-  sessionOptions: SessionOptions & Admission,
+  sessionOptions: SessionOptions & { readonly admission: SessionAdmission },
 ): Session {
-  const { workspace } = sessionOptions;
+  const { database, admission } = sessionOptions;
   const variables = new Map<string, string>();
   const preparedStatements = new Map<string, PreparedStatement>();
-  let route = sessionOptions.route;
   let transaction: Transaction | undefined;
   let state: TransactionState = "idle";
   /**
@@ -178,6 +140,7 @@
   }
 
   function logRefusal(id: ReqId, failure: PoolFailure): void {
+    const { route, workspace } = admission.current;
     ctx.io.metrics.count("refusals_total", {
       workspace,
       error: failure.error,
@@ -185,7 +148,7 @@
     ctx.io.log.info("statement_refused", {
       id,
       workspace,
-      database: sessionOptions.database,
+      database,
       service: route.service,
       error: failure.error,
       detail: failure.detail,
@@ -205,14 +168,11 @@
     if (!ctx.isAdmissionOpen()) {
       return refuse(id, { error: "stopping" }, { isLast: true });
     }
-    const admitted = tryAdmit(ctx, sessionOptions);
-    if (admitted.isErr()) {
-      return refuse(id, admitted.error, { isLast: true });
-    }
-    if (admitted.value.workspace !== workspace) {
-      return refuse(id, { error: "unauthenticated" }, { isLast: true });
+    const refusal = admission.renew();
+    if (refusal) {
+      return refuse(id, refusal, { isLast: true });
     }
-    route = admitted.value.route;
+    const { route, workspace } = admission.current;
     const waitRefusal = tryRefuseByWait(ctx, { route, workspace, ...options });
     if (waitRefusal) {
       return refuse(id, waitRefusal);
@@ -223,13 +183,16 @@
     if (quotaResult.isErr()) {
       return refuse(id, quotaResult.error);
     }
-    return undefined;
+    // The configuration may have changed while the token was waited for.
+    const laterRefusal = admission.renew();
+    return laterRefusal && refuse(id, laterRefusal, { isLast: true });
   }
 
   function createTask(
     operation: Operation,
     options: { readonly startedAt: number; readonly context: RequiredContext },
   ): Task {
+    const { route, workspace } = admission.current;
     return {
       ...options,
       operation,
@@ -295,12 +258,10 @@
         detail: "a write in a read-only transaction",
       });
     }
-    if (tryRefusal()) {
+    const abortReason = admission.tryAbortReason();
+    if (abortReason !== undefined) {
       abortTransaction();
-      return refuse(operation.id, {
-        error: "aborted",
-        detail: "the key was withdrawn",
-      });
+      return refuse(operation.id, { error: "aborted", detail: abortReason });
     }
     const outcome = await openTransaction.run(createTask(operation, options));
     if (outcome.kind === "failed") {
@@ -315,7 +276,8 @@
     options: { readonly outcome: Outcome; readonly startedAt: number },
   ): StatementAnswer {
     const { outcome, startedAt } = options;
-    const labels = { workspace, class: sessionOptions.database };
+    const { workspace } = admission.current;
+    const labels = { workspace, class: database };
     ctx.io.metrics.count("requests_total", labels);
     ctx.io.metrics.observe("request_ms", nowMs() - startedAt, labels);
     if (outcome.kind === "done") {
@@ -366,14 +328,12 @@
       });
     }
     const startedAt = nowMs();
-    if (tryRefusal()) {
+    const abortReason = admission.tryAbortReason();
+    if (abortReason !== undefined) {
       openTransaction.rollback();
       transaction = undefined;
       state = "idle";
-      return refuse(id, {
-        error: "aborted",
-        detail: "the key was withdrawn",
-      });
+      return refuse(id, { error: "aborted", detail: abortReason });
     }
     const context = toCommitContext({ variables });
     const operation = toCommitOperation({ id, text });
@@ -400,11 +360,6 @@
     return toDoneAnswer();
   }
 
-  function tryRefusal(): PoolFailure | undefined {
-    const admitted = tryAdmit(ctx, sessionOptions);
-    return admitted.isErr() ? admitted.error : undefined;
-  }
-
   async function executePrepared(
     id: ReqId,
     statement: Extract<Statement, { kind: "execute" }>,
@@ -482,12 +437,14 @@
   }
 
   return {
-    workspace,
+    get workspace() {
+      return admission.current.workspace;
+    },
     execute,
     get state() {
       return state;
     },
-    tryRefusal,
+    tryRefusal: admission.tryRefusal,
     close() {
       closing.abort();
       transaction?.rollback();
@@ -502,8 +459,8 @@
       const currentIdleMs = transaction?.tryIdleMs();
       if (currentIdleMs !== undefined && currentIdleMs >= idleMs) {
         ctx.io.log.info("transaction_idle", {
-          workspace,
-          database: sessionOptions.database,
+          workspace: admission.current.workspace,
+          database,
           idleMs: Math.round(currentIdleMs),
         });
         abortUntold(reason);
@@ -513,8 +470,8 @@
       const target = transaction?.tryIdleTarget();
       if (target && ctx.eligibility.mustEndTransactions(target)) {
         ctx.io.log.info("transaction_evacuated", {
-          workspace,
-          database: sessionOptions.database,
+          workspace: admission.current.workspace,
+          database,
           target: target.id,
         });
         abortUntold("the target's failure domain is evacuated");
