Ask for receipts where they are likely, and give up once a successor leads

A replica that is draining, paused, suspect or unregistered is not the first to be asked: its answer is late or negative, and each further round asks all of them. A commit of a term that a promotion has closed was waited for until the statement's time was over; it is in doubt at once now.

--- a/src/pooling/commit_receipts.ts
+++ b/src/pooling/commit_receipts.ts
@@ -42,6 +42,12 @@
   const { floors } = options;
   const inProgress = new Map<TargetId, Promise<TargetReport | undefined>>();
 
+  /** Whether the target is likely to answer and to receive commits at once. */
+  function isLikelyToFollow({ id }: TargetRecord): boolean {
+    return directory.tryGet(id)?.isDraining === false &&
+      !health.isSuspect(id) && health.getPausedMs(id) === 0;
+  }
+
   /** Lists the recorded replicas, those with the shortest way first. */
   function listReplicas(
     service: ServiceId,
@@ -49,9 +55,7 @@
   ): readonly TargetRecord[] {
     const getCostMs = (target: TargetRecord) =>
       getRttMs(topology, target.domain) +
-      (directory.tryGet(target.id) && !health.isSuspect(target.id)
-        ? 0
-        : ASK_INTERVAL_MS);
+      (isLikelyToFollow(target) ? 0 : ASK_INTERVAL_MS);
     return options.listRecorded(service)
       .filter(({ id }) => id !== primary)
       .map((copy): TargetRecord =>
@@ -107,6 +111,10 @@
         ) {
           return true;
         }
+        if (ctx.barrier.getState(service, position.term) === "closed") {
+          // A target was promoted that may lack the commit.
+          return false;
+        }
         if (round >= ROUNDS_BEFORE_FLOOR) {
           floors.raise(service, position);
         }
