Keep the floor of a lease that is written back after the store returned

The holder of a lost lease writes back what it knows of it, which may lack a floor that was recorded since. Found by reading; not seen in a run.

--- a/src/pooling/failover_monitor.ts
+++ b/src/pooling/failover_monitor.ts
@@ -205,7 +205,9 @@
     const delayMs = isHolder ? 0 : WRITE_BACK_DELAY_MS;
     if (isLost && !writingBack.has(service) && nowMs() - eraRoseAt >= delayMs) {
       writingBack.add(service);
-      void tryPutLease(service, newest, known?.version ?? 0)
+      const floor = tryHigherFloor(newest, stored);
+      const written = floor ? { ...newest, floor } : newest;
+      void tryPutLease(service, written, known?.version ?? 0)
         .then((version) =>
           ctx.io.log.info("lease_written_back", {
             service,
