Share the checks of positions, and build the log of counted copies once

Whether a log end has an entry was written twice, in receipts and floors, and raising one of several positions in pooled sessions beside core's raiseFloor: hasEntry and raisePosition in core/position.ts serve both. The text of the copies that count was built at every poll of a fence; the map is formatted where it is logged. Copies with a registration are not written anew at each check.

--- a/src/core/position.ts
+++ b/src/core/position.ts
@@ -20,6 +20,26 @@
   return isAtLeast(a, b) ? a : b;
 }
 
+/**
+ * Whether a log with this end has the entry at a position, which a log of a
+ * later term may have lost.
+ */
+export function hasEntry(
+  logEnd: Position | undefined,
+  position: Position,
+): boolean {
+  return logEnd?.term === position.term && isAtLeast(logEnd, position);
+}
+
+/** Raises the position under a key to at least `position`. */
+export function raisePosition<K>(
+  positions: Map<K, Position>,
+  key: K,
+  position: Position,
+): void {
+  positions.set(key, maxPosition(positions.get(key) ?? ORIGIN, position));
+}
+
 /** Returns the number of targets that form a majority of `size`. */
 export function getMajority(size: number): number {
   return Math.floor(size / 2) + 1;
--- a/src/core/session.ts
+++ b/src/core/session.ts
@@ -5,7 +5,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Failure } from "./errors.ts";
 import { asId, type GroupId, type HostId, type WorkspaceId } from "./ids.ts";
-import { maxPosition } from "./position.ts";
+import { raisePosition } from "./position.ts";
 import type { Position } from "./types.ts";
 
 /** Maximum number of groups in one session token. */
@@ -35,9 +35,7 @@
   session: Session,
   observed: { readonly group: GroupId; readonly position: Position },
 ): void {
-  const { group, position } = observed;
-  const floor = session.floors.get(group);
-  session.floors.set(group, floor ? maxPosition(floor, position) : position);
+  raisePosition(session.floors, observed.group, observed.position);
 }
 
 /** Encodes the read floors of a session as an opaque session token. */
--- a/src/pooling/commit_receipts.ts
+++ b/src/pooling/commit_receipts.ts
@@ -7,7 +7,7 @@
 
 import { nowMs, sleep, withTimeout } from "../core/clock.ts";
 import type { ServiceId, TargetId } from "../core/ids.ts";
-import { isAtLeast } from "../core/position.ts";
+import { hasEntry } from "../core/position.ts";
 import { sendControlCommand } from "./control.ts";
 import type { CommitReceipts, ExecutionContext } from "./execution.ts";
 import type { StoredCopy } from "./log_copies.ts";
@@ -94,11 +94,9 @@
     replicas: readonly TargetRecord[],
     position: Position,
   ): boolean {
-    return replicas.some(({ id }) => {
-      const received = health.tryReceived(id);
-      // A log of a later term may have lost the entry.
-      return received?.term === position.term && isAtLeast(received, position);
-    });
+    return replicas.some(({ id }) =>
+      hasEntry(health.tryReceived(id), position)
+    );
   }
 
   return {
--- a/src/pooling/failover_procedure.ts
+++ b/src/pooling/failover_procedure.ts
@@ -13,6 +13,7 @@
 import {
   type Deposition,
   type FenceAttempt,
+  type Fenced,
   type Fencing,
   isFenced,
 } from "./fencing.ts";
@@ -458,7 +459,7 @@
       term: attempt.term,
       fenced: formatReports(targets),
       copies: succession.copies,
-      counted,
+      counted: formatCounted(counted),
       required: getRequiredFencedCount(succession),
       oldPrimary,
       chosen: chosen?.target.id,
@@ -608,6 +609,13 @@
   ).join(" ");
 }
 
+/** Formats the copies that count with the lists that name them, for the log. */
+function formatCounted(counted: Fenced["counted"]): string {
+  return [...counted].map(([id, sources]) =>
+    `${id}:${[...new Set(sources)].join("+")}`
+  ).join(" ");
+}
+
 function formatPosition({ term, pos }: Position): string {
   return `${term}.${pos}`;
 }
--- a/src/pooling/fencing.ts
+++ b/src/pooling/fencing.ts
@@ -86,8 +86,8 @@
 export interface Fenced {
   readonly targets: readonly ReportedTarget[];
   readonly succession: SuccessionOptions;
-  /** Copies that count, and why each of them does, for the log. */
-  readonly counted: string;
+  /** Copies that count, each with the lists that name it. */
+  readonly counted: ReadonlyMap<TargetId, readonly string[]>;
 }
 
 /** Fences the targets of services. */
@@ -149,7 +149,7 @@
       readonly deposition: Deposition;
       readonly registered: readonly TargetRecord[];
     },
-  ): { readonly succession: SuccessionOptions; readonly counted: string } {
+  ): Omit<Fenced, "targets"> {
     const { service, oldPrimary, mayKeepOldPrimary, openTarget } = attempt;
     const { deposition, registered } = known;
     const sources = {
@@ -158,14 +158,17 @@
       registered: registered.map(({ id }) => id),
       peer: deposition.kind === "unreachable" ? deposition.peerCopies : [],
     };
-    const ids = new Set(Object.values(sources).flat());
+    const counted = new Map<TargetId, string[]>();
+    for (const [source, ids] of Object.entries(sources)) {
+      ids.forEach((id) => counted.set(id, [...counted.get(id) ?? [], source]));
+    }
     // The log that the old primary led with counts in place of its new one.
-    const lostOfPrimary = [...ids].filter((id) =>
+    const lostOfPrimary = [...counted.keys()].filter((id) =>
       oldPrimary !== undefined && isLostCopyOf(id, oldPrimary)
     );
-    lostOfPrimary.forEach((id) => ids.delete(id));
+    lostOfPrimary.forEach((id) => counted.delete(id));
     const succession = {
-      copies: ids.size,
+      copies: counted.size,
       floor: attempt.floor,
       syncReplicas: ctx.catalog.tryGet()?.services.get(service)
         ?.syncReplicas ?? 0,
@@ -178,11 +181,6 @@
       preferred: openTarget,
       mayLead: ctx.eligibility.mayLead,
     };
-    const counted = [...ids].map((id) => {
-      const listedBy = Object.entries(sources)
-        .filter(([, listed]) => listed.includes(id)).map(([source]) => source);
-      return `${id}:${listedBy.join("+")}`;
-    }).join(" ");
     return { succession, counted };
   }
 
--- a/src/pooling/log_copies.ts
+++ b/src/pooling/log_copies.ts
@@ -232,7 +232,9 @@
       lost.floor ??= tryPositionSince(lost.service, lost.since);
     }
     for (const [id, copy] of copies) {
-      copies.set(id, { ...copy, state: updateFloor(copy) });
+      if (copy.state.kind !== "registered") {
+        copies.set(id, { ...copy, state: updateFloor(copy) });
+      }
     }
   }
 
--- a/src/pooling/session.ts
+++ b/src/pooling/session.ts
@@ -3,7 +3,7 @@
 import { nowMs } from "../core/clock.ts";
 import { assertNever } from "../core/errors.ts";
 import type { ReqId, ServiceId, WorkspaceId } from "../core/ids.ts";
-import { maxPosition } from "../core/position.ts";
+import { raisePosition } from "../core/position.ts";
 import { Err, type Result } from "ts-results-es";
 import { POOL_ERRORS, type PoolFailure } from "./errors.ts";
 import {
@@ -24,6 +24,7 @@
   Access,
   Position,
   PreparedStatement,
+  Route,
   Statement,
   StatementAnswer,
   TransactionState,
@@ -102,8 +103,8 @@
   let transaction: Transaction | undefined;
   let state: TransactionState = "idle";
   /**
-   * Position of the session's last commit on each service. A route may lead to
-   * another service and back, also within a transaction's pauses.
+   * Position of the session's last commit on each service: a route may lead to
+   * another service and back.
    */
   const commitPositions = new Map<ServiceId, Position>();
   /** Why this host aborted the transaction; until the client is told. */
@@ -205,15 +206,11 @@
 
   /** Notes a commit, which later reads on the service must reflect. */
   function recordCommit(
-    service: ServiceId,
+    { service }: Route,
     position: Position | undefined,
   ): void {
-    const known = commitPositions.get(service);
     if (position) {
-      commitPositions.set(
-        service,
-        known ? maxPosition(known, position) : position,
-      );
+      raisePosition(commitPositions, service, position);
     }
   }
 
@@ -241,7 +238,7 @@
       ? await executeRead(ctx, task)
       : await executeWrite(ctx, task);
     if (outcome.kind === "done" && operation.access === "write") {
-      recordCommit(task.route.service, outcome.position);
+      recordCommit(task.route, outcome.position);
     }
     return toAnswer(operation, { outcome, startedAt });
   }
@@ -342,7 +339,7 @@
     transaction = undefined;
     state = "idle";
     if (outcome.kind === "done") {
-      recordCommit(task.route.service, outcome.position);
+      recordCommit(task.route, outcome.position);
     }
     return toAnswer(operation, { outcome, startedAt });
   }
--- a/src/pooling/stored_floors.ts
+++ b/src/pooling/stored_floors.ts
@@ -7,7 +7,7 @@
 
 import { nowMs } from "../core/clock.ts";
 import type { HostId, ServiceId } from "../core/ids.ts";
-import { isAtLeast, maxPosition, ORIGIN } from "../core/position.ts";
+import { hasEntry, maxPosition, ORIGIN } from "../core/position.ts";
 import { getEra } from "../core/store_era.ts";
 import {
   type FailoverLease,
@@ -52,8 +52,7 @@
   }
 
   function covers(service: ServiceId, position: Position): boolean {
-    const floor = tryLease(service)?.floor;
-    return floor?.term === position.term && isAtLeast(floor, position);
+    return hasEntry(tryLease(service)?.floor, position);
   }
 
   async function write(service: ServiceId, wanted: Position): Promise<void> {
