Share deregister and listLostWithin among the tests of the failover

Five test files had a deregister of their own, and two the same loop that compares logs while time passes. They are in pool_fleet.ts and write_load.ts.

--- a/test/commit_receipts.test.ts
+++ b/test/commit_receipts.test.ts
@@ -9,7 +9,11 @@
   run,
   startPoolFleet,
 } from "./pool_fleet.ts";
-import { listLostWrites, startWriteLoad, tryPrimaryOf } from "./write_load.ts";
+import {
+  listLostWithin as listLost,
+  startWriteLoad,
+  tryPrimaryOf,
+} from "./write_load.ts";
 
 const LEASE_KEY = asId<ObjectKey>("turmericchute-fleet/duty.ledger");
 /** Time within which a change of primary is to be over, from CONTRIBUTING.md. */
@@ -39,22 +43,8 @@
 
 const advance = (ms: number) => vi.advanceTimersByTimeAsync(ms);
 
-/** Returns the writes that were acknowledged and lost while time passes. */
-async function listLostWithin(
-  ms: number,
-  acknowledged: ReadonlySet<string>,
-): Promise<string[]> {
-  const lost = new Set<string>();
-  for (let passedMs = 0; passedMs < ms; passedMs += COMPARE_INTERVAL_MS) {
-    await advance(COMPARE_INTERVAL_MS);
-    listLostWrites(fleet, acknowledged).forEach((id) => lost.add(id));
-  }
-  return [...lost];
-}
-
-function deregister(...ids: readonly string[]): void {
-  ids.forEach((id) => fleet.store.remove(asId<ObjectKey>(`targets/${id}`)));
-}
+const listLostWithin = (ms: number, acknowledged: ReadonlySet<string>) =>
+  listLost(fleet, acknowledged, { ms, intervalMs: COMPARE_INTERVAL_MS });
 
 /**
  * Parts hosts and targets of one side from the other hosts and targets, and from
@@ -107,7 +97,7 @@
     await advance(startMs);
     fleet.getTarget("t4").faults.isReplicationStopped = false;
     await advance(leaveMs);
-    deregister("t1");
+    fleet.deregister("t1");
     expect(await listLostWithin(15_000, acknowledged)).toEqual([]);
     expect(tryPrimaryOf(fleet)?.record.id).not.toBe("t1");
   },
@@ -123,7 +113,7 @@
   await advance(500);
   part({ hosts: [0, 1], targets: ["t1", "t2"] });
   await advance(3_600);
-  deregister("t1", "t2");
+  fleet.deregister("t1", "t2");
   expect(await listLostWithin(90_000, acknowledged)).toEqual([]);
 });
 
@@ -137,7 +127,7 @@
     await advance(1_000);
     part({ hosts: [0], targets: ["t1", "t2"] });
     await advance(3_600);
-    deregister("t1", "t2");
+    fleet.deregister("t1", "t2");
     const before = acknowledged.size;
     expect(await listLostWithin(ms, acknowledged)).toEqual([]);
     expect(acknowledged.size - before).toBeGreaterThan(
@@ -155,7 +145,7 @@
   await advance(1_000);
   fleet.getTarget("t3").faults.isUnresponsive = true;
   await advance(3_600);
-  deregister("t3");
+  fleet.deregister("t3");
   await advance(60_000);
   fleet.getTarget("t1").faults.isUnresponsive = true;
   const before = acknowledged.size;
@@ -182,7 +172,7 @@
   expect(recordFloors().length).toBeGreaterThan(0);
   expect(acknowledged.size - before).toBeGreaterThan(75);
   fleet.getTarget("t1").faults.isUnresponsive = true;
-  deregister("t1");
+  fleet.deregister("t1");
   // Without t1 and t4, no target has what the store names.
   expect(await listLostWithin(20_000, acknowledged)).toEqual([]);
   expect(fleet.orders).toEqual([]);
@@ -205,7 +195,7 @@
   );
   fleet.unreachableTargets.add("h0/t1");
   fleet.messageFaults.isLost = (from, to) => from === "h0" || to === "h0";
-  deregister("t1");
+  fleet.deregister("t1");
   expect(await listLostWithin(30_000, acknowledged)).toEqual([]);
 });
 
--- a/test/failover_copies.test.ts
+++ b/test/failover_copies.test.ts
@@ -1,5 +1,4 @@
 import { afterEach, expect, test, vi } from "vitest";
-import { asId, type ObjectKey } from "../src/core/ids.ts";
 import type { StatementTarget } from "../standins/statement_group.ts";
 import {
   type PoolFleet,
@@ -49,10 +48,6 @@
   return listLostWrites(fleet, acknowledged);
 }
 
-function deregister(id: string): void {
-  fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
-}
-
 /** Leaves the current hosts without the store and starts another one. */
 async function startLoneHost(): Promise<void> {
   ["h0", "h1", "h2"].forEach((host) => fleet.hostsWithoutStore.add(host));
@@ -153,7 +148,7 @@
   fleet.getTarget("t4").faults.isReplicationStopped = true;
   const acknowledged = startWriters();
   await vi.advanceTimersByTimeAsync(1_000);
-  deregister("t3");
+  fleet.deregister("t3");
   await vi.advanceTimersByTimeAsync(3_000);
   await startLoneHost();
   fleet.getTarget("t1").faults.isUnresponsive = true;
@@ -170,7 +165,7 @@
   fleet.getTarget("t4").faults.isReplicationStopped = true;
   const acknowledged = startWriters();
   await vi.advanceTimersByTimeAsync(1_000);
-  deregister("t3");
+  fleet.deregister("t3");
   await vi.advanceTimersByTimeAsync(3_000);
   fleet.getTarget("t1").faults.isUnresponsive = true;
   await vi.advanceTimersByTimeAsync(FAILOVER_MS);
@@ -194,7 +189,7 @@
   fleet.register("t1", { isDraining: true, role: "replica" });
   fleet.register(successor.record.id, { role: "primary" });
   fleet.getTarget("t1").faults.isUnresponsive = true;
-  deregister("t1");
+  fleet.deregister("t1");
   await vi.advanceTimersByTimeAsync(5_000);
   fleet.getTarget(successor.record.id).faults.isUnresponsive = true;
   await vi.advanceTimersByTimeAsync(FAILOVER_MS);
--- a/test/failover_restart.test.ts
+++ b/test/failover_restart.test.ts
@@ -31,10 +31,6 @@
   await vi.advanceTimersByTimeAsync(1_000);
 }
 
-function deregister(id: string): void {
-  fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
-}
-
 function setUnresponsive(id: string, isUnresponsive: boolean): void {
   fleet.getTarget(id).faults.isUnresponsive = isUnresponsive;
 }
@@ -78,7 +74,10 @@
   await crashPrimary();
   // The replica without the last writes is fenced first.
   fleet.targetReplies.delayMsByTarget.set("t2", 300);
-  await restartHosts({ downMs: 3_000, whileDown: () => deregister("t1") });
+  await restartHosts({
+    downMs: 3_000,
+    whileDown: () => fleet.deregister("t1"),
+  });
   await vi.advanceTimersByTimeAsync(FAILOVER_MS);
   expect(load.acknowledged.size).toBeGreaterThan(0);
   expect(tryPrimaryOf(fleet)?.record.id).toBe("t2");
@@ -92,8 +91,8 @@
   await restartHosts({
     downMs: 3_000,
     whileDown() {
-      deregister("t1");
-      deregister("t2");
+      fleet.deregister("t1");
+      fleet.deregister("t2");
     },
   });
   await vi.advanceTimersByTimeAsync(FAILOVER_MS);
@@ -128,7 +127,7 @@
   expect(listRecorded()).toEqual(["t1", "t2", "t3"]);
   fleet.register("t3", { isDraining: true });
   await vi.advanceTimersByTimeAsync(RECORD_MS);
-  deregister("t3");
+  fleet.deregister("t3");
   await vi.advanceTimersByTimeAsync(RECORD_MS);
   expect(listRecorded()).toEqual(["t1", "t2"]);
 });
@@ -148,7 +147,7 @@
 /** Lets the registration of a replica lapse, which goes on counting as a copy. */
 async function lapseReplica(): Promise<void> {
   load.stop();
-  deregister("t3");
+  fleet.deregister("t3");
   await vi.advanceTimersByTimeAsync(RECORD_MS);
 }
 
--- a/test/failover_review.test.ts
+++ b/test/failover_review.test.ts
@@ -17,7 +17,11 @@
   type PoolFleetOptions,
   startPoolFleet,
 } from "./pool_fleet.ts";
-import { listLostWrites, startWriteLoad, tryPrimaryOf } from "./write_load.ts";
+import {
+  listLostWithin as listLost,
+  startWriteLoad,
+  tryPrimaryOf,
+} from "./write_load.ts";
 
 const PROMOTE_MS = 600;
 /** Time for a failover, with the waits between two attempts. */
@@ -53,22 +57,8 @@
   return load.acknowledged;
 }
 
-/** Returns the writes that were acknowledged and lost while time passes. */
-async function listLostWithin(
-  ms: number,
-  acknowledged: ReadonlySet<string>,
-): Promise<string[]> {
-  const lost = new Set<string>();
-  for (let passedMs = 0; passedMs < ms; passedMs += 50) {
-    await vi.advanceTimersByTimeAsync(50);
-    listLostWrites(fleet, acknowledged).forEach((id) => lost.add(id));
-  }
-  return [...lost];
-}
-
-function deregister(id: string): void {
-  fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
-}
+const listLostWithin = (ms: number, acknowledged: ReadonlySet<string>) =>
+  listLost(fleet, acknowledged, { ms, intervalMs: 50 });
 
 function listSteppedDown() {
   return fleet.logLines.filter(({ event, fields }) =>
@@ -121,7 +111,7 @@
   await vi.advanceTimersByTimeAsync(600);
   // These hosts do not see that the registration is gone.
   fleet.hostsWithoutStore.add("h1").add("h2");
-  deregister("t1");
+  fleet.deregister("t1");
   expect(await listLostWithin(FAILOVER_MS, acknowledged)).toHaveLength(0);
 });
 
@@ -373,7 +363,7 @@
     await vi.advanceTimersByTimeAsync(1_000);
     fleet.register("t3", { isDraining: true });
     await vi.advanceTimersByTimeAsync(500);
-    deregister("t3");
+    fleet.deregister("t3");
     fleet.getTarget("t3").faults.isUnresponsive = !isRunning;
     await vi.advanceTimersByTimeAsync(3_000);
     fleet.getTarget("t1").faults.isUnresponsive = true;
--- a/test/pool_fleet.ts
+++ b/test/pool_fleet.ts
@@ -164,6 +164,8 @@
   getTarget(id: string): StatementTarget;
   setCatalog(overrides?: Partial<Catalog>): void;
   register(id: string, overrides?: Partial<TargetRecord>): void;
+  /** Removes registrations, as the platform does after some silence. */
+  deregister(...ids: readonly string[]): void;
   /** Evacuates a failure domain, as the operator does. */
   evacuate(domain: string): void;
   /** Takes the evacuation of a failure domain back. */
@@ -498,6 +500,8 @@
     network,
     setCatalog,
     register,
+    deregister: (...ids) =>
+      ids.forEach((id) => store.remove(asId<ObjectKey>(`targets/${id}`))),
     openSession: (database, host = 0, workspace = workspaces[0]!) =>
       poolers[host]!.openSession({
         database: asId(database),
--- a/test/target_gone.test.ts
+++ b/test/target_gone.test.ts
@@ -1,5 +1,4 @@
 import { afterEach, expect, test, vi } from "vitest";
-import { asId, type ObjectKey } from "../src/core/ids.ts";
 import {
   begin,
   getOutcome,
@@ -16,10 +15,6 @@
   fleet = await startPoolFleet({ group });
 }
 
-function deregister(id: string): void {
-  fleet.store.remove(asId<ObjectKey>(`targets/${id}`));
-}
-
 /** Stops or resumes the replication that writes and commits wait for. */
 function setReplication(isStopped: boolean): void {
   for (const id of ["t2", "t3"]) {
@@ -35,7 +30,7 @@
   await start({ workMs: STATEMENT_MS });
   const outcomes = begin(fleet.openSession("orders"), "WRITE a 1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
-  deregister("t1");
+  fleet.deregister("t1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS);
   expect(outcomes).toEqual(["done"]);
   expect(fleet.group.acknowledged).toContain("r1");
@@ -49,7 +44,7 @@
   setReplication(true);
   const outcomes = begin(session, "COMMIT");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS);
-  deregister("t1");
+  fleet.deregister("t1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS);
   expect(outcomes).toEqual([]);
   setReplication(false);
@@ -62,7 +57,7 @@
   const session = fleet.openSession("orders");
   await run(session, "BEGIN");
   await run(session, "WRITE a 1");
-  deregister("t1");
+  fleet.deregister("t1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS);
   expect(getOutcome(await run(session, "COMMIT"))).toBe("done");
 });
@@ -73,7 +68,7 @@
   fleet.delayedPromotions.minDelayMs = 10_000;
   const outcomes = begin(fleet.openSession("orders"), "WRITE a 1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
-  deregister("t1");
+  fleet.deregister("t1");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS / 2);
   const other = fleet.openSession("orders");
   expect(getOutcome(await run(other, "WRITE a 2"))).not.toBe("done");
@@ -117,7 +112,7 @@
   fleet.getTarget(target).faults.isUnresponsive = true;
   const outcomes = begin(session, "READ b");
   await vi.advanceTimersByTimeAsync(STATEMENT_MS);
-  deregister(target);
+  fleet.deregister(target);
   await vi.advanceTimersByTimeAsync(400);
   expect(outcomes).toEqual(["done"]);
 });
--- a/test/target_lapse.test.ts
+++ b/test/target_lapse.test.ts
@@ -1,7 +1,6 @@
 /** Pattern: the store loses the registrations of live targets in an outage. */
 
 import { afterEach, expect, test, vi } from "vitest";
-import { asId, type ObjectKey } from "../src/core/ids.ts";
 import {
   getOutcome,
   type PoolFleet,
@@ -12,16 +11,12 @@
 let fleet: PoolFleet;
 afterEach(() => fleet.stop());
 
-function lapse(ids: readonly string[]): void {
-  ids.forEach((id) => fleet.store.remove(asId<ObjectKey>(`targets/${id}`)));
-}
-
 // A watch that waits longer than the outage returns the lapses as if the store
 // had always answered.
 test("targets whose registrations lapse together are used until they renew", async () => {
   fleet = await startPoolFleet();
   const session = fleet.openSession("orders");
-  lapse(["t1", "t2", "t3"]);
+  fleet.deregister(...["t1", "t2", "t3"]);
   await vi.advanceTimersByTimeAsync(500);
   expect(getOutcome(await run(session, "WRITE k 1"))).toBe("done");
   ["t1", "t2", "t3"].forEach((id) => fleet.register(id));
@@ -32,7 +27,7 @@
 test("targets that do not renew their registrations are gone after the grace", async () => {
   fleet = await startPoolFleet();
   const session = fleet.openSession("orders");
-  lapse(["t1", "t2", "t3"]);
+  fleet.deregister(...["t1", "t2", "t3"]);
   await vi.advanceTimersByTimeAsync(2_500);
   expect(getOutcome(await run(session, "WRITE k 1"))).not.toBe("done");
 });
--- a/test/write_load.ts
+++ b/test/write_load.ts
@@ -1,5 +1,6 @@
 /** A steady load of writes on a fleet of pool hosts, and what became of them. */
 
+import { vi } from "vitest";
 import { tryDecodeStatement } from "../platform/line_codec.ts";
 import { asId } from "../src/core/ids.ts";
 import type { StatementTarget } from "../standins/statement_group.ts";
@@ -51,3 +52,20 @@
   const kept = new Set(primary?.log.flatMap(({ ids }) => ids));
   return primary ? [...acknowledged].filter((id) => !kept.has(id)) : [];
 }
+
+/**
+ * Returns the acknowledged writes that a primary lacked at one of the times at
+ * which logs were compared, while time passes.
+ */
+export async function listLostWithin(
+  fleet: PoolFleet,
+  acknowledged: ReadonlySet<string>,
+  time: { readonly ms: number; readonly intervalMs: number },
+): Promise<string[]> {
+  const lost = new Set<string>();
+  for (let passedMs = 0; passedMs < time.ms; passedMs += time.intervalMs) {
+    await vi.advanceTimersByTimeAsync(time.intervalMs);
+    listLostWrites(fleet, acknowledged).forEach((id) => lost.add(id));
+  }
+  return [...lost];
+}
