Review: a failover takes a replica that lost its log for one that kept it

Cause: a lost log is known from the registration alone, which is out of date while the replica is cut from the store.

--- a/review/lib-3/backends.mjs
+++ b/review/lib-3/backends.mjs
@@ -5,6 +5,8 @@
 
 const LINE_END = "\r\n";
 const HEARTBEAT_MS = 1_200;
+/** Three intervals of silence, after which an entry is removed. */
+const LAPSE_MS = 3 * HEARTBEAT_MS;
 const BEFORE_ALL = { term: 1, pos: 0 };
 
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -58,7 +60,8 @@
   store,
   workMs = 5,
   lagMs = 20,
-  receiveMs = 1,
+  /** Time in which a replica receives a commit, by its index. */
+  receiveMs = [1, 1, 1],
   promoteMs = 600,
   maxConns = 60,
   slots = 5,
@@ -67,21 +70,24 @@
   onRun = () => {},
   /** Whether the answer to a statement is lost after it ran. */
   isAnswerLost = () => false,
+  onPromoted = () => {},
 }) {
-  const group = { name, backends: [], acknowledged: new Map(), promote };
+  const group = { name, backends: [], promote };
 
   for (const [index, id] of ids.entries()) {
     group.backends.push(createBackend(id, {
       zone: zones[index % zones.length],
       role: index === 0 ? "primary" : "replica",
+      receiveMs: receiveMs[index],
     }));
   }
 
-  function createBackend(id, { zone, role }) {
+  function createBackend(id, { zone, role, receiveMs }) {
     const backend = {
       id,
       zone,
       role,
+      receiveMs,
       term: 1,
       log: [],
       applied: 0,
@@ -89,6 +95,13 @@
       isRunning: true,
       /** Receives nothing of the primary. */
       isDeaf: false,
+      /** Has its connections, and neither reads nor answers. */
+      isDark: false,
+      /** Does not reach the store. */
+      isCutFromStore: false,
+      /** Number of the process under this id. */
+      life: 0,
+      registeredAt: 0,
       sockets: new Set(),
       seq: 0,
       born: Date.now(),
@@ -109,6 +122,10 @@
     log[applied - 1]?.position ?? BEFORE_ALL;
 
   function register(backend) {
+    if (backend.isCutFromStore) {
+      return;
+    }
+    backend.registeredAt = Date.now();
     backend.seq++;
     const { id, zone, state, role, born, seq, address } = backend;
     store.put("servers", id, {
@@ -125,45 +142,50 @@
     });
   }
 
-  function receive(replica, primary) {
+  const isUp = ({ isRunning, isDark }) => isRunning && !isDark;
+
+  /** Gives a replica the primary's log up to `count` entries. */
+  function receive(replica, primary, count) {
     if (
-      !replica.isRunning || replica.isDeaf || !primary.isRunning ||
+      !isUp(replica) || replica.isDeaf || !isUp(primary) ||
       replica.role !== "replica" || primary.role !== "primary" ||
-      replica.pausedTerm > 0
+      replica.pausedTerm > 0 || replica.log.length >= count
     ) {
-      return false;
+      return;
     }
-    replica.log = [...primary.log];
+    replica.log = primary.log.slice(0, count);
     replica.term = primary.term;
-    replica.applied = Math.min(replica.applied, replica.log.length);
-    const count = replica.log.length;
     const last = replica.log.at(-1);
     setTimeout(() => {
       if (replica.log[count - 1] === last) {
         replica.applied = Math.max(replica.applied, count);
       }
     }, lagMs);
-    return true;
   }
 
   /** Appends a commit; true once a replica has received it. */
   async function append(primary, writes) {
-    const { term } = primary;
+    const { term, life } = primary;
     const entry = {
       position: { term, pos: endOf(primary).pos + 1 },
       writes,
     };
     primary.log.push(entry);
     primary.applied = primary.log.length;
-    while (primary.isRunning) {
-      await sleep(receiveMs);
+    const count = primary.log.length;
+    const replicas = group.backends.filter((other) => other !== primary);
+    for (const replica of replicas) {
+      setTimeout(() => receive(replica, primary, count), replica.receiveMs);
+    }
+    while (primary.life === life && primary.isRunning) {
+      await sleep(1);
       if (primary.role !== "primary" || primary.term !== term) {
         return false;
       }
-      const received = group.backends.filter((replica) =>
-        replica !== primary && receive(replica, primary)
-      );
-      if (received.length > 0) {
+      if (
+        isUp(primary) &&
+        replicas.some((replica) => replica.log[count - 1] === entry)
+      ) {
         return true;
       }
     }
@@ -183,13 +205,40 @@
     chosen.term = term;
     chosen.applied = chosen.log.length;
     for (const backend of group.backends) {
-      if (backend !== chosen && backend.isRunning) {
-        receive(backend, chosen);
+      if (backend !== chosen && isUp(backend)) {
+        backend.log = [...chosen.log];
+        backend.applied = Math.min(backend.applied, backend.log.length);
+        backend.term = term;
       }
-      if (backend.isRunning) {
+      if (isUp(backend)) {
         register(backend);
       }
     }
+    onPromoted(chosen);
+  }
+
+  /** Starts a backend again under its id; it knows nothing of before. */
+  function restart(backend) {
+    backend.sockets.forEach((socket) => socket.destroy());
+    Object.assign(backend, {
+      life: backend.life + 1,
+      role: "replica",
+      term: 1,
+      log: [],
+      applied: 0,
+      pausedTerm: 0,
+      seq: 0,
+      born: Date.now(),
+      isRunning: true,
+    });
+    register(backend);
+  }
+
+  /** Ends the process of a backend, which resets its connections. */
+  function crash(backend) {
+    backend.isRunning = false;
+    backend.life++;
+    backend.sockets.forEach((socket) => socket.destroy());
   }
 
   function readItem(backend, item) {
@@ -204,6 +253,8 @@
   }
 
   function serve(backend, socket) {
+    const { life } = backend;
+    const isServing = () => isUp(backend) && backend.life === life;
     const values = new Map();
     const prepared = new Map();
     let state;
@@ -215,7 +266,7 @@
     let lostId;
 
     async function send(text) {
-      if (!socket.destroyed && backend.isRunning && lostId === undefined) {
+      if (!socket.destroyed && isServing() && lostId === undefined) {
         if (!socket.write(text, "latin1")) {
           await new Promise((resolve) => {
             const finish = () => {
@@ -266,6 +317,9 @@
         return await fail("READONLY");
       }
       await sleep(workMs);
+      if (!isServing()) {
+        return;
+      }
       onRun({ backend, id, text, values: new Map(values), state });
       lostId = isAnswerLost({ backend, id, text }) ? id : undefined;
       if (access === "READ") {
@@ -385,7 +439,7 @@
       ]);
 
     readLines(socket, (line) => {
-      if (!backend.isRunning) {
+      if (!isServing()) {
         return;
       }
       if (state === undefined) {
@@ -404,7 +458,7 @@
       }
       const [, id, text = ""] = splitFields(line, 3);
       work = work.then(async () => {
-        if (backend.isRunning) {
+        if (isServing()) {
           await command(id, text);
         }
         lostId = undefined;
@@ -414,10 +468,21 @@
 
   return Object.assign(group, {
     register,
+    restart,
+    crash,
     /** Starts the heartbeats; the result stops them. */
     startHeartbeats() {
-      const beat = () =>
-        group.backends.filter(({ isRunning }) => isRunning).forEach(register);
+      const beat = () => {
+        for (const backend of group.backends) {
+          if (isUp(backend)) {
+            register(backend);
+          }
+          const silentMs = Date.now() - backend.registeredAt;
+          if (silentMs > LAPSE_MS && store.get("servers", backend.id)) {
+            store.remove("servers", backend.id);
+          }
+        }
+      };
       beat();
       const timer = setInterval(beat, HEARTBEAT_MS);
       return () => clearInterval(timer);
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -74,10 +74,11 @@
         const wake = () => {
           clearTimeout(timer);
           waiters.delete(wake);
+          req.off("close", wake);
           resolve();
         };
         const timer = setTimeout(wake, deadline - Date.now());
-        req.once("close", wake);
+        req.on("close", wake);
         waiters.add(wake);
       });
       if (req.socket.destroyed) {
