--- a/review/lib-3/backends.mjs
+++ b/review/lib-3/backends.mjs
@@ -110,6 +110,10 @@
     };
     backend.server = createServer({ noDelay: true }, (socket) => {
       socket.on("error", () => socket.destroy());
+      if (!backend.isRunning) {
+        socket.destroy();
+        return;
+      }
       backend.sockets.add(socket);
       socket.on("close", () => backend.sockets.delete(socket));
       serve(backend, socket);
@@ -472,20 +476,26 @@
     crash,
     /** Starts the heartbeats; the result stops them. */
     startHeartbeats() {
-      const beat = () => {
-        for (const backend of group.backends) {
-          if (isUp(backend)) {
-            register(backend);
-          }
-          const silentMs = Date.now() - backend.registeredAt;
-          if (silentMs > LAPSE_MS && store.get("servers", backend.id)) {
-            store.remove("servers", backend.id);
-          }
+      function beat(backend) {
+        if (isUp(backend)) {
+          register(backend);
         }
-      };
-      beat();
-      const timer = setInterval(beat, HEARTBEAT_MS);
-      return () => clearInterval(timer);
+        const silentMs = Date.now() - backend.registeredAt;
+        if (silentMs > LAPSE_MS && store.get("servers", backend.id)) {
+          store.remove("servers", backend.id);
+        }
+      }
+      const timers = [];
+      for (const [index, backend] of group.backends.entries()) {
+        register(backend);
+        // Each process has a phase of its own.
+        const phaseMs = (index * HEARTBEAT_MS) / group.backends.length;
+        timers.push(setTimeout(() => {
+          beat(backend);
+          timers.push(setInterval(() => beat(backend), HEARTBEAT_MS));
+        }, phaseMs));
+      }
+      return () => timers.forEach((timer) => clearInterval(timer));
     },
   });
 }
