--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -1,7 +1,7 @@
 /** A small deployment: store, one database group, hosts in three zones. */
 
 import { createGroup } from "./backends.mjs";
-import { createHosts } from "./hosts.mjs";
+import { createHosts, setTranscript } from "./hosts.mjs";
 import { createOrders, createStore, listenOnLoopback } from "./store.mjs";
 
 export const SERVICE = "ledger";
@@ -48,6 +48,7 @@
 
 /** Starts a deployment and waits until its hosts are ready. */
 export async function startFleet({ record, atEnd }, options = {}) {
+  setTranscript(record);
   const store = createStore();
   const storePort = await listenOnLoopback(store.server);
   const group = createGroup({
@@ -56,6 +57,8 @@
     zones: Object.keys(ZONES),
     store,
     maxConns: MAX_CONNECTIONS,
+    onRun: ({ backend, id, text }) =>
+      record(`${backend.id} runs ${id} ${text.slice(0, 120)}`),
     ...options.group,
   });
   for (const backend of group.backends) {
--- a/review/lib-3/hosts.mjs
+++ b/review/lib-3/hosts.mjs
@@ -23,13 +23,29 @@
   return /^run = "(.*)"$/m.exec(deploy)[1].split(" ");
 }
 
-/** Finds a port that is free now. */
+/** Below the ports that connections get by themselves. */
+const FIRST_PORT = 14_000;
+const PORT_COUNT = 17_000;
+const givenPorts = new Set();
+
+/** Finds a port that is free now, and that no connection takes. */
 async function findPort() {
-  const server = createServer();
-  await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (givenPorts.has(port)) {
+      continue;
+    }
+    const server = createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (isFree) {
+      givenPorts.add(port);
+      await new Promise((resolve) => server.close(resolve));
+      return port;
+    }
+  }
 }
 
 /** Case that could not run; the script then exits with 2. */
@@ -41,6 +57,7 @@
   const [program, ...args] = readCommand();
   const hosts = [];
   let isClosed = false;
+  let hasLostPort = false;
 
   async function add(name, zone) {
     const ports = {
@@ -105,6 +122,10 @@
       if (isClosed) {
         return;
       }
+      if (host.log.slice(-20_000).includes("EADDRINUSE")) {
+        // Another process has taken a port: the case cannot run.
+        hasLostPort = true;
+      }
       if (!host.isSignalled) {
         host.ownEnds.push({ code, signal });
         record(`${host.name} ends by itself: code ${code}, signal ${signal}`);
@@ -139,11 +160,13 @@
     hosts,
     add,
     isReady,
+    /** Whether a host could not listen, as its port was taken. */
+    hasLostPort: () => hasLostPort,
     async waitUntilReady() {
       const deadline = Date.now() + READY_TIMEOUT_MS;
       for (const host of hosts) {
         while (!await isReady(host)) {
-          if (Date.now() > deadline) {
+          if (hasLostPort || Date.now() > deadline) {
             throw new NotRunError(`${host.name} is not ready`);
           }
           await sleep(50);
@@ -162,8 +185,24 @@
   };
 }
 
+/** Gets what clients send and are answered; set once for a script. */
+let transcribe = () => {};
+let clientCount = 0;
+
+export function setTranscript(record) {
+  transcribe = record;
+}
+
+/** Describes an answer in one short line. */
+function describe({ lines, isComplete }) {
+  const rows = lines.filter((line) => line.startsWith("ROW ")).length;
+  const rest = lines.filter((line) => !line.startsWith("ROW ")).join(" | ");
+  return `${rows} rows | ${rest}${isComplete ? "" : " | cut"}`.slice(0, 160);
+}
+
 /** Connects a client; each message resolves with the lines of its answer. */
 export function createClient(port) {
+  const name = `c${++clientCount}`;
   const socket = connect({ host: "127.0.0.1", port, noDelay: true });
   const waiting = [];
   const client = { isEnded: false, unsolicited: [] };
@@ -181,7 +220,12 @@
         resolve({ lines: [], isComplete: false });
         return;
       }
-      waiting.push({ lines: [], isStart, resolve });
+      transcribe(`${name} sends ${text.slice(0, 120)}`);
+      const finish = (answer) => {
+        transcribe(`${name} is answered ${describe(answer)}`);
+        resolve(answer);
+      };
+      waiting.push({ lines: [], isStart, resolve: finish });
       socket.write(`${text}\r\n`, "latin1");
     });
   }
--- a/review/lib-3/sessions.mjs
+++ b/review/lib-3/sessions.mjs
@@ -1,7 +1,7 @@
 /** Ordinary sessions beside the trouble of a case. */
 
 import { performance } from "node:perf_hooks";
-import { createClient, getCode, sleep } from "./hosts.mjs";
+import { createClient, getCode, NotRunError, sleep } from "./hosts.mjs";
 
 const SESSIONS_PER_HOST = 4;
 const PAUSE_MS = 40;
@@ -59,6 +59,9 @@
  * themselves three times.
  */
 export function isFault(fleet, record) {
+  if (fleet.hasLostPort()) {
+    throw new NotRunError("a host's port was taken");
+  }
   const ends = fleet.hosts.map(({ ownEnds }) => ownEnds.length);
   record(`own ends by host: ${ends.join(" ")}`);
   return ends.filter((count) => count >= 3).length >= 2;
