--- a/review/lib-3/backends.mjs
+++ b/review/lib-3/backends.mjs
@@ -148,18 +148,22 @@
 
   const isUp = ({ isRunning, isDark }) => isRunning && !isDark;
 
-  /** Gives a replica the primary's log up to `count` entries. */
-  function receive(replica, primary, count) {
+  /**
+   * Gives a replica what a primary has sent: it arrives also if the primary has
+   * gone dark since.
+   */
+  function receive(replica, { entries, term }) {
     if (
-      !isUp(replica) || replica.isDeaf || !isUp(primary) ||
-      replica.role !== "replica" || primary.role !== "primary" ||
-      replica.pausedTerm > 0 || replica.log.length >= count
+      !isUp(replica) || replica.isDeaf || replica.role !== "replica" ||
+      replica.term > term || replica.pausedTerm > 0 ||
+      replica.log.length >= entries.length
     ) {
       return;
     }
-    replica.log = primary.log.slice(0, count);
-    replica.term = primary.term;
-    const last = replica.log.at(-1);
+    replica.log = entries;
+    replica.term = term;
+    const count = entries.length;
+    const last = entries.at(-1);
     setTimeout(() => {
       if (replica.log[count - 1] === last) {
         replica.applied = Math.max(replica.applied, count);
@@ -179,7 +183,8 @@
     const count = primary.log.length;
     const replicas = group.backends.filter((other) => other !== primary);
     for (const replica of replicas) {
-      setTimeout(() => receive(replica, primary, count), replica.receiveMs);
+      const sent = { entries: primary.log.slice(0, count), term };
+      setTimeout(() => receive(replica, sent), replica.receiveMs);
     }
     while (primary.life === life && primary.isRunning) {
       await sleep(1);
